--- /dev/null
+++ b/src/process/daemon/internal/reclaim_poller.cpp
@@ -0,0 +1,112 @@
+#include "reclaim_poller.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <lagoonladder/daemon/control_plane.hpp>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr int connect_timeout_s = 1;
+constexpr int read_timeout_s = 2;
+
+reclaim_notice parse_notice(nlohmann::json const& in)
+{
+    reclaim_notice notice;
+    notice.vm = vm_id(in.value("vm", std::string()));
+    notice.zone = zone_id(in.value("zone", std::string()));
+    notice.deadline = wall_time(duration(in.value("deadline_us", std::int64_t(0))));
+    return notice;
+}
+
+} // namespace
+
+std::vector<reclaim_notice> http_cloud_platform::notices()
+{
+    httplib::Client client("http://" + this->address.value());
+    client.set_connection_timeout(connect_timeout_s);
+    client.set_read_timeout(read_timeout_s);
+    auto const answer = client.Get("/v1/notices");
+    if (!answer || answer->status != 200)
+        throw daemon_error("the cloud API at " + this->address.value() +
+                           " did not answer GET /v1/notices");
+    try
+    {
+        std::vector<reclaim_notice> found;
+        for (auto const& item : nlohmann::json::parse(answer->body).at("notices"))
+            found.push_back(parse_notice(item));
+        return found;
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        throw daemon_error("the cloud API at " + this->address.value() +
+                           " sent an unreadable list of notices: " + problem.what());
+    }
+}
+
+reclaim_poller::reclaim_poller(cloud_platform& source, event_sink& log, notice_handler handler)
+    : platform(source)
+    , events(log)
+    , on_notices(std::move(handler))
+{
+}
+
+reclaim_poller::~reclaim_poller()
+{
+    this->stop();
+}
+
+void reclaim_poller::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void reclaim_poller::stop()
+{
+    {
+        std::lock_guard const lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void reclaim_poller::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping)
+    {
+        lock.unlock();
+        if (this->active)
+            this->poll();
+        lock.lock();
+        this->wake.wait_for(lock, poll_interval, [this] { return this->stopping; });
+    }
+}
+
+void reclaim_poller::poll()
+{
+    try
+    {
+        auto found = this->platform.notices();
+        if (!this->reachable)
+            this->events.emit(severity::info, "platform.reachable", {});
+        this->reachable = true;
+        if (!found.empty())
+            this->on_notices(std::move(found));
+    }
+    catch (error const& problem)
+    {
+        if (this->reachable)
+            this->events.emit(severity::warning, "platform.unreachable",
+                              {{"reason", problem.what()}});
+        this->reachable = false;
+    }
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/tests/settings_test.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <lagoonladder/daemon/settings.hpp>
+
+using namespace lagoonladder;
+using Catch::Matchers::Contains;
+using daemon::parse_settings;
+using daemon::settings_error;
+
+namespace
+{
+
+std::string const base_text = "[vm]\nid = entry-1\ndata_centre = hobart-1\n"
+                              "[listen]\nhttp = 127.0.0.1:8101\ncontrol = 127.0.0.1:9101\n"
+                              "[security]\noperator_token = o\nendpoint_token = e\n"
+                              "cluster_token = c\n";
+
+} // namespace
+
+TEST_CASE("settings are parsed with defaults")
+{
+    auto const parsed = parse_settings(
+        "s.ini", base_text + "[storage]\ndata_folder = data\n"
+                             "initial_voters = entry-1@127.0.0.1:9101, entry-2@127.0.0.1:9102\n"
+                             "[timing]\nelection_timeout = 300 ms\n[limits]\nmax_body = 2 MiB\n");
+    CHECK(parsed.vm == vm_id("entry-1"));
+    CHECK(parsed.zone == zone_id("hobart-1"));
+    CHECK(parsed.initial_voters.size() == 2);
+    CHECK(parsed.election_timeout == milliseconds(300));
+    CHECK(parsed.max_body_bytes == 2 * 1024 * 1024);
+    CHECK(parsed.endpoint_lease == seconds(5));
+}
+
+TEST_CASE("settings errors name file and line")
+{
+    // Guards against a mistyped key or unit being ignored without an error.
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[log]\nlevle = info\n"),
+                      Contains("s.ini:12: unknown key \"levle\""));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[log]\nlevel = loud\n"),
+                      Contains("s.ini:12:"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[tuning]\n"),
+                      Contains("s.ini:11: unknown section"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[timing]\nelection_timeout = 5\n"),
+                      Contains("s.ini:12: key \"election_timeout\""));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[timing]\nelection_timeout = 5 ms\n"),
+                      Contains("must be from"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[limits]\nmax_connections = many\n"),
+                      Contains("is not a whole number"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[peers]\nseeds = localhost:1\n"),
+                      Contains("is not an address"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[storage]\ndata_folder = d\n"),
+                      Contains("needs initial_voters"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[vm]\nid = x\n"),
+                      Contains("s.ini:11: duplicate section"));
+    CHECK_THROWS_WITH(parse_settings("s.ini", "[vm]\nid = entry-1\n"), Contains("data_centre"));
+    CHECK_THROWS_AS(daemon::load_settings("missing.ini"), settings_error);
+}
+
+TEST_CASE("the settings parser accepts or reports any text")
+{
+    rc::prop("parse_settings returns or throws settings_error",
+             [](std::string const& tail)
+             {
+                 try
+                 {
+                     parse_settings("s.ini", base_text + tail);
+                 }
+                 catch (settings_error const&)
+                 {
+                 }
+             });
+}
--- /dev/null
+++ b/src/process/observability/tests/observability_test.cpp
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+
+#include <lagoonladder/observability.hpp>
+
+using namespace lagoonladder;
+using namespace lagoonladder::observability;
+using Catch::Matchers::Contains;
+
+TEST_CASE("an event is one line of key=value pairs")
+{
+    // Guards against a value with a line break or a quote forging another log line.
+    event value;
+    value.vm = vm_id("entry-1");
+    value.name = "request.refused";
+    value.fields = {{"reason", "line\nbreak \"quoted\""}, {"service", "booking"}};
+    CHECK(format_event(value) == "1970-01-01T00:00:00.000000Z level=info vm=entry-1 "
+                                 "event=request.refused reason=\"line?break \\\"quoted\\\"\" "
+                                 "service=booking");
+}
+
+TEST_CASE("the timeline keeps the latest events and merges several daemons in order")
+{
+    manual_clock clock;
+    event_timeline first(vm_id("a"), clock, severity::error, 3);
+    event_timeline second(vm_id("b"), clock, severity::error, 3);
+    for (int i = 0; i < 5; ++i)
+        first.emit(severity::info, "e" + std::to_string(i), {});
+    second.observe(first.stamp());
+    second.emit(severity::info, "after", {});
+
+    auto const list = first.list({}, 10);
+    REQUIRE(list.size() == 3);
+    CHECK(list.front().name == "e2");
+    CHECK(first.list({}, 1).front().name == "e4");
+
+    auto const merged = merge_events({second.list({}, 10), list, list});
+    REQUIRE(merged.size() == 4);
+    CHECK(merged.back().name == "after");
+}
+
+TEST_CASE("metrics are exposed in the text format")
+{
+    metrics values;
+    values.add("requests_total", {{"service", "booking"}});
+    values.add("requests_total", {{"service", "booking"}}, 2);
+    values.set("queue_age_seconds", {}, 1.5);
+    values.observe_seconds("first_token_seconds", {}, 0.003);
+    auto const text = values.expose();
+    CHECK_THAT(text, Contains("lagoonladder_requests_total{service=\"booking\"} 3"));
+    CHECK_THAT(text, Contains("lagoonladder_queue_age_seconds 1.5"));
+    CHECK_THAT(text, Contains("lagoonladder_first_token_seconds_count 1"));
+}
