--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -3,6 +3,13 @@
 
 /// Public header of the request library: decisions that live for one request.
 
+#include <lagoonladder/request/accepted_request.hpp>
+#include <lagoonladder/request/admission.hpp>
+#include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/once_record.hpp>
+#include <lagoonladder/request/prefix_index.hpp>
+#include <lagoonladder/request/retry_budget.hpp>
+#include <lagoonladder/request/route_choice.hpp>
+#include <lagoonladder/request/stream_assembly.hpp>
 
 #endif
--- /dev/null
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -0,0 +1,176 @@
+#ifndef LAGOONLADDER_REQUEST_ROUTE_CHOICE_HPP
+#define LAGOONLADDER_REQUEST_ROUTE_CHOICE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <lagoonladder/base.hpp>
+
+namespace lagoonladder::request
+{
+
+/// One endpoint as the choice sees it.
+struct route_candidate
+{
+    lagoonladder::endpoint_id endpoint_id;
+    data_centre_id data_centre;
+    zone_id zone;
+    version_name version;
+    bool reclaimable = false;
+    bool leaving = false;
+    /// Estimated requests running and waiting, as load_estimate gives it.
+    double load = 0;
+    /// Requests the endpoint can run at the same time; 0 counts as 1.
+    std::uint32_t slots = 1;
+    /// Share of the prompt whose prefix the endpoint is believed to hold, 0 to 1.
+    double prefix_match = 0;
+};
+
+struct route_query
+{
+    /// Data centre of the entry that asks.
+    data_centre_id data_centre;
+    /// Hash of the start of the prompt; 0 when the request has no prefix.
+    std::uint64_t prefix_hash = 0;
+    /// Endpoints that already failed this request.
+    std::vector<endpoint_id> excluded;
+};
+
+/// Result of one attempt, for the policy's view of an endpoint's health and speed.
+struct route_outcome
+{
+    /// False for a failed connection, an error status or a silent attempt.
+    bool ok = true;
+    /// From dispatch to the first byte; zero when there was none.
+    duration first_byte{};
+    /// From dispatch to the end.
+    duration elapsed{};
+    /// Tokens generated; 0 for plain services.
+    std::uint64_t tokens = 0;
+};
+
+/// Picks an endpoint for one attempt. Not safe for concurrent calls.
+class route_policy
+{
+public:
+    virtual ~route_policy() = default;
+
+    /// No value when every candidate is leaving or excluded by the query.
+    virtual std::optional<endpoint_id> choose(time_point now,
+                                              std::vector<route_candidate> const& candidates,
+                                              route_query const& query, random_source& random) = 0;
+
+    /// Tells how an attempt ended. Attempts that the caller cancelled are not told.
+    virtual void record(time_point, endpoint_id const&, route_outcome const&) {}
+};
+
+struct balanced_route_options
+{
+    /// A candidate is left out when its load per slot exceeds this multiple of the mean.
+    double load_factor = 1.25;
+    /// Endpoints that the prefix hash ranks first take part in the affinity group.
+    std::uint32_t affinity_group = 2;
+    /// Load per slot that a full prefix match is worth.
+    double prefix_weight = 0.3;
+    /// Load per slot that an endpoint in another data centre is charged.
+    double remote_penalty = 0.1;
+    /// Time over which a new or recovered endpoint grows to its full share.
+    duration ramp_up = seconds(10);
+    /// Share that a new or recovered endpoint starts with.
+    double ramp_start = 0.1;
+    /// Consecutive failures after which an endpoint is excluded.
+    std::uint32_t failures_to_exclude = 3;
+    /// First exclusion; doubles with each further failed probe.
+    duration exclusion = seconds(1);
+    duration max_exclusion = seconds(30);
+    /// State of an endpoint that was no candidate for this long is dropped.
+    duration forget_after = std::chrono::minutes(1);
+};
+
+/// Default policy: power of two choices among the candidates with prefix affinity
+/// whose load is bounded, with locality, ramp-up of new and recovered endpoints
+/// and exclusion of failing ones. When all candidates are failing, the failing
+/// ones are used.
+class balanced_route_policy : public route_policy
+{
+public:
+    explicit balanced_route_policy(balanced_route_options options = {});
+
+    std::optional<endpoint_id> choose(time_point now,
+                                      std::vector<route_candidate> const& candidates,
+                                      route_query const& query, random_source& random) override;
+    void record(time_point now, endpoint_id const& endpoint, route_outcome const& outcome) override;
+
+    /// Whether failures exclude the endpoint from ordinary choices at this time.
+    bool is_excluded(time_point now, endpoint_id const& endpoint) const;
+
+    /// Mean time per request of the endpoint relative to the median endpoint; 1 when unknown.
+    double relative_time(endpoint_id const& endpoint) const;
+
+private:
+    struct health
+    {
+        time_point ramp_from{};
+        time_point last_seen{};
+        std::uint32_t failures = 0;
+        std::uint32_t exclusions = 0;
+        time_point excluded_until{};
+        bool probing = false;
+        time_point probe_started{};
+        /// Moving average of the time per token, or per request without tokens, in seconds.
+        double mean_time = 0;
+        std::uint32_t samples = 0;
+    };
+
+    struct option
+    {
+        route_candidate const* candidate = nullptr;
+        double cost = 0;
+        double share = 1;
+    };
+
+    void observe(time_point now, std::vector<route_candidate> const& candidates);
+    double ramp_share(time_point now, health const& state) const;
+    double median_time() const;
+    double relative_time(health const& state, double median) const;
+    std::vector<option> eligible(time_point now, std::vector<route_candidate> const& candidates,
+                                 route_query const& query) const;
+    std::vector<option> within_bound(std::vector<option> const& all) const;
+    std::vector<option> affinity(std::vector<option> const& all, route_query const& query) const;
+
+    balanced_route_options options;
+    std::map<endpoint_id, health> endpoints;
+    time_point first_call{};
+    time_point last_prune{};
+    bool called = false;
+};
+
+/// Takes the candidates in turn; a baseline for comparisons.
+class round_robin_route_policy : public route_policy
+{
+public:
+    std::optional<endpoint_id> choose(time_point now,
+                                      std::vector<route_candidate> const& candidates,
+                                      route_query const& query, random_source& random) override;
+
+private:
+    std::uint64_t turn = 0;
+};
+
+/// Takes the candidate with the smallest `load` per slot, ties by position. With the
+/// last report as `load` it is the usual least-reported-load baseline.
+class least_load_route_policy : public route_policy
+{
+public:
+    std::optional<endpoint_id> choose(time_point now,
+                                      std::vector<route_candidate> const& candidates,
+                                      route_query const& query, random_source& random) override;
+};
+
+} // namespace lagoonladder::request
+
+#endif
--- /dev/null
+++ b/src/request/include/lagoonladder/request/stream_assembly.hpp
@@ -0,0 +1,81 @@
+#ifndef LAGOONLADDER_REQUEST_STREAM_ASSEMBLY_HPP
+#define LAGOONLADDER_REQUEST_STREAM_ASSEMBLY_HPP
+
+#include <cstdint>
+
+#include <lagoonladder/base.hpp>
+
+namespace lagoonladder::request
+{
+
+enum class token_verdict
+{
+    /// The next token; send it to the caller.
+    forward,
+    /// The attempt was superseded, or the stream is finished.
+    drop_superseded,
+    /// The offset was forwarded before.
+    drop_duplicate,
+    /// Tokens before this one are missing; the attempt has to be replaced.
+    gap
+};
+
+/// How a new attempt gets the state of the stream so far.
+enum class resume_method
+{
+    /// The endpoint computes prompt and earlier tokens again.
+    recompute,
+    /// The endpoint imports the KV cache of the earlier attempt.
+    kv_import
+};
+
+/// Puts the attempts of one streamed request together by token offset, so that
+/// the caller gets each token once. Only the latest attempt is forwarded.
+class stream_assembly
+{
+public:
+    /// `start` is larger than 0 when a request is resumed, such as after a take-over.
+    explicit stream_assembly(token_offset start = token_offset(0));
+
+    /// Begins an attempt and supersedes all earlier ones. Returns the offset of the
+    /// first token that the attempt has to deliver. `prompt_tokens` is counted as
+    /// recomputed, together with the tokens so far, for every attempt that
+    /// resumes by recomputation. An id that was used before is an invariant violation.
+    token_offset begin_attempt(attempt_id const& attempt,
+                               resume_method method = resume_method::recompute,
+                               std::uint64_t prompt_tokens = 0);
+
+    /// Decides on one token of an attempt.
+    token_verdict accept(attempt_id const& attempt, token_offset offset);
+
+    /// The attempt reported the end of the answer after `length` tokens. `forward` finishes
+    /// the stream; `gap` means that tokens are missing.
+    token_verdict finish(attempt_id const& attempt, token_offset length);
+
+    /// Abandons the current attempt: its further tokens are dropped.
+    void abandon();
+
+    /// First offset that was not forwarded yet.
+    token_offset next_offset() const { return this->next; }
+    attempt_id const& current_attempt() const { return this->current; }
+    bool is_finished() const { return this->finished; }
+    std::uint32_t attempts() const { return this->attempt_count; }
+
+    /// Tokens that were computed more than once: recomputed on resumption or delivered again.
+    std::uint64_t recomputed_tokens() const { return this->recomputed; }
+
+private:
+    bool is_current(attempt_id const& attempt) const;
+
+    token_offset next;
+    token_offset start;
+    attempt_id current;
+    bool active = false;
+    bool finished = false;
+    std::uint32_t attempt_count = 0;
+    std::uint64_t recomputed = 0;
+};
+
+} // namespace lagoonladder::request
+
+#endif
