--- /dev/null
+++ b/src/process/consensus/internal/client_requests.cpp
@@ -0,0 +1,197 @@
+#include <algorithm>
+
+#include "node_core.hpp"
+
+namespace lagoonladder::consensus
+{
+
+log_index node_core::append_own(entry_kind kind, std::string data)
+{
+    auto const index = after(this->log.last_index());
+    this->log.append({index, this->hard.term, kind, std::move(data)});
+    this->update_followers();
+    return index;
+}
+
+std::optional<proposal> node_core::propose(time_point time, std::string data)
+{
+    this->advance_time(time);
+    if (this->role != role::leader)
+        return std::nullopt;
+    return proposal{this->append_own(entry_kind::command, std::move(data)), this->hard.term};
+}
+
+bool node_core::has_quorum_with(std::map<voter_id, network_address> const& voters) const
+{
+    auto const active = std::count_if(voters.begin(), voters.end(),
+                                      [this](auto const& voter)
+                                      {
+                                          if (voter.first == this->options.self)
+                                              return true;
+                                          auto const found = this->followers.find(voter.first);
+                                          return found != this->followers.end() &&
+                                                 this->is_active(found->second, this->now);
+                                      });
+    return static_cast<std::size_t>(active) >= voters.size() / 2 + 1;
+}
+
+change_status node_core::check_change(membership_change const& change) const
+{
+    using operation = membership_change::operation;
+    if (this->role != role::leader)
+        return change_status::not_leader;
+    // Two leaders that change the membership without a commit in between could
+    // have quorums that do not overlap.
+    if (!this->is_term_committed())
+        return change_status::term_not_committed;
+    if (this->log.latest_membership_index() > this->hard.commit)
+        return change_status::change_in_progress;
+    auto const& members = this->log.latest_membership();
+    bool const voter = members.voters.contains(change.id);
+    bool const learner = members.learners.contains(change.id);
+    if (change.action == operation::add_learner)
+        return voter || learner ? change_status::already_member : change_status::accepted;
+    if (!voter && !learner)
+        return change_status::unknown_member;
+    if (change.action == operation::set_address)
+        return change_status::accepted;
+    auto voters = members.voters;
+    if (change.action == operation::promote)
+    {
+        if (voter)
+            return change_status::already_member;
+        auto const& follower = this->followers.at(change.id);
+        if (follower.match < this->hard.commit || !this->is_active(follower, this->now))
+            return change_status::learner_behind;
+        voters.emplace(change.id, network_address());
+    }
+    else
+    {
+        voters.erase(change.id);
+        if (voters.empty())
+            return change_status::last_voter;
+    }
+    return this->has_quorum_with(voters) ? change_status::accepted
+                                         : change_status::no_quorum_after_change;
+}
+
+proposed_change node_core::propose_membership(time_point time, membership_change const& change)
+{
+    using operation = membership_change::operation;
+    this->advance_time(time);
+    auto const status = this->check_change(change);
+    if (status != change_status::accepted)
+        return {status, std::nullopt};
+    auto next = this->log.latest_membership();
+    switch (change.action)
+    {
+    case operation::add_learner:
+        next.learners.emplace(change.id, change.address);
+        break;
+    case operation::promote:
+        next.voters.insert(next.learners.extract(change.id));
+        break;
+    case operation::remove:
+        next.voters.erase(change.id);
+        next.learners.erase(change.id);
+        break;
+    case operation::set_address:
+        (next.voters.contains(change.id) ? next.voters : next.learners)[change.id] = change.address;
+        break;
+    }
+    auto const index = this->append_own(entry_kind::membership, encode_membership(next));
+    return {status, proposal{index, this->hard.term}};
+}
+
+bool node_core::request_read(time_point time, std::uint64_t context)
+{
+    this->advance_time(time);
+    if (!this->leader)
+        return false;
+    auto request = this->make(message_type::read_request, *this->leader);
+    request.round = this->read_nonce;
+    request.context = context;
+    if (this->role == role::leader)
+    {
+        this->on_read_request(request);
+        return true;
+    }
+    this->forwarded_reads[context] = this->now;
+    this->outbox.push_back(std::move(request));
+    return true;
+}
+
+void node_core::on_read_request(message const& request)
+{
+    accepted_read read{request.from, request.round, request.context, {}, 0};
+    if (this->role != role::leader)
+        return this->answer_read(read, true);
+    bool const active = this->is_term_committed();
+    this->reads.add(std::move(read), active, this->hard.commit);
+    if (active)
+        this->heartbeat_due = true;
+}
+
+void node_core::answer_read(accepted_read const& read, bool rejected)
+{
+    if (read.requester == this->options.self)
+    {
+        if (rejected)
+            this->failed_reads.push_back(read.context);
+        else
+            this->confirmed_reads.push_back({read.context, read.index});
+        return;
+    }
+    auto reply = this->make(message_type::read_reply, read.requester);
+    reply.round = read.nonce;
+    reply.context = read.context;
+    reply.index = read.index;
+    reply.rejected = rejected;
+    this->outbox.push_back(std::move(reply));
+}
+
+void node_core::on_read_reply(message const& reply)
+{
+    if (reply.round != this->read_nonce || this->forwarded_reads.erase(reply.context) == 0)
+        return;
+    if (reply.rejected)
+        this->failed_reads.push_back(reply.context);
+    else
+        this->confirmed_reads.push_back({reply.context, reply.index});
+}
+
+void node_core::fail_reads()
+{
+    for (auto const& read : this->reads.take_all())
+        this->answer_read(read, true);
+    for (auto const& [context, requested] : this->forwarded_reads)
+        this->failed_reads.push_back(context);
+    this->forwarded_reads.clear();
+}
+
+void node_core::fail_late_reads()
+{
+    std::erase_if(this->forwarded_reads,
+                  [this](auto const& read)
+                  {
+                      bool const late = this->now >= read.second + this->options.election_timeout;
+                      if (late)
+                          this->failed_reads.push_back(read.first);
+                      return late;
+                  });
+}
+
+void node_core::compact(log_index index, std::string data)
+{
+    invariant(index <= this->applied, "entries that are not applied would be compacted");
+    if (this->latest_snapshot && index <= this->latest_snapshot->index)
+        return;
+    snapshot state{index, *this->log.term_at(index), this->log.membership_at(index),
+                   std::move(data)};
+    this->latest_snapshot = std::make_shared<snapshot const>(state);
+    this->to_store = std::move(state);
+    if (index.value() > this->options.retained_entries)
+        this->log.drop_up_to(log_index(index.value() - this->options.retained_entries));
+}
+
+} // namespace lagoonladder::consensus
--- a/src/process/consensus/internal/consensus.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonladder/consensus.hpp>
--- /dev/null
+++ b/src/process/consensus/internal/election.cpp
@@ -0,0 +1,126 @@
+#include <algorithm>
+
+#include "node_core.hpp"
+
+namespace lagoonladder::consensus
+{
+
+void node_core::reset_election_timer()
+{
+    auto const spread = static_cast<std::uint64_t>(this->options.election_timeout.count());
+    this->election_deadline = this->now + this->options.election_timeout +
+                              duration(static_cast<duration::rep>(this->random.below(spread)));
+}
+
+// A voter that heard the leader within one election timeout grants no vote. The
+// leader's lease depends on this. Restarted voters count from their start.
+bool node_core::is_within_lease() const
+{
+    return this->role == role::leader ||
+           this->now < this->leader_heard_at + this->options.election_timeout;
+}
+
+bool node_core::is_log_current(message const& candidate) const
+{
+    return std::pair(candidate.log_term, candidate.index) >=
+           std::pair(this->log.last_term(), this->log.last_index());
+}
+
+void node_core::start_prevote()
+{
+    this->reset_election_timer();
+    if (!this->log.latest_membership().voters.contains(this->options.self))
+        return;
+    this->become_follower(this->hard.term, std::nullopt);
+    this->role = role::precandidate;
+    this->votes = {{this->options.self, true}};
+    this->request_votes(message_type::prevote_request, term_number(this->hard.term.value() + 1));
+    if (this->is_quorum(1))
+        this->start_election();
+}
+
+void node_core::start_election()
+{
+    this->hard.term = term_number(this->hard.term.value() + 1);
+    this->hard.vote = this->options.self;
+    this->role = role::candidate;
+    this->leader.reset();
+    this->votes = {{this->options.self, true}};
+    this->reset_election_timer();
+    this->request_votes(message_type::vote_request, this->hard.term);
+    if (this->is_quorum(1))
+        this->become_leader();
+}
+
+void node_core::request_votes(message_type type, term_number campaign_term)
+{
+    for (auto const& [id, address] : this->log.latest_membership().voters)
+    {
+        if (id == this->options.self)
+            continue;
+        auto request = this->make(type, id);
+        request.term = campaign_term;
+        request.index = this->log.last_index();
+        request.log_term = this->log.last_term();
+        this->outbox.push_back(std::move(request));
+    }
+}
+
+void node_core::become_leader()
+{
+    this->role = role::leader;
+    this->leader = this->options.self;
+    this->votes.clear();
+    this->followers.clear();
+    this->leader_since = this->now;
+    this->term_start = this->append_own(entry_kind::no_operation, {});
+    this->heartbeat_due = true;
+}
+
+void node_core::on_prevote_request(message const& request)
+{
+    auto reply = this->make(message_type::prevote_reply, request.from);
+    reply.rejected = request.term <= this->hard.term || this->is_within_lease() ||
+                     !this->is_log_current(request);
+    if (!reply.rejected)
+        reply.term = request.term;
+    this->outbox.push_back(std::move(reply));
+}
+
+void node_core::on_vote_request(message const& request)
+{
+    if (this->is_within_lease())
+        return;
+    auto reply = this->make(message_type::vote_reply, request.from);
+    bool const free = this->hard.vote.value().empty() || this->hard.vote == request.from;
+    reply.rejected = request.term != this->hard.term || !free || !this->is_log_current(request);
+    if (!reply.rejected)
+    {
+        this->hard.vote = request.from;
+        this->reset_election_timer();
+    }
+    this->outbox.push_back(std::move(reply));
+}
+
+void node_core::on_vote_reply(message const& reply)
+{
+    bool const prevote = reply.type == message_type::prevote_reply;
+    auto const expected_role = prevote ? role::precandidate : role::candidate;
+    auto const expected_term =
+        prevote && !reply.rejected ? term_number(this->hard.term.value() + 1) : this->hard.term;
+    if (this->role != expected_role || reply.term != expected_term)
+        return;
+    this->votes.emplace(reply.from, !reply.rejected);
+    auto const& voters = this->log.latest_membership().voters;
+    auto const granted =
+        std::count_if(this->votes.begin(), this->votes.end(),
+                      [&](auto const& vote) { return vote.second && voters.contains(vote.first); });
+    if (!this->is_quorum(static_cast<std::size_t>(granted)))
+        return;
+    if (prevote)
+        this->start_election();
+    else
+        this->become_leader();
+}
+
+} // namespace lagoonladder::consensus
--- /dev/null
+++ b/src/process/consensus/internal/leadership.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+
+#include "node_core.hpp"
+
+namespace lagoonladder::consensus
+{
+
+namespace
+{
+
+/// Share of the election timeout for which a lease is held. The leader's clock
+/// may be 1% slow and a voter's 1% fast, so the lease is shorter than the time
+/// for which the voters refuse votes.
+constexpr std::int64_t lease_numerator = 99;
+constexpr std::int64_t lease_denominator = 101;
+
+} // namespace
+
+bool node_core::is_quorum(std::size_t count) const
+{
+    return count >= this->log.latest_membership().voters.size() / 2 + 1;
+}
+
+/// Largest value that a quorum of the voters has reached. `getter` returns no
+/// value for a follower that has none.
+template <class Value, class Getter>
+std::optional<Value> node_core::quorum_value(Value own, Getter getter) const
+{
+    std::vector<Value> values;
+    auto const& voters = this->log.latest_membership().voters;
+    for (auto const& [id, address] : voters)
+    {
+        if (id == this->options.self)
+            values.push_back(own);
+        else if (std::optional<Value> const value = getter(this->followers.at(id)))
+            values.push_back(*value);
+    }
+    auto const quorum = voters.size() / 2 + 1;
+    if (values.size() < quorum)
+        return std::nullopt;
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[quorum - 1];
+}
+
+/// When the latest broadcast that a quorum has answered was sent.
+std::optional<time_point> node_core::quorum_answered_at() const
+{
+    return this->quorum_value<time_point>(this->now, [](follower_progress const& follower)
+                                          { return follower.acknowledged_at; });
+}
+
+bool node_core::is_active(follower_progress const& follower, time_point time) const
+{
+    return follower.acknowledged_at &&
+           time < *follower.acknowledged_at + this->options.election_timeout;
+}
+
+bool node_core::is_term_committed() const
+{
+    return this->hard.commit >= this->term_start;
+}
+
+bool node_core::has_recent_quorum(time_point time) const
+{
+    auto heard_at = this->leader_heard_at;
+    if (this->role == role::leader)
+        heard_at = std::max(this->leader_since, this->quorum_answered_at().value_or(time_point()));
+    else if (!this->leader)
+        return false;
+    return time < heard_at + this->options.election_timeout;
+}
+
+bool node_core::lease_valid(time_point time) const
+{
+    if (this->role != role::leader)
+        return false;
+    auto const answered = this->quorum_answered_at();
+    return answered &&
+           time < *answered + this->options.election_timeout * lease_numerator / lease_denominator;
+}
+
+std::vector<follower_status> node_core::follower_list(time_point time) const
+{
+    std::vector<follower_status> result;
+    auto const add = [&](auto const& members, bool learner)
+    {
+        for (auto const& [id, address] : members)
+        {
+            auto const found = this->followers.find(id);
+            if (found == this->followers.end())
+                continue;
+            auto const& follower = found->second;
+            result.push_back({id, address, learner, follower.match, this->is_active(follower, time),
+                              follower.mode == replication_mode::snapshot});
+        }
+    };
+    add(this->log.latest_membership().voters, false);
+    add(this->log.latest_membership().learners, true);
+    return result;
+}
+
+void node_core::update_followers()
+{
+    auto const& members = this->log.latest_membership();
+    std::erase_if(this->followers, [&](auto const& item) { return !members.contains(item.first); });
+    auto const add = [this](auto const& group)
+    {
+        for (auto const& [id, address] : group)
+        {
+            if (id == this->options.self)
+                continue;
+            auto const [position, added] = this->followers.try_emplace(id);
+            if (added)
+                position->second.start_probe(after(this->log.last_index()));
+        }
+    };
+    add(members.voters);
+    add(members.learners);
+}
+
+void node_core::note_answer(message const& reply, follower_progress& follower)
+{
+    if (reply.round <= follower.acknowledged_round)
+        return;
+    auto const sent = this->rounds.sent_at(reply.round);
+    if (!sent)
+        return;
+    follower.acknowledged_round = reply.round;
+    follower.acknowledged_at = *sent;
+    this->confirm_reads();
+}
+
+/// Entries of earlier terms are committed only by an entry of this term, since
+/// a later leader could still replace them before.
+void node_core::commit_by_quorum()
+{
+    auto const index =
+        this->quorum_value<log_index>(this->handed_out, [](follower_progress const& follower)
+                                      { return std::optional(follower.match); });
+    if (!index || *index <= this->hard.commit || this->log.term_at(*index) != this->hard.term)
+        return;
+    bool const first_of_term = !this->is_term_committed();
+    this->advance_commit(*index);
+    if (first_of_term && this->reads.release_early(this->hard.commit))
+        this->heartbeat_due = true;
+    bool const removed = !this->log.latest_membership().voters.contains(this->options.self) &&
+                         this->log.latest_membership_index() <= this->hard.commit;
+    if (removed)
+    {
+        this->send_appends();
+        this->become_follower(this->hard.term, std::nullopt);
+    }
+}
+
+void node_core::confirm_reads()
+{
+    if (this->role != role::leader)
+        return;
+    auto const round = this->quorum_value<std::uint64_t>(
+        this->rounds.current(), [](follower_progress const& follower)
+        { return std::optional(follower.acknowledged_round); });
+    if (!round)
+        return;
+    for (auto const& read : this->reads.take_confirmed(*round))
+        this->answer_read(read, false);
+}
+
+void node_core::check_quorum()
+{
+    if (!this->has_recent_quorum(this->now))
+        this->become_follower(this->hard.term, std::nullopt);
+}
+
+} // namespace lagoonladder::consensus
--- /dev/null
+++ b/src/process/consensus/internal/message.cpp
@@ -0,0 +1,121 @@
+#include <lagoonladder/consensus/message.hpp>
+
+#include "encoding.hpp"
+
+namespace lagoonladder::consensus
+{
+
+namespace
+{
+
+template <class Value>
+void put(nlohmann::json& out, char const* key, Value const& value)
+{
+    if (value != Value{})
+        out[key] = value;
+}
+
+template <class Value>
+void take(nlohmann::json const& in, char const* key, Value& value)
+{
+    if (auto const found = in.find(key); found != in.end())
+        found->get_to(value);
+}
+
+nlohmann::json encode_part(snapshot_part const& part)
+{
+    return nlohmann::json::array({part.membership, part.offset, part.total, to_binary(part.data)});
+}
+
+snapshot_part decode_part(nlohmann::json const& in)
+{
+    snapshot_part part;
+    in.at(0).get_to(part.membership);
+    in.at(1).get_to(part.offset);
+    in.at(2).get_to(part.total);
+    part.data = from_binary(in.at(3));
+    return part;
+}
+
+} // namespace
+
+void to_json(nlohmann::json& out, message const& value)
+{
+    out = {{"type", static_cast<int>(value.type)},
+           {"from", value.from},
+           {"to", value.to},
+           {"term", value.term}};
+    put(out, "index", value.index);
+    put(out, "log_term", value.log_term);
+    put(out, "commit", value.commit);
+    put(out, "round", value.round);
+    put(out, "rejected", value.rejected);
+    put(out, "hint_index", value.hint_index);
+    put(out, "hint_term", value.hint_term);
+    put(out, "entries", value.entries);
+    put(out, "received", value.received);
+    put(out, "context", value.context);
+    if (value.part)
+        out["part"] = encode_part(*value.part);
+}
+
+void from_json(nlohmann::json const& in, message& value)
+{
+    value = {};
+    value.type = to_enum(in.at("type"), message_type::read_reply);
+    in.at("from").get_to(value.from);
+    in.at("to").get_to(value.to);
+    in.at("term").get_to(value.term);
+    take(in, "index", value.index);
+    take(in, "log_term", value.log_term);
+    take(in, "commit", value.commit);
+    take(in, "round", value.round);
+    take(in, "rejected", value.rejected);
+    take(in, "hint_index", value.hint_index);
+    take(in, "hint_term", value.hint_term);
+    take(in, "entries", value.entries);
+    take(in, "received", value.received);
+    take(in, "context", value.context);
+    if (auto const part = in.find("part"); part != in.end())
+        value.part = decode_part(*part);
+}
+
+std::string encode_message(message const& value)
+{
+    std::string bytes;
+    nlohmann::json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+message decode_message(std::string const& bytes)
+{
+    try
+    {
+        return nlohmann::json::from_msgpack(bytes).get<message>();
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        throw consensus_error(std::string("malformed consensus message: ") + problem.what());
+    }
+}
+
+std::string encode_membership(membership const& members)
+{
+    std::string bytes;
+    nlohmann::json::to_msgpack(members, bytes);
+    return bytes;
+}
+
+membership decode_membership(std::string const& bytes)
+{
+    try
+    {
+        return nlohmann::json::from_msgpack(bytes).get<membership>();
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        throw consensus_error(std::string("malformed membership entry: ") + problem.what());
+    }
+}
+
+} // namespace lagoonladder::consensus
--- /dev/null
+++ b/src/process/consensus/internal/snapshot_assembly.hpp
@@ -0,0 +1,48 @@
+#ifndef LAGOONLADDER_CONSENSUS_SNAPSHOT_ASSEMBLY_HPP
+#define LAGOONLADDER_CONSENSUS_SNAPSHOT_ASSEMBLY_HPP
+
+#include <lagoonladder/consensus/message.hpp>
+
+namespace lagoonladder::consensus
+{
+
+/// Collects the chunks of one snapshot. Chunks of another leader, term or
+/// snapshot start a new collection, since two leaders may encode the same
+/// state differently.
+class snapshot_assembly
+{
+public:
+    /// Takes a chunk; true when the snapshot is complete.
+    bool add(message const& chunk)
+    {
+        auto const& part = *chunk.part;
+        if (chunk.from != this->sender || chunk.term != this->sender_term ||
+            chunk.index != this->collected.index)
+        {
+            this->sender = chunk.from;
+            this->sender_term = chunk.term;
+            this->collected = {chunk.index, chunk.log_term, part.membership, {}};
+        }
+        if (part.offset == this->collected.data.size())
+            this->collected.data += part.data;
+        return this->collected.data.size() == part.total;
+    }
+
+    std::uint64_t received() const { return this->collected.data.size(); }
+
+    snapshot take()
+    {
+        auto complete = std::move(this->collected);
+        *this = {};
+        return complete;
+    }
+
+private:
+    voter_id sender;
+    term_number sender_term;
+    snapshot collected;
+};
+
+} // namespace lagoonladder::consensus
+
+#endif
--- /dev/null
+++ b/src/process/consensus/tests/simulated_cluster.hpp
@@ -0,0 +1,98 @@
+#ifndef LAGOONLADDER_CONSENSUS_SIMULATED_CLUSTER_HPP
+#define LAGOONLADDER_CONSENSUS_SIMULATED_CLUSTER_HPP
+
+#include <lagoonladder/storage.hpp>
+
+#include "simulated_network.hpp"
+
+/// Violation of a safety property or missing progress.
+class simulation_failure : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// A VM with its disk, its clock and one consensus node.
+struct simulated_vm
+{
+    lagoonladder::vm_id vm;
+    lagoonladder::consensus::voter_id id;
+    double clock_rate = 1;
+    lagoonladder::time_point frozen_until{};
+    lagoonladder::storage::memory_log_store store;
+    std::unique_ptr<lagoonladder::consensus::node> node;
+
+    // Application; lost in a crash and rebuilt from the snapshot and the log.
+    std::uint64_t applied = 0;
+    std::uint64_t digest = 0;
+    std::map<std::uint64_t, std::pair<lagoonladder::consensus::term_number, std::string>> proposed;
+    std::map<std::uint64_t, std::uint64_t> required_of_read;
+    std::vector<lagoonladder::consensus::confirmed_read> waiting_reads;
+};
+
+/// Runs nodes in virtual time and checks the safety properties after each event.
+class simulated_cluster
+{
+public:
+    simulated_cluster(std::uint64_t seed, std::size_t size);
+
+    /// One step of 5 ms: messages, timers, checks.
+    void step();
+    void run(lagoonladder::duration span);
+
+    /// Random client calls, faults and repairs before a step.
+    void disturb();
+    /// Ends all faults and requires that all VMs become voters with equal state.
+    void heal_and_converge();
+
+    void write();
+    void read();
+    void crash(simulated_vm& machine);
+    void start(simulated_vm& machine);
+    /// Loses the disk when the group can bear it; the VM draws a new voter id.
+    bool lose_disk(simulated_vm& machine);
+    /// Adds VMs that are not members, promotes learners, removes lost voter ids.
+    void repair();
+    void isolate(lagoonladder::vm_id const& vm, bool inbound, bool outbound);
+
+    simulated_vm* leader();
+    lagoonladder::time_point local(simulated_vm const& machine) const;
+
+    lagoonladder::seeded_random random;
+    simulated_network network;
+    lagoonladder::time_point now{};
+    lagoonladder::consensus::node_options options;
+    std::vector<std::unique_ptr<simulated_vm>> vms;
+
+    // Figures that show that a run has exercised what it should.
+    std::uint64_t acknowledged_writes = 0;
+    std::uint64_t served_reads = 0;
+    std::uint64_t lost_disks = 0;
+    std::uint64_t restored_snapshots = 0;
+    std::uint64_t leases_seen = 0;
+
+private:
+    void pump(simulated_vm& machine);
+    void store_entries(simulated_vm& machine, lagoonladder::consensus::ready const& work);
+    void apply(simulated_vm& machine, lagoonladder::consensus::log_entry const& entry);
+    void serve_reads(simulated_vm& machine);
+    void check();
+    void disturb_network();
+    void disturb_vms();
+    void change_membership();
+    simulated_vm& any() { return *this->vms[this->random.below(this->vms.size())]; }
+    bool chance(double probability) { return this->random.unit() < probability; }
+
+    std::uint64_t next_number = 0;
+    std::map<lagoonladder::consensus::term_number, lagoonladder::consensus::voter_id> leaders;
+    /// Entry and preceding term of each (index, term) that any log has held.
+    std::map<std::pair<std::uint64_t, lagoonladder::consensus::term_number>,
+             std::pair<lagoonladder::consensus::log_entry, lagoonladder::consensus::term_number>>
+        logged;
+    /// Data and digest of each applied index.
+    std::map<std::uint64_t, std::pair<lagoonladder::consensus::log_entry, std::uint64_t>> history;
+    /// Last index that a client knows to be in the state.
+    std::uint64_t visible_index = 0;
+};
+
+#endif
--- /dev/null
+++ b/src/process/consensus/tests/simulated_faults.cpp
@@ -0,0 +1,133 @@
+#include "simulated_cluster.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::consensus;
+
+void simulated_cluster::disturb()
+{
+    this->disturb_network();
+    this->disturb_vms();
+    if (this->chance(0.3))
+        this->write();
+    if (this->chance(0.2))
+        this->read();
+    if (this->chance(0.1))
+        this->repair();
+    if (this->chance(0.003))
+        this->change_membership();
+}
+
+void simulated_cluster::disturb_network()
+{
+    if (this->chance(0.01))
+    {
+        this->network.loss = 0.001 + 0.2 * this->random.unit() * this->random.unit();
+        this->network.duplication = 0.2 * this->random.unit();
+        this->network.lateness = 0.1 * this->random.unit();
+    }
+    if (this->chance(0.01))
+        this->network.cut.clear();
+    if (this->chance(0.004))
+        this->isolate(this->any().vm, true, true);
+    if (this->chance(0.002))
+        this->isolate(this->any().vm, this->chance(0.5), this->chance(0.5));
+    if (this->chance(0.004))
+        this->network.cut.insert({this->any().vm, this->any().vm});
+}
+
+void simulated_cluster::disturb_vms()
+{
+    auto& machine = this->any();
+    if (this->chance(0.004) && machine.node)
+        this->crash(machine);
+    if (this->chance(0.004))
+        machine.frozen_until = this->now + milliseconds(this->random.below(1500));
+    if (this->chance(0.002) && this->lose_disk(machine) && this->chance(0.5))
+        this->crash(this->any());
+    for (auto& stopped : this->vms)
+        if (!stopped->node && this->chance(0.02))
+            this->start(*stopped);
+}
+
+void simulated_cluster::change_membership()
+{
+    auto* current = this->leader();
+    if (!current || current->frozen_until > this->now)
+        return;
+    membership_change change{membership_change::operation::remove, this->any().id, {}};
+    if (this->chance(0.2))
+        change = {membership_change::operation::set_address, change.id,
+                  network_address("10.1.1.1:1")};
+    current->node->propose_membership(this->local(*current), change);
+    this->pump(*current);
+}
+
+void simulated_cluster::repair()
+{
+    using operation = membership_change::operation;
+    auto* current = this->leader();
+    if (!current || current->frozen_until > this->now)
+        return;
+    auto const members = current->node->membership();
+    auto const propose = [&](operation action, voter_id const& id)
+    {
+        current->node->propose_membership(this->local(*current),
+                                          {action, id, network_address("10.0.0.9:1")});
+    };
+    for (auto const& machine : this->vms)
+    {
+        if (!members.contains(machine->id))
+            propose(operation::add_learner, machine->id);
+        else if (members.learners.contains(machine->id))
+            propose(operation::promote, machine->id);
+        for (auto const* group : {&members.voters, &members.learners})
+            for (auto const& [id, address] : *group)
+                if (vm_of(id) == machine->vm && id != machine->id &&
+                    members.voters.contains(machine->id))
+                    propose(operation::remove, id);
+    }
+    this->pump(*current);
+}
+
+void simulated_cluster::heal_and_converge()
+{
+    this->network.cut.clear();
+    this->network.loss = this->network.duplication = this->network.lateness = 0;
+    for (auto& machine : this->vms)
+    {
+        machine->frozen_until = {};
+        if (!machine->node)
+            this->start(*machine);
+    }
+    auto const target = [this]
+    {
+        for (auto const& machine : this->vms)
+        {
+            auto const& members = machine->node->membership();
+            if (members.voters.size() != this->vms.size() || !members.learners.empty() ||
+                !members.voters.contains(machine->id) || machine->applied < this->visible_index ||
+                machine->applied != this->vms[0]->applied)
+                return false;
+        }
+        return this->leader() != nullptr;
+    };
+    auto const before = this->acknowledged_writes;
+    for (int round = 0; round < 400; ++round)
+    {
+        this->run(milliseconds(50));
+        this->repair();
+        if (this->acknowledged_writes == before)
+            this->write();
+        else if (target())
+            return;
+    }
+    std::string states;
+    for (auto const& machine : this->vms)
+        states += "; " + machine->id.value() + " role " +
+                  std::to_string(static_cast<int>(machine->node->role())) + " term " +
+                  std::to_string(machine->node->term().value()) + " commit " +
+                  std::to_string(machine->node->commit_index().value()) + " last " +
+                  std::to_string(machine->node->last_index().value()) + " membership " +
+                  nlohmann::json(machine->node->membership()).dump();
+    throw simulation_failure("no convergence 20 s after the last fault" + states);
+}
--- /dev/null
+++ b/src/process/storage/include/lagoonladder/storage/memory_log_store.hpp
@@ -0,0 +1,38 @@
+#ifndef LAGOONLADDER_STORAGE_MEMORY_LOG_STORE_HPP
+#define LAGOONLADDER_STORAGE_MEMORY_LOG_STORE_HPP
+
+#include <lagoonladder/storage/log_store.hpp>
+
+namespace lagoonladder::storage
+{
+
+/// Keeps the state in memory; for tests and embedders without a disk.
+class memory_log_store : public log_store
+{
+public:
+    using log_store::save;
+
+    consensus::persistent_state load() override;
+    void save(std::optional<consensus::hard_state> const& state,
+              std::vector<consensus::log_entry> const& entries, bool must_sync) override;
+    void save_snapshot(consensus::snapshot const& state) override;
+
+    /// Goes back to the state after the last sync, like a loss of power.
+    void lose_unsynced();
+
+private:
+    struct unsynced_save
+    {
+        std::optional<consensus::hard_state> state;
+        std::vector<consensus::log_entry> entries;
+    };
+
+    void sync();
+
+    consensus::persistent_state durable;
+    std::vector<unsynced_save> unsynced;
+};
+
+} // namespace lagoonladder::storage
+
+#endif
--- a/src/process/storage/internal/storage.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonladder/storage.hpp>
