Add the fakes of engines, plain services, cloud, weight store and network

Cause: the daemon and its system tests need endpoints, a cloud API, a weight store and a network that fail on demand; none of these can be had here.

Change: one program, lagoonladder-fakes, with the subcommands engine, booking, cloud, weights, relay and load. Tokens are a function of prompt and offset, so any answer can be checked whole, also after a resume on another engine. Each connection runs on a thread of its own, which ties the silent fault to the connections that were open when it was set.

Ruled out: cpp-httplib's fixed pool, because long streams would keep new connections waiting.

--- /dev/null
+++ b/tools/fakes/announcer.cpp
@@ -0,0 +1,134 @@
+#include "announcer.hpp"
+
+#include <httplib.h>
+
+#include "log_line.hpp"
+
+namespace lagoonladder::fakes
+{
+
+namespace
+{
+
+constexpr auto interval = seconds(1);
+
+httplib::Client connect(std::string const& entry, std::string const& token)
+{
+    httplib::Client client("http://" + entry);
+    client.set_connection_timeout(1);
+    client.set_read_timeout(1);
+    client.set_default_headers({{"Authorization", "Bearer " + token}});
+    return client;
+}
+
+} // namespace
+
+announcer::announcer(endpoint_options const& initial, std::function<void(nlohmann::json&)> fields)
+    : options(initial)
+    , describe(std::move(fields))
+    , incarnation(static_cast<std::uint64_t>(system_clock().wall_now().time_since_epoch().count()))
+{
+}
+
+announcer::~announcer()
+{
+    this->stop();
+}
+
+void announcer::start()
+{
+    if (!this->options.entries.empty())
+        this->worker = std::thread([this] { this->run(); });
+}
+
+void announcer::leave()
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    this->leaving = true;
+    this->wake = true;
+    this->changed.notify_all();
+}
+
+void announcer::set_version(std::string const& version)
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    this->options.version = version;
+    this->wake = true;
+    this->changed.notify_all();
+}
+
+void announcer::stop()
+{
+    {
+        std::lock_guard<std::mutex> const lock(this->mutex);
+        this->stopping = true;
+        this->changed.notify_all();
+    }
+    if (!this->worker.joinable())
+        return;
+    this->worker.join();
+    this->send([this](auto const& entry) { return this->remove(entry); });
+}
+
+void announcer::run()
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    while (!this->stopping)
+    {
+        this->wake = false;
+        auto const body = this->next_row().dump();
+        lock.unlock();
+        bool const sent = this->send([&](auto const& entry) { return this->put(entry, body); });
+        if (!sent)
+            log_line("announce.failed", {{"id", this->options.id}});
+        lock.lock();
+        this->changed.wait_for(lock, interval, [this] { return this->stopping || this->wake; });
+    }
+}
+
+nlohmann::json announcer::next_row()
+{
+    auto const& own = this->options;
+    nlohmann::json row{{"id", own.id},
+                       {"service", own.service},
+                       {"version", own.version},
+                       {"address", own.listen},
+                       {"vm", own.vm},
+                       {"data_centre", own.data_centre},
+                       {"zone", own.zone},
+                       {"machine_class", own.machine_class},
+                       {"reclaimable", own.reclaimable},
+                       {"checks_fencing", own.checks_fencing},
+                       {"state", this->leaving ? "leaving" : "serving"},
+                       {"incarnation", this->incarnation},
+                       {"sequence", ++this->sequence}};
+    this->describe(row);
+    return row;
+}
+
+bool announcer::send(std::function<bool(std::string const& entry)> const& attempt)
+{
+    for (std::size_t tried = 0; tried < this->options.entries.size(); ++tried)
+    {
+        if (attempt(this->options.entries[this->current_entry]))
+            return true;
+        this->current_entry = (this->current_entry + 1) % this->options.entries.size();
+    }
+    return false;
+}
+
+bool announcer::put(std::string const& entry, std::string const& body) const
+{
+    auto client = connect(entry, this->options.token);
+    auto const answer = client.Put("/v1/endpoints/" + this->options.id, body, "application/json");
+    return answer && answer->status / 100 == 2;
+}
+
+bool announcer::remove(std::string const& entry) const
+{
+    auto client = connect(entry, this->options.token);
+    auto const answer = client.Delete("/v1/endpoints/" + this->options.id);
+    return answer && answer->status / 100 == 2;
+}
+
+} // namespace lagoonladder::fakes
--- /dev/null
+++ b/tools/fakes/command.hpp
@@ -0,0 +1,22 @@
+#ifndef LAGOONLADDER_FAKES_COMMAND_HPP
+#define LAGOONLADDER_FAKES_COMMAND_HPP
+
+#include <tclap/CmdLine.h>
+
+#include "announcer.hpp"
+#include "http_service.hpp"
+
+namespace lagoonladder::fakes
+{
+
+/// Parses the arguments. Returns false after printing the usage for --help.
+/// Ends the process with 2 and a message when they are wrong.
+bool parse_or_print_help(TCLAP::CmdLine& command, int argc, char** argv);
+
+/// Announces that an endpoint leaves, waits for the grace time and the open
+/// requests, then removes the endpoint.
+void drain_endpoint(http_service& service, announcer& announcements, duration grace);
+
+} // namespace lagoonladder::fakes
+
+#endif
--- /dev/null
+++ b/tools/fakes/connection_pool.hpp
@@ -0,0 +1,39 @@
+#ifndef LAGOONLADDER_FAKES_CONNECTION_POOL_HPP
+#define LAGOONLADDER_FAKES_CONNECTION_POOL_HPP
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+#include <httplib.h>
+
+namespace lagoonladder::fakes
+{
+
+/// Runs each connection on a thread of its own and reuses idle threads, so that
+/// long streams never keep new connections waiting.
+class connection_pool : public httplib::TaskQueue
+{
+public:
+    /// on_connection runs on the connection's thread before its first request.
+    explicit connection_pool(std::function<void()> on_connection);
+
+    void enqueue(std::function<void()> connection) override;
+    void shutdown() override;
+
+private:
+    void run();
+
+    std::function<void()> on_connection;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<std::function<void()>> waiting;
+    std::size_t idle = 0;
+    std::size_t threads = 0;
+    bool stopping = false;
+};
+
+} // namespace lagoonladder::fakes
+
+#endif
--- /dev/null
+++ b/tools/fakes/http_service.cpp
@@ -0,0 +1,100 @@
+#include "http_service.hpp"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <sys/socket.h>
+#include <thread>
+
+#include "connection_pool.hpp"
+#include "log_line.hpp"
+
+namespace lagoonladder::fakes
+{
+
+namespace
+{
+
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+void block_stop_signals()
+{
+    auto const signals = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+http_service::http_service(std::string initial_listen)
+    : listen(std::move(initial_listen))
+{
+    this->server.new_task_queue = [this]
+    { return new connection_pool([this] { this->faults.connection_opened(); }); };
+    this->server.set_tcp_nodelay(true);
+    this->server.set_keep_alive_max_count(1'000'000);
+    this->server.set_keep_alive_timeout(60);
+    this->server.set_exception_handler(
+        [](httplib::Request const&, httplib::Response& response, std::exception_ptr problem)
+        {
+            try
+            {
+                std::rethrow_exception(problem);
+            }
+            catch (std::exception const& reason)
+            {
+                answer_json(response, 400, {{"detail", reason.what()}});
+            }
+        });
+    this->faults.install(this->server);
+}
+
+int http_service::run(std::function<void()> const& drain)
+{
+    auto const colon = this->listen.rfind(':');
+    auto const host = this->listen.substr(0, colon);
+    int const port = std::stoi(this->listen.substr(colon + 1));
+    if (!this->server.bind_to_port(host, port))
+    {
+        log_line("listen.failed", {{"address", this->listen}});
+        return 1;
+    }
+    std::thread([this] { this->server.listen_after_bind(); }).detach();
+    log_line("started", {{"address", this->listen}});
+    auto const signals = stop_signals();
+    int received = 0;
+    sigwait(&signals, &received);
+    log_line("stopping", {{"signal", std::to_string(received)}});
+    drain();
+    log_line("stopped");
+    // Connections that a fault made silent never end, so the threads are not joined.
+    std::_Exit(0);
+}
+
+void answer_json(httplib::Response& response, int status, nlohmann::json const& body)
+{
+    response.status = status;
+    response.set_content(body.dump(), "application/json");
+}
+
+void close_connection(httplib::Request const& request)
+{
+    // cpp-httplib does not show the socket to handlers; it is found by its peer's port.
+    constexpr int highest_descriptor = 4096;
+    for (int descriptor = 3; descriptor < highest_descriptor; ++descriptor)
+    {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0 &&
+            ntohs(peer.sin_port) == request.remote_port)
+            shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
+} // namespace lagoonladder::fakes
--- /dev/null
+++ b/tools/fakes/kv_store.hpp
@@ -0,0 +1,47 @@
+#ifndef LAGOONLADDER_FAKES_KV_STORE_HPP
+#define LAGOONLADDER_FAKES_KV_STORE_HPP
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace lagoonladder::fakes
+{
+
+/// KV cache of one request up to a token offset.
+struct kv_entry
+{
+    std::string prompt;
+    /// Generated tokens whose keys and values it holds.
+    std::uint64_t tokens = 0;
+};
+
+/// Exported and imported KV caches by handle. Safe for several threads.
+class kv_store
+{
+public:
+    /// Keeps an entry under a new handle that starts with `owner`.
+    std::string add(std::string const& owner, kv_entry entry);
+
+    /// Copies a handle from the engine at "host:port". Returns the number of
+    /// generated tokens, or no value when the source does not have the handle.
+    std::optional<std::uint64_t> import(std::string const& handle, std::string const& source);
+
+    std::optional<kv_entry> find(std::string const& handle) const;
+
+    /// Generated tokens that a request need not recompute.
+    std::uint64_t usable_tokens(std::string const& handle, std::string const& prompt) const;
+
+private:
+    mutable std::mutex mutex;
+    std::map<std::string, kv_entry> entries;
+    std::uint64_t next = 1;
+};
+
+} // namespace lagoonladder::fakes
+
+#endif
--- /dev/null
+++ b/tools/fakes/load.cpp
@@ -0,0 +1,256 @@
+#include "load.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "command.hpp"
+#include "sse_reader.hpp"
+#include "token_text.hpp"
+
+namespace lagoonladder::fakes
+{
+
+namespace
+{
+
+struct load_options
+{
+    std::vector<std::string> targets;
+    int streams = 1;
+    int requests = 1;
+    double rate = 0;
+    int max_tokens = 32;
+    int prompt_words = 32;
+    std::string key;
+    std::string model;
+    std::string priority;
+    int timeout_seconds = 30;
+    bool whole = false;
+};
+
+struct load_totals
+{
+    std::vector<double> first_token_ms;
+    std::vector<double> total_ms;
+    std::uint64_t tokens = 0;
+    std::uint64_t errors = 0;
+    std::uint64_t incomplete = 0;
+    std::uint64_t wrong = 0;
+    std::map<std::string, std::uint64_t> problems;
+};
+
+struct one_result
+{
+    double first_token_ms = 0;
+    double total_ms = 0;
+    std::uint64_t tokens = 0;
+    bool complete = false;
+    bool correct = true;
+    /// Empty unless there was no 200 answer.
+    std::string problem;
+};
+
+nlohmann::json percentiles(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    auto const at = [&](double share)
+    {
+        auto const index = static_cast<std::size_t>(share * double(values.size() - 1) + 0.5);
+        return values.empty() ? 0.0 : values[index];
+    };
+    return {
+        {"p50", at(0.5)}, {"p90", at(0.9)}, {"p95", at(0.95)}, {"p99", at(0.99)}, {"max", at(1)}};
+}
+
+class load_generator
+{
+public:
+    explicit load_generator(load_options initial)
+        : options(std::move(initial))
+    {
+    }
+
+    nlohmann::json run();
+
+private:
+    void run_stream(int index);
+    one_result send(httplib::Client& client, int number) const;
+    std::string body_for(std::string const& prompt) const;
+    void add(one_result const& result);
+
+    load_options options;
+    system_clock time;
+    time_point started{};
+    std::atomic<int> next = 0;
+    std::mutex mutex;
+    load_totals totals;
+};
+
+std::string load_generator::body_for(std::string const& content) const
+{
+    nlohmann::json body{
+        {"model", this->options.model},
+        {"messages", nlohmann::json::array({{{"role", "user"}, {"content", content}}})},
+        {"max_tokens", this->options.max_tokens},
+        {"stream", !this->options.whole}};
+    return body.dump();
+}
+
+one_result load_generator::send(httplib::Client& client, int number) const
+{
+    std::string content = "request " + std::to_string(number);
+    for (int word = 2; word < this->options.prompt_words; ++word)
+        content += " word" + std::to_string(word);
+    auto const body = this->body_for(content);
+    auto const prompt = prompt_of(nlohmann::json::parse(body));
+    sse_reader reader(prompt);
+    one_result result;
+    std::string text;
+    int status = 0;
+    auto const begin = this->time.now();
+    auto const since_begin = [&] { return to_seconds(this->time.now() - begin) * 1000; };
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"Authorization", "Bearer " + this->options.key},
+                       {"Content-Type", "application/json"}};
+    if (!this->options.priority.empty())
+        request.headers.emplace("X-Priority", this->options.priority);
+    request.body = body;
+    request.response_handler = [&](httplib::Response const& response)
+    {
+        status = response.status;
+        return true;
+    };
+    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
+        if (this->options.whole || status != 200)
+            text.append(data, size);
+        else
+            reader.add({data, size});
+        if (result.first_token_ms == 0 && (reader.tokens() > 0 || !text.empty()))
+            result.first_token_ms = since_begin();
+        return true;
+    };
+    auto const answer = client.send(request);
+    result.total_ms = since_begin();
+    if (status != 200)
+    {
+        result.problem = status == 0 ? httplib::to_string(answer.error()) : std::to_string(status);
+        return result;
+    }
+    auto const expected_tokens = static_cast<std::uint64_t>(this->options.max_tokens);
+    if (this->options.whole)
+    {
+        auto const parsed = nlohmann::json::parse(text, nullptr, false);
+        result.complete = answer && parsed.is_object();
+        result.correct = !result.complete || parsed["choices"][0]["message"]["content"] ==
+                                                 answer_text(prompt, 0, expected_tokens);
+        result.tokens = result.complete ? expected_tokens : 0;
+        return result;
+    }
+    result.tokens = reader.tokens();
+    result.complete = reader.is_done() && result.tokens == expected_tokens;
+    result.correct = reader.is_correct() && result.tokens <= expected_tokens;
+    return result;
+}
+
+void load_generator::add(one_result const& result)
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    this->totals.tokens += result.tokens;
+    if (!result.problem.empty())
+    {
+        ++this->totals.errors;
+        ++this->totals.problems[result.problem];
+        return;
+    }
+    this->totals.first_token_ms.push_back(result.first_token_ms);
+    this->totals.total_ms.push_back(result.total_ms);
+    this->totals.incomplete += result.complete ? 0 : 1;
+    this->totals.wrong += result.correct ? 0 : 1;
+}
+
+void load_generator::run_stream(int index)
+{
+    auto const& targets = this->options.targets;
+    httplib::Client client("http://" + targets[static_cast<std::size_t>(index) % targets.size()]);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(this->options.timeout_seconds);
+    for (int number = this->next++; number < this->options.requests; number = this->next++)
+    {
+        if (this->options.rate > 0)
+            std::this_thread::sleep_for(this->started + from_seconds(number / this->options.rate) -
+                                        this->time.now());
+        this->add(this->send(client, number));
+    }
+}
+
+nlohmann::json load_generator::run()
+{
+    this->started = this->time.now();
+    std::vector<std::thread> threads;
+    for (int i = 0; i < this->options.streams; ++i)
+        threads.emplace_back([this, i] { this->run_stream(i); });
+    for (auto& thread : threads)
+        thread.join();
+    double const elapsed = to_seconds(this->time.now() - this->started);
+    auto const answered = this->totals.total_ms.size();
+    return {{"requests", this->options.requests},
+            {"seconds", elapsed},
+            {"first_token_ms", percentiles(this->totals.first_token_ms)},
+            {"total_ms", percentiles(this->totals.total_ms)},
+            {"requests_per_second", double(answered) / elapsed},
+            {"tokens_per_second", double(this->totals.tokens) / elapsed},
+            {"errors", this->totals.errors},
+            {"incomplete", this->totals.incomplete},
+            {"wrong", this->totals.wrong},
+            {"problems", this->totals.problems}};
+}
+
+} // namespace
+
+int run_load(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Load generator; exit code 1 when an answer was missing or wrong", ' ',
+                           "", false);
+    load_options options;
+    TCLAP::MultiArg<std::string> target("", "target", "entry or engine; repeatable", true,
+                                        "HOST:PORT", command);
+    TCLAP::ValueArg<int> streams("", "streams", "requests at the same time", false, 1, "N",
+                                 command);
+    TCLAP::ValueArg<int> requests("", "requests", "requests in total", false, 1, "N", command);
+    TCLAP::ValueArg<double> rate("", "rate", "requests a second; 0 is as fast as possible", false,
+                                 0, "N", command);
+    TCLAP::ValueArg<int> max_tokens("", "max-tokens", "tokens of an answer", false, 32, "N",
+                                    command);
+    TCLAP::ValueArg<int> words("", "prompt-words", "words of a prompt", false, 32, "N", command);
+    TCLAP::ValueArg<std::string> key("", "key", "account key", false, "", "KEY", command);
+    TCLAP::ValueArg<std::string> model("", "model", "service", false, "advisor", "NAME", command);
+    TCLAP::ValueArg<std::string> priority("", "priority", "X-Priority header", false, "", "NAME",
+                                          command);
+    TCLAP::ValueArg<int> timeout("", "timeout", "seconds without a byte", false, 30, "S", command);
+    TCLAP::SwitchArg whole("", "whole", "whole answers instead of streams", command);
+    if (!parse_or_print_help(command, argc, argv))
+        return 0;
+    options.targets = target.getValue();
+    options.streams = streams.getValue();
+    options.requests = requests.getValue();
+    options.rate = rate.getValue();
+    options.max_tokens = max_tokens.getValue();
+    options.prompt_words = words.getValue();
+    options.key = key.getValue();
+    options.model = model.getValue();
+    options.priority = priority.getValue();
+    options.timeout_seconds = timeout.getValue();
+    options.whole = whole.getValue();
+    auto const report = load_generator(options).run();
+    std::cout << report.dump(2) << "\n";
+    bool const good = report["errors"] == 0 && report["incomplete"] == 0 && report["wrong"] == 0;
+    return good ? 0 : 1;
+}
+
+} // namespace lagoonladder::fakes
--- /dev/null
+++ b/tools/fakes/order_book.hpp
@@ -0,0 +1,38 @@
+#ifndef LAGOONLADDER_FAKES_ORDER_BOOK_HPP
+#define LAGOONLADDER_FAKES_ORDER_BOOK_HPP
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lagoonladder::fakes
+{
+
+/// Orders that an engine got, with the check of their fencing tokens.
+class order_book
+{
+public:
+    order_book(bool check_fencing, std::function<void(nlohmann::json const&)> execute);
+
+    /// Adds POST /v1/orders and GET /v1/orders to a server.
+    void install(httplib::Server& server);
+
+private:
+    void handle(httplib::Request const& request, httplib::Response& response);
+
+    bool check_fencing;
+    std::function<void(nlohmann::json const&)> execute;
+    std::mutex mutex;
+    std::pair<std::uint64_t, std::uint64_t> highest{0, 0};
+    nlohmann::json accepted = nlohmann::json::array();
+    std::uint64_t refused = 0;
+};
+
+} // namespace lagoonladder::fakes
+
+#endif
--- /dev/null
+++ b/tools/fakes/relay.cpp
@@ -0,0 +1,174 @@
+#include "relay.hpp"
+
+#include <array>
+#include <csignal>
+#include <memory>
+
+#include <asio.hpp>
+
+#include "command.hpp"
+#include "log_line.hpp"
+
+namespace lagoonladder::fakes
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+
+tcp::endpoint parse_address(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    return {asio::ip::make_address(text.substr(0, colon)),
+            static_cast<unsigned short>(std::stoi(text.substr(colon + 1)))};
+}
+
+/// Passes bytes between two sockets. Once silent it still reads, so that neither
+/// side sees a closed connection or a full buffer, but passes nothing on.
+class relayed_connection : public std::enable_shared_from_this<relayed_connection>
+{
+public:
+    relayed_connection(tcp::socket initial_near, tcp::socket initial_far,
+                       std::uint64_t const& current_epoch)
+        : near_socket(std::move(initial_near))
+        , far_socket(std::move(initial_far))
+        , epoch(current_epoch)
+        , own_epoch(current_epoch)
+    {
+    }
+
+    void start(tcp::endpoint const& to)
+    {
+        this->far_socket.async_connect(
+            to,
+            [self = this->shared_from_this()](auto const& problem)
+            {
+                if (problem)
+                    return self->close();
+                self->near_socket.set_option(tcp::no_delay(true));
+                self->far_socket.set_option(tcp::no_delay(true));
+                self->read(self->near_socket, self->far_socket, self->outward);
+                self->read(self->far_socket, self->near_socket, self->inward);
+            });
+    }
+
+private:
+    using buffer = std::array<char, 16 * 1024>;
+
+    void read(tcp::socket& from, tcp::socket& to, buffer& bytes)
+    {
+        from.async_read_some(asio::buffer(bytes),
+                             [self = this->shared_from_this(), &from, &to,
+                              &bytes](auto const& problem, std::size_t size)
+                             {
+                                 if (problem)
+                                     return self->close();
+                                 if (self->own_epoch != self->epoch)
+                                     return self->read(from, to, bytes);
+                                 self->write(from, to, bytes, size);
+                             });
+    }
+
+    void write(tcp::socket& from, tcp::socket& to, buffer& bytes, std::size_t size)
+    {
+        asio::async_write(
+            to, asio::buffer(bytes.data(), size),
+            [self = this->shared_from_this(), &from, &to, &bytes](auto const& problem, std::size_t)
+            {
+                if (problem)
+                    return self->close();
+                self->read(from, to, bytes);
+            });
+    }
+
+    void close()
+    {
+        // The peer of a silent connection must not learn that it is over.
+        if (this->own_epoch != this->epoch)
+            return;
+        asio::error_code ignored;
+        this->near_socket.close(ignored);
+        this->far_socket.close(ignored);
+    }
+
+    tcp::socket near_socket;
+    tcp::socket far_socket;
+    std::uint64_t const& epoch;
+    std::uint64_t own_epoch;
+    buffer outward{};
+    buffer inward{};
+};
+
+class tcp_relay
+{
+public:
+    tcp_relay(std::string const& listen, std::string const& to)
+        : acceptor(this->context, parse_address(listen))
+        , target(parse_address(to))
+        , silence(this->context, SIGUSR1)
+        , stop(this->context, SIGTERM, SIGINT)
+    {
+    }
+
+    int run()
+    {
+        this->accept();
+        this->wait_for_silence();
+        this->stop.async_wait([this](auto const&, int) { this->context.stop(); });
+        log_line("started");
+        this->context.run();
+        return 0;
+    }
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](auto const& problem, tcp::socket socket)
+            {
+                if (!problem)
+                    std::make_shared<relayed_connection>(std::move(socket),
+                                                         tcp::socket(this->context), this->epoch)
+                        ->start(this->target);
+                this->accept();
+            });
+    }
+
+    void wait_for_silence()
+    {
+        this->silence.async_wait(
+            [this](auto const&, int)
+            {
+                ++this->epoch;
+                log_line("silent");
+                this->wait_for_silence();
+            });
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    tcp::endpoint target;
+    asio::signal_set silence;
+    asio::signal_set stop;
+    std::uint64_t epoch = 0;
+};
+
+} // namespace
+
+int run_relay(int argc, char** argv)
+{
+    TCLAP::CmdLine command("TCP relay", ' ', "", false);
+    TCLAP::ValueArg<std::string> listen("", "listen", "address to accept on", true, "", "HOST:PORT",
+                                        command);
+    TCLAP::ValueArg<std::string> to("", "to", "address to connect to", true, "", "HOST:PORT",
+                                    command);
+    if (!parse_or_print_help(command, argc, argv))
+        return 0;
+    sigset_t all;
+    sigemptyset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, nullptr);
+    return tcp_relay(listen.getValue(), to.getValue()).run();
+}
+
+} // namespace lagoonladder::fakes
--- /dev/null
+++ b/tools/fakes/weights.cpp
@@ -0,0 +1,111 @@
+#include "weights.hpp"
+
+#include <algorithm>
+#include <mutex>
+#include <thread>
+
+#include "command.hpp"
+
+namespace lagoonladder::fakes
+{
+
+namespace
+{
+
+struct weights_options
+{
+    std::uint64_t bytes_per_second = 50'000'000;
+    std::uint64_t size = 10'000'000;
+    int parallel = 4;
+};
+
+/// Hands out sending times so that all downloads together keep to one rate.
+class rate_limiter
+{
+public:
+    explicit rate_limiter(std::uint64_t initial_rate)
+        : bytes_per_second(initial_rate)
+    {
+    }
+
+    void wait_for(std::size_t bytes)
+    {
+        auto const span = from_seconds(double(bytes) / double(this->bytes_per_second));
+        time_point until;
+        {
+            std::lock_guard<std::mutex> const lock(this->mutex);
+            this->next = std::max(this->next, this->time.now()) + span;
+            until = this->next;
+        }
+        std::this_thread::sleep_for(until - this->time.now());
+    }
+
+private:
+    std::uint64_t bytes_per_second;
+    system_clock time;
+    std::mutex mutex;
+    time_point next{};
+};
+
+class weight_store
+{
+public:
+    weight_store(std::string const& listen, weights_options const& initial)
+        : service(listen)
+        , options(initial)
+        , limiter(initial.bytes_per_second)
+    {
+        this->service.server.Get(R"(/v1/weights/([^/]+))",
+                                 [this](auto const&, auto& response) { this->send(response); });
+    }
+
+    int run() { return this->service.run(); }
+
+private:
+    void send(httplib::Response& response)
+    {
+        if (++this->downloads > this->options.parallel)
+        {
+            --this->downloads;
+            response.set_header("Retry-After", "1");
+            return answer_json(response, 429, {{"detail", "too many downloads"}});
+        }
+        response.set_content_provider(
+            this->options.size, "application/octet-stream",
+            [this](std::size_t, std::size_t length, httplib::DataSink& sink)
+            {
+                constexpr std::size_t block_size = 64 * 1024;
+                std::string const block(std::min(length, block_size), 'w');
+                this->limiter.wait_for(block.size());
+                return sink.write(block.data(), block.size());
+            },
+            [this](bool) { --this->downloads; });
+    }
+
+    http_service service;
+    weights_options options;
+    rate_limiter limiter;
+    std::atomic<int> downloads = 0;
+};
+
+} // namespace
+
+int run_weights(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Fake weight store", ' ', "", false);
+    weights_options options;
+    TCLAP::ValueArg<std::string> listen("", "listen", "address to serve", true, "", "HOST:PORT",
+                                        command);
+    TCLAP::ValueArg<std::uint64_t> rate("", "bytes-per-second", "rate of all downloads together",
+                                        false, options.bytes_per_second, "N", command);
+    TCLAP::ValueArg<std::uint64_t> size("", "size", "bytes of a version", false, options.size, "N",
+                                        command);
+    TCLAP::ValueArg<int> parallel("", "parallel", "downloads at the same time", false,
+                                  options.parallel, "N", command);
+    if (!parse_or_print_help(command, argc, argv))
+        return 0;
+    options = {rate.getValue(), size.getValue(), parallel.getValue()};
+    return weight_store(listen.getValue(), options).run();
+}
+
+} // namespace lagoonladder::fakes
