Implement the endpoint and entry directories

Rows merge as a join: the higher (incarnation, sequence) wins and leaving lasts for the incarnation, so the order of digests does not matter. Expired and removed rows are remembered, so that a late digest does not bring them back.

--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -118,17 +118,19 @@
     {
         endpoint_record record;
         time_point lease_until{};
-        /// Expired or removed; kept so that late rows are recognised.
-        bool is_gone = false;
-        std::optional<time_point> removed_at;
+        /// The endpoint asked for it; the row only spreads until the lease ends.
+        bool is_removed = false;
+        bool is_expiry_reported = false;
         std::optional<time_point> leave_by;
         std::uint64_t version = 0;
     };
 
+    bool is_listed(time_point now, stored_row const& known) const;
     directory_result put(time_point now, endpoint_record row, duration lease);
     directory_result insert(time_point now, endpoint_record row, duration lease);
     directory_result update(time_point now, stored_row& known, endpoint_record row, duration lease);
-    void apply_notices(time_point now, stored_row& known);
+    void replace(time_point now, stored_row& known, endpoint_record row, duration lease);
+    void apply_notice(stored_row& known, reclaim_notice const& notice);
     bool make_room(time_point now);
     void touch(stored_row& known);
 
--- a/src/connection/include/lagoonladder/connection/entry_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_directory.hpp
@@ -114,8 +114,9 @@
     std::vector<vm_id> cloud_pollers(time_point now, data_centre_id const& data_centre) const;
     bool polls_cloud(time_point now) const;
 
-    /// Drops rows that have been dead for a long time. Returns the ids of entries that
-    /// became dead since the last call.
+    /// Call about once a second. Drops rows that have been dead for a long time and returns
+    /// the ids of entries that became dead since the last call. A pause between two calls
+    /// of suspect_after or more counts as a stop of this process and not as the others' silence.
     std::vector<vm_id> expire(time_point now);
 
 private:
@@ -127,6 +128,8 @@
     };
 
     entry_result merge_self(entry_record const& row);
+    entry_result advance(time_point now, stored_row& known, entry_record const& row);
+    void allow_for_own_pause(time_point now);
     entry_health health_of(time_point now, stored_row const& known) const;
     bool make_room(time_point now);
     /// Serving entries that are alive, this one included.
@@ -135,6 +138,7 @@
     entry_record self;
     entry_directory_options options;
     std::map<vm_id, stored_row> rows;
+    std::optional<time_point> last_expire;
 };
 
 } // namespace lagoonladder::connection
--- a/src/connection/internal/connection.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonladder/connection.hpp>
--- /dev/null
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -0,0 +1,311 @@
+#include <lagoonladder/connection/endpoint_directory.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonladder::connection
+{
+
+namespace
+{
+
+bool is_leaving(endpoint_record const& row)
+{
+    return row.state == endpoint_state::leaving;
+}
+
+bool matches(reclaim_notice const& notice, endpoint_record const& row)
+{
+    if (!notice.vm.value().empty())
+        return notice.vm == row.vm;
+    return notice.zone == row.zone && (row.reclaimable || !notice.reclaimable_only);
+}
+
+bool is_same_subject(reclaim_notice const& left, reclaim_notice const& right)
+{
+    return left.vm == right.vm && left.zone == right.zone;
+}
+
+} // namespace
+
+char const* to_string(directory_result result)
+{
+    switch (result)
+    {
+    case directory_result::added:
+        return "added";
+    case directory_result::renewed:
+        return "renewed";
+    case directory_result::marked_leaving:
+        return "marked_leaving";
+    case directory_result::unchanged:
+        return "unchanged";
+    case directory_result::stale:
+        return "stale";
+    case directory_result::gone:
+        return "gone";
+    case directory_result::not_found:
+        return "not_found";
+    case directory_result::full:
+        return "full";
+    }
+    return "invalid";
+}
+
+endpoint_directory::endpoint_directory(endpoint_directory_options initial)
+    : options(initial)
+{
+}
+
+directory_result endpoint_directory::announce(time_point now, endpoint_record row)
+{
+    return this->put(now, std::move(row), this->options.lease);
+}
+
+directory_result endpoint_directory::renew(time_point now, endpoint_id const& id,
+                                           incarnation incarnation, std::uint64_t sequence,
+                                           load_report const& load)
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end())
+        return directory_result::not_found;
+    auto row = found->second.record;
+    row.incarnation = incarnation;
+    row.sequence = sequence;
+    row.load = load;
+    // The rest of the row may differ in another start of the endpoint.
+    if (incarnation > found->second.record.incarnation)
+        return directory_result::not_found;
+    return this->put(now, std::move(row), this->options.lease);
+}
+
+directory_result endpoint_directory::leave(time_point now, endpoint_id const& id)
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end())
+        return directory_result::not_found;
+    auto& known = found->second;
+    if (!this->is_listed(now, known))
+        return directory_result::gone;
+    if (is_leaving(known.record))
+        return directory_result::unchanged;
+    known.record.state = endpoint_state::leaving;
+    this->touch(known);
+    return directory_result::marked_leaving;
+}
+
+directory_result endpoint_directory::remove(time_point now, endpoint_id const& id)
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end())
+        return directory_result::not_found;
+    auto& known = found->second;
+    if (!this->is_listed(now, known))
+        return directory_result::gone;
+    known.record.state = endpoint_state::leaving;
+    known.is_removed = true;
+    this->touch(known);
+    return directory_result::marked_leaving;
+}
+
+directory_result endpoint_directory::merge(time_point now, endpoint_record row)
+{
+    return this->put(now, std::move(row), this->options.lease + this->options.gossip_allowance);
+}
+
+merge_summary endpoint_directory::merge(time_point now, std::vector<endpoint_record> const& from)
+{
+    merge_summary summary;
+    for (auto const& row : from)
+    {
+        auto const result = this->merge(now, row);
+        ++summary.results[result];
+        auto const is_new_leaving = result == directory_result::added && is_leaving(row);
+        if (result == directory_result::marked_leaving || is_new_leaving)
+            summary.has_new_leaving = true;
+    }
+    return summary;
+}
+
+std::vector<endpoint_id> endpoint_directory::apply(time_point now, reclaim_notice const& notice)
+{
+    auto const known =
+        std::find_if(this->notices.begin(), this->notices.end(),
+                     [&](auto const& other) { return is_same_subject(notice, other); });
+    if (known != this->notices.end())
+        *known = notice;
+    else if (this->notices.size() < this->options.max_rows)
+        this->notices.push_back(notice);
+    std::vector<endpoint_id> marked;
+    for (auto& [id, row] : this->rows)
+    {
+        auto const was_leaving = is_leaving(row.record);
+        if (!matches(notice, row.record) || !this->is_listed(now, row))
+            continue;
+        this->apply_notice(row, notice);
+        if (!was_leaving)
+            marked.push_back(id);
+    }
+    return marked;
+}
+
+std::vector<endpoint_id> endpoint_directory::expire(time_point now)
+{
+    std::vector<endpoint_id> expired;
+    for (auto position = this->rows.begin(); position != this->rows.end();)
+    {
+        auto& known = position->second;
+        if (known.lease_until <= now && !known.is_expiry_reported)
+        {
+            known.is_expiry_reported = true;
+            if (!known.is_removed)
+                expired.push_back(position->first);
+        }
+        if (known.lease_until + this->options.tombstone_retention <= now)
+            position = this->rows.erase(position);
+        else
+            ++position;
+    }
+    // VMs may run a little longer than announced; their endpoints still renew then.
+    std::erase_if(this->notices,
+                  [&](auto const& notice) { return notice.deadline + this->options.lease <= now; });
+    return expired;
+}
+
+std::vector<endpoint_record> endpoint_directory::live(time_point now) const
+{
+    std::vector<endpoint_record> out;
+    for (auto const& [id, known] : this->rows)
+    {
+        if (this->is_listed(now, known))
+            out.push_back(known.record);
+    }
+    return out;
+}
+
+std::optional<endpoint_record> endpoint_directory::find(time_point now, endpoint_id const& id) const
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end() || !this->is_listed(now, found->second))
+        return std::nullopt;
+    return found->second.record;
+}
+
+std::optional<time_point> endpoint_directory::leave_deadline(endpoint_id const& id) const
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end())
+        return std::nullopt;
+    return found->second.leave_by;
+}
+
+std::vector<endpoint_record> endpoint_directory::changed_since(time_point now,
+                                                               std::uint64_t version) const
+{
+    std::vector<endpoint_record> out;
+    for (auto const& [id, known] : this->rows)
+    {
+        if (known.lease_until > now && known.version > version)
+            out.push_back(known.record);
+    }
+    return out;
+}
+
+bool endpoint_directory::is_listed(time_point now, stored_row const& known) const
+{
+    return known.lease_until > now && !known.is_removed;
+}
+
+directory_result endpoint_directory::put(time_point now, endpoint_record row, duration lease)
+{
+    auto const found = this->rows.find(row.id);
+    if (found == this->rows.end())
+        return this->insert(now, std::move(row), lease);
+    auto& known = found->second;
+    if (row.incarnation < known.record.incarnation)
+        return directory_result::stale;
+    if (row.incarnation == known.record.incarnation)
+        return this->update(now, known, std::move(row), lease);
+    known = stored_row{};
+    this->replace(now, known, std::move(row), lease);
+    return directory_result::added;
+}
+
+directory_result endpoint_directory::insert(time_point now, endpoint_record row, duration lease)
+{
+    if (this->rows.size() >= this->options.max_rows && !this->make_room(now))
+        return directory_result::full;
+    auto& known = this->rows[row.id];
+    this->replace(now, known, std::move(row), lease);
+    return directory_result::added;
+}
+
+directory_result endpoint_directory::update(time_point now, stored_row& known, endpoint_record row,
+                                            duration lease)
+{
+    auto const was_leaving = is_leaving(known.record);
+    auto const becomes_leaving = !was_leaving && is_leaving(row);
+    auto const is_newer = row.sequence > known.record.sequence;
+    auto const is_equal = row.sequence == known.record.sequence;
+    auto const was_gone = !this->is_listed(now, known);
+    if (is_newer && !known.is_removed)
+    {
+        if (was_leaving)
+            row.state = endpoint_state::leaving;
+        this->replace(now, known, std::move(row), lease);
+        auto const is_marked = !was_leaving && is_leaving(known.record);
+        return is_marked ? directory_result::marked_leaving : directory_result::renewed;
+    }
+    // A row with a lower sequence may carry the only copy of a leaving mark.
+    if (becomes_leaving)
+    {
+        known.record.state = endpoint_state::leaving;
+        this->touch(known);
+        return was_gone ? directory_result::gone : directory_result::marked_leaving;
+    }
+    if (was_gone)
+        return directory_result::gone;
+    return is_equal ? directory_result::unchanged : directory_result::stale;
+}
+
+void endpoint_directory::replace(time_point now, stored_row& known, endpoint_record row,
+                                 duration lease)
+{
+    known.record = std::move(row);
+    known.lease_until = std::max(known.lease_until, now + lease);
+    known.is_expiry_reported = false;
+    for (auto const& notice : this->notices)
+    {
+        if (matches(notice, known.record))
+            this->apply_notice(known, notice);
+    }
+    this->touch(known);
+}
+
+void endpoint_directory::apply_notice(stored_row& known, reclaim_notice const& notice)
+{
+    known.leave_by = notice.deadline;
+    if (is_leaving(known.record))
+        return;
+    known.record.state = endpoint_state::leaving;
+    this->touch(known);
+}
+
+bool endpoint_directory::make_room(time_point now)
+{
+    auto const oldest =
+        std::min_element(this->rows.begin(), this->rows.end(),
+                         [](auto const& left, auto const& right)
+                         { return left.second.lease_until < right.second.lease_until; });
+    if (oldest == this->rows.end() || oldest->second.lease_until > now)
+        return false;
+    this->rows.erase(oldest);
+    return true;
+}
+
+void endpoint_directory::touch(stored_row& known)
+{
+    known.version = ++this->current_version;
+}
+
+} // namespace lagoonladder::connection
--- /dev/null
+++ b/src/connection/internal/endpoint_record.cpp
@@ -0,0 +1,64 @@
+#include <lagoonladder/connection/endpoint_record.hpp>
+
+#include <json_fields.hpp>
+
+namespace lagoonladder::connection
+{
+
+void to_json(nlohmann::json& out, load_report const& in)
+{
+    out = {{"running", in.running},
+           {"waiting", in.waiting},
+           {"slots", in.slots},
+           {"tokens_per_second", in.tokens_per_second}};
+}
+
+void from_json(nlohmann::json const& in, load_report& out)
+{
+    load_report report;
+    read_field(in, "running", report.running);
+    read_field(in, "waiting", report.waiting);
+    read_field(in, "slots", report.slots);
+    read_field(in, "tokens_per_second", report.tokens_per_second);
+    out = report;
+}
+
+void to_json(nlohmann::json& out, endpoint_record const& in)
+{
+    out = {{"id", in.id},
+           {"service", in.service},
+           {"version", in.version},
+           {"address", in.address},
+           {"vm", in.vm},
+           {"data_centre", in.data_centre},
+           {"zone", in.zone},
+           {"machine_class", in.machine_class},
+           {"reclaimable", in.reclaimable},
+           {"checks_fencing", in.checks_fencing},
+           {"state", state_text(in.state)},
+           {"incarnation", in.incarnation},
+           {"sequence", in.sequence},
+           {"load", in.load}};
+}
+
+void from_json(nlohmann::json const& in, endpoint_record& out)
+{
+    endpoint_record row;
+    read_id(in, "id", row.id);
+    read_id(in, "service", row.service);
+    read_id(in, "version", row.version);
+    read_id(in, "address", row.address);
+    read_id(in, "vm", row.vm);
+    read_id(in, "data_centre", row.data_centre);
+    read_id(in, "zone", row.zone);
+    read_field(in, "machine_class", row.machine_class);
+    read_field(in, "reclaimable", row.reclaimable);
+    read_field(in, "checks_fencing", row.checks_fencing);
+    read_state(in, "state", row.state);
+    read_field(in, "incarnation", row.incarnation);
+    read_field(in, "sequence", row.sequence);
+    require_field(in, "load").get_to(row.load);
+    out = std::move(row);
+}
+
+} // namespace lagoonladder::connection
--- /dev/null
+++ b/src/connection/internal/entry_directory.cpp
@@ -0,0 +1,350 @@
+#include <lagoonladder/connection/entry_directory.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include <rendezvous.hpp>
+
+namespace lagoonladder::connection
+{
+
+namespace
+{
+
+/// One in this many intervals goes to a dead entry, if there is one.
+constexpr std::uint64_t dead_peer_interval = 8;
+
+bool is_leaving(entry_record const& row)
+{
+    return row.state == entry_state::leaving;
+}
+
+void move_random_peer(std::vector<entry_record>& from, std::vector<entry_record>& to,
+                      random_source& random)
+{
+    if (from.empty())
+        return;
+    auto const position = from.begin() + static_cast<std::ptrdiff_t>(random.below(from.size()));
+    to.push_back(std::move(*position));
+    from.erase(position);
+}
+
+} // namespace
+
+char const* to_string(entry_health health)
+{
+    switch (health)
+    {
+    case entry_health::alive:
+        return "alive";
+    case entry_health::suspect:
+        return "suspect";
+    case entry_health::dead:
+        return "dead";
+    }
+    return "invalid";
+}
+
+char const* to_string(entry_result result)
+{
+    switch (result)
+    {
+    case entry_result::added:
+        return "added";
+    case entry_result::advanced:
+        return "advanced";
+    case entry_result::marked_leaving:
+        return "marked_leaving";
+    case entry_result::unchanged:
+        return "unchanged";
+    case entry_result::stale:
+        return "stale";
+    case entry_result::self:
+        return "self";
+    case entry_result::not_found:
+        return "not_found";
+    case entry_result::full:
+        return "full";
+    }
+    return "invalid";
+}
+
+entry_directory::entry_directory(entry_record own_row, entry_directory_options initial)
+    : self(std::move(own_row))
+    , options(initial)
+{
+}
+
+void entry_directory::beat(generation current, std::uint32_t open_requests)
+{
+    this->self.heartbeat = heartbeat_count(this->self.heartbeat.value() + 1);
+    this->self.generation = current;
+    this->self.open_requests = open_requests;
+}
+
+entry_result entry_directory::set_leaving(time_point now, vm_id const& vm)
+{
+    auto const found = this->rows.find(vm);
+    if (vm != this->self.vm && found == this->rows.end())
+        return entry_result::not_found;
+    auto& row = vm == this->self.vm ? this->self : found->second.record;
+    if (vm != this->self.vm && this->health_of(now, found->second) == entry_health::dead)
+        return entry_result::not_found;
+    if (is_leaving(row))
+        return entry_result::unchanged;
+    row.state = entry_state::leaving;
+    return entry_result::marked_leaving;
+}
+
+entry_result entry_directory::merge(time_point now, entry_record const& row)
+{
+    if (row.vm == this->self.vm)
+        return this->merge_self(row);
+    auto const found = this->rows.find(row.vm);
+    if (found == this->rows.end())
+    {
+        if (this->rows.size() >= this->options.max_rows && !this->make_room(now))
+            return entry_result::full;
+        this->rows[row.vm] = {row, now, false};
+        return entry_result::added;
+    }
+    auto& known = found->second;
+    if (row.incarnation < known.record.incarnation)
+        return entry_result::stale;
+    if (row.incarnation > known.record.incarnation)
+    {
+        known = {row, now, false};
+        return entry_result::added;
+    }
+    return this->advance(now, known, row);
+}
+
+entry_result entry_directory::advance(time_point now, stored_row& known, entry_record const& row)
+{
+    auto const was_leaving = is_leaving(known.record);
+    auto const becomes_leaving = !was_leaving && is_leaving(row);
+    auto const is_newer = row.heartbeat > known.record.heartbeat;
+    auto const is_equal = row.heartbeat == known.record.heartbeat;
+    if (is_newer)
+        known = {row, now, false};
+    if (was_leaving || becomes_leaving)
+        known.record.state = entry_state::leaving;
+    if (becomes_leaving)
+        return entry_result::marked_leaving;
+    if (is_newer)
+        return entry_result::advanced;
+    return is_equal ? entry_result::unchanged : entry_result::stale;
+}
+
+entry_result entry_directory::merge_self(entry_record const& row)
+{
+    // A restart after the wall clock was set back would otherwise stay hidden behind the
+    // rows of the earlier start.
+    if (row.incarnation > this->self.incarnation)
+    {
+        this->self.incarnation = incarnation(row.incarnation.value() + 1);
+        return entry_result::self;
+    }
+    if (row.incarnation < this->self.incarnation)
+        return entry_result::stale;
+    if (row.heartbeat > this->self.heartbeat)
+        this->self.heartbeat = heartbeat_count(row.heartbeat.value() + 1);
+    if (is_leaving(row) && !is_leaving(this->self))
+    {
+        this->self.state = entry_state::leaving;
+        return entry_result::marked_leaving;
+    }
+    return entry_result::self;
+}
+
+entry_merge_summary entry_directory::merge(time_point now, std::vector<entry_record> const& from)
+{
+    entry_merge_summary summary;
+    for (auto const& row : from)
+    {
+        auto const result = this->merge(now, row);
+        ++summary.results[result];
+        auto const is_new_leaving = result == entry_result::added && is_leaving(row);
+        if (result == entry_result::marked_leaving || is_new_leaving)
+            summary.has_new_leaving = true;
+        if (result == entry_result::marked_leaving && row.vm == this->self.vm)
+            summary.self_marked_leaving = true;
+    }
+    return summary;
+}
+
+std::vector<entry_record> entry_directory::digest(time_point now) const
+{
+    return this->live(now);
+}
+
+std::vector<entry_record> entry_directory::gossip_peers(time_point now, random_source& random) const
+{
+    std::vector<entry_record> near;
+    std::vector<entry_record> far;
+    std::vector<entry_record> dead;
+    for (auto const& [vm, known] : this->rows)
+    {
+        if (this->health_of(now, known) == entry_health::dead)
+            dead.push_back(known.record);
+        else if (known.record.data_centre == this->self.data_centre)
+            near.push_back(known.record);
+        else
+            far.push_back(known.record);
+    }
+    std::vector<entry_record> peers;
+    move_random_peer(near, peers, random);
+    if (!dead.empty() && random.below(dead_peer_interval) == 0)
+        move_random_peer(dead, peers, random);
+    else
+        move_random_peer(far, peers, random);
+    for (auto* rest : {&far, &near, &dead})
+    {
+        if (peers.size() < 2)
+            move_random_peer(*rest, peers, random);
+    }
+    return peers;
+}
+
+std::vector<entry_record> entry_directory::live(time_point now) const
+{
+    std::vector<entry_record> out{this->self};
+    for (auto const& [vm, known] : this->rows)
+    {
+        if (this->health_of(now, known) != entry_health::dead)
+            out.push_back(known.record);
+    }
+    return out;
+}
+
+std::vector<entry_status> entry_directory::all(time_point now) const
+{
+    std::vector<entry_status> out{{this->self, entry_health::alive, duration::zero()}};
+    for (auto const& [vm, known] : this->rows)
+        out.push_back({known.record, this->health_of(now, known), now - known.heard});
+    return out;
+}
+
+std::optional<entry_status> entry_directory::find(time_point now, vm_id const& vm) const
+{
+    if (vm == this->self.vm)
+        return entry_status{this->self, entry_health::alive, duration::zero()};
+    auto const found = this->rows.find(vm);
+    if (found == this->rows.end())
+        return std::nullopt;
+    auto const& known = found->second;
+    return entry_status{known.record, this->health_of(now, known), now - known.heard};
+}
+
+std::vector<entry_record> entry_directory::list_for(time_point now, std::string_view caller,
+                                                    std::size_t limit) const
+{
+    auto list = spread_over_data_centres(rendezvous_order(this->eligible(now), caller));
+    if (list.size() > limit)
+        list.resize(limit);
+    return list;
+}
+
+std::optional<entry_record> entry_directory::companion_for(time_point now,
+                                                           std::string_view key) const
+{
+    std::optional<entry_record> in_own_data_centre;
+    for (auto const& row : rendezvous_order(this->eligible(now), key))
+    {
+        if (row.vm == this->self.vm)
+            continue;
+        if (row.data_centre != this->self.data_centre)
+            return row;
+        if (!in_own_data_centre)
+            in_own_data_centre = row;
+    }
+    return in_own_data_centre;
+}
+
+std::vector<vm_id> entry_directory::cloud_pollers(time_point now,
+                                                  data_centre_id const& data_centre) const
+{
+    std::vector<entry_record> candidates;
+    for (auto const& status : this->all(now))
+    {
+        if (status.health == entry_health::alive && status.record.data_centre == data_centre)
+            candidates.push_back(status.record);
+    }
+    auto ordered = rendezvous_order(std::move(candidates), data_centre.value());
+    // A leaving entry may stop at any moment, so it polls only when there is no other.
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [](auto const& row) { return !is_leaving(row); });
+    std::vector<vm_id> pollers;
+    for (auto const& row : ordered)
+    {
+        if (pollers.size() < this->options.pollers)
+            pollers.push_back(row.vm);
+    }
+    return pollers;
+}
+
+bool entry_directory::polls_cloud(time_point now) const
+{
+    auto const pollers = this->cloud_pollers(now, this->self.data_centre);
+    return std::find(pollers.begin(), pollers.end(), this->self.vm) != pollers.end();
+}
+
+std::vector<vm_id> entry_directory::expire(time_point now)
+{
+    this->allow_for_own_pause(now);
+    std::vector<vm_id> dead;
+    for (auto& [vm, known] : this->rows)
+    {
+        if (known.was_reported_dead || this->health_of(now, known) != entry_health::dead)
+            continue;
+        known.was_reported_dead = true;
+        dead.push_back(vm);
+    }
+    std::erase_if(this->rows, [&](auto const& item)
+                  { return now - item.second.heard >= this->options.forget_after; });
+    return dead;
+}
+
+void entry_directory::allow_for_own_pause(time_point now)
+{
+    // Without this an entry that was stopped for some seconds would take all others for dead.
+    auto const pause = this->last_expire ? now - *this->last_expire : duration::zero();
+    this->last_expire = now;
+    if (pause < this->options.suspect_after)
+        return;
+    for (auto& [vm, known] : this->rows)
+        known.heard += pause;
+}
+
+entry_health entry_directory::health_of(time_point now, stored_row const& known) const
+{
+    auto const silence = now - known.heard;
+    if (silence >= this->options.dead_after)
+        return entry_health::dead;
+    return silence >= this->options.suspect_after ? entry_health::suspect : entry_health::alive;
+}
+
+bool entry_directory::make_room(time_point now)
+{
+    auto const oldest = std::min_element(this->rows.begin(), this->rows.end(),
+                                         [](auto const& left, auto const& right)
+                                         { return left.second.heard < right.second.heard; });
+    if (oldest == this->rows.end() || this->health_of(now, oldest->second) != entry_health::dead)
+        return false;
+    this->rows.erase(oldest);
+    return true;
+}
+
+std::vector<entry_record> entry_directory::eligible(time_point now) const
+{
+    std::vector<entry_record> out;
+    for (auto const& status : this->all(now))
+    {
+        if (status.health == entry_health::alive && !is_leaving(status.record))
+            out.push_back(status.record);
+    }
+    return out;
+}
+
+} // namespace lagoonladder::connection
