--- a/src/request/include/lagoonladder/request/load_estimate.hpp
+++ b/src/request/include/lagoonladder/request/load_estimate.hpp
@@ -71,9 +71,10 @@
         std::deque<change> recent;
     };
 
-    void change_own(time_point now, endpoint_id const& endpoint, int delta);
-    double own_at(state const& known, time_point when) const;
+    void remember(time_point now, state& known, int delta) const;
+    static double own_at(state const& known, time_point when);
     void update_others(state& known, double others);
+    void forget_others(state& known);
 
     load_estimate_options options;
     std::map<endpoint_id, state> endpoints;
--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -72,6 +72,8 @@
 {
     /// A candidate is left out when its load per slot exceeds this multiple of the mean.
     double load_factor = 1.25;
+    /// Load per slot up to which a candidate is never left out.
+    double idle_load = 0.25;
     /// Endpoints that the prefix hash ranks first take part in the affinity group.
     std::uint32_t affinity_group = 2;
     /// Load per slot that a full prefix match is worth.
@@ -108,9 +110,6 @@
     /// Whether failures exclude the endpoint from ordinary choices at this time.
     bool is_excluded(time_point now, endpoint_id const& endpoint) const;
 
-    /// Mean time per request of the endpoint relative to the median endpoint; 1 when unknown.
-    double relative_time(endpoint_id const& endpoint) const;
-
 private:
     struct health
     {
@@ -126,27 +125,36 @@
         std::uint32_t samples = 0;
     };
 
-    struct option
+    struct rated
     {
         route_candidate const* candidate = nullptr;
+        /// Load per slot after this request, corrected by speed and ramp-up.
+        double load = 0;
         double cost = 0;
+        /// Share of ordinary traffic during ramp-up, relative to the other candidates.
         double share = 1;
     };
 
+    using rated_list = std::vector<rated>;
+
     void observe(time_point now, std::vector<route_candidate> const& candidates);
     double ramp_share(time_point now, health const& state) const;
-    double median_time() const;
-    double relative_time(health const& state, double median) const;
-    std::vector<option> eligible(time_point now, std::vector<route_candidate> const& candidates,
-                                 route_query const& query) const;
-    std::vector<option> within_bound(std::vector<option> const& all) const;
-    std::vector<option> affinity(std::vector<option> const& all, route_query const& query) const;
+    static bool is_blocked(time_point now, health const& state);
+    double median_time(std::vector<route_candidate> const& candidates) const;
+    rated_list eligible(time_point now, std::vector<route_candidate> const& candidates,
+                        route_query const& query) const;
+    void rate(time_point now, route_query const& query, double median, rated_list& all) const;
+    rated_list within_bound(rated_list const& all) const;
+    rated_list affinity(rated_list all, route_query const& query) const;
+    static std::size_t pick(rated_list const& all, std::optional<std::size_t> except,
+                            random_source& random);
+    void record_failure(time_point now, health& state) const;
+    static void record_success(time_point now, health& state, route_outcome const& outcome);
+    void note_probe(time_point now, endpoint_id const& endpoint);
 
     balanced_route_options options;
     std::map<endpoint_id, health> endpoints;
-    time_point first_call{};
     time_point last_prune{};
-    bool called = false;
 };
 
 /// Takes the candidates in turn; a baseline for comparisons.
--- a/src/request/include/lagoonladder/request/stream_assembly.hpp
+++ b/src/request/include/lagoonladder/request/stream_assembly.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_REQUEST_STREAM_ASSEMBLY_HPP
 
 #include <cstdint>
+#include <set>
 
 #include <lagoonladder/base.hpp>
 
@@ -59,7 +60,7 @@
     token_offset next_offset() const { return this->next; }
     attempt_id const& current_attempt() const { return this->current; }
     bool is_finished() const { return this->finished; }
-    std::uint32_t attempts() const { return this->attempt_count; }
+    std::size_t attempts() const { return this->used.size(); }
 
     /// Tokens that were computed more than once: recomputed on resumption or delivered again.
     std::uint64_t recomputed_tokens() const { return this->recomputed; }
@@ -68,11 +69,10 @@
     bool is_current(attempt_id const& attempt) const;
 
     token_offset next;
-    token_offset start;
     attempt_id current;
     bool active = false;
     bool finished = false;
-    std::uint32_t attempt_count = 0;
+    std::set<attempt_id> used;
     std::uint64_t recomputed = 0;
 };
 
--- a/src/request/internal/request.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonladder/request.hpp>
--- /dev/null
+++ b/src/request/internal/route_choice.cpp
@@ -0,0 +1,268 @@
+#include <lagoonladder/request/route_choice.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace lagoonladder::request
+{
+
+namespace
+{
+
+/// Weight of a new sample in the moving average of an endpoint's time.
+constexpr double sample_weight = 0.1;
+/// Samples before an endpoint's time is compared with the others'.
+constexpr std::uint32_t min_samples = 5;
+/// Bounds of the relative time, so that a few odd requests do not dominate the load.
+constexpr double min_relative_time = 0.5;
+constexpr double max_relative_time = 8;
+/// A probe whose outcome was not told for this long no longer blocks the next one.
+constexpr duration probe_timeout = seconds(10);
+/// An endpoint that was no candidate for this long has left and comes back cold.
+constexpr duration absence = seconds(5);
+
+bool contains(std::vector<endpoint_id> const& ids, endpoint_id const& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+bool is_usable(route_candidate const& candidate, route_query const& query)
+{
+    return !candidate.leaving && !contains(query.excluded, candidate.endpoint_id);
+}
+
+double slots_of(route_candidate const& candidate)
+{
+    return std::max<std::uint32_t>(1, candidate.slots);
+}
+
+} // namespace
+
+balanced_route_policy::balanced_route_policy(balanced_route_options initial)
+    : options(initial)
+{
+}
+
+std::optional<endpoint_id>
+balanced_route_policy::choose(time_point now, std::vector<route_candidate> const& candidates,
+                              route_query const& query, random_source& random)
+{
+    this->observe(now, candidates);
+    auto const all = this->eligible(now, candidates, query);
+    if (all.empty())
+        return std::nullopt;
+    auto const group = this->affinity(this->within_bound(all), query);
+    auto const first = pick(group, std::nullopt, random);
+    auto const second = group.size() > 1 ? pick(group, first, random) : first;
+    auto const& chosen = group[second].cost < group[first].cost ? group[second] : group[first];
+    auto const& id = chosen.candidate->endpoint_id;
+    this->note_probe(now, id);
+    return id;
+}
+
+void balanced_route_policy::record(time_point now, endpoint_id const& endpoint,
+                                   route_outcome const& outcome)
+{
+    auto const found = this->endpoints.find(endpoint);
+    if (found == this->endpoints.end())
+        return;
+    auto& state = found->second;
+    // Outcomes of attempts from before the exclusion say nothing about recovery.
+    if (state.excluded_until > now)
+        return;
+    if (outcome.ok)
+        record_success(now, state, outcome);
+    else
+        this->record_failure(now, state);
+}
+
+void balanced_route_policy::record_failure(time_point now, health& state) const
+{
+    ++state.failures;
+    if (state.failures < this->options.failures_to_exclude && state.exclusions == 0)
+        return;
+    auto const doublings = std::min<std::uint32_t>(state.exclusions, 16);
+    auto const span = this->options.exclusion * (std::int64_t(1) << doublings);
+    state.excluded_until = now + std::min<duration>(span, this->options.max_exclusion);
+    ++state.exclusions;
+    state.failures = 0;
+    state.probing = false;
+}
+
+void balanced_route_policy::record_success(time_point now, health& state,
+                                           route_outcome const& outcome)
+{
+    if (state.exclusions > 0)
+        state.ramp_from = now;
+    state.failures = 0;
+    state.exclusions = 0;
+    state.probing = false;
+    auto const units = static_cast<double>(std::max<std::uint64_t>(1, outcome.tokens));
+    auto const time = to_seconds(outcome.elapsed) / units;
+    auto const weight = state.samples == 0 ? 1.0 : sample_weight;
+    state.mean_time += (time - state.mean_time) * weight;
+    ++state.samples;
+}
+
+bool balanced_route_policy::is_excluded(time_point now, endpoint_id const& endpoint) const
+{
+    auto const found = this->endpoints.find(endpoint);
+    return found != this->endpoints.end() && is_blocked(now, found->second);
+}
+
+void balanced_route_policy::observe(time_point now, std::vector<route_candidate> const& candidates)
+{
+    for (auto const& candidate : candidates)
+    {
+        auto const [position, is_new] = this->endpoints.try_emplace(candidate.endpoint_id);
+        auto& state = position->second;
+        if (is_new || now - state.last_seen >= absence)
+            state.ramp_from = now;
+        state.last_seen = now;
+    }
+    if (now - this->last_prune < this->options.forget_after)
+        return;
+    this->last_prune = now;
+    std::erase_if(this->endpoints, [&](auto const& item)
+                  { return now - item.second.last_seen >= this->options.forget_after; });
+}
+
+double balanced_route_policy::ramp_share(time_point now, health const& state) const
+{
+    auto const progress = to_seconds(now - state.ramp_from) / to_seconds(this->options.ramp_up);
+    auto const start = this->options.ramp_start;
+    return std::clamp(start + (1 - start) * progress, start, 1.0);
+}
+
+bool balanced_route_policy::is_blocked(time_point now, health const& state)
+{
+    if (state.exclusions == 0)
+        return false;
+    auto const probe_runs = state.probing && now - state.probe_started < probe_timeout;
+    return state.excluded_until > now || probe_runs;
+}
+
+double balanced_route_policy::median_time(std::vector<route_candidate> const& candidates) const
+{
+    std::vector<double> times;
+    for (auto const& candidate : candidates)
+    {
+        auto const& state = this->endpoints.at(candidate.endpoint_id);
+        if (state.samples >= min_samples)
+            times.push_back(state.mean_time);
+    }
+    if (times.empty())
+        return 0;
+    auto const middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+balanced_route_policy::rated_list
+balanced_route_policy::eligible(time_point now, std::vector<route_candidate> const& candidates,
+                                route_query const& query) const
+{
+    rated_list healthy;
+    rated_list failing;
+    for (auto const& candidate : candidates)
+    {
+        if (!is_usable(candidate, query))
+            continue;
+        auto const blocked = is_blocked(now, this->endpoints.at(candidate.endpoint_id));
+        (blocked ? failing : healthy).push_back({&candidate, 0, 0, 1});
+    }
+    auto& all = healthy.empty() ? failing : healthy;
+    this->rate(now, query, this->median_time(candidates), all);
+    return std::move(all);
+}
+
+void balanced_route_policy::rate(time_point now, route_query const& query, double median,
+                                 rated_list& all) const
+{
+    double largest_share = 0;
+    for (auto& one : all)
+    {
+        one.share = this->ramp_share(now, this->endpoints.at(one.candidate->endpoint_id));
+        largest_share = std::max(largest_share, one.share);
+    }
+    for (auto& one : all)
+    {
+        auto const& candidate = *one.candidate;
+        auto const& state = this->endpoints.at(candidate.endpoint_id);
+        // After a start all endpoints are new; what counts is the share among the candidates.
+        one.share /= largest_share;
+        auto const is_timed = state.samples >= min_samples && median > 0;
+        auto const relative_time =
+            is_timed ? std::clamp(state.mean_time / median, min_relative_time, max_relative_time)
+                     : 1.0;
+        one.load = (candidate.load + 1) / slots_of(candidate) * relative_time / one.share;
+        auto const is_remote = candidate.data_centre != query.data_centre;
+        one.cost = one.load + (is_remote ? this->options.remote_penalty : 0) -
+                   this->options.prefix_weight * candidate.prefix_match;
+    }
+}
+
+balanced_route_policy::rated_list balanced_route_policy::within_bound(rated_list const& all) const
+{
+    auto const sum = std::accumulate(all.begin(), all.end(), 0.0,
+                                     [](double so_far, auto const& o) { return so_far + o.load; });
+    auto const mean = sum / static_cast<double>(all.size());
+    auto const bound = std::max(this->options.idle_load, this->options.load_factor * mean);
+    rated_list kept;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(kept),
+                 [&](auto const& one) { return one.load <= bound; });
+    return kept;
+}
+
+balanced_route_policy::rated_list balanced_route_policy::affinity(rated_list all,
+                                                                  route_query const& query) const
+{
+    auto const is_matched = std::any_of(
+        all.begin(), all.end(), [](auto const& one) { return one.candidate->prefix_match > 0; });
+    if ((query.prefix_hash == 0 && !is_matched) || all.size() <= this->options.affinity_group)
+        return all;
+    auto const rank = [&](rated const& one)
+    {
+        auto const& candidate = *one.candidate;
+        return std::make_pair(candidate.prefix_match,
+                              stable_hash(candidate.endpoint_id.value(), query.prefix_hash));
+    };
+    std::sort(all.begin(), all.end(),
+              [&](auto const& left, auto const& right) { return rank(left) > rank(right); });
+    all.resize(this->options.affinity_group);
+    return all;
+}
+
+std::size_t balanced_route_policy::pick(rated_list const& all, std::optional<std::size_t> except,
+                                        random_source& random)
+{
+    double total = 0;
+    for (std::size_t i = 0; i < all.size(); ++i)
+        total += i == except ? 0 : all[i].share;
+    auto left = random.unit() * total;
+    std::size_t last = 0;
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        if (i == except)
+            continue;
+        last = i;
+        left -= all[i].share;
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+void balanced_route_policy::note_probe(time_point now, endpoint_id const& endpoint)
+{
+    auto& state = this->endpoints.at(endpoint);
+    if (state.exclusions == 0 || state.excluded_until > now)
+        return;
+    state.probing = true;
+    state.probe_started = now;
+}
+
+} // namespace lagoonladder::request
