--- a/src/process/daemon/include/lagoonladder/daemon/control_plane.hpp
+++ b/src/process/daemon/include/lagoonladder/daemon/control_plane.hpp
@@ -51,6 +51,10 @@
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
     /// All entries that are not dead, this one included.
     std::vector<connection::entry_record> entries;
+    /// Entry directory at the time of publication: order for callers, companions.
+    std::shared_ptr<connection::entry_directory const> directory;
+    /// Voter ids as this daemon's log knows them; empty without a log.
+    std::vector<std::string> voters;
 };
 
 /// What the traffic threads ask of the control thread. All functions may be
--- /dev/null
+++ b/src/process/daemon/internal/consensus_driver.cpp
@@ -0,0 +1,360 @@
+#include "consensus_driver.hpp"
+
+#include <algorithm>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr int heartbeats_per_election_timeout = 5;
+constexpr int ticks_per_heartbeat = 4;
+constexpr duration expiry_interval = seconds(5);
+
+char const* to_string(consensus::role role)
+{
+    switch (role)
+    {
+    case consensus::role::follower:
+        return "follower";
+    case consensus::role::precandidate:
+        return "precandidate";
+    case consensus::role::candidate:
+        return "candidate";
+    case consensus::role::leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+consensus::node_options make_node_options(settings const& config, consensus::voter_id self)
+{
+    consensus::node_options options;
+    options.self = std::move(self);
+    options.election_timeout = config.election_timeout;
+    options.heartbeat_interval = config.election_timeout / heartbeats_per_election_timeout;
+    return options;
+}
+
+consensus_driver::consensus_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+                                   consensus::voter_id self, storage::log_store& store,
+                                   peer_channels& channels, event_sink& log,
+                                   clock const& time_source, random_source& random_numbers)
+    : context(io)
+    , options(config)
+    , log_store(store)
+    , peers(channels)
+    , events(log)
+    , time(time_source)
+    , random(random_numbers)
+    , node(
+          make_node_options(config, self),
+          [this, &store]
+          {
+              auto state = store.load();
+              if (state.snapshot && !state.snapshot->data.empty())
+              {
+                  this->control.restore(state.snapshot->data);
+                  this->applied = state.snapshot->index.value();
+              }
+              return state;
+          }(),
+          random_numbers, time_source.now())
+    , sender(io, channels, self, config.control, config.election_timeout / 2)
+    , timer(*io)
+{
+}
+
+void consensus_driver::start()
+{
+    this->schedule_tick();
+    this->schedule_flush();
+}
+
+void consensus_driver::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->sender.stop();
+    for (auto& [index, pending] : std::exchange(this->proposals, {}))
+        pending.done({proposal_status::unknown, {}});
+    for (auto& [id, pending] : std::exchange(this->reads, {}))
+        pending.done(false);
+}
+
+void consensus_driver::set_applied_handler(std::function<void()> handler)
+{
+    this->on_applied = std::move(handler);
+}
+
+network_address consensus_driver::leader_address() const
+{
+    auto const leader = this->node.leader();
+    if (!leader)
+        return {};
+    if (*leader == this->node.self())
+        return this->options.control;
+    auto const& members = this->node.membership();
+    auto const voter = members.voters.find(*leader);
+    return voter == members.voters.end() ? network_address() : voter->second;
+}
+
+vm_id consensus_driver::leader_vm() const
+{
+    auto const leader = this->node.leader();
+    return leader ? consensus::vm_of(*leader) : vm_id();
+}
+
+void consensus_driver::schedule_tick()
+{
+    this->timer.expires_after(this->options.election_timeout / heartbeats_per_election_timeout /
+                              ticks_per_heartbeat);
+    this->timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem || this->stopped)
+                return;
+            this->tick();
+            this->schedule_tick();
+        });
+}
+
+void consensus_driver::tick()
+{
+    this->node.tick(this->time.now());
+    this->flush();
+    this->expire_pending();
+    this->report_role();
+    this->propose_expiry();
+    this->advance_members();
+    if (!this->node.membership().voters.contains(this->node.self()) &&
+        this->time.now() >= this->next_join)
+        this->request_join();
+}
+
+void consensus_driver::schedule_flush()
+{
+    // Proposals of one round of the event loop share a single sync of the disk.
+    if (this->flush_scheduled)
+        return;
+    this->flush_scheduled = true;
+    asio::post(*this->context,
+               [this]
+               {
+                   this->flush_scheduled = false;
+                   this->flush();
+               });
+}
+
+void consensus_driver::flush()
+{
+    bool changed = false;
+    while (!this->stopped && this->node.has_ready())
+    {
+        auto const work = this->node.take_ready();
+        this->log_store.save(work);
+        for (auto const& message : work.messages)
+            this->send(message);
+        if (work.restore)
+            this->restore(*work.restore);
+        for (auto const& entry : work.committed)
+            this->apply(entry);
+        changed = changed || work.restore || !work.committed.empty();
+        for (auto const& confirmed : work.reads)
+        {
+            auto const pending = this->reads.find(confirmed.context);
+            if (pending != this->reads.end())
+                pending->second.index = confirmed.index.value();
+        }
+        for (auto const failed : work.failed_reads)
+            this->fail_read(failed);
+    }
+    if (changed)
+    {
+        this->compact_if_due();
+        if (this->on_applied)
+            this->on_applied();
+    }
+    this->serve_reads();
+}
+
+void consensus_driver::send(consensus::message const& message)
+{
+    auto const& members = this->node.membership();
+    for (auto const* known : {&members.voters, &members.learners, &std::as_const(this->addresses)})
+    {
+        auto const address = known->find(message.to);
+        if (address != known->end())
+            return this->sender.send(address->second, message);
+    }
+}
+
+void consensus_driver::restore(consensus::snapshot const& state)
+{
+    this->control.restore(state.data);
+    this->applied = state.index.value();
+    auto const end = this->proposals.upper_bound(this->applied);
+    std::vector<proposal_handler> unresolved;
+    for (auto pending = this->proposals.begin(); pending != end; ++pending)
+        unresolved.push_back(std::move(pending->second.done));
+    this->proposals.erase(this->proposals.begin(), end);
+    for (auto const& done : unresolved)
+        done({proposal_status::unknown, {}});
+    this->events.emit(severity::info, "consensus.snapshot_restored",
+                      {{"index", std::to_string(this->applied)}});
+}
+
+void consensus_driver::apply(consensus::log_entry const& entry)
+{
+    version::command_result result;
+    if (entry.kind == consensus::entry_kind::command)
+        result = this->control.apply(entry.index.value(), version::decode_command(entry.data));
+    this->applied = entry.index.value();
+    this->resolve_proposal(entry, result);
+}
+
+void consensus_driver::resolve_proposal(consensus::log_entry const& entry,
+                                        version::command_result const& result)
+{
+    auto const [first, last] = this->proposals.equal_range(entry.index.value());
+    std::vector<std::pair<proposal_handler, bool>> resolved;
+    for (auto pending = first; pending != last; ++pending)
+        resolved.emplace_back(std::move(pending->second.done), pending->second.term == entry.term);
+    this->proposals.erase(first, last);
+    for (auto const& [done, own] : resolved)
+    {
+        if (own)
+            done({proposal_status::committed, result});
+        else
+            done({proposal_status::not_proposed, {}});
+    }
+}
+
+void consensus_driver::propose(version::command_body body, time_point deadline,
+                               proposal_handler done)
+{
+    version::command entry;
+    entry.now = std::max({this->time.wall_now(), this->control.latest_time(), this->last_proposed});
+    entry.body = std::move(body);
+    auto const position = this->node.propose(this->time.now(), version::encode(entry));
+    if (!position)
+        return done({proposal_status::not_proposed, {}});
+    this->last_proposed = entry.now;
+    this->proposals.emplace(position->index.value(),
+                            pending_proposal{position->term, deadline, std::move(done)});
+    this->schedule_flush();
+}
+
+void consensus_driver::read(time_point deadline, read_handler done)
+{
+    auto const id = this->next_read++;
+    if (!this->node.request_read(this->time.now(), id))
+        return done(false);
+    this->reads.emplace(id, pending_read{deadline, std::nullopt, std::move(done)});
+    this->schedule_flush();
+}
+
+void consensus_driver::fail_read(std::uint64_t id)
+{
+    auto const pending = this->reads.extract(id);
+    if (!pending.empty())
+        pending.mapped().done(false);
+}
+
+void consensus_driver::serve_reads()
+{
+    std::vector<read_handler> served;
+    std::erase_if(this->reads,
+                  [&](auto& item)
+                  {
+                      auto& pending = item.second;
+                      if (!pending.index || *pending.index > this->applied)
+                          return false;
+                      served.push_back(std::move(pending.done));
+                      return true;
+                  });
+    for (auto const& done : served)
+        done(true);
+}
+
+void consensus_driver::expire_pending()
+{
+    auto const now = this->time.now();
+    std::vector<proposal_handler> late_proposals;
+    std::erase_if(this->proposals,
+                  [&](auto& item)
+                  {
+                      if (item.second.deadline > now)
+                          return false;
+                      late_proposals.push_back(std::move(item.second.done));
+                      return true;
+                  });
+    std::vector<read_handler> late_reads;
+    std::erase_if(this->reads,
+                  [&](auto& item)
+                  {
+                      if (item.second.deadline > now)
+                          return false;
+                      late_reads.push_back(std::move(item.second.done));
+                      return true;
+                  });
+    for (auto const& done : late_proposals)
+        done({proposal_status::unknown, {}});
+    for (auto const& done : late_reads)
+        done(false);
+}
+
+void consensus_driver::step(std::string const& from, std::string const& from_address,
+                            std::vector<std::string> const& messages)
+{
+    if (!from.empty() && !from_address.empty())
+        this->addresses[consensus::voter_id(from)] = network_address(from_address);
+    for (auto const& bytes : messages)
+    {
+        try
+        {
+            this->node.step(this->time.now(), consensus::decode_message(bytes));
+        }
+        catch (consensus::consensus_error const& problem)
+        {
+            this->events.emit(severity::warning, "consensus.message_dropped",
+                              {{"from", from}, {"reason", problem.what()}});
+        }
+    }
+    this->schedule_flush();
+}
+
+void consensus_driver::compact_if_due()
+{
+    if (this->applied < this->node.snapshot_index().value() + this->options.snapshot_after_entries)
+        return;
+    this->node.compact(consensus::log_index(this->applied), this->control.snapshot());
+    this->schedule_flush();
+    this->events.emit(severity::info, "consensus.snapshot_stored",
+                      {{"index", std::to_string(this->applied)}});
+}
+
+void consensus_driver::report_role()
+{
+    auto const role = this->node.role();
+    if (role == this->last_role)
+        return;
+    this->last_role = role;
+    this->events.emit(severity::info, "consensus.role_changed",
+                      {{"role", to_string(role)}, {"term", std::to_string(this->term())}});
+}
+
+void consensus_driver::propose_expiry()
+{
+    auto const now = this->time.now();
+    if (!this->is_leader() || now < this->next_expiry)
+        return;
+    this->next_expiry = now + expiry_interval;
+    if (this->control.once_records().size() > 0)
+        this->propose(version::expire_records{}, now + expiry_interval, [](auto const&) {});
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/consensus_driver.hpp
@@ -0,0 +1,156 @@
+#ifndef LAGOONLADDER_DAEMON_CONSENSUS_DRIVER_HPP
+#define LAGOONLADDER_DAEMON_CONSENSUS_DRIVER_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <lagoonladder/consensus.hpp>
+#include <lagoonladder/daemon/control_plane.hpp>
+#include <lagoonladder/daemon/settings.hpp>
+#include <lagoonladder/storage.hpp>
+
+#include "peer_channels.hpp"
+#include "step_sender.hpp"
+
+namespace lagoonladder::daemon
+{
+
+enum class proposal_status
+{
+    committed,
+    /// Not proposed, or replaced by another entry: it never takes effect.
+    not_proposed,
+    unknown
+};
+
+struct proposal_outcome
+{
+    proposal_status status = proposal_status::unknown;
+    version::command_result result;
+};
+
+consensus::node_options make_node_options(settings const& config, consensus::voter_id self);
+
+/// Runs the consensus node of a VM with a data folder and the control state
+/// that its log builds. Lives on the control thread; only the constructor may
+/// run elsewhere.
+class consensus_driver
+{
+public:
+    using proposal_handler = std::function<void(proposal_outcome const&)>;
+    /// Called with true once the state reflects everything committed before the read began.
+    using read_handler = std::function<void(bool)>;
+
+    /// Loads the stored log. Throws storage_error or parse_error when it is damaged.
+    consensus_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+                     consensus::voter_id self, storage::log_store& store, peer_channels& channels,
+                     event_sink& log, clock const& time_source, random_source& random);
+
+    void start();
+    void stop();
+
+    /// Called after entries were applied.
+    void set_applied_handler(std::function<void()> handler);
+
+    void propose(version::command_body body, time_point deadline, proposal_handler done);
+    void read(time_point deadline, read_handler done);
+    void step(std::string const& from, std::string const& from_address,
+              std::vector<std::string> const& messages);
+
+    struct join_result
+    {
+        bool accepted = false;
+        std::string leader;
+        std::string detail;
+    };
+    join_result join(consensus::voter_id const& id, network_address const& address);
+
+    version::control_state const& state() const { return this->control; }
+    consensus::voter_id const& self() const { return this->node.self(); }
+    bool has_log() const { return this->node.last_index().value() > 0; }
+    bool is_leader() const { return this->node.role() == consensus::role::leader; }
+    bool lease_valid() const { return this->node.lease_valid(this->time.now()); }
+    bool has_recent_quorum() const { return this->node.has_recent_quorum(this->time.now()); }
+    std::uint64_t term() const { return this->node.term().value(); }
+    /// Control address of the leader; empty when unknown.
+    network_address leader_address() const;
+    vm_id leader_vm() const;
+    consensus::membership const& membership() const { return this->node.membership(); }
+
+private:
+    struct pending_proposal
+    {
+        consensus::term_number term;
+        time_point deadline;
+        proposal_handler done;
+    };
+
+    struct pending_read
+    {
+        time_point deadline;
+        /// Set when the read is confirmed; served when it is applied.
+        std::optional<std::uint64_t> index;
+        read_handler done;
+    };
+
+    void schedule_tick();
+    void tick();
+    void schedule_flush();
+    void flush();
+    void send(consensus::message const& message);
+    void restore(consensus::snapshot const& state);
+    void apply(consensus::log_entry const& entry);
+    void resolve_proposal(consensus::log_entry const& entry, version::command_result const& result);
+    void fail_read(std::uint64_t id);
+    void serve_reads();
+    void expire_pending();
+    void compact_if_due();
+    void report_role();
+    void propose_expiry();
+    void advance_members();
+    void request_join();
+    void identify_initial_voters();
+    void found_group();
+
+    std::shared_ptr<asio::io_context> context;
+    settings const& options;
+    storage::log_store& log_store;
+    peer_channels& peers;
+    event_sink& events;
+    clock const& time;
+    random_source& random;
+    /// Both stand before `node`, whose construction restores them.
+    version::control_state control;
+    std::uint64_t applied = 0;
+    consensus::node node;
+    step_sender sender;
+    asio::steady_timer timer;
+    std::function<void()> on_applied;
+
+    std::multimap<std::uint64_t, pending_proposal> proposals;
+    std::map<std::uint64_t, pending_read> reads;
+    std::uint64_t next_read = 1;
+    wall_time last_proposed{};
+    /// Control addresses of voters as they state them in their calls.
+    std::map<consensus::voter_id, network_address> addresses;
+    bool flush_scheduled = false;
+    bool stopped = false;
+
+    consensus::role last_role = consensus::role::follower;
+    time_point next_expiry{};
+    time_point next_member_check{};
+    time_point next_join{};
+    /// Voter ids of the initial voters that answered with an empty log.
+    std::map<vm_id, consensus::voter_id> empty_voters;
+    std::size_t join_target = 0;
+    network_address join_hint;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -0,0 +1,269 @@
+#include "control_loop.hpp"
+
+#include <future>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+/// Changes within this time are published together; announcements of many
+/// endpoints must not copy the directory each time.
+constexpr duration publish_delay = milliseconds(5);
+constexpr duration report_interval = seconds(1);
+/// Added to the wait of the calling thread, so that the control thread decides
+/// whether a command is unknown.
+constexpr duration caller_grace = seconds(1);
+
+} // namespace
+
+control_loop::control_loop(control_dependencies const& dependencies)
+    : options(dependencies.config)
+    , events(dependencies.events)
+    , gauges(dependencies.metrics)
+    , time(dependencies.time)
+    , random(dependencies.seed)
+    , context(std::make_shared<asio::io_context>(1))
+    , work(asio::make_work_guard(*this->context))
+    , driver(dependencies.store
+                 ? std::make_unique<consensus_driver>(
+                       this->context, this->options, dependencies.voter, *dependencies.store,
+                       dependencies.peers, this->events, this->time, this->random)
+                 : nullptr)
+    , directories(this->context, this->options, dependencies.peers, this->events, this->time,
+                  this->random)
+    , client(this->context, this->options, dependencies.peers, this->directories, this->time,
+             this->driver.get())
+    , shared(this->context, this->options, dependencies.peers, this->client, this->events,
+             this->time, this->driver.get())
+    , version_moves(this->driver.get(), this->events, this->time)
+    , platform(this->options.cloud_api)
+    , reclaims(this->platform, this->events,
+               [this](std::vector<platform_notice> notices)
+               { this->post([this, notices] { this->directories.apply_notices(notices); }); })
+    , publish_timer(*this->context)
+    , report_timer(*this->context)
+{
+    this->published = std::make_shared<control_view const>();
+    this->directories.set_change_handler([this] { this->schedule_publish(); });
+    this->shared.set_change_handler([this] { this->schedule_publish(); });
+    if (this->driver)
+        this->driver->set_applied_handler([this] { this->shared.refresh_from_node(); });
+}
+
+control_loop::~control_loop()
+{
+    this->stop();
+}
+
+void control_loop::start()
+{
+    this->post(
+        [this]
+        {
+            if (this->driver)
+                this->driver->start();
+            this->directories.start();
+            this->shared.start();
+            this->schedule_report();
+            this->publish();
+        });
+    this->thread = std::thread([this] { this->run(); });
+    if (!this->options.cloud_api.value().empty())
+        this->reclaims.start();
+}
+
+void control_loop::run()
+{
+    try
+    {
+        this->context->run();
+    }
+    catch (std::exception const& problem)
+    {
+        // Without its control state the daemon can neither keep nor learn a
+        // promise; a restart reads it from the disk or the quorum.
+        this->events.emit(severity::error, "control.failed", {{"reason", problem.what()}});
+        invariant_violated(std::string("control thread: ") + problem.what());
+    }
+}
+
+void control_loop::stop()
+{
+    if (!this->thread.joinable())
+        return;
+    this->reclaims.stop();
+    this->post(
+        [this]
+        {
+            this->shared.stop();
+            this->directories.stop();
+            this->client.stop();
+            if (this->driver)
+                this->driver->stop();
+            this->publish_timer.cancel();
+            this->report_timer.cancel();
+            this->context->stop();
+        });
+    this->thread.join();
+}
+
+void control_loop::post(std::function<void()> action)
+{
+    asio::post(*this->context, std::move(action));
+}
+
+std::shared_ptr<control_view const> control_loop::view() const
+{
+    return this->published.load();
+}
+
+version::command_result control_loop::propose(version::command_body body, duration timeout)
+{
+    auto const answer = std::make_shared<std::promise<proposal_outcome>>();
+    auto future = answer->get_future();
+    this->post(
+        [this, answer, timeout, body = std::move(body)]
+        {
+            this->client.propose(body, this->time.now() + timeout,
+                                 [answer](proposal_outcome const& outcome)
+                                 { answer->set_value(outcome); });
+        });
+    if (future.wait_for(timeout + caller_grace) != std::future_status::ready)
+        throw outcome_unknown_error("the control thread did not answer in time");
+    auto const outcome = future.get();
+    if (outcome.status == proposal_status::not_proposed)
+        throw not_proposed_error("no leader took the command in time; nothing was changed");
+    if (outcome.status == proposal_status::unknown)
+        throw outcome_unknown_error("no quorum confirmed the command in time");
+    return outcome.result;
+}
+
+std::optional<request::once_reply> control_loop::find_once(request::once_key const& key,
+                                                           duration timeout)
+{
+    using find_status = leader_client::find_status;
+    using answer_type = std::pair<find_status, std::optional<request::once_reply>>;
+    auto const answer = std::make_shared<std::promise<answer_type>>();
+    auto future = answer->get_future();
+    this->post(
+        [this, answer, key, timeout]
+        {
+            this->client.find_once(
+                key, this->time.now() + timeout,
+                [answer](find_status status, std::optional<request::once_reply> const& reply) {
+                    answer->set_value({status, reply});
+                });
+        });
+    if (future.wait_for(timeout + caller_grace) != std::future_status::ready)
+        throw outcome_unknown_error("the control thread did not answer in time");
+    auto const [status, reply] = future.get();
+    if (status == find_status::unavailable)
+        throw outcome_unknown_error("no quorum answered in time");
+    return reply;
+}
+
+void control_loop::announce(connection::endpoint_record record)
+{
+    this->post([this, record = std::move(record)] { this->directories.announce(record); });
+}
+
+void control_loop::remove_endpoint(endpoint_id const& id)
+{
+    this->post([this, id] { this->directories.remove(id); });
+}
+
+void control_loop::record_traffic(version::traffic_sample const& sample)
+{
+    this->traffic.add(sample);
+}
+
+void control_loop::set_leaving(vm_id const& vm)
+{
+    this->post([this, vm] { this->directories.set_leaving(vm); });
+}
+
+void control_loop::set_open_requests(std::uint32_t count)
+{
+    this->open_requests = count;
+}
+
+void control_loop::schedule_publish()
+{
+    if (this->publish_scheduled)
+        return;
+    this->publish_scheduled = true;
+    this->publish_timer.expires_after(publish_delay);
+    this->publish_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            this->publish_scheduled = false;
+            if (!problem)
+                this->publish();
+        });
+}
+
+void control_loop::publish()
+{
+    auto const now = this->time.now();
+    auto next = std::make_shared<control_view>();
+    next->ready = this->shared.is_ready();
+    next->quorum_recent = this->shared.has_recent_quorum();
+    next->leaving = this->directories.is_leaving();
+    next->term = this->driver ? this->driver->term() : this->shared.term();
+    next->leader = this->client.leader().value();
+    next->shared = this->shared.state();
+    for (auto& row : this->directories.endpoints().live(now))
+        next->endpoints[row.service].push_back(std::move(row));
+    next->entries = this->directories.entries().live(now);
+    next->directory =
+        std::make_shared<connection::entry_directory const>(this->directories.entries());
+    if (this->driver)
+    {
+        for (auto const& [id, address] : this->driver->membership().voters)
+            next->voters.push_back(id.value());
+    }
+    this->directories.set_own_figures(next->shared->generation, this->open_requests);
+    this->reclaims.set_active(this->directories.entries().polls_cloud(now));
+    this->update_metrics(*next);
+    this->published.store(std::move(next));
+}
+
+void control_loop::update_metrics(control_view const& current)
+{
+    this->gauges.set("ready", {}, current.ready ? 1 : 0);
+    this->gauges.set("quorum_recent", {}, current.quorum_recent ? 1 : 0);
+    this->gauges.set("configuration_generation", {},
+                     static_cast<double>(current.shared->generation.value()));
+    this->gauges.set("entries", {}, static_cast<double>(current.entries.size()));
+    for (auto const& [service, rows] : current.endpoints)
+        this->gauges.set("endpoints", {{"service", service.value()}},
+                         static_cast<double>(rows.size()));
+    this->gauges.set("gossip_sent_bytes", {}, static_cast<double>(this->directories.sent_bytes()));
+}
+
+void control_loop::schedule_report()
+{
+    this->report_timer.expires_after(report_interval);
+    this->report_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem)
+                return;
+            this->report();
+            this->schedule_report();
+        });
+}
+
+void control_loop::report()
+{
+    auto const samples = this->traffic.take();
+    if (this->driver && this->driver->is_leader())
+        this->version_moves.collect(this->options.vm, samples);
+    else if (!samples.empty())
+        this->client.report(samples);
+    this->version_moves.step();
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -0,0 +1,97 @@
+#ifndef LAGOONLADDER_DAEMON_CONTROL_LOOP_HPP
+#define LAGOONLADDER_DAEMON_CONTROL_LOOP_HPP
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include "consensus_driver.hpp"
+#include "gossip_driver.hpp"
+#include "leader_client.hpp"
+#include "move_driver.hpp"
+#include "reclaim_poller.hpp"
+#include "state_follower.hpp"
+#include "traffic_counter.hpp"
+
+namespace lagoonladder::daemon
+{
+
+struct control_dependencies
+{
+    settings const& config;
+    observability::event_timeline& events;
+    observability::metrics& metrics;
+    clock const& time;
+    peer_channels& peers;
+    /// Null on a VM without a data folder.
+    storage::log_store* store = nullptr;
+    consensus::voter_id voter;
+    std::uint64_t seed = 0;
+};
+
+/// The control thread: owns all control state and publishes it to the traffic
+/// threads.
+class control_loop : public control_plane
+{
+public:
+    /// Loads the stored log. Throws storage_error when it is damaged.
+    explicit control_loop(control_dependencies const& dependencies);
+    ~control_loop() override;
+
+    void start();
+    void stop();
+
+    std::shared_ptr<control_view const> view() const override;
+    version::command_result propose(version::command_body body, duration timeout) override;
+    std::optional<request::once_reply> find_once(request::once_key const& key,
+                                                 duration timeout) override;
+    void announce(connection::endpoint_record record) override;
+    void remove_endpoint(endpoint_id const& id) override;
+    void record_traffic(version::traffic_sample const& sample) override;
+    void set_leaving(vm_id const& vm) override;
+    void set_open_requests(std::uint32_t count) override;
+
+    /// Runs `action` on the control thread.
+    void post(std::function<void()> action);
+
+    // For handlers on the control thread.
+    consensus_driver* node() { return this->driver.get(); }
+    gossip_driver& gossip() { return this->directories; }
+    state_follower const& follower() const { return this->shared; }
+    move_driver& moves() { return this->version_moves; }
+    leader_client& leaders() { return this->client; }
+
+private:
+    void run();
+    void schedule_publish();
+    void publish();
+    void schedule_report();
+    void report();
+    void update_metrics(control_view const& current);
+
+    settings const& options;
+    observability::event_timeline& events;
+    observability::metrics& gauges;
+    clock const& time;
+    seeded_random random;
+    std::shared_ptr<asio::io_context> context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<consensus_driver> driver;
+    gossip_driver directories;
+    leader_client client;
+    state_follower shared;
+    move_driver version_moves;
+    traffic_counter traffic;
+    http_cloud_platform platform;
+    reclaim_poller reclaims;
+    asio::steady_timer publish_timer;
+    asio::steady_timer report_timer;
+    bool publish_scheduled = false;
+    std::atomic<std::uint32_t> open_requests = 0;
+    std::atomic<std::shared_ptr<control_view const>> published;
+    std::thread thread;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/control_services.cpp
@@ -0,0 +1,322 @@
+#include "control_services.hpp"
+
+#include <algorithm>
+#include <future>
+
+#include "cluster_token.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr duration max_wait = seconds(10);
+
+grpc::Status missing_token()
+{
+    return {grpc::StatusCode::UNAUTHENTICATED, "the call carries no valid cluster token"};
+}
+
+grpc::Status no_log()
+{
+    return {grpc::StatusCode::FAILED_PRECONDITION, "this VM has no log"};
+}
+
+grpc::Status busy()
+{
+    return {grpc::StatusCode::DEADLINE_EXCEEDED, "the control thread did not answer in time"};
+}
+
+/// What a voter tells daemons without a log.
+struct node_state
+{
+    std::shared_ptr<version::shared_state const> shared;
+    network_address leader;
+    std::uint64_t term = 0;
+    bool quorum_recent = false;
+};
+
+/// Time left for a call, without the part that the answer needs.
+duration remaining(grpc::ServerContext const& context)
+{
+    auto const left =
+        std::chrono::duration_cast<duration>(context.deadline() - std::chrono::system_clock::now());
+    return std::clamp(left - left / 10, duration(0), max_wait);
+}
+
+/// Runs `action` on the control thread and waits. `action` gets a function
+/// that ends the wait; it may call it later. Returns false on a timeout.
+template <class Result>
+std::optional<Result> ask_control(control_loop& control, duration timeout,
+                                  std::function<void(std::function<void(Result)>)> const& action)
+{
+    auto const answer = std::make_shared<std::promise<Result>>();
+    auto future = answer->get_future();
+    control.post([answer, action]
+                 { action([answer](Result value) { answer->set_value(std::move(value)); }); });
+    if (future.wait_for(timeout) != std::future_status::ready)
+        return std::nullopt;
+    return future.get();
+}
+
+} // namespace
+
+consensus_service::consensus_service(control_loop& loop, settings const& config)
+    : control(loop)
+    , options(config)
+{
+}
+
+grpc::Status consensus_service::Step(grpc::ServerContext* context,
+                                     protocol::StepRequest const* request, protocol::StepReply*)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    std::vector<std::string> messages(request->messages().begin(), request->messages().end());
+    this->control.post([this, from = request->from(), address = request->from_address(),
+                        messages = std::move(messages)]
+                       { this->control.node()->step(from, address, messages); });
+    return grpc::Status::OK;
+}
+
+grpc::Status consensus_service::Identify(grpc::ServerContext* context,
+                                         protocol::IdentifyRequest const*,
+                                         protocol::IdentifyReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    auto const has_state =
+        ask_control<bool>(this->control, remaining(*context),
+                          [this](auto const& done) { done(this->control.node()->has_log()); });
+    if (!has_state)
+        return busy();
+    reply->set_vm(this->options.vm.value());
+    reply->set_voter(this->control.node()->self().value());
+    reply->set_has_state(*has_state);
+    return grpc::Status::OK;
+}
+
+grpc::Status consensus_service::Join(grpc::ServerContext* context,
+                                     protocol::JoinRequest const* request,
+                                     protocol::JoinReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    auto const result = ask_control<consensus_driver::join_result>(
+        this->control, remaining(*context),
+        [this, voter = consensus::voter_id(request->voter()),
+         address = network_address(request->address())](auto const& done)
+        { done(this->control.node()->join(voter, address)); });
+    if (!result)
+        return busy();
+    reply->set_accepted(result->accepted);
+    reply->set_leader(result->leader);
+    reply->set_detail(result->detail);
+    return grpc::Status::OK;
+}
+
+control_service::control_service(control_loop& loop, settings const& config,
+                                 clock const& time_source)
+    : control(loop)
+    , options(config)
+    , time(time_source)
+{
+}
+
+grpc::Status control_service::Propose(grpc::ServerContext* context,
+                                      protocol::ProposeRequest const* request,
+                                      protocol::ProposeReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    version::command command;
+    try
+    {
+        command = version::decode_command(request->command());
+    }
+    catch (parse_error const& problem)
+    {
+        return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
+    }
+    auto const timeout = remaining(*context);
+    auto const outcome = ask_control<proposal_outcome>(
+        this->control, timeout,
+        [this, command, timeout](auto const& done)
+        { this->control.node()->propose(command.body, this->time.now() + timeout, done); });
+    // A proposal that the control thread has taken may still be committed later.
+    reply->set_status(protocol::ProposeReply::UNKNOWN);
+    if (outcome && outcome->status == proposal_status::committed)
+    {
+        reply->set_status(protocol::ProposeReply::COMMITTED);
+        reply->set_result(version::encode(outcome->result));
+    }
+    if (outcome && outcome->status == proposal_status::not_proposed)
+        reply->set_status(protocol::ProposeReply::NOT_PROPOSED);
+    reply->set_leader(this->control.view()->leader);
+    return grpc::Status::OK;
+}
+
+grpc::Status control_service::ReadState(grpc::ServerContext* context,
+                                        protocol::ReadStateRequest const* request,
+                                        protocol::ReadStateReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    if (request->through_quorum())
+    {
+        auto const timeout = remaining(*context);
+        auto const confirmed =
+            ask_control<bool>(this->control, timeout,
+                              [this, timeout](auto const& done)
+                              { this->control.node()->read(this->time.now() + timeout, done); });
+        if (!confirmed || !*confirmed)
+            return grpc::Status::OK;
+    }
+    auto const answer =
+        ask_control<node_state>(this->control, remaining(*context),
+                                [this](auto const& done)
+                                {
+                                    auto const& node = *this->control.node();
+                                    done({node.state().shared(), node.leader_address(), node.term(),
+                                          node.has_recent_quorum()});
+                                });
+    if (!answer)
+        return busy();
+    reply->set_leader(answer->leader.value());
+    reply->set_term(answer->term);
+    reply->set_quorum_recent(answer->quorum_recent);
+    // A voter that was restarted must not pass on a state that is older than
+    // what it served before.
+    reply->set_available(request->through_quorum() || this->control.view()->ready);
+    reply->set_applied_index(answer->shared->applied_index);
+    if (reply->available() && answer->shared->applied_index > request->known_index())
+        reply->set_state(version::encode(*answer->shared));
+    return grpc::Status::OK;
+}
+
+grpc::Status control_service::FindOnce(grpc::ServerContext* context,
+                                       protocol::FindOnceRequest const* request,
+                                       protocol::FindOnceReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (!this->control.node())
+        return no_log();
+    lagoonladder::request::once_key key;
+    try
+    {
+        nlohmann::json::from_msgpack(request->key()).get_to(key);
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
+    }
+    auto const timeout = remaining(*context);
+    using find_status = leader_client::find_status;
+    using answer_type = std::pair<find_status, std::optional<request::once_reply>>;
+    auto const found = ask_control<answer_type>(
+        this->control, timeout,
+        [this, key, timeout](auto const& done)
+        {
+            this->control.leaders().find_once(
+                key, this->time.now() + timeout,
+                [done](find_status status, std::optional<request::once_reply> const& record)
+                { done(answer_type(status, record)); });
+        });
+    reply->set_status(protocol::FindOnceReply::UNAVAILABLE);
+    if (found && found->first == find_status::not_found)
+        reply->set_status(protocol::FindOnceReply::NOT_FOUND);
+    if (found && found->first == find_status::found)
+    {
+        reply->set_status(protocol::FindOnceReply::FOUND);
+        nlohmann::json::to_msgpack(nlohmann::json(*found->second), *reply->mutable_reply());
+    }
+    return grpc::Status::OK;
+}
+
+grpc::Status control_service::Report(grpc::ServerContext* context,
+                                     protocol::ReportRequest const* request,
+                                     protocol::ReportReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    try
+    {
+        auto const samples = nlohmann::json::from_msgpack(request->samples())
+                                 .get<std::vector<version::traffic_sample>>();
+        this->control.post([this, vm = vm_id(request->vm()), samples]
+                           { this->control.moves().collect(vm, samples); });
+        reply->set_accepted(true);
+        return grpc::Status::OK;
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
+    }
+}
+
+directory_service::directory_service(control_loop& loop, settings const& config)
+    : control(loop)
+    , options(config)
+{
+}
+
+grpc::Status directory_service::Exchange(grpc::ServerContext* context,
+                                         protocol::Digest const* request, protocol::Digest* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    auto digest = ask_control<protocol::Digest>(this->control, remaining(*context),
+                                                [this, received = *request](auto const& done) {
+                                                    done(this->control.gossip().exchange(received));
+                                                });
+    if (!digest)
+        return busy();
+    *reply = std::move(*digest);
+    return grpc::Status::OK;
+}
+
+events_service::events_service(observability::event_timeline& log, settings const& config)
+    : events(log)
+    , options(config)
+{
+}
+
+grpc::Status events_service::List(grpc::ServerContext* context,
+                                  protocol::ListEventsRequest const* request,
+                                  protocol::ListEventsReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    hybrid_timestamp const since{wall_time(duration(request->since().wall_us())),
+                                 request->since().counter()};
+    for (auto const& entry : this->events.list(since, request->limit()))
+    {
+        auto& record = *reply->add_events();
+        record.mutable_when()->set_wall_us(entry.when.wall.time_since_epoch().count());
+        record.mutable_when()->set_counter(entry.when.counter);
+        record.set_vm(entry.vm.value());
+        record.set_level(observability::to_string(entry.level));
+        record.set_name(entry.name);
+        for (auto const& field : entry.fields)
+        {
+            auto& copy = *record.add_fields();
+            copy.set_key(field.key);
+            copy.set_value(field.value);
+        }
+    }
+    return grpc::Status::OK;
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -0,0 +1,321 @@
+#include "gossip_driver.hpp"
+
+#include <control.grpc.pb.h>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr duration exchange_timeout = milliseconds(800);
+
+/// Every so many exchanges with a peer carry all endpoint rows, which repairs
+/// rows that a lost reply left out.
+constexpr std::uint32_t rounds_per_full_digest = 10;
+
+/// Each receiver of news passes it on, so a part of a large system is enough.
+constexpr std::size_t max_news_peers = 16;
+
+template <class Row>
+std::string pack(std::vector<Row> const& rows)
+{
+    std::string bytes;
+    nlohmann::json::to_msgpack(nlohmann::json(rows), bytes);
+    return bytes;
+}
+
+template <class Row>
+std::vector<Row> unpack(std::string const& bytes)
+{
+    if (bytes.empty())
+        return {};
+    return nlohmann::json::from_msgpack(bytes).get<std::vector<Row>>();
+}
+
+connection::entry_record make_own_row(settings const& config, clock const& time_source)
+{
+    connection::entry_record row;
+    row.vm = config.vm;
+    row.data_centre = config.data_centre;
+    row.zone = config.zone;
+    row.http = config.http;
+    row.control = config.control;
+    row.has_disk = !config.data_folder.empty();
+    row.incarnation =
+        incarnation(static_cast<std::uint64_t>(time_source.wall_now().time_since_epoch().count()));
+    return row;
+}
+
+connection::endpoint_directory_options make_endpoint_options(settings const& config)
+{
+    connection::endpoint_directory_options options;
+    options.lease = config.endpoint_lease;
+    return options;
+}
+
+} // namespace
+
+gossip_driver::gossip_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+                             peer_channels& channels, observability::event_timeline& log,
+                             clock const& time_source, random_source& random_numbers)
+    : context(io)
+    , options(config)
+    , peers(channels)
+    , events(log)
+    , time(time_source)
+    , random(random_numbers)
+    , timer(*io)
+    , entry_rows(make_own_row(config, time_source))
+    , endpoint_rows(make_endpoint_options(config))
+{
+}
+
+void gossip_driver::start()
+{
+    this->round();
+    this->schedule_round();
+}
+
+void gossip_driver::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+}
+
+void gossip_driver::set_change_handler(std::function<void()> handler)
+{
+    this->on_change = std::move(handler);
+}
+
+void gossip_driver::set_own_figures(generation current, std::uint32_t open_requests)
+{
+    this->own_generation = current;
+    this->own_requests = open_requests;
+}
+
+bool gossip_driver::is_leaving() const
+{
+    return this->entry_rows.own().state == connection::entry_state::leaving;
+}
+
+void gossip_driver::schedule_round()
+{
+    this->timer.expires_after(this->options.gossip_interval);
+    this->timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem || this->stopped)
+                return;
+            this->round();
+            this->schedule_round();
+        });
+}
+
+void gossip_driver::round()
+{
+    auto const now = this->time.now();
+    this->entry_rows.beat(this->own_generation, this->own_requests);
+    this->report_expired();
+    auto const chosen = this->entry_rows.gossip_peers(now, this->random);
+    for (auto const& peer : chosen)
+        this->send_to(peer.control, peer.vm.value());
+    // Seeds are asked while too few peers are known, and now and then later, so
+    // that two halves of a system that lost each other meet again.
+    bool const use_seed =
+        !this->options.seeds.empty() && (chosen.size() < 2 || this->random.below(10) == 0);
+    if (use_seed)
+    {
+        auto const& seed = this->options.seeds[this->next_seed++ % this->options.seeds.size()];
+        if (seed != this->options.control)
+            this->send_to(seed, seed.value());
+    }
+    this->on_change();
+}
+
+void gossip_driver::report_expired()
+{
+    auto const now = this->time.now();
+    for (auto const& id : this->endpoint_rows.expire(now))
+        this->events.emit(severity::warning, "endpoint.expired", {{"endpoint", id.value()}});
+    for (auto const& vm : this->entry_rows.expire(now))
+        this->events.emit(severity::warning, "entry.dead", {{"entry", vm.value()}});
+}
+
+void gossip_driver::send_to(network_address const& address, std::string const& peer)
+{
+    auto& state = this->progress[peer];
+    if (state.in_flight || this->stopped)
+        return;
+    state.in_flight = true;
+    auto const sent_version = this->endpoint_rows.version();
+    auto const digest = this->make_digest(peer);
+    this->bytes += digest.ByteSizeLong();
+    std::shared_ptr stub = protocol::Directory::NewStub(this->peers.channel(address));
+    call_async<protocol::Digest>(
+        this->context, this->peers, exchange_timeout, digest,
+        [stub](auto* call, auto const* sent, auto* reply, auto done)
+        { stub->async()->Exchange(call, sent, reply, std::move(done)); },
+        [this, stub, peer, sent_version](grpc::Status const& status, protocol::Digest& reply)
+        {
+            auto& peer_state = this->progress[peer];
+            peer_state.in_flight = false;
+            if (this->stopped || !status.ok())
+                return;
+            peer_state.sent_version = sent_version;
+            this->merge(reply);
+        });
+}
+
+void gossip_driver::send_news()
+{
+    // A leaving mark has to be everywhere within seconds, so it does not wait
+    // for the next round.
+    auto targets = this->entry_rows.live(this->time.now());
+    for (std::size_t sent = 0; sent < max_news_peers && !targets.empty(); ++sent)
+    {
+        auto const pick = this->random.below(targets.size());
+        std::swap(targets[pick], targets.back());
+        if (targets.back().vm != this->options.vm)
+            this->send_to(targets.back().control, targets.back().vm.value());
+        targets.pop_back();
+    }
+    this->on_change();
+}
+
+protocol::Digest gossip_driver::make_digest(std::string const& peer)
+{
+    auto const now = this->time.now();
+    auto& state = this->progress[peer];
+    bool const full = state.rounds++ % rounds_per_full_digest == 0;
+    protocol::Digest digest;
+    digest.set_from(this->options.vm.value());
+    auto const stamp = this->events.stamp();
+    digest.mutable_sent()->set_wall_us(stamp.wall.time_since_epoch().count());
+    digest.mutable_sent()->set_counter(stamp.counter);
+    digest.set_entries(pack(this->entry_rows.digest(now)));
+    digest.set_endpoints(
+        pack(this->endpoint_rows.changed_since(now, full ? 0 : state.sent_version)));
+    return digest;
+}
+
+protocol::Digest gossip_driver::exchange(protocol::Digest const& received)
+{
+    this->merge(received);
+    auto const version = this->endpoint_rows.version();
+    auto reply = this->make_digest(received.from());
+    this->progress[received.from()].sent_version = version;
+    this->bytes += reply.ByteSizeLong();
+    return reply;
+}
+
+void gossip_driver::merge(protocol::Digest const& received)
+{
+    this->events.observe(
+        {wall_time(duration(received.sent().wall_us())), received.sent().counter()});
+    try
+    {
+        auto const now = this->time.now();
+        auto const entries =
+            this->entry_rows.merge(now, unpack<connection::entry_record>(received.entries()));
+        auto const endpoints = this->endpoint_rows.merge(
+            now, unpack<connection::endpoint_record>(received.endpoints()));
+        if (entries.self_marked_leaving)
+            this->events.emit(severity::info, "entry.leaving",
+                              {{"entry", this->options.vm.value()}, {"by", received.from()}});
+        if (entries.has_new_leaving || endpoints.has_new_leaving || entries.self_marked_leaving)
+            this->send_news();
+        else
+            this->on_change();
+    }
+    catch (nlohmann::json::exception const& problem)
+    {
+        this->events.emit(severity::warning, "gossip.digest_dropped",
+                          {{"from", received.from()}, {"reason", problem.what()}});
+    }
+}
+
+connection::directory_result gossip_driver::announce(connection::endpoint_record record)
+{
+    using connection::directory_result;
+    auto const id = record.id;
+    auto const service = record.service;
+    auto const version = record.version;
+    auto const result = this->endpoint_rows.announce(this->time.now(), std::move(record));
+    if (result == directory_result::added)
+        this->events.emit(
+            severity::info, "endpoint.announced",
+            {{"endpoint", id.value()}, {"service", service.value()}, {"version", version.value()}});
+    if (result == directory_result::full)
+        this->events.emit(severity::error, "endpoint.directory_full", {{"endpoint", id.value()}});
+    if (result == directory_result::marked_leaving)
+    {
+        this->events.emit(severity::info, "endpoint.leaving", {{"endpoint", id.value()}});
+        this->send_news();
+    }
+    else
+    {
+        this->on_change();
+    }
+    return result;
+}
+
+void gossip_driver::remove(endpoint_id const& id)
+{
+    auto const result = this->endpoint_rows.remove(this->time.now(), id);
+    if (result == connection::directory_result::not_found)
+        return;
+    this->events.emit(severity::info, "endpoint.removed", {{"endpoint", id.value()}});
+    this->send_news();
+}
+
+void gossip_driver::set_leaving(vm_id const& vm)
+{
+    auto const now = this->time.now();
+    connection::reclaim_notice notice;
+    notice.vm = vm;
+    notice.deadline = now + this->options.drain_timeout;
+    bool news = !this->endpoint_rows.apply(now, notice).empty();
+    if (this->entry_rows.set_leaving(now, vm) == connection::entry_result::marked_leaving)
+    {
+        this->events.emit(severity::info, "entry.leaving", {{"entry", vm.value()}});
+        news = true;
+    }
+    if (news)
+        this->send_news();
+}
+
+void gossip_driver::apply_notices(std::vector<platform_notice> const& notices)
+{
+    auto const now = this->time.now();
+    bool news = false;
+    for (auto const& received : notices)
+    {
+        connection::reclaim_notice notice;
+        notice.vm = received.vm;
+        notice.zone = received.zone;
+        notice.deadline = now + (received.deadline - this->time.wall_now());
+        // A zone notice takes the reclaimable VMs; on-demand VMs stay.
+        notice.reclaimable_only = received.vm.value().empty();
+        for (auto const& id : this->endpoint_rows.apply(now, notice))
+        {
+            news = true;
+            this->events.emit(severity::warning, "endpoint.reclaimed",
+                              {{"endpoint", id.value()},
+                               {"vm", received.vm.value()},
+                               {"zone", received.zone.value()},
+                               {"deadline", format_wall_time(received.deadline)}});
+        }
+        if (!received.vm.value().empty() && this->entry_rows.set_leaving(now, received.vm) ==
+                                                connection::entry_result::marked_leaving)
+        {
+            news = true;
+            this->events.emit(severity::warning, "entry.reclaimed",
+                              {{"entry", received.vm.value()}});
+        }
+    }
+    if (news)
+        this->send_news();
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/gossip_driver.hpp
@@ -0,0 +1,89 @@
+#ifndef LAGOONLADDER_DAEMON_GOSSIP_DRIVER_HPP
+#define LAGOONLADDER_DAEMON_GOSSIP_DRIVER_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <control.pb.h>
+
+#include <lagoonladder/connection.hpp>
+#include <lagoonladder/daemon/settings.hpp>
+#include <lagoonladder/observability.hpp>
+
+#include "peer_channels.hpp"
+#include "reclaim_poller.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// Keeps the endpoint and entry directories in step with other daemons. Lives
+/// on the control thread.
+class gossip_driver
+{
+public:
+    gossip_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+                  peer_channels& channels, observability::event_timeline& log,
+                  clock const& time_source, random_source& random_numbers);
+
+    void start();
+    void stop();
+
+    /// Called after a directory has changed.
+    void set_change_handler(std::function<void()> handler);
+    /// Figures for the own row.
+    void set_own_figures(generation current, std::uint32_t open_requests);
+
+    connection::directory_result announce(connection::endpoint_record record);
+    void remove(endpoint_id const& id);
+    /// Marks an entry VM, or the endpoints of a VM, as leaving.
+    void set_leaving(vm_id const& vm);
+    void apply_notices(std::vector<platform_notice> const& notices);
+
+    /// Merges a received digest and returns the rows that the sender may lack.
+    protocol::Digest exchange(protocol::Digest const& received);
+
+    connection::entry_directory const& entries() const { return this->entry_rows; }
+    connection::endpoint_directory const& endpoints() const { return this->endpoint_rows; }
+    bool is_leaving() const;
+    std::uint64_t sent_bytes() const { return this->bytes; }
+
+private:
+    struct peer_progress
+    {
+        /// Endpoint rows up to this version of the own directory were sent.
+        std::uint64_t sent_version = 0;
+        std::uint32_t rounds = 0;
+        bool in_flight = false;
+    };
+
+    void schedule_round();
+    void round();
+    void send_to(network_address const& address, std::string const& peer);
+    void send_news();
+    protocol::Digest make_digest(std::string const& peer);
+    void merge(protocol::Digest const& received);
+    void report_expired();
+
+    std::shared_ptr<asio::io_context> context;
+    settings const& options;
+    peer_channels& peers;
+    observability::event_timeline& events;
+    clock const& time;
+    random_source& random;
+    asio::steady_timer timer;
+    connection::entry_directory entry_rows;
+    connection::endpoint_directory endpoint_rows;
+    std::map<std::string, peer_progress> progress;
+    std::function<void()> on_change;
+    generation own_generation;
+    std::uint32_t own_requests = 0;
+    std::size_t next_seed = 0;
+    std::uint64_t bytes = 0;
+    bool stopped = false;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/leader_client.cpp
@@ -0,0 +1,229 @@
+#include "leader_client.hpp"
+
+#include <algorithm>
+
+#include <control.grpc.pb.h>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr duration retry_delay = milliseconds(30);
+/// One voter that does not answer must leave time to ask another one.
+constexpr duration max_call_timeout = milliseconds(1500);
+constexpr duration report_timeout = seconds(1);
+
+std::string pack(nlohmann::json const& value)
+{
+    std::string bytes;
+    nlohmann::json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+} // namespace
+
+struct leader_client::attempt
+{
+    version::command_body body;
+    time_point deadline;
+    proposal_handler done;
+    /// An earlier try may have reached the log.
+    bool maybe_proposed = false;
+};
+
+leader_client::leader_client(std::shared_ptr<asio::io_context> io, settings const& config,
+                             peer_channels& channels, gossip_driver const& directories,
+                             clock const& time_source, consensus_driver* own_node)
+    : context(std::move(io))
+    , options(config)
+    , peers(channels)
+    , gossip(directories)
+    , time(time_source)
+    , node(own_node)
+{
+}
+
+network_address leader_client::leader() const
+{
+    return this->node ? this->node->leader_address() : this->leader_hint;
+}
+
+std::vector<network_address> leader_client::voters() const
+{
+    std::vector<network_address> found;
+    for (auto const& entry : this->gossip.entries().live(this->time.now()))
+    {
+        if (entry.has_disk && entry.control != this->options.control)
+            found.push_back(entry.control);
+    }
+    if (found.empty())
+        found = this->options.seeds;
+    return found;
+}
+
+network_address leader_client::next_target()
+{
+    auto const known = this->leader();
+    if (!known.value().empty())
+        return known;
+    auto const candidates = this->voters();
+    if (candidates.empty())
+        return {};
+    return candidates[this->next_voter++ % candidates.size()];
+}
+
+void leader_client::retry_later(std::function<void()> action)
+{
+    auto const timer = std::make_shared<asio::steady_timer>(*this->context, retry_delay);
+    timer->async_wait(
+        [this, timer, action](asio::error_code const& problem)
+        {
+            if (!problem && !this->stopped)
+                action();
+        });
+}
+
+void leader_client::propose(version::command_body const& body, time_point deadline,
+                            proposal_handler done)
+{
+    this->try_propose(std::make_shared<attempt>(attempt{body, deadline, std::move(done)}));
+}
+
+void leader_client::try_propose(std::shared_ptr<attempt> const& state)
+{
+    auto const now = this->time.now();
+    if (now >= state->deadline)
+    {
+        auto const status =
+            state->maybe_proposed ? proposal_status::unknown : proposal_status::not_proposed;
+        return state->done({status, {}});
+    }
+    if (this->node && this->node->is_leader())
+        return this->node->propose(state->body, state->deadline,
+                                   [this, state](proposal_outcome const& outcome)
+                                   { this->finish_attempt(state, outcome); });
+    auto const target = this->next_target();
+    if (target.value().empty() || target == this->options.control)
+        return this->retry_later([this, state] { this->try_propose(state); });
+    this->propose_remotely(state, target);
+}
+
+void leader_client::propose_remotely(std::shared_ptr<attempt> const& state,
+                                     network_address const& target)
+{
+    protocol::ProposeRequest request;
+    request.set_command(version::encode(version::command{{}, state->body}));
+    std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
+    auto const timeout = std::min(max_call_timeout, state->deadline - this->time.now());
+    call_async<protocol::ProposeReply>(
+        this->context, this->peers, timeout, request,
+        [stub](auto* call, auto const* sent, auto* reply, auto done)
+        { stub->async()->Propose(call, sent, reply, std::move(done)); },
+        [this, stub, state](grpc::Status const& status, protocol::ProposeReply& reply)
+        {
+            if (this->stopped)
+                return;
+            proposal_outcome outcome;
+            if (!status.ok())
+            {
+                this->leader_hint = {};
+                // A refused connection has sent nothing, but gRPC reports the same
+                // code for a connection that broke after the call was sent.
+                outcome.status = proposal_status::unknown;
+            }
+            else if (reply.status() == protocol::ProposeReply::COMMITTED)
+            {
+                outcome.status = proposal_status::committed;
+                outcome.result = version::decode_command_result(reply.result());
+            }
+            else
+            {
+                this->leader_hint = network_address(reply.leader());
+                outcome.status = reply.status() == protocol::ProposeReply::NOT_PROPOSED
+                                     ? proposal_status::not_proposed
+                                     : proposal_status::unknown;
+            }
+            this->finish_attempt(state, outcome);
+        });
+}
+
+void leader_client::finish_attempt(std::shared_ptr<attempt> const& state,
+                                   proposal_outcome const& outcome)
+{
+    if (outcome.status == proposal_status::committed)
+        return state->done(outcome);
+    if (outcome.status == proposal_status::unknown)
+        state->maybe_proposed = true;
+    if (this->stopped)
+        return state->done({proposal_status::unknown, {}});
+    this->retry_later([this, state] { this->try_propose(state); });
+}
+
+void leader_client::find_once(request::once_key const& key, time_point deadline, find_handler done)
+{
+    this->try_find(key, deadline, done);
+}
+
+void leader_client::try_find(request::once_key const& key, time_point deadline,
+                             find_handler const& done)
+{
+    auto const now = this->time.now();
+    if (now >= deadline)
+        return done(find_status::unavailable, {});
+    auto const again = [this, key, deadline, done]
+    { this->retry_later([this, key, deadline, done] { this->try_find(key, deadline, done); }); };
+    if (this->node)
+        return this->node->read(deadline,
+                                [this, key, done, again](bool confirmed)
+                                {
+                                    if (!confirmed)
+                                        return again();
+                                    auto const found = this->node->state().once_records().find(key);
+                                    done(found ? find_status::found : find_status::not_found,
+                                         found);
+                                });
+    auto const target = this->next_target();
+    if (target.value().empty())
+        return again();
+    protocol::FindOnceRequest request;
+    request.set_key(pack(nlohmann::json(key)));
+    std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
+    call_async<protocol::FindOnceReply>(
+        this->context, this->peers, std::min(max_call_timeout, deadline - now), request,
+        [stub](auto* call, auto const* sent, auto* reply, auto finished)
+        { stub->async()->FindOnce(call, sent, reply, std::move(finished)); },
+        [this, stub, done, again](grpc::Status const& status, protocol::FindOnceReply& reply)
+        {
+            if (this->stopped)
+                return;
+            if (!status.ok() || reply.status() == protocol::FindOnceReply::UNAVAILABLE)
+            {
+                this->leader_hint = {};
+                return again();
+            }
+            if (reply.status() == protocol::FindOnceReply::NOT_FOUND)
+                return done(find_status::not_found, {});
+            done(find_status::found,
+                 nlohmann::json::from_msgpack(reply.reply()).get<request::once_reply>());
+        });
+}
+
+void leader_client::report(std::vector<version::traffic_sample> const& samples)
+{
+    auto const target = this->leader();
+    if (target.value().empty())
+        return;
+    protocol::ReportRequest request;
+    request.set_vm(this->options.vm.value());
+    request.set_samples(pack(nlohmann::json(samples)));
+    std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
+    call_async<protocol::ReportReply>(
+        this->context, this->peers, report_timeout, request,
+        [stub](auto* call, auto const* sent, auto* reply, auto done)
+        { stub->async()->Report(call, sent, reply, std::move(done)); },
+        [stub](grpc::Status const&, protocol::ReportReply&) {});
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/leader_client.hpp
@@ -0,0 +1,76 @@
+#ifndef LAGOONLADDER_DAEMON_LEADER_CLIENT_HPP
+#define LAGOONLADDER_DAEMON_LEADER_CLIENT_HPP
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "consensus_driver.hpp"
+#include "gossip_driver.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// Reaches the consensus group for this daemon: through the own node on a VM
+/// with a log, by calls to the voters elsewhere. Lives on the control thread.
+class leader_client
+{
+public:
+    using proposal_handler = consensus_driver::proposal_handler;
+
+    enum class find_status
+    {
+        found,
+        not_found,
+        unavailable
+    };
+    using find_handler =
+        std::function<void(find_status, std::optional<request::once_reply> const&)>;
+
+    /// `own_node` is null on a VM without a log.
+    leader_client(std::shared_ptr<asio::io_context> io, settings const& config,
+                  peer_channels& channels, gossip_driver const& directories,
+                  clock const& time_source, consensus_driver* own_node);
+
+    /// Repeats the proposal until it is committed or the deadline has passed;
+    /// all commands may be repeated without a second effect.
+    void propose(version::command_body const& body, time_point deadline, proposal_handler done);
+
+    void find_once(request::once_key const& key, time_point deadline, find_handler done);
+
+    /// Sends traffic counts to the leader; lost reports are not repeated.
+    void report(std::vector<version::traffic_sample> const& samples);
+
+    /// What a voter said last about the leader; empty when unknown.
+    void set_leader_hint(network_address address) { this->leader_hint = std::move(address); }
+    network_address leader() const;
+
+    /// Control addresses of daemons with a log: the own view of the entries, then the seeds.
+    std::vector<network_address> voters() const;
+
+    void stop() { this->stopped = true; }
+
+private:
+    struct attempt;
+
+    void try_propose(std::shared_ptr<attempt> const& state);
+    void propose_remotely(std::shared_ptr<attempt> const& state, network_address const& target);
+    void finish_attempt(std::shared_ptr<attempt> const& state, proposal_outcome const& outcome);
+    void try_find(request::once_key const& key, time_point deadline, find_handler const& done);
+    network_address next_target();
+    void retry_later(std::function<void()> action);
+
+    std::shared_ptr<asio::io_context> context;
+    settings const& options;
+    peer_channels& peers;
+    gossip_driver const& gossip;
+    clock const& time;
+    consensus_driver* const node;
+    network_address leader_hint;
+    std::size_t next_voter = 0;
+    bool stopped = false;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- a/src/process/daemon/internal/reclaim_poller.cpp
+++ b/src/process/daemon/internal/reclaim_poller.cpp
@@ -14,9 +14,9 @@
 constexpr int connect_timeout_s = 1;
 constexpr int read_timeout_s = 2;
 
-reclaim_notice parse_notice(nlohmann::json const& in)
+platform_notice parse_notice(nlohmann::json const& in)
 {
-    reclaim_notice notice;
+    platform_notice notice;
     notice.vm = vm_id(in.value("vm", std::string()));
     notice.zone = zone_id(in.value("zone", std::string()));
     notice.deadline = wall_time(duration(in.value("deadline_us", std::int64_t(0))));
@@ -25,7 +25,7 @@
 
 } // namespace
 
-std::vector<reclaim_notice> http_cloud_platform::notices()
+std::vector<platform_notice> http_cloud_platform::notices()
 {
     httplib::Client client("http://" + this->address.value());
     client.set_connection_timeout(connect_timeout_s);
@@ -36,7 +36,7 @@
                            " did not answer GET /v1/notices");
     try
     {
-        std::vector<reclaim_notice> found;
+        std::vector<platform_notice> found;
         for (auto const& item : nlohmann::json::parse(answer->body).at("notices"))
             found.push_back(parse_notice(item));
         return found;
--- a/src/process/daemon/internal/reclaim_poller.hpp
+++ b/src/process/daemon/internal/reclaim_poller.hpp
@@ -14,7 +14,7 @@
 {
 
 /// The cloud API's announcement that a VM, or all VMs of a zone, are taken away.
-struct reclaim_notice
+struct platform_notice
 {
     /// Empty when the notice is for a zone.
     vm_id vm;
@@ -29,15 +29,18 @@
 public:
     virtual ~cloud_platform() = default;
     /// All notices in force. Throws daemon_error when the platform does not answer.
-    virtual std::vector<reclaim_notice> notices() = 0;
+    virtual std::vector<platform_notice> notices() = 0;
 };
 
 /// cloud_platform over the HTTP API at an address.
 class http_cloud_platform : public cloud_platform
 {
 public:
-    explicit http_cloud_platform(network_address api) : address(std::move(api)) {}
-    std::vector<reclaim_notice> notices() override;
+    explicit http_cloud_platform(network_address api)
+        : address(std::move(api))
+    {
+    }
+    std::vector<platform_notice> notices() override;
 
 private:
     network_address const address;
@@ -47,7 +50,7 @@
 class reclaim_poller
 {
 public:
-    using notice_handler = std::function<void(std::vector<reclaim_notice>)>;
+    using notice_handler = std::function<void(std::vector<platform_notice>)>;
 
     /// `handler` runs on the poller's thread.
     reclaim_poller(cloud_platform& source, event_sink& log, notice_handler handler);
--- /dev/null
+++ b/src/process/daemon/internal/run.cpp
@@ -0,0 +1,207 @@
+#include <lagoonladder/daemon/run.hpp>
+
+#include <signal.h>
+
+#include <random>
+
+#include <grpcpp/grpcpp.h>
+
+#include "control_services.hpp"
+#include "operator_api.hpp"
+#include "traffic_server.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr duration housekeeping_interval = milliseconds(250);
+constexpr int max_grpc_message_bytes = 16 * 1024 * 1024;
+
+/// SIGTERM and SIGINT of the process. To be created before any thread, since
+/// threads inherit the blocked signals.
+class stop_signals
+{
+public:
+    stop_signals()
+    {
+        sigemptyset(&this->set);
+        sigaddset(&this->set, SIGTERM);
+        sigaddset(&this->set, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &this->set, nullptr);
+        signal(SIGPIPE, SIG_IGN);
+    }
+
+    /// True when a signal arrived within the time.
+    bool wait(duration timeout)
+    {
+        timespec const span{timeout.count() / 1'000'000, timeout.count() % 1'000'000 * 1000};
+        return sigtimedwait(&this->set, nullptr, &span) > 0;
+    }
+
+private:
+    sigset_t set{};
+};
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32) | device();
+}
+
+/// Log lines while the object lives.
+class log_session
+{
+public:
+    log_session() { observability::start_log(); }
+    ~log_session() { observability::stop_log(); }
+    log_session(log_session const&) = delete;
+    log_session& operator=(log_session const&) = delete;
+};
+
+/// All parts of one daemon, started and stopped in order.
+class daemon_process
+{
+public:
+    explicit daemon_process(settings const& config)
+        : options(config)
+        , timeline(config.vm, this->time, config.log_level)
+        , random(random_seed())
+        , peers(config.cluster_token)
+        , store(config.data_folder.empty()
+                    ? nullptr
+                    : std::make_unique<storage::file_log_store>(config.data_folder))
+        , control(this->make_dependencies())
+        , operators(config, this->control, this->timeline, this->peers)
+        , traffic(config, this->control, this->timeline, this->metrics, this->time,
+                  this->random.next(), {&this->operators})
+        , consensus_calls(this->control, config)
+        , control_calls(this->control, config, this->time)
+        , directory_calls(this->control, config)
+        , event_calls(this->timeline, config)
+    {
+        set_invariant_handler(
+            [this](std::string const& message) {
+                this->timeline.emit(severity::error, "invariant.violated", {{"message", message}});
+            });
+    }
+
+    ~daemon_process() { set_invariant_handler({}); }
+
+    daemon_process(daemon_process const&) = delete;
+    daemon_process& operator=(daemon_process const&) = delete;
+
+    void start()
+    {
+        this->start_grpc();
+        this->control.start();
+        this->traffic.start();
+        this->timeline.emit(
+            severity::info, "daemon.started",
+            {{"http", this->options.http.value()}, {"control", this->options.control.value()}});
+    }
+
+    int run(stop_signals& signals)
+    {
+        while (!signals.wait(housekeeping_interval))
+            this->control.set_open_requests(this->traffic.open_requests());
+        return this->drain(signals);
+    }
+
+    void stop()
+    {
+        this->traffic.stop();
+        this->grpc_server->Shutdown(std::chrono::system_clock::now() + seconds(1));
+        this->control.stop();
+        this->timeline.emit(severity::info, "daemon.stopped", {});
+    }
+
+private:
+    control_dependencies make_dependencies()
+    {
+        consensus::voter_id voter;
+        if (this->store)
+            voter = this->store->open_voter_id(this->options.vm, this->random);
+        return {this->options, this->timeline,    this->metrics, this->time,
+                this->peers,   this->store.get(), voter,         this->random.next()};
+    }
+
+    void start_grpc()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort(this->options.control.value(), grpc::InsecureServerCredentials(),
+                                 &port);
+        // Two daemons on one port would each get a part of the calls.
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1000);
+        builder.SetMaxReceiveMessageSize(max_grpc_message_bytes);
+        for (grpc::Service* service :
+             {static_cast<grpc::Service*>(&this->consensus_calls),
+              static_cast<grpc::Service*>(&this->control_calls),
+              static_cast<grpc::Service*>(&this->directory_calls),
+              static_cast<grpc::Service*>(&this->event_calls), &this->traffic.requests_service()})
+            builder.RegisterService(service);
+        this->grpc_server = builder.BuildAndStart();
+        if (!this->grpc_server || port == 0)
+            throw daemon_error("cannot listen on " + this->options.control.value() +
+                               " for control calls; is the port in use?");
+    }
+
+    int drain(stop_signals& signals)
+    {
+        this->timeline.emit(severity::info, "daemon.draining",
+                            {{"open_requests", std::to_string(this->traffic.open_requests())}});
+        this->traffic.drain();
+        auto const begun = this->time.now();
+        // Callers use this address until their answer of /v1/entries is too old.
+        auto const addresses_expire = begun + this->options.entry_list_max_age;
+        auto const give_up = begun + this->options.drain_timeout;
+        while (this->time.now() < give_up)
+        {
+            if (this->time.now() >= addresses_expire && this->traffic.open_requests() == 0)
+                return 0;
+            if (signals.wait(housekeeping_interval))
+                break;
+            this->control.set_open_requests(this->traffic.open_requests());
+        }
+        auto const open = this->traffic.open_requests();
+        if (open == 0)
+            return 0;
+        this->timeline.emit(severity::error, "daemon.drain_incomplete",
+                            {{"open_requests", std::to_string(open)}});
+        return 1;
+    }
+
+    settings const& options;
+    system_clock time;
+    observability::event_timeline timeline;
+    observability::metrics metrics;
+    seeded_random random;
+    peer_channels peers;
+    std::unique_ptr<storage::file_log_store> store;
+    control_loop control;
+    operator_api operators;
+    traffic_server traffic;
+    consensus_service consensus_calls;
+    control_service control_calls;
+    directory_service directory_calls;
+    events_service event_calls;
+    std::unique_ptr<grpc::Server> grpc_server;
+};
+
+} // namespace
+
+int run_daemon(settings const& config)
+{
+    stop_signals signals;
+    log_session const log;
+    daemon_process process(config);
+    process.start();
+    int const code = process.run(signals);
+    process.stop();
+    return code;
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/state_follower.cpp
@@ -0,0 +1,169 @@
+#include "state_follower.hpp"
+
+#include <control.grpc.pb.h>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr duration read_timeout = milliseconds(800);
+/// Several polls, so that one slow voter does not make the quorum look lost.
+constexpr duration quorum_memory = seconds(3);
+
+} // namespace
+
+state_follower::state_follower(std::shared_ptr<asio::io_context> io, settings const& config,
+                               peer_channels& channels, leader_client& client, event_sink& log,
+                               clock const& time_source, consensus_driver* own_node)
+    : context(io)
+    , options(config)
+    , peers(channels)
+    , leaders(client)
+    , events(log)
+    , time(time_source)
+    , node(own_node)
+    , timer(*io)
+{
+}
+
+void state_follower::start()
+{
+    this->poll();
+    this->schedule_poll();
+}
+
+void state_follower::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+}
+
+void state_follower::set_change_handler(std::function<void()> handler)
+{
+    this->on_change = std::move(handler);
+}
+
+bool state_follower::has_recent_quorum() const
+{
+    if (this->node)
+        return this->node->has_recent_quorum();
+    return this->ready && this->time.now() < this->quorum_heard + quorum_memory;
+}
+
+void state_follower::schedule_poll()
+{
+    this->timer.expires_after(this->options.state_poll_interval);
+    this->timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem || this->stopped)
+                return;
+            this->poll();
+            this->schedule_poll();
+        });
+}
+
+void state_follower::poll()
+{
+    if (this->poll_in_flight)
+        return;
+    if (!this->node)
+        return this->poll_voter();
+    this->latest_term = this->node->term();
+    if (!this->ready)
+        this->confirm_own_state();
+}
+
+void state_follower::confirm_own_state()
+{
+    this->poll_in_flight = true;
+    this->node->read(this->time.now() + read_timeout,
+                     [this](bool confirmed)
+                     {
+                         this->poll_in_flight = false;
+                         if (!confirmed || this->stopped)
+                             return;
+                         this->refresh_from_node();
+                         this->become_ready();
+                     });
+}
+
+void state_follower::poll_voter()
+{
+    auto const voters = this->leaders.voters();
+    if (voters.empty())
+        return;
+    auto const& target = voters[this->next_voter++ % voters.size()];
+    protocol::ReadStateRequest request;
+    request.set_known_index(this->current->applied_index);
+    request.set_through_quorum(!this->ready);
+    this->poll_in_flight = true;
+    std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
+    call_async<protocol::ReadStateReply>(
+        this->context, this->peers, read_timeout, request,
+        [stub](auto* call, auto const* sent, auto* reply, auto done)
+        { stub->async()->ReadState(call, sent, reply, std::move(done)); },
+        [this, stub](grpc::Status const& status, protocol::ReadStateReply& reply)
+        {
+            this->poll_in_flight = false;
+            if (this->stopped || !status.ok() || !reply.available())
+                return;
+            if (reply.quorum_recent())
+            {
+                this->quorum_heard = this->time.now();
+                this->leaders.set_leader_hint(network_address(reply.leader()));
+            }
+            if (reply.term() > this->latest_term)
+                this->latest_term = reply.term();
+            try
+            {
+                if (!reply.state().empty())
+                    this->adopt(std::make_shared<version::shared_state const>(
+                        version::decode_shared_state(reply.state())));
+                if (!this->ready)
+                    this->become_ready();
+            }
+            catch (error const& problem)
+            {
+                this->events.emit(severity::error, "state.unreadable",
+                                  {{"reason", problem.what()}});
+            }
+        });
+}
+
+void state_follower::refresh_from_node()
+{
+    this->adopt(this->node->state().shared());
+}
+
+void state_follower::adopt(std::shared_ptr<version::shared_state const> candidate)
+{
+    if (candidate == this->current)
+        return;
+    // A voter that lags behind may answer with an older state.
+    if (candidate->applied_index < this->current->applied_index)
+        return;
+    invariant(candidate->generation >= this->current->generation,
+              "a newer state has an older configuration generation");
+    bool const is_new = candidate->generation != this->current->generation;
+    this->current = std::move(candidate);
+    if (is_new)
+        this->events.emit(severity::info, "configuration.in_force",
+                          {{"generation", std::to_string(this->current->generation.value())}});
+    if (this->on_change)
+        this->on_change();
+}
+
+void state_follower::become_ready()
+{
+    this->ready = true;
+    this->quorum_heard = this->time.now();
+    this->events.emit(severity::info, "daemon.ready",
+                      {{"generation", std::to_string(this->current->generation.value())}});
+    if (this->on_change)
+        this->on_change();
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/state_follower.hpp
@@ -0,0 +1,64 @@
+#ifndef LAGOONLADDER_DAEMON_STATE_FOLLOWER_HPP
+#define LAGOONLADDER_DAEMON_STATE_FOLLOWER_HPP
+
+#include <functional>
+#include <memory>
+
+#include "leader_client.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// Keeps the newest shared control state that this daemon has seen, and decides
+/// whether it may be served. Lives on the control thread.
+class state_follower
+{
+public:
+    state_follower(std::shared_ptr<asio::io_context> io, settings const& config,
+                   peer_channels& channels, leader_client& client, event_sink& log,
+                   clock const& time_source, consensus_driver* own_node);
+
+    void start();
+    void stop();
+    void set_change_handler(std::function<void()> handler);
+
+    /// Takes the own node's state; called after entries were applied.
+    void refresh_from_node();
+
+    /// The state was read through a quorum since the start, so it is at least as
+    /// new as any state this daemon served before it was restarted.
+    bool is_ready() const { return this->ready; }
+    bool has_recent_quorum() const;
+    std::uint64_t term() const { return this->latest_term; }
+    std::shared_ptr<version::shared_state const> state() const { return this->current; }
+
+private:
+    void schedule_poll();
+    void poll();
+    void poll_voter();
+    void confirm_own_state();
+    void adopt(std::shared_ptr<version::shared_state const> candidate);
+    void become_ready();
+
+    std::shared_ptr<asio::io_context> context;
+    settings const& options;
+    peer_channels& peers;
+    leader_client& leaders;
+    event_sink& events;
+    clock const& time;
+    consensus_driver* const node;
+    asio::steady_timer timer;
+    std::function<void()> on_change;
+    std::shared_ptr<version::shared_state const> current =
+        std::make_shared<version::shared_state>();
+    bool ready = false;
+    bool poll_in_flight = false;
+    bool stopped = false;
+    std::uint64_t latest_term = 0;
+    std::size_t next_voter = 0;
+    time_point quorum_heard{};
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
