Add tests of the control thread with real sockets between daemons

Cause: the drivers around the decision libraries had no test. Change: four daemons in one test program: configuration, races, lost quorum, lost disk, at-most-once grants, leaving endpoints. Reads of the control state compare the index of the last change.

--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/daemon/internal/control_services.cpp
@@ -200,7 +200,7 @@
     // what it served before.
     reply->set_available(request->through_quorum() || this->control.view()->ready);
     reply->set_applied_index(answer->shared->applied_index);
-    if (reply->available() && answer->shared->applied_index > request->known_index())
+    if (reply->available() && answer->shared->changed_index > request->known_index())
         reply->set_state(version::encode(*answer->shared));
     return grpc::Status::OK;
 }
--- a/src/process/daemon/internal/state_follower.cpp
+++ b/src/process/daemon/internal/state_follower.cpp
@@ -97,7 +97,7 @@
         return;
     auto const& target = voters[this->next_voter++ % voters.size()];
     protocol::ReadStateRequest request;
-    request.set_known_index(this->current->applied_index);
+    request.set_known_index(this->current->changed_index);
     request.set_through_quorum(!this->ready);
     this->poll_in_flight = true;
     std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
--- /dev/null
+++ b/src/process/daemon/tests/control_loop_test.cpp
@@ -0,0 +1,294 @@
+#include <future>
+#include <thread>
+
+#include <catch2/catch.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include "control_loop.hpp"
+#include "control_services.hpp"
+#include "free_port.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+std::string const first_text = "[service booking]\nkind = plain\nversion = v1\n";
+std::string const second_text = first_text + "[route create]\nservice = booking\nmethod = POST\n"
+                                             "path = /bookings\nidempotent = no\n";
+
+/// One daemon without its traffic plane, with real sockets between daemons.
+class control_process
+{
+public:
+    control_process(settings const& config, storage::log_store* store, std::string const& voter)
+        : options(config)
+        , events(config.vm, this->time, severity::error)
+        , peers(config.cluster_token)
+        , loop({this->options, this->events, this->metrics, this->time, this->peers, store,
+                consensus::voter_id(voter), stable_hash(voter + config.vm.value())})
+        , consensus_calls(this->loop, this->options)
+        , control_calls(this->loop, this->options, this->time)
+        , directory_calls(this->loop, this->options)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(config.control.value(), grpc::InsecureServerCredentials());
+        builder.RegisterService(&this->consensus_calls);
+        builder.RegisterService(&this->control_calls);
+        builder.RegisterService(&this->directory_calls);
+        this->server = builder.BuildAndStart();
+        this->loop.start();
+    }
+
+    ~control_process()
+    {
+        this->server->Shutdown(std::chrono::system_clock::now());
+        this->loop.stop();
+    }
+
+    settings const options;
+    system_clock time;
+    observability::metrics metrics;
+    observability::event_timeline events;
+    peer_channels peers;
+    control_loop loop;
+    consensus_service consensus_calls;
+    control_service control_calls;
+    directory_service directory_calls;
+    std::unique_ptr<grpc::Server> server;
+};
+
+/// Three voters and one daemon without a disk.
+class small_system
+{
+public:
+    small_system()
+    {
+        for (std::size_t i = 0; i < 4; ++i)
+            this->addresses.push_back(free_address());
+        for (std::size_t i = 0; i < 4; ++i)
+            this->start(i);
+    }
+
+    settings make_settings(std::size_t index) const
+    {
+        settings config;
+        config.vm = vm_id("entry-" + std::to_string(index));
+        config.data_centre = data_centre_id("dc-" + std::to_string(index));
+        config.zone = zone_id("zone-" + std::to_string(index));
+        config.http = network_address("127.0.0.1:1");
+        config.control = this->addresses[index];
+        config.seeds = {this->addresses[0], this->addresses[1], this->addresses[2]};
+        config.cluster_token = "secret";
+        config.election_timeout = milliseconds(400);
+        config.gossip_interval = milliseconds(200);
+        config.state_poll_interval = milliseconds(100);
+        if (index < 3)
+        {
+            config.data_folder = "in memory";
+            for (std::size_t i = 0; i < 3; ++i)
+                config.initial_voters.push_back(
+                    {vm_id("entry-" + std::to_string(i)), this->addresses[i]});
+        }
+        return config;
+    }
+
+    void start(std::size_t index)
+    {
+        auto const voter = "entry-" + std::to_string(index) + "#" +
+                           std::to_string(this->incarnations[index]);
+        this->processes[index] = std::make_unique<control_process>(
+            this->make_settings(index), index < 3 ? &this->stores[index] : nullptr, voter);
+    }
+
+    void stop(std::size_t index) { this->processes[index].reset(); }
+
+    void lose_disk(std::size_t index)
+    {
+        this->stores[index] = storage::memory_log_store();
+        ++this->incarnations[index];
+    }
+
+    control_loop& loop(std::size_t index) { return this->processes[index]->loop; }
+
+    version::apply_result apply(std::size_t index, std::uint64_t base, std::string const& text,
+                                std::string const& operation)
+    {
+        version::apply_configuration const command{generation(base), "test.ini", text,
+                                                   operation_id(operation)};
+        return std::get<version::apply_result>(this->loop(index).propose(command, seconds(10)));
+    }
+
+    std::vector<network_address> addresses;
+    storage::memory_log_store stores[3];
+    std::uint64_t incarnations[4] = {1, 1, 1, 1};
+    std::unique_ptr<control_process> processes[4];
+};
+
+template <class Condition>
+bool eventually(Condition condition, std::chrono::seconds limit = std::chrono::seconds(15))
+{
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+}
+
+bool in_force(control_loop& loop, std::uint64_t number)
+{
+    auto const view = loop.view();
+    return view->ready && view->shared->generation == generation(number);
+}
+
+request::once_begin begin_booking(std::string const& attempt, wall_time now)
+{
+    return {{account_id("a"), service_name("booking"), idempotency_key("k")},
+            "digest",
+            attempt_id(attempt),
+            now,
+            now + seconds(30)};
+}
+
+} // namespace
+
+TEST_CASE("a configuration reaches every daemon and survives restarts")
+{
+    // Guards against a generation that is acknowledged and not in force, or that
+    // is replaced by an older one after a restart.
+    small_system system;
+    auto const stored = system.apply(3, 0, first_text, "op-1");
+    REQUIRE(stored.outcome == version::apply_outcome::stored);
+    auto const number = stored.generation.value();
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return in_force(system.loop(i), number); }));
+
+    for (std::size_t i = 0; i < 4; ++i)
+        system.stop(i);
+    system.start(3);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK_FALSE(system.loop(3).view()->ready);
+    for (std::size_t i = 0; i < 3; ++i)
+        system.start(i);
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return in_force(system.loop(i), number); }));
+}
+
+TEST_CASE("of two operators with the same base one is stored and the other gets a conflict")
+{
+    // Guards against both operators being told that their file is in force.
+    small_system system;
+    auto const base = system.apply(0, 0, first_text, "op-1").generation.value();
+    auto one = std::async(std::launch::async,
+                          [&] { return system.apply(1, base, second_text, "op-2"); });
+    auto const other = system.apply(3, base, first_text + "\n", "op-3");
+    auto const first = one.get();
+    auto const stored = version::apply_outcome::stored;
+    auto const conflict = version::apply_outcome::conflict;
+    CHECK(((first.outcome == stored && other.outcome == conflict) ||
+           (first.outcome == conflict && other.outcome == stored)));
+    auto const& winner = first.outcome == stored ? first : other;
+    auto const again = first.outcome == stored ? system.apply(2, base, second_text, "op-2")
+                                               : system.apply(2, base, first_text + "\n", "op-3");
+    CHECK(again.outcome == version::apply_outcome::repeated);
+    CHECK(again.generation == winner.generation);
+}
+
+TEST_CASE("without a quorum a command is unknown and nothing is granted")
+{
+    // Guards against an isolated daemon granting a dispatch or denying an earlier one.
+    small_system system;
+    system.apply(0, 0, first_text, "op-1");
+    REQUIRE(eventually([&] { return system.loop(3).view()->ready; }));
+    system.stop(0);
+    system.stop(1);
+    auto const now = system_clock().wall_now();
+    CHECK_THROWS_AS(system.loop(2).propose(begin_booking("a-1", now), milliseconds(1500)),
+                    daemon_error);
+    CHECK_THROWS_AS(system.loop(3).find_once(begin_booking("a-1", now).key, milliseconds(1500)),
+                    outcome_unknown_error);
+    CHECK(eventually([&] { return !system.loop(2).view()->quorum_recent; }));
+    CHECK(eventually([&] { return !system.loop(3).view()->quorum_recent; }));
+    CHECK(system.loop(3).view()->shared->generation.value() > 0);
+}
+
+TEST_CASE("a voter with a lost disk joins again and a second loss is survived")
+{
+    // Guards against acknowledged entries that are lost when a repaired voter
+    // counts before it has them.
+    small_system system;
+    auto const number = system.apply(0, 0, first_text, "op-1").generation.value();
+    system.stop(2);
+    system.lose_disk(2);
+    system.start(2);
+    auto const joined = [&]
+    {
+        auto const voters = system.loop(0).view()->voters;
+        return voters.size() == 3 &&
+               std::find(voters.begin(), voters.end(), "entry-2#2") != voters.end();
+    };
+    REQUIRE(eventually(joined));
+    system.stop(0);
+    auto const next = system.apply(2, number, second_text, "op-2");
+    CHECK(next.outcome == version::apply_outcome::stored);
+    CHECK(eventually([&] { return in_force(system.loop(3), next.generation.value()); }));
+}
+
+TEST_CASE("one attempt of a booking is granted over entries that race")
+{
+    // Guards against two entries that both dispatch a resent booking.
+    small_system system;
+    system.apply(0, 0, first_text, "op-1");
+    auto const now = system_clock().wall_now();
+    std::vector<std::future<request::once_reply>> replies;
+    for (std::size_t i = 0; i < 4; ++i)
+        replies.push_back(std::async(
+            std::launch::async,
+            [&system, i, now]
+            {
+                return std::get<request::once_reply>(system.loop(i).propose(
+                    begin_booking("a-" + std::to_string(i), now), seconds(10)));
+            }));
+    int granted = 0;
+    for (auto& reply : replies)
+        granted += reply.get().verdict == request::once_verdict::granted ? 1 : 0;
+    CHECK(granted == 1);
+    auto const found = system.loop(3).find_once(begin_booking("a-0", now).key, seconds(5));
+    REQUIRE(found);
+    CHECK(found->verdict == request::once_verdict::in_progress);
+}
+
+TEST_CASE("a leaving endpoint is marked at every entry within the bound")
+{
+    // Guards against an entry that sends new work to an endpoint that leaves.
+    small_system system;
+    connection::endpoint_record row;
+    row.id = endpoint_id("e-1");
+    row.service = service_name("booking");
+    row.version = version_name("v1");
+    row.address = network_address("127.0.0.1:1");
+    row.vm = vm_id("vm-1");
+    row.incarnation = incarnation(1);
+    row.sequence = 1;
+    system.loop(0).announce(row);
+    auto const state_at = [&](std::size_t i) -> std::optional<connection::endpoint_state>
+    {
+        auto const view = system.loop(i).view();
+        auto const rows = view->endpoints.find(row.service);
+        if (rows == view->endpoints.end() || rows->second.empty())
+            return std::nullopt;
+        return rows->second.front().state;
+    };
+    for (std::size_t i = 0; i < 4; ++i)
+        REQUIRE(eventually([&] { return state_at(i).has_value(); }, std::chrono::seconds(4)));
+    system.loop(1).set_leaving(row.vm);
+    auto const begun = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return state_at(i) != connection::endpoint_state::serving; },
+                         std::chrono::seconds(3)));
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(3));
+}
