Add the at-most-once table, the configuration parser and the control state

Cause: the headers were there without an implementation; daemon, request and command line code link against them.

Ruled out: a refusal that only compares arrival times, because an entry whose clock is ahead would pass it; the table also lists refused attempts and never takes an arrival later than the log's time. MessagePack without a checksum was ruled out because many damaged bytes decode as other valid values.

Change: once_table keeps an index of due times, so expiry does not scan all records, lists at most 128 refused attempts per key and folds older ones into the reopening time. A begin older than 23 h without a record is not granted, since the record may have been dropped. Encoded values carry a kind and a 64-bit checksum. A conflict names the operation that was stored on the same base. shared_state gains changed_index; control_state copies the shared part lazily.

--- a/src/request/include/lagoonladder/request/once_record.hpp
+++ b/src/request/include/lagoonladder/request/once_record.hpp
@@ -3,7 +3,10 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -120,6 +123,14 @@
     /// Records are dropped this long after their last change.
     static constexpr duration retention = std::chrono::hours(24);
 
+    /// A begin that arrived this long ago is not granted when its key has no
+    /// record: the record may have been dropped. Shorter than the retention by
+    /// more than the clocks of two entries differ.
+    static constexpr duration oldest_arrival = std::chrono::hours(23);
+
+    /// Refused attempts that a record lists. Older ones are covered by reopen_at.
+    static constexpr std::size_t max_retired = 128;
+
     /// `now` is the time that the leader put into the log entry.
     once_reply begin(wall_time now, once_begin const& command);
     once_reply refuse(wall_time now, once_refuse const& command);
@@ -134,23 +145,52 @@
     std::size_t size() const { return this->records.size(); }
 
     nlohmann::json snapshot() const;
+    /// Throws parse_error, and changes nothing, when `state` is not a snapshot.
     void restore(nlohmann::json const& state);
 
 private:
+    struct retired_attempt
+    {
+        attempt_id attempt;
+        wall_time when{};
+    };
+
     struct record
     {
         once_state state = once_state::refused;
         std::string body_digest;
+        /// Holds the grant; empty while the state is `refused`.
         attempt_id attempt;
         wall_time deadline{};
         wall_time changed{};
         wall_time reopen_at{};
         std::optional<stored_answer> answer;
+        /// Attempts that were refused or withdrawn, oldest first.
+        std::vector<retired_attempt> retired;
     };
 
-    once_reply reply_for(once_key const& key, record const& known) const;
-
-    std::map<once_key, record> records;
+    using record_map = std::map<once_key, record>;
+
+    friend void to_json(nlohmann::json& out, retired_attempt const& in);
+    friend void from_json(nlohmann::json const& in, retired_attempt& out);
+    friend void to_json(nlohmann::json& out, record const& in);
+    friend void from_json(nlohmann::json const& in, record& out);
+
+    static once_reply reply_for(record const& known);
+    static wall_time due_time(record const& known);
+    static bool is_retired(record const& known, attempt_id const& attempt);
+    static bool may_grant(record const& known, wall_time now, once_begin const& command);
+    static void retire(record& known, wall_time now, attempt_id const& attempt);
+    static void check(record const& known);
+    void grant(record_map::iterator position, wall_time now, once_begin const& command);
+    void close(record_map::iterator position, wall_time now, once_refuse const& command);
+    /// Makes a change of the record and enters it under its new due time.
+    template <class Change>
+    void update(record_map::iterator position, Change change);
+
+    record_map records;
+    /// When expire() has to look at a record again.
+    std::set<std::pair<wall_time, once_key>> due;
 };
 
 } // namespace lagoonladder::request
--- a/src/version/include/lagoonladder/version/configuration.hpp
+++ b/src/version/include/lagoonladder/version/configuration.hpp
@@ -65,6 +65,8 @@
     std::string method = "*";
     std::string path = "/";
     bool idempotent = false;
+    /// The file states nothing: the method decides, as it does without a route.
+    bool idempotent_by_method = false;
 };
 
 /// Section [account NAME].
@@ -87,6 +89,8 @@
     service_config const* find_service(service_name const& name) const;
     account_config const* find_account_by_key_hash(std::string const& key_sha256) const;
     /// The route that applies, or nullptr; GET, HEAD and OPTIONS are idempotent then.
+    /// The longest path prefix wins, then an exact method over "*". A prefix ends at
+    /// a "/" or "?" of the path, so "/status" does not match "/statusreset".
     route_config const* find_route(service_name const& service, std::string const& method,
                                    std::string const& path) const;
     bool is_idempotent(service_name const& service, std::string const& method,
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -106,9 +106,12 @@
 struct apply_result
 {
     apply_outcome outcome = apply_outcome::invalid;
+    /// The generation of this operation, for `stored` and `repeated`; else the current one.
     lagoonladder::generation generation;
+    /// The operation that was stored on the same base; its digest is sha256_hex of its text.
     operation_id winner_operation;
     std::string winner_digest;
+    /// What was wrong, for `invalid`; who was first, for `conflict`.
     std::string detail;
 };
 
@@ -119,6 +122,7 @@
 
 struct reserve_orders_result
 {
+    /// 0 when nothing was reserved because a later term has reserved before.
     std::uint64_t first_sequence = 0;
 };
 
@@ -149,6 +153,8 @@
 {
     /// Index of the last log entry that it reflects.
     std::uint64_t applied_index = 0;
+    /// Index of the last log entry that changed anything below.
+    std::uint64_t changed_index = 0;
     lagoonladder::generation generation;
     std::string file;
     std::string text;
@@ -170,6 +176,8 @@
     command_result apply(std::uint64_t index, command const& entry);
 
     std::uint64_t applied_index() const;
+    /// Copies the shared part when it is called for the first time after an entry,
+    /// so that a batch of entries costs one copy.
     std::shared_ptr<shared_state const> shared() const;
     request::once_table const& once_records() const;
     std::uint64_t next_order_sequence() const;
@@ -180,6 +188,13 @@
     std::string snapshot() const;
     void restore(std::string const& bytes);
 
+    /// Operations whose first outcome is kept. The resend of an older one gets
+    /// a conflict, because its base is no longer current.
+    static constexpr std::size_t max_operations = 10'000;
+
+    /// Ended moves that stay visible for each service.
+    static constexpr std::size_t max_ended_moves = 16;
+
 private:
     struct stored_operation
     {
@@ -187,23 +202,28 @@
         std::string digest;
     };
 
-    command_result apply_body(wall_time now, apply_configuration const& body);
-    command_result apply_body(wall_time now, update_move const& body);
-    command_result apply_body(wall_time now, reserve_orders const& body);
-    command_result apply_body(wall_time now, expire_records const& body);
-    command_result apply_body(wall_time now, request::once_begin const& body);
-    command_result apply_body(wall_time now, request::once_refuse const& body);
-    command_result apply_body(wall_time now, request::once_finish const& body);
-    void publish();
+    command_result apply_body(apply_configuration const& body);
+    command_result apply_body(update_move const& body);
+    command_result apply_body(reserve_orders const& body);
+    command_result apply_body(expire_records const& body);
+    command_result apply_body(request::once_begin const& body);
+    command_result apply_body(request::once_refuse const& body);
+    command_result apply_body(request::once_finish const& body);
+    apply_result conflict_result(lagoonladder::generation base) const;
+    void store(apply_configuration const& body, configuration parsed, std::string digest);
+    void forget_old_operations();
+    nlohmann::json snapshot_json() const;
+    void restore_json(nlohmann::json const& in);
 
     std::uint64_t index = 0;
     wall_time time{};
+    std::uint64_t order_term = 0;
     std::uint64_t order_sequence = 1;
     shared_state current;
     std::map<operation_id, stored_operation> operations;
-    operation_id latest_operation;
+    std::map<lagoonladder::generation, operation_id> operation_order;
     request::once_table once;
-    std::shared_ptr<shared_state const> published = std::make_shared<shared_state>();
+    mutable std::shared_ptr<shared_state const> published;
 };
 
 } // namespace lagoonladder::version
--- /dev/null
+++ b/src/version/internal/command_json.cpp
@@ -0,0 +1,156 @@
+#include <lagoonladder/version/control_state.hpp>
+
+#include "envelope.hpp"
+
+namespace lagoonladder::version
+{
+
+// Not in an unnamed namespace: the JSON library finds these by the namespace of the type.
+
+static void to_json(nlohmann::json& out, apply_configuration const& in)
+{
+    out = {{"base", in.base}, {"file", in.file}, {"text", in.text}, {"operation", in.operation}};
+}
+
+static void from_json(nlohmann::json const& in, apply_configuration& out)
+{
+    in.at("base").get_to(out.base);
+    in.at("file").get_to(out.file);
+    in.at("text").get_to(out.text);
+    in.at("operation").get_to(out.operation);
+}
+
+static void to_json(nlohmann::json& out, update_move const& in)
+{
+    out = {{"service", in.service}, {"generation", in.generation},
+           {"share", in.share},     {"state", static_cast<int>(in.state)},
+           {"reason", in.reason},   {"figures", in.figures}};
+}
+
+static void from_json(nlohmann::json const& in, update_move& out)
+{
+    in.at("service").get_to(out.service);
+    in.at("generation").get_to(out.generation);
+    in.at("share").get_to(out.share);
+    out.state = enum_from(in.at("state"), move_state::reversed);
+    in.at("reason").get_to(out.reason);
+    in.at("figures").get_to(out.figures);
+}
+
+static void to_json(nlohmann::json& out, reserve_orders const& in)
+{
+    out = {{"term", in.term}, {"count", in.count}};
+}
+
+static void from_json(nlohmann::json const& in, reserve_orders& out)
+{
+    in.at("term").get_to(out.term);
+    in.at("count").get_to(out.count);
+}
+
+static void to_json(nlohmann::json& out, expire_records const&)
+{
+    out = nullptr;
+}
+
+static void from_json(nlohmann::json const&, expire_records&) {}
+
+static void to_json(nlohmann::json& out, no_result const&)
+{
+    out = nullptr;
+}
+
+static void from_json(nlohmann::json const&, no_result&) {}
+
+static void to_json(nlohmann::json& out, apply_result const& in)
+{
+    out = {{"outcome", static_cast<int>(in.outcome)},
+           {"generation", in.generation},
+           {"winner_operation", in.winner_operation},
+           {"winner_digest", in.winner_digest},
+           {"detail", in.detail}};
+}
+
+static void from_json(nlohmann::json const& in, apply_result& out)
+{
+    out.outcome = enum_from(in.at("outcome"), apply_outcome::invalid);
+    in.at("generation").get_to(out.generation);
+    in.at("winner_operation").get_to(out.winner_operation);
+    in.at("winner_digest").get_to(out.winner_digest);
+    in.at("detail").get_to(out.detail);
+}
+
+static void to_json(nlohmann::json& out, update_move_result const& in)
+{
+    out = {{"applied", in.applied}};
+}
+
+static void from_json(nlohmann::json const& in, update_move_result& out)
+{
+    in.at("applied").get_to(out.applied);
+}
+
+static void to_json(nlohmann::json& out, reserve_orders_result const& in)
+{
+    out = {{"first_sequence", in.first_sequence}};
+}
+
+static void from_json(nlohmann::json const& in, reserve_orders_result& out)
+{
+    in.at("first_sequence").get_to(out.first_sequence);
+}
+
+namespace
+{
+
+template <class Variant>
+nlohmann::json variant_json(Variant const& value)
+{
+    return std::visit(
+        [&](auto const& alternative) {
+            return nlohmann::json{{"type", value.index()}, {"value", alternative}};
+        },
+        value);
+}
+
+template <class Variant, std::size_t Index = 0>
+Variant variant_from(nlohmann::json const& in)
+{
+    if constexpr (Index == std::variant_size_v<Variant>)
+        throw parse_error("unknown type " + in.at("type").dump());
+    else if (in.at("type").get<std::size_t>() == Index)
+        return in.at("value").get<std::variant_alternative_t<Index, Variant>>();
+    else
+        return variant_from<Variant, Index + 1>(in);
+}
+
+} // namespace
+
+std::string encode(command const& value)
+{
+    return seal(envelope_kind::of_command,
+                {{"now", value.now}, {"body", variant_json(value.body)}});
+}
+
+command decode_command(std::string const& bytes)
+{
+    auto const in = open_envelope(envelope_kind::of_command, bytes);
+    return read_fields("a command",
+                       [&] {
+                           return command{in.at("now").get<wall_time>(),
+                                          variant_from<command_body>(in.at("body"))};
+                       });
+}
+
+std::string encode(command_result const& value)
+{
+    return seal(envelope_kind::of_result, variant_json(value));
+}
+
+command_result decode_command_result(std::string const& bytes)
+{
+    auto const in = open_envelope(envelope_kind::of_result, bytes);
+    return read_fields("a command result", [&] { return variant_from<command_result>(in); });
+}
+
+} // namespace lagoonladder::version
--- /dev/null
+++ b/src/version/internal/control_state.cpp
@@ -0,0 +1,216 @@
+#include <lagoonladder/version/control_state.hpp>
+
+#include <algorithm>
+
+#include "envelope.hpp"
+#include "move_rules.hpp"
+#include "shared_state_json.hpp"
+
+namespace lagoonladder::version
+{
+
+command_result control_state::apply(std::uint64_t entry_index, command const& entry)
+{
+    invariant(entry_index > this->index, "log entries are applied once and in order");
+    this->index = entry_index;
+    this->time = std::max(this->time, entry.now);
+    this->published.reset();
+    auto result = std::visit([&](auto const& body) { return this->apply_body(body); }, entry.body);
+    this->current.applied_index = entry_index;
+    return result;
+}
+
+std::uint64_t control_state::applied_index() const
+{
+    return this->index;
+}
+
+std::shared_ptr<shared_state const> control_state::shared() const
+{
+    if (!this->published)
+        this->published = std::make_shared<shared_state const>(this->current);
+    return this->published;
+}
+
+request::once_table const& control_state::once_records() const
+{
+    return this->once;
+}
+
+std::uint64_t control_state::next_order_sequence() const
+{
+    return this->order_sequence;
+}
+
+wall_time control_state::latest_time() const
+{
+    return this->time;
+}
+
+command_result control_state::apply_body(apply_configuration const& body)
+{
+    apply_result result;
+    result.generation = this->current.generation;
+    auto digest = sha256_hex(body.text);
+    auto const earlier = this->operations.find(body.operation);
+    if (earlier != this->operations.end())
+    {
+        if (earlier->second.digest != digest)
+        {
+            result.detail =
+                "operation id " + body.operation.value() + " was used before with another text";
+            return result;
+        }
+        result.outcome = apply_outcome::repeated;
+        result.generation = earlier->second.generation;
+        return result;
+    }
+    if (body.base < this->current.generation)
+        return this->conflict_result(body.base);
+    if (body.base > this->current.generation)
+        result.detail = "base generation " + std::to_string(body.base.value()) +
+                        " does not exist; the current one is " +
+                        std::to_string(this->current.generation.value());
+    else if (body.operation.value().empty())
+        result.detail = "the operation id is empty";
+    else
+    {
+        try
+        {
+            auto parsed = parse_configuration(body.file, body.text);
+            result.detail = move_rules(this->current, this->time).check(parsed);
+            if (result.detail.empty())
+                this->store(body, std::move(parsed), std::move(digest));
+        }
+        catch (configuration_error const& failure)
+        {
+            result.detail = failure.what();
+        }
+    }
+    if (result.detail.empty())
+        result.outcome = apply_outcome::stored;
+    result.generation = this->current.generation;
+    return result;
+}
+
+void control_state::store(apply_configuration const& body, configuration parsed, std::string digest)
+{
+    auto const stored = generation(this->current.generation.value() + 1);
+    this->current.file = body.file;
+    this->current.text = body.text;
+    move_rules(this->current, this->time).take_over(std::move(parsed), stored);
+    this->current.changed_index = this->index;
+    this->operations.emplace(body.operation, stored_operation{stored, std::move(digest)});
+    this->operation_order.emplace(stored, body.operation);
+    this->forget_old_operations();
+}
+
+void control_state::forget_old_operations()
+{
+    while (this->operation_order.size() > max_operations)
+    {
+        this->operations.erase(this->operation_order.begin()->second);
+        this->operation_order.erase(this->operation_order.begin());
+    }
+}
+
+apply_result control_state::conflict_result(generation base) const
+{
+    apply_result result;
+    result.outcome = apply_outcome::conflict;
+    result.generation = this->current.generation;
+    // The operation that took the place of the loser; the oldest known one when it is forgotten.
+    auto const winner = this->operation_order.upper_bound(base);
+    invariant(winner != this->operation_order.end(), "each generation was stored by an operation");
+    result.winner_operation = winner->second;
+    result.winner_digest = this->operations.at(winner->second).digest;
+    result.detail = "generation " + std::to_string(winner->first.value()) +
+                    " was stored before by operation " + winner->second.value() +
+                    "; the current generation is " +
+                    std::to_string(this->current.generation.value());
+    return result;
+}
+
+command_result control_state::apply_body(update_move const& body)
+{
+    bool const applied = move_rules(this->current, this->time).update(body);
+    if (applied)
+        this->current.changed_index = this->index;
+    return update_move_result{applied};
+}
+
+command_result control_state::apply_body(reserve_orders const& body)
+{
+    if (body.term < this->order_term)
+        return reserve_orders_result{0};
+    this->order_term = body.term;
+    auto const first = this->order_sequence;
+    this->order_sequence += body.count;
+    return reserve_orders_result{first};
+}
+
+command_result control_state::apply_body(expire_records const&)
+{
+    this->once.expire(this->time);
+    return no_result{};
+}
+
+command_result control_state::apply_body(request::once_begin const& body)
+{
+    return this->once.begin(this->time, body);
+}
+
+command_result control_state::apply_body(request::once_refuse const& body)
+{
+    return this->once.refuse(this->time, body);
+}
+
+command_result control_state::apply_body(request::once_finish const& body)
+{
+    return this->once.finish(this->time, body);
+}
+
+std::string control_state::snapshot() const
+{
+    return seal(envelope_kind::of_snapshot, this->snapshot_json());
+}
+
+nlohmann::json control_state::snapshot_json() const
+{
+    auto stored = nlohmann::json::array();
+    for (auto const& [id, operation] : this->operations)
+        stored.push_back(
+            {{"id", id}, {"generation", operation.generation}, {"digest", operation.digest}});
+    return {{"index", this->index},           {"time", this->time},
+            {"order_term", this->order_term}, {"order_sequence", this->order_sequence},
+            {"shared", this->current},        {"operations", std::move(stored)},
+            {"once", this->once.snapshot()}};
+}
+
+void control_state::restore(std::string const& bytes)
+{
+    auto const in = open_envelope(envelope_kind::of_snapshot, bytes);
+    control_state restored;
+    read_fields("a snapshot", [&] { restored.restore_json(in); });
+    *this = std::move(restored);
+}
+
+void control_state::restore_json(nlohmann::json const& in)
+{
+    in.at("index").get_to(this->index);
+    in.at("time").get_to(this->time);
+    in.at("order_term").get_to(this->order_term);
+    in.at("order_sequence").get_to(this->order_sequence);
+    in.at("shared").get_to(this->current);
+    for (auto const& item : in.at("operations"))
+    {
+        auto const id = item.at("id").get<operation_id>();
+        stored_operation operation{item.at("generation").get<lagoonladder::generation>(),
+                                   item.at("digest").get<std::string>()};
+        this->operation_order.emplace(operation.generation, id);
+        this->operations.emplace(id, std::move(operation));
+    }
+    this->once.restore(in.at("once"));
+}
+
+} // namespace lagoonladder::version
--- /dev/null
+++ b/src/version/internal/move_rules.cpp
@@ -0,0 +1,165 @@
+#include "move_rules.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonladder::version
+{
+
+namespace
+{
+
+char const* const configuration_reason = "configuration";
+
+wall_time finish_time(service_config const& service, wall_time now)
+{
+    return service.finish_by.value_or(now + service.finish_within);
+}
+
+} // namespace
+
+std::string move_rules::check(configuration const& next) const
+{
+    for (auto const& [name, service] : next.services)
+    {
+        if (this->starts_move(service) && finish_time(service, this->now) <= this->now)
+            return "[service " + name.value() + "]: finish_by " +
+                   format_wall_time(finish_time(service, this->now)) + " has passed";
+    }
+    return {};
+}
+
+bool move_rules::starts_move(service_config const& next) const
+{
+    auto const split = this->state.splits.find(next.name);
+    if (split == this->state.splits.end())
+        return false;
+    // A version that the controller has reversed stays in the file. Only a change
+    // of the file starts a move, or each later apply would bring that version back.
+    auto const* previous = this->state.configuration.find_service(next.name);
+    bool const changed = previous == nullptr || previous->version != next.version;
+    return changed && next.version != split->second.stable &&
+           next.version != split->second.candidate;
+}
+
+void move_rules::take_over(configuration next, lagoonladder::generation stored)
+{
+    this->drop_removed_services(next);
+    for (auto const& [name, service] : next.services)
+        this->take_over(service, stored);
+    this->state.configuration = std::move(next);
+    this->state.generation = stored;
+    this->drop_old_moves();
+}
+
+void move_rules::take_over(service_config const& next, lagoonladder::generation stored)
+{
+    auto const [split, inserted] = this->state.splits.try_emplace(next.name);
+    if (inserted)
+    {
+        split->second.stable = next.version;
+        return;
+    }
+    bool const starts = this->starts_move(next);
+    auto* running = this->find_running(next.name);
+    if (running != nullptr && running->to != next.version)
+        this->end(*running, move_state::reversed, configuration_reason);
+    if (starts)
+        this->start(next, stored);
+}
+
+void move_rules::start(service_config const& next, lagoonladder::generation stored)
+{
+    auto& split = this->state.splits.at(next.name);
+    move_record move;
+    move.service = next.name;
+    move.from = split.stable;
+    move.to = next.version;
+    move.started = this->now;
+    move.finish_by = finish_time(next, this->now);
+    move.generation = stored;
+    split.candidate = next.version;
+    split.candidate_share = 0;
+    this->state.moves.push_back(std::move(move));
+}
+
+bool move_rules::update(update_move const& change)
+{
+    auto* move = this->find_running(change.service);
+    if (move == nullptr || move->generation != change.generation || !std::isfinite(change.share))
+        return false;
+    move->figures = change.figures;
+    if (change.state == move_state::running)
+    {
+        move->reason = change.reason;
+        this->set_share(*move, std::clamp(change.share, 0.0, 1.0));
+    }
+    else
+        this->end(*move, change.state, change.reason);
+    this->drop_old_moves();
+    return true;
+}
+
+void move_rules::set_share(move_record& move, double share)
+{
+    move.share = share;
+    if (share < 1)
+        move.full_since.reset();
+    else if (!move.full_since)
+        move.full_since = this->now;
+    this->state.splits.at(move.service).candidate_share = share;
+}
+
+void move_rules::end(move_record& move, move_state outcome, std::string reason)
+{
+    auto& split = this->state.splits.at(move.service);
+    invariant(split.candidate == move.to && split.stable == move.from,
+              "the traffic split names the versions of the running move");
+    move.state = outcome;
+    move.ended = this->now;
+    move.reason = std::move(reason);
+    move.share = outcome == move_state::finished ? 1 : 0;
+    if (outcome == move_state::finished)
+        split.stable = move.to;
+    split.candidate = {};
+    split.candidate_share = 0;
+}
+
+move_record* move_rules::find_running(service_name const& service)
+{
+    auto const found =
+        std::find_if(this->state.moves.begin(), this->state.moves.end(),
+                     [&](move_record const& move)
+                     { return move.service == service && move.state == move_state::running; });
+    return found == this->state.moves.end() ? nullptr : &*found;
+}
+
+void move_rules::drop_removed_services(configuration const& next)
+{
+    for (auto split = this->state.splits.begin(); split != this->state.splits.end();)
+    {
+        if (next.find_service(split->first) != nullptr)
+        {
+            ++split;
+            continue;
+        }
+        if (auto* running = this->find_running(split->first))
+            this->end(*running, move_state::reversed, configuration_reason);
+        split = this->state.splits.erase(split);
+    }
+}
+
+void move_rules::drop_old_moves()
+{
+    std::map<service_name, std::size_t> kept;
+    auto& moves = this->state.moves;
+    for (auto position = moves.size(); position-- > 0;)
+    {
+        auto const& move = moves[position];
+        if (move.state != move_state::running &&
+            ++kept[move.service] > control_state::max_ended_moves)
+            moves.erase(moves.begin() + static_cast<std::ptrdiff_t>(position));
+    }
+}
+
+} // namespace lagoonladder::version
