Let a voter campaign until its removal is committed

Ruled out: refusing self-removal, since the same happens to any voter with such a log. Change: the committed membership also allows a campaign; the own vote does not count then. The simulation no longer removes a voter while another one is lost, which leaves no quorum.

--- a/src/process/consensus/internal/election.cpp
+++ b/src/process/consensus/internal/election.cpp
@@ -26,17 +26,25 @@
            std::pair(this->log.last_term(), this->log.last_index());
 }
 
+// A voter whose removal is not committed may hold the only copy of the removal,
+// and the others may need its log. It campaigns without counting its own vote.
+bool node_core::may_campaign() const
+{
+    auto const& self = this->options.self;
+    return this->log.latest_membership().voters.contains(self) ||
+           this->log.membership_at(this->hard.commit).voters.contains(self);
+}
+
 void node_core::start_prevote()
 {
     this->reset_election_timer();
-    if (!this->log.latest_membership().voters.contains(this->options.self))
+    if (!this->may_campaign())
         return;
     this->become_follower(this->hard.term, std::nullopt);
     this->role = role::precandidate;
     this->votes = {{this->options.self, true}};
     this->request_votes(message_type::prevote_request, term_number(this->hard.term.value() + 1));
-    if (this->is_quorum(1))
-        this->start_election();
+    this->count_votes();
 }
 
 void node_core::start_election()
@@ -48,8 +56,7 @@
     this->votes = {{this->options.self, true}};
     this->reset_election_timer();
     this->request_votes(message_type::vote_request, this->hard.term);
-    if (this->is_quorum(1))
-        this->become_leader();
+    this->count_votes();
 }
 
 void node_core::request_votes(message_type type, term_number campaign_term)
@@ -111,13 +118,18 @@
     if (this->role != expected_role || reply.term != expected_term)
         return;
     this->votes.emplace(reply.from, !reply.rejected);
+    this->count_votes();
+}
+
+void node_core::count_votes()
+{
     auto const& voters = this->log.latest_membership().voters;
     auto const granted =
         std::count_if(this->votes.begin(), this->votes.end(),
                       [&](auto const& vote) { return vote.second && voters.contains(vote.first); });
     if (!this->is_quorum(static_cast<std::size_t>(granted)))
         return;
-    if (prevote)
+    if (this->role == role::precandidate)
         this->start_election();
     else
         this->become_leader();
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -55,6 +55,7 @@
 
     // election.cpp
     void reset_election_timer();
+    bool may_campaign() const;
     void start_prevote();
     void start_election();
     void request_votes(message_type type, term_number campaign_term);
@@ -64,6 +65,7 @@
     void on_prevote_request(message const& request);
     void on_vote_request(message const& request);
     void on_vote_reply(message const& reply);
+    void count_votes();
 
     // leadership.cpp: what a leader knows from the answers of its followers.
     bool is_quorum(std::size_t count) const;
--- a/src/process/consensus/tests/simulated_cluster.hpp
+++ b/src/process/consensus/tests/simulated_cluster.hpp
@@ -56,6 +56,8 @@
     void isolate(lagoonladder::vm_id const& vm, bool inbound, bool outbound);
 
     simulated_vm* leader();
+    /// Voters whose log is lost.
+    std::size_t lost_voters(lagoonladder::consensus::membership const& members) const;
     lagoonladder::time_point local(simulated_vm const& machine) const;
 
     lagoonladder::seeded_random random;
--- a/src/process/consensus/tests/simulated_faults.cpp
+++ b/src/process/consensus/tests/simulated_faults.cpp
@@ -54,6 +54,9 @@
     auto* current = this->leader();
     if (!current || current->frozen_until > this->now)
         return;
+    // Removing a voter while another one is lost leaves fewer than a quorum.
+    if (this->lost_voters(current->node->membership()) > 0)
+        return;
     membership_change change{membership_change::operation::remove, this->any().id, {}};
     if (this->chance(0.2))
         change = {membership_change::operation::set_address, change.id,
