--- a/src/process/daemon/internal/route_module.hpp
+++ b/src/process/daemon/internal/route_module.hpp
@@ -9,12 +9,11 @@
 namespace lagoonladder::daemon
 {
 
-/// A group of HTTP routes.
+/// Adds routes to the daemon's HTTP server before it starts.
 class route_module
 {
 public:
     virtual ~route_module() = default;
-    /// Called once, before the server accepts connections.
     virtual void register_routes(httplib::Server& server) = 0;
 };
 
