--- a/src/process/daemon/internal/traffic_directory_routes.cpp
+++ b/src/process/daemon/internal/traffic_directory_routes.cpp
@@ -1,7 +1,5 @@
 #include <traffic_directory_routes.hpp>
 
-#include <algorithm>
-
 #include <traffic_http.hpp>
 #include <traffic_secret.hpp>
 
@@ -11,47 +9,20 @@
 namespace
 {
 
-/// Rendezvous order of the serving entries for a caller, spread over data centres.
-std::vector<connection::entry_record> order_entries(control_view const& view, vm_id const& self,
-                                                    std::string const& caller)
-{
-    std::vector<std::pair<std::uint64_t, connection::entry_record>> ranked;
-    for (auto const& entry : view.entries)
-    {
-        bool const stopping = view.leaving && entry.vm == self;
-        if (entry.state == connection::entry_state::serving && !stopping)
-            ranked.emplace_back(stable_hash(caller + "|" + entry.vm.value()), entry);
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](auto const& a, auto const& b) { return a.first > b.first; });
-    // The n-th entries of all data centres go before the (n+1)-th ones, so that a
-    // caller's second address is in another data centre than its first.
-    std::map<data_centre_id, int> seen;
-    std::vector<std::pair<int, connection::entry_record>> rounds;
-    for (auto& [rank, entry] : ranked)
-        rounds.emplace_back(seen[entry.data_centre]++, std::move(entry));
-    std::stable_sort(rounds.begin(), rounds.end(),
-                     [](auto const& a, auto const& b) { return a.first < b.first; });
-    std::vector<connection::entry_record> ordered;
-    for (auto& round : rounds)
-        ordered.push_back(std::move(round.second));
-    return ordered;
-}
-
 void require_endpoint_token(traffic_context& context, httplib::Request const& request)
 {
     if (!secret_equals(bearer_token(request), context.config.endpoint_token))
         throw refusal({401, "unauthorized", "the endpoint token is missing or wrong"});
 }
 
-void list_entries(traffic_context& context, httplib::Request const& request,
-                  httplib::Response& response)
+void list_entries(traffic_context& context, traffic_entries& known,
+                  httplib::Request const& request, httplib::Response& response)
 {
     auto const view = ready_view(context, execution::no);
     auto const caller =
         request.has_param("caller") ? request.get_param_value("caller") : request.remote_addr;
     auto entries = nlohmann::json::array();
-    for (auto const& entry : order_entries(*view, context.config.vm, caller))
+    for (auto const& entry : known.list_for(*view, caller))
         entries.push_back({{"vm", entry.vm},
                            {"address", entry.http},
                            {"data_centre", entry.data_centre}});
@@ -115,7 +86,11 @@
             handler(shared, request, response);
         });
     };
-    server.Get("/v1/entries", bind(list_entries));
+    auto& known = this->entries;
+    server.Get("/v1/entries", bind([&known](traffic_context& plane, auto const& request,
+                                            auto& response) {
+                   list_entries(plane, known, request, response);
+               }));
     server.Put("/v1/endpoints/([^/]+)", bind(announce_endpoint));
     server.Delete("/v1/endpoints/([^/]+)", bind(remove_endpoint));
     this->register_health(server);
--- a/src/process/daemon/internal/traffic_directory_routes.hpp
+++ b/src/process/daemon/internal/traffic_directory_routes.hpp
@@ -2,7 +2,7 @@
 #define LAGOONLADDER_DAEMON_TRAFFIC_DIRECTORY_ROUTES_HPP
 
 #include <route_module.hpp>
-#include <traffic_context.hpp>
+#include <traffic_entries.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -11,8 +11,9 @@
 class directory_routes : public route_module
 {
 public:
-    explicit directory_routes(traffic_context& shared)
+    directory_routes(traffic_context& shared, traffic_entries& known_entries)
         : context(shared)
+        , entries(known_entries)
     {
     }
 
@@ -22,6 +23,7 @@
     void register_health(httplib::Server& server);
 
     traffic_context& context;
+    traffic_entries& entries;
 };
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/traffic_listener.cpp
+++ b/src/process/daemon/internal/traffic_listener.cpp
@@ -74,6 +74,11 @@
     this->stop();
 }
 
+void traffic_listener::add(route_module& module)
+{
+    module.register_routes(*this->server);
+}
+
 void traffic_listener::set_limits()
 {
     auto const connections = this->context.config.max_connections;
--- a/src/process/daemon/internal/traffic_listener.hpp
+++ b/src/process/daemon/internal/traffic_listener.hpp
@@ -21,7 +21,7 @@
     traffic_listener(traffic_listener const&) = delete;
     traffic_listener& operator=(traffic_listener const&) = delete;
 
-    void add(route_module& module) { module.register_routes(*this->server); }
+    void add(route_module& module);
 
     /// Throws daemon_error when the address cannot be bound.
     void start();
--- a/src/process/daemon/internal/traffic_problem.hpp
+++ b/src/process/daemon/internal/traffic_problem.hpp
@@ -21,14 +21,14 @@
 {
     int status = 500;
     /// Last part of the problem type, such as "no-endpoint".
-    std::string type;
-    std::string detail;
+    std::string type{};
+    std::string detail{};
     execution executed = execution::no;
-    std::string request_id;
+    std::string request_id{};
     /// Rounded up to whole seconds in the Retry-After header.
     duration retry_after = seconds(1);
     /// Path under which the outcome can be looked up; empty when there is none.
-    std::string location;
+    std::string location{};
 };
 
 char const* to_string(execution value);
