--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -55,6 +55,10 @@
     lagoonladder::generation generation;
 };
 
+/// Times are microseconds since 1970, `share` is 0 to 1.
+void to_json(nlohmann::json& out, move_record const& in);
+void from_json(nlohmann::json const& in, move_record& out);
+
 /// Sets share and state of the running move of a service.
 struct update_move
 {
--- a/src/version/internal/shared_state_json.hpp
+++ b/src/version/internal/shared_state_json.hpp
@@ -6,8 +6,6 @@
 namespace lagoonladder::version
 {
 
-void to_json(nlohmann::json& out, move_record const& in);
-void from_json(nlohmann::json const& in, move_record& out);
 void to_json(nlohmann::json& out, traffic_split const& in);
 void from_json(nlohmann::json const& in, traffic_split& out);
 
