--- /dev/null
+++ b/src/version/tests/apply_race_test.cpp
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <lagoonladder/version.hpp>
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+
+namespace
+{
+
+/// Operators who read a generation, wait, apply on it and resend.
+class operator_run
+{
+public:
+    explicit operator_run(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    void step()
+    {
+        if (!this->sent.empty() && this->random.below(3) == 0)
+            this->resend();
+        else
+            this->apply_new();
+        if (this->random.below(20) == 0)
+            this->state.restore(std::string(this->state.snapshot()));
+    }
+
+    std::uint64_t stored = 0;
+    std::uint64_t conflicts = 0;
+
+private:
+    struct sent_operation
+    {
+        apply_configuration body;
+        apply_result first;
+    };
+
+    apply_result commit(apply_configuration const& body)
+    {
+        auto const before = this->state.shared()->generation;
+        this->now += milliseconds(this->random.below(5000));
+        auto const result =
+            std::get<apply_result>(this->state.apply(++this->index, {this->now, body}));
+        RC_ASSERT(this->state.shared()->generation >= before);
+        return result;
+    }
+
+    void apply_new()
+    {
+        auto const current = this->state.shared()->generation.value();
+        auto const lag = std::min<std::uint64_t>(current, this->random.below(3));
+        std::string text;
+        for (char service = 'a'; service < 'd'; ++service)
+            text += std::string("[service ") + service +
+                    "]\nversion = " + std::to_string(this->random.below(4)) + "\n";
+        apply_configuration const body{generation(current - lag), "c.ini", text,
+                                       operation_id(std::to_string(this->sent.size()))};
+        auto const result = this->commit(body);
+        RC_ASSERT((result.outcome == apply_outcome::stored) == (lag == 0));
+        if (result.outcome == apply_outcome::stored)
+        {
+            ++this->stored;
+            RC_ASSERT(this->bases.insert(body.base).second);
+        }
+        else
+        {
+            ++this->conflicts;
+            RC_ASSERT(result.winner_operation == this->winners.at(body.base));
+        }
+        this->winners.emplace(body.base, body.operation);
+        this->sent.push_back({body, result});
+    }
+
+    void resend()
+    {
+        auto const& earlier = this->sent[this->random.below(this->sent.size())];
+        auto const before = this->state.shared()->text;
+        auto const again = this->commit(earlier.body);
+        RC_ASSERT(this->state.shared()->text == before);
+        if (earlier.first.outcome == apply_outcome::stored)
+        {
+            RC_ASSERT(again.outcome == apply_outcome::repeated);
+            RC_ASSERT(again.generation == earlier.first.generation);
+        }
+        else
+        {
+            RC_ASSERT(again.outcome == apply_outcome::conflict);
+            RC_ASSERT(again.winner_operation == earlier.first.winner_operation);
+        }
+    }
+
+    seeded_random random;
+    control_state state;
+    std::uint64_t index = 0;
+    wall_time now{std::chrono::hours(24 * 20000)};
+    std::vector<sent_operation> sent;
+    std::set<generation> bases;
+    std::map<generation, operation_id> winners;
+};
+
+} // namespace
+
+TEST_CASE("racing operators have one winner and keep their first outcome")
+{
+    // Guards against lost updates, generations that go back and operations applied twice.
+    rc::prop("over hundreds of changes with snapshots in between",
+             [](std::uint64_t seed)
+             {
+                 operator_run run(seed);
+                 for (int i = 0; i < 300; ++i)
+                     run.step();
+                 RC_ASSERT(run.stored > 10U);
+                 RC_ASSERT(run.conflicts > 10U);
+             });
+}
