Add the file log store

Ruled out: CRC per entry, since a batch must be kept or dropped as a whole; writing commit indexes without a sync, since an unsynced record could be lost while a later one survives, which would look like damage; reusing a voter id when the log is missing. A damaged last record cannot be told from a torn one and is truncated.

--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -15,11 +15,13 @@
     std::uint64_t segment_bytes = 8 * 1024 * 1024;
 };
 
-class data_folder_lock;
-class segment_writer;
+class posix_file;
+class data_folder;
 
 /// Write-ahead log in segment files, and snapshot files, below one data folder.
-/// The folder is created when missing and locked while the store exists.
+/// The folder is created when missing and locked while the store exists. Every
+/// record is synced before the next one is written, so that a damaged record
+/// with a good one behind it is never the result of a crash.
 class file_log_store : public log_store
 {
 public:
@@ -44,18 +46,20 @@
     void save_snapshot(consensus::snapshot const& state) override;
 
 private:
-    void write_checkpoint();
-    void append_batch();
+    consensus::persistent_state read_segments();
+    void read_segment(std::uint64_t number, bool last);
+    void apply(std::string const& payload);
+    void append_record(std::string const& payload);
+    void begin_segment(bool checkpoint);
+    void require_usable() const;
 
-    std::string folder;
     file_log_store_options options;
-    std::unique_ptr<data_folder_lock> lock;
-    std::unique_ptr<segment_writer> writer;
-    /// Snapshot without data: the data stays on disk.
-    consensus::persistent_state current;
-    std::vector<consensus::log_entry> unsynced_entries;
-    bool hard_state_unsynced = false;
+    std::unique_ptr<data_folder> folder;
+    std::unique_ptr<posix_file> segment;
     std::uint64_t segment_number = 0;
+    std::uint64_t segment_size = 0;
+    /// The data of the snapshot stays on disk.
+    consensus::persistent_state current;
     bool usable = false;
 };
 
--- /dev/null
+++ b/src/process/storage/internal/data_folder.cpp
@@ -0,0 +1,94 @@
+#include "data_folder.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <filesystem>
+
+namespace lagoonladder::storage
+{
+
+namespace
+{
+
+constexpr std::string_view segment_prefix = "log-";
+constexpr std::string_view snapshot_prefix = "snapshot-";
+constexpr std::string_view temporary_suffix = ".tmp";
+
+std::string numbered(std::string_view prefix, std::uint64_t number)
+{
+    auto const digits = std::to_string(number);
+    return std::string(prefix) + std::string(20 - digits.size(), '0') + digits;
+}
+
+std::vector<std::string> file_names(std::string const& path)
+{
+    std::error_code problem;
+    std::vector<std::string> names;
+    for (std::filesystem::directory_iterator file(path, problem), end; !problem && file != end;
+         file.increment(problem))
+        names.push_back(file->path().filename().string());
+    if (problem)
+        throw storage_error(path + ": cannot be listed: " + problem.message());
+    return names;
+}
+
+} // namespace
+
+data_folder::data_folder(std::string folder_path)
+    : path(std::move(folder_path))
+{
+    std::error_code problem;
+    std::filesystem::create_directories(this->path, problem);
+    if (problem)
+        throw storage_error(this->path + ": cannot be created: " + problem.message());
+    this->lock = std::make_unique<posix_file>(this->file("lock"), O_RDWR | O_CREAT);
+    if (!this->lock->try_lock())
+        throw storage_error(this->path + ": the data folder is in use by another process");
+}
+
+std::string data_folder::segment_name(std::uint64_t number)
+{
+    return numbered(segment_prefix, number);
+}
+
+std::string data_folder::snapshot_name(consensus::log_index index, consensus::term_number term)
+{
+    return numbered(snapshot_prefix, index.value()) + "-" + std::to_string(term.value());
+}
+
+std::set<std::uint64_t> data_folder::segments() const
+{
+    std::set<std::uint64_t> numbers;
+    for (auto const& name : file_names(this->path))
+    {
+        bool const number = name.size() == segment_prefix.size() + 20 &&
+                            name.starts_with(segment_prefix) &&
+                            std::all_of(name.begin() + segment_prefix.size(), name.end(),
+                                        [](char digit) { return digit >= '0' && digit <= '9'; });
+        if (number)
+            numbers.insert(std::stoull(name.substr(segment_prefix.size())));
+    }
+    return numbers;
+}
+
+void data_folder::remove_obsolete(std::uint64_t first_segment, std::string const& snapshot) const
+{
+    for (auto const& name : file_names(this->path))
+    {
+        bool const old_segment =
+            name.starts_with(segment_prefix) && name < segment_name(first_segment);
+        bool const old_snapshot = name.starts_with(snapshot_prefix) && name != snapshot;
+        if (!old_segment && !old_snapshot && !name.ends_with(temporary_suffix))
+            continue;
+        std::error_code problem;
+        std::filesystem::remove(this->file(name), problem);
+        if (problem)
+            throw storage_error(this->file(name) + ": cannot be removed: " + problem.message());
+    }
+}
+
+} // namespace lagoonladder::storage
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -0,0 +1,220 @@
+#include <lagoonladder/storage/file_log_store.hpp>
+
+#include <fcntl.h>
+
+#include "data_folder.hpp"
+#include "record.hpp"
+#include "stored_log.hpp"
+
+namespace lagoonladder::storage
+{
+
+namespace
+{
+
+constexpr char voter_file[] = "voter";
+
+std::string place(std::string const& path, std::uint64_t offset)
+{
+    return path + ": offset " + std::to_string(offset) + ": ";
+}
+
+} // namespace
+
+file_log_store::file_log_store(std::string path, file_log_store_options initial_options)
+    : options(initial_options)
+    , folder(std::make_unique<data_folder>(std::move(path)))
+{
+}
+
+file_log_store::~file_log_store() = default;
+
+consensus::voter_id file_log_store::open_voter_id(vm_id const& vm, random_source& random)
+{
+    auto const path = this->folder->file(voter_file);
+    if (this->folder->segments().empty())
+    {
+        auto const id = consensus::make_voter_id(vm, random.next());
+        write_file_durably(this->folder->name(), voter_file, id.value() + "\n");
+        return id;
+    }
+    auto text = read_file(path);
+    if (text.empty() || text.back() != '\n')
+        throw storage_error(path + ": the voter id is incomplete");
+    text.pop_back();
+    consensus::voter_id const id(text);
+    if (vm_of(id) != vm)
+        throw storage_error(path + ": the data folder belongs to VM " + vm_of(id).value() +
+                            ", not to " + vm.value());
+    return id;
+}
+
+consensus::persistent_state file_log_store::load()
+{
+    this->usable = false;
+    this->current = {};
+    auto const numbers = this->folder->segments();
+    if (numbers.empty())
+    {
+        this->begin_segment(true);
+        this->usable = true;
+        return {};
+    }
+    auto result = this->read_segments();
+    this->usable = true;
+    return result;
+}
+
+consensus::persistent_state file_log_store::read_segments()
+{
+    auto const numbers = this->folder->segments();
+    auto first = *numbers.rbegin();
+    for (;; --first)
+    {
+        auto const path = this->folder->file(data_folder::segment_name(first));
+        if (!numbers.contains(first))
+            throw storage_error(path + ": the segment is missing");
+        auto const header = decode_segment_header(read_file(path));
+        if (!header || header->number != first)
+            throw storage_error(place(path, 0) + "the segment header is damaged");
+        if (header->kind == segment_kind::checkpoint)
+            break;
+    }
+    for (auto number = first; number <= *numbers.rbegin(); ++number)
+        this->read_segment(number, number == *numbers.rbegin());
+    auto result = this->current;
+    std::string snapshot_name;
+    if (this->current.snapshot)
+    {
+        auto const& wanted = *this->current.snapshot;
+        snapshot_name = data_folder::snapshot_name(wanted.index, wanted.term);
+        auto const path = this->folder->file(snapshot_name);
+        result.snapshot = decode_snapshot_file(path, read_file(path));
+        this->current.snapshot->membership = result.snapshot->membership;
+    }
+    this->folder->remove_obsolete(first, snapshot_name);
+    return result;
+}
+
+void file_log_store::read_segment(std::uint64_t number, bool last)
+{
+    auto const path = this->folder->file(data_folder::segment_name(number));
+    auto const bytes = read_file(path);
+    bool const checkpoint = decode_segment_header(bytes)->kind == segment_kind::checkpoint;
+    auto offset = segment_header_bytes;
+    while (offset < bytes.size())
+    {
+        auto const payload = decode_record(bytes, number, offset);
+        if (!payload)
+            break;
+        try
+        {
+            this->apply(*payload);
+        }
+        catch (storage_error const& problem)
+        {
+            throw storage_error(place(path, offset) + problem.what());
+        }
+        offset += record_overhead_bytes + payload->size();
+    }
+    bool const lacks_checkpoint = checkpoint && offset == segment_header_bytes;
+    if (lacks_checkpoint || (!last && offset < bytes.size()))
+        throw storage_error(place(path, offset) + "the record is damaged");
+    if (auto const good = find_record_after(bytes, number, offset))
+        throw storage_error(place(path, offset) +
+                            "the record is damaged, but a good one follows at " +
+                            std::to_string(*good));
+    if (!last)
+        return;
+    this->segment = std::make_unique<posix_file>(path, O_WRONLY | O_APPEND);
+    this->segment_number = number;
+    this->segment_size = offset;
+    if (offset == bytes.size())
+        return;
+    this->segment->truncate(offset);
+    this->segment->sync();
+}
+
+void file_log_store::apply(std::string const& payload)
+{
+    auto const content = decode_batch(payload);
+    if (content.snapshot)
+    {
+        this->current = {};
+        this->current.snapshot.emplace();
+        this->current.snapshot->index = content.snapshot->first;
+        this->current.snapshot->term = content.snapshot->second;
+    }
+    if (content.hard_state)
+        this->current.hard_state = *content.hard_state;
+    if (!append_entries(this->current, content.entries))
+        throw storage_error("entry " + std::to_string(content.entries.front().index.value()) +
+                            " does not continue the log");
+}
+
+void file_log_store::require_usable() const
+{
+    if (!this->usable)
+        throw storage_error(this->folder->name() +
+                            ": the log is not loaded, or an earlier write has failed");
+}
+
+void file_log_store::save(std::optional<consensus::hard_state> const& state,
+                          std::vector<consensus::log_entry> const& entries, bool must_sync)
+{
+    this->require_usable();
+    if (state)
+        this->current.hard_state = *state;
+    if (!must_sync && entries.empty())
+        return;
+    if (!append_entries(this->current, entries))
+        throw storage_error(this->folder->name() + ": entry " +
+                            std::to_string(entries.front().index.value()) +
+                            " does not continue the log");
+    this->usable = false;
+    if (this->segment_size >= this->options.segment_bytes)
+        this->begin_segment(false);
+    this->append_record(encode_batch({this->current.hard_state, entries, std::nullopt}));
+    this->usable = true;
+}
+
+void file_log_store::append_record(std::string const& payload)
+{
+    auto const record = encode_record(this->segment_number, this->segment_size, payload);
+    this->segment->append(record);
+    this->segment->sync();
+    this->segment_size += record.size();
+}
+
+void file_log_store::begin_segment(bool checkpoint)
+{
+    auto const number = this->segment_number + 1;
+    auto const kind = checkpoint ? segment_kind::checkpoint : segment_kind::continuation;
+    auto bytes = encode_segment_header({number, kind});
+    if (checkpoint)
+    {
+        batch content{this->current.hard_state, this->current.entries, std::nullopt};
+        if (auto const& state = this->current.snapshot)
+            content.snapshot.emplace(state->index, state->term);
+        bytes += encode_record(number, bytes.size(), encode_batch(content));
+    }
+    auto const name = data_folder::segment_name(number);
+    write_file_durably(this->folder->name(), name, bytes);
+    this->segment = std::make_unique<posix_file>(this->folder->file(name), O_WRONLY | O_APPEND);
+    this->segment_number = number;
+    this->segment_size = bytes.size();
+}
+
+void file_log_store::save_snapshot(consensus::snapshot const& state)
+{
+    this->require_usable();
+    this->usable = false;
+    auto const name = data_folder::snapshot_name(state.index, state.term);
+    write_file_durably(this->folder->name(), name, encode_snapshot_file(state));
+    install_snapshot(this->current, {state.index, state.term, state.membership, {}});
+    this->begin_segment(true);
+    this->folder->remove_obsolete(this->segment_number, name);
+    this->usable = true;
+}
+
+} // namespace lagoonladder::storage
--- /dev/null
+++ b/src/process/storage/tests/storage_test.cpp
@@ -0,0 +1,320 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <lagoonladder/storage.hpp>
+
+#include "temporary_folder.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::consensus;
+using namespace lagoonladder::storage;
+using Catch::Matchers::Contains;
+
+namespace
+{
+
+/// Descriptors that were written to and not synced since.
+std::set<int> unsynced_descriptors;
+/// Restarts of the store do not need the device, and its syncs take most of the time.
+bool device_sync = true;
+
+std::string const first_segment = "/log-00000000000000000001";
+
+log_entry entry(std::uint64_t index, std::uint64_t term, std::string data = "x")
+{
+    return {log_index(index), term_number(term), entry_kind::command, std::move(data)};
+}
+
+hard_state hard(std::uint64_t term, std::uint64_t commit)
+{
+    return {term_number(term), voter_id("a#1"), log_index(commit)};
+}
+
+snapshot snapshot_at(std::uint64_t index, std::uint64_t term)
+{
+    return {log_index(index),
+            term_number(term),
+            {{{voter_id("a#1"), network_address("h:1")}}, {}},
+            "state " + std::to_string(index)};
+}
+
+bool same(persistent_state const& left, persistent_state const& right)
+{
+    return left.hard_state == right.hard_state && left.entries == right.entries &&
+           left.snapshot == right.snapshot;
+}
+
+persistent_state load(std::string const& folder)
+{
+    return file_log_store(folder).load();
+}
+
+/// Writes five batches of one entry each; returns the log file and where each batch ends.
+std::pair<std::string, std::vector<std::size_t>> write_batches(std::string const& folder)
+{
+    file_log_store store(folder);
+    store.load();
+    std::vector<std::size_t> ends{read_bytes(folder + first_segment).size()};
+    for (std::uint64_t index = 1; index <= 5; ++index)
+    {
+        store.save(hard(1, index - 1), {entry(index, 1, "data")}, true);
+        ends.push_back(read_bytes(folder + first_segment).size());
+    }
+    return {read_bytes(folder + first_segment), ends};
+}
+
+} // namespace
+
+extern "C" ssize_t write(int descriptor, void const* data, size_t size)
+{
+    unsynced_descriptors.insert(descriptor);
+    return ::syscall(SYS_write, descriptor, data, size);
+}
+
+extern "C" int fsync(int descriptor)
+{
+    unsynced_descriptors.erase(descriptor);
+    return device_sync ? static_cast<int>(::syscall(SYS_fsync, descriptor)) : 0;
+}
+
+TEST_CASE("a save returns only after a sync")
+{
+    // Guards against an acknowledgement of data that a power loss would take away.
+    temporary_folder folder;
+    file_log_store store(folder.path);
+    store.load();
+    unsynced_descriptors.clear();
+    store.save(hard(1, 0), {entry(1, 1)}, true);
+    CHECK(unsynced_descriptors.empty());
+    store.save_snapshot(snapshot_at(1, 1));
+    CHECK(unsynced_descriptors.empty());
+}
+
+TEST_CASE("the file store agrees with the memory store")
+{
+    // Guards against entries that reappear after a truncation, a snapshot or a restart.
+    device_sync = false;
+    rc::prop(
+        "any saves and restarts",
+        []
+        {
+            temporary_folder folder;
+            auto file = std::make_unique<file_log_store>(folder.path, file_log_store_options{200});
+            file->load();
+            memory_log_store memory;
+            std::uint64_t base = 0;
+            std::uint64_t last = 0;
+            std::uint64_t term = 1;
+            auto const steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+            for (int const step : steps)
+            {
+                if (step <= 1)
+                {
+                    // Step 1 replaces a part of the log in a new term.
+                    term += step;
+                    auto const first = step == 1 && last > base ? base + 1 + last % 2 : last + 1;
+                    last = std::min(first, last + 1);
+                    std::vector<log_entry> const entries{entry(last, term), entry(last + 1, term)};
+                    ++last;
+                    file->save(hard(term, base), entries, true);
+                    memory.save(hard(term, base), entries, true);
+                }
+                else if (step == 2)
+                {
+                    auto const known = memory.load();
+                    bool const inside = !known.entries.empty();
+                    auto const state = inside ? snapshot_at(known.entries[0].index.value(),
+                                                            known.entries[0].term.value())
+                                              : snapshot_at(last + 3, ++term);
+                    file->save_snapshot(state);
+                    memory.save_snapshot(state);
+                    base = state.index.value();
+                    last = std::max(last, base);
+                }
+                else if (step == 3)
+                {
+                    file->save(hard(++term, base), {}, true);
+                    memory.save(hard(term, base), {}, true);
+                }
+                else
+                {
+                    file.reset();
+                    file =
+                        std::make_unique<file_log_store>(folder.path, file_log_store_options{200});
+                    RC_ASSERT(same(file->load(), memory.load()));
+                }
+            }
+            file.reset();
+            RC_ASSERT(same(load(folder.path), memory.load()));
+        });
+    device_sync = true;
+}
+
+TEST_CASE("a log that is cut anywhere loses only torn batches")
+{
+    // Guards against a crash in the middle of a write that stops the process for
+    // good, loses synced batches or leaves half a batch.
+    temporary_folder folder;
+    auto const [bytes, ends] = write_batches(folder.path);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+    {
+        write_bytes(folder.path + first_segment, bytes.substr(0, size));
+        INFO("cut to " << size << " bytes");
+        if (size < ends[0])
+        {
+            // The first record is written before the file gets its name.
+            CHECK_THROWS_WITH(load(folder.path), Contains(first_segment) && Contains("offset"));
+            continue;
+        }
+        auto const whole = std::upper_bound(ends.begin(), ends.end(), size) - ends.begin() - 1;
+        {
+            file_log_store store(folder.path);
+            REQUIRE(store.load().entries.size() == static_cast<std::size_t>(whole));
+            store.save(hard(2, 0), {entry(whole + 1, 2)}, true);
+        }
+        REQUIRE(load(folder.path).entries.back() == entry(whole + 1, 2));
+    }
+}
+
+TEST_CASE("a flipped byte is never taken for good data")
+{
+    // Guards against silent corruption: damage before a good batch stops the process.
+    temporary_folder folder;
+    auto const [bytes, ends] = write_batches(folder.path);
+    auto const last_batch = ends[ends.size() - 2];
+    for (std::size_t offset = 0; offset < bytes.size(); ++offset)
+    {
+        auto damaged = bytes;
+        damaged[offset] = static_cast<char>(damaged[offset] ^ (1 << (offset % 8)));
+        write_bytes(folder.path + first_segment, damaged);
+        INFO("byte " << offset);
+        if (offset >= last_batch)
+            REQUIRE(load(folder.path).entries.size() == 4);
+        else
+            REQUIRE_THROWS_WITH(load(folder.path), Contains(first_segment + ": offset "));
+    }
+}
+
+TEST_CASE("damage is named by file and offset in every segment")
+{
+    temporary_folder folder;
+    {
+        file_log_store store(folder.path, {100});
+        store.load();
+        store.save_snapshot(snapshot_at(3, 1));
+        for (std::uint64_t index = 4; index <= 9; ++index)
+            store.save(hard(1, 3), {entry(index, 1)}, true);
+    }
+    auto const file = folder.path + GENERATE(std::string("/log-00000000000000000003"),
+                                             std::string("/snapshot-00000000000000000003-1"));
+    auto bytes = read_bytes(file);
+    REQUIRE(bytes.size() > 40);
+    bytes[40] ^= 1;
+    write_bytes(file, bytes);
+    CHECK_THROWS_WITH(load(folder.path), Contains(file) && Contains("offset"));
+    std::filesystem::remove(file);
+    CHECK_THROWS_WITH(load(folder.path), Contains(file));
+}
+
+TEST_CASE("a snapshot removes old files and a crash before its checkpoint leaves the old state")
+{
+    temporary_folder folder;
+    {
+        file_log_store store(folder.path, {100});
+        store.load();
+        for (std::uint64_t index = 1; index <= 9; ++index)
+            store.save(hard(1, 0), {entry(index, 1)}, true);
+        store.save_snapshot(snapshot_at(8, 1));
+    }
+    // lock, one segment, one snapshot.
+    auto const count = [&]
+    {
+        return std::distance(std::filesystem::directory_iterator(folder.path),
+                             std::filesystem::directory_iterator());
+    };
+    CHECK(count() == 3);
+    write_bytes(folder.path + "/snapshot-00000000000000000009-1", "half");
+    write_bytes(folder.path + "/log-00000000000000000099.tmp", "half");
+    auto const state = load(folder.path);
+    CHECK(state.snapshot == snapshot_at(8, 1));
+    CHECK(state.entries == std::vector{entry(9, 1)});
+    CHECK(count() == 3);
+}
+
+TEST_CASE("a data folder has one user at a time")
+{
+    // Guards against two processes that write one log.
+    temporary_folder folder;
+    file_log_store store(folder.path);
+    CHECK_THROWS_WITH(file_log_store(folder.path), Contains(folder.path) && Contains("in use"));
+}
+
+TEST_CASE("an unwritable folder and a full disk give clear errors")
+{
+    temporary_folder folder;
+    write_bytes(folder.path + "/file", "");
+    CHECK_THROWS_WITH(file_log_store(folder.path + "/file/data"),
+                      Contains("/file/data: cannot be created"));
+    CHECK_THROWS_WITH(file_log_store("/proc"), Contains("/proc/lock: cannot be opened"));
+
+    // A limit on the file size stands in for a full disk.
+    ::signal(SIGXFSZ, SIG_IGN);
+    file_log_store store(folder.path);
+    store.load();
+    rlimit before{};
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    rlimit const small{500, before.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &small);
+    std::string first;
+    std::string second;
+    try
+    {
+        store.save(hard(1, 0), {entry(1, 1, std::string(1000, 'x'))}, true);
+    }
+    catch (storage_error const& problem)
+    {
+        first = problem.what();
+    }
+    ::setrlimit(RLIMIT_FSIZE, &before);
+    CHECK_THAT(first, Contains(first_segment + ": cannot be written: "));
+    CHECK_THROWS_WITH(store.save(hard(1, 0), {entry(1, 1)}, true),
+                      Contains("an earlier write has failed"));
+}
+
+TEST_CASE("a voter id lasts as long as the log")
+{
+    // Guards against a vote under the id of a log that is lost.
+    temporary_folder folder;
+    seeded_random random(1);
+    auto const open = [&](char const* vm)
+    {
+        file_log_store store(folder.path);
+        auto const id = store.open_voter_id(vm_id(vm), random);
+        store.load();
+        return id;
+    };
+    auto const first = open("vm1");
+    CHECK(vm_of(first) == vm_id("vm1"));
+    CHECK(open("vm1") == first);
+    CHECK_THROWS_WITH(open("vm2"), Contains("belongs to VM vm1"));
+    std::filesystem::remove(folder.path + first_segment);
+    CHECK(open("vm1") != first);
+    std::filesystem::remove(folder.path + "/voter");
+    CHECK_THROWS_WITH(open("vm1"), Contains("/voter: cannot be read"));
+}
+
+TEST_CASE("the memory store loses what was not synced")
+{
+    memory_log_store store;
+    store.save(hard(1, 0), {entry(1, 1)}, true);
+    store.save(hard(1, 1), {}, false);
+    CHECK(store.load().hard_state == hard(1, 1));
+    store.lose_unsynced();
+    CHECK(store.load().hard_state == hard(1, 0));
+    CHECK(store.load().entries.size() == 1);
+}
