Add the command line and its tests

Cause: operators need to check, apply, follow and drain without guessing what became of a call.

Ruled out: an optional unnamed argument for hash-key; TCLAP allows one in a process, and the second use in a test was refused.

--- a/src/process/cli/internal/cli.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonladder/cli.hpp>
--- /dev/null
+++ b/src/process/cli/internal/configuration_applier.cpp
@@ -0,0 +1,151 @@
+#include "configuration_applier.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <random>
+#include <thread>
+
+#include "cli_error.hpp"
+
+namespace lagoonladder::cli
+{
+
+namespace
+{
+
+std::string text_of(nlohmann::json const& body, char const* name)
+{
+    bool const known = body.is_object() && body.contains(name) && body[name].is_string();
+    return known ? body[name].get<std::string>() : "?";
+}
+
+generation generation_of(nlohmann::json const& body)
+{
+    if (!body.is_object() || !body.contains("generation") ||
+        !body["generation"].is_number_unsigned())
+        throw cli_error(exit_code::unknown, "the answer names no generation");
+    return body["generation"].get<generation>();
+}
+
+/// Throws for the answers that settle the outcome without storing.
+void throw_if_refused(operator_reply const& reply)
+{
+    if (reply.status == 409)
+        throw cli_error(exit_code::conflict,
+                        "conflict: the current generation is " +
+                            std::to_string(generation_of(reply.body).value()) +
+                            ", stored by operation " + text_of(reply.body, "winner_operation") +
+                            " with digest " + text_of(reply.body, "winner_digest"));
+    if (reply.status == 400)
+        throw cli_error(exit_code::bad_input, text_of(reply.body, "detail"));
+    if (reply.status / 100 == 4)
+        throw cli_error(exit_code::failed, reply.problem());
+}
+
+} // namespace
+
+operation_id make_operation_id()
+{
+    std::random_device device;
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "op-%08x%08x%08x%08x", device(), device(), device(),
+                  device());
+    return operation_id(text.data());
+}
+
+configuration_applier::configuration_applier(operator_client const& initial, int initial_rounds,
+                                             duration initial_pause)
+    : client(initial)
+    , rounds(initial_rounds)
+    , pause(initial_pause)
+{
+}
+
+stored_configuration configuration_applier::apply(apply_intent const& intent) const
+{
+    nlohmann::json const body{{"base", intent.base},
+                              {"file", intent.file},
+                              {"text", intent.text},
+                              {"operation", intent.operation}};
+    bool may_be_stored = false;
+    bool reached = false;
+    std::string last_problem;
+    for (int round = 0; round < this->rounds; ++round)
+    {
+        if (round > 0)
+            std::this_thread::sleep_for(this->pause);
+        for (auto const& entry : this->client.entries())
+        {
+            auto const reply = this->client.call(entry, "PUT", "/v1/operator/configuration", body);
+            if (reply.result == call_result::answered)
+                throw_if_refused(reply);
+            if (reply.result == call_result::answered && reply.status == 200)
+                return {generation_of(reply.body), text_of(reply.body, "outcome") == "repeated"};
+            // Only 503 says that nothing was proposed.
+            may_be_stored = may_be_stored || reply.result == call_result::answer_lost ||
+                            (reply.result == call_result::answered && reply.status != 503);
+            reached = reached || reply.result != call_result::not_sent;
+            last_problem = reply.problem();
+        }
+    }
+    if (may_be_stored)
+        throw cli_error(exit_code::unknown,
+                        last_problem + "; the outcome is unknown: repeat with --operation " +
+                            intent.operation.value());
+    throw cli_error(reached ? exit_code::failed : exit_code::unknown,
+                    last_problem + "; nothing was stored");
+}
+
+generation_waiter::generation_waiter(operator_client const& initial, duration initial_limit,
+                                     duration initial_interval)
+    : client(initial)
+    , limit(initial_limit)
+    , interval(initial_interval)
+{
+}
+
+bool generation_waiter::is_in_force(generation const& wanted) const
+{
+    auto const status = this->client.ask("GET", "/v1/operator/status");
+    auto const has_it = [&](nlohmann::json const& row)
+    { return row.value("generation", std::uint64_t(0)) >= wanted.value(); };
+    auto const& entries = status.at("entries");
+    return has_it(status) && std::all_of(entries.begin(), entries.end(), has_it);
+}
+
+nlohmann::json generation_waiter::wait(generation const& wanted) const
+{
+    system_clock const time;
+    auto const end = time.now() + this->limit;
+    while (time.now() < end)
+    {
+        if (!this->is_in_force(wanted))
+        {
+            std::this_thread::sleep_for(this->interval);
+            continue;
+        }
+        auto moves = nlohmann::json::array();
+        bool running = false;
+        auto const answer = this->client.ask("GET", "/v1/operator/moves");
+        for (auto const& move : answer.at("moves"))
+        {
+            if (move.value("generation", std::uint64_t(0)) != wanted.value())
+                continue;
+            moves.push_back(move);
+            if (move.at("state") == "reversed")
+                throw cli_error(exit_code::conflict,
+                                "the move of " + text_of(move, "service") + " to " +
+                                    text_of(move, "to") +
+                                    " was reversed: " + text_of(move, "reason"));
+            running = running || move.at("state") == "running";
+        }
+        if (!running)
+            return {{"moves", moves}};
+        std::this_thread::sleep_for(this->interval);
+    }
+    throw cli_error(exit_code::unknown, "generation " + std::to_string(wanted.value()) +
+                                            " is stored, but the wait has timed out");
+}
+
+} // namespace lagoonladder::cli
--- /dev/null
+++ b/src/process/cli/internal/drain_command.hpp
@@ -0,0 +1,20 @@
+#ifndef LAGOONLADDER_CLI_DRAIN_COMMAND_HPP
+#define LAGOONLADDER_CLI_DRAIN_COMMAND_HPP
+
+#include "command.hpp"
+
+namespace lagoonladder::cli
+{
+
+/// `drain`: lets an entry take no new work.
+class drain_command : public command
+{
+public:
+    std::string name() const override;
+    std::string summary() const override;
+    exit_code run(std::vector<std::string> const& arguments, console& terminal) const override;
+};
+
+} // namespace lagoonladder::cli
+
+#endif
--- /dev/null
+++ b/src/process/cli/internal/report_command.hpp
@@ -0,0 +1,33 @@
+#ifndef LAGOONLADDER_CLI_REPORT_COMMAND_HPP
+#define LAGOONLADDER_CLI_REPORT_COMMAND_HPP
+
+#include <nlohmann/json.hpp>
+
+#include "command.hpp"
+
+namespace lagoonladder::cli
+{
+
+/// A command without options of its own that prints one answer of the operator
+/// API: `status` and `moves`.
+class report_command : public command
+{
+public:
+    using format_function = std::string (*)(nlohmann::json const&);
+
+    report_command(std::string initial_name, std::string initial_summary,
+                   format_function initial_format);
+
+    std::string name() const override { return this->label; }
+    std::string summary() const override { return this->description; }
+    exit_code run(std::vector<std::string> const& arguments, console& terminal) const override;
+
+private:
+    std::string label;
+    std::string description;
+    format_function format;
+};
+
+} // namespace lagoonladder::cli
+
+#endif
--- /dev/null
+++ b/src/process/cli/internal/text_table.hpp
@@ -0,0 +1,28 @@
+#ifndef LAGOONLADDER_CLI_TEXT_TABLE_HPP
+#define LAGOONLADDER_CLI_TEXT_TABLE_HPP
+
+#include <string>
+#include <vector>
+
+namespace lagoonladder::cli
+{
+
+/// Rows of text in aligned columns, two spaces apart.
+class text_table
+{
+public:
+    explicit text_table(std::vector<std::string> header);
+
+    /// Control characters of a cell are shown as '?', since cells hold text from
+    /// the network that could otherwise change the terminal.
+    void add(std::vector<std::string> row);
+    bool empty() const { return this->rows.size() == 1; }
+    std::string str() const;
+
+private:
+    std::vector<std::vector<std::string>> rows;
+};
+
+} // namespace lagoonladder::cli
+
+#endif
--- a/src/process/cli/main.cpp
+++ b/src/process/cli/main.cpp
@@ -1,6 +1,6 @@
 #include <lagoonladder/cli.hpp>
 
-int main()
+int main(int argc, char** argv)
 {
-    return 0;
+    return lagoonladder::run_command_line(argc, argv);
 }
--- /dev/null
+++ b/src/process/cli/tests/cli_test.cpp
@@ -0,0 +1,260 @@
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "apply_command.hpp"
+#include "check_command.hpp"
+#include "configuration_applier.hpp"
+#include "drain_command.hpp"
+#include "events_command.hpp"
+#include "fake_entry.hpp"
+#include "hash_key_command.hpp"
+#include "report_command.hpp"
+#include "report_format.hpp"
+#include "text_table.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::cli;
+using Catch::Matchers::Contains;
+using nlohmann::json;
+
+namespace
+{
+
+struct outcome
+{
+    exit_code code;
+    std::string out;
+    std::string err;
+};
+
+outcome run(command const& chosen, std::vector<std::string> const& arguments,
+            std::string const& input = {})
+{
+    std::istringstream in(input);
+    std::ostringstream out;
+    std::ostringstream err;
+    console terminal{in, out, err};
+    auto const code = run_guarded(chosen, arguments, terminal);
+    return {code, out.str(), err.str()};
+}
+
+/// Sets the token that all commands need, and writes a file to apply.
+struct operator_set_up
+{
+    operator_set_up()
+    {
+        setenv("LAGOONLADDER_TOKEN", "secret", 1);
+        unsetenv("LAGOONLADDER_ENTRIES");
+        std::ofstream("cli_test.ini")
+            << "[service booking]\nkind = plain\nversion = v1\n[account a]\nkey_sha256 = " +
+                   std::string(64, 'a') + "\n";
+    }
+    ~operator_set_up() { std::remove("cli_test.ini"); }
+
+    outcome apply(std::vector<std::string> arguments) const
+    {
+        arguments.emplace_back("cli_test.ini");
+        return run(apply_command(), arguments);
+    }
+};
+
+json const stored{{"outcome", "stored"}, {"generation", 8}};
+
+operator_client client_for(std::vector<std::string> const& addresses)
+{
+    operator_access access;
+    for (auto const& address : addresses)
+        access.entries.emplace_back(address);
+    access.timeout = seconds(2);
+    return operator_client(access);
+}
+
+exit_code code_of(std::vector<std::string> const& addresses)
+{
+    auto const client = client_for(addresses);
+    try
+    {
+        configuration_applier(client, 2, milliseconds(1)).apply({});
+        return exit_code::done;
+    }
+    catch (cli_error const& problem)
+    {
+        return problem.code;
+    }
+}
+
+} // namespace
+
+TEST_CASE_METHOD(operator_set_up, "bad usage is reported before any call")
+{
+    // Guards against an apply that silently takes the current generation as base.
+    CHECK(this->apply({"--entry", "127.0.0.1:1"}).code == exit_code::bad_input);
+    CHECK(this->apply({"--entry", "127.0.0.1:1", "--base", "1", "--force-current"}).code ==
+          exit_code::bad_input);
+    CHECK(this->apply({"--entry", "127.0.0.1:1", "--base", "-1"}).code == exit_code::bad_input);
+    CHECK(this->apply({"--entry", "nowhere", "--base", "1"}).code == exit_code::bad_input);
+    CHECK(this->apply({"--base", "1"}).code == exit_code::bad_input);
+    CHECK(run(drain_command(), {"--entry", "127.0.0.1:1"}).code == exit_code::bad_input);
+    CHECK(run(events_command(), {"--entry", "127.0.0.1:1", "--since", "noon"}).code ==
+          exit_code::bad_input);
+    CHECK(run(check_command(), {"--no-such-option"}).code == exit_code::bad_input);
+    unsetenv("LAGOONLADDER_TOKEN");
+    CHECK_THAT(this->apply({"--entry", "127.0.0.1:1", "--base", "1"}).err, Contains("no token"));
+}
+
+TEST_CASE_METHOD(operator_set_up, "apply sends base, file, text and token")
+{
+    fake_entry entry(200, stored);
+    setenv("LAGOONLADDER_ENTRIES", entry.address().c_str(), 1);
+    auto const result = this->apply({"--base", "7", "--operation", "op-1"});
+    CHECK(result.code == exit_code::done);
+    CHECK_THAT(result.out, Contains("stored as generation 8"));
+    CHECK_THAT(result.err, Contains("operation op-1"));
+    REQUIRE(entry.received().size() == 1);
+    auto const request = entry.received().front();
+    CHECK(request.method == "PUT");
+    CHECK(request.get_header_value("Authorization") == "Bearer secret");
+    auto const body = json::parse(request.body);
+    CHECK(body.at("base") == 7);
+    CHECK(body.at("file") == "cli_test.ini");
+    CHECK(body.at("operation") == "op-1");
+    CHECK_THAT(body.at("text").get<std::string>(), Contains("[service booking]"));
+}
+
+TEST_CASE_METHOD(operator_set_up, "a lost answer is asked for again with the same operation")
+{
+    // Guards against a resend under a new operation id, which would conflict with itself.
+    fake_entry first(200, stored, true);
+    fake_entry second(200, {{"outcome", "repeated"}, {"generation", 8}});
+    auto const result =
+        this->apply({"--base", "7", "--entry", first.address(), "--entry", second.address()});
+    CHECK(result.code == exit_code::done);
+    CHECK_THAT(result.out, Contains("repeated as generation 8"));
+    REQUIRE(first.received().size() == 1);
+    REQUIRE(second.received().size() == 1);
+    CHECK(json::parse(first.received()[0].body)["operation"] ==
+          json::parse(second.received()[0].body)["operation"]);
+}
+
+TEST_CASE_METHOD(operator_set_up, "the loser of a race is told the winner")
+{
+    fake_entry entry(409, {{"outcome", "conflict"},
+                           {"generation", 9},
+                           {"winner_operation", "op-other"},
+                           {"winner_digest", "d1"},
+                           {"detail", "generation 9 was stored first"}});
+    auto const result = this->apply({"--base", "7", "--entry", entry.address()});
+    CHECK(result.code == exit_code::conflict);
+    CHECK_THAT(result.err, Contains("generation is 9") && Contains("op-other"));
+    CHECK(entry.received().size() == 1);
+}
+
+TEST_CASE("exit codes tell what is known about an apply")
+{
+    // Guards against "nothing was stored" being claimed after an answer was lost.
+    fake_entry lost(200, stored, true);
+    fake_entry not_proposed(503, {{"outcome", "not_proposed"}});
+    fake_entry unknown(504, {{"outcome", "unknown"}});
+    fake_entry forbidden(401, {{"detail", "token"}});
+    fake_entry invalid(400, {{"outcome", "invalid"}, {"detail", "a.ini:1: bad"}});
+    std::string const unreachable = "127.0.0.1:1";
+    CHECK(code_of({not_proposed.address()}) == exit_code::failed);
+    CHECK(code_of({unreachable}) == exit_code::unknown);
+    CHECK(code_of({unknown.address(), not_proposed.address()}) == exit_code::unknown);
+    CHECK(code_of({lost.address(), not_proposed.address()}) == exit_code::unknown);
+    CHECK(code_of({unreachable, forbidden.address()}) == exit_code::failed);
+    CHECK(code_of({invalid.address()}) == exit_code::bad_input);
+    CHECK(not_proposed.received().size() == 6);
+}
+
+TEST_CASE("waiting ends with the moves of the generation")
+{
+    // Guards against success being reported for a reversed move or a stale entry.
+    auto const body = [](char const* state, int entry_generation)
+    {
+        return json{{"generation", 8},
+                    {"entries", {{{"vm", "vm1"}, {"generation", entry_generation}}}},
+                    {"moves",
+                     {{{"service", "s"}, {"to", "v2"}, {"state", state}, {"generation", 8}},
+                      {{"service", "t"}, {"state", "reversed"}, {"generation", 3}}}}};
+    };
+    auto const wait = [](json const& answer)
+    {
+        fake_entry entry(200, answer);
+        auto const client = client_for({entry.address()});
+        return generation_waiter(client, milliseconds(100), milliseconds(10)).wait(generation(8));
+    };
+    CHECK(wait(body("finished", 8)).at("moves").size() == 1);
+    CHECK_THROWS_WITH(wait(body("reversed", 8)), Contains("was reversed"));
+    CHECK_THROWS_WITH(wait(body("running", 8)), Contains("timed out"));
+    CHECK_THROWS_WITH(wait(body("finished", 7)), Contains("timed out"));
+}
+
+TEST_CASE_METHOD(operator_set_up, "reports fall over to the next entry")
+{
+    fake_entry entry(200, {{"moves", json::array()}});
+    report_command const moves("moves", "", format_moves);
+    auto const result = run(moves, {"--entry", "127.0.0.1:1", "--entry", entry.address()});
+    CHECK(result.code == exit_code::done);
+    CHECK(result.out == "no moves\n");
+    CHECK(run(moves, {"--entry", "127.0.0.1:1"}).code == exit_code::unknown);
+    auto const as_json = run(moves, {"--entry", entry.address(), "--output", "json"});
+    CHECK(json::parse(as_json.out) == json{{"moves", json::array()}});
+}
+
+TEST_CASE("tables are aligned and show no control characters")
+{
+    // Guards against text of an endpoint that moves the cursor of the operator's terminal.
+    text_table table({"A", "LONG NAME", "C"});
+    table.add({"value", "x", "y"});
+    table.add({"e\033[2J", "x"});
+    CHECK(table.str() == "A      LONG NAME  C\nvalue  x          y\ne?[2J  x\n");
+}
+
+TEST_CASE("reports show missing fields, times and shares")
+{
+    auto const moves = format_moves({{"moves",
+                                      {{{"service", "advisor"},
+                                        {"from", "v1"},
+                                        {"to", "v2"},
+                                        {"share", 0.25},
+                                        {"state", "running"},
+                                        {"started", 1796364000000000},
+                                        {"figures", {{"failures_new", "12/40"}}}}}}});
+    CHECK_THAT(moves, Contains("25.0%") && Contains("2026-12-04T06:00:00Z") &&
+                          Contains("failures_new=12/40"));
+    auto const status = format_status({{"vm", "vm1"},
+                                       {"ready", true},
+                                       {"entries", {{{"vm", "vm1"}, {"state", "serving"}}}},
+                                       {"warnings", {"no quorum"}}});
+    CHECK_THAT(status, Contains("vm1") && Contains("serving") && Contains("no quorum"));
+    auto const events = format_events({{"events", json::array()}, {"unreachable", {"vm9"}}});
+    CHECK(events == "no events\nunreachable: vm9\n");
+}
+
+TEST_CASE_METHOD(operator_set_up, "check tells settings from configurations")
+{
+    std::ofstream("cli_settings.ini")
+        << "[vm]\nid = vm1\ndata_centre = dc1\n[listen]\nhttp = 127.0.0.1:8101\n"
+           "control = 127.0.0.1:8201\n[security]\noperator_token = a\nendpoint_token = b\n"
+           "cluster_token = c\n";
+    CHECK_THAT(run(check_command(), {"cli_settings.ini"}).out, Contains("valid settings"));
+    std::ofstream("cli_settings.ini") << "[vm]\nid = vm1\nname = x\n";
+    auto const bad = run(check_command(), {"cli_settings.ini"});
+    CHECK(bad.code == exit_code::bad_input);
+    CHECK_THAT(bad.err, Contains("cli_settings.ini:3"));
+    std::remove("cli_settings.ini");
+    CHECK_THAT(run(check_command(), {"cli_test.ini"}).out, Contains("valid configuration"));
+    CHECK(run(check_command(), {"no-such-file.ini"}).code == exit_code::bad_input);
+}
+
+TEST_CASE("hash-key reads the key from standard input")
+{
+    auto const* const hash = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    CHECK(run(hash_key_command(), {"abc"}).out == hash);
+    CHECK(run(hash_key_command(), {}, "abc\n").out == hash);
+    CHECK(run(hash_key_command(), {}, "").code == exit_code::bad_input);
+}
--- /dev/null
+++ b/src/process/daemon/include/lagoonladder/daemon/run.hpp
@@ -0,0 +1,17 @@
+#ifndef LAGOONLADDER_DAEMON_RUN_HPP
+#define LAGOONLADDER_DAEMON_RUN_HPP
+
+#include <lagoonladder/daemon/settings.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Runs the daemon until SIGTERM or SIGINT, then drains it. Returns the exit
+/// code: 0 after a complete drain, 1 when requests were still open at the end of
+/// timing.drain_timeout. A second signal ends the drain early.
+/// Throws daemon_error or storage_error when the daemon cannot start.
+int run_daemon(settings const& config);
+
+} // namespace lagoonladder::daemon
+
+#endif
