Let a fake endpoint announce an address other than its own

Cause: a test of silent connections puts a relay between entry and endpoint, so the endpoint has to announce the relay. Not covered by a unit test; the system test of silent connections uses it.

--- a/tools/fakes/announcer.cpp
+++ b/tools/fakes/announcer.cpp
@@ -92,7 +92,7 @@
     nlohmann::json row{{"id", own.id},
                        {"service", own.service},
                        {"version", own.version},
-                       {"address", own.listen},
+                       {"address", own.address},
                        {"vm", own.vm},
                        {"data_centre", own.data_centre},
                        {"zone", own.zone},
--- a/tools/fakes/endpoint_options.cpp
+++ b/tools/fakes/endpoint_options.cpp
@@ -17,6 +17,8 @@
 
 endpoint_arguments::endpoint_arguments(TCLAP::CmdLine& command)
     : listen("", "listen", "address to serve", true, "", "HOST:PORT", command)
+    , address("", "address", "announced address; default is the listen address", false, "",
+              "HOST:PORT", command)
     , entries("", "entries", "entries to announce to, comma-separated", false, "", "LIST", command)
     , service("", "service", "service name", false, "advisor", "NAME", command)
     , version("", "version", "version name", false, "v1", "NAME", command)
@@ -36,6 +38,7 @@
 {
     endpoint_options result;
     result.listen = this->listen.getValue();
+    result.address = this->address.isSet() ? this->address.getValue() : result.listen;
     result.entries = split_list(this->entries.getValue());
     result.service = this->service.getValue();
     result.version = this->version.getValue();
--- a/tools/fakes/endpoint_options.hpp
+++ b/tools/fakes/endpoint_options.hpp
@@ -18,6 +18,8 @@
 struct endpoint_options
 {
     std::string listen;
+    /// Address that is announced; differs from `listen` behind a relay.
+    std::string address;
     std::vector<std::string> entries;
     std::string service;
     std::string version;
@@ -42,6 +44,7 @@
 
 private:
     TCLAP::ValueArg<std::string> listen;
+    TCLAP::ValueArg<std::string> address;
     TCLAP::ValueArg<std::string> entries;
     TCLAP::ValueArg<std::string> service;
     TCLAP::ValueArg<std::string> version;
