Add the traffic plane of the daemon

Cause: the daemon has no HTTP side; callers and endpoints cannot be served. Change: HTTP server with a thread per connection and limits, entry list, announcements, completions (admission, companion, resumption at the offset, take-over), lookup of requests, plain services (idempotent with retries, non-idempotent through the at-most-once records), gRPC service Requests.

--- /dev/null
+++ b/src/process/daemon/internal/companion_link.cpp
@@ -0,0 +1,290 @@
+#include <companion_link.hpp>
+
+#include <requests.grpc.pb.h>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+// The first byte of an answer waits for this call, so it is short against the
+// first-token target of 0.63 s.
+constexpr duration store_timeout = milliseconds(250);
+constexpr duration progress_timeout = milliseconds(1000);
+constexpr duration progress_interval = milliseconds(100);
+constexpr std::uint64_t progress_tokens = 32;
+constexpr std::uint32_t max_tries = 2;
+
+template <class Request, class Reply>
+struct pending_call
+{
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+} // namespace
+
+protocol::StoreRequest to_message(request::accepted_request const& request)
+{
+    protocol::StoreRequest message;
+    message.set_id(request.id.value());
+    message.set_account(request.account.value());
+    message.set_service(request.service.value());
+    message.set_path(request.path);
+    message.set_body(request.body);
+    message.set_priority(request.priority == request::request_priority::draft ? "draft"
+                                                                              : "interactive");
+    message.set_deadline_wall_us(request.deadline.time_since_epoch().count());
+    message.set_owner(request.owner.value());
+    message.set_version(request.version.value());
+    return message;
+}
+
+request::accepted_request from_message(protocol::StoreRequest const& message)
+{
+    request::accepted_request request;
+    request.id = request_id(message.id());
+    request.account = account_id(message.account());
+    request.service = service_name(message.service());
+    request.version = version_name(message.version());
+    request.path = message.path();
+    request.body = message.body();
+    request.priority = message.priority() == "draft" ? request::request_priority::draft
+                                                     : request::request_priority::interactive;
+    request.deadline = wall_time(duration(message.deadline_wall_us()));
+    request.owner = vm_id(message.owner());
+    return request;
+}
+
+companion_link::companion_link(traffic_context& shared, completion_store& requests_held,
+                               traffic_entries& known)
+    : context(shared)
+    , store(requests_held)
+    , entries(known)
+    , peers(shared.config.cluster_token)
+{
+}
+
+companion_link::~companion_link()
+{
+    this->stop();
+}
+
+void companion_link::stop()
+{
+    std::unique_lock lock(this->mutex);
+    this->stopping = true;
+    this->ended.wait(lock, [this] { return this->calls == 0; });
+}
+
+bool companion_link::begin_call()
+{
+    if (this->stopping)
+        return false;
+    ++this->calls;
+    return true;
+}
+
+void companion_link::end_call()
+{
+    std::lock_guard const lock(this->mutex);
+    --this->calls;
+    this->ended.notify_all();
+}
+
+std::optional<connection::entry_record> companion_link::pick(tracked const& known)
+{
+    auto const view = this->context.control.view();
+    auto const& named = known.request.companion;
+    auto const* first = traffic_entries::find(*view, named);
+    if (known.tries == 0 && first && named != this->context.config.vm)
+        return *first;
+    auto const key = known.request.id.value() + "|" + std::to_string(known.tries);
+    auto other = this->entries.companion_for(*view, key);
+    if (!other || other->vm == known.companion.vm || other->vm == known.request.owner)
+        return std::nullopt;
+    return other;
+}
+
+void companion_link::track(request::accepted_request const& request)
+{
+    {
+        std::lock_guard const lock(this->mutex);
+        auto& known = this->requests[request.id];
+        known = tracked();
+        known.request = request;
+    }
+    this->send_store(request.id);
+}
+
+void companion_link::send_store(request_id const& id)
+{
+    using call_type = pending_call<protocol::StoreRequest, protocol::StoreReply>;
+    auto call = std::make_shared<call_type>();
+    std::unique_ptr<protocol::Requests::Stub> stub;
+    {
+        std::lock_guard const lock(this->mutex);
+        auto const found = this->requests.find(id);
+        if (found == this->requests.end())
+            return;
+        auto& known = found->second;
+        auto const companion = known.tries < max_tries ? this->pick(known) : std::nullopt;
+        ++known.tries;
+        if (companion && this->begin_call())
+        {
+            known.companion = *companion;
+            known.in_flight = true;
+            auto request = known.request;
+            request.owner = this->context.config.vm;
+            call->request = to_message(request);
+            stub = protocol::Requests::NewStub(this->peers.channel(companion->control));
+        }
+    }
+    if (!stub)
+        return this->give_up(id, "no other entry can be reached");
+    this->peers.prepare(call->context, store_timeout);
+    stub->async()->Store(&call->context, &call->request, &call->reply,
+                         [this, call, id](grpc::Status const& status)
+                         {
+                             this->store_ended(id, status.ok() && call->reply.held());
+                             this->end_call();
+                         });
+}
+
+void companion_link::store_ended(request_id const& id, bool is_held)
+{
+    {
+        std::lock_guard const lock(this->mutex);
+        auto const found = this->requests.find(id);
+        if (found == this->requests.end())
+            return;
+        found->second.in_flight = false;
+        found->second.is_held = is_held;
+        found->second.last_sent = this->context.time.now();
+    }
+    if (is_held)
+        this->store.release(id);
+    else
+        this->send_store(id);
+}
+
+void companion_link::give_up(request_id const& id, std::string const& reason)
+{
+    {
+        std::lock_guard const lock(this->mutex);
+        this->requests.erase(id);
+    }
+    this->context.metrics.add("requests_without_companion_total");
+    this->context.events.emit(severity::warning, "request.no_companion",
+                              {{"request_id", id.value()}, {"reason", reason}});
+    this->store.release(id);
+}
+
+bool companion_link::is_due(tracked const& known, time_point now) const
+{
+    if (!known.is_held || known.in_flight)
+        return false;
+    auto const lacking = known.known_next.value() - known.companion_next.value();
+    if (known.is_finished || lacking >= progress_tokens)
+        return true;
+    return lacking > 0 && now - known.last_sent >= progress_interval;
+}
+
+void companion_link::updated(request_id const& id, token_offset next, bool is_finished)
+{
+    {
+        std::lock_guard const lock(this->mutex);
+        auto const found = this->requests.find(id);
+        if (found == this->requests.end())
+            return;
+        found->second.known_next = next;
+        found->second.is_finished = found->second.is_finished || is_finished;
+        if (!this->is_due(found->second, this->context.time.now()))
+            return;
+    }
+    this->send_progress(id);
+}
+
+void companion_link::send_progress(request_id const& id)
+{
+    using call_type = pending_call<protocol::ProgressRequest, protocol::ProgressReply>;
+    auto call = std::make_shared<call_type>();
+    std::unique_ptr<protocol::Requests::Stub> stub;
+    {
+        std::lock_guard const lock(this->mutex);
+        auto const found = this->requests.find(id);
+        if (found == this->requests.end() || found->second.in_flight || !this->begin_call())
+            return;
+        auto& known = found->second;
+        known.in_flight = true;
+        known.last_sent = this->context.time.now();
+        auto batch = this->store.read(id, known.request.account, known.companion_next, duration(0));
+        call->request.set_id(id.value());
+        call->request.set_offset(known.companion_next.value());
+        for (auto& token : batch.tokens)
+            call->request.add_tokens(std::move(token));
+        call->request.set_finished(batch.outcome.has_value());
+        if (batch.outcome)
+        {
+            call->request.set_failure(batch.outcome->failure);
+            call->request.set_failure_status(batch.outcome->failure_status);
+            call->request.set_finish_reason(batch.outcome->finish_reason);
+        }
+        stub = protocol::Requests::NewStub(this->peers.channel(known.companion.control));
+    }
+    this->peers.prepare(call->context, progress_timeout);
+    stub->async()->Progress(&call->context, &call->request, &call->reply,
+                            [this, call, id](grpc::Status const& status)
+                            {
+                                std::optional<token_offset> next;
+                                if (status.ok() && call->reply.held())
+                                    next = token_offset(call->reply.next_offset());
+                                this->progress_ended(id, next);
+                                this->end_call();
+                            });
+}
+
+void companion_link::progress_ended(request_id const& id, std::optional<token_offset> next)
+{
+    std::lock_guard const lock(this->mutex);
+    auto const found = this->requests.find(id);
+    if (found == this->requests.end())
+        return;
+    auto& known = found->second;
+    known.in_flight = false;
+    if (next)
+    {
+        known.companion_next = *next;
+        if (known.is_finished && *next >= known.known_next)
+            this->requests.erase(found);
+        return;
+    }
+    // The companion is gone or has forgotten the request: tick() finds another one.
+    known.is_held = false;
+    known.companion_next = token_offset(0);
+}
+
+void companion_link::tick()
+{
+    std::vector<request_id> due;
+    std::vector<request_id> without_companion;
+    {
+        std::lock_guard const lock(this->mutex);
+        auto const now = this->context.time.now();
+        for (auto const& [id, known] : this->requests)
+        {
+            if (this->is_due(known, now))
+                due.push_back(id);
+            else if (!known.is_held && !known.in_flight && known.tries > 0)
+                without_companion.push_back(id);
+        }
+    }
+    for (auto const& id : due)
+        this->send_progress(id);
+    for (auto const& id : without_companion)
+        this->send_store(id);
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/completion_service.cpp
@@ -0,0 +1,112 @@
+#include <completion_service.hpp>
+
+#include <requests_service.hpp>
+
+namespace lagoonladder::daemon
+{
+
+completion_service::completion_service(completion_parts const& shared, traffic_entries& known,
+                                       requests_service& companion_side)
+    : shared_parts(shared)
+    , entries(known)
+    , companion(companion_side)
+    // Starts at the wall time, so that a restarted entry does not repeat ids.
+    , sequence(shared.context.time.wall_now().time_since_epoch().count())
+    , workers(shared.context.config.max_stored_requests, 0)
+{
+}
+
+request_id completion_service::next_id(control_view const& view)
+{
+    auto const number = this->sequence++;
+    auto const& self = this->shared_parts.context.config.vm;
+    auto const other =
+        this->entries.companion_for(view, self.value() + "|" + std::to_string(number));
+    return request::make_request_id(self, other ? other->vm : self, number);
+}
+
+std::shared_ptr<open_request> completion_service::start(request_id const& id,
+                                                        new_completion const& completion)
+{
+    auto& context = this->shared_parts.context;
+    auto const view = context.control.view();
+    request::accepted_request accepted;
+    accepted.id = id;
+    accepted.account = completion.account.name;
+    accepted.service = completion.service.name;
+    accepted.version = traffic_router::version_for(*view, completion.service.name, id);
+    accepted.path = completion.path;
+    accepted.body = completion.body;
+    accepted.priority = completion.priority;
+    accepted.owner = context.config.vm;
+    if (auto const parsed = request::parse_request_id(id))
+        accepted.companion = parsed->companion;
+
+    admission_request admission;
+    admission.queued.request_id = id;
+    admission.queued.account = completion.account.name;
+    admission.queued.weight = completion.account.share;
+    admission.queued.priority = completion.priority;
+    admission.queued.deadline = context.time.now() + completion.timeout;
+    admission.queued.expected_work = completion.expected_tokens;
+    admission.query = {completion.service.name, accepted.version, completion.body, {}};
+    auto const arrived = context.time.now();
+    auto const endpoint = this->shared_parts.gate.enter(admission);
+    context.metrics.observe_seconds("queue_seconds", {{"service", completion.service.name.value()}},
+                                    to_seconds(context.time.now() - arrived));
+    accepted.deadline = context.time.wall_now() + (admission.queued.deadline - context.time.now());
+    if (!this->shared_parts.store.accept(accepted))
+    {
+        this->shared_parts.router.attempt_ended(endpoint, std::nullopt);
+        throw refusal({503, "too-many-requests", "this entry holds too many requests",
+                       execution::no, id.value(), seconds(5)});
+    }
+    this->shared_parts.companions.track(accepted);
+    return this->run(accepted, token_offset(0), endpoint);
+}
+
+std::shared_ptr<open_request>
+completion_service::run(request::accepted_request const& request, token_offset resume_at,
+                        std::optional<connection::endpoint_record> const& first)
+{
+    auto counted = std::make_shared<open_request>(this->shared_parts.context);
+    this->workers.run(
+        [this, request, resume_at, first, counted]
+        {
+            try
+            {
+                completion_runner(this->shared_parts, request, resume_at).run(first);
+            }
+            catch (std::exception const& failed)
+            {
+                problem internal{500, "internal", failed.what(), execution::unknown,
+                                 request.id.value()};
+                this->shared_parts.store.finish(request.id, {"", format_problem(internal), 500});
+            }
+        });
+    return counted;
+}
+
+void completion_service::take_over_lost()
+{
+    auto& context = this->shared_parts.context;
+    auto const view = context.control.view();
+    if (!view || !view->ready)
+        return;
+    for (auto const& owner : this->companion.lost_owners(*view))
+    {
+        for (auto& lost : this->shared_parts.store.owner_lost(owner))
+        {
+            context.metrics.add("take_overs_total");
+            context.events.emit(severity::warning, "request.taken_over",
+                                {{"request_id", lost.request.id.value()},
+                                 {"owner", owner.value()},
+                                 {"offset", std::to_string(lost.resume_at.value())}});
+            this->shared_parts.companions.track(lost.request);
+            this->shared_parts.companions.updated(lost.request.id, lost.resume_at, false);
+            this->run(lost.request, lost.resume_at, std::nullopt);
+        }
+    }
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/completion_service.hpp
@@ -0,0 +1,67 @@
+#ifndef LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
+#define LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
+
+#include <atomic>
+#include <memory>
+
+#include <admission_gate.hpp>
+#include <completion_runner.hpp>
+#include <traffic_connection_threads.hpp>
+#include <traffic_upstream.hpp>
+
+namespace lagoonladder::daemon
+{
+
+class requests_service;
+
+/// A completion before admission.
+struct new_completion
+{
+    version::account_config account;
+    version::service_config service;
+    std::string path;
+    std::string body;
+    request::request_priority priority = request::request_priority::interactive;
+    duration timeout{};
+    /// Work for the admission queue, in tokens.
+    double expected_tokens = 1;
+};
+
+/// Accepts completions and runs them to their end, also those taken over from
+/// other entries. Safe to call from any thread.
+class completion_service
+{
+public:
+    completion_service(completion_parts const& shared, traffic_entries& known,
+                       requests_service& companion_side);
+
+    /// An id that no other request has.
+    request_id next_id(control_view const& view);
+
+    /// Admits the request and starts to work on it. It counts as open until its work
+    /// has ended and the result was released. Throws refusal.
+    std::shared_ptr<open_request> start(request_id const& id, new_completion const& completion);
+
+    /// Takes over the requests of entries that are gone.
+    void take_over_lost();
+
+    /// Waits for the requests in progress.
+    void stop() { this->workers.stop(); }
+
+    completion_parts const& parts() const { return this->shared_parts; }
+
+private:
+    std::shared_ptr<open_request> run(request::accepted_request const& request,
+                                      token_offset resume_at,
+                                      std::optional<connection::endpoint_record> const& first);
+
+    completion_parts shared_parts;
+    traffic_entries& entries;
+    requests_service& companion;
+    std::atomic<std::uint64_t> sequence;
+    worker_threads workers;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/completion_store.cpp
@@ -0,0 +1,154 @@
+#include <completion_store.hpp>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+request::journal_options journal_limits(settings const& config)
+{
+    request::journal_options limits;
+    limits.max_requests = config.max_stored_requests;
+    return limits;
+}
+
+} // namespace
+
+completion_store::completion_store(traffic_context& shared)
+    : context(shared)
+    , journal(shared.config.vm, journal_limits(shared.config))
+{
+}
+
+bool completion_store::accept(request::accepted_request request)
+{
+    std::lock_guard const lock(this->mutex);
+    auto const result = this->journal.accept(this->context.time.now(), std::move(request));
+    return result == request::journal_result::stored;
+}
+
+void completion_store::release(request_id const& id)
+{
+    std::lock_guard const lock(this->mutex);
+    this->journal.companion_holds(this->context.time.now(), id);
+    this->notify(id);
+}
+
+void completion_store::companion_has(request_id const& id, token_offset next)
+{
+    std::lock_guard const lock(this->mutex);
+    this->journal.companion_has(this->context.time.now(), id, next);
+}
+
+std::optional<request::progress_batch>
+completion_store::pending_progress(request_id const& id) const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.pending_progress(id);
+}
+
+std::vector<request_id> completion_store::companion_lost(vm_id const& companion) const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.companion_lost(companion);
+}
+
+request::journal_result completion_store::hold(request::accepted_request request)
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.hold(this->context.time.now(), std::move(request));
+}
+
+request::journal_result completion_store::progress(request_id const& id,
+                                                   request::progress_batch const& batch)
+{
+    std::lock_guard const lock(this->mutex);
+    auto const result = this->journal.progress(this->context.time.now(), id, batch);
+    this->notify(id);
+    return result;
+}
+
+std::vector<request::take_over> completion_store::owner_lost(vm_id const& owner)
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.owner_lost(this->context.time.now(), owner);
+}
+
+bool completion_store::append(request_id const& id, token_offset offset,
+                              std::vector<std::string> const& tokens)
+{
+    std::lock_guard const lock(this->mutex);
+    auto const result = this->journal.append(this->context.time.now(), id, offset, tokens);
+    this->notify(id);
+    return result == request::journal_result::stored || result == request::journal_result::known;
+}
+
+void completion_store::finish(request_id const& id, request::request_outcome outcome)
+{
+    std::lock_guard const lock(this->mutex);
+    this->journal.finish(this->context.time.now(), id, std::move(outcome));
+    this->notify(id);
+}
+
+request::fetched completion_store::read(request_id const& id, account_id const& account,
+                                        token_offset offset, duration wait)
+{
+    auto const until = std::chrono::steady_clock::now() + wait;
+    std::unique_lock lock(this->mutex);
+    std::shared_ptr<signal> changed;
+    while (true)
+    {
+        auto found = this->journal.fetch(id, account, offset);
+        bool const held_back = found.state == request::holder_state::storing;
+        if (held_back)
+            found.tokens.clear();
+        bool const complete = found.status != request::fetch_status::found ||
+                              !found.tokens.empty() || found.outcome.has_value();
+        if (complete || std::chrono::steady_clock::now() >= until)
+            return found;
+        if (!changed)
+        {
+            auto& known = this->signals[id];
+            if (!known)
+                known = std::make_shared<signal>();
+            changed = known;
+        }
+        changed->wait_until(lock, until);
+    }
+}
+
+std::optional<request::holder_state> completion_store::state_of(request_id const& id) const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.state_of(id);
+}
+
+std::optional<token_offset> completion_store::next_offset(request_id const& id) const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.next_offset(id);
+}
+
+void completion_store::expire()
+{
+    std::lock_guard const lock(this->mutex);
+    this->journal.expire(this->context.time.now());
+    for (auto known = this->signals.begin(); known != this->signals.end();)
+        known = known->second.use_count() == 1 ? this->signals.erase(known) : std::next(known);
+}
+
+std::size_t completion_store::size() const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->journal.size();
+}
+
+void completion_store::notify(request_id const& id)
+{
+    auto const known = this->signals.find(id);
+    if (known != this->signals.end())
+        known->second->notify_all();
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/completion_store.hpp
@@ -0,0 +1,63 @@
+#ifndef LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
+#define LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include <traffic_context.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Accepted completions of this entry, shared by the threads that produce tokens
+/// and those that read them. Safe to call from any thread.
+class completion_store
+{
+public:
+    explicit completion_store(traffic_context& shared);
+
+    /// Owner: false when the store is full.
+    bool accept(request::accepted_request request);
+    /// Owner: the companion holds the request, or none can be reached; readers may go on.
+    void release(request_id const& id);
+    void companion_has(request_id const& id, token_offset next);
+    std::optional<request::progress_batch> pending_progress(request_id const& id) const;
+    std::vector<request_id> companion_lost(vm_id const& companion) const;
+
+    /// Companion's side.
+    request::journal_result hold(request::accepted_request request);
+    request::journal_result progress(request_id const& id, request::progress_batch const& batch);
+    std::vector<request::take_over> owner_lost(vm_id const& owner);
+
+    /// The entry that works on the request adds tokens. False when another entry has it.
+    bool append(request_id const& id, token_offset offset, std::vector<std::string> const& tokens);
+    void finish(request_id const& id, request::request_outcome outcome);
+
+    /// Tokens from `offset` on; waits up to `wait` for the first one or the outcome.
+    /// Tokens of a request that its companion does not hold yet are not shown.
+    request::fetched read(request_id const& id, account_id const& account, token_offset offset,
+                          duration wait);
+    std::optional<request::holder_state> state_of(request_id const& id) const;
+    std::optional<token_offset> next_offset(request_id const& id) const;
+
+    /// Drops old requests.
+    void expire();
+    std::size_t size() const;
+
+private:
+    using signal = std::condition_variable;
+
+    void notify(request_id const& id);
+
+    traffic_context& context;
+    mutable std::mutex mutex;
+    request::request_journal journal;
+    /// One per request, so that a token wakes only the readers of its request.
+    std::map<request_id, std::shared_ptr<signal>> signals;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/once_status.hpp
@@ -0,0 +1,19 @@
+#ifndef LAGOONLADDER_DAEMON_ONCE_STATUS_HPP
+#define LAGOONLADDER_DAEMON_ONCE_STATUS_HPP
+
+#include <string>
+
+#include <lagoonladder/request.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Path under which the state of a non-idempotent request can be looked up.
+std::string once_location(request_id const& id, request::once_key const& key);
+
+/// JSON text of the state of a non-idempotent request.
+std::string format_once_status(request::once_key const& key, request::once_reply const& reply);
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/plain_routes.cpp
@@ -0,0 +1,122 @@
+#include <plain_routes.hpp>
+
+#include <completion_service.hpp>
+#include <traffic_http.hpp>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+constexpr std::size_t max_key_bytes = 256;
+
+constexpr char const* path_prefix = "/services/";
+
+/// Service and remaining target of "/services/{service}/{path}?{query}".
+std::pair<service_name, std::string> split_target(std::string const& target)
+{
+    auto const start = std::char_traits<char>::length(path_prefix);
+    auto const end = target.find_first_of("/?", start);
+    if (target.compare(0, start, path_prefix) != 0 || end == start)
+        throw refusal({404, "unknown-service", "the path names no service"});
+    auto rest = end == std::string::npos ? std::string() : target.substr(end);
+    if (rest.empty() || rest.front() != '/')
+        rest.insert(rest.begin(), '/');
+    return {service_name(target.substr(start, end - start)), std::move(rest)};
+}
+
+/// What a refusal without a commit may say: with a caller's key an earlier attempt
+/// may have run.
+execution uncommitted(httplib::Request const& request)
+{
+    return request.has_header("Idempotency-Key") ? execution::unknown : execution::no;
+}
+
+} // namespace
+
+void plain_routes::register_routes(httplib::Server& server)
+{
+    auto const handler = guarded(
+        this->parts.context, [this](httplib::Request const& request, httplib::Response& response)
+        { this->serve(request, response); });
+    std::string const pattern = "/services/.+";
+    server.Get(pattern, handler);
+    server.Post(pattern, handler);
+    server.Put(pattern, handler);
+    server.Patch(pattern, handler);
+    server.Delete(pattern, handler);
+    server.Options(pattern, handler);
+}
+
+plain_call plain_routes::describe(control_view const& view, httplib::Request const& request)
+{
+    plain_call call;
+    call.account = authenticate(view, request);
+    auto [service, target] = split_target(request.target);
+    auto const& configuration = view.shared->configuration;
+    auto const* known = configuration.find_service(service);
+    if (!known || known->kind != version::service_kind::plain)
+        throw refusal(
+            {404, "unknown-service", "no plain service \"" + service.value() + "\" is configured"});
+    if (request.is_multipart_form_data())
+        throw refusal({415, "unsupported-media-type", "multipart/form-data is not supported"});
+    call.service = *known;
+    call.target = std::move(target);
+    call.request = &request;
+    call.key = request.get_header_value("Idempotency-Key");
+    if (call.key.size() > max_key_bytes)
+        throw refusal({400, "bad-header", "Idempotency-Key is longer than 256 bytes"});
+    call.deadline =
+        this->parts.context.time.now() + request_timeout(request, known->default_timeout);
+    call.id = this->ids.next_id(view);
+    call.version = traffic_router::version_for(view, service, call.id);
+    auto const path = call.target.substr(0, call.target.find('?'));
+    auto const* route = configuration.find_route(service, request.method, path);
+    call.route = route ? route->name : route_name("default");
+    return call;
+}
+
+void plain_routes::check_age(plain_call const& call) const
+{
+    auto const text = call.request->get_header_value("X-Request-Created");
+    if (text.empty())
+        return;
+    wall_time created{};
+    try
+    {
+        created = parse_wall_time(text);
+    }
+    catch (parse_error const& bad)
+    {
+        throw refusal({400, "bad-header", "X-Request-Created: " + std::string(bad.what()),
+                       execution::no, call.id.value()});
+    }
+    // Records of keys that old are deleted, so an earlier execution would not be seen.
+    if (this->parts.context.time.wall_now() - created > request::once_table::retention)
+        throw refusal({422, "request-too-old", "X-Request-Created is older than 24 h",
+                       uncommitted(*call.request), call.id.value()});
+}
+
+void plain_routes::serve(httplib::Request const& request, httplib::Response& response)
+{
+    auto& context = this->parts.context;
+    auto const view = ready_view(context, uncommitted(request));
+    auto const call = this->describe(*view, request);
+    open_request const counted(context);
+    response.set_header("X-Request-Id", call.id.value());
+    context.metrics.add("requests_total", {{"service", call.service.name.value()}});
+    auto const started = context.time.now();
+    auto const path = call.target.substr(0, call.target.find('?'));
+    if (view->shared->configuration.is_idempotent(call.service.name, request.method, path))
+        serve_idempotent(this->parts, call, response);
+    else
+    {
+        this->check_age(call);
+        serve_once(this->parts, call, response);
+    }
+    context.metrics.observe_seconds("call_seconds", {{"service", call.service.name.value()}},
+                                    to_seconds(context.time.now() - started));
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/requests_service.cpp
@@ -0,0 +1,130 @@
+#include <requests_service.hpp>
+
+#include <algorithm>
+
+#include <cluster_token.hpp>
+#include <companion_link.hpp>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+// Bounds how long a Fetch call occupies a thread of the gRPC server.
+constexpr duration max_fetch_wait = seconds(2);
+
+// An owner that gossip never named counts as dead after the time after which
+// the entry directory declares an entry dead.
+constexpr duration unlisted_owner_timeout = seconds(6);
+
+grpc::Status denied()
+{
+    return {grpc::StatusCode::UNAUTHENTICATED, "the cluster token is missing or wrong"};
+}
+
+} // namespace
+
+bool requests_service::is_allowed(grpc::ServerContext const& call) const
+{
+    return has_cluster_token(call, this->context.config.cluster_token);
+}
+
+grpc::Status requests_service::Store(grpc::ServerContext* call,
+                                     protocol::StoreRequest const* request,
+                                     protocol::StoreReply* reply)
+{
+    if (!this->is_allowed(*call))
+        return denied();
+    auto accepted = from_message(*request);
+    accepted.companion = this->context.config.vm;
+    {
+        std::lock_guard const lock(this->mutex);
+        this->owners[accepted.owner].last = this->context.time.now();
+    }
+    auto const result = this->store.hold(std::move(accepted));
+    reply->set_held(result == request::journal_result::stored ||
+                    result == request::journal_result::known);
+    return grpc::Status::OK;
+}
+
+grpc::Status requests_service::Progress(grpc::ServerContext* call,
+                                        protocol::ProgressRequest const* request,
+                                        protocol::ProgressReply* reply)
+{
+    if (!this->is_allowed(*call))
+        return denied();
+    request_id const id(request->id());
+    request::progress_batch batch;
+    batch.offset = token_offset(request->offset());
+    batch.tokens.assign(request->tokens().begin(), request->tokens().end());
+    if (request->finished())
+        batch.outcome = request::request_outcome{request->finish_reason(), request->failure(),
+                                                 request->failure_status()};
+    auto const result = this->store.progress(id, batch);
+    reply->set_held(result == request::journal_result::stored ||
+                    result == request::journal_result::known ||
+                    result == request::journal_result::gap);
+    reply->set_next_offset(this->store.next_offset(id).value_or(token_offset(0)).value());
+    return grpc::Status::OK;
+}
+
+grpc::Status requests_service::Fetch(grpc::ServerContext* call,
+                                     protocol::FetchRequest const* request,
+                                     protocol::FetchReply* reply)
+{
+    if (!this->is_allowed(*call))
+        return denied();
+    auto const wait = std::min<duration>(milliseconds(request->wait_ms()), max_fetch_wait);
+    auto found = this->store.read(request_id(request->id()), account_id(request->account()),
+                                  token_offset(request->offset()), wait);
+    switch (found.status)
+    {
+    case request::fetch_status::not_found:
+        reply->set_status(protocol::FetchReply::NOT_FOUND);
+        return grpc::Status::OK;
+    case request::fetch_status::forbidden:
+        reply->set_status(protocol::FetchReply::FORBIDDEN);
+        return grpc::Status::OK;
+    case request::fetch_status::found:
+        break;
+    }
+    reply->set_status(protocol::FetchReply::FOUND);
+    reply->set_offset(found.offset.value());
+    for (auto& token : found.tokens)
+        reply->add_tokens(std::move(token));
+    reply->set_finished(found.outcome.has_value());
+    if (found.outcome)
+    {
+        reply->set_failure(found.outcome->failure);
+        reply->set_failure_status(found.outcome->failure_status);
+        reply->set_finish_reason(found.outcome->finish_reason);
+    }
+    return grpc::Status::OK;
+}
+
+std::vector<vm_id> requests_service::lost_owners(control_view const& view)
+{
+    auto const now = this->context.time.now();
+    std::vector<vm_id> lost;
+    std::lock_guard const lock(this->mutex);
+    for (auto known = this->owners.begin(); known != this->owners.end();)
+    {
+        bool const is_listed =
+            std::any_of(view.entries.begin(), view.entries.end(),
+                        [&](auto const& entry) { return entry.vm == known->first; });
+        known->second.was_listed = known->second.was_listed || is_listed;
+        bool const is_lost = !is_listed && (known->second.was_listed ||
+                                            now - known->second.last >= unlisted_owner_timeout);
+        if (!is_lost)
+        {
+            ++known;
+            continue;
+        }
+        lost.push_back(known->first);
+        known = this->owners.erase(known);
+    }
+    return lost;
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/requests_service.hpp
@@ -0,0 +1,52 @@
+#ifndef LAGOONLADDER_DAEMON_REQUESTS_SERVICE_HPP
+#define LAGOONLADDER_DAEMON_REQUESTS_SERVICE_HPP
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include <completion_store.hpp>
+#include <requests.grpc.pb.h>
+
+namespace lagoonladder::daemon
+{
+
+/// Companion's side of accepted completions.
+class requests_service : public protocol::Requests::Service
+{
+public:
+    requests_service(traffic_context& shared, completion_store& requests)
+        : context(shared)
+        , store(requests)
+    {
+    }
+
+    grpc::Status Store(grpc::ServerContext* call, protocol::StoreRequest const* request,
+                       protocol::StoreReply* reply) override;
+    grpc::Status Progress(grpc::ServerContext* call, protocol::ProgressRequest const* request,
+                          protocol::ProgressReply* reply) override;
+    grpc::Status Fetch(grpc::ServerContext* call, protocol::FetchRequest const* request,
+                       protocol::FetchReply* reply) override;
+
+    /// Owners of held requests that the view shows as gone. Each is returned once.
+    std::vector<vm_id> lost_owners(control_view const& view);
+
+private:
+    struct owner_contact
+    {
+        time_point last{};
+        /// Whether a view named it; a new entry may send requests before gossip names it.
+        bool was_listed = false;
+    };
+
+    bool is_allowed(grpc::ServerContext const& call) const;
+
+    traffic_context& context;
+    completion_store& store;
+    std::mutex mutex;
+    std::map<vm_id, owner_contact> owners;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/traffic_directory_routes.hpp
@@ -0,0 +1,31 @@
+#ifndef LAGOONLADDER_DAEMON_TRAFFIC_DIRECTORY_ROUTES_HPP
+#define LAGOONLADDER_DAEMON_TRAFFIC_DIRECTORY_ROUTES_HPP
+
+#include <route_module.hpp>
+#include <traffic_entries.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Entry list for callers, announcements of endpoints, health and metrics.
+class directory_routes : public route_module
+{
+public:
+    directory_routes(traffic_context& shared, traffic_entries& known_entries)
+        : context(shared)
+        , entries(known_entries)
+    {
+    }
+
+    void register_routes(httplib::Server& server) override;
+
+private:
+    void register_health(httplib::Server& server);
+
+    traffic_context& context;
+    traffic_entries& entries;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/traffic_entries.cpp
@@ -0,0 +1,67 @@
+#include <traffic_entries.hpp>
+
+#include <algorithm>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+// Shorter than a gossip interval, so that heartbeats are seen as they arrive,
+// and long enough that the rows are not compared for every request.
+constexpr duration update_interval = milliseconds(50);
+
+constexpr std::size_t max_listed_entries = 8;
+
+} // namespace
+
+connection::entry_record const* traffic_entries::find(control_view const& view, vm_id const& vm)
+{
+    auto const found = std::find_if(view.entries.begin(), view.entries.end(),
+                                    [&vm](auto const& entry) { return entry.vm == vm; });
+    return found == view.entries.end() ? nullptr : &*found;
+}
+
+connection::entry_directory& traffic_entries::update(control_view const& view)
+{
+    auto const now = this->context.time.now();
+    auto const& config = this->context.config;
+    if (!this->directory)
+    {
+        connection::entry_record own;
+        own.vm = config.vm;
+        own.data_centre = config.data_centre;
+        own.zone = config.zone;
+        own.http = config.http;
+        own.control = config.control;
+        if (auto const* known = find(view, config.vm))
+            own = *known;
+        this->directory = std::make_unique<connection::entry_directory>(own);
+    }
+    if (view.leaving && this->directory->own().state != connection::entry_state::leaving)
+        this->directory->set_leaving(now, config.vm);
+    if (!this->updated || now - *this->updated >= update_interval)
+    {
+        this->directory->merge(now, view.entries);
+        this->directory->expire(now);
+        this->updated = now;
+    }
+    return *this->directory;
+}
+
+std::vector<connection::entry_record> traffic_entries::list_for(control_view const& view,
+                                                                std::string const& caller)
+{
+    std::lock_guard const lock(this->mutex);
+    return this->update(view).list_for(this->context.time.now(), caller, max_listed_entries);
+}
+
+std::optional<connection::entry_record> traffic_entries::companion_for(control_view const& view,
+                                                                       std::string const& key)
+{
+    std::lock_guard const lock(this->mutex);
+    return this->update(view).companion_for(this->context.time.now(), key);
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/traffic_secret.hpp
@@ -0,0 +1,23 @@
+#ifndef LAGOONLADDER_DAEMON_TRAFFIC_SECRET_HPP
+#define LAGOONLADDER_DAEMON_TRAFFIC_SECRET_HPP
+
+#include <string_view>
+
+namespace lagoonladder::daemon
+{
+
+/// Compares in a time that does not depend on where the texts differ.
+inline bool secret_equals(std::string_view given, std::string_view expected)
+{
+    if (given.size() != expected.size())
+        return false;
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < given.size(); ++i)
+        difference |=
+            static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(expected[i]);
+    return difference == 0;
+}
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/traffic_server.hpp
@@ -0,0 +1,62 @@
+#ifndef LAGOONLADDER_DAEMON_TRAFFIC_SERVER_HPP
+#define LAGOONLADDER_DAEMON_TRAFFIC_SERVER_HPP
+
+#include <memory>
+#include <vector>
+
+#include <lagoonladder/daemon.hpp>
+#include <lagoonladder/observability.hpp>
+#include <route_module.hpp>
+
+namespace grpc
+{
+class Service;
+}
+
+namespace lagoonladder::daemon
+{
+
+/// The traffic plane of a daemon: HTTP server for callers and endpoints, and the
+/// accepted completions. The referenced objects outlive it.
+class traffic_server
+{
+public:
+    /// `modules` add further routes; they outlive the server.
+    traffic_server(settings const& config, control_plane& control, event_sink& events,
+                   observability::metrics& metrics, clock const& time, std::uint64_t seed,
+                   std::vector<route_module*> modules = {});
+    ~traffic_server();
+    traffic_server(traffic_server const&) = delete;
+    traffic_server& operator=(traffic_server const&) = delete;
+
+    /// Binds the address of the settings (port 0: the kernel picks one) and serves.
+    /// Throws daemon_error when the address cannot be bound.
+    void start();
+
+    /// Address that is served; valid after start().
+    network_address address() const;
+
+    /// Marks this entry as leaving. Requests are still served.
+    void drain();
+
+    /// Requests in progress.
+    std::uint32_t open_requests() const;
+
+    /// Waits until no request is in progress. False when the timeout passed first.
+    bool wait_until_idle(duration timeout) const;
+
+    /// Closes the listening socket, then waits for the requests in progress.
+    void stop();
+
+    /// gRPC service `Requests`, to be registered with the daemon's gRPC server. The
+    /// gRPC server is to be shut down before this object is destroyed.
+    grpc::Service& requests_service();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> state;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
