--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -5,11 +5,15 @@
 
 #include <lagoonladder/request/accepted_request.hpp>
 #include <lagoonladder/request/admission.hpp>
+#include <lagoonladder/request/fair_queue.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/once_record.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
+#include <lagoonladder/request/queue_trend.hpp>
+#include <lagoonladder/request/queued_request.hpp>
 #include <lagoonladder/request/retry_budget.hpp>
 #include <lagoonladder/request/route_choice.hpp>
+#include <lagoonladder/request/service_rate.hpp>
 #include <lagoonladder/request/stream_assembly.hpp>
 
 #endif
--- a/src/request/include/lagoonladder/request/accepted_request.hpp
+++ b/src/request/include/lagoonladder/request/accepted_request.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include <lagoonladder/base.hpp>
-#include <lagoonladder/request/admission.hpp>
+#include <lagoonladder/request/queued_request.hpp>
 
 namespace lagoonladder::request
 {
@@ -22,6 +22,7 @@
 };
 
 /// Builds "VM-companion-sequence". In VM ids '~' becomes "~0" and '-' becomes "~1".
+/// The caller chooses `sequence` so that it does not repeat after a restart.
 request_id make_request_id(vm_id const& owner, vm_id const& companion, std::uint64_t sequence);
 
 /// No value when the text is not a request id.
@@ -87,7 +88,8 @@
 struct journal_options
 {
     std::size_t max_requests = 10'000;
-    /// Bytes of bodies and tokens over all requests.
+    /// Bytes of bodies and tokens over all requests. Finished requests are dropped early,
+    /// oldest first, before a new one is refused; tokens of held requests are always kept.
     std::size_t max_bytes = 32 * 1024 * 1024;
     /// How long a finished request can be fetched.
     duration retention = std::chrono::minutes(10);
@@ -140,8 +142,9 @@
     journal_result accept(time_point now, accepted_request request);
     /// Owner: the companion confirmed that it holds the request.
     journal_result companion_holds(time_point now, request_id const& id);
-    /// Owner: the companion holds everything before `next`.
-    journal_result companion_has(time_point now, request_id const& id, token_offset next);
+    /// Owner: the companion holds everything before `next`, and the outcome if `has_outcome`.
+    journal_result companion_has(time_point now, request_id const& id, token_offset next,
+                                 bool has_outcome = false);
     /// Owner: tokens and outcome that the companion lacks; no value when it lacks nothing.
     std::optional<progress_batch> pending_progress(request_id const& id) const;
     /// Owner: the companion took over, or is asked to.
@@ -164,7 +167,8 @@
     /// The working entry finished the request.
     journal_result finish(time_point now, request_id const& id, request_outcome outcome);
 
-    /// Tokens from `offset` on, for the account that sent the request.
+    /// Tokens from `offset` on, for the account that sent the request. Empty while this entry
+    /// has not got as far as `offset`.
     fetched fetch(request_id const& id, account_id const& account, token_offset offset) const;
 
     std::optional<holder_state> state_of(request_id const& id) const;
@@ -176,7 +180,7 @@
 
     std::size_t size() const { return this->requests.size(); }
     std::size_t bytes() const { return this->stored_bytes; }
-    /// Unfinished requests that this entry works on.
+    /// Unfinished requests that this entry works on, as owner or after a take-over.
     std::size_t working() const;
 
 private:
@@ -188,21 +192,26 @@
         std::optional<request_outcome> outcome;
         /// Owner: what the companion confirmed.
         token_offset companion_next;
-        bool companion_has_outcome = false;
+        bool companion_done = false;
+        /// Companion: the owner sent the outcome.
+        bool done_by_owner = false;
         time_point changed{};
     };
 
+    static bool is_working(held const& known);
     held* find(request_id const& id);
     journal_result insert(time_point now, accepted_request request, holder_state state);
-    journal_result add_tokens(held& known, token_offset offset,
+    journal_result add_tokens(time_point now, held& known, token_offset offset,
                               std::vector<std::string> const& tokens);
-    take_over start_take_over(time_point now, held& known);
+    void set_outcome(time_point now, held& known, request_outcome outcome);
+    static take_over start_take_over(time_point now, held& known);
     bool make_room(std::size_t bytes);
     void erase(std::map<request_id, held>::iterator position);
 
     vm_id self;
     journal_options options;
     std::map<request_id, held> requests;
+    /// Bytes of bodies, tokens and outcomes.
     std::size_t stored_bytes = 0;
 };
 
--- /dev/null
+++ b/src/request/include/lagoonladder/request/fair_queue.hpp
@@ -0,0 +1,70 @@
+#ifndef LAGOONLADDER_REQUEST_FAIR_QUEUE_HPP
+#define LAGOONLADDER_REQUEST_FAIR_QUEUE_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <lagoonladder/request/queued_request.hpp>
+
+namespace lagoonladder::request
+{
+
+/// Start-time fair queue: accounts get shares of the work by weight, and the requests of
+/// one account keep their order. Not safe for concurrent calls.
+class fair_queue
+{
+public:
+    void push(queued_request request);
+
+    /// The request that pop() returns next; nullptr when empty.
+    queued_request const* front() const;
+    std::optional<queued_request> pop();
+
+    /// False when the account has no such request.
+    bool erase(account_id const& account, request_id const& id);
+
+    /// Removes requests for which `give_up(request, work ahead)` is true, and returns them.
+    /// Work ahead counts all requests that are served before this one.
+    std::vector<queued_request>
+    erase_if(std::function<bool(queued_request const&, double)> const& give_up);
+
+    /// Removes the newest request of the account with the most requests per weight, if that
+    /// account has more of them than `account` would have with one more.
+    std::optional<queued_request> displace_for(account_id const& account, std::uint32_t weight);
+
+    /// Work that is served before a new request of the account.
+    double work_ahead(account_id const& account, std::uint32_t weight) const;
+
+    double work() const { return this->total_work; }
+    std::size_t size() const { return this->length; }
+    std::optional<time_point> oldest_arrival() const;
+
+private:
+    struct account_queue
+    {
+        double weight = 1;
+        /// Virtual time at which the account's next request starts.
+        double start = 0;
+        double work = 0;
+        std::deque<queued_request> requests;
+    };
+
+    using account_map = std::map<account_id, account_queue>;
+
+    account_map::const_iterator next_account() const;
+    double others_ahead(account_queue const* own, double start) const;
+    void forget_idle_accounts();
+    void removed(account_queue& from, queued_request const& request);
+
+    account_map accounts;
+    double virtual_time = 0;
+    double total_work = 0;
+    std::size_t length = 0;
+};
+
+} // namespace lagoonladder::request
+
+#endif
--- a/src/request/include/lagoonladder/request/prefix_index.hpp
+++ b/src/request/include/lagoonladder/request/prefix_index.hpp
@@ -94,7 +94,9 @@
     };
 
     endpoint_blocks& find_or_add(time_point now, endpoint_id const& endpoint);
+    void make_room();
     void store(time_point now, endpoint_blocks& known, std::uint64_t block) const;
+    static void forget(endpoint_blocks& known, std::uint64_t block);
 
     prefix_index_options options;
     std::map<endpoint_id, endpoint_blocks> endpoints;
--- /dev/null
+++ b/src/request/internal/admission.cpp
@@ -0,0 +1,236 @@
+#include <lagoonladder/request/admission.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonladder::request
+{
+
+namespace
+{
+
+/// Retry times are spread by up to this share, so that refused callers do not return together.
+constexpr double retry_spread = 0.25;
+constexpr double longest_wait_seconds = 24 * 3600;
+
+} // namespace
+
+char const* to_string(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::predicted_wait:
+        return "predicted_wait";
+    case refusal_reason::queue_full:
+        return "queue_full";
+    case refusal_reason::deadline:
+        return "deadline";
+    case refusal_reason::duplicate:
+        return "duplicate";
+    }
+    return "invalid";
+}
+
+admission_queue::admission_queue(admission_options initial)
+    : options(initial)
+    , rate(initial.initial_rate, initial.rate_window)
+    , trend(initial.trend)
+{
+    invariant(initial.aged_draft_share < 1, "aged drafts get less than all of the work");
+}
+
+admission_result admission_queue::offer(time_point now, queued_request request)
+{
+    this->advance(now);
+    auto& level = this->class_of(request.priority);
+    auto const wait =
+        this->wait_for(request.priority, level.work_ahead(request.account, request.weight));
+    auto const budget = request.deadline - now;
+    auto const refuse = [&](refusal_reason reason, duration retry_budget)
+    {
+        auto const after = this->retry_after(wait, retry_budget, request.request_id);
+        return refused{request.request_id, after, reason};
+    };
+    if (this->known.contains(request.request_id))
+        return refuse(refusal_reason::duplicate, budget);
+    if (budget <= duration::zero())
+        return refuse(refusal_reason::deadline, duration::zero());
+    if (wait > budget)
+        return refuse(refusal_reason::predicted_wait, budget);
+    if (!this->make_room(request))
+        return refuse(refusal_reason::queue_full, wait / 2);
+    request.arrived = now;
+    if (request.priority == request_priority::interactive)
+        this->interactive_offered += request.expected_work;
+    this->known.emplace(request.request_id, std::make_pair(request.priority, request.account));
+    level.push(std::move(request));
+    return queued{wait};
+}
+
+std::optional<queued_request> admission_queue::take(time_point now)
+{
+    this->advance(now);
+    while (this->size() > 0)
+    {
+        // With any request waiting all slots were busy, even if this one did not wait.
+        auto const waited = this->oldest_age(now);
+        auto& level = this->is_draft_next(now) ? this->drafts : this->interactive;
+        auto request = level.pop();
+        this->known.erase(request->request_id);
+        if (request->deadline <= now)
+        {
+            this->give_up(*request, refusal_reason::deadline);
+            continue;
+        }
+        this->charge_draft_share(now, *request);
+        this->rate.taken(request->expected_work, waited);
+        return request;
+    }
+    return std::nullopt;
+}
+
+std::vector<refused> admission_queue::expire(time_point now)
+{
+    this->advance(now);
+    this->expire_class(now, request_priority::interactive);
+    this->expire_class(now, request_priority::draft);
+    return std::exchange(this->given_up, {});
+}
+
+bool admission_queue::cancel(time_point now, request_id const& id)
+{
+    this->advance(now);
+    auto const found = this->known.find(id);
+    if (found == this->known.end())
+        return false;
+    auto const [priority, account] = found->second;
+    this->known.erase(found);
+    return this->class_of(priority).erase(account, id);
+}
+
+duration admission_queue::oldest_age(time_point now) const
+{
+    auto oldest = now;
+    for (auto const* level : {&this->interactive, &this->drafts})
+        oldest = std::min(oldest, level->oldest_arrival().value_or(now));
+    return now - oldest;
+}
+
+duration admission_queue::predicted_wait(request_priority priority) const
+{
+    return this->wait_for(priority, this->class_of(priority).work_ahead(account_id(), 1));
+}
+
+std::optional<queue_trend> admission_queue::observe(time_point now)
+{
+    this->advance(now);
+    auto const work = this->interactive.work() + this->drafts.work();
+    auto const drain = std::min(work / this->rate.value(), longest_wait_seconds);
+    return this->trend.observe(now, this->oldest_age(now), from_seconds(drain), this->size());
+}
+
+fair_queue& admission_queue::class_of(request_priority priority)
+{
+    return priority == request_priority::draft ? this->drafts : this->interactive;
+}
+
+fair_queue const& admission_queue::class_of(request_priority priority) const
+{
+    return priority == request_priority::draft ? this->drafts : this->interactive;
+}
+
+void admission_queue::advance(time_point now)
+{
+    auto const step = this->last_advance ? to_seconds(now - *this->last_advance) : 0.0;
+    this->interactive_offered *= std::exp(-step / to_seconds(this->options.rate_window));
+    this->last_advance = now;
+    auto const waiting_since = now - this->oldest_age(now);
+    this->rate.advance(now, this->size() > 0 ? std::optional(waiting_since) : std::nullopt);
+}
+
+duration admission_queue::wait_for(request_priority priority, double work_ahead) const
+{
+    auto const whole = this->rate.value();
+    auto const drafts_share = whole * this->options.aged_draft_share;
+    if (priority == request_priority::interactive)
+    {
+        auto const left = this->drafts.size() > 0 ? whole - drafts_share : whole;
+        return from_seconds(std::min(work_ahead / left, longest_wait_seconds));
+    }
+    auto const arriving = this->interactive_offered / to_seconds(this->options.rate_window);
+    auto const left = std::max(drafts_share, whole - arriving);
+    auto const wait = this->interactive.work() / whole + work_ahead / left;
+    return from_seconds(std::min(wait, longest_wait_seconds));
+}
+
+duration admission_queue::retry_after(duration wait, duration budget, request_id const& id) const
+{
+    auto const least = this->options.min_retry_after;
+    auto const after = std::clamp<duration>(wait - budget, least, this->options.max_retry_after);
+    auto const spread = static_cast<double>(stable_hash(id.value()) % 1024) / 1024 * retry_spread;
+    return from_seconds(to_seconds(after) * (1 + spread));
+}
+
+bool admission_queue::make_room(queued_request const& request)
+{
+    auto const is_draft = request.priority == request_priority::draft;
+    auto const limit = static_cast<double>(this->options.max_length);
+    auto const draft_limit = static_cast<std::size_t>(limit * this->options.max_draft_length);
+    auto const drafts_full = is_draft && this->drafts.size() >= draft_limit;
+    if (this->size() < this->options.max_length && !drafts_full)
+        return true;
+    auto displaced = this->class_of(request.priority).displace_for(request.account, request.weight);
+    if (!displaced)
+        return false;
+    this->known.erase(displaced->request_id);
+    this->give_up(*displaced, refusal_reason::queue_full);
+    return true;
+}
+
+bool admission_queue::is_draft_next(time_point now) const
+{
+    if (this->drafts.size() == 0 || this->interactive.size() == 0)
+        return this->interactive.size() == 0;
+    auto const oldest = this->drafts.oldest_arrival().value_or(now);
+    auto const is_aged = now - oldest >= this->options.draft_ageing;
+    return is_aged && this->draft_credit >= this->drafts.front()->expected_work;
+}
+
+void admission_queue::charge_draft_share(time_point now, queued_request const& taken)
+{
+    auto const oldest = this->drafts.oldest_arrival().value_or(now);
+    auto const share = this->options.aged_draft_share;
+    if (taken.priority == request_priority::draft)
+        this->draft_credit = std::max(0.0, this->draft_credit - taken.expected_work);
+    else if (now - oldest >= this->options.draft_ageing)
+        this->draft_credit += taken.expected_work * share / (1 - share);
+    else
+        this->draft_credit = 0;
+}
+
+void admission_queue::expire_class(time_point now, request_priority priority)
+{
+    auto const is_hopeless = [&](queued_request const& request, double work_ahead)
+    {
+        auto const left = to_seconds(request.deadline - now);
+        auto const wait = to_seconds(this->wait_for(priority, work_ahead));
+        return left <= 0 || wait > left * this->options.give_up_factor;
+    };
+    for (auto const& request : this->class_of(priority).erase_if(is_hopeless))
+    {
+        this->known.erase(request.request_id);
+        this->give_up(request, refusal_reason::deadline);
+    }
+}
+
+void admission_queue::give_up(queued_request const& request, refusal_reason reason)
+{
+    auto const& level = this->class_of(request.priority);
+    auto const wait =
+        this->wait_for(request.priority, level.work_ahead(request.account, request.weight));
+    auto const after =
+        this->retry_after(wait, request.deadline - request.arrived, request.request_id);
+    this->given_up.push_back({request.request_id, after, reason});
+}
+
+} // namespace lagoonladder::request
--- /dev/null
+++ b/src/request/internal/fair_queue.cpp
@@ -0,0 +1,192 @@
+#include <lagoonladder/request/fair_queue.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonladder::request
+{
+
+namespace
+{
+
+double weight_of(std::uint32_t weight)
+{
+    return std::max<std::uint32_t>(1, weight);
+}
+
+} // namespace
+
+void fair_queue::push(queued_request request)
+{
+    invariant(request.expected_work > 0, "expected work is positive");
+    auto& own = this->accounts[request.account];
+    if (own.requests.empty())
+        own.start = std::max(own.start, this->virtual_time);
+    own.weight = weight_of(request.weight);
+    own.work += request.expected_work;
+    this->total_work += request.expected_work;
+    ++this->length;
+    own.requests.push_back(std::move(request));
+}
+
+queued_request const* fair_queue::front() const
+{
+    auto const next = this->next_account();
+    return next == this->accounts.end() ? nullptr : &next->second.requests.front();
+}
+
+std::optional<queued_request> fair_queue::pop()
+{
+    auto const next = this->next_account();
+    if (next == this->accounts.end())
+        return std::nullopt;
+    auto& own = this->accounts.at(next->first);
+    auto request = std::move(own.requests.front());
+    own.requests.pop_front();
+    this->virtual_time = std::max(this->virtual_time, own.start);
+    own.start += request.expected_work / own.weight;
+    this->removed(own, request);
+    this->forget_idle_accounts();
+    return request;
+}
+
+bool fair_queue::erase(account_id const& account, request_id const& id)
+{
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end())
+        return false;
+    auto& requests = found->second.requests;
+    auto const position =
+        std::find_if(requests.begin(), requests.end(),
+                     [&](auto const& request) { return request.request_id == id; });
+    if (position == requests.end())
+        return false;
+    auto const request = std::move(*position);
+    requests.erase(position);
+    this->removed(found->second, request);
+    this->forget_idle_accounts();
+    return true;
+}
+
+std::vector<queued_request>
+fair_queue::erase_if(std::function<bool(queued_request const&, double)> const& give_up)
+{
+    std::vector<queued_request> out;
+    for (auto& [id, own] : this->accounts)
+    {
+        double own_ahead = 0;
+        std::deque<queued_request> kept;
+        for (auto& request : std::exchange(own.requests, {}))
+        {
+            auto const start = own.start + own_ahead / own.weight;
+            if (give_up(request, own_ahead + this->others_ahead(&own, start)))
+            {
+                this->removed(own, request);
+                out.push_back(std::move(request));
+                continue;
+            }
+            own_ahead += request.expected_work;
+            kept.push_back(std::move(request));
+        }
+        own.requests = std::move(kept);
+    }
+    this->forget_idle_accounts();
+    return out;
+}
+
+std::optional<queued_request> fair_queue::displace_for(account_id const& account,
+                                                       std::uint32_t weight)
+{
+    auto const per_weight = [](account_queue const& queue)
+    { return static_cast<double>(queue.requests.size()) / queue.weight; };
+    auto const own = this->accounts.find(account);
+    auto const own_size = own == this->accounts.end() ? 0 : own->second.requests.size();
+    auto const own_share = static_cast<double>(own_size + 1) / weight_of(weight);
+    auto const longest =
+        std::max_element(this->accounts.begin(), this->accounts.end(),
+                         [&](auto const& left, auto const& right)
+                         { return per_weight(left.second) < per_weight(right.second); });
+    if (longest == this->accounts.end() || longest->first == account ||
+        per_weight(longest->second) <= own_share)
+        return std::nullopt;
+    auto request = std::move(longest->second.requests.back());
+    longest->second.requests.pop_back();
+    this->removed(longest->second, request);
+    return request;
+}
+
+double fair_queue::work_ahead(account_id const& account, std::uint32_t weight) const
+{
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end())
+        return this->others_ahead(nullptr, this->virtual_time);
+    auto const& own = found->second;
+    auto const start = std::max(own.start, this->virtual_time) + own.work / weight_of(weight);
+    return own.work + this->others_ahead(&own, start);
+}
+
+std::optional<time_point> fair_queue::oldest_arrival() const
+{
+    std::optional<time_point> oldest;
+    for (auto const& [id, own] : this->accounts)
+    {
+        if (own.requests.empty())
+            continue;
+        auto const arrived = own.requests.front().arrived;
+        oldest = oldest ? std::min(*oldest, arrived) : arrived;
+    }
+    return oldest;
+}
+
+fair_queue::account_map::const_iterator fair_queue::next_account() const
+{
+    auto best = this->accounts.end();
+    for (auto position = this->accounts.begin(); position != this->accounts.end(); ++position)
+    {
+        if (position->second.requests.empty())
+            continue;
+        if (best == this->accounts.end() || position->second.start < best->second.start)
+            best = position;
+    }
+    return best;
+}
+
+double fair_queue::others_ahead(account_queue const* own, double start) const
+{
+    double ahead = 0;
+    for (auto const& [id, other] : this->accounts)
+    {
+        if (&other == own || other.requests.empty() || other.start > start)
+            continue;
+        auto const served =
+            other.requests.front().expected_work + (start - other.start) * other.weight;
+        ahead += std::min(other.work, served);
+    }
+    return ahead;
+}
+
+void fair_queue::forget_idle_accounts()
+{
+    if (this->length == 0)
+    {
+        this->accounts.clear();
+        this->virtual_time = 0;
+        this->total_work = 0;
+        return;
+    }
+    std::erase_if(this->accounts,
+                  [&](auto const& item)
+                  {
+                      auto const& own = item.second;
+                      return own.requests.empty() && own.start <= this->virtual_time;
+                  });
+}
+
+void fair_queue::removed(account_queue& from, queued_request const& request)
+{
+    from.work -= request.expected_work;
+    this->total_work -= request.expected_work;
+    --this->length;
+}
+
+} // namespace lagoonladder::request
--- /dev/null
+++ b/src/request/internal/prefix_index.cpp
@@ -0,0 +1,133 @@
+#include <lagoonladder/request/prefix_index.hpp>
+
+#include <algorithm>
+
+namespace lagoonladder::request
+{
+
+std::vector<std::uint64_t> prefix_blocks(std::string_view prompt, std::size_t block_bytes,
+                                         std::size_t max_blocks)
+{
+    invariant(block_bytes > 0, "prefix blocks have a size");
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t chain = 0;
+    while (prompt.size() >= block_bytes && blocks.size() < max_blocks)
+    {
+        chain = stable_hash(prompt.substr(0, block_bytes), chain);
+        blocks.push_back(chain);
+        prompt.remove_prefix(block_bytes);
+    }
+    return blocks;
+}
+
+prefix_index::prefix_index(prefix_index_options initial)
+    : options(initial)
+{
+}
+
+cache_event_result prefix_index::apply(time_point now, endpoint_id const& endpoint,
+                                       cache_event const& received)
+{
+    auto& known = this->find_or_add(now, endpoint);
+    if (known.has_sequence && received.sequence <= known.sequence)
+        return cache_event_result::duplicate;
+    auto const is_gap = known.has_sequence && received.sequence != known.sequence + 1;
+    if (is_gap || received.change == cache_change::cleared)
+    {
+        known.order.clear();
+        known.blocks.clear();
+    }
+    known.has_sequence = true;
+    known.sequence = received.sequence;
+    for (auto const block : received.blocks)
+    {
+        if (received.change == cache_change::stored)
+            this->store(now, known, block);
+        else
+            forget(known, block);
+    }
+    return is_gap ? cache_event_result::gap : cache_event_result::applied;
+}
+
+void prefix_index::routed(time_point now, endpoint_id const& endpoint,
+                          std::vector<std::uint64_t> const& blocks)
+{
+    auto& known = this->find_or_add(now, endpoint);
+    // The first block is the most useful one, so it is stored last and dropped last.
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
+        this->store(now, known, *block);
+}
+
+double prefix_index::match(time_point now, endpoint_id const& endpoint,
+                           std::vector<std::uint64_t> const& blocks) const
+{
+    auto const found = this->endpoints.find(endpoint);
+    if (found == this->endpoints.end() || blocks.empty())
+        return 0;
+    std::size_t matched = 0;
+    for (auto const block : blocks)
+    {
+        auto const position = found->second.blocks.find(block);
+        if (position == found->second.blocks.end() ||
+            now - position->second->confirmed >= this->options.max_age)
+            break;
+        ++matched;
+    }
+    return static_cast<double>(matched) / static_cast<double>(blocks.size());
+}
+
+void prefix_index::remove(endpoint_id const& endpoint)
+{
+    this->endpoints.erase(endpoint);
+}
+
+std::size_t prefix_index::size() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, known] : this->endpoints)
+        count += known.blocks.size();
+    return count;
+}
+
+prefix_index::endpoint_blocks& prefix_index::find_or_add(time_point now,
+                                                         endpoint_id const& endpoint)
+{
+    if (!this->endpoints.contains(endpoint))
+        this->make_room();
+    auto& known = this->endpoints[endpoint];
+    known.last_used = now;
+    return known;
+}
+
+void prefix_index::make_room()
+{
+    if (this->endpoints.size() < this->options.max_endpoints)
+        return;
+    auto const oldest = std::min_element(this->endpoints.begin(), this->endpoints.end(),
+                                         [](auto const& left, auto const& right) {
+                                             return left.second.last_used < right.second.last_used;
+                                         });
+    if (oldest != this->endpoints.end())
+        this->endpoints.erase(oldest);
+}
+
+void prefix_index::store(time_point now, endpoint_blocks& known, std::uint64_t block) const
+{
+    forget(known, block);
+    known.order.push_front({block, now});
+    known.blocks[block] = known.order.begin();
+    while (known.order.size() > this->options.max_blocks_per_endpoint ||
+           now - known.order.back().confirmed >= this->options.max_age)
+        forget(known, known.order.back().block);
+}
+
+void prefix_index::forget(endpoint_blocks& known, std::uint64_t block)
+{
+    auto const found = known.blocks.find(block);
+    if (found == known.blocks.end())
+        return;
+    known.order.erase(found->second);
+    known.blocks.erase(found);
+}
+
+} // namespace lagoonladder::request
