--- a/src/process/daemon/internal/admission_gate.hpp
+++ b/src/process/daemon/internal/admission_gate.hpp
@@ -59,8 +59,8 @@
 
     queue& queue_for(control_view const& view, endpoint_query const& query);
     void pump(control_view const& view, queue_key const& key, queue& known);
-    connection::endpoint_record wait(std::unique_lock<std::mutex>& lock, queue& known,
-                                     waiter& own, request::queued const& place);
+    connection::endpoint_record wait(std::unique_lock<std::mutex>& lock, queue& known, waiter& own,
+                                     request::queued const& place);
     problem refuse(admission_request const& request, request::refused const& given_up) const;
 
     traffic_context& context;
--- a/src/process/daemon/internal/companion_link.cpp
+++ b/src/process/daemon/internal/companion_link.cpp
@@ -146,7 +146,8 @@
         return this->give_up(id, "no other entry can be reached");
     this->peers.prepare(call->context, store_timeout);
     stub->async()->Store(&call->context, &call->request, &call->reply,
-                         [this, call, id](grpc::Status const& status) {
+                         [this, call, id](grpc::Status const& status)
+                         {
                              this->store_ended(id, status.ok() && call->reply.held());
                              this->end_call();
                          });
@@ -235,7 +236,8 @@
     }
     this->peers.prepare(call->context, progress_timeout);
     stub->async()->Progress(&call->context, &call->request, &call->reply,
-                            [this, call, id](grpc::Status const& status) {
+                            [this, call, id](grpc::Status const& status)
+                            {
                                 std::optional<token_offset> next;
                                 if (status.ok() && call->reply.held())
                                     next = token_offset(call->reply.next_offset());
--- a/src/process/daemon/internal/completion_answer.cpp
+++ b/src/process/daemon/internal/completion_answer.cpp
@@ -104,12 +104,12 @@
     auto const writer =
         std::make_shared<answer_writer>(std::move(source), header, std::move(first), offset);
     response.set_chunked_content_provider(
-        event_stream,
-        [writer, counted = std::move(counted)](std::size_t, httplib::DataSink& sink) { return (*writer)(sink); });
+        event_stream, [writer, counted = std::move(counted)](std::size_t, httplib::DataSink& sink)
+        { return (*writer)(sink); });
 }
 
-std::string whole_answer(token_source& source, answer_header const& header,
-                         request::fetched first, request::request_outcome& outcome)
+std::string whole_answer(token_source& source, answer_header const& header, request::fetched first,
+                         request::request_outcome& outcome)
 {
     std::string text;
     std::uint64_t count = 0;
@@ -130,12 +130,11 @@
         choice["message"] = {{"role", "assistant"}, {"content", text}};
     else
         choice["text"] = text;
-    nlohmann::json const answer{
-        {"id", header.id},
-        {"object", header.is_chat ? "chat.completion" : "text_completion"},
-        {"model", header.service},
-        {"choices", nlohmann::json::array({choice})},
-        {"usage", {{"completion_tokens", count}}}};
+    nlohmann::json const answer{{"id", header.id},
+                                {"object", header.is_chat ? "chat.completion" : "text_completion"},
+                                {"model", header.service},
+                                {"choices", nlohmann::json::array({choice})},
+                                {"usage", {{"completion_tokens", count}}}};
     return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/process/daemon/internal/completion_answer.hpp
+++ b/src/process/daemon/internal/completion_answer.hpp
@@ -35,8 +35,8 @@
                    std::shared_ptr<open_request> counted);
 
 /// Reads the whole answer and returns its JSON text; `outcome` gets the final state.
-std::string whole_answer(token_source& source, answer_header const& header,
-                         request::fetched first, request::request_outcome& outcome);
+std::string whole_answer(token_source& source, answer_header const& header, request::fetched first,
+                         request::request_outcome& outcome);
 
 } // namespace lagoonladder::daemon
 
--- a/src/process/daemon/internal/completion_routes.cpp
+++ b/src/process/daemon/internal/completion_routes.cpp
@@ -86,11 +86,11 @@
 void completion_routes::register_routes(httplib::Server& server)
 {
     auto& context = this->service.parts().context;
-    auto const bind = [&](bool is_chat) {
-        return guarded(context, [this, is_chat](httplib::Request const& request,
-                                                httplib::Response& response) {
-            this->serve(request, response, is_chat);
-        });
+    auto const bind = [&](bool is_chat)
+    {
+        return guarded(context,
+                       [this, is_chat](httplib::Request const& request, httplib::Response& response)
+                       { this->serve(request, response, is_chat); });
     };
     server.Post("/v1/chat/completions", bind(true));
     server.Post("/v1/completions", bind(false));
@@ -126,14 +126,14 @@
     context.metrics.observe_seconds("first_token_seconds", {{"service", config.name.value()}},
                                     to_seconds(context.time.now() - started));
     if (first.status != request::fetch_status::found)
-        throw refusal({500, "internal", "the request is no longer held", execution::unknown,
-                       id.value()});
+        throw refusal(
+            {500, "internal", "the request is no longer held", execution::unknown, id.value()});
     if (first.tokens.empty() && !first.outcome->failure.empty())
         return send_failure(response, *first.outcome);
     answer_header const header{id, config.name, is_chat};
     if (is_streamed)
-        return stream_answer(response, std::move(source), header, std::move(first),
-                             token_offset(0), std::move(counted));
+        return stream_answer(response, std::move(source), header, std::move(first), token_offset(0),
+                             std::move(counted));
     request::request_outcome outcome;
     auto const text = whole_answer(*source, header, std::move(first), outcome);
     if (!outcome.failure.empty())
--- a/src/process/daemon/internal/completion_runner.cpp
+++ b/src/process/daemon/internal/completion_runner.cpp
@@ -79,7 +79,8 @@
         {
             if (first)
                 this->parts.router.attempt_ended(*first, std::nullopt);
-            return this->fail(504, "deadline", "the deadline passed before the answer was complete");
+            return this->fail(504, "deadline",
+                              "the deadline passed before the answer was complete");
         }
         auto const endpoint = first ? first : this->next_endpoint();
         first.reset();
@@ -98,8 +99,8 @@
                               this->version != split->second.stable &&
                               !split->second.stable.value().empty();
     // A move may have ended since the request was accepted.
-    if (is_candidate && (this->version != split->second.candidate ||
-                         this->failures >= failures_to_fall_back))
+    if (is_candidate &&
+        (this->version != split->second.candidate || this->failures >= failures_to_fall_back))
         this->version = split->second.stable;
     endpoint_query query{this->request.service, this->version, this->request.body, this->excluded};
     auto chosen = this->parts.router.choose(*view, query);
@@ -169,9 +170,9 @@
     attempt.endpoint = endpoint;
     attempt.id = attempt_id(this->request.id.value() + "/" + this->parts.context.config.vm.value() +
                             "/" + std::to_string(++this->attempt_count));
-    auto const resume_at = this->assembly.begin_attempt(
-        attempt.id,
-        by_import ? request::resume_method::kv_import : request::resume_method::recompute);
+    auto const resume_at =
+        this->assembly.begin_attempt(attempt.id, by_import ? request::resume_method::kv_import
+                                                           : request::resume_method::recompute);
     if (this->attempt_count > 1 || resume_at.value() > 0)
         this->report_resume(attempt, by_import);
     attempt.started = attempt.last_token = attempt.last_check = this->parts.context.time.now();
@@ -180,9 +181,8 @@
                                  this->service.progress_timeout};
     auto const result = run_attempt(
         this->parts.upstream, posted,
-        [&](engine_event const& event, std::string_view data) {
-            return this->take_token(attempt, event, data);
-        },
+        [&](engine_event const& event, std::string_view data)
+        { return this->take_token(attempt, event, data); },
         [&] { return this->may_continue(attempt); });
     this->end_attempt(attempt, result);
     return this->judge(attempt, result);
@@ -245,8 +245,8 @@
     if (attempt.tokens > 0)
         outcome.first_byte = attempt.last_token - attempt.started;
     bool const says_nothing = result.end == attempt_end::stopped && !attempt.has_gap;
-    this->parts.router.attempt_ended(
-        attempt.endpoint, says_nothing ? std::nullopt : std::make_optional(outcome));
+    this->parts.router.attempt_ended(attempt.endpoint,
+                                     says_nothing ? std::nullopt : std::make_optional(outcome));
     this->parts.gate.pump();
 
     auto& sample = attempt.sample;
@@ -304,8 +304,8 @@
     }
     // The engine may still work on an attempt that was silent or had a gap.
     if (result.status == 200)
-        this->parts.background.run(
-            [address = attempt.endpoint.address, id = attempt.id] { cancel_on_engine(address, id); });
+        this->parts.background.run([address = attempt.endpoint.address, id = attempt.id]
+                                   { cancel_on_engine(address, id); });
     if (this->failures > 1)
         this->back_off(this->failures);
     return true;
@@ -313,8 +313,8 @@
 
 void completion_runner::back_off(std::uint32_t count)
 {
-    auto const bound = std::min(base_back_off * (1 << std::min<std::uint32_t>(count, 6)),
-                                max_back_off);
+    auto const bound =
+        std::min(base_back_off * (1 << std::min<std::uint32_t>(count, 6)), max_back_off);
     auto const delay = from_seconds(to_seconds(bound) * this->parts.router.random_unit());
     auto const left = this->deadline - this->parts.context.time.now();
     if (left > duration(0))
--- a/src/process/daemon/internal/completion_service.cpp
+++ b/src/process/daemon/internal/completion_service.cpp
@@ -54,8 +54,7 @@
     auto const endpoint = this->shared_parts.gate.enter(admission);
     context.metrics.observe_seconds("queue_seconds", {{"service", completion.service.name.value()}},
                                     to_seconds(context.time.now() - arrived));
-    accepted.deadline =
-        context.time.wall_now() + (admission.queued.deadline - context.time.now());
+    accepted.deadline = context.time.wall_now() + (admission.queued.deadline - context.time.now());
     if (!this->shared_parts.store.accept(accepted))
     {
         this->shared_parts.router.attempt_ended(endpoint, std::nullopt);
@@ -71,18 +70,20 @@
                         std::optional<connection::endpoint_record> const& first)
 {
     auto counted = std::make_shared<open_request>(this->shared_parts.context);
-    this->workers.run([this, request, resume_at, first, counted] {
-        try
+    this->workers.run(
+        [this, request, resume_at, first, counted]
         {
-            completion_runner(this->shared_parts, request, resume_at).run(first);
-        }
-        catch (std::exception const& failed)
-        {
-            problem internal{500, "internal", failed.what(), execution::unknown,
-                             request.id.value()};
-            this->shared_parts.store.finish(request.id, {"", format_problem(internal), 500});
-        }
-    });
+            try
+            {
+                completion_runner(this->shared_parts, request, resume_at).run(first);
+            }
+            catch (std::exception const& failed)
+            {
+                problem internal{500, "internal", failed.what(), execution::unknown,
+                                 request.id.value()};
+                this->shared_parts.store.finish(request.id, {"", format_problem(internal), 500});
+            }
+        });
     return counted;
 }
 
--- a/src/process/daemon/internal/completion_store.cpp
+++ b/src/process/daemon/internal/completion_store.cpp
@@ -41,8 +41,8 @@
     this->journal.companion_has(this->context.time.now(), id, next);
 }
 
-std::optional<request::progress_batch> completion_store::pending_progress(
-    request_id const& id) const
+std::optional<request::progress_batch>
+completion_store::pending_progress(request_id const& id) const
 {
     std::lock_guard const lock(this->mutex);
     return this->journal.pending_progress(id);
--- a/src/process/daemon/internal/engine_attempt.cpp
+++ b/src/process/daemon/internal/engine_attempt.cpp
@@ -17,8 +17,8 @@
 {
     attempt_result result;
     result.status = status;
-    result.detail = "the engine answered status " + std::to_string(status) + ": " +
-                    body.substr(0, max_detail);
+    result.detail =
+        "the engine answered status " + std::to_string(status) + ": " + body.substr(0, max_detail);
     if (status == 429 || status == 503)
         result.end = attempt_end::busy;
     else if (status >= 400 && status < 500 && status != 408)
@@ -28,7 +28,7 @@
 
 /// Answer of status 200, or no value.
 std::optional<nlohmann::json> post_json(network_address const& address, std::string const& path,
-                         nlohmann::json const& body, duration timeout)
+                                        nlohmann::json const& body, duration timeout)
 {
     httplib::Request request;
     request.method = "POST";
@@ -54,7 +54,8 @@
     bool ended = false;
     bool engine_failed = false;
     int status = 0;
-    auto const on_event = [&](std::string_view data) {
+    auto const on_event = [&](std::string_view data)
+    {
         auto const event = read_engine_event(data);
         ended = ended || event.is_end;
         engine_failed = event.is_error;
@@ -67,12 +68,13 @@
     request.path = attempt.path;
     request.headers.emplace("Content-Type", "application/json");
     request.body = attempt.body;
-    request.response_handler = [&](httplib::Response const& response) {
+    request.response_handler = [&](httplib::Response const& response)
+    {
         status = response.status;
         return true;
     };
-    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t,
-                                   std::uint64_t) {
+    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
         if (status != 200)
         {
             refused_body.append(data, std::min(size, max_detail));
--- a/src/process/daemon/internal/plain_call.cpp
+++ b/src/process/daemon/internal/plain_call.cpp
@@ -18,13 +18,12 @@
 bool belongs_to_connection(std::string const& name)
 {
     static constexpr std::array<char const*, 14> names{
-        "Connection",     "Keep-Alive",        "Transfer-Encoding", "Content-Length",
-        "Host",           "Authorization",     "Upgrade",           "TE",
-        "Trailer",        "Proxy-Connection",  "REMOTE_ADDR",       "REMOTE_PORT",
-        "LOCAL_ADDR",     "LOCAL_PORT"};
-    return std::any_of(names.begin(), names.end(), [&name](char const* known) {
-        return strcasecmp(name.c_str(), known) == 0;
-    });
+        "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",
+        "Host",       "Authorization",    "Upgrade",           "TE",
+        "Trailer",    "Proxy-Connection", "REMOTE_ADDR",       "REMOTE_PORT",
+        "LOCAL_ADDR", "LOCAL_PORT"};
+    return std::any_of(names.begin(), names.end(),
+                       [&name](char const* known) { return strcasecmp(name.c_str(), known) == 0; });
 }
 
 void count_attempt(plain_parts const& parts, plain_call const& call,
@@ -101,26 +100,25 @@
     plain_attempt attempt;
     auto request = endpoint_request(call);
     std::string body;
-    request.content_receiver = [&body](char const* data, std::size_t size, std::uint64_t,
-                                       std::uint64_t) {
+    request.content_receiver =
+        [&body](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
         body.append(data, size);
         return body.size() <= max_answer_bytes;
     };
     auto const started = parts.context.time.now();
     auto const left = std::max<duration>(call.deadline - started, milliseconds(1));
     auto const progress = std::min(call.service.progress_timeout, left);
-    attempt.result = once ? upstream_connections::call_once(endpoint.address,
-                                                            std::min(connect_timeout, left),
-                                                            progress, request, attempt.response)
-                          : parts.upstream.call(endpoint.address, progress, request,
-                                                attempt.response);
+    attempt.result =
+        once ? upstream_connections::call_once(endpoint.address, std::min(connect_timeout, left),
+                                               progress, request, attempt.response)
+             : parts.upstream.call(endpoint.address, progress, request, attempt.response);
     attempt.response.body = std::move(body);
     count_attempt(parts, call, endpoint, attempt, parts.context.time.now() - started);
     return attempt;
 }
 
-void serve_idempotent(plain_parts const& parts, plain_call const& call,
-                      httplib::Response& response)
+void serve_idempotent(plain_parts const& parts, plain_call const& call, httplib::Response& response)
 {
     endpoint_query query{call.service.name, call.version, call.target, {}};
     parts.router.first_attempt(call.service);
--- a/src/process/daemon/internal/plain_once.cpp
+++ b/src/process/daemon/internal/plain_once.cpp
@@ -59,8 +59,8 @@
 problem once_call::describe(int status, std::string type, std::string detail,
                             execution executed) const
 {
-    return {status, std::move(type), std::move(detail), executed, this->call.id.value(),
-            seconds(1), {}};
+    return {status, std::move(type), std::move(detail), executed, this->call.id.value(), seconds(1),
+            {}};
 }
 
 request::once_reply once_call::commit(version::command_body body)
@@ -189,7 +189,8 @@
         std::optional<request::once_reply> found;
         try
         {
-            found = this->parts.context.control.find_once(this->key, std::min(left, commit_timeout));
+            found =
+                this->parts.context.control.find_once(this->key, std::min(left, commit_timeout));
         }
         catch (outcome_unknown_error const& failed)
         {
@@ -206,10 +207,10 @@
 
 void once_call::refuse_committed(request::once_reply const& reply)
 {
-    auto refused = this->describe(503, "refused", "the request was refused before it was sent",
-                                  execution::no);
-    refused.retry_after = std::max<duration>(
-        reply.reopen_at - this->parts.context.time.wall_now(), seconds(1));
+    auto refused =
+        this->describe(503, "refused", "the request was refused before it was sent", execution::no);
+    refused.retry_after =
+        std::max<duration>(reply.reopen_at - this->parts.context.time.wall_now(), seconds(1));
     throw refusal(refused);
 }
 
@@ -218,8 +219,8 @@
     request::once_reply reply;
     try
     {
-        reply = this->commit(request::once_refuse{this->key, this->digest, this->attempt,
-                                                  refused_retry_after});
+        reply = this->commit(
+            request::once_refuse{this->key, this->digest, this->attempt, refused_retry_after});
     }
     catch (daemon_error const& failed)
     {
--- a/src/process/daemon/internal/plain_routes.cpp
+++ b/src/process/daemon/internal/plain_routes.cpp
@@ -37,11 +37,9 @@
 
 void plain_routes::register_routes(httplib::Server& server)
 {
-    auto const handler =
-        guarded(this->parts.context, [this](httplib::Request const& request,
-                                            httplib::Response& response) {
-            this->serve(request, response);
-        });
+    auto const handler = guarded(
+        this->parts.context, [this](httplib::Request const& request, httplib::Response& response)
+        { this->serve(request, response); });
     std::string const pattern = "/services/.+";
     server.Get(pattern, handler);
     server.Post(pattern, handler);
@@ -59,8 +57,8 @@
     auto const& configuration = view.shared->configuration;
     auto const* known = configuration.find_service(service);
     if (!known || known->kind != version::service_kind::plain)
-        throw refusal({404, "unknown-service",
-                       "no plain service \"" + service.value() + "\" is configured"});
+        throw refusal(
+            {404, "unknown-service", "no plain service \"" + service.value() + "\" is configured"});
     if (request.is_multipart_form_data())
         throw refusal({415, "unsupported-media-type", "multipart/form-data is not supported"});
     call.service = *known;
--- a/src/process/daemon/internal/request_routes.cpp
+++ b/src/process/daemon/internal/request_routes.cpp
@@ -39,15 +39,11 @@
 {
     auto& context = this->service.parts().context;
     server.Get("/v1/requests",
-               guarded(context, [this](httplib::Request const& request,
-                                       httplib::Response& response) {
-                   this->serve(request, response, request_id());
-               }));
+               guarded(context, [this](httplib::Request const& request, httplib::Response& response)
+                       { this->serve(request, response, request_id()); }));
     server.Get("/v1/requests/([^/]+)",
-               guarded(context, [this](httplib::Request const& request,
-                                       httplib::Response& response) {
-                   this->serve(request, response, request_id(request.matches[1]));
-               }));
+               guarded(context, [this](httplib::Request const& request, httplib::Response& response)
+                       { this->serve(request, response, request_id(request.matches[1])); }));
 }
 
 void request_routes::serve(httplib::Request const& request, httplib::Response& response,
@@ -64,9 +60,9 @@
         this->serve_once_state(request, response, id, *view, account);
 }
 
-bool request_routes::serve_completion(httplib::Request const& request,
-                                      httplib::Response& response, request_id const& id,
-                                      control_view const&, account_id const& account)
+bool request_routes::serve_completion(httplib::Request const& request, httplib::Response& response,
+                                      request_id const& id, control_view const&,
+                                      account_id const& account)
 {
     auto const& parts = this->service.parts();
     token_offset const offset(offset_parameter(request));
@@ -93,9 +89,9 @@
     return true;
 }
 
-void request_routes::serve_once_state(httplib::Request const& request,
-                                      httplib::Response& response, request_id const& id,
-                                      control_view const& view, account_id const& account)
+void request_routes::serve_once_state(httplib::Request const& request, httplib::Response& response,
+                                      request_id const& id, control_view const& view,
+                                      account_id const& account)
 {
     auto& context = this->service.parts().context;
     std::vector<service_name> services;
@@ -108,8 +104,7 @@
     // A call without a key is recorded under its request id.
     auto const key = request.has_param("key") ? request.get_param_value("key") : id.value();
     if (key.empty())
-        throw refusal({400, "bad-parameter", "service and key are required",
-                       execution::unknown});
+        throw refusal({400, "bad-parameter", "service and key are required", execution::unknown});
     try
     {
         for (auto const& name : services)
@@ -126,8 +121,8 @@
     {
         throw refusal({503, "no-quorum", failed.what(), execution::unknown, id.value()});
     }
-    throw refusal({404, "unknown-request", "no such request is known", execution::unknown,
-                   id.value()});
+    throw refusal(
+        {404, "unknown-request", "no such request is known", execution::unknown, id.value()});
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/request_routes.hpp
+++ b/src/process/daemon/internal/request_routes.hpp
@@ -22,8 +22,7 @@
     void register_routes(httplib::Server& server) override;
 
 private:
-    void serve(httplib::Request const& request, httplib::Response& response,
-               request_id const& id);
+    void serve(httplib::Request const& request, httplib::Response& response, request_id const& id);
     bool serve_completion(httplib::Request const& request, httplib::Response& response,
                           request_id const& id, control_view const& view,
                           account_id const& account);
--- a/src/process/daemon/internal/requests_service.cpp
+++ b/src/process/daemon/internal/requests_service.cpp
@@ -110,8 +110,9 @@
     std::lock_guard const lock(this->mutex);
     for (auto known = this->owners.begin(); known != this->owners.end();)
     {
-        bool const is_listed = std::any_of(view.entries.begin(), view.entries.end(),
-                                           [&](auto const& entry) { return entry.vm == known->first; });
+        bool const is_listed =
+            std::any_of(view.entries.begin(), view.entries.end(),
+                        [&](auto const& entry) { return entry.vm == known->first; });
         known->second.was_listed = known->second.was_listed || is_listed;
         bool const is_lost = !is_listed && (known->second.was_listed ||
                                             now - known->second.last >= unlisted_owner_timeout);
--- a/src/process/daemon/internal/traffic_http.cpp
+++ b/src/process/daemon/internal/traffic_http.cpp
@@ -49,7 +49,8 @@
 httplib::Server::Handler guarded(traffic_context& context, httplib::Server::Handler handler)
 {
     return [&context, handler = std::move(handler)](httplib::Request const& request,
-                                                    httplib::Response& response) {
+                                                    httplib::Response& response)
+    {
         try
         {
             handler(request, response);
--- a/src/process/daemon/internal/traffic_listener.cpp
+++ b/src/process/daemon/internal/traffic_listener.cpp
@@ -90,17 +90,20 @@
     this->server->set_write_timeout(socket_timeout);
     // The library's default is SO_REUSEPORT, with which a second process could
     // bind the same port without an error and take half of the connections.
-    this->server->set_socket_options([](socket_t socket) {
-        int const yes = 1;
-        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    });
+    this->server->set_socket_options(
+        [](socket_t socket)
+        {
+            int const yes = 1;
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        });
 }
 
 void traffic_listener::set_error_answers()
 {
     auto& shared = this->context;
     this->server->set_pre_routing_handler(
-        [&shared](httplib::Request const& request, httplib::Response& response) {
+        [&shared](httplib::Request const& request, httplib::Response& response)
+        {
             problem refused{503, "too-many-connections", "this entry has no free connection"};
             if (!worker_threads::is_over_limit())
             {
@@ -114,7 +117,8 @@
             return httplib::Server::HandlerResponse::Handled;
         });
     this->server->set_error_handler(
-        [&shared](httplib::Request const& request, httplib::Response& response) {
+        [&shared](httplib::Request const& request, httplib::Response& response)
+        {
             if (response.body.empty() && !response.has_header("X-Request-Id"))
                 send_refusal(shared, request, response, status_problem(request, response));
         });
--- a/src/process/daemon/internal/traffic_router.cpp
+++ b/src/process/daemon/internal/traffic_router.cpp
@@ -114,10 +114,12 @@
     auto const now = this->context.time.now();
     std::lock_guard const lock(this->mutex);
     this->take_reports(endpoints);
-    return std::any_of(endpoints.begin(), endpoints.end(), [&](auto const& endpoint) {
-        return is_serving(endpoint, version) &&
-               this->load.estimate(now, endpoint.id) < slots_of(endpoint);
-    });
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [&](auto const& endpoint)
+                       {
+                           return is_serving(endpoint, version) &&
+                                  this->load.estimate(now, endpoint.id) < slots_of(endpoint);
+                       });
 }
 
 std::uint32_t traffic_router::slots(control_view const& view, service_name const& service)
--- a/src/process/daemon/internal/traffic_secret.hpp
+++ b/src/process/daemon/internal/traffic_secret.hpp
@@ -13,7 +13,8 @@
         return false;
     unsigned difference = 0;
     for (std::size_t i = 0; i < given.size(); ++i)
-        difference |= static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(expected[i]);
+        difference |=
+            static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(expected[i]);
     return difference == 0;
 }
 
--- a/src/process/daemon/internal/traffic_upstream.cpp
+++ b/src/process/daemon/internal/traffic_upstream.cpp
@@ -78,8 +78,7 @@
 }
 
 upstream_result upstream_connections::call_once(network_address const& address,
-                                                duration connect_timeout,
-                                                duration progress_timeout,
+                                                duration connect_timeout, duration progress_timeout,
                                                 httplib::Request& request,
                                                 httplib::Response& response)
 {
@@ -98,9 +97,9 @@
     for (auto known = this->idle.begin(); known != this->idle.end();)
     {
         auto& connections = known->second;
-        auto const old = std::partition(
-            connections.begin(), connections.end(),
-            [now](auto const& connection) { return now - connection.since < idle_timeout; });
+        auto const old = std::partition(connections.begin(), connections.end(),
+                                        [now](auto const& connection)
+                                        { return now - connection.since < idle_timeout; });
         std::move(old, connections.end(), std::back_inserter(closing));
         connections.erase(old, connections.end());
         known = connections.empty() ? this->idle.erase(known) : std::next(known);
