--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -17,6 +17,8 @@
     duration lease = seconds(5);
     /// Added to the lease of rows that arrive by gossip, because renewals arrive unevenly.
     duration gossip_allowance = seconds(2);
+    /// How long after a new leaving mark digests are sent at short intervals.
+    duration urgent_time = seconds(1);
     /// How long an expired or removed row is remembered, so that a late digest does
     /// not bring it back.
     duration tombstone_retention = std::chrono::minutes(10);
@@ -103,6 +105,11 @@
     /// When the endpoint's VM is taken away, as far as a notice said so.
     std::optional<time_point> leave_deadline(endpoint_id const& id) const;
 
+    /// Whether a leaving mark is so new that digests should be sent every 250 ms, and at once
+    /// when it was learned. With the ordinary interval of 1 s and lost digests, some entries
+    /// would learn it only after the bound of 3 s.
+    bool is_urgent(time_point now) const;
+
     /// Counts every change of a row.
     std::uint64_t version() const { return this->current_version; }
 
@@ -130,7 +137,8 @@
     directory_result insert(time_point now, endpoint_record row, duration lease);
     directory_result update(time_point now, stored_row& known, endpoint_record row, duration lease);
     void replace(time_point now, stored_row& known, endpoint_record row, duration lease);
-    void apply_notice(stored_row& known, reclaim_notice const& notice);
+    void mark_leaving(time_point now, stored_row& known);
+    void apply_notice(time_point now, stored_row& known, reclaim_notice const& notice);
     bool make_room(time_point now);
     void touch(stored_row& known);
 
@@ -138,6 +146,7 @@
     std::map<endpoint_id, stored_row> rows;
     std::vector<reclaim_notice> notices;
     std::uint64_t current_version = 0;
+    std::optional<time_point> last_leaving;
 };
 
 } // namespace lagoonladder::connection
--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -89,8 +89,7 @@
         return directory_result::gone;
     if (is_leaving(known.record))
         return directory_result::unchanged;
-    known.record.state = endpoint_state::leaving;
-    this->touch(known);
+    this->mark_leaving(now, known);
     return directory_result::marked_leaving;
 }
 
@@ -102,9 +101,8 @@
     auto& known = found->second;
     if (!this->is_listed(now, known))
         return directory_result::gone;
-    known.record.state = endpoint_state::leaving;
     known.is_removed = true;
-    this->touch(known);
+    this->mark_leaving(now, known);
     return directory_result::marked_leaving;
 }
 
@@ -142,7 +140,7 @@
         auto const was_leaving = is_leaving(row.record);
         if (!matches(notice, row.record) || !this->is_listed(now, row))
             continue;
-        this->apply_notice(row, notice);
+        this->apply_notice(now, row, notice);
         if (!was_leaving)
             marked.push_back(id);
     }
@@ -211,6 +209,11 @@
     return out;
 }
 
+bool endpoint_directory::is_urgent(time_point now) const
+{
+    return this->last_leaving && now - *this->last_leaving < this->options.urgent_time;
+}
+
 bool endpoint_directory::is_listed(time_point now, stored_row const& known) const
 {
     return known.lease_until > now && !known.is_removed;
@@ -259,8 +262,7 @@
     // A row with a lower sequence may carry the only copy of a leaving mark.
     if (becomes_leaving)
     {
-        known.record.state = endpoint_state::leaving;
-        this->touch(known);
+        this->mark_leaving(now, known);
         return was_gone ? directory_result::gone : directory_result::marked_leaving;
     }
     if (was_gone)
@@ -271,23 +273,31 @@
 void endpoint_directory::replace(time_point now, stored_row& known, endpoint_record row,
                                  duration lease)
 {
+    if (is_leaving(row) && !is_leaving(known.record))
+        this->last_leaving = now;
     known.record = std::move(row);
     known.lease_until = std::max(known.lease_until, now + lease);
     known.is_expiry_reported = false;
     for (auto const& notice : this->notices)
     {
         if (matches(notice, known.record))
-            this->apply_notice(known, notice);
+            this->apply_notice(now, known, notice);
     }
     this->touch(known);
 }
 
-void endpoint_directory::apply_notice(stored_row& known, reclaim_notice const& notice)
+void endpoint_directory::apply_notice(time_point now, stored_row& known,
+                                      reclaim_notice const& notice)
 {
     known.leave_by = notice.deadline;
-    if (is_leaving(known.record))
-        return;
+    if (!is_leaving(known.record))
+        this->mark_leaving(now, known);
+}
+
+void endpoint_directory::mark_leaving(time_point now, stored_row& known)
+{
     known.record.state = endpoint_state::leaving;
+    this->last_leaving = now;
     this->touch(known);
 }
 
--- a/src/connection/internal/entry_directory.cpp
+++ b/src/connection/internal/entry_directory.cpp
@@ -201,7 +201,7 @@
         move_random_peer(far, peers, random);
     for (auto* rest : {&far, &near, &dead})
     {
-        if (peers.size() < 2)
+        while (peers.size() < 2 && !rest->empty())
             move_random_peer(*rest, peers, random);
     }
     return peers;
--- /dev/null
+++ b/src/connection/tests/endpoint_directory_test.cpp
@@ -0,0 +1,174 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "rows.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::connection;
+
+namespace
+{
+
+using result = directory_result;
+
+nlohmann::json listed(endpoint_directory const& directory, time_point now)
+{
+    return directory.live(now);
+}
+
+rc::Gen<endpoint_record> any_row()
+{
+    return rc::gen::map(
+        rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(1, 4), rc::gen::inRange(0, 5),
+                       rc::gen::weightedElement<bool>({{4, false}, {1, true}})),
+        [](auto const& drawn)
+        {
+            auto const [id, start, sequence, leaving] = drawn;
+            auto row = make_endpoint("e" + std::to_string(id), static_cast<std::uint64_t>(start),
+                                     static_cast<std::uint64_t>(sequence),
+                                     leaving ? endpoint_state::leaving : endpoint_state::serving);
+            row.load.running = static_cast<std::uint32_t>(sequence);
+            return row;
+        });
+}
+
+} // namespace
+
+TEST_CASE("merging is independent of order and repetition")
+{
+    // Guards against entries that disagree for good after lost, reordered or repeated digests.
+    rc::prop("any order gives the same rows",
+             []
+             {
+                 auto const rows = *rc::gen::container<std::vector<endpoint_record>>(any_row());
+                 auto shuffled = rows;
+                 seeded_random random(*rc::gen::arbitrary<std::uint64_t>());
+                 for (std::size_t i = shuffled.size(); i > 1; --i)
+                     std::swap(shuffled[i - 1], shuffled[random.below(i)]);
+                 auto const repeats = random.below(4);
+                 for (std::size_t i = 0; i < repeats && !rows.empty(); ++i)
+                     shuffled.push_back(rows[random.below(rows.size())]);
+                 endpoint_directory left;
+                 endpoint_directory right;
+                 left.merge(at({}), rows);
+                 right.merge(at({}), shuffled);
+                 RC_ASSERT(listed(left, at({})) == listed(right, at({})));
+             });
+}
+
+TEST_CASE("leaving lasts for the incarnation")
+{
+    // Guards against a renewal that crosses a leaving mark and brings the endpoint back.
+    endpoint_directory directory;
+    CHECK(directory.announce(at({}), make_endpoint("e1", 1, 1)) == result::added);
+    CHECK(directory.leave(at({}), endpoint_id("e1")) == result::marked_leaving);
+    CHECK(directory.announce(at({}), make_endpoint("e1", 1, 2)) == result::renewed);
+    CHECK(directory.find(at({}), endpoint_id("e1"))->state == endpoint_state::leaving);
+    CHECK(directory.announce(at({}), make_endpoint("e1", 2, 0)) == result::added);
+    CHECK(directory.find(at({}), endpoint_id("e1"))->state == endpoint_state::serving);
+    CHECK(directory.merge(at({}), make_endpoint("e1", 1, 9, endpoint_state::leaving)) ==
+          result::stale);
+    CHECK(directory.find(at({}), endpoint_id("e1"))->state == endpoint_state::serving);
+}
+
+TEST_CASE("an expired row does not come back from a late digest")
+{
+    // Guards against a frozen entry that resumes and spreads endpoints that are gone.
+    endpoint_directory directory;
+    auto const row = make_endpoint("e1", 1, 5);
+    directory.announce(at({}), row);
+    CHECK(directory.live(at(milliseconds(4999))).size() == 1);
+    CHECK(directory.live(at(seconds(5))).empty());
+    CHECK(directory.expire(at(seconds(5))) == std::vector{endpoint_id("e1")});
+    CHECK(directory.expire(at(seconds(6))).empty());
+    CHECK(directory.merge(at(seconds(6)), row) == result::gone);
+    CHECK(directory.live(at(seconds(6))).empty());
+    CHECK(directory.changed_since(at(seconds(6)), 0).empty());
+    CHECK(directory.merge(at(seconds(7)), make_endpoint("e1", 1, 6)) == result::renewed);
+    CHECK(directory.live(at(seconds(7))).size() == 1);
+}
+
+TEST_CASE("a repeated row does not extend the lease")
+{
+    // Guards against a dead endpoint that entries keep alive by telling each other.
+    endpoint_directory directory;
+    for (int second = 0; second < 8; ++second)
+        directory.merge(at(seconds(second)), make_endpoint("e1", 1, 5));
+    CHECK(directory.live(at(seconds(7))).empty());
+}
+
+TEST_CASE("a removed endpoint is not listed and spreads as leaving")
+{
+    // Guards against peers that go on sending work to an endpoint that asked to be removed.
+    endpoint_directory directory;
+    endpoint_directory peer;
+    directory.announce(at({}), make_endpoint("e1", 1, 1));
+    peer.merge(at({}), directory.changed_since(at({}), 0));
+    auto const seen = directory.version();
+    CHECK(directory.remove(at({}), endpoint_id("e1")) == result::marked_leaving);
+    CHECK(directory.live(at({})).empty());
+    CHECK(directory.announce(at({}), make_endpoint("e1", 1, 2)) == result::gone);
+    auto const summary = peer.merge(at({}), directory.changed_since(at({}), seen));
+    CHECK(summary.has_new_leaving);
+    CHECK(peer.find(at({}), endpoint_id("e1"))->state == endpoint_state::leaving);
+    CHECK(directory.remove(at({}), endpoint_id("e2")) == result::not_found);
+}
+
+TEST_CASE("a reclaim notice covers endpoints that are learned after it")
+{
+    // Guards against an endpoint that restarts or is learned between notice and reclaim.
+    endpoint_directory directory;
+    directory.announce(at({}), make_endpoint("e1", 1, 1));
+    reclaim_notice const notice{vm_id("vm-e1"), zone_id(), at(seconds(30)), false};
+    CHECK(directory.apply(at({}), notice) == std::vector{endpoint_id("e1")});
+    CHECK(directory.apply(at({}), notice).empty());
+    CHECK(directory.leave_deadline(endpoint_id("e1")) == at(seconds(30)));
+    directory.announce(at(seconds(1)), make_endpoint("e1", 2, 1));
+    CHECK(directory.find(at(seconds(1)), endpoint_id("e1"))->state == endpoint_state::leaving);
+    directory.expire(at(seconds(60)));
+    directory.announce(at(seconds(60)), make_endpoint("e1", 3, 1));
+    CHECK(directory.find(at(seconds(60)), endpoint_id("e1"))->state == endpoint_state::serving);
+}
+
+TEST_CASE("a zone notice can spare on-demand endpoints")
+{
+    // Guards against losing the capacity that stays, at the moment it is needed most.
+    endpoint_directory directory;
+    auto reclaimable = make_endpoint("e1", 1, 1);
+    reclaimable.reclaimable = true;
+    directory.announce(at({}), reclaimable);
+    directory.announce(at({}), make_endpoint("e2", 1, 1));
+    auto marked = directory.apply(at({}), {vm_id(), zone_id("z1"), at(seconds(30)), true});
+    CHECK(marked == std::vector{endpoint_id("e1")});
+    marked = directory.apply(at({}), {vm_id(), zone_id("z1"), at(seconds(30)), false});
+    CHECK(marked == std::vector{endpoint_id("e2")});
+}
+
+TEST_CASE("a full directory refuses new rows and keeps known ones")
+{
+    // Guards against unbounded memory, and against live rows that are displaced silently.
+    endpoint_directory_options options;
+    options.max_rows = 2;
+    endpoint_directory directory(options);
+    directory.announce(at({}), make_endpoint("e1", 1, 1));
+    directory.announce(at({}), make_endpoint("e2", 1, 1));
+    CHECK(directory.announce(at({}), make_endpoint("e3", 1, 1)) == result::full);
+    CHECK(directory.announce(at(seconds(1)), make_endpoint("e1", 1, 2)) == result::renewed);
+    CHECK(directory.announce(at(seconds(5)), make_endpoint("e3", 1, 1)) == result::added);
+    CHECK(directory.find(at(seconds(5)), endpoint_id("e1")));
+    CHECK(directory.size() == 2);
+}
+
+TEST_CASE("a renewal needs the announced incarnation")
+{
+    // Guards against a restarted endpoint that is listed with the row of its earlier start.
+    endpoint_directory directory;
+    auto const id = endpoint_id("e1");
+    CHECK(directory.renew(at({}), id, incarnation(1), 2, {}) == result::not_found);
+    directory.announce(at({}), make_endpoint("e1", 2, 1));
+    CHECK(directory.renew(at({}), id, incarnation(3), 2, {}) == result::not_found);
+    CHECK(directory.renew(at({}), id, incarnation(1), 2, {}) == result::stale);
+    CHECK(directory.renew(at({}), id, incarnation(2), 1, {}) == result::unchanged);
+    CHECK(directory.renew(at(seconds(4)), id, incarnation(2), 2, {5, 0, 8, 0}) == result::renewed);
+    CHECK(directory.find(at(seconds(8)), id)->load.running == 5);
+}
--- /dev/null
+++ b/src/connection/tests/entry_directory_test.cpp
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <set>
+
+#include "rows.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::connection;
+
+namespace
+{
+
+/// An entry "vm-0" in d0 that knows `count` others in three data centres.
+entry_directory make_directory(int count)
+{
+    entry_directory directory(make_entry("vm-0", "d0"));
+    for (int i = 1; i <= count; ++i)
+        directory.merge(at({}), make_entry("vm-" + std::to_string(i), "d" + std::to_string(i % 3)));
+    return directory;
+}
+
+std::set<std::string> names(std::vector<entry_record> const& rows)
+{
+    std::set<std::string> out;
+    for (auto const& row : rows)
+        out.insert(row.vm.value());
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("silence makes an entry suspect, then dead")
+{
+    // Guards against old digests that keep a stopped entry alive.
+    auto directory = make_directory(2);
+    directory.merge(at(seconds(2)), make_entry("vm-1", "d1"));
+    CHECK(directory.find(at(milliseconds(2999)), vm_id("vm-1"))->health == entry_health::alive);
+    CHECK(directory.find(at(seconds(3)), vm_id("vm-1"))->health == entry_health::suspect);
+    CHECK(names(directory.list_for(at(seconds(3)), "caller")) == std::set<std::string>{"vm-0"});
+    CHECK(directory.find(at(seconds(6)), vm_id("vm-1"))->health == entry_health::dead);
+    CHECK(directory.expire(at(seconds(6))).size() == 2);
+    CHECK(directory.expire(at(seconds(7))).empty());
+    CHECK(directory.merge(at(seconds(7)), make_entry("vm-1", "d1")) == entry_result::unchanged);
+    CHECK(names(directory.digest(at(seconds(7)))) == std::set<std::string>{"vm-0"});
+    CHECK(directory.merge(at(seconds(8)), make_entry("vm-1", "d1", 1, 1)) ==
+          entry_result::advanced);
+    CHECK(names(directory.live(at(seconds(8)))) == std::set<std::string>{"vm-0", "vm-1"});
+}
+
+TEST_CASE("an own pause is not the silence of others")
+{
+    // Guards against a process that was stopped and then takes over the work of all others.
+    auto directory = make_directory(3);
+    directory.expire(at(seconds(1)));
+    CHECK(directory.expire(at(seconds(20))).empty());
+    CHECK(directory.live(at(seconds(20))).size() == 4);
+    for (int second = 21; second < 27; ++second)
+        directory.expire(at(seconds(second)));
+    CHECK(directory.live(at(seconds(27))).size() == 1);
+}
+
+TEST_CASE("an entry supersedes rows of its earlier start")
+{
+    // Guards against an entry that stays unknown after its wall clock was set back.
+    entry_directory directory(make_entry("vm-0", "d0", 5));
+    CHECK(directory.merge(at({}), make_entry("vm-0", "d0", 9, 3, entry_state::leaving)) ==
+          entry_result::self);
+    CHECK(directory.own().incarnation == incarnation(10));
+    CHECK(directory.own().state == entry_state::serving);
+    CHECK(directory.merge(at({}), make_entry("vm-0", "d0", 9, 9, entry_state::leaving)) ==
+          entry_result::stale);
+    auto const summary =
+        directory.merge(at({}), std::vector{make_entry("vm-0", "d0", 10, 0, entry_state::leaving)});
+    CHECK(summary.self_marked_leaving);
+    CHECK(directory.own().state == entry_state::leaving);
+}
+
+TEST_CASE("leaving entries are omitted at once and for their whole incarnation")
+{
+    // Guards against callers that are sent to an entry which is about to stop.
+    auto directory = make_directory(4);
+    CHECK(directory.set_leaving(at({}), vm_id("vm-2")) == entry_result::marked_leaving);
+    CHECK(directory.merge(at({}), make_entry("vm-2", "d2", 1, 8)) == entry_result::advanced);
+    CHECK(names(directory.list_for(at({}), "caller")).count("vm-2") == 0);
+    CHECK(directory.merge(at({}), make_entry("vm-2", "d2", 2)) == entry_result::added);
+    CHECK(names(directory.list_for(at({}), "caller")).count("vm-2") == 1);
+    CHECK(directory.set_leaving(at({}), vm_id("vm-99")) == entry_result::not_found);
+}
+
+TEST_CASE("callers are spread over entries and data centres")
+{
+    // Guards against one entry that gets all callers, and a list from one data centre only.
+    auto const directory = make_directory(8);
+    std::map<vm_id, int> first;
+    for (int caller = 0; caller < 900; ++caller)
+    {
+        auto const list = directory.list_for(at({}), "caller-" + std::to_string(caller), 3);
+        REQUIRE(list.size() == 3);
+        std::set<data_centre_id> data_centres;
+        for (auto const& row : list)
+            data_centres.insert(row.data_centre);
+        CHECK(data_centres.size() == 3);
+        ++first[list.front().vm];
+    }
+    CHECK(first.size() == 9);
+    for (auto const& [vm, count] : first)
+        CHECK(count < 150);
+}
+
+TEST_CASE("every entry gives a caller the same order")
+{
+    // Guards against an order that depends on who is asked, which would defeat the spreading.
+    auto const directory = make_directory(5);
+    entry_directory other(make_entry("vm-3", "d0"));
+    for (int i : {0, 5, 4, 2, 1})
+        other.merge(at({}), make_entry("vm-" + std::to_string(i), "d" + std::to_string(i % 3)));
+    CHECK(nlohmann::json(directory.list_for(at({}), "x")) ==
+          nlohmann::json(other.list_for(at({}), "x")));
+}
+
+TEST_CASE("a companion is in another data centre while there is one")
+{
+    // Guards against both holders of a request being lost with one data centre.
+    auto directory = make_directory(6);
+    std::set<std::string> used;
+    for (int i = 0; i < 100; ++i)
+    {
+        auto const companion = directory.companion_for(at({}), "request-" + std::to_string(i));
+        REQUIRE(companion);
+        CHECK(companion->data_centre != data_centre_id("d0"));
+        used.insert(companion->vm.value());
+    }
+    CHECK(used.size() == 4);
+    for (auto const* vm : {"vm-1", "vm-2", "vm-4", "vm-5"})
+        directory.set_leaving(at({}), vm_id(vm));
+    CHECK(directory.companion_for(at({}), "x")->data_centre == data_centre_id("d0"));
+    CHECK_FALSE(entry_directory(make_entry("vm-0", "d0")).companion_for(at({}), "x"));
+}
+
+TEST_CASE("two live entries of a data centre poll the cloud API")
+{
+    // Guards against notices that nobody reads after the polling entry died.
+    auto directory = make_directory(9);
+    auto const before = directory.cloud_pollers(at({}), data_centre_id("d1"));
+    REQUIRE(before.size() == 2);
+    directory.set_leaving(at({}), before.front());
+    auto const after = directory.cloud_pollers(at({}), data_centre_id("d1"));
+    REQUIRE(after.size() == 2);
+    CHECK(std::find(after.begin(), after.end(), before.front()) == after.end());
+    entry_directory alone(make_entry("vm-0", "d0", 1, 0, entry_state::leaving));
+    CHECK(alone.polls_cloud(at({})));
+}
+
+TEST_CASE("gossip goes to one peer inside and one outside the data centre")
+{
+    // Guards against news that stays within a data centre, and a partition that never heals.
+    auto const directory = make_directory(6);
+    seeded_random random(1);
+    for (int i = 0; i < 50; ++i)
+    {
+        auto const peers = directory.gossip_peers(at({}), random);
+        REQUIRE(peers.size() == 2);
+        CHECK(peers[0].data_centre == data_centre_id("d0"));
+        CHECK(peers[1].data_centre != data_centre_id("d0"));
+        CHECK(directory.gossip_peers(at(seconds(10)), random).size() == 2);
+    }
+}
--- /dev/null
+++ b/src/connection/tests/gossip_test.cpp
@@ -0,0 +1,262 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "rows.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::connection;
+
+namespace
+{
+
+constexpr int step_ms = 50;
+constexpr int data_centres = 4;
+
+struct member
+{
+    entry_directory entries;
+    endpoint_directory endpoints;
+    int frozen_until = 0;
+    /// Offset of the gossip interval within a second.
+    int phase = 0;
+    bool sends_at_once = false;
+};
+
+struct digest
+{
+    std::size_t to = 0;
+    std::size_t from = 0;
+    int arrives = 0;
+    bool is_reply = false;
+    std::vector<entry_record> entries;
+    std::vector<endpoint_record> endpoints;
+};
+
+/// Entries that exchange digests over a network that loses, repeats and reorders them.
+class gossip_model
+{
+public:
+    gossip_model(int count, double loss_share, std::uint64_t seed)
+        : random(seed)
+        , loss(loss_share)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            this->members.push_back(
+                {entry_directory(row_of(i, 1)), endpoint_directory(), 0, 0, false});
+            this->members.back().phase = static_cast<int>(this->random.below(20)) * step_ms;
+        }
+        for (auto& one : this->members)
+        {
+            for (int i = 0; i < count; ++i)
+                one.entries.merge(at({}), row_of(i, 1));
+        }
+    }
+
+    static entry_record row_of(int index, std::uint64_t start)
+    {
+        return make_entry("vm-" + std::to_string(index), "d" + std::to_string(index % data_centres),
+                          start);
+    }
+
+    time_point now() const { return at(milliseconds(this->time)); }
+
+    void run(int milliseconds_to_run)
+    {
+        for (auto const end = this->time + milliseconds_to_run; this->time < end;)
+        {
+            this->time += step_ms;
+            this->deliver();
+            for (std::size_t i = 0; i < this->members.size(); ++i)
+                this->act(i);
+        }
+    }
+
+    void freeze(std::size_t index, int span)
+    {
+        this->members[index].frozen_until = this->time + span;
+    }
+
+    void restart(std::size_t index)
+    {
+        auto const start = this->members[index].entries.own().incarnation.value() + 1;
+        auto& one = this->members[index];
+        one = {entry_directory(row_of(static_cast<int>(index), start)), endpoint_directory(), 0,
+               one.phase, false};
+        for (std::size_t i = 0; i < this->members.size(); ++i)
+            one.entries.merge(this->now(), row_of(static_cast<int>(i), 1));
+    }
+
+    std::vector<member> members;
+    seeded_random random;
+    double loss;
+    int time = 0;
+    /// The endpoint renews here every second.
+    std::size_t announced_at = 0;
+    bool renews = true;
+
+private:
+    bool is_frozen(std::size_t index) const
+    {
+        return this->time < this->members[index].frozen_until;
+    }
+
+    void act(std::size_t index)
+    {
+        auto& one = this->members[index];
+        if (this->is_frozen(index))
+            return;
+        auto const is_interval = this->time % 1000 == one.phase;
+        auto const is_extra =
+            this->time % 250 == one.phase % 250 && one.endpoints.is_urgent(this->now());
+        if (index == this->announced_at && this->renews && is_interval)
+            one.endpoints.announce(this->now(),
+                                   make_endpoint("e1", 1, static_cast<std::uint64_t>(this->time)));
+        if (!is_interval && !is_extra && !one.sends_at_once)
+            return;
+        one.sends_at_once = false;
+        if (is_interval)
+        {
+            one.entries.beat(generation(1), 0);
+            one.entries.expire(this->now());
+            one.endpoints.expire(this->now());
+        }
+        for (auto const& peer : one.entries.gossip_peers(this->now(), this->random))
+            this->send(index, std::stoul(peer.vm.value().substr(3)), false);
+    }
+
+    void send(std::size_t from, std::size_t to, bool is_reply)
+    {
+        auto const& one = this->members[from];
+        digest const message{to,
+                             from,
+                             0,
+                             is_reply,
+                             one.entries.digest(this->now()),
+                             one.endpoints.changed_since(this->now(), 0)};
+        auto const copies = this->random.below(10) == 0 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+        {
+            if (this->random.unit() < this->loss)
+                continue;
+            this->in_flight.push_back(message);
+            auto const delay = 1 + static_cast<int>(this->random.below(4));
+            this->in_flight.back().arrives = this->time + delay * step_ms;
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<digest> due;
+        std::erase_if(this->in_flight,
+                      [&](auto const& message)
+                      {
+                          auto const arrives = message.arrives <= this->time;
+                          if (arrives)
+                              due.push_back(message);
+                          return arrives;
+                      });
+        for (auto const& message : due)
+        {
+            if (this->is_frozen(message.to))
+                continue;
+            auto& to = this->members[message.to];
+            to.entries.merge(this->now(), message.entries);
+            auto const summary = to.endpoints.merge(this->now(), message.endpoints);
+            to.sends_at_once = to.sends_at_once || summary.has_new_leaving;
+            if (!message.is_reply)
+                this->send(message.to, message.from, true);
+        }
+    }
+
+    std::vector<digest> in_flight;
+};
+
+} // namespace
+
+TEST_CASE("a leaving endpoint gets nothing new within 3 s")
+{
+    // Guards against an entry that still lists a leaving endpoint as serving 3 s after the mark,
+    // with every fifth digest lost.
+    rc::prop("all entries know within the bound",
+             []
+             {
+                 gossip_model model(11, 0.2, *rc::gen::arbitrary<std::uint64_t>());
+                 model.run(6000);
+                 auto const marker = model.random.below(11);
+                 auto& source = model.members[marker];
+                 auto const marked = source.endpoints.apply(
+                     model.now(), {vm_id("vm-e1"), zone_id(), model.now() + seconds(30), false});
+                 RC_ASSERT(marked.size() == 1U);
+                 source.sends_at_once = true;
+                 model.run(3000);
+                 for (auto const& one : model.members)
+                 {
+                     auto const row = one.endpoints.find(model.now(), endpoint_id("e1"));
+                     RC_ASSERT(!row || row->state == endpoint_state::leaving);
+                 }
+                 // Renewals that cross the mark do not bring the endpoint back.
+                 model.run(4000);
+                 for (auto const& one : model.members)
+                 {
+                     auto const row = one.endpoints.find(model.now(), endpoint_id("e1"));
+                     RC_ASSERT(!row || row->state == endpoint_state::leaving);
+                 }
+             });
+}
+
+TEST_CASE("membership converges after freezes and restarts")
+{
+    // Guards against entries that stay dead, suspect or forgotten after they came back, and
+    // against endpoints that a resumed entry brings back.
+    rc::prop("all members are alive again",
+             []
+             {
+                 gossip_model model(8, 0.1, *rc::gen::arbitrary<std::uint64_t>());
+                 model.run(5000);
+                 auto const frozen = 1 + model.random.below(7);
+                 model.freeze(frozen, 20000);
+                 model.restart((frozen + 1 + model.random.below(7)) % 8);
+                 // 6 s of silence after the last heartbeat, which itself may arrive up to 6 s late:
+                 // peers pass it on until they take the entry for dead.
+                 model.run(13000);
+                 RC_ASSERT(model.members[frozen == 1 ? 2 : 1]
+                               .entries.find(model.now(), vm_id("vm-" + std::to_string(frozen)))
+                               ->health == entry_health::dead);
+                 model.renews = false;
+                 model.run(22000);
+                 for (auto const& one : model.members)
+                 {
+                     RC_ASSERT(one.entries.live(model.now()).size() == 8U);
+                     RC_ASSERT(one.endpoints.live(model.now()).empty());
+                 }
+             });
+}
+
+TEST_CASE("live entries are rarely suspected")
+{
+    // Guards against timeouts that are too short for the gossip interval: callers would be
+    // sent away from entries that are well.
+    gossip_model model(11, 0.05, 20261204);
+    model.run(5000);
+    int suspected = 0;
+    int samples = 0;
+    for (int second = 0; second < 120; ++second)
+    {
+        model.run(1000);
+        for (auto const& one : model.members)
+        {
+            for (auto const& status : one.entries.all(model.now()))
+            {
+                ++samples;
+                suspected += status.health != entry_health::alive ? 1 : 0;
+                CHECK(status.health != entry_health::dead);
+            }
+        }
+    }
+    INFO("suspected " << suspected << " of " << samples);
+    CHECK(suspected * 500 < samples);
+}
