--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -128,7 +128,7 @@
     struct rated
     {
         route_candidate const* candidate = nullptr;
-        /// Load per slot after this request, corrected by speed and ramp-up.
+        /// Load per slot after this request, corrected by speed.
         double load = 0;
         double cost = 0;
         /// Share of ordinary traffic during ramp-up, relative to the other candidates.
@@ -146,8 +146,7 @@
     void rate(time_point now, route_query const& query, double median, rated_list& all) const;
     rated_list within_bound(rated_list const& all) const;
     rated_list affinity(rated_list all, route_query const& query) const;
-    static std::size_t pick(rated_list const& all, std::optional<std::size_t> except,
-                            random_source& random);
+    static rated const& choose_of_two(rated_list const& group, random_source& random);
     void record_failure(time_point now, health& state) const;
     static void record_success(time_point now, health& state, route_outcome const& outcome);
     void note_probe(time_point now, endpoint_id const& endpoint);
--- a/src/request/internal/queue_trend.cpp
+++ b/src/request/internal/queue_trend.cpp
@@ -11,7 +11,7 @@
 /// The fast average has to exceed the slow one by this share and this many seconds, so
 /// that ordinary variation is no rise.
 constexpr double min_rise = 1.1;
-constexpr double min_rise_seconds = 0.1;
+constexpr double min_rise_seconds = 0.5;
 
 } // namespace
 
--- a/src/request/internal/route_choice.cpp
+++ b/src/request/internal/route_choice.cpp
@@ -55,9 +55,7 @@
     if (all.empty())
         return std::nullopt;
     auto const group = this->affinity(this->within_bound(all), query);
-    auto const first = pick(group, std::nullopt, random);
-    auto const second = group.size() > 1 ? pick(group, first, random) : first;
-    auto const& chosen = group[second].cost < group[first].cost ? group[second] : group[first];
+    auto const& chosen = choose_of_two(group, random);
     auto const& id = chosen.candidate->endpoint_id;
     this->note_probe(now, id);
     return id;
@@ -198,7 +196,7 @@
         auto const relative_time =
             is_timed ? std::clamp(state.mean_time / median, min_relative_time, max_relative_time)
                      : 1.0;
-        one.load = (candidate.load + 1) / slots_of(candidate) * relative_time / one.share;
+        one.load = (candidate.load + 1) / slots_of(candidate) * relative_time;
         auto const is_remote = candidate.data_centre != query.data_centre;
         one.cost = one.load + (is_remote ? this->options.remote_penalty : 0) -
                    this->options.prefix_weight * candidate.prefix_match;
@@ -236,24 +234,18 @@
     return all;
 }
 
-std::size_t balanced_route_policy::pick(rated_list const& all, std::optional<std::size_t> except,
-                                        random_source& random)
+balanced_route_policy::rated const& balanced_route_policy::choose_of_two(rated_list const& group,
+                                                                         random_source& random)
 {
-    double total = 0;
-    for (std::size_t i = 0; i < all.size(); ++i)
-        total += i == except ? 0 : all[i].share;
-    auto left = random.unit() * total;
-    std::size_t last = 0;
-    for (std::size_t i = 0; i < all.size(); ++i)
-    {
-        if (i == except)
-            continue;
-        last = i;
-        left -= all[i].share;
-        if (left < 0)
-            break;
-    }
-    return last;
+    auto const first = random.below(group.size());
+    if (group.size() == 1)
+        return group[first];
+    auto const second = (first + 1 + random.below(group.size() - 1)) % group.size();
+    auto const is_second_better = group[second].cost < group[first].cost;
+    auto const& better = is_second_better ? group[second] : group[first];
+    auto const& other = is_second_better ? group[first] : group[second];
+    // An idle endpoint wins each comparison, so ramp-up limits how often the win counts.
+    return random.unit() < better.share ? better : other;
 }
 
 void balanced_route_policy::note_probe(time_point now, endpoint_id const& endpoint)
