Add the move controller and the move study

Cause: a move had a record and no one to decide about it.

A test on differences since the start alone was ruled out because its evidence for a good start hides a later fault.

Change: move_controller plans the shares backwards from the stated time and compares both versions per route and pooled by mixtures of likelihood ratios over alternatives and start seconds, on failures and on tail shares of three latencies.

--- /dev/null
+++ b/src/version/include/lagoonladder/version/move_controller.hpp
@@ -0,0 +1,76 @@
+#ifndef LAGOONLADDER_VERSION_MOVE_CONTROLLER_HPP
+#define LAGOONLADDER_VERSION_MOVE_CONTROLLER_HPP
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <lagoonladder/version/control_state.hpp>
+#include <lagoonladder/version/traffic_sample.hpp>
+
+namespace lagoonladder::version
+{
+
+/// Limits of the verdict and of the share steps.
+struct move_settings
+{
+    /// Probability that a version as good as the old one is reversed, over all
+    /// tests of a move. It holds for independent requests.
+    double error_rate = 0.01;
+    /// Evidence of one interval is cut here, in nats. A replica that dies takes
+    /// several requests with it, which are not independent evidence.
+    double interval_limit = 2.0;
+    /// Evidence, in nats, above which the share is not raised.
+    double hold_level = 2.5;
+    /// Requests of one route that the first step sends to the new version.
+    double first_step_requests = 10;
+    double least_first_share = 0.01;
+    double most_first_share = 0.2;
+    /// Requests of each version without which the move is undecided.
+    double least_requests = 50;
+    /// How long traffic is observed before the first step.
+    duration observe = seconds(5);
+    /// Time between two updates that only carry figures. A new leader loses
+    /// at most the evidence of this span.
+    duration report_interval = seconds(10);
+    /// Reserved before finish_by for the commit of the last update.
+    duration commit_margin = seconds(3);
+};
+
+/// Controls one running move. Deterministic.
+///
+/// Each test is a mixture of likelihood ratios over alternatives and over the
+/// second at which the version became bad, so that the error rate holds
+/// however often it is looked at. The tests compare failures and the share of
+/// slow calls of both versions in the same interval, per route and pooled; above
+/// a share of one half also with the old version's own figures of this move.
+///
+/// A new controller continues from the figures in the move record. What is
+/// lost with a leader are the seconds since the last report and the routes'
+/// figures of the old version: after a change of leader at full share, a route
+/// is judged by its failures and latency only in the pooled test.
+class move_controller
+{
+public:
+    explicit move_controller(move_settings const& limits = {});
+    ~move_controller();
+    move_controller(move_controller&&) noexcept;
+    move_controller& operator=(move_controller&&) noexcept;
+
+    /// Takes the samples that arrived in the last interval, late ones included,
+    /// and returns the change to propose. Called once a second. A record of
+    /// another move starts afresh.
+    std::optional<update_move> step(wall_time now, move_record const& record,
+                                    service_config const& service,
+                                    std::vector<traffic_sample> const& samples);
+
+private:
+    class implementation;
+
+    move_settings settings;
+    std::unique_ptr<implementation> current;
+};
+
+} // namespace lagoonladder::version
+
+#endif
--- /dev/null
+++ b/src/version/internal/metric_test.cpp
@@ -0,0 +1,130 @@
+#include "metric_test.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonladder::version
+{
+
+namespace
+{
+
+// A version is tolerated up to these ratios; a test that tolerated nothing would
+// reverse versions for a difference that no caller notices.
+constexpr double tolerated_failure_ratio = 1.5;
+constexpr double tolerated_slowdown = 1.25;
+constexpr std::array<double, 3> failure_ratios{4, 20, 100};
+constexpr std::array<double, 3> slowdowns{1.7, 2.5, 5};
+
+// Without concurrent traffic a disturbance of both versions looks like a bad version,
+// so the reference tests tolerate more.
+constexpr double tolerated_reference_ratio = 3;
+constexpr double tolerated_reference_failures = 0.01;
+constexpr double tolerated_reference_slowdown = 1.6;
+constexpr std::array<double, 3> reference_failure_factors{3, 8, 20};
+constexpr std::array<double, 3> reference_slowdowns{2.5, 4, 8};
+
+constexpr std::size_t edge_count = 2;
+// The lowest tested edge: at most this part of the old version's calls is slower.
+constexpr double edge_tail = 0.35;
+// Old calls without which no quantile of them is used.
+constexpr double least_reference = 100;
+// Alternatives that differ less from the null hypothesis tell the versions apart too slowly.
+constexpr double least_contrast = 1.2;
+
+std::size_t lowest_edge(latency_histogram const& past)
+{
+    std::size_t edge = 0;
+    while (edge + edge_count < latency_histogram::bucket_count &&
+           tail_share(past, edge, 1) > edge_tail)
+        ++edge;
+    return edge;
+}
+
+} // namespace
+
+metric_test::metric_test(move_metric tested)
+    : metric(tested)
+    , concurrent(tested == move_metric::failures ? failure_ratios.size()
+                                                 : slowdowns.size() * edge_count)
+    , reference(tested == move_metric::failures ? reference_failure_factors.size()
+                                                : reference_slowdowns.size() * edge_count)
+{
+}
+
+void metric_test::add(paired_counts const& interval, version_counts const& past, bool use_reference,
+                      double limit)
+{
+    this->concurrent.open_interval();
+    this->reference.open_interval();
+    if (this->metric == move_metric::failures)
+        this->add_failures(interval, past, use_reference, limit);
+    else
+        this->add_latency(interval, past, use_reference, limit);
+}
+
+void metric_test::add_failures(paired_counts const& interval, version_counts const& past,
+                               bool use_reference, double limit)
+{
+    auto const fresh = interval.fresh.failed();
+    auto const old = interval.old.failed();
+    for (std::size_t i = 0; i < failure_ratios.size(); ++i)
+        this->concurrent.add(
+            i, concurrent_evidence(fresh, old, tolerated_failure_ratio, failure_ratios[i]), limit);
+    if (!use_reference || past.requests < least_reference)
+        return;
+    auto const usual = (past.failures + 1) / (past.requests + 1);
+    auto const tolerated =
+        std::min(0.5, tolerated_reference_ratio * usual + tolerated_reference_failures);
+    for (std::size_t i = 0; i < reference_failure_factors.size(); ++i)
+        this->reference.add(
+            i,
+            reference_evidence(fresh, tolerated,
+                               std::min(0.95, tolerated * reference_failure_factors[i])),
+            limit);
+}
+
+void metric_test::add_latency(paired_counts const& interval, version_counts const& past,
+                              bool use_reference, double limit)
+{
+    auto const& histogram = past.latency(this->metric);
+    auto const seen = std::min(static_cast<double>(histogram.total()), past.requests);
+    if (seen < least_reference)
+        return;
+    auto const lowest = lowest_edge(histogram);
+    for (std::size_t component = 0; component < edge_count * slowdowns.size(); ++component)
+    {
+        auto const edge = lowest + component / slowdowns.size();
+        auto const alternative = component % slowdowns.size();
+        auto const fresh = interval.fresh.slower_than(this->metric, edge);
+        auto const old = interval.old.slower_than(this->metric, edge);
+        // One call more, so that an empty tail does not make the first slow call decide.
+        auto const usual = tail_share(histogram, edge, 1) + 1 / seen;
+        auto const null = tail_share(histogram, edge, tolerated_slowdown) + 1 / seen;
+        auto const bad = tail_share(histogram, edge, slowdowns[alternative]);
+        if (bad > least_contrast * null)
+            this->concurrent.add(component,
+                                 concurrent_evidence(fresh, old, null / usual, bad / usual), limit);
+        if (!use_reference)
+            continue;
+        auto const tolerated =
+            tail_share(histogram, edge, tolerated_reference_slowdown) + 2 / std::sqrt(seen);
+        auto const slow =
+            std::min(0.95, tail_share(histogram, edge, reference_slowdowns[alternative]));
+        if (slow > least_contrast * tolerated)
+            this->reference.add(component, reference_evidence(fresh, tolerated, slow), limit);
+    }
+}
+
+double metric_test::evidence() const
+{
+    return std::max(this->concurrent.log_value(), this->reference.log_value());
+}
+
+void metric_test::restore(double evidence)
+{
+    this->concurrent.restore(evidence);
+    this->reference.restore(evidence);
+}
+
+} // namespace lagoonladder::version
--- /dev/null
+++ b/src/version/internal/sequential_test.cpp
@@ -0,0 +1,74 @@
+#include "sequential_test.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace lagoonladder::version
+{
+
+namespace
+{
+
+// Half of the weight is on a version that is bad from the start; the rest is
+// spread over the seconds of a move of half an hour.
+constexpr double first_weight = 0.5;
+constexpr double planned_intervals = 1800;
+// Keeps a value from becoming so small that a later fault is never seen, and from overflowing.
+constexpr double largest_value = 1e100;
+
+} // namespace
+
+double concurrent_evidence(event_count const& fresh, event_count const& old, double tolerated,
+                           double ratio)
+{
+    if (fresh.total <= 0 || old.total <= 0)
+        return 0;
+    auto const share = [&](double factor)
+    { return factor * fresh.total / (factor * fresh.total + old.total); };
+    auto const null = share(tolerated);
+    auto const bad = share(ratio);
+    return fresh.events * std::log(bad / null) + old.events * std::log((1 - bad) / (1 - null));
+}
+
+double reference_evidence(event_count const& fresh, double tolerated, double bad)
+{
+    if (bad <= tolerated)
+        return 0;
+    auto const good_calls = fresh.total - fresh.events;
+    return fresh.events * std::log(bad / tolerated) +
+           good_calls * std::log((1 - bad) / (1 - tolerated));
+}
+
+void restart_mixture::open_interval()
+{
+    double weight = 0;
+    if (this->intervals == 0)
+        weight = first_weight;
+    else if (static_cast<double>(this->intervals) <= planned_intervals)
+        weight = (1 - first_weight) / planned_intervals;
+    ++this->intervals;
+    for (auto& value : this->values)
+        value += weight / static_cast<double>(this->values.size());
+}
+
+void restart_mixture::add(std::size_t alternative, double evidence, double limit)
+{
+    auto& value = this->values[alternative];
+    value = std::min(value * std::exp(std::min(evidence, limit)), largest_value);
+}
+
+double restart_mixture::log_value() const
+{
+    return std::log(std::accumulate(this->values.begin(), this->values.end(), 1e-100));
+}
+
+void restart_mixture::restore(double log_value)
+{
+    auto const value = std::min(std::exp(log_value), largest_value);
+    std::fill(this->values.begin(), this->values.end(),
+              value / static_cast<double>(this->values.size()));
+    this->intervals = 1;
+}
+
+} // namespace lagoonladder::version
--- /dev/null
+++ b/src/version/internal/version_counts.hpp
@@ -0,0 +1,68 @@
+#ifndef LAGOONLADDER_VERSION_VERSION_COUNTS_HPP
+#define LAGOONLADDER_VERSION_VERSION_COUNTS_HPP
+
+#include <array>
+#include <map>
+
+#include <lagoonladder/version/traffic_sample.hpp>
+
+#include "sequential_test.hpp"
+
+namespace lagoonladder::version
+{
+
+enum class move_metric
+{
+    failures,
+    first_token,
+    between_tokens,
+    whole_call
+};
+
+constexpr std::array<move_metric, 4> all_metrics{move_metric::failures, move_metric::first_token,
+                                                 move_metric::between_tokens,
+                                                 move_metric::whole_call};
+
+char const* metric_name(move_metric metric);
+
+/// Counts of one version, of one route or pooled.
+struct version_counts
+{
+    double requests = 0;
+    double failures = 0;
+    /// By latency metric, in the order of move_metric without `failures`.
+    std::array<latency_histogram, 3> latencies;
+
+    void add(traffic_sample const& sample);
+    void add(version_counts const& other);
+
+    latency_histogram const& latency(move_metric metric) const;
+    latency_histogram& latency(move_metric metric);
+
+    event_count failed() const { return {this->failures, this->requests}; }
+
+    /// Calls that took longer than the bucket `edge` holds. The gaps between the
+    /// tokens of one request depend on each other, so they count as one call.
+    event_count slower_than(move_metric metric, std::size_t edge) const;
+};
+
+/// Counts of both versions.
+struct paired_counts
+{
+    version_counts fresh;
+    version_counts old;
+
+    void add(paired_counts const& other)
+    {
+        this->fresh.add(other.fresh);
+        this->old.add(other.old);
+    }
+};
+
+/// Part of the calls that are slower than the upper bound of bucket `edge` divided
+/// by `factor`; calls within a bucket are taken as spread evenly over its logarithm.
+double tail_share(latency_histogram const& histogram, std::size_t edge, double factor);
+
+} // namespace lagoonladder::version
+
+#endif
--- /dev/null
+++ b/src/version/tests/move_controller_test.cpp
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+
+#include <lagoonladder/version.hpp>
+
+#include "traffic_model.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+using Catch::Matchers::Contains;
+
+namespace
+{
+
+/// One move of ten minutes under the traffic of the move study.
+struct move_fixture
+{
+    explicit move_fixture(study::scenario drawn)
+        : setup(std::move(drawn))
+        , traffic(setup, random)
+    {
+        this->record.service = service_name("s");
+        this->record.from = version_name("old");
+        this->record.to = version_name("new");
+        this->record.started = this->now;
+        this->record.finish_by = this->now + std::chrono::minutes(10);
+        this->record.generation = generation(2);
+        this->service.watch = std::chrono::minutes(3);
+    }
+
+    void run_until(int last, bool with_traffic = true)
+    {
+        for (; this->second < last && this->record.state == move_state::running; ++this->second)
+        {
+            this->now += seconds(1);
+            auto const samples = with_traffic
+                                     ? this->traffic.run_second(this->second, this->record.share)
+                                     : std::vector<traffic_sample>();
+            auto const change =
+                this->controller.step(this->now, this->record, this->service, samples);
+            if (!change)
+                continue;
+            this->largest_step = std::max(this->largest_step, change->share - this->record.share);
+            if (this->record.share == 0)
+                this->first_share = change->share;
+            this->record.share = change->share;
+            this->record.state = change->state;
+            this->record.reason = change->reason;
+            this->record.figures = change->figures;
+            if (change->share >= 1 && !this->record.full_since)
+                this->record.full_since = this->now;
+        }
+    }
+
+    study::scenario setup;
+    seeded_random random{20261204};
+    study::traffic_model traffic;
+    wall_time now{std::chrono::hours(24 * 20000)};
+    move_record record;
+    service_config service;
+    move_controller controller;
+    int second = 0;
+    double largest_step = 0;
+    double first_share = 0;
+};
+
+study::scenario steady_service()
+{
+    study::scenario drawn;
+    drawn.routes = {{"status", 0.7, 0.04, 0.5}, {"book", 0.3, 0.15, 0.5}};
+    drawn.rate = 20;
+    return drawn;
+}
+
+} // namespace
+
+TEST_CASE("a good version reaches the full share and finishes in time")
+{
+    // Guards against noise that delays a good version, and against large first steps.
+    move_fixture f(steady_service());
+    f.run_until(1000);
+    CHECK(f.record.state == move_state::finished);
+    CHECK(f.now <= f.record.finish_by);
+    CHECK(f.now - *f.record.full_since >= std::chrono::minutes(3));
+    CHECK(f.first_share <= 0.02);
+    CHECK(f.largest_step <= 0.5);
+    CHECK(f.record.figures.contains("failures_new"));
+}
+
+TEST_CASE("a version that fails is reversed after few requests")
+{
+    auto drawn = steady_service();
+    drawn.fault = study::fault_kind::failing_at_once;
+    drawn.fault_failures = 0.5;
+    move_fixture f(drawn);
+    f.run_until(1000);
+    CHECK(f.record.state == move_state::reversed);
+    CHECK(f.traffic.fresh_requests() < 60);
+    CHECK_THAT(f.record.reason, Contains("failures"));
+}
+
+TEST_CASE("a version that is bad on one route names the route")
+{
+    // Guards against a small route whose faults drown in the sum of all routes.
+    auto drawn = steady_service();
+    drawn.routes.push_back({"renew", 0.03, 0.2, 0.5});
+    drawn.fault = study::fault_kind::bad_on_one_route;
+    drawn.fault_route = "renew";
+    drawn.fault_failures = 1;
+    move_fixture f(drawn);
+    f.run_until(1000);
+    CHECK(f.record.state == move_state::reversed);
+    CHECK(f.record.share == 0);
+}
+
+TEST_CASE("a new leader keeps the evidence and the share")
+{
+    // Guards against a move that starts again, or forgets its signs, with each leader.
+    auto drawn = steady_service();
+    drawn.fault = study::fault_kind::failing_at_once;
+    drawn.fault_failures = 0.12;
+    move_fixture f(drawn);
+    while (f.record.state == move_state::running && f.second < 1000)
+    {
+        auto const share = f.record.share;
+        f.controller = move_controller();
+        f.run_until(f.second + 45);
+        REQUIRE((f.record.state != move_state::running || f.record.share >= share));
+    }
+    CHECK(f.record.state == move_state::reversed);
+}
+
+TEST_CASE("a fault at full share is found after a change of leader")
+{
+    // Guards against a watch time that watches nothing because old figures were lost.
+    auto drawn = steady_service();
+    drawn.fault = study::fault_kind::failing_later;
+    drawn.fault_failures = 0.3;
+    drawn.fault_after = 480;
+    move_fixture f(drawn);
+    f.run_until(470);
+    REQUIRE(f.record.share == 1);
+    f.controller = move_controller();
+    f.run_until(1000);
+    CHECK(f.record.state == move_state::reversed);
+    CHECK(f.second < 520);
+}
+
+TEST_CASE("a move without traffic follows on_undecided")
+{
+    for (auto const choice : {undecided_choice::finish, undecided_choice::reverse})
+    {
+        move_fixture f(steady_service());
+        f.service.on_undecided = choice;
+        f.run_until(1000, false);
+        CHECK(f.record.state ==
+              (choice == undecided_choice::finish ? move_state::finished : move_state::reversed));
+        CHECK_THAT(f.record.reason, Contains("too little traffic"));
+        CHECK(f.now <= f.record.finish_by);
+    }
+}
+
+TEST_CASE("a leader that comes after the stated time ends the move")
+{
+    move_fixture f(steady_service());
+    f.now += std::chrono::minutes(20);
+    f.run_until(1);
+    CHECK(f.record.state == move_state::reversed);
+    CHECK_THAT(f.record.reason, Contains("was not reached in time"));
+}
--- /dev/null
+++ b/src/version/tests/sequential_test_test.cpp
@@ -0,0 +1,73 @@
+#include <cmath>
+
+#include <catch2/catch.hpp>
+
+#include <lagoonladder/base.hpp>
+
+#include "sequential_test.hpp"
+#include "version_counts.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+
+TEST_CASE("equal versions rarely exceed the stated evidence")
+{
+    // Guards against a test that reverses good versions when it is looked at every second.
+    seeded_random random(20261204);
+    int exceeded = 0;
+    for (int run = 0; run < 2000; ++run)
+    {
+        restart_mixture mixture(2);
+        double highest = 0;
+        for (int second = 0; second < 300; ++second)
+        {
+            event_count fresh{0, 4};
+            event_count old{0, 12};
+            for (int i = 0; i < 16; ++i)
+                (i < 4 ? fresh : old).events += random.unit() < 0.05 ? 1 : 0;
+            mixture.open_interval();
+            mixture.add(0, concurrent_evidence(fresh, old, 1, 4), 50);
+            mixture.add(1, concurrent_evidence(fresh, old, 1, 20), 50);
+            highest = std::max(highest, mixture.log_value());
+        }
+        exceeded += highest >= std::log(1 / 0.05) ? 1 : 0;
+    }
+    // Ville's inequality allows 5% of 2000.
+    CHECK(exceeded <= 100);
+    CHECK(exceeded > 0);
+}
+
+TEST_CASE("a fault that starts late is found")
+{
+    // Guards against evidence for a good start that hides a later fault.
+    restart_mixture mixture(1);
+    for (int second = 0; second < 600; ++second)
+    {
+        mixture.open_interval();
+        mixture.add(0, concurrent_evidence({0, 10}, {1, 10}, 1.5, 20), 2);
+    }
+    CHECK(mixture.log_value() < 0);
+    int needed = 0;
+    for (; needed < 100 && mixture.log_value() < 10; ++needed)
+    {
+        mixture.open_interval();
+        mixture.add(0, concurrent_evidence({5, 10}, {0, 10}, 1.5, 20), 2);
+    }
+    CHECK(needed < 15);
+}
+
+TEST_CASE("a disturbance of both versions is no evidence")
+{
+    CHECK(concurrent_evidence({5, 10}, {50, 100}, 1.5, 4) < 0);
+    CHECK(concurrent_evidence({5, 10}, {0, 0}, 1.5, 4) == 0);
+    CHECK(concurrent_evidence({5, 10}, {5, 100}, 1.5, 4) > 0);
+}
+
+TEST_CASE("the tail of a histogram is interpolated within a bucket")
+{
+    latency_histogram histogram;
+    histogram.counts[5] = 100;
+    CHECK(tail_share(histogram, 5, 1) == 0);
+    CHECK(tail_share(histogram, 4, 1) == 1);
+    CHECK(tail_share(histogram, 5, std::sqrt(2.0)) == Approx(0.5));
+}
--- /dev/null
+++ b/src/version/tools/scenario.hpp
@@ -0,0 +1,79 @@
+#ifndef LAGOONLADDER_VERSION_TOOLS_SCENARIO_HPP
+#define LAGOONLADDER_VERSION_TOOLS_SCENARIO_HPP
+
+#include <string>
+#include <vector>
+
+#include <lagoonladder/version.hpp>
+
+namespace lagoonladder::version::study
+{
+
+enum class fault_kind
+{
+    none,
+    failing_at_once,
+    slow_at_once,
+    failing_later,
+    bad_under_load,
+    bad_on_one_route
+};
+
+char const* fault_name(fault_kind kind);
+
+struct route_model
+{
+    std::string name;
+    /// Part of the service's requests.
+    double weight = 1;
+    /// Median of the whole call in seconds.
+    double median = 0.1;
+    /// Standard deviation of the logarithm of the latency.
+    double spread = 0.5;
+};
+
+/// Everything that one run draws from its seed before it starts.
+struct scenario
+{
+    std::string user;
+    bool is_model_engine = false;
+    int replicas = 9;
+    std::vector<route_model> routes;
+    /// Requests per second of the five accounts together.
+    double rate = 10;
+    double failure_rate = 0.002;
+    /// Replicas lost per second over all replicas.
+    double replica_losses = 0.001;
+    duration whole{};
+    duration watch{};
+
+    fault_kind fault = fault_kind::none;
+    /// Probability that a call of the bad version fails because of its fault.
+    double fault_failures = 0;
+    /// Factor on the latency of the bad version.
+    double fault_slowdown = 1;
+    /// Seconds after the start of the move, for failing_later.
+    double fault_after = 0;
+    /// Share from which the load is too high, for bad_under_load.
+    double fault_share = 0;
+    std::string fault_route;
+    /// Factor on the latency of a good new version, and in its first seconds.
+    double slowdown = 1;
+    double cold_slowdown = 1;
+    double cold_seconds = 0;
+    /// Seconds after the start at which the leader changes; negative for never.
+    double leader_change = -1;
+    double leader_gap = 0;
+};
+
+scenario draw_scenario(fault_kind fault, random_source& random);
+
+/// Normal variate with mean 0 and deviation 1.
+double draw_normal(random_source& random);
+
+/// Poisson variate.
+std::uint32_t draw_poisson(random_source& random, double mean);
+
+} // namespace lagoonladder::version::study
+
+#endif
