--- a/src/process/daemon/internal/consensus_driver.cpp
+++ b/src/process/daemon/internal/consensus_driver.cpp
@@ -194,7 +194,9 @@
 
 void consensus_driver::restore(consensus::snapshot const& state)
 {
-    this->control.restore(state.data);
+    // The snapshot of a group that was just founded holds no state.
+    if (!state.data.empty())
+        this->control.restore(state.data);
     this->applied = state.index.value();
     auto const end = this->proposals.upper_bound(this->applied);
     std::vector<proposal_handler> unresolved;
--- a/src/process/daemon/internal/reclaim_poller.hpp
+++ b/src/process/daemon/internal/reclaim_poller.hpp
@@ -40,7 +40,7 @@
         : address(std::move(api))
     {
     }
-    std::vector<reclaim_notice> notices() override;
+    std::vector<platform_notice> notices() override;
 
 private:
     network_address const address;
