Keep readable rows of a gossip digest that holds a bad one

Cause: a test endpoint without a zone never reached other entries: one row that does not parse made the receiver drop the whole digest. Ruled out: a lost exchange (the sender's version had advanced) and leases. Change: rows are read one by one; a bad one is logged and left out. The test rows are complete, as the HTTP interface requires. Conclusion: one bad announcement no longer stops the directory.

--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -25,12 +25,27 @@
     return bytes;
 }
 
+/// A row that cannot be read is left out and logged: it must not keep the others
+/// from spreading.
 template <class Row>
-std::vector<Row> unpack(std::string const& bytes)
+std::vector<Row> unpack(std::string const& bytes, std::string const& from, event_sink& events)
 {
+    std::vector<Row> rows;
     if (bytes.empty())
-        return {};
-    return nlohmann::json::from_msgpack(bytes).get<std::vector<Row>>();
+        return rows;
+    for (auto const& item : nlohmann::json::from_msgpack(bytes))
+    {
+        try
+        {
+            rows.push_back(item.get<Row>());
+        }
+        catch (nlohmann::json::exception const& problem)
+        {
+            events.emit(severity::warning, "gossip.row_dropped",
+                        {{"from", from}, {"reason", problem.what()}});
+        }
+    }
+    return rows;
 }
 
 connection::entry_record make_own_row(settings const& config, clock const& time_source)
@@ -216,10 +231,12 @@
     try
     {
         auto const now = this->time.now();
-        auto const entries =
-            this->entry_rows.merge(now, unpack<connection::entry_record>(received.entries()));
+        auto const entries = this->entry_rows.merge(
+            now,
+            unpack<connection::entry_record>(received.entries(), received.from(), this->events));
         auto const endpoints = this->endpoint_rows.merge(
-            now, unpack<connection::endpoint_record>(received.endpoints()));
+            now, unpack<connection::endpoint_record>(received.endpoints(), received.from(),
+                                                     this->events));
         if (entries.self_marked_leaving)
             this->events.emit(severity::info, "entry.leaving",
                               {{"entry", this->options.vm.value()}, {"by", received.from()}});
--- a/src/process/daemon/tests/control_loop_test.cpp
+++ b/src/process/daemon/tests/control_loop_test.cpp
@@ -16,7 +16,7 @@
 
 std::string const first_text = "[service booking]\nkind = plain\nversion = v1\n";
 std::string const second_text = first_text + "[route create]\nservice = booking\nmethod = POST\n"
-                                             "path = /bookings\nidempotent = no\n";
+                                             "path = /bookings\nidempotent = false\n";
 
 /// One daemon without its traffic plane, with real sockets between daemons.
 class control_process
@@ -96,8 +96,8 @@
 
     void start(std::size_t index)
     {
-        auto const voter = "entry-" + std::to_string(index) + "#" +
-                           std::to_string(this->incarnations[index]);
+        auto const voter =
+            "entry-" + std::to_string(index) + "#" + std::to_string(this->incarnations[index]);
         this->processes[index] = std::make_unique<control_process>(
             this->make_settings(index), index < 3 ? &this->stores[index] : nullptr, voter);
     }
@@ -183,8 +183,8 @@
     // Guards against both operators being told that their file is in force.
     small_system system;
     auto const base = system.apply(0, 0, first_text, "op-1").generation.value();
-    auto one = std::async(std::launch::async,
-                          [&] { return system.apply(1, base, second_text, "op-2"); });
+    auto one =
+        std::async(std::launch::async, [&] { return system.apply(1, base, second_text, "op-2"); });
     auto const other = system.apply(3, base, first_text + "\n", "op-3");
     auto const first = one.get();
     auto const stored = version::apply_outcome::stored;
@@ -246,13 +246,13 @@
     auto const now = system_clock().wall_now();
     std::vector<std::future<request::once_reply>> replies;
     for (std::size_t i = 0; i < 4; ++i)
-        replies.push_back(std::async(
-            std::launch::async,
-            [&system, i, now]
-            {
-                return std::get<request::once_reply>(system.loop(i).propose(
-                    begin_booking("a-" + std::to_string(i), now), seconds(10)));
-            }));
+        replies.push_back(
+            std::async(std::launch::async,
+                       [&system, i, now]
+                       {
+                           return std::get<request::once_reply>(system.loop(i).propose(
+                               begin_booking("a-" + std::to_string(i), now), seconds(10)));
+                       }));
     int granted = 0;
     for (auto& reply : replies)
         granted += reply.get().verdict == request::once_verdict::granted ? 1 : 0;
@@ -272,6 +272,9 @@
     row.version = version_name("v1");
     row.address = network_address("127.0.0.1:1");
     row.vm = vm_id("vm-1");
+    row.data_centre = data_centre_id("dc-0");
+    row.zone = zone_id("zone-0");
+    row.machine_class = "small";
     row.incarnation = incarnation(1);
     row.sequence = 1;
     system.loop(0).announce(row);
