--- a/src/version/internal/share_plan.cpp
+++ b/src/version/internal/share_plan.cpp
@@ -12,7 +12,7 @@
 // The power to compare both versions is largest at one half, and above it the old
 // version's traffic gets too thin, so the last step goes from one half to all.
 constexpr double half = 0.5;
-constexpr int steps_to_half = 4;
+constexpr int steps_to_half = 5;
 constexpr int all_steps = steps_to_half + 1;
 // Part of the time before full share that the steps take; the rest is slack for holds.
 constexpr double used_part = 0.9;
