Wait for the stated time before a move is called undecided

Cause: with thin traffic the move ended with the watch time although traffic could still come until the stated time.

--- a/src/version/internal/move_controller.cpp
+++ b/src/version/internal/move_controller.cpp
@@ -44,8 +44,8 @@
     {
         if (this->comparison.is_bad())
             return this->make(record, 0, move_state::reversed, this->comparison.describe());
-        if (record.full_since && now - *record.full_since >= this->plan.watch() &&
-            !this->comparison.is_suspect())
+        bool const watched = record.full_since && now - *record.full_since >= this->plan.watch();
+        if (watched && this->comparison.is_decided() && !this->comparison.is_suspect())
             return this->conclude(record);
         if (now >= record.finish_by - this->settings.commit_margin)
             return this->conclude(record);
--- a/src/version/tests/move_controller_test.cpp
+++ b/src/version/tests/move_controller_test.cpp
@@ -151,6 +151,9 @@
     {
         move_fixture f(steady_service());
         f.service.on_undecided = choice;
+        // Guards against a verdict before the stated time, which could still bring traffic.
+        f.run_until(590, false);
+        CHECK(f.record.state == move_state::running);
         f.run_until(1000, false);
         CHECK(f.record.state ==
               (choice == undecided_choice::finish ? move_state::finished : move_state::reversed));
--- a/src/version/tools/main.cpp
+++ b/src/version/tools/main.cpp
@@ -140,13 +140,15 @@
 
 void print(char const* name, std::map<fault_kind, tally>& tallies)
 {
-    std::printf("| decider | version | runs | finished in time | reversed | requests before "
-                "reversal, median | 95th percentile |\n|---|---|---|---|---|---|---|\n");
+    std::printf("| decider | version | runs | fault never acted | finished in time | reversed | "
+                "requests before reversal, median | 95th percentile |\n"
+                "|---|---|---|---|---|---|---|---|\n");
     for (auto const kind : all_kinds)
     {
         auto& one = tallies[kind];
-        std::printf("| %s | %s | %d | %d | %d | %llu | %llu |\n", name, fault_name(kind), one.runs,
-                    one.in_time, one.reversed, static_cast<unsigned long long>(one.quantile(0.5)),
+        std::printf("| %s | %s | %d | %d | %d | %d | %llu | %llu |\n", name, fault_name(kind),
+                    one.runs, kind == fault_kind::none ? 0 : one.not_acted, one.in_time,
+                    one.reversed, static_cast<unsigned long long>(one.quantile(0.5)),
                     static_cast<unsigned long long>(one.quantile(0.95)));
     }
 }
@@ -157,27 +159,38 @@
     return run % 2 == 0 ? fault_kind::none : all_kinds[1 + (run / 2) % 5];
 }
 
-void run_all(char const* name, std::uint64_t seeds, std::uint64_t first, bool verbose,
-             make_decider const& make)
+struct study_options
+{
+    std::uint64_t seeds = 1000;
+    std::uint64_t seed = 1;
+    double noise = 1;
+    bool verbose = false;
+};
+
+void explain(char const* name, std::uint64_t run, scenario const& drawn, run_result const& result)
+{
+    std::printf("%s run %llu %s: %s; rate %.1f, whole %.0f s, fault %.2f x%.1f from %.0f s "
+                "share %.2f route %s, leader change %.0f, acted %d\n",
+                name, static_cast<unsigned long long>(run), fault_name(drawn.fault),
+                result.record.reason.c_str(), drawn.rate, to_seconds(drawn.whole),
+                drawn.fault_failures, drawn.fault_slowdown, drawn.fault_after, drawn.fault_share,
+                drawn.fault_route.c_str(), drawn.leader_change, result.fault_acted ? 1 : 0);
+}
+
+void run_all(char const* name, study_options const& options, make_decider const& make)
 {
     std::map<fault_kind, tally> tallies;
-    for (std::uint64_t run = 0; run < seeds; ++run)
+    for (std::uint64_t run = 0; run < options.seeds; ++run)
     {
-        seeded_random random(stable_hash(std::to_string(run), first));
+        seeded_random random(stable_hash(std::to_string(run), options.seed));
         auto const kind = kind_of_run(run);
-        auto const drawn = draw_scenario(kind, random);
+        auto drawn = draw_scenario(kind, random);
+        drawn.own_noise *= options.noise;
         auto const result = move_run(drawn, random.next(), make).run();
         tallies[kind].add(result);
-        bool const expected =
-            (result.record.state == move_state::reversed) == (kind != fault_kind::none);
-        if (verbose && !expected)
-            std::printf("%s run %llu %s: %s; rate %.1f, whole %.0f s, fault %.2f x%.1f from "
-                        "%.0f s share %.2f route %s, leader change %.0f, acted %d\n",
-                        name, static_cast<unsigned long long>(run), fault_name(kind),
-                        result.record.reason.c_str(), drawn.rate, to_seconds(drawn.whole),
-                        drawn.fault_failures, drawn.fault_slowdown, drawn.fault_after,
-                        drawn.fault_share, drawn.fault_route.c_str(), drawn.leader_change,
-                        result.fault_acted ? 1 : 0);
+        bool const reversed = result.record.state == move_state::reversed;
+        if (options.verbose && reversed == (kind == fault_kind::none))
+            explain(name, run, drawn, result);
     }
     print(name, tallies);
 }
@@ -189,26 +202,27 @@
 int main(int argc, char** argv)
 {
     using namespace lagoonladder::version::study;
-    std::uint64_t seeds = 1000;
-    std::uint64_t seed = 1;
-    bool verbose = false;
+    study_options options;
     for (int i = 1; i < argc; ++i)
     {
         std::string const option = argv[i];
+        bool const has_value = i + 1 < argc;
         if (option == "--verbose")
-            verbose = true;
-        else if (option == "--seeds" && i + 1 < argc)
-            seeds = std::strtoull(argv[++i], nullptr, 10);
-        else if (option == "--seed" && i + 1 < argc)
-            seed = std::strtoull(argv[++i], nullptr, 10);
+            options.verbose = true;
+        else if (option == "--seeds" && has_value)
+            options.seeds = std::strtoull(argv[++i], nullptr, 10);
+        else if (option == "--seed" && has_value)
+            options.seed = std::strtoull(argv[++i], nullptr, 10);
+        else if (option == "--noise" && has_value)
+            options.noise = std::strtod(argv[++i], nullptr);
         else
         {
-            std::cerr << "usage: lagoonladder_move_study [--seeds N] [--seed S] [--verbose]\n";
+            std::cerr << "usage: lagoonladder_move_study [--seeds N] [--seed S] [--noise FACTOR] "
+                         "[--verbose]\n";
             return 2;
         }
     }
-    run_all("fixed threshold", seeds, seed, false,
-            [] { return std::make_unique<fixed_threshold>(); });
-    run_all("controller", seeds, seed, verbose, [] { return std::make_unique<library_decider>(); });
+    run_all("fixed threshold", options, [] { return std::make_unique<fixed_threshold>(); });
+    run_all("controller", options, [] { return std::make_unique<library_decider>(); });
     return 0;
 }
--- a/src/version/tools/scenario.hpp
+++ b/src/version/tools/scenario.hpp
@@ -42,6 +42,8 @@
     /// Requests per second of the five accounts together.
     double rate = 10;
     double failure_rate = 0.002;
+    /// Drift of the latency of each version for itself.
+    double own_noise = 0.02;
     /// Replicas lost per second over all replicas.
     double replica_losses = 0.001;
     duration whole{};
--- a/src/version/tools/traffic_model.cpp
+++ b/src/version/tools/traffic_model.cpp
@@ -67,7 +67,7 @@
 {
     int const own = fresh ? 1 : 0;
     auto& noise = this->own_noise[own];
-    noise = 0.9 * noise + 0.02 * draw_normal(this->random);
+    noise = 0.9 * noise + this->setup.own_noise * draw_normal(this->random);
     condition now;
     now.failures = this->setup.failure_rate;
     now.slowdown = std::exp(this->common_noise + noise);
