--- /dev/null
+++ b/src/request/tools/internal/figures.cpp
@@ -0,0 +1,31 @@
+#include <figures.hpp>
+
+#include <algorithm>
+
+namespace lagoonladder::study
+{
+
+void figures::add(double value)
+{
+    this->samples.push_back(value);
+    this->sorted = false;
+}
+
+void figures::add_all(figures const& other)
+{
+    this->samples.insert(this->samples.end(), other.samples.begin(), other.samples.end());
+    this->sorted = false;
+}
+
+double figures::quantile(double share) const
+{
+    if (this->samples.empty())
+        return 0;
+    if (!this->sorted)
+        std::sort(this->samples.begin(), this->samples.end());
+    this->sorted = true;
+    auto const last = static_cast<double>(this->samples.size() - 1);
+    return this->samples[static_cast<std::size_t>(share * last)];
+}
+
+} // namespace lagoonladder::study
--- /dev/null
+++ b/src/request/tools/internal/routing_run.cpp
@@ -0,0 +1,317 @@
+#include <routing_run.hpp>
+
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace lagoonladder::study
+{
+
+namespace
+{
+
+constexpr double step = 0.01;
+constexpr double run_length = 180;
+constexpr std::size_t replica_count = 9;
+constexpr std::size_t entry_count = 4;
+constexpr std::uint64_t prefix_count = 40;
+constexpr double time_limit = 10;
+/// Time that a request needs after it was taken; its queue deadline is that much earlier.
+constexpr double service_time = 4;
+constexpr double report_interval = 1;
+constexpr double notice_at = 80;
+constexpr double reclaimed_at = 90;
+constexpr double replaced_at = 140;
+constexpr double slow_from = 30;
+/// Requests in flight over the slots of the replicas.
+constexpr double overcommitment = 1.1;
+
+bool happens_at(double time, double moment)
+{
+    return time - step < moment && moment <= time;
+}
+
+bool is_multiple(double time, double interval)
+{
+    auto const steps = static_cast<std::int64_t>(std::llround(time / step));
+    return steps % static_cast<std::int64_t>(std::llround(interval / step)) == 0;
+}
+
+std::vector<std::uint64_t> blocks_of(std::uint64_t prefix)
+{
+    return {prefix + 1};
+}
+
+} // namespace
+
+char const* to_string(compared_policy policy)
+{
+    switch (policy)
+    {
+    case compared_policy::balanced:
+        return "balanced";
+    case compared_policy::round_robin:
+        return "round robin";
+    case compared_policy::least_reported_load:
+        return "least reported load";
+    }
+    return "invalid";
+}
+
+routing_run::routing_run(routing_scenario plan, compared_policy policy, std::uint64_t seed)
+    : scenario(std::move(plan))
+    , kind(policy)
+    , random(seed)
+{
+    for (std::size_t i = 0; i < replica_count; ++i)
+    {
+        replica one;
+        one.id = endpoint_id("e" + std::to_string(i));
+        one.zone = "z" + std::to_string(i % 3);
+        this->replicas.push_back(std::move(one));
+    }
+    for (std::size_t i = 0; i < entry_count; ++i)
+        this->add_entry(i);
+}
+
+void routing_run::add_entry(std::size_t index)
+{
+    request::load_estimate_options load;
+    load.report_lag = from_seconds(this->scenario.report_delay);
+    request::admission_options admission;
+    admission.initial_rate = 10;
+    entry one{nullptr,
+              request::load_estimate(load),
+              request::prefix_index(),
+              request::admission_queue(admission),
+              0,
+              "z" + std::to_string(index % 3)};
+    if (this->kind == compared_policy::balanced)
+        one.policy = std::make_unique<request::balanced_route_policy>();
+    else if (this->kind == compared_policy::round_robin)
+        one.policy = std::make_unique<request::round_robin_route_policy>();
+    else
+        one.policy = std::make_unique<request::least_load_route_policy>();
+    this->entries.push_back(std::move(one));
+}
+
+routing_figures routing_run::run()
+{
+    while (this->time < run_length)
+    {
+        this->time += step;
+        if (this->scenario.has_slow_replica && happens_at(this->time, slow_from))
+            this->replicas[4].model.slowness = 3;
+        if (this->scenario.is_zone_reclaimed)
+            this->reclaim_zone();
+        this->exchange_reports();
+        this->arrive();
+        for (std::size_t i = 0; i < this->entries.size(); ++i)
+            this->dispatch(i);
+        this->advance_replicas();
+        if (is_multiple(this->time, 0.1))
+            this->expire();
+    }
+    for (auto const& one : this->replicas)
+        this->result.recomputed_tokens += one.model.recomputed_tokens();
+    return std::move(this->result);
+}
+
+time_point routing_run::now() const
+{
+    return time_point{} + from_seconds(this->time);
+}
+
+void routing_run::arrive()
+{
+    auto const phase = std::fmod(this->time, 30.0);
+    auto const rate = this->scenario.requests_per_second * (phase < 5 ? this->scenario.burst : 1.0);
+    while (this->next_arrival <= this->time)
+    {
+        model_request request;
+        request.number = this->next_number++;
+        // The square makes some prefixes much more frequent than others.
+        auto const drawn = this->random.unit();
+        request.prefix = static_cast<std::uint64_t>(drawn * drawn * prefix_count);
+        request.output_tokens = 40 + static_cast<double>(this->random.below(121));
+        request.arrived = this->time;
+        request.deadline = this->time + time_limit;
+        request.entry = this->random.below(entry_count);
+        ++this->result.offered;
+        this->offer(request);
+        this->next_arrival += -std::log(1 - this->random.unit()) / rate;
+    }
+}
+
+void routing_run::offer(model_request request)
+{
+    request::queued_request waiting;
+    waiting.request_id = request_id(std::to_string(request.number));
+    waiting.account = account_id("a" + std::to_string(request.number % 5));
+    waiting.deadline = time_point{} + from_seconds(request.deadline - service_time);
+    auto& queue = this->entries[request.entry].queue;
+    if (std::holds_alternative<request::queued>(queue.offer(this->now(), waiting)))
+        this->queued.emplace(request.number, request);
+    else
+        ++this->result.refused;
+}
+
+void routing_run::dispatch(std::size_t index)
+{
+    auto& from = this->entries[index];
+    while (from.in_flight < this->concurrency())
+    {
+        auto const taken = from.queue.take(this->now());
+        if (!taken)
+            return;
+        auto const found = this->queued.find(std::stoull(taken->request_id.value()));
+        auto request = found->second;
+        this->queued.erase(found);
+        ++from.in_flight;
+        this->send(index, std::move(request));
+    }
+}
+
+void routing_run::send(std::size_t index, model_request request)
+{
+    auto& from = this->entries[index];
+    request::route_query query;
+    query.data_centre = data_centre_id(from.data_centre);
+    query.prefix_hash = stable_hash(std::to_string(request.prefix));
+    auto const chosen = from.policy->choose(this->now(), this->candidates(from, request.prefix),
+                                            query, this->random);
+    invariant(chosen.has_value(), "some replica is always left");
+    from.load.dispatched(this->now(), *chosen);
+    from.prefixes.routed(this->now(), *chosen, blocks_of(request.prefix));
+    ++request.attempts;
+    request.dispatched = this->time;
+    this->replicas[std::stoull(chosen->value().substr(1))].model.submit(std::move(request));
+}
+
+std::vector<request::route_candidate> routing_run::candidates(entry const& from,
+                                                              std::uint64_t prefix) const
+{
+    std::vector<request::route_candidate> out;
+    for (auto const& one : this->replicas)
+    {
+        if (one.is_gone)
+            continue;
+        request::route_candidate candidate;
+        candidate.endpoint_id = one.id;
+        candidate.data_centre = data_centre_id(one.zone);
+        candidate.zone = zone_id(one.zone);
+        candidate.leaving = one.leaving;
+        candidate.slots = replica_model::slots;
+        candidate.load = this->kind == compared_policy::balanced
+                             ? from.load.estimate(this->now(), one.id)
+                             : one.reported_running + one.reported_waiting;
+        candidate.prefix_match = from.prefixes.match(this->now(), one.id, blocks_of(prefix));
+        out.push_back(std::move(candidate));
+    }
+    return out;
+}
+
+std::uint32_t routing_run::concurrency() const
+{
+    std::size_t usable = 0;
+    for (auto const& one : this->replicas)
+        usable += one.is_gone || one.leaving ? 0 : 1;
+    auto const slots = static_cast<double>(usable * replica_model::slots);
+    return static_cast<std::uint32_t>(slots * overcommitment / entry_count);
+}
+
+void routing_run::advance_replicas()
+{
+    for (std::size_t i = 0; i < this->replicas.size(); ++i)
+    {
+        for (auto const& done : this->replicas[i].model.advance(this->time, step))
+            this->finish(i, done);
+    }
+}
+
+void routing_run::finish(std::size_t replica_index, model_request const& done)
+{
+    auto const& id = this->replicas[replica_index].id;
+    auto& from = this->entries[done.entry];
+    --from.in_flight;
+    from.load.completed(this->now(), id);
+    from.policy->record(this->now(), id,
+                        {true, from_seconds(done.first_token - done.dispatched),
+                         from_seconds(this->time - done.dispatched),
+                         static_cast<std::uint64_t>(done.output_tokens)});
+    ++(this->time <= done.deadline ? this->result.in_time : this->result.late);
+    this->result.first_token.add(done.first_token - done.arrived);
+}
+
+void routing_run::exchange_reports()
+{
+    if (is_multiple(this->time, report_interval))
+    {
+        ++this->report_sequence;
+        for (std::size_t i = 0; i < this->replicas.size(); ++i)
+        {
+            auto const& one = this->replicas[i];
+            if (!one.is_gone)
+                this->reports.push_back({this->time + this->scenario.report_delay, i,
+                                         this->report_sequence, one.model.running(),
+                                         one.model.waiting()});
+        }
+    }
+    while (!this->reports.empty() && this->reports.front().arrives <= this->time)
+    {
+        auto const late = this->reports.front();
+        this->reports.pop_front();
+        auto& one = this->replicas[late.replica];
+        one.reported_running = late.running;
+        one.reported_waiting = late.waiting;
+        for (auto& to : this->entries)
+            to.load.report(this->now(), one.id, late.sequence, late.running, late.waiting);
+    }
+}
+
+void routing_run::reclaim_zone()
+{
+    for (std::size_t i = 0; i < this->replicas.size(); i += 3)
+    {
+        auto& one = this->replicas[i];
+        if (happens_at(this->time, notice_at))
+            one.leaving = true;
+        if (happens_at(this->time, replaced_at))
+        {
+            one.is_gone = false;
+            one.leaving = false;
+        }
+        if (!happens_at(this->time, reclaimed_at))
+            continue;
+        one.is_gone = true;
+        one.reported_running = 0;
+        one.reported_waiting = 0;
+        for (auto& request : one.model.stop())
+        {
+            this->entries[request.entry].load.completed(this->now(), one.id);
+            this->send(request.entry, std::move(request));
+        }
+        for (auto& from : this->entries)
+        {
+            from.load.remove(one.id);
+            from.prefixes.remove(one.id);
+        }
+    }
+}
+
+void routing_run::expire()
+{
+    duration oldest{};
+    for (auto& from : this->entries)
+    {
+        for (auto const& refusal : from.queue.expire(this->now()))
+        {
+            this->queued.erase(std::stoull(refusal.request_id.value()));
+            ++this->result.given_up;
+        }
+        oldest = std::max(oldest, from.queue.oldest_age(this->now()));
+    }
+    this->result.queue_age.add(to_seconds(oldest));
+}
+
+} // namespace lagoonladder::study
