Test completions over real sockets

Cause: nothing guarded resumption, take-over and the order of tokens. Change: harness with an in-memory control plane, entries and engines on loopback; tests of resumption after a broken and a silent connection, missing and repeated tokens, a leaving endpoint, a dead owner, lookup on any entry, refusals.

--- a/src/process/daemon/internal/admission_gate.cpp
+++ b/src/process/daemon/internal/admission_gate.cpp
@@ -125,8 +125,7 @@
     {
         observability::metric_labels const labels{{"service", key.first.value()},
                                                   {"version", key.second.value()}};
-        auto const predicted =
-            known.waiting.predicted_wait(now, request::request_priority::interactive);
+        auto const predicted = known.waiting.predicted_wait(request::request_priority::interactive);
         this->context.metrics.set("queue_length", labels, known.waiting.size());
         this->context.metrics.set("queue_oldest_age_seconds", labels,
                                   to_seconds(known.waiting.oldest_age(now)));
--- a/src/process/daemon/internal/completion_store.cpp
+++ b/src/process/daemon/internal/completion_store.cpp
@@ -10,6 +10,9 @@
 {
     request::journal_options limits;
     limits.max_requests = config.max_stored_requests;
+    // 500 open streams of 1000 tokens take about 100 MB, because the events of the
+    // engine are kept as they came.
+    limits.max_bytes = 128 * 1024 * 1024;
     return limits;
 }
 
--- a/src/process/daemon/internal/event_stream_parser.cpp
+++ b/src/process/daemon/internal/event_stream_parser.cpp
@@ -109,7 +109,8 @@
         event.is_end = true;
         return event;
     }
-    event.is_token = has_text(data, "\"content\"") || has_text(data, "\"text\"");
+    event.is_token = has_text(data, "\"content\"") || has_text(data, "\"text\"") ||
+                     !value_of(data, "\"tool_calls\"").empty();
     event.finish_reason = plain_string(value_of(data, "\"finish_reason\""));
     auto const offset = value_of(data, "\"offset\"");
     std::uint64_t number = 0;
--- a/src/process/daemon/internal/requests_service.cpp
+++ b/src/process/daemon/internal/requests_service.cpp
@@ -37,6 +37,8 @@
     if (!this->is_allowed(*call))
         return denied();
     auto accepted = from_message(*request);
+    if (accepted.owner == this->context.config.vm || accepted.id.value().empty())
+        return {grpc::StatusCode::INVALID_ARGUMENT, "the owner must be another entry"};
     accepted.companion = this->context.config.vm;
     {
         std::lock_guard const lock(this->mutex);
--- /dev/null
+++ b/src/process/daemon/tests/traffic_harness.cpp
@@ -0,0 +1,420 @@
+#include "traffic_harness.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+std::string account_section(std::string const& name, std::string const& key)
+{
+    return "[account " + name + "]\nkey_sha256 = " + version::sha256_hex(key) + "\n";
+}
+
+std::string const base_configuration =
+    "[service advisor]\nkind = model_engine\nversion = v1\nprogress_timeout = 300 ms\n"
+    "default_timeout = 10 s\n"
+    "[service booking]\nkind = plain\nversion = v1\nprogress_timeout = 500 ms\n"
+    "default_timeout = 3 s\nretry_budget = 0.5\n"
+    "[route book]\nservice = booking\nmethod = POST\npath = /bookings\nidempotent = false\n" +
+    account_section("council", "key-1") + account_section("harbour", "key-2");
+
+} // namespace
+
+void recorded_events::emit(severity level, std::string name, std::vector<event_field> fields)
+{
+    std::lock_guard const lock(this->mutex);
+    this->events.push_back({{}, {}, level, std::move(name), std::move(fields)});
+}
+
+int recorded_events::count(std::string const& name) const
+{
+    std::lock_guard const lock(this->mutex);
+    return static_cast<int>(std::count_if(this->events.begin(), this->events.end(),
+                                          [&](auto const& one) { return one.name == name; }));
+}
+
+std::string recorded_events::field(std::string const& name, std::string const& key) const
+{
+    std::lock_guard const lock(this->mutex);
+    for (auto const& one : this->events)
+        for (auto const& entry : one.fields)
+            if (one.name == name && entry.key == key)
+                return entry.value;
+    return {};
+}
+
+bool recorded_events::contains_text(std::string const& text) const
+{
+    std::lock_guard const lock(this->mutex);
+    for (auto const& one : this->events)
+        for (auto const& entry : one.fields)
+            if (entry.value.find(text) != std::string::npos)
+                return true;
+    return false;
+}
+
+memory_cluster::memory_cluster()
+{
+    this->apply_configuration(base_configuration);
+}
+
+void memory_cluster::apply_configuration(std::string const& text)
+{
+    version::apply_configuration body;
+    body.base = this->state.shared()->generation;
+    body.file = "test.ini";
+    body.text = text;
+    body.operation = operation_id(std::to_string(this->index));
+    auto const result = std::get<version::apply_result>(this->commit(body));
+    invariant(result.outcome == version::apply_outcome::stored, result.detail);
+}
+
+version::command_result memory_cluster::commit(version::command_body body)
+{
+    std::lock_guard const lock(this->mutex);
+    return this->state.apply(++this->index, {this->time.wall_now(), std::move(body)});
+}
+
+void memory_cluster::add(connection::endpoint_record const& record)
+{
+    std::lock_guard const lock(this->mutex);
+    this->endpoints[record.id] = record;
+}
+
+void memory_cluster::set_leaving(endpoint_id const& id)
+{
+    std::lock_guard const lock(this->mutex);
+    this->endpoints.at(id).state = connection::endpoint_state::leaving;
+}
+
+std::shared_ptr<control_view const> memory_control_plane::view() const
+{
+    auto view = std::make_shared<control_view>();
+    std::lock_guard const lock(this->cluster.mutex);
+    view->ready = this->cluster.is_ready;
+    view->quorum_recent = this->cluster.has_quorum;
+    view->leaving = this->cluster.leaving.count(this->self) > 0;
+    view->shared = this->cluster.state.shared();
+    for (auto const& [id, record] : this->cluster.endpoints)
+        view->endpoints[record.service].push_back(record);
+    for (auto const& [id, record] : this->cluster.entries)
+        view->entries.push_back(record);
+    return view;
+}
+
+version::command_result memory_control_plane::propose(version::command_body body, duration)
+{
+    if (!this->cluster.has_quorum)
+        throw outcome_unknown_error("no quorum");
+    return this->cluster.commit(std::move(body));
+}
+
+std::optional<request::once_reply> memory_control_plane::find_once(request::once_key const& key,
+                                                                   duration)
+{
+    if (!this->cluster.has_quorum)
+        throw outcome_unknown_error("no quorum");
+    std::lock_guard const lock(this->cluster.mutex);
+    return this->cluster.state.once_records().find(key);
+}
+
+void memory_control_plane::remove_endpoint(endpoint_id const& id)
+{
+    std::lock_guard const lock(this->cluster.mutex);
+    this->cluster.endpoints.erase(id);
+}
+
+void memory_control_plane::record_traffic(version::traffic_sample const& sample)
+{
+    std::lock_guard const lock(this->mutex);
+    this->recorded.push_back(sample);
+}
+
+std::vector<version::traffic_sample> memory_control_plane::samples() const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->recorded;
+}
+
+void memory_control_plane::set_leaving(vm_id const& vm)
+{
+    std::lock_guard const lock(this->cluster.mutex);
+    this->cluster.leaving.insert(vm);
+    this->cluster.entries[vm].state = connection::entry_state::leaving;
+}
+
+test_entry::test_entry(memory_cluster& shared, recorded_events& events, std::string const& name,
+                       std::string const& data_centre)
+    : cluster(shared)
+    , control(shared, vm_id(name))
+{
+    this->config.vm = vm_id(name);
+    this->config.data_centre = data_centre_id(data_centre);
+    this->config.http = network_address("127.0.0.1:0");
+    this->config.endpoint_token = "endpoint-secret";
+    this->config.cluster_token = "cluster-secret";
+    this->config.max_body_bytes = 64 * 1024;
+    this->server = std::make_unique<traffic_server>(this->config, this->control, events,
+                                                    this->metrics, this->time, 1);
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&this->server->requests_service());
+    this->rpc = builder.BuildAndStart();
+    this->server->start();
+    connection::entry_record row;
+    row.vm = this->config.vm;
+    row.data_centre = this->config.data_centre;
+    row.http = this->server->address();
+    row.control = network_address("127.0.0.1:" + std::to_string(port));
+    std::lock_guard const lock(shared.mutex);
+    shared.entries[row.vm] = row;
+}
+
+test_entry::~test_entry()
+{
+    this->rpc->Shutdown(std::chrono::system_clock::now() + seconds(1));
+    this->server->stop();
+}
+
+void test_entry::die()
+{
+    {
+        std::lock_guard const lock(this->cluster.mutex);
+        this->cluster.entries.erase(this->config.vm);
+    }
+    this->rpc->Shutdown(std::chrono::system_clock::now());
+}
+
+httplib::Client test_entry::client() const
+{
+    return httplib::Client("http://" + this->server->address().value());
+}
+
+test_endpoint::test_endpoint(memory_cluster& cluster, std::string const& id,
+                             std::string const& service, std::string const& version)
+    : shared(cluster)
+{
+    this->record.id = endpoint_id(id);
+    this->record.service = service_name(service);
+    this->record.version = version_name(version);
+    this->record.load.slots = 64;
+    this->server.set_tcp_nodelay(true);
+    this->server.new_task_queue = [] { return new httplib::ThreadPool(32); };
+}
+
+void test_endpoint::start()
+{
+    auto const port = this->server.bind_to_any_port("127.0.0.1");
+    this->record.address = network_address("127.0.0.1:" + std::to_string(port));
+    this->acceptor = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running())
+        std::this_thread::sleep_for(milliseconds(1));
+    this->shared.add(this->record);
+}
+
+void test_endpoint::stop()
+{
+    if (!this->acceptor.joinable())
+        return;
+    this->server.stop();
+    this->acceptor.join();
+}
+
+test_endpoint::~test_endpoint()
+{
+    this->stop();
+}
+
+test_engine::test_engine(memory_cluster& cluster, std::string const& id, std::string const& version)
+    : test_endpoint(cluster, id, "advisor", version)
+{
+    this->install();
+    this->start();
+}
+
+test_engine::~test_engine()
+{
+    this->is_closing = true;
+    this->stop();
+}
+
+std::vector<nlohmann::json> test_engine::bodies() const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->received;
+}
+
+void test_engine::install()
+{
+    auto const handler = [this](httplib::Request const& request, httplib::Response& response)
+    { this->complete(request, response); };
+    this->server.Post("/v1/chat/completions", handler);
+    this->server.Post("/v1/completions", handler);
+    this->server.Post("/v1/cancel", [](auto const&, auto& response)
+                      { response.set_content("{}", "application/json"); });
+    this->server.Post("/v1/kv/export",
+                      [this](auto const&, auto& response)
+                      {
+                          response.status = this->has_kv ? 200 : 404;
+                          response.set_content(R"({"handle":"kv-7","tokens":5})",
+                                               "application/json");
+                      });
+    this->server.Post("/v1/kv/import",
+                      [this](auto const&, auto& response)
+                      {
+                          ++this->imports;
+                          response.set_content("{}", "application/json");
+                      });
+}
+
+bool test_engine::write(httplib::DataSink& sink, std::uint64_t offset)
+{
+    nlohmann::json const event{
+        {"choices",
+         nlohmann::json::array({{{"index", 0},
+                                 {"delta", {{"content", "t" + std::to_string(offset) + " "}}},
+                                 {"finish_reason", nullptr}}})},
+        {"offset", offset}};
+    auto const text = "data: " + event.dump() + "\n\n";
+    return sink.write(text.data(), text.size());
+}
+
+void test_engine::complete(httplib::Request const& request, httplib::Response& response)
+{
+    ++this->attempts;
+    auto const body = nlohmann::json::parse(request.body);
+    {
+        std::lock_guard const lock(this->mutex);
+        this->received.push_back(body);
+    }
+    if (this->status != 200)
+    {
+        response.status = this->status;
+        response.set_content("{}", "application/json");
+        return;
+    }
+    auto const first = body.value("resume_offset", std::uint64_t(0));
+    response.set_chunked_content_provider(
+        "text/event-stream",
+        [this, first](std::size_t, httplib::DataSink& sink)
+        {
+            for (auto offset = first; offset < this->total; ++offset)
+            {
+                std::this_thread::sleep_for(microseconds(this->token_delay_us));
+                if (offset == this->break_at || this->is_closing)
+                    return false;
+                for (int i = 0; offset >= this->silent_at && i < 200 && !this->is_closing; ++i)
+                    std::this_thread::sleep_for(milliseconds(10));
+                if (offset == this->skip_at)
+                    continue;
+                if (!this->write(sink, offset))
+                    return false;
+                if (offset == this->repeat_at && !this->write(sink, offset))
+                    return false;
+            }
+            std::string const end =
+                "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}]}\n\n"
+                "data: [DONE]\n\n";
+            sink.write(end.data(), end.size());
+            sink.done();
+            return true;
+        });
+}
+
+std::string expected_text(std::uint64_t first, std::uint64_t count)
+{
+    std::string text;
+    for (auto offset = first; offset < count; ++offset)
+        text += "t" + std::to_string(offset) + " ";
+    return text;
+}
+
+nlohmann::json chat_body()
+{
+    return {{"model", "advisor"},
+            {"stream", true},
+            {"max_tokens", 20},
+            {"messages", nlohmann::json::array({{{"role", "user"}, {"content", "hello"}}})}};
+}
+
+httplib::Headers key_header(std::string const& key)
+{
+    return {{"Authorization", "Bearer " + key}};
+}
+
+namespace
+{
+
+seen_stream run_stream(test_entry const& entry, httplib::Request request)
+{
+    seen_stream seen;
+    event_stream_parser parser;
+    std::string all;
+    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
+        all.append(data, size);
+        return parser.feed({data, size},
+                           [&](std::string_view event)
+                           {
+                               if (event == "[DONE]")
+                                   seen.is_done = true;
+                               auto const json = nlohmann::json::parse(event, nullptr, false);
+                               if (json.is_object() && json.contains("choices"))
+                                   seen.text +=
+                                       json["choices"][0]["delta"].value("content", std::string());
+                               return true;
+                           });
+    };
+    auto client = entry.client();
+    client.set_read_timeout(seconds(15));
+    httplib::Response response;
+    auto failure = httplib::Error::Success;
+    client.send(request, response, failure);
+    seen.status = response.status;
+    seen.request_id = response.get_header_value("X-Request-Id");
+    if (seen.status != 200)
+        seen.refusal = nlohmann::json::parse(all, nullptr, false);
+    for (auto at = all.find("id: "); at != std::string::npos; at = all.find("\nid: ", at))
+        seen.ids.push_back(
+            std::strtoull(all.c_str() + (at += all[at] == '\n' ? 5 : 4), nullptr, 10));
+    return seen;
+}
+
+} // namespace
+
+seen_stream read_completion(test_entry const& entry, nlohmann::json const& body,
+                            httplib::Headers headers)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.body = body.dump();
+    request.headers = std::move(headers);
+    if (request.headers.count("Authorization") == 0)
+        request.headers.merge(key_header());
+    return run_stream(entry, request);
+}
+
+seen_stream read_request(test_entry const& entry, std::string const& id, std::uint64_t offset)
+{
+    httplib::Request request;
+    request.method = "GET";
+    request.path = "/v1/requests/" + id + "?offset=" + std::to_string(offset);
+    request.headers = key_header();
+    return run_stream(entry, request);
+}
+
+bool eventually(std::function<bool()> const& condition)
+{
+    for (int i = 0; i < 500; ++i)
+    {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    return condition();
+}
+
+} // namespace lagoonladder::daemon
