--- /dev/null
+++ b/src/process/daemon/tests/traffic_http_test.cpp
@@ -0,0 +1,213 @@
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <requests.grpc.pb.h>
+
+#include "traffic_harness.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+struct one_entry
+{
+    memory_cluster cluster;
+    recorded_events events;
+    test_entry entry{cluster, events, "entry-1", "dc-1"};
+
+    httplib::Result post(std::string const& body, httplib::Headers const& headers = key_header())
+    {
+        return this->entry.client().Post("/v1/chat/completions", headers, body, "application/json");
+    }
+    httplib::Result announce(std::string const& id, nlohmann::json const& body,
+                             std::string const& token = "endpoint-secret")
+    {
+        return this->entry.client().Put("/v1/endpoints/" + id, key_header(token), body.dump(),
+                                        "application/json");
+    }
+};
+
+nlohmann::json problem_of(httplib::Result const& result)
+{
+    REQUIRE(result);
+    CHECK(result->get_header_value("Content-Type") == "application/problem+json");
+    CHECK(result->has_header("Retry-After"));
+    return nlohmann::json::parse(result->body);
+}
+
+connection::endpoint_record announced_row()
+{
+    connection::endpoint_record row;
+    row.id = endpoint_id("engine-9");
+    row.service = service_name("advisor");
+    row.version = version_name("v1");
+    row.address = network_address("127.0.0.1:9");
+    row.vm = vm_id("vm-9");
+    row.data_centre = data_centre_id("dc-1");
+    row.zone = zone_id("dc-1");
+    row.incarnation = incarnation(1);
+    row.sequence = 1;
+    return row;
+}
+
+} // namespace
+
+// Guards against bad input that stops the server or is refused without a reason.
+TEST_CASE("bad requests are refused truthfully")
+{
+    one_entry one;
+    test_engine engine(one.cluster, "engine-1");
+    auto const check = [](httplib::Result const& result, int status)
+    {
+        auto const problem = problem_of(result);
+        CHECK(result->status == status);
+        CHECK(problem["status"] == status);
+        CHECK(problem["executed"] == "no");
+    };
+    check(one.post("{not json"), 400);
+    check(one.post("[]"), 400);
+    check(one.post("{\"stream\":true}"), 400);
+    check(one.post("{\"model\":\"advisor\",\"stream\":\"yes\"}"), 400);
+    check(one.post("{\"model\":\"nobody\"}"), 404);
+    check(one.post(chat_body().dump(), {}), 401);
+    check(one.post(chat_body().dump(), key_header("wrong-key")), 401);
+    check(one.post(std::string(100'000, 'x')), 413);
+    check(one.entry.client().Get("/nowhere"), 404);
+    check(one.entry.client().Get("/services/nobody/x", key_header()), 404);
+    check(one.entry.client().Get("/services/advisor/x", key_header()), 404);
+    check(one.entry.client().Get("/services/booking/" + std::string(8000, 'a'), key_header()), 503);
+    CHECK(engine.attempts == 0);
+    CHECK(!one.events.contains_text("wrong-key"));
+    CHECK(one.entry.client().Get("/healthz")->status == 200);
+}
+
+// Guards against serving an older configuration after a restart.
+TEST_CASE("nothing is served before the control state was read")
+{
+    one_entry one;
+    test_engine engine(one.cluster, "engine-1");
+    one.cluster.is_ready = false;
+    CHECK(problem_of(one.post(chat_body().dump()))["executed"] == "no");
+    auto headers = key_header();
+    headers.emplace("Idempotency-Key", "k");
+    auto const keyed =
+        one.entry.client().Post("/services/booking/bookings", headers, "{}", "application/json");
+    CHECK(keyed->status == 503);
+    CHECK(problem_of(keyed)["executed"] == "unknown");
+    CHECK(one.entry.client().Get("/readyz")->status == 503);
+    CHECK(engine.attempts == 0);
+}
+
+// Guards against endpoints of a mistyped service that wait for work for ever.
+TEST_CASE("announcements are checked")
+{
+    one_entry one;
+    nlohmann::json const row = announced_row();
+    CHECK(one.announce("engine-9", row)->status == 200);
+    CHECK(one.cluster.endpoints.count(endpoint_id("engine-9")) == 1);
+    CHECK(one.announce("engine-9", row, "wrong")->status == 401);
+    CHECK(one.announce("engine-8", row)->status == 400);
+    auto unknown = row;
+    unknown["service"] = "advisr";
+    auto const refused = one.announce("engine-9", unknown);
+    CHECK(refused->status == 422);
+    CHECK(problem_of(refused)["detail"].get<std::string>().find("\"service\"") !=
+          std::string::npos);
+    auto incomplete = row;
+    incomplete.erase("address");
+    CHECK(one.announce("engine-9", incomplete)->status == 400);
+    CHECK(one.entry.client().Delete("/v1/endpoints/engine-9", key_header("wrong"))->status == 401);
+    CHECK(one.entry.client()
+              .Delete("/v1/endpoints/engine-9", key_header("endpoint-secret"))
+              ->status == 204);
+    CHECK(one.cluster.endpoints.empty());
+}
+
+// Guards against callers who are sent to an entry that stops.
+TEST_CASE("the entry list leaves out a draining entry")
+{
+    memory_cluster cluster;
+    recorded_events events;
+    test_entry first(cluster, events, "entry-1", "dc-1");
+    test_entry second(cluster, events, "entry-2", "dc-2");
+    auto const list = [&]
+    {
+        auto const answer = second.client().Get("/v1/entries?caller=office");
+        CHECK(answer->get_header_value("Cache-Control") == "max-age=10");
+        return nlohmann::json::parse(answer->body)["entries"];
+    };
+    CHECK(list().size() == 2);
+    first.server->drain();
+    REQUIRE(eventually([&] { return list().size() == 1; }));
+    CHECK(list()[0]["vm"] == "entry-2");
+    CHECK(list()[0]["address"] == second.server->address().value());
+}
+
+// Guards against a planned stop that cuts answers.
+TEST_CASE("a draining entry finishes its requests before it stops")
+{
+    one_entry one;
+    test_engine engine(one.cluster, "engine-1");
+    engine.token_delay_us = 20'000;
+    seen_stream seen;
+    std::thread caller([&] { seen = read_completion(one.entry, chat_body()); });
+    REQUIRE(eventually([&] { return engine.attempts == 1; }));
+    one.entry.server->drain();
+    CHECK(one.entry.server->open_requests() == 1);
+    CHECK(read_completion(one.entry, chat_body()).is_done);
+    one.entry.server->stop();
+    caller.join();
+    CHECK(seen.text == expected_text(0, 20));
+    CHECK(seen.is_done);
+    CHECK(one.entry.server->open_requests() == 0);
+}
+
+// Guards against two daemons that silently share a port.
+TEST_CASE("a port in use is a clear error")
+{
+    one_entry one;
+    auto config = one.entry.config;
+    config.http = one.entry.server->address();
+    traffic_server other(config, one.entry.control, one.events, one.entry.metrics, one.entry.time,
+                         2);
+    CHECK_THROWS_WITH(other.start(), Catch::Matchers::Contains(config.http.value()) &&
+                                         Catch::Matchers::Contains("in use"));
+}
+
+// Guards against calls of other entries, or of anyone, without the cluster token.
+TEST_CASE("a call between entries needs the cluster token")
+{
+    one_entry one;
+    auto const control = one.cluster.entries.at(vm_id("entry-1")).control.value();
+    auto const stub = protocol::Requests::NewStub(
+        grpc::CreateChannel("ipv4:" + control, grpc::InsecureChannelCredentials()));
+    grpc::ClientContext call;
+    call.AddMetadata("cluster-token", "wrong");
+    protocol::FetchReply reply;
+    CHECK(stub->Fetch(&call, {}, &reply).error_code() == grpc::StatusCode::UNAUTHENTICATED);
+}
+
+// Guards against bytes that are not HTTP and against callers that go away.
+TEST_CASE("garbage and closed connections do not stop the server")
+{
+    one_entry one;
+    test_engine engine(one.cluster, "engine-1");
+    auto const address = one.entry.server->address().value();
+    for (std::string const garbage : {"\x16\x03\x01\x02", "GET\r\n\r\n", "POST / HTTP/1.1\r\n"})
+    {
+        int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(std::stoi(address.substr(address.rfind(':') + 1)));
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        CHECK(::send(socket, garbage.data(), garbage.size(), 0) > 0);
+        ::close(socket);
+    }
+    CHECK(read_completion(one.entry, chat_body()).is_done);
+}
