Run the move controller on the leader

Cause: version moves were recorded and never driven. Ruled out: a controller on every entry, since verdicts need the counts of all. Change: the leader collects the traffic counts of all entries each second, steps one controller per running move and commits its updates; a new leader starts from the record.

--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -260,7 +260,7 @@
 {
     auto const samples = this->traffic.take();
     if (this->driver && this->driver->is_leader())
-        this->version_moves.collect(this->options.vm, samples);
+        this->version_moves.collect(samples);
     else if (!samples.empty())
         this->client.report(samples);
     this->version_moves.step();
--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/daemon/internal/control_services.cpp
@@ -255,8 +255,7 @@
     {
         auto const samples = nlohmann::json::from_msgpack(request->samples())
                                  .get<std::vector<version::traffic_sample>>();
-        this->control.post([this, vm = vm_id(request->vm()), samples]
-                           { this->control.moves().collect(vm, samples); });
+        this->control.post([this, samples] { this->control.moves().collect(samples); });
         reply->set_accepted(true);
         return grpc::Status::OK;
     }
--- a/src/process/daemon/internal/move_driver.cpp
+++ b/src/process/daemon/internal/move_driver.cpp
@@ -3,6 +3,44 @@
 namespace lagoonladder::daemon
 {
 
+namespace
+{
+
+constexpr duration update_timeout = seconds(2);
+
+/// Samples kept for one service between two steps; a burst of late reports must
+/// not grow the memory.
+constexpr std::size_t max_collected = 10'000;
+
+std::string event_name(version::move_state state)
+{
+    switch (state)
+    {
+    case version::move_state::running:
+        return "move.share_changed";
+    case version::move_state::finished:
+        return "move.finished";
+    case version::move_state::reversed:
+        return "move.reversed";
+    }
+    return "move.unknown";
+}
+
+std::vector<event_field> describe(version::move_record const& record)
+{
+    std::vector<event_field> fields{{"service", record.service.value()},
+                                    {"from", record.from.value()},
+                                    {"to", record.to.value()},
+                                    {"share", std::to_string(record.share)},
+                                    {"finish_by", format_wall_time(record.finish_by)},
+                                    {"reason", record.reason}};
+    for (auto const& [name, value] : record.figures)
+        fields.push_back({name, value});
+    return fields;
+}
+
+} // namespace
+
 move_driver::move_driver(consensus_driver* own_node, event_sink& log, clock const& time_source)
     : node(own_node)
     , events(log)
@@ -10,8 +48,87 @@
 {
 }
 
-void move_driver::collect(vm_id const&, std::vector<version::traffic_sample> const&) {}
+void move_driver::collect(std::vector<version::traffic_sample> const& samples)
+{
+    if (!this->node || !this->node->is_leader())
+        return;
+    for (auto const& sample : samples)
+    {
+        auto& kept = this->collected[sample.service];
+        if (kept.size() < max_collected)
+            kept.push_back(sample);
+    }
+}
+
+void move_driver::step()
+{
+    if (!this->node)
+        return;
+    auto const shared = this->node->state().shared();
+    this->report_changes(*shared);
+    if (!this->node->is_leader())
+    {
+        this->controllers.clear();
+        this->collected.clear();
+        return;
+    }
+    if (this->controlled_term != this->node->term())
+    {
+        // The figures in the record are what an earlier leader committed last;
+        // a controller of an earlier term may hold older ones.
+        this->controllers.clear();
+        this->controlled_term = this->node->term();
+    }
+    for (auto const& record : shared->moves)
+    {
+        if (record.state == version::move_state::running)
+            this->step_move(*shared, record);
+    }
+    this->collected.clear();
+}
 
-void move_driver::step() {}
+void move_driver::step_move(version::shared_state const& shared, version::move_record const& record)
+{
+    auto const* service = shared.configuration.find_service(record.service);
+    if (!service)
+        return;
+    auto& controller = this->controllers[record.service];
+    auto const change =
+        controller.step(this->time.wall_now(), record, *service, this->collected[record.service]);
+    if (!change)
+        return;
+    this->node->propose(*change, this->time.now() + update_timeout,
+                        [this, name = record.service](proposal_outcome const& outcome)
+                        {
+                            if (outcome.status != proposal_status::committed)
+                                this->events.emit(severity::warning, "move.update_not_committed",
+                                                  {{"service", name.value()}});
+                        });
+}
+
+void move_driver::report_changes(version::shared_state const& shared)
+{
+    for (auto const& record : shared.moves)
+    {
+        auto& known = this->reported[record.service];
+        if (record.generation < known.number)
+            continue;
+        bool const same = known.number == record.generation && known.state == record.state &&
+                          known.share == record.share;
+        if (same)
+            continue;
+        bool const is_first = known.number != record.generation;
+        known = {record.generation, record.state, record.share};
+        // One line per change in the merged timeline; followers only keep up.
+        if (!this->node->is_leader())
+            continue;
+        auto const level =
+            record.state == version::move_state::reversed ? severity::warning : severity::info;
+        auto const name = is_first && record.state == version::move_state::running
+                              ? "move.started"
+                              : event_name(record.state);
+        this->events.emit(level, name, describe(record));
+    }
+}
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/move_driver.hpp
+++ b/src/process/daemon/internal/move_driver.hpp
@@ -9,26 +9,38 @@
 namespace lagoonladder::daemon
 {
 
-/// Runs the controllers of version moves while this daemon is the leader.
-/// Lives on the control thread.
+/// Runs the controllers of version moves while this daemon is the leader, and
+/// logs what becomes of them. Lives on the control thread.
 class move_driver
 {
 public:
     /// `own_node` is null on a VM without a log; then this does nothing.
     move_driver(consensus_driver* own_node, event_sink& log, clock const& time_source);
 
-    /// Traffic of one interval as `from` saw it.
-    void collect(vm_id const& from, std::vector<version::traffic_sample> const& samples);
+    /// Traffic of one interval as one entry saw it; ignored unless leader.
+    void collect(std::vector<version::traffic_sample> const& samples);
 
     /// To be called once per report interval.
     void step();
 
 private:
+    void step_move(version::shared_state const& shared, version::move_record const& record);
     void report_changes(version::shared_state const& shared);
 
+    struct reported_move
+    {
+        generation number;
+        version::move_state state = version::move_state::running;
+        double share = -1;
+    };
+
     consensus_driver* const node;
     event_sink& events;
     clock const& time;
+    std::map<service_name, std::vector<version::traffic_sample>> collected;
+    std::map<service_name, version::move_controller> controllers;
+    std::map<service_name, reported_move> reported;
+    std::uint64_t controlled_term = 0;
 };
 
 } // namespace lagoonladder::daemon
