--- a/src/process/consensus/include/lagoonladder/consensus/message.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/message.hpp
@@ -40,6 +40,8 @@
 {
     message_type type = message_type::append_request;
     voter_id from;
+    /// Addresses are in node::membership(). A node that joins has no membership
+    /// yet; its replies are delivered to the VM of this id (vm_of).
     voter_id to;
     /// Term of the sender; of a prevote, the term that it would campaign for.
     term_number term;
--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -105,8 +105,8 @@
     proposed_change propose_membership(time_point now, membership_change const& change);
 
     /// Asks for a linearizable read at any node; the context comes back in
-    /// ready::reads or ready::failed_reads, or not at all when the leader is
-    /// lost. Returns false when no leader is known.
+    /// ready::reads or ready::failed_reads. A context must not be used twice.
+    /// Returns false when no leader is known; nothing comes back then.
     bool request_read(time_point now, std::uint64_t context);
 
     /// Drops the log up to the applied entry `index`; `data` is the encoded state
--- a/src/process/consensus/include/lagoonladder/consensus/types.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/types.hpp
@@ -120,7 +120,8 @@
     bool empty() const { return !this->snapshot && this->entries.empty(); }
 };
 
-/// State of the one node that founds a group. The other initial voters start
+/// State of the one node that founds a group; to be stored by
+/// log_store::save_snapshot before the node is created. The other initial voters start
 /// empty and are given this state by the founder. The founder must know that
 /// all of them are empty, since a founder that has lost its disk would
 /// otherwise found a second group.
