--- /dev/null
+++ b/src/version/internal/verdict.cpp
@@ -0,0 +1,233 @@
+#include "verdict.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "figure_text.hpp"
+
+namespace lagoonladder::version
+{
+
+namespace
+{
+
+// Above this share the old version's concurrent traffic gets too thin for a test.
+constexpr double reference_share = 0.6;
+
+std::string const evidence_prefix = "evidence ";
+
+std::string const route_separator = " on route ";
+
+std::string route_suffix(route_name const& route)
+{
+    return route_separator + route.value();
+}
+
+std::string test_name(move_metric metric, std::optional<route_name> const& route)
+{
+    return metric_name(metric) + (route ? route_suffix(*route) : "");
+}
+
+/// The route in "PREFIX on route NAME"; no value for another figure.
+std::optional<route_name> route_after(std::string const& figure, std::string const& prefix)
+{
+    auto const start = prefix + route_separator;
+    if (figure.compare(0, start.size(), start) != 0)
+        return std::nullopt;
+    return route_name(figure.substr(start.size()));
+}
+
+void store_counts(verdict::figure_map& target, paired_counts const& counts,
+                  std::string const& suffix)
+{
+    target["failures_new" + suffix] = ratio_text(counts.fresh.failed());
+    target["failures_old" + suffix] = ratio_text(counts.old.failed());
+    for (auto const metric : all_metrics)
+    {
+        if (metric == move_metric::failures || counts.old.latency(metric).total() == 0)
+            continue;
+        std::string const name = metric_name(metric);
+        target[name + "_p95_new" + suffix] = p95_text(counts.fresh.latency(metric));
+        target[name + "_p95_old" + suffix] = p95_text(counts.old.latency(metric));
+        target[name + "_old" + suffix] = histogram_text(counts.old.latency(metric));
+    }
+}
+
+paired_counts stored_counts(verdict::figure_map const& stored, std::string const& suffix)
+{
+    auto const text = [&](std::string const& name)
+    {
+        auto const found = stored.find(name + suffix);
+        return found == stored.end() ? std::string() : found->second;
+    };
+    paired_counts counts;
+    auto const fresh = parse_ratio(text("failures_new"));
+    auto const old = parse_ratio(text("failures_old"));
+    counts.fresh.requests = fresh.total;
+    counts.fresh.failures = fresh.events;
+    counts.old.requests = old.total;
+    counts.old.failures = old.events;
+    for (auto const metric : all_metrics)
+    {
+        if (metric != move_metric::failures)
+            counts.old.latency(metric) =
+                parse_histogram(text(std::string(metric_name(metric)) + "_old"));
+    }
+    return counts;
+}
+
+} // namespace
+
+verdict::verdict(move_record const& record, move_settings const& limits)
+    : old_version(record.from)
+    , fresh_version(record.to)
+    , settings(limits)
+{
+    this->restore(record.figures);
+}
+
+void verdict::add(std::vector<traffic_sample> const& samples, double share)
+{
+    ++this->intervals;
+    paired_counts all;
+    std::map<route_name, paired_counts> by_route;
+    for (auto const& sample : samples)
+    {
+        if (sample.version != this->old_version && sample.version != this->fresh_version)
+            continue;
+        bool const is_old = sample.version == this->old_version;
+        auto& route = by_route[sample.route];
+        (is_old ? route.old : route.fresh).add(sample);
+        (is_old ? all.old : all.fresh).add(sample);
+    }
+    for (auto const metric : all_metrics)
+    {
+        this->run_test({metric, std::nullopt}, all, this->pooled.old, share);
+        for (auto const& [name, counts] : by_route)
+            this->run_test({metric, name}, counts, this->routes[name].old, share);
+    }
+    // Afterwards, so that the tests choose their limits by earlier intervals only.
+    this->pooled.add(all);
+    for (auto const& [name, counts] : by_route)
+        this->routes[name].add(counts);
+}
+
+void verdict::run_test(test_key const& key, paired_counts const& interval,
+                       version_counts const& past, double share)
+{
+    if (interval.fresh.requests <= 0)
+        return;
+    auto const position = this->tests.try_emplace(key, key.metric).first;
+    position->second.add(interval, past, share > reference_share, this->settings.interval_limit);
+}
+
+double verdict::threshold() const
+{
+    auto const places = static_cast<double>(this->routes.size() + 1);
+    auto const all = places * all_metrics.size() * metric_test::count;
+    return std::log(all / this->settings.error_rate);
+}
+
+std::optional<verdict::test_key> verdict::strongest() const
+{
+    auto const found = std::max_element(this->tests.begin(), this->tests.end(),
+                                        [](auto const& left, auto const& right) {
+                                            return left.second.evidence() < right.second.evidence();
+                                        });
+    return found == this->tests.end() ? std::nullopt : std::optional(found->first);
+}
+
+double verdict::strongest_evidence() const
+{
+    auto const key = this->strongest();
+    return key ? this->tests.at(*key).evidence() : 0;
+}
+
+bool verdict::is_bad() const
+{
+    return this->strongest_evidence() >= this->threshold();
+}
+
+bool verdict::is_suspect() const
+{
+    return this->strongest_evidence() >= this->settings.hold_level;
+}
+
+bool verdict::is_decided() const
+{
+    return this->pooled.fresh.requests >= this->settings.least_requests &&
+           this->pooled.old.requests >= this->settings.least_requests;
+}
+
+double verdict::busiest_route_rate() const
+{
+    double most = 0;
+    for (auto const& [name, counts] : this->routes)
+        most = std::max(most, counts.old.requests + counts.fresh.requests);
+    return this->intervals == 0 ? 0 : most / static_cast<double>(this->intervals);
+}
+
+std::string verdict::describe() const
+{
+    auto const key = this->strongest();
+    if (!key)
+        return "no traffic on version " + this->fresh_version.value();
+    auto const& counts = key->route ? this->routes.at(*key->route) : this->pooled;
+    auto text = test_name(key->metric, key->route) + ": ";
+    if (key->metric == move_metric::failures)
+        return text + ratio_text(counts.fresh.failed()) + " on version " +
+               this->fresh_version.value() + ", " + ratio_text(counts.old.failed()) +
+               " on version " + this->old_version.value();
+    return text + "p95 " + p95_text(counts.fresh.latency(key->metric)) + " on version " +
+           this->fresh_version.value() + ", " + p95_text(counts.old.latency(key->metric)) +
+           " on version " + this->old_version.value();
+}
+
+std::vector<route_name> verdict::thin_routes() const
+{
+    std::vector<route_name> result;
+    for (auto const& [name, counts] : this->routes)
+    {
+        if (std::min(counts.fresh.requests, counts.old.requests) < this->settings.least_requests)
+            result.push_back(name);
+    }
+    return result;
+}
+
+verdict::figure_map verdict::figures() const
+{
+    figure_map result;
+    result["evidence_needed"] = number_text(this->threshold());
+    store_counts(result, this->pooled, "");
+    for (auto const& [name, counts] : this->routes)
+        store_counts(result, counts, route_suffix(name));
+    for (auto const& [key, test] : this->tests)
+    {
+        // Less than this is no sign, and a new leader may start from nothing.
+        if (test.evidence() > 0)
+            result[evidence_prefix + test_name(key.metric, key.route)] =
+                number_text(test.evidence());
+    }
+    return result;
+}
+
+void verdict::restore(figure_map const& stored)
+{
+    this->pooled = stored_counts(stored, "");
+    for (auto const& [name, value] : stored)
+    {
+        if (auto const route = route_after(name, "failures_old"))
+            this->routes[*route] = stored_counts(stored, route_suffix(*route));
+        for (auto const metric : all_metrics)
+        {
+            auto const prefix = evidence_prefix + metric_name(metric);
+            auto const route = route_after(name, prefix);
+            if (!route && name != prefix)
+                continue;
+            auto const position = this->tests.try_emplace({metric, route}, metric).first;
+            position->second.restore(parse_figure(value));
+        }
+    }
+}
+
+} // namespace lagoonladder::version
