Keep accepted drafts and raise the route policy's load factor

Cause: with a load factor of 1.25 popular prefixes spilled to endpoints that then lost their own prefixes. load_factor is 1.5 and prefix_weight 0.5 now. The model now sends late cache events with losses; before, its index only grew.

Instead of displacing, an account may hold up to twice the places that are still free, so that there is always one for another account.

--- a/src/request/include/lagoonladder/request/admission.hpp
+++ b/src/request/include/lagoonladder/request/admission.hpp
@@ -19,7 +19,7 @@
 {
     /// The predicted wait exceeds the deadline.
     predicted_wait,
-    /// The queue is full, and the account does not have less than its share of it.
+    /// The account holds its share of the bounded length.
     queue_full,
     /// The deadline passed, or can no longer be met, while the request waited.
     deadline,
@@ -53,12 +53,17 @@
     double initial_rate = 10;
     /// Time constant of the measured service rate.
     duration rate_window = seconds(10);
-    /// A draft older than this is served although interactive requests wait.
+    /// A draft is served although interactive requests wait when it is older than this and
+    /// has waited for draft_ageing_share of the time until its deadline.
     duration draft_ageing = seconds(30);
+    double draft_ageing_share = 0.25;
     /// Share of the work that aged drafts get while interactive requests wait; below 1.
     double aged_draft_share = 0.25;
+    /// Share of the time until its deadline that the predicted wait of a new request may take;
+    /// the rest covers the error of the prediction.
+    double admitted_wait = 0.8;
     /// A waiting request is given up when its predicted wait exceeds the time left by this factor.
-    double give_up_factor = 1.5;
+    double give_up_factor = 1.2;
     duration min_retry_after = seconds(1);
     duration max_retry_after = seconds(60);
     queue_trend_options trend;
@@ -72,17 +77,15 @@
 public:
     explicit admission_queue(admission_options options = {});
 
-    /// Queues the request, or refuses it at once with the time after which to retry. In a
-    /// full queue a request of an account below its share displaces one of the longest
-    /// account; expire() returns the displaced one.
+    /// Queues the request, or refuses it at once with the time after which to retry.
     admission_result offer(time_point now, queued_request request);
 
     /// The next request; call it when a slot is free. Requests past their deadline are left
     /// for expire().
     std::optional<queued_request> take(time_point now);
 
-    /// Requests that the queue has given up on since the last call: displaced ones and those
-    /// that can no longer meet their deadline. Call it at least every 100 ms and after offer().
+    /// Requests that the queue has given up on since the last call, because they can no longer
+    /// meet their deadline. Call it at least every 100 ms.
     std::vector<refused> expire(time_point now);
 
     /// Removes a request whose caller went away. False when it is not in the queue.
@@ -107,7 +110,8 @@
     void advance(time_point now);
     duration wait_for(request_priority priority, double work_ahead) const;
     duration retry_after(duration wait, duration budget, request_id const& id) const;
-    bool make_room(queued_request const& request);
+    bool has_place(queued_request const& request) const;
+    bool has_aged_draft(time_point now) const;
     bool is_draft_next(time_point now) const;
     void charge_draft_share(time_point now, queued_request const& taken);
     void expire_class(time_point now, request_priority priority);
--- a/src/request/include/lagoonladder/request/fair_queue.hpp
+++ b/src/request/include/lagoonladder/request/fair_queue.hpp
@@ -31,9 +31,13 @@
     std::vector<queued_request>
     erase_if(std::function<bool(queued_request const&, double)> const& give_up);
 
-    /// Removes the newest request of the account with the most requests per weight, if that
-    /// account has more of them than `account` would have with one more.
-    std::optional<queued_request> displace_for(account_id const& account, std::uint32_t weight);
+    /// Whether the account may add a request while `free` places are left: it may hold up to
+    /// twice the free places, in proportion to its weight, so that a place is always left
+    /// for an account that holds none.
+    bool has_place(account_id const& account, std::uint32_t weight, std::size_t free) const;
+
+    /// Whether `matches` is true for the first request of any account.
+    bool any_first(std::function<bool(queued_request const&)> const& matches) const;
 
     /// Work that is served before a new request of the account.
     double work_ahead(account_id const& account, std::uint32_t weight) const;
--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -71,13 +71,13 @@
 struct balanced_route_options
 {
     /// A candidate is left out when its load per slot exceeds this multiple of the mean.
-    double load_factor = 1.25;
+    double load_factor = 1.5;
     /// Load per slot up to which a candidate is never left out.
     double idle_load = 0.25;
     /// Endpoints that the prefix hash ranks first take part in the affinity group.
     std::uint32_t affinity_group = 2;
     /// Load per slot that a full prefix match is worth.
-    double prefix_weight = 0.3;
+    double prefix_weight = 0.5;
     /// Load per slot that an endpoint in another data centre is charged.
     double remote_penalty = 0.1;
     /// Time over which a new or recovered endpoint grows to its full share.
--- a/src/request/internal/admission.cpp
+++ b/src/request/internal/admission.cpp
@@ -55,9 +55,10 @@
         return refuse(refusal_reason::duplicate, budget);
     if (budget <= duration::zero())
         return refuse(refusal_reason::deadline, duration::zero());
-    if (wait > budget)
-        return refuse(refusal_reason::predicted_wait, budget);
-    if (!this->make_room(request))
+    auto const admitted = from_seconds(to_seconds(budget) * this->options.admitted_wait);
+    if (wait > admitted)
+        return refuse(refusal_reason::predicted_wait, admitted);
+    if (!this->has_place(request))
         return refuse(refusal_reason::queue_full, wait / 2);
     request.arrived = now;
     if (request.priority == request_priority::interactive)
@@ -171,38 +172,43 @@
     return from_seconds(to_seconds(after) * (1 + spread));
 }
 
-bool admission_queue::make_room(queued_request const& request)
+bool admission_queue::has_place(queued_request const& request) const
 {
-    auto const is_draft = request.priority == request_priority::draft;
-    auto const limit = static_cast<double>(this->options.max_length);
-    auto const draft_limit = static_cast<std::size_t>(limit * this->options.max_draft_length);
-    auto const drafts_full = is_draft && this->drafts.size() >= draft_limit;
-    if (this->size() < this->options.max_length && !drafts_full)
-        return true;
-    auto displaced = this->class_of(request.priority).displace_for(request.account, request.weight);
-    if (!displaced)
-        return false;
-    this->known.erase(displaced->request_id);
-    this->give_up(*displaced, refusal_reason::queue_full);
-    return true;
+    auto const longest = this->options.max_length;
+    auto const all_free = longest - std::min(longest, this->size());
+    if (request.priority == request_priority::interactive)
+        return this->interactive.has_place(request.account, request.weight, all_free);
+    auto const share = static_cast<double>(longest) * this->options.max_draft_length;
+    auto const for_drafts = static_cast<std::size_t>(share);
+    auto const free = for_drafts - std::min(for_drafts, this->drafts.size());
+    return this->drafts.has_place(request.account, request.weight, std::min(free, all_free));
+}
+
+bool admission_queue::has_aged_draft(time_point now) const
+{
+    auto const is_aged = [&](queued_request const& request)
+    {
+        auto const age = now - request.arrived;
+        auto const whole = to_seconds(request.deadline - request.arrived);
+        return age >= this->options.draft_ageing &&
+               to_seconds(age) >= whole * this->options.draft_ageing_share;
+    };
+    return this->drafts.any_first(is_aged);
 }
 
 bool admission_queue::is_draft_next(time_point now) const
 {
     if (this->drafts.size() == 0 || this->interactive.size() == 0)
         return this->interactive.size() == 0;
-    auto const oldest = this->drafts.oldest_arrival().value_or(now);
-    auto const is_aged = now - oldest >= this->options.draft_ageing;
-    return is_aged && this->draft_credit >= this->drafts.front()->expected_work;
+    return this->has_aged_draft(now) && this->draft_credit >= this->drafts.front()->expected_work;
 }
 
 void admission_queue::charge_draft_share(time_point now, queued_request const& taken)
 {
-    auto const oldest = this->drafts.oldest_arrival().value_or(now);
     auto const share = this->options.aged_draft_share;
     if (taken.priority == request_priority::draft)
         this->draft_credit = std::max(0.0, this->draft_credit - taken.expected_work);
-    else if (now - oldest >= this->options.draft_ageing)
+    else if (this->has_aged_draft(now))
         this->draft_credit += taken.expected_work * share / (1 - share);
     else
         this->draft_credit = 0;
--- a/src/request/internal/fair_queue.cpp
+++ b/src/request/internal/fair_queue.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Places that an account may hold for each free one.
+constexpr double places_per_free = 2;
+
 double weight_of(std::uint32_t weight)
 {
     return std::max<std::uint32_t>(1, weight);
@@ -94,25 +97,26 @@
     return out;
 }
 
-std::optional<queued_request> fair_queue::displace_for(account_id const& account,
-                                                       std::uint32_t weight)
-{
-    auto const per_weight = [](account_queue const& queue)
-    { return static_cast<double>(queue.requests.size()) / queue.weight; };
-    auto const own = this->accounts.find(account);
-    auto const own_size = own == this->accounts.end() ? 0 : own->second.requests.size();
-    auto const own_share = static_cast<double>(own_size + 1) / weight_of(weight);
-    auto const longest =
-        std::max_element(this->accounts.begin(), this->accounts.end(),
-                         [&](auto const& left, auto const& right)
-                         { return per_weight(left.second) < per_weight(right.second); });
-    if (longest == this->accounts.end() || longest->first == account ||
-        per_weight(longest->second) <= own_share)
-        return std::nullopt;
-    auto request = std::move(longest->second.requests.back());
-    longest->second.requests.pop_back();
-    this->removed(longest->second, request);
-    return request;
+bool fair_queue::has_place(account_id const& account, std::uint32_t weight, std::size_t free) const
+{
+    auto largest_weight = weight_of(weight);
+    for (auto const& [id, other] : this->accounts)
+        largest_weight = std::max(largest_weight, other.requests.empty() ? 0 : other.weight);
+    auto const found = this->accounts.find(account);
+    auto const held = found == this->accounts.end() ? 0 : found->second.requests.size();
+    auto const share = weight_of(weight) / largest_weight;
+    return free > 0 &&
+           static_cast<double>(held) < places_per_free * share * static_cast<double>(free);
+}
+
+bool fair_queue::any_first(std::function<bool(queued_request const&)> const& matches) const
+{
+    return std::any_of(this->accounts.begin(), this->accounts.end(),
+                       [&](auto const& item)
+                       {
+                           auto const& requests = item.second.requests;
+                           return !requests.empty() && matches(requests.front());
+                       });
 }
 
 double fair_queue::work_ahead(account_id const& account, std::uint32_t weight) const
--- a/src/request/tools/internal/overnight_run.cpp
+++ b/src/request/tools/internal/overnight_run.cpp
@@ -110,7 +110,7 @@
     constexpr auto interactive = request_priority::interactive;
     constexpr auto draft = request_priority::draft;
     static std::vector<source> const all = {
-        {"large 1", draft, 4, 4 * hour, 6 * hour}, {"large 2", draft, 4, 4 * hour, 6 * hour},
+        {"large 1", draft, 3, 4 * hour, 6 * hour}, {"large 2", draft, 3, 4 * hour, 6 * hour},
         {"large 1", interactive, 6, night, 20},    {"large 2", interactive, 4, night, 20},
         {"small 1", interactive, 0.5, night, 20},  {"small 2", interactive, 0.5, night, 20},
         {"small 3", interactive, 0.5, night, 20}};
--- a/src/request/tools/internal/replica_model.cpp
+++ b/src/request/tools/internal/replica_model.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-void replica_model::submit(model_request request)
+void replica_model::submit(model_request const& request)
 {
-    this->queue.push_back(std::move(request));
+    this->queue.push_back(request);
 }
 
 std::vector<model_request> replica_model::advance(double now, double step)
@@ -66,11 +66,16 @@
     return out;
 }
 
+std::vector<cache_message> replica_model::take_cache_messages()
+{
+    return std::exchange(this->messages, {});
+}
+
 void replica_model::start_waiting()
 {
     while (!this->queue.empty() && this->active.size() < slots)
     {
-        auto request = std::move(this->queue.front());
+        auto const request = this->queue.front();
         this->queue.pop_front();
         auto prefill = request.own_tokens;
         if (!this->use_prefix(request.prefix))
@@ -78,7 +83,7 @@
             prefill += request.prefix_tokens;
             this->prefix_misses += request.prefix_tokens;
         }
-        this->active.push_back({std::move(request), prefill, 0});
+        this->active.push_back({request, prefill, 0});
     }
 }
 
@@ -89,8 +94,13 @@
     if (is_hit)
         this->cache.erase(found);
     this->cache.push_front(prefix);
+    if (!is_hit)
+        this->messages.push_back({prefix, true});
     if (this->cache.size() > cached_prefixes)
+    {
+        this->messages.push_back({this->cache.back(), false});
         this->cache.pop_back();
+    }
     return is_hit;
 }
 
--- a/src/request/tools/internal/replica_model.hpp
+++ b/src/request/tools/internal/replica_model.hpp
@@ -26,6 +26,13 @@
     double dispatched = 0;
 };
 
+/// A prefix entered or left the cache of a replica.
+struct cache_message
+{
+    std::uint64_t prefix = 0;
+    bool stored = true;
+};
+
 /// A model engine with continuous batching: an iteration takes longer with each running
 /// request, prefill of one request at a time slows decoding, and the prefix cache is LRU.
 class replica_model
@@ -33,7 +40,7 @@
 public:
     static constexpr std::uint32_t slots = 16;
 
-    void submit(model_request request);
+    void submit(model_request const& request);
 
     /// Advances by `step` seconds. Returns the requests that finished.
     std::vector<model_request> advance(double now, double step);
@@ -45,6 +52,9 @@
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(this->queue.size()); }
     double recomputed_tokens() const { return this->prefix_misses; }
 
+    /// Changes of the prefix cache since the last call.
+    std::vector<cache_message> take_cache_messages();
+
     /// 1 is ordinary; 3 takes three times as long.
     double slowness = 1;
 
@@ -62,6 +72,7 @@
     std::deque<model_request> queue;
     std::vector<running_request> active;
     std::list<std::uint64_t> cache;
+    std::vector<cache_message> messages;
     double prefix_misses = 0;
 };
 
--- a/src/request/tools/internal/routing_run.cpp
+++ b/src/request/tools/internal/routing_run.cpp
@@ -12,6 +12,8 @@
 
 constexpr double step = 0.01;
 constexpr double run_length = 180;
+/// Arrivals end this long before the run does, so that each request has an outcome.
+constexpr double drain_time = 30;
 constexpr std::size_t replica_count = 9;
 constexpr std::size_t entry_count = 4;
 constexpr std::uint64_t prefix_count = 40;
@@ -26,6 +28,9 @@
 /// Requests in flight over the slots of the replicas.
 constexpr double overcommitment = 1.1;
 
+/// One in this many cache events is lost on the way to an entry.
+constexpr std::uint64_t lost_cache_events = 200;
+
 bool happens_at(double time, double moment)
 {
     return time - step < moment && moment <= time;
@@ -126,7 +131,7 @@
 {
     auto const phase = std::fmod(this->time, 30.0);
     auto const rate = this->scenario.requests_per_second * (phase < 5 ? this->scenario.burst : 1.0);
-    while (this->next_arrival <= this->time)
+    while (this->next_arrival <= this->time && this->time < run_length - drain_time)
     {
         model_request request;
         request.number = this->next_number++;
@@ -143,7 +148,7 @@
     }
 }
 
-void routing_run::offer(model_request request)
+void routing_run::offer(model_request const& request)
 {
     request::queued_request waiting;
     waiting.request_id = request_id(std::to_string(request.number));
@@ -165,10 +170,10 @@
         if (!taken)
             return;
         auto const found = this->queued.find(std::stoull(taken->request_id.value()));
-        auto request = found->second;
+        auto const request = found->second;
         this->queued.erase(found);
         ++from.in_flight;
-        this->send(index, std::move(request));
+        this->send(index, request);
     }
 }
 
@@ -185,7 +190,7 @@
     from.prefixes.routed(this->now(), *chosen, blocks_of(request.prefix));
     ++request.attempts;
     request.dispatched = this->time;
-    this->replicas[std::stoull(chosen->value().substr(1))].model.submit(std::move(request));
+    this->replicas[std::stoull(chosen->value().substr(1))].model.submit(request);
 }
 
 std::vector<request::route_candidate> routing_run::candidates(entry const& from,
@@ -250,11 +255,11 @@
         ++this->report_sequence;
         for (std::size_t i = 0; i < this->replicas.size(); ++i)
         {
-            auto const& one = this->replicas[i];
+            auto& one = this->replicas[i];
             if (!one.is_gone)
                 this->reports.push_back({this->time + this->scenario.report_delay, i,
                                          this->report_sequence, one.model.running(),
-                                         one.model.waiting()});
+                                         one.model.waiting(), one.model.take_cache_messages()});
         }
     }
     while (!this->reports.empty() && this->reports.front().arrives <= this->time)
@@ -266,6 +271,23 @@
         one.reported_waiting = late.waiting;
         for (auto& to : this->entries)
             to.load.report(this->now(), one.id, late.sequence, late.running, late.waiting);
+        this->deliver_cache_messages(one, late.cache);
+    }
+}
+
+void routing_run::deliver_cache_messages(replica& from, std::vector<cache_message> const& messages)
+{
+    for (auto const& message : messages)
+    {
+        ++from.cache_sequence;
+        auto const change =
+            message.stored ? request::cache_change::stored : request::cache_change::removed;
+        for (auto& to : this->entries)
+        {
+            if (this->random.below(lost_cache_events) != 0)
+                to.prefixes.apply(this->now(), from.id,
+                                  {from.cache_sequence, change, blocks_of(message.prefix)});
+        }
     }
 }
 
@@ -286,10 +308,10 @@
         one.is_gone = true;
         one.reported_running = 0;
         one.reported_waiting = 0;
-        for (auto& request : one.model.stop())
+        for (auto const& request : one.model.stop())
         {
             this->entries[request.entry].load.completed(this->now(), one.id);
-            this->send(request.entry, std::move(request));
+            this->send(request.entry, request);
         }
         for (auto& from : this->entries)
         {
--- a/src/request/tools/internal/routing_run.hpp
+++ b/src/request/tools/internal/routing_run.hpp
@@ -68,6 +68,7 @@
         bool is_gone = false;
         std::uint32_t reported_running = 0;
         std::uint32_t reported_waiting = 0;
+        std::uint64_t cache_sequence = 0;
     };
 
     struct report
@@ -77,6 +78,7 @@
         std::uint64_t sequence = 0;
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
+        std::vector<cache_message> cache;
     };
 
     struct entry
@@ -92,9 +94,10 @@
     time_point now() const;
     void add_entry(std::size_t index);
     void arrive();
-    void offer(model_request request);
+    void offer(model_request const& request);
     void dispatch(std::size_t index);
     void send(std::size_t index, model_request request);
+    void deliver_cache_messages(replica& from, std::vector<cache_message> const& messages);
     std::vector<request::route_candidate> candidates(entry const& from, std::uint64_t prefix) const;
     std::uint32_t concurrency() const;
     void advance_replicas();
--- a/src/request/tools/main.cpp
+++ b/src/request/tools/main.cpp
@@ -63,14 +63,16 @@
         std::printf(
             "| group | offered | taken %% | refused %% | given up %% | wait median s | 95th s "
             "| given up after, median s |\n|---|---|---|---|---|---|---|---|\n");
-        for (auto const& [name, group] : night.groups)
+        for (auto const& item : night.groups)
         {
+            auto const& group = item.second;
             auto const share = [&](std::uint64_t count)
             { return 100 * static_cast<double>(count) / static_cast<double>(group.offered); };
-            std::printf("| %s | %llu | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f |\n", name.c_str(),
-                        static_cast<unsigned long long>(group.offered), share(group.taken),
-                        share(group.refused), share(group.given_up), group.wait.quantile(0.5),
-                        group.wait.quantile(0.95), group.answer_time.quantile(0.5));
+            std::printf("| %s | %llu | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f |\n",
+                        item.first.c_str(), static_cast<unsigned long long>(group.offered),
+                        share(group.taken), share(group.refused), share(group.given_up),
+                        group.wait.quantile(0.5), group.wait.quantile(0.95),
+                        group.answer_time.quantile(0.5));
         }
     }
 }
