--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,162 @@
+#!/bin/bash
+# Builds, starts five daemons of four data centres with fakes on loopback, goes
+# through the main promises and prints one line for each. Ends with "demo: ok".
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ "${1:-}" != --no-build ]; then
+  scripts/install_packages.sh
+  scripts/build.sh
+fi
+. scripts/cluster.sh
+cluster_begin 21000
+report=()
+row() {
+  printf '  %-34s %s\n' "$1" "$2"
+  report+=("$1")
+}
+
+start_everything() {
+  start_cloud
+  start_daemons
+  local i
+  for i in 1 2 3; do start_engine "$i" v1 --token-interval-us 10000; done
+  for i in 4 5; do start_engine "$i" v2 --token-interval-us 10000; done
+  for i in 1 2; do start_plain "$i" v1; done
+  row "5 daemons, 5 engines, 2 services" "started"
+}
+
+apply_first() {
+  write_configuration "$work/configuration.ini" v1
+  "$daemon_binary" check "$work/configuration.ini" >/dev/null
+  "$daemon_binary" apply "$work/configuration.ini" --base 0 --wait --wait-timeout 20s >"$work/apply.txt" 2>&1 ||
+    fail "apply: $(cat "$work/apply.txt")"
+  local code=0
+  "$daemon_binary" apply "$work/configuration.ini" --base 0 >"$work/race.txt" 2>&1 || code=$?
+  [ "$code" -eq 3 ] || fail "the second apply on the same base ended with $code instead of 3"
+  wait_for_endpoints 7
+  row "configuration applied" "$(grep stored "$work/apply.txt"), a second one on its base conflicts"
+}
+
+completions() {
+  expected_tokens "a question" 20 >"$work/expected"
+  chat 1 "a question" 20 true >"$work/stream"
+  grep -q 'data: \[DONE\]' "$work/stream" || fail "the stream has no end"
+  tokens_in "$work/stream" | cmp -s - "$work/expected" || fail "the stream differs"
+  chat 5 "a question" 20 false >"$work/whole"
+  tokens_in "$work/whole" | cmp -s - "$work/expected" || fail "the whole completion differs"
+  row "chat stream, whole completion" "20 of 20 tokens each, in order"
+}
+
+bookings() {
+  local first second third
+  first=$(book 2 demo-1)
+  second=$(book 4 demo-1)
+  [ "${first%% *}" = 201 ] || fail "booking: $first"
+  [ "$first" = "$second" ] || fail "the resend got $second instead of $first"
+  [ "$(executions demo-1)" -eq 1 ] || fail "the booking was executed $(executions demo-1) times"
+  row "booking and its resend" "same answer from 2 entries, 1 execution"
+  third=$(book 3 demo-1 '{"other":1}')
+  [ "${third%% *}" = 409 ] || fail "the same key with another body: $third"
+  row "same key, other body" "refused with 409"
+  curl -sS -m 10 -H "Authorization: Bearer $account_key" "http://$(entry 3)/services/booking/status" >"$work/status"
+  grep -q '"status":"open"' "$work/status" || fail "status lookup: $(cat "$work/status")"
+  row "idempotent status lookup" "answered"
+}
+
+refusals() {
+  local without wrong
+  without=$(curl -sS -m 5 -o "$work/refusal" -w '%{http_code}' "http://$(entry 1)/services/booking/bookings" -d '{}')
+  [ "$without" = 401 ] || fail "a call without a key got $without"
+  grep -q '"executed":"no"' "$work/refusal" || fail "the refusal does not say executed: no"
+  wrong=$(curl -sS -m 5 -o /dev/null -w '%{http_code}' -H 'Authorization: Bearer wrong' "http://$(entry 1)/v1/chat/completions" -d '{}')
+  [ "$wrong" = 401 ] || [ "$wrong" = 403 ] || fail "a call with a bad key got $wrong"
+  row "no account key, bad account key" "refused with $without and $wrong"
+}
+
+# background_load SECONDS: 20 requests a second over all entries.
+background_load() {
+  local targets=() i
+  for i in 1 2 3 4 5; do targets+=(--target "$(entry "$i")"); done
+  start_process load "$fakes_binary" load "${targets[@]}" --key "$account_key" --streams 10 --rate 20 \
+    --requests $((20 * $1)) --max-tokens 5
+}
+
+good_move() {
+  background_load 30
+  write_configuration "$work/configuration.ini" v2
+  "$daemon_binary" apply "$work/configuration.ini" --base "$(generation)" --wait --wait-timeout 60s >"$work/move.txt" 2>&1 ||
+    fail "move to v2: $(cat "$work/move.txt")"
+  grep -q finished "$work/move.txt" || fail "move to v2: $(cat "$work/move.txt")"
+  stop_process load KILL
+  row "move v1 -> v2" "finished"
+}
+
+bad_move() {
+  start_engine 6 v3 --token-interval-us 10000
+  wait_for_endpoints 8
+  set_fault "$(engine_address 6)" '{"kind":"fail_rate","value":0.9}'
+  background_load 40
+  write_configuration "$work/configuration.ini" v3
+  local code=0
+  "$daemon_binary" apply "$work/configuration.ini" --base "$(generation)" --wait --wait-timeout 60s >"$work/bad.txt" 2>&1 || code=$?
+  [ "$code" -eq 3 ] && grep -q reversed "$work/bad.txt" || fail "move to v3 ended with $code: $(cat "$work/bad.txt")"
+  stop_process load KILL
+  row "bad version v3" "reversed"
+}
+
+reclaim() {
+  expected_tokens "a long question" 300 2 >"$work/expected"
+  chat 2 "a long question" 300 true >"$work/stream" &
+  local stream=$! victim=""
+  sleep 1
+  for i in 4 5; do
+    curl -sS -m 5 "http://$(engine_address "$i")/v1/load" | grep -q '"running":1' && victim=$i
+  done
+  [ -n "$victim" ] || fail "no engine runs the stream"
+  curl -sS -m 5 -o /dev/null "http://$(cloud_address)/v1/notices" -d "{\"vm\":\"vm-engine$victim\",\"notice_ms\":1500}"
+  sleep 1.5
+  stop_process "engine$victim" KILL
+  wait "$stream" || fail "the stream of the reclaimed engine broke"
+  tokens_in "$work/stream" | cmp -s - "$work/expected" || fail "the stream of the reclaimed engine differs"
+  row "reclaim notice during a stream" "300 of 300 tokens after engine$victim was taken away"
+}
+
+planned_stop() {
+  chat 1 "a long question" 300 true >"$work/stream" &
+  local stream=$!
+  sleep 0.5
+  stop_process vm1 TERM
+  wait "$stream" || fail "the stream was cut by the planned stop"
+  tokens_in "$work/stream" | cmp -s - "$work/expected" || fail "the stream differs after the planned stop"
+  [ "$stopped_with" -eq 0 ] || fail "vm1 ended with $stopped_with"
+  start_daemon 1
+  wait_until 20 is_ready 1 || fail "vm1 did not come back"
+  row "planned stop with an open stream" "300 of 300 tokens, exit code 0"
+}
+
+restart_all() {
+  local before i
+  before=$(generation)
+  for i in 1 2 3 4 5; do stop_process "vm$i" KILL; done
+  start_daemons
+  for i in 1 2 3 4 5; do
+    operator_get "$i" status | grep -q "\"generation\":$before[,}]" || fail "vm$i lost generation $before"
+  done
+  wait_for_endpoints 7
+  [ "$(book 5 demo-1)" = "$(book 1 demo-1)" ] && [ "$(executions demo-1)" -eq 1 ] || fail "the booking was forgotten"
+  row "kill -9 of all daemons, restart" "generation $before in force, booking remembered"
+}
+
+started=$SECONDS
+start_everything
+apply_first
+completions
+bookings
+refusals
+good_move
+bad_move
+reclaim
+planned_stop
+restart_all
+echo "${#report[@]} steps in $((SECONDS - started)) s"
+echo "demo: ok"
--- a/src/process/daemon/internal/operator_api.cpp
+++ b/src/process/daemon/internal/operator_api.cpp
@@ -98,6 +98,14 @@
     return out;
 }
 
+char const* name_of(version::move_state state)
+{
+    using version::move_state;
+    if (state == move_state::running)
+        return "running";
+    return state == move_state::finished ? "finished" : "reversed";
+}
+
 int status_of(version::apply_outcome outcome)
 {
     if (outcome == version::apply_outcome::conflict)
@@ -205,7 +213,12 @@
     nlohmann::json out;
     out["moves"] = nlohmann::json::array();
     if (view->shared)
-        out["moves"] = view->shared->moves;
+        for (auto const& move : view->shared->moves)
+        {
+            nlohmann::json row = move;
+            row["state"] = name_of(move.state);
+            out["moves"].push_back(std::move(row));
+        }
     send_json(response, 200, out);
 }
 
--- a/tools/fakes/http_service.cpp
+++ b/tools/fakes/http_service.cpp
@@ -38,6 +38,13 @@
     this->server.new_task_queue = [this]
     { return new connection_pool([this] { this->faults.connection_opened(); }); };
     this->server.set_tcp_nodelay(true);
+    // cpp-httplib sets SO_REUSEPORT, which lets two processes share an address unnoticed.
+    this->server.set_socket_options(
+        [](int descriptor)
+        {
+            int const enabled = 1;
+            setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        });
     this->server.set_keep_alive_max_count(1'000'000);
     this->server.set_keep_alive_timeout(60);
     this->server.set_exception_handler(
