--- a/src/version/tests/move_controller_test.cpp
+++ b/src/version/tests/move_controller_test.cpp
@@ -102,13 +102,14 @@
 {
     // Guards against a small route whose faults drown in the sum of all routes.
     auto drawn = steady_service();
-    drawn.routes.push_back({"renew", 0.03, 0.2, 0.5});
+    drawn.routes.push_back({"renew", 0.05, 0.2, 0.5});
     drawn.fault = study::fault_kind::bad_on_one_route;
     drawn.fault_route = "renew";
-    drawn.fault_failures = 1;
+    drawn.fault_slowdown = 4;
     move_fixture f(drawn);
     f.run_until(1000);
     CHECK(f.record.state == move_state::reversed);
+    CHECK_THAT(f.record.reason, Contains("on route renew"));
     CHECK(f.record.share == 0);
 }
 
@@ -117,16 +118,26 @@
     // Guards against a move that starts again, or forgets its signs, with each leader.
     auto drawn = steady_service();
     drawn.fault = study::fault_kind::failing_at_once;
-    drawn.fault_failures = 0.12;
+    drawn.fault_failures = 0.06;
     move_fixture f(drawn);
     while (f.record.state == move_state::running && f.second < 1000)
     {
         auto const share = f.record.share;
         f.controller = move_controller();
-        f.run_until(f.second + 45);
+        f.run_until(f.second + 25);
         REQUIRE((f.record.state != move_state::running || f.record.share >= share));
     }
     CHECK(f.record.state == move_state::reversed);
+
+    // The next leader decides with evidence that it did not see itself.
+    move_fixture next(steady_service());
+    next.record.figures = {{"evidence failures on route book", "30.00"},
+                           {"failures_old on route book", "3/4000"},
+                           {"failures_new on route book", "12/40"}};
+    next.run_until(1, false);
+    CHECK(next.record.state == move_state::reversed);
+    CHECK(next.record.reason ==
+          "failures on route book: 12/40 on version new, 3/4000 on version old");
 }
 
 TEST_CASE("a fault at full share is found after a change of leader")
