Ignore samples of other services in a verdict

Cause: the verdict chose samples by version name only, so two services whose versions have equal names were mixed when the caller passed all samples.

Change: samples of other services are ignored.

--- a/src/version/include/lagoonladder/version/move_controller.hpp
+++ b/src/version/include/lagoonladder/version/move_controller.hpp
@@ -56,9 +56,9 @@
     move_controller(move_controller&&) noexcept;
     move_controller& operator=(move_controller&&) noexcept;
 
-    /// Takes the samples that arrived in the last interval, late ones included,
-    /// and returns the change to propose. Called once a second. A record of
-    /// another move starts afresh.
+    /// Takes the samples that arrived in the last interval, late ones and those of
+    /// other services included, and returns the change to propose. Called once a second. A record
+    /// of another move starts afresh.
     std::optional<update_move> step(wall_time now, move_record const& record,
                                     service_config const& service,
                                     std::vector<traffic_sample> const& samples);
--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -79,7 +79,8 @@
 } // namespace
 
 verdict::verdict(move_record const& record, move_settings const& limits)
-    : old_version(record.from)
+    : service(record.service)
+    , old_version(record.from)
     , fresh_version(record.to)
     , settings(limits)
 {
@@ -93,7 +94,10 @@
     std::map<route_name, paired_counts> by_route;
     for (auto const& sample : samples)
     {
-        if (sample.version != this->old_version && sample.version != this->fresh_version)
+        bool const is_compared =
+            sample.service == this->service &&
+            (sample.version == this->old_version || sample.version == this->fresh_version);
+        if (!is_compared)
             continue;
         bool const is_old = sample.version == this->old_version;
         auto& route = by_route[sample.route];
--- a/src/version/internal/verdict.hpp
+++ b/src/version/internal/verdict.hpp
@@ -57,6 +57,7 @@
     std::optional<test_key> strongest() const;
     double strongest_evidence() const;
 
+    service_name service;
     version_name old_version;
     version_name fresh_version;
     move_settings settings;
--- a/src/version/tests/move_controller_test.cpp
+++ b/src/version/tests/move_controller_test.cpp
@@ -181,3 +181,25 @@
     CHECK(f.record.state == move_state::reversed);
     CHECK_THAT(f.record.reason, Contains("was not reached in time"));
 }
+
+TEST_CASE("samples of other services do not count")
+{
+    // Guards against a verdict about a service whose versions have the same names.
+    move_fixture f(steady_service());
+    traffic_sample other;
+    other.service = service_name("other");
+    other.version = version_name("new");
+    other.requests = 100;
+    other.failures = 100;
+    traffic_sample old;
+    old.service = service_name("s");
+    old.version = version_name("old");
+    old.requests = 100;
+    f.run_until(60);
+    for (int i = 0; i < 20; ++i)
+    {
+        f.now += seconds(1);
+        auto const change = f.controller.step(f.now, f.record, f.service, {other, old});
+        CHECK((!change || change->state == move_state::running));
+    }
+}
