--- a/src/process/storage/tests/storage_test.cpp
+++ b/src/process/storage/tests/storage_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
@@ -20,6 +22,10 @@
 
 /// Descriptors that were written to and not synced since.
 std::set<int> unsynced_descriptors;
+/// A file was renamed before it was synced.
+bool renamed_unsynced = false;
+/// The folder was synced since the last rename.
+bool folder_synced = true;
 /// Restarts of the store do not need the device, and its syncs take most of the time.
 bool device_sync = true;
 
@@ -76,8 +82,20 @@
     return ::syscall(SYS_write, descriptor, data, size);
 }
 
+extern "C" int rename(char const* from, char const* to)
+{
+    renamed_unsynced = renamed_unsynced || !unsynced_descriptors.empty();
+    folder_synced = false;
+    return static_cast<int>(::syscall(SYS_renameat2, AT_FDCWD, from, AT_FDCWD, to, 0));
+}
+
 extern "C" int fsync(int descriptor)
 {
+    struct stat properties
+    {
+    };
+    ::fstat(descriptor, &properties);
+    folder_synced = folder_synced || S_ISDIR(properties.st_mode);
     unsynced_descriptors.erase(descriptor);
     return device_sync ? static_cast<int>(::syscall(SYS_fsync, descriptor)) : 0;
 }
@@ -93,6 +111,8 @@
     CHECK(unsynced_descriptors.empty());
     store.save_snapshot(snapshot_at(1, 1));
     CHECK(unsynced_descriptors.empty());
+    CHECK_FALSE(renamed_unsynced);
+    CHECK(folder_synced);
 }
 
 TEST_CASE("the file store agrees with the memory store")
@@ -246,6 +266,19 @@
     CHECK(count() == 3);
 }
 
+TEST_CASE("a snapshot that the log contradicts drops the whole log")
+{
+    // Guards against entries of a replaced leader that come back after a restart.
+    temporary_folder folder;
+    {
+        file_log_store store(folder.path);
+        store.load();
+        store.save(hard(1, 0), {entry(1, 1), entry(2, 1), entry(3, 1)}, true);
+        store.save_snapshot(snapshot_at(2, 2));
+    }
+    CHECK(load(folder.path).entries.empty());
+}
+
 TEST_CASE("a data folder has one user at a time")
 {
     // Guards against two processes that write one log.
