Measure one entry side by side with direct calls

Cause: the added time of an entry and its idle cost were not known.

Ruled out: 5 ms token steps with 40 requests a second. The arrivals lock to the steps of the fake's batch, and the median of direct calls moved from 1.67 to 4.58 ms between two runs.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -16,8 +16,8 @@
 top() { awk -v name="\"$2\":" '$1 == name { gsub(",", "", $2); print $2; exit }' "$1"; }
 difference() { awk -v a="$1" -v b="$2" 'BEGIN { printf "%.2f", b - a }'; }
 rounded() { awk -v a="$1" 'BEGIN { printf "%.2f", a }'; }
-resident_kib() { awk '/^VmRSS/ { print $2 }' "/proc/${process_ids[vm1]}/status"; }
-processor_ticks() { awk '{ print $14 + $15 }' "/proc/${process_ids[vm1]}/stat"; }
+resident_kib() { awk '/^VmRSS/ { print $2 }' "/proc/${process_ids[$1]}/status"; }
+processor_ticks() { awk '{ print $14 + $15 }' "/proc/${process_ids[$1]}/stat"; }
 
 # measure NAME TARGET OPTIONS...: report in $work/NAME.json.
 measure() {
@@ -27,9 +27,10 @@
     echo "note: $name had errors $(top "$work/$name.json" errors), incomplete $(top "$work/$name.json" incomplete), wrong $(top "$work/$name.json" wrong)"
 }
 
-# socket_bytes: TCP payload bytes that vm1 has sent and received on open connections.
+# socket_bytes NAME: TCP payload bytes that a daemon has sent and received on its
+# open connections. Connections of a single call end before they are counted.
 socket_bytes() {
-  ss -tinpO 2>/dev/null | grep "pid=${process_ids[vm1]}," | grep -oE 'bytes_(sent|received):[0-9]+' |
+  ss -tinpO 2>/dev/null | grep "pid=${process_ids[$1]}," | grep -oE 'bytes_(sent|received):[0-9]+' |
     cut -d: -f2 | awk '{ sum += $1 } END { print sum + 0 }'
 }
 
@@ -38,21 +39,34 @@
 write_configuration "$work/configuration.ini" v1
 "$daemon_binary" apply "$work/configuration.ini" --base 0 --wait --wait-timeout 20s >/dev/null 2>&1
 
+# The first voter leads after the first start; vm5 has no disk.
+leader=vm$(($(operator_get 5 status | grep -o '"leader":"[^"]*"' | grep -o '[0-9]*"$' | tr -d '"') - port_base - 20))
 idle_seconds=20
+declare -A idle_kib idle_share idle_rate ticks bytes
 sleep 3
-idle_kib=$(resident_kib)
-ticks=$(processor_ticks)
-bytes=$(socket_bytes || echo 0)
+for vm in "$leader" vm5; do
+  idle_kib[$vm]=$(resident_kib "$vm")
+  ticks[$vm]=$(processor_ticks "$vm")
+  bytes[$vm]=$(socket_bytes "$vm")
+done
 sleep "$idle_seconds"
-idle_share=$(awk -v a="$ticks" -v b="$(processor_ticks)" -v hz="$(getconf CLK_TCK)" -v s="$idle_seconds" 'BEGIN { printf "%.2f", (b - a) / hz / s * 100 }')
-idle_rate=$(awk -v a="$bytes" -v b="$(socket_bytes || echo 0)" -v s="$idle_seconds" 'BEGIN { printf "%.0f", (b - a) / s }')
+for vm in "$leader" vm5; do
+  idle_share[$vm]=$(awk -v a="${ticks[$vm]}" -v b="$(processor_ticks "$vm")" -v hz="$(getconf CLK_TCK)" -v s="$idle_seconds" 'BEGIN { printf "%.2f", (b - a) / hz / s * 100 }')
+  idle_rate[$vm]=$(awk -v a="${bytes[$vm]}" -v b="$(socket_bytes "$vm")" -v s="$idle_seconds" 'BEGIN { printf "%.0f", (b - a) / s }')
+done
 
-start_engine 1 v1 --token-interval-us 5000 --batch-growth 0 --slots 64 --load-lag-ms 100
+# A short token interval and a rate that is no multiple of it keep the steps of
+# the fake's batch from hiding the added time.
+start_engine 1 v1 --token-interval-us 500 --batch-growth 0 --slots 64 --load-lag-ms 100
 wait_for_endpoints
-steady=(--streams 16 --rate 40 --requests 400 --max-tokens 16)
+steady=(--streams 16 --rate 37 --requests 300 --max-tokens 16)
 measure warm "$(entry 1)" --streams 8 --requests 50 --max-tokens 4
-measure direct "$(engine_address 1)" "${steady[@]}"
-measure entry "$(entry 1)" "${steady[@]}"
+for round in 1 2 3; do
+  measure "direct$round" "$(engine_address 1)" "${steady[@]}"
+  measure "entry$round" "$(entry 1)" "${steady[@]}"
+done
+# median NAME GROUP SHARE: of the three rounds.
+median() { for round in 1 2 3; do field "$work/$1$round.json" "$2" "$3"; done | sort -g | sed -n 2p; }
 stop_process engine1 KILL
 
 start_engine 2 v1 --token-interval-us 1000 --batch-growth 0 --slots 1000 --load-lag-ms 100
@@ -70,22 +84,30 @@
 open=$!
 sleep 9
 open_count=$(curl -sS -m 5 "http://$(engine_address 3)/v1/stats" | grep -o '"open":[0-9]*' | cut -d: -f2)
-open_kib=$(resident_kib)
+open_kib=$(resident_kib vm1)
 wait "$open"
 
-echo "| figure | direct | through one entry | difference |"
+echo "| figure (times in ms) | direct | through one entry | difference |"
 echo "|---|---|---|---|"
 for group in first_token_ms total_ms; do
   for share in p50 p99; do
-    a=$(field "$work/direct.json" "$group" "$share")
-    b=$(field "$work/entry.json" "$group" "$share")
-    echo "| $group $share, 40 requests/s of 16 tokens | $(rounded "$a") | $(rounded "$b") | $(difference "$a" "$b") |"
+    a=$(median direct "$group" "$share")
+    b=$(median entry "$group" "$share")
+    echo "| $group $share, 37 requests/s of 16 tokens, median of 3 rounds | $(rounded "$a") | $(rounded "$b") | $(difference "$a" "$b") |"
   done
 done
 for name in requests_per_second tokens_per_second; do
   echo "| $name, 64 streams without pause | $(rounded "$(top "$work/direct_full.json" "$name")") | $(rounded "$(top "$work/entry_full.json" "$name")") | |"
 done
-echo "| resident memory idle (KiB) | | $idle_kib | |"
-echo "| resident memory, $open_count open streams (KiB) | | $open_kib | |"
-echo "| processor share idle (% of a core) | | $idle_share | |"
-echo "| TCP payload on kept connections, idle (bytes/s) | | $idle_rate | |"
+echo
+echo "| figure of one entry | value |"
+echo "|---|---|"
+echo "| resident memory of vm1 with $open_count open streams (KiB) | $open_kib |"
+for vm in "$leader" vm5; do
+  role=$([ "$vm" = vm5 ] && echo "without a disk" || echo "leader")
+  echo "| resident memory idle, $role (KiB) | ${idle_kib[$vm]} |"
+  echo "| processor share idle, $role (% of a core) | ${idle_share[$vm]} |"
+  echo "| TCP payload sent and received on kept connections idle, $role (bytes/s) | ${idle_rate[$vm]} |"
+done
+echo
+echo "Processor load of the machine (1 min): $(cut -d' ' -f1 /proc/loadavg) on $(nproc) cores."
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -195,7 +195,7 @@
 
 # book ENTRY KEY [BODY]: prints "STATUS BODY".
 book() {
-  curl -sS -m 30 -w '\n%{http_code}' -H "Authorization: Bearer $account_key" ${2:+-H "Idempotency-Key: $2"} \
+  curl -sS -m 30 -w '\n%{http_code}' -H "Authorization: Bearer $account_key" -H 'X-Request-Timeout: 8' ${2:+-H "Idempotency-Key: $2"} \
     -H 'Content-Type: application/json' "http://$(entry "$1")/services/booking/bookings" -d "${3:-{\}}" |
     awk 'NR > 1 { printf "%s ", last } { last = $0 } END { print last }' | awk '{ status = $NF; $NF = ""; print status, $0 }'
 }
