Refuse at once when the version has no endpoint, and measure the entry

Cause: a request of a version without endpoints waited in the queue although other versions had endpoints; an attempt could outlive the deadline by the progress timeout. Change: slots are counted per version, a new version without an endpoint gets no requests, attempts are bounded by the deadline. Hidden performance cases (daemon_test "performance*").

--- a/src/process/daemon/internal/admission_gate.cpp
+++ b/src/process/daemon/internal/admission_gate.cpp
@@ -29,7 +29,8 @@
         return known->second;
     request::admission_options options;
     options.max_length = this->context.config.max_queued_requests;
-    auto const slots = std::max<std::uint32_t>(traffic_router::slots(view, query.service), 1);
+    auto const slots =
+        std::max<std::uint32_t>(traffic_router::slots(view, query.service, query.version), 1);
     options.initial_rate = slots * tokens_per_second_and_slot;
     return this->queues.try_emplace(key, options).first->second;
 }
@@ -46,7 +47,7 @@
         if (auto const chosen = this->router.choose(*view, query))
             return *chosen;
     }
-    if (traffic_router::slots(*view, query.service) == 0)
+    if (traffic_router::slots(*view, query.service, query.version) == 0)
         throw refusal({503, "no-endpoint", "no endpoint of the service is serving", execution::no,
                        request.queued.request_id.value(), seconds(2)});
     waiter own;
--- a/src/process/daemon/internal/completion_runner.cpp
+++ b/src/process/daemon/internal/completion_runner.cpp
@@ -176,9 +176,10 @@
     if (this->attempt_count > 1 || resume_at.value() > 0)
         this->report_resume(attempt, by_import);
     attempt.started = attempt.last_token = attempt.last_check = this->parts.context.time.now();
-    attempt_request const posted{endpoint.address, this->request.path,
-                                 this->attempt_body(attempt, imported),
-                                 this->service.progress_timeout};
+    attempt_request const posted{
+        endpoint.address, this->request.path, this->attempt_body(attempt, imported),
+        std::clamp<duration>(this->deadline - attempt.started, milliseconds(1),
+                             this->service.progress_timeout)};
     auto const result = run_attempt(
         this->parts.upstream, posted,
         [&](engine_event const& event, std::string_view data)
--- a/src/process/daemon/internal/traffic_router.cpp
+++ b/src/process/daemon/internal/traffic_router.cpp
@@ -43,7 +43,10 @@
 {
     auto const split = view.shared->splits.find(service);
     if (split != view.shared->splits.end() && !split->second.stable.value().empty())
-        return split->second.choose(id);
+    {
+        auto chosen = split->second.choose(id);
+        return slots(view, service, chosen) > 0 ? chosen : split->second.stable;
+    }
     auto const* config = view.shared->configuration.find_service(service);
     return config ? config->version : version_name();
 }
@@ -122,11 +125,12 @@
                        });
 }
 
-std::uint32_t traffic_router::slots(control_view const& view, service_name const& service)
+std::uint32_t traffic_router::slots(control_view const& view, service_name const& service,
+                                    version_name const& version)
 {
     std::uint32_t total = 0;
     for (auto const& endpoint : endpoints_of(view, service))
-        if (endpoint.state == connection::endpoint_state::serving)
+        if (is_serving(endpoint, version))
             total += slots_of(endpoint);
     return total;
 }
--- a/src/process/daemon/internal/traffic_router.hpp
+++ b/src/process/daemon/internal/traffic_router.hpp
@@ -28,7 +28,8 @@
 public:
     traffic_router(traffic_context& shared, std::uint64_t seed);
 
-    /// The version that serves a request, by the current split.
+    /// The version that serves a request, by the current split. A new version without
+    /// an endpoint gets no requests.
     static version_name version_for(control_view const& view, service_name const& service,
                                     request_id const& id);
 
@@ -44,8 +45,9 @@
     bool has_free_slot(control_view const& view, service_name const& service,
                        version_name const& version);
 
-    /// A whole number of requests that endpoints of the service run at the same time.
-    static std::uint32_t slots(control_view const& view, service_name const& service);
+    /// Requests that endpoints of the version run at the same time.
+    static std::uint32_t slots(control_view const& view, service_name const& service,
+                               version_name const& version);
 
     void first_attempt(version::service_config const& service);
     request::retry_decision retry(version::service_config const& service,
--- a/src/process/daemon/tests/traffic_harness.cpp
+++ b/src/process/daemon/tests/traffic_harness.cpp
@@ -203,7 +203,7 @@
     this->server.set_tcp_nodelay(true);
     // stop() waits for idle connections of the entry's pool.
     this->server.set_keep_alive_timeout(1);
-    this->server.new_task_queue = [] { return new httplib::ThreadPool(32); };
+    this->server.new_task_queue = [] { return new httplib::ThreadPool(72); };
 }
 
 void test_endpoint::start()
--- /dev/null
+++ b/src/process/daemon/tests/traffic_performance_test.cpp
@@ -0,0 +1,104 @@
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+#include "traffic_harness.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+/// Time from the request to the first token, on a kept connection.
+duration first_token(httplib::Client& client, std::string const& body)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.body = body;
+    request.headers = key_header();
+    auto const started = steady::now();
+    std::optional<steady::time_point> first;
+    request.content_receiver = [&](char const*, std::size_t, std::uint64_t, std::uint64_t)
+    {
+        if (!first)
+            first = steady::now();
+        return true;
+    };
+    httplib::Response response;
+    auto failure = httplib::Error::Success;
+    REQUIRE(client.send(request, response, failure));
+    return std::chrono::duration_cast<duration>(*first - started);
+}
+
+duration median_first_token(std::string const& address, std::string const& body)
+{
+    httplib::Client client("http://" + address);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    std::vector<duration> times;
+    for (int i = 0; i < 300; ++i)
+        times.push_back(first_token(client, body));
+    std::sort(times.begin(), times.end());
+    return times[times.size() / 2];
+}
+
+} // namespace
+
+// Reports what the entry adds to the first token on loopback; run by name.
+TEST_CASE("performance of the first token", "[.performance]")
+{
+    memory_cluster cluster;
+    recorded_events events;
+    test_entry first(cluster, events, "entry-1", "dc-1");
+    test_entry second(cluster, events, "entry-2", "dc-2");
+    test_engine engine(cluster, "engine-1");
+    engine.token_delay_us = 0;
+    engine.total = 4;
+    auto const body = chat_body().dump();
+    auto const direct = median_first_token(engine.record.address.value(), body);
+    auto const through = median_first_token(first.server->address().value(), body);
+    std::cout << "first token, median of 300: direct " << direct.count() << " us, through an entry "
+              << through.count() << " us\n";
+    CHECK(through - direct < milliseconds(1));
+}
+
+// Reports open streams and tokens per second of one entry; run by name.
+TEST_CASE("performance of many streams", "[.performance]")
+{
+    memory_cluster cluster;
+    recorded_events events;
+    test_entry first(cluster, events, "entry-1", "dc-1");
+    test_entry second(cluster, events, "entry-2", "dc-2");
+    std::vector<std::unique_ptr<test_engine>> engines;
+    for (int i = 0; i < 10; ++i)
+    {
+        auto engine = std::make_unique<test_engine>(cluster, "engine-" + std::to_string(i));
+        engine->token_delay_us = 100'000;
+        engine->total = 100;
+        engines.push_back(std::move(engine));
+    }
+    std::atomic<int> whole = 0;
+    std::atomic<int> open = 0;
+    std::atomic<int> most = 0;
+    std::vector<std::thread> callers;
+    auto const started = steady::now();
+    for (int i = 0; i < 500; ++i)
+        callers.emplace_back(
+            [&]
+            {
+                most = std::max(most.load(), ++open);
+                whole += read_completion(first, chat_body(), {{"X-Request-Timeout", "60"}}).text ==
+                         expected_text(0, 100);
+                --open;
+            });
+    for (auto& caller : callers)
+        caller.join();
+    auto const elapsed = std::chrono::duration<double>(steady::now() - started).count();
+    std::cout << "500 streams of 100 tokens: " << whole << " whole, " << most << " open at once, "
+              << 50'000 / elapsed << " tokens/s over " << elapsed << " s\n";
+    CHECK(whole == 500);
+}
