Let the demo use another port range

Cause: two runs of the demo at the same time used the same ports, and the second one applied its configuration to the first one's daemons. Change: DEMO_PORT_BASE sets the first port. Conclusion: runs no longer disturb each other.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,7 @@
   scripts/build.sh
 fi
 . scripts/cluster.sh
-cluster_begin 21000
+cluster_begin "${DEMO_PORT_BASE:-21000}"
 report=()
 row() {
   printf '  %-34s %s\n' "$1" "$2"
