Give drafts and plain services longer default timeouts

Cause: an accepted draft was given up after the 30 s of a quick question, and a plain service that computes for more than 2 s before its first byte was taken for a silent connection, so that a booking became 'unknown'. Ruled out: no progress timeout for plain services, since a connection can go silent for good. Change: draft_timeout (10 min) and a default progress_timeout of 10 s for plain services; version.hpp includes the order book.

--- a/src/process/daemon/internal/completion_routes.cpp
+++ b/src/process/daemon/internal/completion_routes.cpp
@@ -105,12 +105,16 @@
     auto const body = parse_json_body(request);
     auto const& config = model_service(*view, body);
     bool const is_streamed = flag(body, "stream");
+    auto const priority = priority_of(request);
+    auto const timeout = priority == lagoonladder::request::request_priority::draft
+                             ? config.draft_timeout
+                             : config.default_timeout;
     new_completion const completion{account,
                                     config,
                                     request.path,
                                     request.body,
-                                    priority_of(request),
-                                    request_timeout(request, config.default_timeout),
+                                    priority,
+                                    request_timeout(request, timeout),
                                     expected_tokens(body)};
     auto const id = this->service.next_id(*view);
     response.set_header("X-Request-Id", id.value());
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -7,6 +7,7 @@
 #include <lagoonladder/version/configuration.hpp>
 #include <lagoonladder/version/control_state.hpp>
 #include <lagoonladder/version/move_controller.hpp>
+#include <lagoonladder/version/order_book.hpp>
 #include <lagoonladder/version/traffic_sample.hpp>
 
 #endif
--- a/src/version/include/lagoonladder/version/configuration.hpp
+++ b/src/version/include/lagoonladder/version/configuration.hpp
@@ -47,8 +47,13 @@
     duration watch = std::chrono::minutes(5);
     /// Deadline of a request that does not state one.
     duration default_timeout = seconds(30);
-    /// An attempt without a byte for this long is abandoned.
+    /// The same for drafts, which may wait but have to finish.
+    duration draft_timeout = std::chrono::minutes(10);
+    /// An attempt without a byte for this long is abandoned. Model engines send
+    /// keep-alive comments while they wait; plain services send nothing until
+    /// they answer, so their default is longer.
     duration progress_timeout = seconds(2);
+    static constexpr duration plain_progress_timeout = seconds(10);
     /// Retries as a share of first attempts.
     double retry_budget = 0.1;
     /// Path template with {key} under which the service tells what became of a
--- a/src/version/internal/configuration_parser.cpp
+++ b/src/version/internal/configuration_parser.cpp
@@ -51,9 +51,10 @@
 
     void add_service(ini_section const& section)
     {
-        this->document.require_known_keys(
-            section, {"kind", "version", "finish_by", "finish_within", "on_undecided", "watch",
-                      "default_timeout", "progress_timeout", "retry_budget", "status_lookup"});
+        this->document.require_known_keys(section, {"kind", "version", "finish_by", "finish_within",
+                                                    "on_undecided", "watch", "default_timeout",
+                                                    "draft_timeout", "progress_timeout",
+                                                    "retry_budget", "status_lookup"});
         section_reader const reader(this->document, section);
         service_config service;
         service.name = service_name(section.name);
@@ -66,6 +67,9 @@
                            "reverse", undecided_choice::reverse);
         reader.read("watch", service.watch);
         reader.read("default_timeout", service.default_timeout);
+        reader.read("draft_timeout", service.draft_timeout);
+        if (service.kind == service_kind::plain)
+            service.progress_timeout = service_config::plain_progress_timeout;
         reader.read("progress_timeout", service.progress_timeout);
         reader.read_number("retry_budget", service.retry_budget, 0, 1);
         reader.read("status_lookup", service.status_lookup);
--- a/src/version/tests/configuration_test.cpp
+++ b/src/version/tests/configuration_test.cpp
@@ -90,3 +90,17 @@
     check_error("[account a]\nkey_sha256 = " + digest + "\n[account b]\nkey_sha256 = " + digest,
                 "c.ini:4: key \"key_sha256\": same key as [account a]");
 }
+
+TEST_CASE("drafts and plain services get longer default timeouts")
+{
+    // Guards against an accepted draft that is given up while it waits, and a
+    // booking that is declared unknown while the service still works on it.
+    auto const parsed = parse_configuration("c.ini", "[service assistant]\nkind = model_engine\n"
+                                                     "version = v1\n[service booking]\n"
+                                                     "kind = plain\nversion = v1\n");
+    auto const& assistant = *parsed.find_service(service_name("assistant"));
+    auto const& booking = *parsed.find_service(service_name("booking"));
+    CHECK(assistant.draft_timeout >= std::chrono::minutes(10));
+    CHECK(assistant.progress_timeout == seconds(2));
+    CHECK(booking.progress_timeout == seconds(10));
+}
