--- a/src/connection/tests/endpoint_directory_test.cpp
+++ b/src/connection/tests/endpoint_directory_test.cpp
@@ -172,3 +172,18 @@
     CHECK(directory.renew(at(seconds(4)), id, incarnation(2), 2, {5, 0, 8, 0}) == result::renewed);
     CHECK(directory.find(at(seconds(8)), id)->load.running == 5);
 }
+
+TEST_CASE("news of a leaving endpoint is urgent for a second")
+{
+    // Guards against a mark that waits for the ordinary gossip interval at each entry.
+    endpoint_directory directory;
+    directory.announce(at({}), make_endpoint("e1", 1, 1));
+    CHECK_FALSE(directory.is_urgent(at({})));
+    directory.leave(at({}), endpoint_id("e1"));
+    CHECK(directory.is_urgent(at(milliseconds(999))));
+    CHECK_FALSE(directory.is_urgent(at(seconds(1))));
+    directory.announce(at(seconds(2)), make_endpoint("e1", 1, 2, endpoint_state::leaving));
+    CHECK_FALSE(directory.is_urgent(at(seconds(2))));
+    directory.merge(at(seconds(2)), make_endpoint("e2", 1, 2, endpoint_state::leaving));
+    CHECK(directory.is_urgent(at(seconds(2))));
+}
