--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -131,9 +131,12 @@
         std::find_if(this->notices.begin(), this->notices.end(),
                      [&](auto const& other) { return is_same_subject(notice, other); });
     if (known != this->notices.end())
-        *known = notice;
-    else if (this->notices.size() < this->options.max_rows)
-        this->notices.push_back(notice);
+        this->notices.erase(known);
+    else if (this->notices.size() >= this->options.max_rows)
+        this->notices.erase(std::min_element(this->notices.begin(), this->notices.end(),
+                                             [](auto const& left, auto const& right)
+                                             { return left.deadline < right.deadline; }));
+    this->notices.push_back(notice);
     std::vector<endpoint_id> marked;
     for (auto& [id, row] : this->rows)
     {
--- a/src/connection/tests/endpoint_directory_test.cpp
+++ b/src/connection/tests/endpoint_directory_test.cpp
@@ -187,3 +187,18 @@
     directory.merge(at(seconds(2)), make_endpoint("e2", 1, 2, endpoint_state::leaving));
     CHECK(directory.is_urgent(at(seconds(2))));
 }
+
+TEST_CASE("a notice beyond the bound replaces the one that ends first")
+{
+    // Guards against the latest notice being dropped when very many are known.
+    endpoint_directory_options options;
+    options.max_rows = 2;
+    endpoint_directory directory(options);
+    for (int i = 1; i <= 3; ++i)
+        directory.apply(at({}),
+                        {vm_id("vm-e" + std::to_string(i)), zone_id(), at(seconds(20 + i)), false});
+    directory.announce(at({}), make_endpoint("e1", 1, 1));
+    directory.announce(at({}), make_endpoint("e3", 1, 1));
+    CHECK(directory.find(at({}), endpoint_id("e1"))->state == endpoint_state::serving);
+    CHECK(directory.find(at({}), endpoint_id("e3"))->state == endpoint_state::leaving);
+}
--- a/src/request/include/lagoonladder/request/load_estimate.hpp
+++ b/src/request/include/lagoonladder/request/load_estimate.hpp
@@ -45,7 +45,7 @@
     /// Own attempts in progress at the endpoint.
     std::uint32_t own(endpoint_id const& endpoint) const;
 
-    /// Forgets an endpoint that left.
+    /// Forgets an endpoint that left or restarted; a restarted one counts its reports anew.
     void remove(endpoint_id const& endpoint);
 
     /// Drops the state of endpoints that are no longer used.
