Give each cli test process a file of its own

Cause: 'a lost answer is asked for again with the same operation' failed once under ctest -j 3 with exit code 2: another case, in the same folder, had removed cli_test.ini.

Change: the file name holds the process id.

--- a/src/process/cli/tests/cli_test.cpp
+++ b/src/process/cli/tests/cli_test.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <unistd.h>
+
 #include "apply_command.hpp"
 #include "check_command.hpp"
 #include "configuration_applier.hpp"
@@ -48,17 +50,20 @@
     {
         setenv("LAGOONLADDER_TOKEN", "secret", 1);
         unsetenv("LAGOONLADDER_ENTRIES");
-        std::ofstream("cli_test.ini")
+        std::ofstream(this->file)
             << "[service booking]\nkind = plain\nversion = v1\n[account a]\nkey_sha256 = " +
                    std::string(64, 'a') + "\n";
     }
-    ~operator_set_up() { std::remove("cli_test.ini"); }
+    ~operator_set_up() { std::remove(this->file.c_str()); }
 
     outcome apply(std::vector<std::string> arguments) const
     {
-        arguments.emplace_back("cli_test.ini");
+        arguments.push_back(this->file);
         return run(apply_command(), arguments);
     }
+
+    // ctest runs the cases as processes in one folder at the same time.
+    std::string file = "cli_test_" + std::to_string(getpid()) + ".ini";
 };
 
 json const stored{{"outcome", "stored"}, {"generation", 8}};
@@ -119,7 +124,7 @@
     CHECK(request.get_header_value("Authorization") == "Bearer secret");
     auto const body = json::parse(request.body);
     CHECK(body.at("base") == 7);
-    CHECK(body.at("file") == "cli_test.ini");
+    CHECK(body.at("file") == this->file);
     CHECK(body.at("operation") == "op-1");
     CHECK_THAT(body.at("text").get<std::string>(), Contains("[service booking]"));
 }
@@ -247,7 +252,7 @@
     CHECK(bad.code == exit_code::bad_input);
     CHECK_THAT(bad.err, Contains("cli_settings.ini:3"));
     std::remove("cli_settings.ini");
-    CHECK_THAT(run(check_command(), {"cli_test.ini"}).out, Contains("valid configuration"));
+    CHECK_THAT(run(check_command(), {this->file}).out, Contains("valid configuration"));
     CHECK(run(check_command(), {"no-such-file.ini"}).code == exit_code::bad_input);
 }
 
