Send the outcome to the companion when it ends during a progress call

Cause: when an answer ended while a progress call with its last token was under way, the end of that call removed the request from the companion link before the outcome was sent. The companion took the request for unfinished and ran it again after the owner had gone. Change: the request is removed only after a call that carried the outcome. "Expect" belongs to the caller's connection and is no longer passed on.

--- a/src/process/daemon/internal/companion_link.cpp
+++ b/src/process/daemon/internal/companion_link.cpp
@@ -241,12 +241,13 @@
                                 std::optional<token_offset> next;
                                 if (status.ok() && call->reply.held())
                                     next = token_offset(call->reply.next_offset());
-                                this->progress_ended(id, next);
+                                this->progress_ended(id, next, call->request.finished());
                                 this->end_call();
                             });
 }
 
-void companion_link::progress_ended(request_id const& id, std::optional<token_offset> next)
+void companion_link::progress_ended(request_id const& id, std::optional<token_offset> next,
+                                    bool had_outcome)
 {
     std::lock_guard const lock(this->mutex);
     auto const found = this->requests.find(id);
@@ -257,7 +258,7 @@
     if (next)
     {
         known.companion_next = *next;
-        if (known.is_finished && *next >= known.known_next)
+        if (had_outcome && *next >= known.known_next)
             this->requests.erase(found);
         return;
     }
--- a/src/process/daemon/internal/companion_link.hpp
+++ b/src/process/daemon/internal/companion_link.hpp
@@ -58,7 +58,7 @@
     void store_ended(request_id const& id, bool is_held);
     void give_up(request_id const& id, std::string const& reason);
     void send_progress(request_id const& id);
-    void progress_ended(request_id const& id, std::optional<token_offset> next);
+    void progress_ended(request_id const& id, std::optional<token_offset> next, bool had_outcome);
     bool is_due(tracked const& known, time_point now) const;
     std::optional<connection::entry_record> pick(tracked const& known);
     bool begin_call();
--- a/src/process/daemon/internal/plain_call.cpp
+++ b/src/process/daemon/internal/plain_call.cpp
@@ -17,11 +17,12 @@
 
 bool belongs_to_connection(std::string const& name)
 {
-    static constexpr std::array<char const*, 14> names{
-        "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",
-        "Host",       "Authorization",    "Upgrade",           "TE",
-        "Trailer",    "Proxy-Connection", "REMOTE_ADDR",       "REMOTE_PORT",
-        "LOCAL_ADDR", "LOCAL_PORT"};
+    static constexpr std::array<char const*, 15> names{
+        "Connection",       "Keep-Alive",  "Transfer-Encoding",
+        "Content-Length",   "Host",        "Authorization",
+        "Upgrade",          "TE",          "Trailer",
+        "Proxy-Connection", "REMOTE_ADDR", "REMOTE_PORT",
+        "LOCAL_ADDR",       "LOCAL_PORT",  "Expect"};
     return std::any_of(names.begin(), names.end(),
                        [&name](char const* known) { return strcasecmp(name.c_str(), known) == 0; });
 }
--- a/src/process/daemon/tests/traffic_completion_test.cpp
+++ b/src/process/daemon/tests/traffic_completion_test.cpp
@@ -174,6 +174,28 @@
     CHECK(one.attempts == 2);
 }
 
+// Guards against a finished request that is run again because its outcome was not passed on.
+TEST_CASE("the companion has the whole answer when the owner dies after the end")
+{
+    cluster_of_two two;
+    test_engine one(two.cluster, "engine-1");
+    // The progress call of the 32nd token is under way when the answer ends.
+    one.total = 32;
+    std::vector<std::string> ids;
+    for (int i = 0; i < 20; ++i)
+        ids.push_back(read_completion(two.first, chat_body()).request_id);
+    std::this_thread::sleep_for(milliseconds(300));
+    two.first.die();
+    for (auto const& id : ids)
+    {
+        auto const seen = read_request(two.second, id, 0);
+        CHECK(seen.text == expected_text(0, 32));
+        CHECK(seen.is_done);
+    }
+    CHECK(one.attempts == 20);
+    CHECK(two.events.count("request.taken_over") == 0);
+}
+
 // Guards against a resumed caller who must know which entry holds the request.
 TEST_CASE("any entry streams the rest of a request")
 {
