--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr duration exchange_timeout = milliseconds(800);
+constexpr duration urgent_interval = milliseconds(250);
 
 /// Every so many exchanges with a peer carry all endpoint rows, which repairs
 /// rows that a lost reply left out.
@@ -116,7 +117,12 @@
 
 void gossip_driver::schedule_round()
 {
-    this->timer.expires_after(this->options.gossip_interval);
+    // One in so many digests is lost; a leaving mark is repeated for a time so
+    // that it is everywhere within its bound.
+    auto const span = this->endpoint_rows.is_urgent(this->time.now())
+                          ? std::min(urgent_interval, this->options.gossip_interval)
+                          : this->options.gossip_interval;
+    this->timer.expires_after(span);
     this->timer.async_wait(
         [this](asio::error_code const& problem)
         {
@@ -195,6 +201,7 @@
             this->send_to(targets.back().control, targets.back().vm.value());
         targets.pop_back();
     }
+    this->schedule_round();
     this->on_change();
 }
 
