Answer at once for bookings whose entry is gone, and ask the service

Cause: a resend of a key whose entry had been killed waited until the 30 s deadline (29 s seen in the system tests), although nobody could store an outcome any more. Ruled out: a second dispatch, since the first one may have run. Change: a grant held by an entry that is no longer a member gives 'unknown' at once; where a service has status_lookup, it is asked, and 200 gives 'executed: yes'. Figures: the new tests answer within 3 s of a 20 s deadline, and with executed=yes after a lost answer.

--- a/src/process/daemon/internal/plain_once.cpp
+++ b/src/process/daemon/internal/plain_once.cpp
@@ -14,6 +14,9 @@
 // A commit takes a few milliseconds; 3 s covers an election.
 constexpr duration commit_timeout = seconds(3);
 
+// A caller waits for this look-up before the final answer.
+constexpr duration lookup_timeout = milliseconds(500);
+
 constexpr duration first_poll = milliseconds(20);
 constexpr duration max_poll = milliseconds(500);
 
@@ -47,6 +50,8 @@
     [[noreturn]] void refuse_committed(request::once_reply const& reply);
     [[noreturn]] void withdraw();
     [[noreturn]] void refuse_unknown(std::string const& detail);
+    bool is_entry_lost(attempt_id const& other) const;
+    bool is_executed_by_service() const;
     problem describe(int status, std::string type, std::string detail, execution executed) const;
 
     plain_parts const& parts;
@@ -202,6 +207,8 @@
             this->refuse_committed(*found);
         if (!found || found->verdict == request::once_verdict::outcome_unknown)
             this->refuse_unknown("another attempt of this key was sent; its outcome is not known");
+        if (this->is_entry_lost(found->attempt))
+            this->refuse_unknown("the entry that sent an earlier attempt of this key is gone");
     }
 }
 
@@ -231,9 +238,53 @@
     this->refuse_unknown("no endpoint took the request and the refusal was not committed");
 }
 
+/// The entry that holds the grant can no longer store an outcome, so waiting for
+/// one is of no use.
+bool once_call::is_entry_lost(attempt_id const& other) const
+{
+    auto const parts_of_id = request::parse_request_id(request_id(other.value()));
+    if (!parts_of_id || parts_of_id->owner == this->parts.context.config.vm)
+        return false;
+    auto const view = this->parts.context.control.view();
+    return std::none_of(view->entries.begin(), view->entries.end(),
+                        [&](auto const& entry) { return entry.vm == parts_of_id->owner; });
+}
+
+/// Asks the service itself, where the configuration names a path for that. Any
+/// answer but 200 proves nothing: the call may still be on its way.
+bool once_call::is_executed_by_service() const
+{
+    auto path = this->call.service.status_lookup;
+    auto const place = path.find("{key}");
+    if (place == std::string::npos)
+        return false;
+    path.replace(place, std::string("{key}").size(),
+                 httplib::detail::encode_query_param(this->key.key.value()));
+    auto const view = this->parts.context.control.view();
+    auto const endpoint =
+        this->parts.router.choose(*view, {this->call.service.name, this->call.version, "", {}});
+    if (!endpoint)
+        return false;
+    httplib::Request lookup;
+    lookup.method = "GET";
+    lookup.path = path;
+    lookup.headers.emplace("X-Account", this->call.account.name.value());
+    httplib::Response response;
+    auto const result =
+        this->parts.upstream.call(endpoint->address, lookup_timeout, lookup, response);
+    this->parts.router.attempt_ended(*endpoint, std::nullopt);
+    return result == upstream_result::complete && response.status == 200;
+}
+
 void once_call::refuse_unknown(std::string const& detail)
 {
     auto refused = this->describe(504, "outcome-unknown", detail, execution::unknown);
+    if (this->is_executed_by_service())
+    {
+        refused.executed = execution::yes;
+        refused.type = "answer-lost";
+        refused.detail = detail + "; the service says that the request was executed";
+    }
     refused.location = once_location(this->call.id, this->key);
     throw refusal(refused);
 }
--- a/src/process/daemon/tests/traffic_plain_test.cpp
+++ b/src/process/daemon/tests/traffic_plain_test.cpp
@@ -126,6 +126,47 @@
     CHECK(nlohmann::json::parse(found->body)["state"] == "unknown");
 }
 
+// Guards against a final answer that is held back until the deadline although the
+// entry that sent the booking is gone.
+TEST_CASE("a booking sent by an entry that is gone is unknown at once")
+{
+    cluster_of_two two;
+    booking_endpoint one(two.cluster, "booking-1");
+    auto const now = two.first.time.wall_now();
+    auto const attempt = lagoonladder::request::make_request_id(vm_id("gone"), vm_id("entry-1"), 1);
+    two.cluster.commit(lagoonladder::request::once_begin{
+        {account_id("council"), service_name("booking"), idempotency_key("permit-30")},
+        version::sha256_hex("POST\n/bookings\n{\"slot\":1}"),
+        attempt_id(attempt.value()),
+        now,
+        now + seconds(60)});
+    auto const begun = std::chrono::steady_clock::now();
+    auto const answer = book(two.first, "permit-30", "{\"slot\":1}", "20");
+    REQUIRE(answer);
+    CHECK(executed(answer) == "unknown");
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(3));
+    CHECK(one.booked == 0);
+}
+
+// Guards against an unknown outcome where the service itself can tell.
+TEST_CASE("a booking whose answer was lost is executed when the service says so")
+{
+    cluster_of_two two;
+    booking_endpoint one(two.cluster, "booking-1");
+    one.dies_after_execution = true;
+    auto text = two.cluster.state.shared()->text;
+    auto const section = std::string("[service booking]\n");
+    auto const place = text.find(section);
+    REQUIRE(place != std::string::npos);
+    text.insert(place + section.size(), "status_lookup = /status?key={key}\n");
+    two.cluster.apply_configuration(text);
+    auto const lost = book(two.first, "permit-31");
+    REQUIRE(lost);
+    CHECK(executed(lost) == "yes");
+    CHECK(one.booked == 1);
+    CHECK(one.looked_up == 1);
+}
+
 // Guards against dispatching, or denying an execution, without a quorum.
 TEST_CASE("without a quorum a booking is unknown and is not sent")
 {
