Withdraw a grant whose commit was unknown

Cause: when the reply to a begin was lost, the record stayed dispatched although nothing was sent, and a resend of the key got 'unknown' until the deadline. Ruled out: answering 'no', since the begin may be committed later. Change: the entry commits a refusal of its own attempt in the background; the key opens again after it, and the attempt itself can never be granted. Conclusion: a lost reply no longer blocks a key.

--- a/src/process/daemon/internal/plain_call.hpp
+++ b/src/process/daemon/internal/plain_call.hpp
@@ -11,11 +11,15 @@
 {
 
 /// The parts that calls of plain services use.
+class worker_threads;
+
 struct plain_parts
 {
     traffic_context& context;
     traffic_router& router;
     upstream_connections& upstream;
+    /// For commits that no caller waits for.
+    worker_threads& background;
 };
 
 /// A call of a plain service after its checks.
--- a/src/process/daemon/internal/plain_once.cpp
+++ b/src/process/daemon/internal/plain_once.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include <once_status.hpp>
+#include <traffic_connection_threads.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -14,6 +15,9 @@
 // A commit takes a few milliseconds; 3 s covers an election.
 constexpr duration commit_timeout = seconds(3);
 
+// Covers a quorum that is lost for a short time.
+constexpr duration late_commit_timeout = seconds(20);
+
 // A caller waits for this look-up before the final answer.
 constexpr duration lookup_timeout = milliseconds(500);
 
@@ -49,6 +53,7 @@
     void wait_for_outcome(httplib::Response& response);
     [[noreturn]] void refuse_committed(request::once_reply const& reply);
     [[noreturn]] void withdraw();
+    void withdraw_later();
     [[noreturn]] void refuse_unknown(std::string const& detail);
     bool is_entry_lost(attempt_id const& other) const;
     bool is_executed_by_service() const;
@@ -96,10 +101,32 @@
     }
     catch (outcome_unknown_error const& failed)
     {
+        this->withdraw_later();
         this->refuse_unknown(failed.what());
     }
 }
 
+/// The grant may still be committed, and this attempt does not use it any more.
+/// Without a withdrawal a resend of the key could not run either.
+void once_call::withdraw_later()
+{
+    request::once_refuse const command{this->key, this->digest, this->attempt, refused_retry_after};
+    this->parts.background.run(
+        [&context = this->parts.context, command]
+        {
+            try
+            {
+                context.control.propose(command, late_commit_timeout);
+            }
+            catch (daemon_error const& failed)
+            {
+                context.events.emit(
+                    severity::warning, "once.not_withdrawn",
+                    {{"attempt", command.attempt.value()}, {"reason", failed.what()}});
+            }
+        });
+}
+
 void once_call::serve(httplib::Response& response)
 {
     auto const reply = this->begin();
--- a/src/process/daemon/internal/traffic_server.cpp
+++ b/src/process/daemon/internal/traffic_server.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t ticks_per_second = 50;
 constexpr std::uint64_t ticks_per_flush = 3;
 
-// For calls to engines that nobody waits for.
+// For calls and commits that nobody waits for.
 constexpr std::size_t max_background_threads = 16;
 
 } // namespace
@@ -42,7 +42,7 @@
         , directory(context, entries)
         , completion(completions)
         , lookup(completions)
-        , plain({context, router, upstream}, completions)
+        , plain({context, router, upstream, background}, completions)
         , listener(context)
     {
     }
--- a/src/process/daemon/tests/traffic_harness.cpp
+++ b/src/process/daemon/tests/traffic_harness.cpp
@@ -107,7 +107,10 @@
 {
     if (!this->cluster.has_quorum)
         throw outcome_unknown_error("no quorum");
-    return this->cluster.commit(std::move(body));
+    auto result = this->cluster.commit(std::move(body));
+    if (this->cluster.loses_next_reply.exchange(false))
+        throw outcome_unknown_error("the reply was lost");
+    return result;
 }
 
 std::optional<request::once_reply> memory_control_plane::find_once(request::once_key const& key,
--- a/src/process/daemon/tests/traffic_harness.hpp
+++ b/src/process/daemon/tests/traffic_harness.hpp
@@ -46,6 +46,8 @@
     std::map<vm_id, connection::entry_record> entries;
     std::set<vm_id> leaving;
     std::atomic<bool> has_quorum = true;
+    /// The next command is committed and its reply lost.
+    std::atomic<bool> loses_next_reply = false;
     std::atomic<bool> is_ready = true;
     system_clock time;
 };
--- a/src/process/daemon/tests/traffic_plain_test.cpp
+++ b/src/process/daemon/tests/traffic_plain_test.cpp
@@ -183,6 +183,28 @@
     CHECK(two.first.client().Get("/services/booking/status", key_header())->status == 200);
 }
 
+// Guards against a key that can never run because a grant was committed and its
+// reply was lost.
+TEST_CASE("a booking whose grant was lost can be sent again")
+{
+    cluster_of_two two;
+    booking_endpoint one(two.cluster, "booking-1");
+    two.cluster.loses_next_reply = true;
+    auto const lost = book(two.first, "permit-32");
+    REQUIRE(lost);
+    CHECK(executed(lost) == "unknown");
+    CHECK(one.booked == 0);
+    bool is_booked = false;
+    for (int i = 0; i < 10 && !is_booked; ++i)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        auto const again = book(two.second, "permit-32");
+        is_booked = again && again->status == 200;
+    }
+    CHECK(is_booked);
+    CHECK(one.booked == 1);
+}
+
 // Guards against "not executed" while a delayed attempt may still be dispatched.
 TEST_CASE("a booking without an endpoint is refused by a commit")
 {
