--- /dev/null
+++ b/tools/capacity/internal/control.cpp
@@ -0,0 +1,97 @@
+#include <lagoonladder/consensus.hpp>
+#include <lagoonladder/version.hpp>
+
+#include "measurement.hpp"
+#include "rows.hpp"
+#include "slopes.hpp"
+
+namespace lagoonladder::capacity
+{
+
+namespace
+{
+
+version::command make_apply(std::size_t services, std::uint64_t base)
+{
+    version::apply_configuration body;
+    body.base = generation(base);
+    body.file = "site.ini";
+    body.text = make_configuration(services, base);
+    body.operation = operation_id("op-" + std::to_string(base));
+    return {start_wall_time(), body};
+}
+
+void measure_change(std::size_t services)
+{
+    version::control_state state;
+    std::uint64_t base = 0;
+    auto const apply = median_microseconds(9, 1,
+                                           [&]
+                                           {
+                                               auto const change = make_apply(services, base);
+                                               state.apply(++base, change);
+                                           });
+    auto const shared = state.shared();
+    auto const encoded = version::encode(*shared);
+    print_figure("configuration.change", std::to_string(services) + " services",
+                 {{"generation", static_cast<double>(shared->generation.value())},
+                  {"text_bytes", shared->text.size()},
+                  {"command_bytes", version::encode(make_apply(services, base)).size()},
+                  {"state_bytes", encoded.size()},
+                  {"apply_us", apply},
+                  {"encode_us", median_microseconds(9, 10, [&] { version::encode(*shared); })},
+                  {"decode_us",
+                   median_microseconds(9, 10, [&] { version::decode_shared_state(encoded); })}});
+}
+
+consensus::message make_append(std::vector<std::string> const& commands)
+{
+    consensus::message out;
+    out.from = consensus::make_voter_id(vm_id("vm-00001"), 1'796'000'000'000'000);
+    out.to = consensus::make_voter_id(vm_id("vm-00002"), 1'796'000'000'000'001);
+    out.term = consensus::term_number(40);
+    out.index = consensus::log_index(1'000'000);
+    out.log_term = consensus::term_number(40);
+    out.commit = consensus::log_index(1'000'000);
+    out.round = 1'000'000;
+    auto index = out.index.value();
+    for (auto const& command : commands)
+        out.entries.push_back(
+            {consensus::log_index(++index), out.term, consensus::entry_kind::command, command});
+    return out;
+}
+
+void measure_message(char const* name, consensus::message const& value)
+{
+    auto const bytes = consensus::encode_message(value);
+    auto const encode = median_microseconds(9, 100, [&] { consensus::encode_message(value); });
+    auto const decode = median_microseconds(9, 100, [&] { consensus::decode_message(bytes); });
+    for (double const voters : {3.0, 5.0, 13.0})
+        print_figure(name, std::to_string(static_cast<int>(voters)) + " voters",
+                     {{"bytes_each", bytes.size()},
+                      {"leader_bytes", static_cast<double>(bytes.size()) * (voters - 1)},
+                      {"leader_encode_us", encode * (voters - 1)},
+                      {"decode_us", decode}});
+}
+
+} // namespace
+
+void measure_configuration()
+{
+    for (std::size_t const services : {2, 10, 50})
+        measure_change(services);
+}
+
+void measure_consensus()
+{
+    auto const begin =
+        version::encode(version::command{start_wall_time(), make_begin(1, start_wall_time())});
+    auto reply = make_append({});
+    reply.type = consensus::message_type::append_reply;
+    measure_message("consensus.heartbeat", make_append({}));
+    measure_message("consensus.reply", reply);
+    measure_message("consensus.once_begin", make_append({begin}));
+    measure_message("consensus.change_10", make_append({version::encode(make_apply(10, 1))}));
+}
+
+} // namespace lagoonladder::capacity
--- /dev/null
+++ b/tools/capacity/internal/storage.cpp
@@ -0,0 +1,192 @@
+#include <filesystem>
+
+#include <unistd.h>
+
+#include <lagoonladder/storage.hpp>
+#include <lagoonladder/version.hpp>
+
+#include "measurement.hpp"
+#include "rows.hpp"
+#include "slopes.hpp"
+
+namespace lagoonladder::capacity
+{
+
+namespace
+{
+
+/// Removed with its content when the measurement ends.
+class temporary_folder
+{
+public:
+    temporary_folder()
+        : path(std::filesystem::temp_directory_path() /
+               ("lagoonladder-capacity-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directory(this->path);
+    }
+    ~temporary_folder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->path, ignored);
+    }
+    temporary_folder(temporary_folder const&) = delete;
+    temporary_folder& operator=(temporary_folder const&) = delete;
+
+    std::uint64_t bytes() const
+    {
+        std::uint64_t sum = 0;
+        for (auto const& file : std::filesystem::recursive_directory_iterator(this->path))
+            if (file.is_regular_file())
+                sum += file.file_size();
+        return sum;
+    }
+
+    std::filesystem::path path;
+};
+
+/// Every hundredth change stores a configuration; the others begin and finish
+/// at-most-once calls in turn.
+version::command make_change(std::size_t number)
+{
+    auto const now = start_wall_time() + milliseconds(number);
+    if (number % 100 == 0)
+    {
+        version::apply_configuration body;
+        body.base = generation(number / 100);
+        body.file = "site.ini";
+        body.text = make_configuration(10, number / 100);
+        body.operation = operation_id("op-" + std::to_string(number));
+        return {now, body};
+    }
+    if (number % 2 == 1)
+        return {now, make_begin(number / 2, now)};
+    return {now, make_finish(number / 2 - 1)};
+}
+
+struct written
+{
+    std::uint64_t log_entry_bytes = 0;
+    std::uint64_t snapshot_bytes = 0;
+};
+
+/// Writes the changes as a voter does, in batches, with a snapshot each 10,000
+/// entries when `compacts` is set.
+written write_changes(std::string const& folder, std::size_t changes, bool compacts)
+{
+    constexpr std::size_t batch = 500;
+    constexpr std::size_t snapshot_after = 10'000;
+    storage::file_log_store store(folder);
+    seeded_random random(6);
+    store.open_voter_id(vm_id("vm-00001"), random);
+    store.load();
+    consensus::membership members;
+    members.voters[consensus::make_voter_id(vm_id("vm-00001"), 1)] =
+        network_address("10.0.0.1:8001");
+    auto founding = consensus::founding_state(members);
+    if (founding.snapshot)
+        store.save_snapshot(*founding.snapshot);
+    auto const first = founding.snapshot ? founding.snapshot->index.value() + 1 : 1;
+    version::control_state state;
+    written out;
+    std::vector<consensus::log_entry> entries;
+    for (std::size_t i = 0; i < changes; ++i)
+    {
+        auto const change = make_change(i);
+        consensus::log_entry entry{consensus::log_index(first + i), consensus::term_number(1),
+                                   consensus::entry_kind::command, version::encode(change)};
+        out.log_entry_bytes += entry.data.size();
+        state.apply(entry.index.value(), change);
+        entries.push_back(std::move(entry));
+        if (entries.size() < batch && i + 1 < changes)
+            continue;
+        consensus::hard_state const hard{consensus::term_number(1), {}, entries.back().index};
+        store.save(hard, entries, true);
+        entries.clear();
+        if (!compacts || (i + 1) % snapshot_after != 0)
+            continue;
+        auto const data = state.snapshot();
+        out.snapshot_bytes = data.size();
+        store.save_snapshot({hard.commit, hard.term, members, data});
+    }
+    return out;
+}
+
+void measure_one_restart(std::size_t changes, bool compacts)
+{
+    temporary_folder folder;
+    auto const sizes = write_changes(folder.path, changes, compacts);
+    std::uint64_t replayed = 0;
+    double load = 0;
+    auto const total = median_microseconds(
+        3, 1,
+        [&]
+        {
+            consensus::persistent_state found;
+            load = median_microseconds(1, 1,
+                                       [&]
+                                       {
+                                           storage::file_log_store store(folder.path);
+                                           found = store.load();
+                                       });
+            version::control_state state;
+            if (found.snapshot && !found.snapshot->data.empty())
+                state.restore(found.snapshot->data);
+            replayed = found.entries.size();
+            for (auto const& entry : found.entries)
+                if (entry.kind == consensus::entry_kind::command)
+                    state.apply(entry.index.value(), version::decode_command(entry.data));
+        });
+    print_figure(compacts ? "restart.snapshots" : "restart.log_only",
+                 std::to_string(changes) + " changes",
+                 {{"disk_bytes", folder.bytes()},
+                  {"command_bytes", sizes.log_entry_bytes},
+                  {"snapshot_bytes", sizes.snapshot_bytes},
+                  {"replayed", static_cast<double>(replayed)},
+                  {"load_ms", load / 1000},
+                  {"restart_ms", total / 1000}});
+}
+
+} // namespace
+
+void measure_once_records()
+{
+    constexpr std::size_t records = 10'000;
+    auto const now = start_wall_time();
+    auto const before = resident_kib();
+    version::control_state state;
+    std::uint64_t index = 0;
+    auto const empty = state.snapshot().size();
+    for (std::size_t i = 0; i < records; ++i)
+    {
+        state.apply(++index, {now, make_begin(i, now)});
+        state.apply(++index, {now, make_finish(i)});
+    }
+    auto const growth = static_cast<double>(resident_kib()) - static_cast<double>(before);
+    auto const bytes = static_cast<double>(state.snapshot().size() - empty);
+    auto const snapshot = median_microseconds(3, 1, [&] { state.snapshot(); });
+    print_figure(
+        "once.record", std::to_string(records) + " records",
+        {{"snapshot_bytes_each", bytes / records},
+         {"memory_growth_kib", growth},
+         {"snapshot_us", snapshot},
+         {"begin_entry_bytes", version::encode(version::command{now, make_begin(1, now)}).size()},
+         {"finish_entry_bytes", version::encode(version::command{now, make_finish(1)}).size()}});
+    std::size_t next = records;
+    auto const apply = median_microseconds(9, 1000,
+                                           [&]
+                                           {
+                                               state.apply(++index, {now, make_begin(next, now)});
+                                               state.apply(++index, {now, make_finish(next++)});
+                                           });
+    print_figure("once.apply", "begin and finish", {{"us", apply}});
+}
+
+void measure_restart()
+{
+    for (std::size_t const changes : {300, 100'000})
+        for (bool const compacts : {false, true})
+            measure_one_restart(changes, compacts);
+}
+
+} // namespace lagoonladder::capacity
