Measure the bytes of a traffic report

Cause: the leader's share of the control load depends on the reports of all daemons, and no slope covered them.

Change: the configuration section of lagoonladder_capacity encodes and decodes a report of 20 samples.

--- a/tools/capacity/internal/control.cpp
+++ b/tools/capacity/internal/control.cpp
@@ -44,6 +44,30 @@
                    median_microseconds(9, 10, [&] { version::decode_shared_state(encoded); })}});
 }
 
+/// The report of one interval: 20 services with one version and route each.
+void measure_report()
+{
+    constexpr std::size_t samples = 20;
+    std::vector<version::traffic_sample> report(samples);
+    for (std::size_t i = 0; i < samples; ++i)
+    {
+        report[i].service = service_name("service-" + std::to_string(i));
+        report[i].version = version_name("v12");
+        report[i].route = route_name("route-" + std::to_string(i));
+        report[i].requests = 2;
+        report[i].first_token.add(milliseconds(400));
+        report[i].between_tokens.add(milliseconds(31));
+        report[i].whole_call.add(seconds(9));
+    }
+    auto const bytes = pack(report);
+    print_figure(
+        "report", "20 samples",
+        {{"bytes_per_sample", static_cast<double>(bytes.size()) / samples},
+         {"encode_us_per_sample", median_microseconds(9, 10, [&] { pack(report); }) / samples},
+         {"decode_us_per_sample",
+          median_microseconds(9, 10, [&] { unpack<version::traffic_sample>(bytes); }) / samples}});
+}
+
 consensus::message make_append(std::vector<std::string> const& commands)
 {
     consensus::message out;
@@ -80,6 +104,7 @@
 {
     for (std::size_t const services : {2, 10, 50})
         measure_change(services);
+    measure_report();
 }
 
 void measure_consensus()
