Measure how long heartbeats take in gossip

Cause: the alternative for membership rested on an interval whose effect on suspicion was not known.

Change: the spread section runs the entry directories of up to 350 entries in rounds, without network delay or loss, and counts suspect and dead entries, all of which are in fact alive.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -10,7 +10,7 @@
   cmake -S . -B build -G Ninja >/dev/null
   ninja -C build -j 3 lagoonladder_capacity >/dev/null
 fi
-for section in memory companion routing gossip configuration consensus once restart; do
+for section in memory companion routing gossip spread configuration consensus once restart; do
   build/tools/capacity/lagoonladder_capacity "$section"
 done
 if [ ! -x "$build/src/process/cli/lagoonladder" ] || [ ! -x "$build/tools/fakes/lagoonladder-fakes" ]; then
--- a/tools/capacity/main.cpp
+++ b/tools/capacity/main.cpp
@@ -19,6 +19,7 @@
     {"consensus", measure_consensus},
     {"once", measure_once_records},
     {"restart", measure_restart},
+    {"spread", measure_spread},
 };
 
 } // namespace
