--- a/tools/capacity/internal/storage.cpp
+++ b/tools/capacity/internal/storage.cpp
@@ -70,44 +70,53 @@
     std::uint64_t snapshot_bytes = 0;
 };
 
+consensus::membership make_members()
+{
+    consensus::membership members;
+    members.voters[consensus::make_voter_id(vm_id("vm-00001"), 1)] =
+        network_address("10.0.0.1:8001");
+    return members;
+}
+
+/// Returns the index of the first entry that follows.
+std::uint64_t found(storage::file_log_store& store)
+{
+    seeded_random random(6);
+    store.open_voter_id(vm_id("vm-00001"), random);
+    store.load();
+    auto const founding = consensus::founding_state(make_members());
+    store.save_snapshot(founding.snapshot.value());
+    return founding.snapshot->index.value() + 1;
+}
+
 /// Writes the changes as a voter does, in batches, with a snapshot each 10,000
 /// entries when `compacts` is set.
 written write_changes(std::string const& folder, std::size_t changes, bool compacts)
 {
     constexpr std::size_t batch = 500;
     constexpr std::size_t snapshot_after = 10'000;
+    consensus::term_number const term(1);
     storage::file_log_store store(folder);
-    seeded_random random(6);
-    store.open_voter_id(vm_id("vm-00001"), random);
-    store.load();
-    consensus::membership members;
-    members.voters[consensus::make_voter_id(vm_id("vm-00001"), 1)] =
-        network_address("10.0.0.1:8001");
-    auto founding = consensus::founding_state(members);
-    if (founding.snapshot)
-        store.save_snapshot(*founding.snapshot);
-    auto const first = founding.snapshot ? founding.snapshot->index.value() + 1 : 1;
+    auto const first = found(store);
     version::control_state state;
     written out;
     std::vector<consensus::log_entry> entries;
     for (std::size_t i = 0; i < changes; ++i)
     {
         auto const change = make_change(i);
-        consensus::log_entry entry{consensus::log_index(first + i), consensus::term_number(1),
-                                   consensus::entry_kind::command, version::encode(change)};
-        out.log_entry_bytes += entry.data.size();
-        state.apply(entry.index.value(), change);
-        entries.push_back(std::move(entry));
+        consensus::log_index const index(first + i);
+        entries.push_back({index, term, consensus::entry_kind::command, version::encode(change)});
+        out.log_entry_bytes += entries.back().data.size();
+        state.apply(index.value(), change);
         if (entries.size() < batch && i + 1 < changes)
             continue;
-        consensus::hard_state const hard{consensus::term_number(1), {}, entries.back().index};
-        store.save(hard, entries, true);
+        store.save(consensus::hard_state{term, {}, index}, entries, true);
         entries.clear();
         if (!compacts || (i + 1) % snapshot_after != 0)
             continue;
         auto const data = state.snapshot();
         out.snapshot_bytes = data.size();
-        store.save_snapshot({hard.commit, hard.term, members, data});
+        store.save_snapshot({index, term, make_members(), data});
     }
     return out;
 }
