Leave rows that the caller sent out of the reply to a digest

Cause: five idle daemons with 13 endpoints sent 12.5 to 13.9 KB/s of gossip each; the reply to a digest repeated the rows that had just arrived in it. Ruled out: advancing the caller's progress after a reply, since rows that changed in between would wait for the next full digest, longer than their lease. Change: the reply leaves out rows of the same incarnation, sequence and state.

--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -49,6 +49,11 @@
     return rows;
 }
 
+auto row_version(connection::endpoint_record const& row)
+{
+    return std::tuple(row.incarnation, row.sequence, row.state);
+}
+
 connection::entry_record make_own_row(settings const& config, clock const& time_source)
 {
     connection::entry_record row;
@@ -170,7 +175,7 @@
         return;
     state.in_flight = true;
     auto const sent_version = this->endpoint_rows.version();
-    auto const digest = this->make_digest(peer);
+    auto const digest = this->make_digest(peer, {});
     this->bytes += digest.ByteSizeLong();
     std::shared_ptr stub = protocol::Directory::NewStub(this->peers.channel(address));
     call_async<protocol::Digest>(
@@ -205,7 +210,7 @@
     this->on_change();
 }
 
-protocol::Digest gossip_driver::make_digest(std::string const& peer)
+protocol::Digest gossip_driver::make_digest(std::string const& peer, known_rows const& at_peer)
 {
     auto const now = this->time.now();
     auto& state = this->progress[peer];
@@ -216,23 +221,31 @@
     digest.mutable_sent()->set_wall_us(stamp.wall.time_since_epoch().count());
     digest.mutable_sent()->set_counter(stamp.counter);
     digest.set_entries(pack(this->entry_rows.digest(now)));
-    digest.set_endpoints(
-        pack(this->endpoint_rows.changed_since(now, full ? 0 : state.sent_version)));
+    auto rows = this->endpoint_rows.changed_since(now, full ? 0 : state.sent_version);
+    std::erase_if(rows,
+                  [&](connection::endpoint_record const& row)
+                  {
+                      auto const known = at_peer.find(row.id);
+                      return known != at_peer.end() && known->second == row_version(row);
+                  });
+    digest.set_endpoints(pack(rows));
     return digest;
 }
 
 protocol::Digest gossip_driver::exchange(protocol::Digest const& received)
 {
-    this->merge(received);
+    // Rows that the caller has just sent would otherwise come back to it.
+    auto const at_peer = this->merge(received);
     auto const version = this->endpoint_rows.version();
-    auto reply = this->make_digest(received.from());
+    auto reply = this->make_digest(received.from(), at_peer);
     this->progress[received.from()].sent_version = version;
     this->bytes += reply.ByteSizeLong();
     return reply;
 }
 
-void gossip_driver::merge(protocol::Digest const& received)
+gossip_driver::known_rows gossip_driver::merge(protocol::Digest const& received)
 {
+    known_rows at_peer;
     this->events.observe(
         {wall_time(duration(received.sent().wall_us())), received.sent().counter()});
     try
@@ -241,9 +254,11 @@
         auto const entries = this->entry_rows.merge(
             now,
             unpack<connection::entry_record>(received.entries(), received.from(), this->events));
-        auto const endpoints = this->endpoint_rows.merge(
-            now, unpack<connection::endpoint_record>(received.endpoints(), received.from(),
-                                                     this->events));
+        auto const rows = unpack<connection::endpoint_record>(received.endpoints(), received.from(),
+                                                              this->events);
+        for (auto const& row : rows)
+            at_peer.emplace(row.id, row_version(row));
+        auto const endpoints = this->endpoint_rows.merge(now, rows);
         if (entries.self_marked_leaving)
             this->events.emit(severity::info, "entry.leaving",
                               {{"entry", this->options.vm.value()}, {"by", received.from()}});
@@ -257,6 +272,7 @@
         this->events.emit(severity::warning, "gossip.digest_dropped",
                           {{"from", received.from()}, {"reason", problem.what()}});
     }
+    return at_peer;
 }
 
 connection::directory_result gossip_driver::announce(connection::endpoint_record record)
--- a/src/process/daemon/internal/gossip_driver.hpp
+++ b/src/process/daemon/internal/gossip_driver.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <vector>
 
 #include <control.pb.h>
@@ -62,8 +63,12 @@
     void round();
     void send_to(network_address const& address, std::string const& peer);
     void send_news();
-    protocol::Digest make_digest(std::string const& peer);
-    void merge(protocol::Digest const& received);
+    using known_rows =
+        std::map<endpoint_id, std::tuple<incarnation, std::uint64_t, connection::endpoint_state>>;
+
+    protocol::Digest make_digest(std::string const& peer, known_rows const& at_peer);
+    /// Returns the endpoint rows that the sender has.
+    known_rows merge(protocol::Digest const& received);
     void report_expired();
 
     std::shared_ptr<asio::io_context> context;
