Read the notices of the cloud API, and share one INI section reader

Cause: reclaim notices were fetched and lost: the loop ran over a part of a JSON document that was destroyed before it. The demo and the zone test passed all the same, since streams are resumed after the engine's death. Apart from that, settings and configurations had two readers for the same section values. Ruled out: an inactive poller (it polled every 500 ms) and the directory (the same call works for drained VMs). Change: the document is kept while it is read; a test of the HTTP client of the cloud API; the zone test and the demo require the reclaim events. The section reader is in the base library; errors give bounds with units. Conclusion: marks now come from the notice, before the endpoint dies.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -121,6 +121,27 @@
   row "reclaim notice during a stream" "300 of 300 tokens after engine$victim was taken away"
 }
 
+timeline() {
+  local daemons name
+  "$daemon_binary" events --limit 2000 --output json >"$work/events.json" || fail "events: $(cat "$work/events.json")"
+  for name in configuration.applied move.finished move.reversed endpoint.reclaimed request.resumed request.refused; do
+    grep -q "$name" "$work/events.json" || fail "the timeline has no event $name"
+  done
+  daemons=$(grep -oE '"vm": *"vm[0-9]"' "$work/events.json" | sort -u | wc -l)
+  [ "$daemons" -eq 5 ] || fail "the timeline holds events of $daemons daemons"
+  "$daemon_binary" status | grep -q yes || fail "status does not show a ready daemon"
+  "$daemon_binary" moves | grep -q reversed || fail "moves does not show the reversed move"
+  row "events, status, moves" "one timeline of $daemons daemons"
+}
+
+metrics() {
+  local names
+  curl -sS -m 5 "http://$(entry 2)/metrics" >"$work/metrics"
+  names=$(grep -c '^# TYPE lagoonladder_' "$work/metrics")
+  grep -q '^lagoonladder_tokens_total' "$work/metrics" || fail "no tokens are counted: $(cat "$work/metrics")"
+  row "metrics of one entry" "$names metrics"
+}
+
 planned_stop() {
   chat 1 "a long question" 300 true >"$work/stream" &
   local stream=$!
@@ -156,6 +177,8 @@
 good_move
 bad_move
 reclaim
+timeline
+metrics
 planned_stop
 restart_all
 echo "${#report[@]} steps in $((SECONDS - started)) s"
--- a/src/base/include/lagoonladder/base.hpp
+++ b/src/base/include/lagoonladder/base.hpp
@@ -8,6 +8,7 @@
 #include <lagoonladder/base/error.hpp>
 #include <lagoonladder/base/event.hpp>
 #include <lagoonladder/base/ini_document.hpp>
+#include <lagoonladder/base/ini_section_reader.hpp>
 #include <lagoonladder/base/invariant.hpp>
 #include <lagoonladder/base/random.hpp>
 #include <lagoonladder/base/strong_type.hpp>
--- /dev/null
+++ b/src/base/include/lagoonladder/base/ini_section_reader.hpp
@@ -0,0 +1,84 @@
+#ifndef LAGOONLADDER_BASE_INI_SECTION_READER_HPP
+#define LAGOONLADDER_BASE_INI_SECTION_READER_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <lagoonladder/base/ini_document.hpp>
+#include <lagoonladder/base/strong_type.hpp>
+#include <lagoonladder/base/units.hpp>
+
+namespace lagoonladder
+{
+
+/// Reads typed values of one INI section. Each read function leaves `target`
+/// alone when the key is not there, and throws parse_error naming file, line and
+/// key when its value is not valid.
+class ini_section_reader
+{
+public:
+    ini_section_reader(ini_document const& file, ini_section const& source);
+
+    /// A section that may be missing; then no key is there.
+    ini_section_reader(ini_document const& file, std::string kind);
+
+    void read(char const* key, std::string& target) const;
+    void read(char const* key, bool& target) const;
+    void read(char const* key, std::optional<wall_time>& target) const;
+    void read(char const* key, duration& target, duration least = duration(1),
+              duration most = std::chrono::hours(24 * 365)) const;
+    /// "127.0.0.1:8101".
+    void read(char const* key, network_address& target) const;
+    /// Addresses with commas between them.
+    void read(char const* key, std::vector<network_address>& target) const;
+
+    void read_number(char const* key, double& target, double least, double most) const;
+    void read_count(char const* key, std::uint32_t& target, std::uint32_t least,
+                    std::uint32_t most) const;
+    void read_count(char const* key, std::uint64_t& target, std::uint64_t least,
+                    std::uint64_t most) const;
+    void read_bytes(char const* key, std::uint64_t& target, std::uint64_t least,
+                    std::uint64_t most) const;
+
+    /// One of two words.
+    template <class Enum>
+    void read_choice(char const* key, Enum& target, char const* first_word, Enum first,
+                     char const* second_word, Enum second) const
+    {
+        auto const* entry = this->find(key);
+        if (entry == nullptr)
+            return;
+        if (entry->value != first_word && entry->value != second_word)
+            this->fail(*entry, std::string("must be ") + first_word + " or " + second_word);
+        target = entry->value == first_word ? first : second;
+    }
+
+    ini_entry const* find(char const* key) const;
+
+    /// Throws parse_error when the key is missing or empty.
+    std::string const& require(char const* key) const;
+
+    [[noreturn]] void fail(ini_entry const& entry, std::string const& message) const;
+    /// Reports at the line of the section.
+    [[noreturn]] void fail(std::string const& message) const;
+    /// Reports at the line of the key, or of the section when the key is missing.
+    [[noreturn]] void fail_at(char const* key, std::string const& message) const;
+
+private:
+    ini_document const& document;
+    ini_section const* section;
+    /// Kind and name, for messages.
+    std::string title;
+};
+
+/// Parts of a text with commas between them, without spaces around them.
+std::vector<std::string> split_list(std::string const& text);
+
+/// Checks an "IPv4:port" text. Throws parse_error.
+network_address parse_network_address(std::string const& text);
+
+} // namespace lagoonladder
+
+#endif
--- a/src/base/include/lagoonladder/base/units.hpp
+++ b/src/base/include/lagoonladder/base/units.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -43,6 +44,9 @@
 /// Throws parse_error when the number or the unit is missing or unknown.
 duration parse_duration(std::string_view text);
 
+/// Formats in the largest unit that gives a whole number, such as "150 ms".
+std::string format_duration(duration span);
+
 /// Parses "64 KiB", "1 MiB", "2 GiB" or "512 B" into bytes. Throws parse_error.
 std::uint64_t parse_byte_count(std::string_view text);
 
--- a/src/base/internal/units.cpp
+++ b/src/base/internal/units.cpp
@@ -74,6 +74,18 @@
         static_cast<duration::rep>(parse_scaled(text, duration_units, "us, ms, s, min, h")));
 }
 
+std::string format_duration(duration span)
+{
+    auto best = duration_units.front();
+    for (auto const& unit : duration_units)
+    {
+        if (span.count() % static_cast<duration::rep>(unit.factor) == 0)
+            best = unit;
+    }
+    return std::to_string(span.count() / static_cast<duration::rep>(best.factor)) + " " +
+           std::string(best.name);
+}
+
 std::uint64_t parse_byte_count(std::string_view text)
 {
     return parse_scaled(text, byte_units, "B, KiB, MiB, GiB");
--- a/src/base/tests/base_test.cpp
+++ b/src/base/tests/base_test.cpp
@@ -17,6 +17,13 @@
     CHECK_THROWS_AS(parse_duration("99999999999999999 h"), parse_error);
 }
 
+TEST_CASE("durations are formatted in a unit that keeps them whole")
+{
+    CHECK(format_duration(milliseconds(150)) == "150 ms");
+    CHECK(format_duration(seconds(90)) == "90 s");
+    CHECK(format_duration(std::chrono::hours(2)) == "2 h");
+}
+
 TEST_CASE("wall times are parsed and formatted in UTC")
 {
     CHECK(format_wall_time(parse_wall_time("2026-12-05T06:00:00Z")) ==
--- a/src/process/daemon/internal/reclaim_poller.cpp
+++ b/src/process/daemon/internal/reclaim_poller.cpp
@@ -36,8 +36,9 @@
                            " did not answer GET /v1/notices");
     try
     {
+        auto const body = nlohmann::json::parse(answer->body);
         std::vector<platform_notice> found;
-        for (auto const& item : nlohmann::json::parse(answer->body).at("notices"))
+        for (auto const& item : body.at("notices"))
             found.push_back(parse_notice(item));
         return found;
     }
--- a/src/process/daemon/internal/settings.cpp
+++ b/src/process/daemon/internal/settings.cpp
@@ -1,10 +1,8 @@
 #include <lagoonladder/daemon/settings.hpp>
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <cctype>
 #include <fstream>
 #include <sstream>
 
@@ -14,144 +12,6 @@
 namespace
 {
 
-/// Reads keys of one section and names file and line in each error.
-class section_reader
-{
-public:
-    section_reader(ini_document const& source, ini_section const* section)
-        : document(source)
-        , current(section)
-    {
-    }
-
-    ini_entry const* find(char const* key) const
-    {
-        return this->current ? this->current->find(key) : nullptr;
-    }
-
-    std::string text(char const* key, std::string fallback = {}) const
-    {
-        auto const* entry = this->find(key);
-        return entry ? entry->value : fallback;
-    }
-
-    std::string required(char const* section, char const* key) const
-    {
-        auto const* entry = this->find(key);
-        if (entry && !entry->value.empty())
-            return entry->value;
-        int const line = entry ? entry->line : this->current ? this->current->line : 1;
-        throw settings_error(
-            locate(this->document.at(line),
-                   "key \"" + std::string(key) + "\" of section [" + section + "] is required"));
-    }
-
-    [[noreturn]] void fail(ini_entry const& entry, std::string const& problem) const
-    {
-        throw settings_error(
-            locate(this->document.at(entry.line), "key \"" + entry.key + "\": " + problem));
-    }
-
-    std::uint64_t number(char const* key, std::uint64_t fallback, std::uint64_t low,
-                         std::uint64_t high) const
-    {
-        auto const* entry = this->find(key);
-        if (!entry)
-            return fallback;
-        std::uint64_t value = 0;
-        auto const* end = entry->value.data() + entry->value.size();
-        auto const parsed = std::from_chars(entry->value.data(), end, value);
-        if (parsed.ec != std::errc() || parsed.ptr != end)
-            this->fail(*entry, "\"" + entry->value + "\" is not a whole number");
-        if (value < low || value > high)
-            this->fail(*entry,
-                       "must be from " + std::to_string(low) + " to " + std::to_string(high));
-        return value;
-    }
-
-    std::uint64_t bytes(char const* key, std::uint64_t fallback, std::uint64_t low,
-                        std::uint64_t high) const
-    {
-        auto const* entry = this->find(key);
-        if (!entry)
-            return fallback;
-        std::uint64_t value = 0;
-        try
-        {
-            value = parse_byte_count(entry->value);
-        }
-        catch (parse_error const& problem)
-        {
-            this->fail(*entry, problem.what());
-        }
-        if (value < low || value > high)
-            this->fail(*entry, "must be from " + std::to_string(low) + " B to " +
-                                   std::to_string(high) + " B");
-        return value;
-    }
-
-    duration span(char const* key, duration fallback, duration low, duration high) const
-    {
-        auto const* entry = this->find(key);
-        if (!entry)
-            return fallback;
-        duration value{};
-        try
-        {
-            value = parse_duration(entry->value);
-        }
-        catch (parse_error const& problem)
-        {
-            this->fail(*entry, problem.what());
-        }
-        if (value < low || value > high)
-            this->fail(*entry, "must be from " + std::to_string(low.count()) + " us to " +
-                                   std::to_string(high.count()) + " us");
-        return value;
-    }
-
-    network_address checked_address(ini_entry const& entry, std::string const& text) const
-    {
-        auto const colon = text.rfind(':');
-        std::uint32_t port = 0;
-        if (colon != std::string::npos)
-        {
-            auto const* end = text.data() + text.size();
-            auto const parsed = std::from_chars(text.data() + colon + 1, end, port);
-            if (parsed.ec != std::errc() || parsed.ptr != end)
-                port = 0;
-        }
-        in_addr parsed_host{};
-        if (port == 0 || port > 65535 ||
-            inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed_host) != 1)
-            this->fail(entry, "\"" + text + "\" is not an address such as 127.0.0.1:8101");
-        return network_address(text);
-    }
-
-    network_address address(char const* key) const
-    {
-        auto const* entry = this->find(key);
-        return entry ? this->checked_address(*entry, entry->value) : network_address();
-    }
-
-private:
-    ini_document const& document;
-    ini_section const* current;
-};
-
-std::vector<std::string> split_list(std::string const& text)
-{
-    std::vector<std::string> parts;
-    std::istringstream input(text);
-    for (std::string part; std::getline(input, part, ',');)
-    {
-        auto const first = part.find_first_not_of(' ');
-        if (first != std::string::npos)
-            parts.push_back(part.substr(first, part.find_last_not_of(' ') - first + 1));
-    }
-    return parts;
-}
-
 void check_sections(ini_document const& document)
 {
     for (auto const& section : document.sections)
@@ -190,63 +50,71 @@
 
 void parse_vm(ini_document const& document, settings& result)
 {
-    section_reader const vm(document, document.find("vm"));
-    result.vm = vm_id(vm.required("vm", "id"));
+    ini_section_reader const vm(document, "vm");
+    result.vm = vm_id(vm.require("id"));
     bool const usable =
         std::all_of(result.vm.value().begin(), result.vm.value().end(),
                     [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_'; });
     if (!usable)
-        vm.fail(*vm.find("id"), "may hold letters, digits, '-' and '_' only");
-    result.data_centre = data_centre_id(vm.required("vm", "data_centre"));
-    result.zone = zone_id(vm.text("zone", result.data_centre.value()));
+        vm.fail_at("id", "may hold letters, digits, '-' and '_' only");
+    result.data_centre = data_centre_id(vm.require("data_centre"));
+    auto zone = result.data_centre.value();
+    vm.read("zone", zone);
+    result.zone = zone_id(zone);
 }
 
 void parse_network(ini_document const& document, settings& result)
 {
-    section_reader const listen(document, document.find("listen"));
-    listen.required("listen", "http");
-    listen.required("listen", "control");
-    result.http = listen.address("http");
-    result.control = listen.address("control");
-    section_reader const peers(document, document.find("peers"));
-    for (auto const& seed : split_list(peers.text("seeds")))
-        result.seeds.push_back(peers.checked_address(*peers.find("seeds"), seed));
-    section_reader const platform(document, document.find("platform"));
-    result.cloud_api = platform.address("cloud_api");
-    result.weight_store = platform.address("weight_store");
+    ini_section_reader const listen(document, "listen");
+    listen.require("http");
+    listen.require("control");
+    listen.read("http", result.http);
+    listen.read("control", result.control);
+    ini_section_reader(document, "peers").read("seeds", result.seeds);
+    ini_section_reader const platform(document, "platform");
+    platform.read("cloud_api", result.cloud_api);
+    platform.read("weight_store", result.weight_store);
 }
 
-void parse_storage(ini_document const& document, settings& result)
+initial_voter parse_initial_voter(ini_section_reader const& storage, std::string const& text)
 {
-    section_reader const storage(document, document.find("storage"));
-    result.data_folder = storage.text("data_folder");
-    for (auto const& voter : split_list(storage.text("initial_voters")))
+    auto const at = text.find('@');
+    if (at == std::string::npos || at == 0)
+        storage.fail_at("initial_voters", "\"" + text + "\" is not of the form VM@ADDRESS:PORT");
+    try
     {
-        auto const& entry = *storage.find("initial_voters");
-        auto const at = voter.find('@');
-        if (at == std::string::npos || at == 0)
-            storage.fail(entry, "\"" + voter + "\" is not of the form VM@ADDRESS:PORT");
-        result.initial_voters.push_back(
-            {vm_id(voter.substr(0, at)), storage.checked_address(entry, voter.substr(at + 1))});
+        return {vm_id(text.substr(0, at)), parse_network_address(text.substr(at + 1))};
     }
+    catch (parse_error const& problem)
+    {
+        storage.fail_at("initial_voters", problem.what());
+    }
+}
+
+void parse_storage(ini_document const& document, settings& result)
+{
+    ini_section_reader const storage(document, "storage");
+    storage.read("data_folder", result.data_folder);
+    std::string voters;
+    storage.read("initial_voters", voters);
+    for (auto const& voter : split_list(voters))
+        result.initial_voters.push_back(parse_initial_voter(storage, voter));
     if (!result.data_folder.empty() && result.initial_voters.empty())
-        throw settings_error(locate(document.at(document.find("storage")->line),
-                                    "a data_folder needs initial_voters"));
-    result.snapshot_after_entries =
-        storage.number("snapshot_after_entries", result.snapshot_after_entries, 100, 10'000'000);
+        storage.fail_at("data_folder", "a data_folder needs initial_voters");
+    storage.read_count("snapshot_after_entries", result.snapshot_after_entries, 100, 10'000'000);
 }
 
 void parse_security(ini_document const& document, settings& result)
 {
-    section_reader const security(document, document.find("security"));
-    result.operator_token = security.required("security", "operator_token");
-    result.endpoint_token = security.required("security", "endpoint_token");
-    result.cluster_token = security.required("security", "cluster_token");
+    ini_section_reader const security(document, "security");
+    result.operator_token = security.require("operator_token");
+    result.endpoint_token = security.require("endpoint_token");
+    result.cluster_token = security.require("cluster_token");
 }
 
 void parse_log(ini_document const& document, settings& result)
 {
-    section_reader const log(document, document.find("log"));
+    ini_section_reader const log(document, "log");
     auto const* level = log.find("level");
     if (!level)
         return;
@@ -259,33 +127,24 @@
 
 void parse_limits(ini_document const& document, settings& result)
 {
-    section_reader const limits(document, document.find("limits"));
-    result.max_body_bytes = limits.bytes("max_body", result.max_body_bytes, 1024, 64 * 1024 * 1024);
-    result.max_connections = static_cast<std::uint32_t>(
-        limits.number("max_connections", result.max_connections, 8, 16'384));
-    result.max_queued_requests = static_cast<std::uint32_t>(
-        limits.number("max_queued_requests", result.max_queued_requests, 1, 1'000'000));
-    result.max_stored_requests = static_cast<std::uint32_t>(
-        limits.number("max_stored_requests", result.max_stored_requests, 10, 1'000'000));
+    ini_section_reader const limits(document, "limits");
+    limits.read_bytes("max_body", result.max_body_bytes, 1024, 64 * 1024 * 1024);
+    limits.read_count("max_connections", result.max_connections, 8, 16'384);
+    limits.read_count("max_queued_requests", result.max_queued_requests, 1, 1'000'000);
+    limits.read_count("max_stored_requests", result.max_stored_requests, 10, 1'000'000);
 }
 
 void parse_timing(ini_document const& document, settings& result)
 {
-    section_reader const timing(document, document.find("timing"));
+    ini_section_reader const timing(document, "timing");
     using std::chrono::hours;
     using std::chrono::minutes;
-    result.endpoint_lease =
-        timing.span("endpoint_lease", result.endpoint_lease, milliseconds(500), minutes(5));
-    result.gossip_interval =
-        timing.span("gossip_interval", result.gossip_interval, milliseconds(50), seconds(10));
-    result.state_poll_interval = timing.span("state_poll_interval", result.state_poll_interval,
-                                             milliseconds(50), seconds(5));
-    result.election_timeout =
-        timing.span("election_timeout", result.election_timeout, milliseconds(150), seconds(30));
-    result.entry_list_max_age =
-        timing.span("entry_list_max_age", result.entry_list_max_age, seconds(1), hours(1));
-    result.drain_timeout =
-        timing.span("drain_timeout", result.drain_timeout, seconds(1), hours(24));
+    timing.read("endpoint_lease", result.endpoint_lease, milliseconds(500), minutes(5));
+    timing.read("gossip_interval", result.gossip_interval, milliseconds(50), seconds(10));
+    timing.read("state_poll_interval", result.state_poll_interval, milliseconds(50), seconds(5));
+    timing.read("election_timeout", result.election_timeout, milliseconds(150), seconds(30));
+    timing.read("entry_list_max_age", result.entry_list_max_age, seconds(1), hours(1));
+    timing.read("drain_timeout", result.drain_timeout, seconds(1), hours(24));
 }
 
 } // namespace
--- /dev/null
+++ b/src/process/daemon/tests/reclaim_poller_test.cpp
@@ -0,0 +1,65 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include <lagoonladder/daemon.hpp>
+
+#include "reclaim_poller.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+/// Cloud API with a fixed list of notices.
+class notice_server
+{
+public:
+    explicit notice_server(std::string body)
+    {
+        this->server.Get("/v1/notices", [body = std::move(body)](auto const&, auto& response)
+                         { response.set_content(body, "application/json"); });
+        this->port = this->server.bind_to_any_port("127.0.0.1");
+        this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    }
+
+    ~notice_server()
+    {
+        this->server.stop();
+        this->thread.join();
+    }
+
+    network_address address() const
+    {
+        return network_address("127.0.0.1:" + std::to_string(this->port));
+    }
+
+private:
+    httplib::Server server;
+    int port = 0;
+    std::thread thread;
+};
+
+} // namespace
+
+TEST_CASE("notices of the cloud API are read")
+{
+    // Guards against notices that are fetched and then lost: a list that was read
+    // from a destroyed document came back empty.
+    notice_server const server(R"({"notices":[
+        {"vm":"vm-1","zone":"","deadline_us":1796354345738505},
+        {"vm":"","zone":"zone-1","deadline_us":1796354345738506}]})");
+    auto const notices = http_cloud_platform(server.address()).notices();
+    REQUIRE(notices.size() == 2);
+    CHECK(notices[0].vm == vm_id("vm-1"));
+    CHECK(notices[0].deadline == wall_time(duration(1796354345738505)));
+    CHECK(notices[1].zone == zone_id("zone-1"));
+}
+
+TEST_CASE("an unreadable list of notices is an error")
+{
+    notice_server const server(R"({"notes":[]})");
+    CHECK_THROWS_AS(http_cloud_platform(server.address()).notices(), daemon_error);
+}
--- a/src/process/daemon/tests/settings_test.cpp
+++ b/src/process/daemon/tests/settings_test.cpp
@@ -44,9 +44,9 @@
     CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[timing]\nelection_timeout = 5\n"),
                       Contains("s.ini:12: key \"election_timeout\""));
     CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[timing]\nelection_timeout = 5 ms\n"),
-                      Contains("must be from"));
+                      Contains("must be from 150 ms to 30 s"));
     CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[limits]\nmax_connections = many\n"),
-                      Contains("is not a whole number"));
+                      Contains("must be a whole number from 8 to 16384"));
     CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[peers]\nseeds = localhost:1\n"),
                       Contains("is not an address"));
     CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[storage]\ndata_folder = d\n"),
--- a/src/version/internal/configuration_parser.cpp
+++ b/src/version/internal/configuration_parser.cpp
@@ -2,8 +2,6 @@
 
 #include <lagoonladder/version/configuration.hpp>
 
-#include "section_reader.hpp"
-
 namespace lagoonladder::version
 {
 
@@ -42,7 +40,7 @@
 private:
     void check_kind(ini_section const& section) const
     {
-        section_reader const reader(this->document, section);
+        ini_section_reader const reader(this->document, section);
         if (section.kind != "service" && section.kind != "route" && section.kind != "account")
             reader.fail("unknown kind of section; known are service, route and account");
         if (section.name.empty())
@@ -55,7 +53,7 @@
                                                     "on_undecided", "watch", "default_timeout",
                                                     "draft_timeout", "progress_timeout",
                                                     "retry_budget", "status_lookup"});
-        section_reader const reader(this->document, section);
+        ini_section_reader const reader(this->document, section);
         service_config service;
         service.name = service_name(section.name);
         reader.read_choice("kind", service.kind, "model_engine", service_kind::model_engine,
@@ -82,7 +80,7 @@
     void add_route(ini_section const& section)
     {
         this->document.require_known_keys(section, {"service", "method", "path", "idempotent"});
-        section_reader const reader(this->document, section);
+        ini_section_reader const reader(this->document, section);
         route_config route;
         route.name = route_name(section.name);
         route.service = service_name(reader.require("service"));
@@ -106,7 +104,7 @@
         this->result.routes.push_back(route);
     }
 
-    void check_unique(section_reader const& reader, route_config const& route) const
+    void check_unique(ini_section_reader const& reader, route_config const& route) const
     {
         for (auto const& other : this->result.routes)
         {
@@ -119,7 +117,7 @@
     void add_account(ini_section const& section)
     {
         this->document.require_known_keys(section, {"key_sha256", "share"});
-        section_reader const reader(this->document, section);
+        ini_section_reader const reader(this->document, section);
         account_config account;
         account.name = account_id(section.name);
         account.key_sha256 = reader.require("key_sha256");
--- a/tests/system/reclaim_zone.sh
+++ b/tests/system/reclaim_zone.sh
@@ -19,7 +19,13 @@
 curl -sS -m 5 -o /dev/null "http://$(cloud_address)/v1/notices" -d '{"zone":"zone-lost","notice_ms":3000}'
 sleep 1
 stop_process vm5 KILL
-sleep 2
+sleep 1
+for i in 1 2; do
+  "$daemon_binary" events --limit 5000 | grep "endpoint.reclaimed.*engine$i" >/dev/null || fail "engine$i is not marked by the notice"
+done
+operator_get 4 status | grep -o '"state":"leaving"' | wc -l >"$work/leaving"
+[ "$(cat "$work/leaving")" -ge 2 ] || fail "vm4 knows $(cat "$work/leaving") leaving endpoints 2 s after the notice"
+sleep 1
 for i in 1 2; do stop_process "engine$i" KILL; done
 wait "$load" || fail "an answer was cut or wrong: $(cat "$work/load.json")"
 moved=$(curl -sS "http://$(entry 1)/metrics" "http://$(entry 2)/metrics" | grep -c '^lagoonladder_resumed_requests_total' || true)
