--- a/src/process/daemon/internal/consensus_driver.cpp
+++ b/src/process/daemon/internal/consensus_driver.cpp
@@ -8,7 +8,9 @@
 namespace
 {
 
-constexpr int heartbeats_per_election_timeout = 5;
+/// Two heartbeats may be lost before followers campaign; more of them cost an idle
+/// leader processor time and bytes.
+constexpr int heartbeats_per_election_timeout = 3;
 constexpr int ticks_per_heartbeat = 4;
 constexpr duration expiry_interval = seconds(5);
 
