Add an asynchronous HTTP library and numbered pass-through configurations

Cause: the traffic plane takes a thread for each connection, and the control state knows only configurations ordered by compare-and-set. Calls that are passed through to plain services and engines need neither.

The HTTP library reads requests and responses incrementally with Boost.Beast's parsers on one standalone Asio event loop. libhttp-parser was ruled out: it is no longer maintained upstream. Boost 1.74 rejects every stated length when the body limit is boost::none, so responses set the largest number instead.

The control state stores the pass-through configuration with the highest number, starts moves of its services and fixes the counts of usage windows.

Warnings stop the build only in scripts/build.sh, since g++ 12 reports a false -Wrestrict at -O3.

--- a/cmake/lagoonladder.cmake
+++ b/cmake/lagoonladder.cmake
@@ -1,5 +1,11 @@
 add_library(lagoonladder_warnings INTERFACE)
-target_compile_options(lagoonladder_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_options(lagoonladder_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow)
+
+# Off by default: another compiler or build type may warn about code that is correct.
+option(LAGOONLADDER_WARNINGS_AS_ERRORS "Warnings stop the build" OFF)
+if(LAGOONLADDER_WARNINGS_AS_ERRORS)
+  target_compile_options(lagoonladder_warnings INTERFACE -Werror)
+endif()
 
 # lagoonladder_library(NAME DEPENDS targets...): a library from internal/*.cpp
 # with its public header below include/.
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${BUILD_DIR:-build}"
-cmake -S . -B "$build" -G Ninja >/dev/null
+cmake -S . -B "$build" -G Ninja -DLAGOONLADDER_WARNINGS_AS_ERRORS=ON >/dev/null
 cmake --build "$build"
--- /dev/null
+++ b/src/process/http/internal/client.cpp
@@ -0,0 +1,232 @@
+#include <lagoonladder/http/client.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include "client_connection.hpp"
+
+namespace lagoonladder::http
+{
+
+char const* to_string(call_failure failure)
+{
+    switch (failure)
+    {
+    case call_failure::not_sent:
+        return "not_sent";
+    case call_failure::no_response:
+        return "no_response";
+    case call_failure::broken_response:
+        return "broken_response";
+    }
+    return "unknown";
+}
+
+namespace
+{
+
+class connection_call : public client_call
+{
+public:
+    explicit connection_call(std::shared_ptr<client_connection> used)
+        : connection(std::move(used))
+    {
+    }
+
+    void cancel() override { this->connection->close(); }
+    void pause() override { this->connection->pause(); }
+    void resume() override { this->connection->resume(); }
+    bool may_have_sent() const override { return this->connection->may_have_sent(); }
+
+private:
+    std::shared_ptr<client_connection> connection;
+};
+
+/// A call that was refused before a connection was used.
+class refused_call : public client_call
+{
+public:
+    void cancel() override { this->is_cancelled = true; }
+    void pause() override {}
+    void resume() override {}
+    bool may_have_sent() const override { return false; }
+
+    bool is_cancelled = false;
+};
+
+} // namespace
+
+class client::implementation : public connection_keeper,
+                               public std::enable_shared_from_this<client::implementation>
+{
+public:
+    implementation(asio::io_context& event_loop, client_options const& settings,
+                   clock const& clock_source)
+        : context(event_loop)
+        , options(settings)
+        , time(clock_source)
+    {
+    }
+
+    std::shared_ptr<client_call> send(network_address const& to,
+                                      std::shared_ptr<std::string const> request,
+                                      std::shared_ptr<response_observer> observer,
+                                      std::size_t max_connections)
+    {
+        auto& known = this->addresses[to];
+        if (auto const kept = this->take_kept(known))
+        {
+            kept->start(std::move(request), std::move(observer));
+            kept->send_request();
+            return std::make_shared<connection_call>(kept);
+        }
+        if (max_connections > 0 && known.open >= max_connections)
+            return this->refuse(observer);
+        auto const connection = std::make_shared<client_connection>(
+            this->context, to, this->options, this->time, this->weak_from_this());
+        ++known.open;
+        ++this->opened_connections;
+        connection->start(std::move(request), std::move(observer));
+        connection->connect();
+        return std::make_shared<connection_call>(connection);
+    }
+
+    void keep(std::shared_ptr<client_connection> const& connection) override
+    {
+        auto& idle = this->addresses[connection->address()].idle;
+        idle.push_back(connection);
+        if (idle.size() > this->options.max_idle_for_address)
+        {
+            auto const oldest = idle.front();
+            oldest->close();
+        }
+    }
+
+    void dropped(client_connection const& connection) override
+    {
+        auto const found = this->addresses.find(connection.address());
+        if (found == this->addresses.end())
+            return;
+        auto& known = found->second;
+        std::erase_if(known.idle, [&](auto const& kept) { return kept.get() == &connection; });
+        if (--known.open == 0)
+            this->addresses.erase(found);
+    }
+
+    void forget(network_address const& address)
+    {
+        auto const found = this->addresses.find(address);
+        if (found == this->addresses.end())
+            return;
+        for (auto const& kept : std::vector(found->second.idle))
+            kept->close();
+    }
+
+    void stop()
+    {
+        std::vector<network_address> known;
+        for (auto const& [address, connections] : this->addresses)
+            known.push_back(address);
+        for (auto const& address : known)
+            this->forget(address);
+    }
+
+    std::size_t connections(network_address const& address) const
+    {
+        auto const found = this->addresses.find(address);
+        return found == this->addresses.end() ? 0 : found->second.open;
+    }
+
+    std::uint64_t opened_connections = 0;
+
+private:
+    struct address_connections
+    {
+        std::size_t open = 0;
+        /// The one that was used last is at the end.
+        std::vector<std::shared_ptr<client_connection>> idle;
+    };
+
+    std::shared_ptr<client_connection> take_kept(address_connections& known)
+    {
+        auto const now = this->time.now();
+        // Connections that are too old to be used go; the server is about to close them.
+        std::vector<std::shared_ptr<client_connection>> expired;
+        for (auto const& kept : known.idle)
+        {
+            if (kept->reusable_until() <= now)
+                expired.push_back(kept);
+        }
+        std::erase_if(known.idle, [&](auto const& kept) { return kept->reusable_until() <= now; });
+        std::shared_ptr<client_connection> latest;
+        if (!known.idle.empty())
+        {
+            latest = known.idle.back();
+            known.idle.pop_back();
+        }
+        // Keeps `known` valid while connections are dropped.
+        ++known.open;
+        for (auto const& old : expired)
+            old->close();
+        --known.open;
+        return latest;
+    }
+
+    std::shared_ptr<client_call> refuse(std::shared_ptr<response_observer> const& observer)
+    {
+        auto const call = std::make_shared<refused_call>();
+        asio::post(this->context,
+                   [call, observer]
+                   {
+                       if (!call->is_cancelled)
+                           observer->on_failure(call_failure::not_sent,
+                                                "too many connections to the address");
+                   });
+        return call;
+    }
+
+    asio::io_context& context;
+    client_options const options;
+    clock const& time;
+    std::map<network_address, address_connections> addresses;
+};
+
+client::client(asio::io_context& context, client_options options, clock const& time)
+    : state(std::make_shared<implementation>(context, options, time))
+{
+}
+
+client::~client()
+{
+    this->state->stop();
+}
+
+std::shared_ptr<client_call> client::send(network_address const& to,
+                                          std::shared_ptr<std::string const> request,
+                                          std::shared_ptr<response_observer> observer,
+                                          std::size_t max_connections)
+{
+    return this->state->send(to, std::move(request), std::move(observer), max_connections);
+}
+
+void client::forget(network_address const& address)
+{
+    this->state->forget(address);
+}
+
+std::size_t client::connections(network_address const& address) const
+{
+    return this->state->connections(address);
+}
+
+std::uint64_t client::opened() const
+{
+    return this->state->opened_connections;
+}
+
+void client::stop()
+{
+    this->state->stop();
+}
+
+} // namespace lagoonladder::http
--- /dev/null
+++ b/src/process/http/internal/client_connection.cpp
@@ -0,0 +1,267 @@
+#include "client_connection.hpp"
+
+#include "socket_options.hpp"
+
+namespace lagoonladder::http
+{
+
+namespace
+{
+
+constexpr unsigned first_final_status = 200;
+
+} // namespace
+
+client_connection::client_connection(asio::io_context& context, network_address to,
+                                     client_options const& settings, clock const& clock_source,
+                                     std::weak_ptr<connection_keeper> owner)
+    : socket(context)
+    , connect_timer(context)
+    , target(std::move(to))
+    , options(settings)
+    , time(clock_source)
+    , keeper(std::move(owner))
+{
+}
+
+void client_connection::start(std::shared_ptr<std::string const> bytes,
+                              std::shared_ptr<response_observer> receiver)
+{
+    this->request = std::move(bytes);
+    this->observer = std::move(receiver);
+    this->is_sending = false;
+    this->is_sent = false;
+    this->is_paused = false;
+    this->has_response = false;
+    this->begin_response();
+}
+
+void client_connection::connect()
+{
+    asio::ip::tcp::endpoint endpoint;
+    try
+    {
+        endpoint = to_endpoint(this->target);
+    }
+    catch (http_error const& problem)
+    {
+        auto const reason = std::string(problem.what());
+        asio::post(this->socket.get_executor(), [self = this->shared_from_this(), reason]
+                   { self->fail(call_failure::not_sent, reason); });
+        return;
+    }
+    this->connect_timer.expires_after(this->options.connect_timeout);
+    this->connect_timer.async_wait(
+        [weak = this->weak_from_this()](asio::error_code const& problem)
+        {
+            auto const self = weak.lock();
+            if (!problem && self && !self->is_connected)
+                self->fail(call_failure::not_sent, "the connection was not accepted in time");
+        });
+    this->socket.async_connect(endpoint,
+                               [self = this->shared_from_this()](asio::error_code const& problem)
+                               { self->on_connected(problem); });
+}
+
+void client_connection::on_connected(asio::error_code const& problem)
+{
+    this->connect_timer.cancel();
+    if (this->is_closed)
+        return;
+    if (problem)
+        return this->fail(call_failure::not_sent, problem.message());
+    this->is_connected = true;
+    configure_socket(this->socket, this->options.unacknowledged_timeout);
+    this->send_request();
+}
+
+void client_connection::send_request()
+{
+    this->is_sending = true;
+    asio::async_write(this->socket, asio::buffer(*this->request),
+                      [self = this->shared_from_this(),
+                       sent = this->request](asio::error_code const& problem, std::size_t)
+                      {
+                          // The read that follows tells what became of the call.
+                          if (!problem && self->request == sent)
+                              self->is_sent = true;
+                      });
+    this->read();
+}
+
+void client_connection::begin_response()
+{
+    this->skips = false;
+    this->parser = std::make_unique<response_parser>(
+        [this](response_head const& head)
+        {
+            this->skips = head.status < first_final_status;
+            // The observer may cancel the call, which drops it here.
+            auto const receiver = this->observer;
+            if (this->skips || !receiver)
+                return;
+            this->skips = receiver->on_head(head) == head_action::skip;
+            this->has_response = !this->skips;
+            this->stated_idle_time = this->idle_time(head);
+        },
+        [this](std::string_view bytes)
+        {
+            auto const receiver = this->observer;
+            if (!this->skips && receiver)
+                receiver->on_body(bytes);
+        });
+}
+
+duration client_connection::idle_time(response_head const& head) const
+{
+    auto const* stated = head.headers.find("Keep-Alive");
+    if (stated == nullptr)
+        return this->options.default_idle_time;
+    auto const at = stated->find("timeout=");
+    if (at == std::string::npos)
+        return this->options.default_idle_time;
+    auto const first = at + std::string_view("timeout=").size();
+    auto const value =
+        parse_number(std::string_view(*stated).substr(first, stated->find(',', first) - first));
+    if (!value)
+        return this->options.default_idle_time;
+    return from_seconds(static_cast<double>(*value) * this->options.used_idle_part);
+}
+
+void client_connection::read()
+{
+    if (this->reads || this->is_closed || this->is_paused)
+        return;
+    this->reads = true;
+    this->socket.async_read_some(
+        asio::buffer(this->chunk),
+        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t count)
+        {
+            self->reads = false;
+            self->on_read(problem, count);
+        });
+}
+
+void client_connection::on_read(asio::error_code const& problem, std::size_t count)
+{
+    if (this->is_closed)
+        return;
+    if (problem == asio::error::eof)
+        return this->on_connection_end("the connection was closed");
+    if (problem)
+        return this->fail(this->failure_now(), problem.message());
+    // Bytes without a call belong to no request.
+    if (!this->observer)
+        return this->close();
+    this->input.append(this->chunk.data(), count);
+    this->take_input();
+    this->read();
+}
+
+void client_connection::take_input()
+{
+    while (!this->input.empty() && this->observer && !this->is_closed)
+    {
+        std::optional<parse_problem> problem;
+        this->is_parsing = true;
+        auto const used = this->parser->put(this->input, problem);
+        this->is_parsing = false;
+        this->input.erase(0, used);
+        if (this->is_closed)
+            return;
+        if (problem)
+            return this->fail(this->failure_now(), problem->reason);
+        if (!this->parser->is_done())
+            return;
+        this->on_message_end();
+    }
+}
+
+void client_connection::on_connection_end(std::string const& reason)
+{
+    if (!this->observer)
+        return this->close();
+    if (!this->parser->has_started())
+        return this->fail(this->failure_now(), reason);
+    std::optional<parse_problem> problem;
+    this->parser->put_end(problem);
+    if (problem)
+        return this->fail(this->failure_now(), reason);
+    if (this->skips)
+        return this->fail(call_failure::no_response, reason);
+    auto const receiver = std::exchange(this->observer, nullptr);
+    this->close();
+    receiver->on_end();
+}
+
+void client_connection::on_message_end()
+{
+    if (this->skips)
+    {
+        if (!this->parser->keeps_alive())
+            return this->fail(call_failure::no_response, "the connection ends after a response "
+                                                         "to another request");
+        return this->begin_response();
+    }
+    // Bytes behind the response, or a request that was not taken whole, make the
+    // connection unusable for another call.
+    bool const is_reusable =
+        this->parser->keeps_alive() && this->is_sent && this->input.empty() && !this->is_closed;
+    auto const receiver = std::exchange(this->observer, nullptr);
+    this->request.reset();
+    if (!is_reusable)
+    {
+        this->close();
+    }
+    else
+    {
+        this->reuse_until = this->time.now() + this->stated_idle_time;
+        if (auto const owner = this->keeper.lock())
+            owner->keep(this->shared_from_this());
+        else
+            this->close();
+    }
+    receiver->on_end();
+}
+
+call_failure client_connection::failure_now() const
+{
+    if (!this->is_sending)
+        return call_failure::not_sent;
+    return this->has_response ? call_failure::broken_response : call_failure::no_response;
+}
+
+void client_connection::fail(call_failure failure, std::string const& reason)
+{
+    auto const receiver = std::exchange(this->observer, nullptr);
+    this->close();
+    if (receiver)
+        receiver->on_failure(failure, reason);
+}
+
+void client_connection::close()
+{
+    if (this->is_closed)
+        return;
+    this->is_closed = true;
+    this->observer.reset();
+    this->connect_timer.cancel();
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    if (auto const owner = this->keeper.lock())
+        owner->dropped(*this);
+}
+
+void client_connection::pause()
+{
+    this->is_paused = true;
+}
+
+void client_connection::resume()
+{
+    this->is_paused = false;
+    if (!this->is_parsing)
+        this->read();
+}
+
+} // namespace lagoonladder::http
--- /dev/null
+++ b/src/process/http/internal/message_parser.cpp
@@ -0,0 +1,251 @@
+#include "message_parser.hpp"
+
+#include <limits>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace lagoonladder::http
+{
+
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
+
+std::string text_of(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+parse_problem describe(beast::error_code const& code)
+{
+    parse_problem problem;
+    problem.reason = code.message();
+    if (code == beast::http::error::header_limit)
+        problem.status = 431;
+    if (code == beast::http::error::body_limit)
+        problem.status = 413;
+    return problem;
+}
+
+/// Feeds a parser until the message ends or the bytes do.
+template <class Parser>
+std::size_t feed(Parser& parser, std::string_view data, std::optional<parse_problem>& problem)
+{
+    std::size_t taken = 0;
+    while (taken < data.size() && !parser.is_done())
+    {
+        beast::error_code code;
+        auto const rest = boost::asio::const_buffer(data.data() + taken, data.size() - taken);
+        auto const used = parser.put(rest, code);
+        taken += used;
+        if (code == beast::http::error::need_more)
+            break;
+        if (code)
+        {
+            problem = describe(code);
+            break;
+        }
+        if (used == 0)
+            break;
+    }
+    return taken;
+}
+
+} // namespace
+
+class request_parser::implementation : public beast::http::basic_parser<true>
+{
+public:
+    request_head head;
+    std::string body;
+    bool expects_continue = false;
+
+protected:
+    void on_request_impl(beast::http::verb, beast::string_view method, beast::string_view target,
+                         int, beast::error_code&) override
+    {
+        this->head.method = text_of(method);
+        this->head.target = text_of(target);
+    }
+
+    void on_response_impl(int, beast::string_view, int, beast::error_code&) override {}
+
+    void on_field_impl(beast::http::field name, beast::string_view text, beast::string_view value,
+                       beast::error_code& code) override
+    {
+        // Another coding than chunked leaves the length of the body open to two readings.
+        if (name == beast::http::field::transfer_encoding && !beast::iequals(value, "chunked"))
+            code = beast::http::error::bad_transfer_encoding;
+        if (name == beast::http::field::expect && beast::iequals(value, "100-continue"))
+            this->expects_continue = true;
+        this->head.headers.add(text_of(text), text_of(value));
+    }
+
+    void on_header_impl(beast::error_code&) override {}
+    void on_body_init_impl(boost::optional<std::uint64_t> const&, beast::error_code&) override {}
+
+    std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
+    {
+        this->body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
+                                   beast::error_code& code) override
+    {
+        return this->on_body_impl(bytes, code);
+    }
+
+    void on_finish_impl(beast::error_code&) override {}
+};
+
+request_parser::request_parser(connection_limits const& limits)
+    : state(std::make_unique<implementation>())
+{
+    this->state->eager(true);
+    this->state->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    this->state->body_limit(limits.max_body_bytes);
+}
+
+request_parser::~request_parser() = default;
+
+std::size_t request_parser::put(std::string_view data, std::optional<parse_problem>& problem)
+{
+    return feed(*this->state, data, problem);
+}
+
+bool request_parser::has_head() const
+{
+    return this->state->is_header_done();
+}
+
+bool request_parser::is_done() const
+{
+    return this->state->is_done();
+}
+
+bool request_parser::keeps_alive() const
+{
+    return this->state->keep_alive();
+}
+
+bool request_parser::expects_continue() const
+{
+    return this->state->expects_continue;
+}
+
+request_head& request_parser::head()
+{
+    return this->state->head;
+}
+
+std::string& request_parser::body()
+{
+    return this->state->body;
+}
+
+class response_parser::implementation : public beast::http::basic_parser<false>
+{
+public:
+    std::function<void(response_head const&)> on_head;
+    std::function<void(std::string_view)> on_body;
+    response_head head;
+
+protected:
+    void on_request_impl(beast::http::verb, beast::string_view, beast::string_view, int,
+                         beast::error_code&) override
+    {
+    }
+
+    void on_response_impl(int status, beast::string_view reason, int, beast::error_code&) override
+    {
+        this->head.status = static_cast<unsigned>(status);
+        this->head.reason = text_of(reason);
+    }
+
+    void on_field_impl(beast::http::field, beast::string_view text, beast::string_view value,
+                       beast::error_code&) override
+    {
+        this->head.headers.add(text_of(text), text_of(value));
+    }
+
+    void on_header_impl(beast::error_code&) override { this->on_head(this->head); }
+    void on_body_init_impl(boost::optional<std::uint64_t> const&, beast::error_code&) override {}
+
+    std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
+    {
+        this->on_body({bytes.data(), bytes.size()});
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
+                                   beast::error_code& code) override
+    {
+        return this->on_body_impl(bytes, code);
+    }
+
+    void on_finish_impl(beast::error_code&) override {}
+};
+
+response_parser::response_parser(std::function<void(response_head const&)> on_head,
+                                 std::function<void(std::string_view)> on_body)
+    : state(std::make_unique<implementation>())
+{
+    this->state->on_head = std::move(on_head);
+    this->state->on_body = std::move(on_body);
+    this->state->eager(true);
+    this->state->header_limit(max_response_head_bytes);
+    // Boost 1.74 takes "no limit" for a limit that every stated length exceeds.
+    this->state->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+response_parser::~response_parser() = default;
+
+std::size_t response_parser::put(std::string_view data, std::optional<parse_problem>& problem)
+{
+    return feed(*this->state, data, problem);
+}
+
+void response_parser::put_end(std::optional<parse_problem>& problem)
+{
+    beast::error_code code;
+    this->state->put_eof(code);
+    if (code)
+        problem = describe(code);
+    else if (!this->state->is_done())
+        problem = parse_problem{502, "the connection ended before the end of the response"};
+}
+
+bool response_parser::has_started() const
+{
+    return this->state->got_some();
+}
+
+bool response_parser::has_head() const
+{
+    return this->state->is_header_done();
+}
+
+bool response_parser::is_done() const
+{
+    return this->state->is_done();
+}
+
+bool response_parser::keeps_alive() const
+{
+    return this->state->keep_alive();
+}
+
+bool response_parser::ends_with_connection() const
+{
+    return this->state->need_eof();
+}
+
+} // namespace lagoonladder::http
--- /dev/null
+++ b/src/process/http/internal/server_connection.cpp
@@ -0,0 +1,368 @@
+#include "server_connection.hpp"
+
+#include "socket_options.hpp"
+
+namespace lagoonladder::http
+{
+
+namespace
+{
+
+/// Bytes behind the current request that are read ahead; reading on shows a close by the caller.
+constexpr std::size_t max_read_ahead = 16 * 1024;
+/// A caller that acknowledges nothing for this long is gone.
+constexpr duration unacknowledged_timeout = seconds(10);
+constexpr duration linger_time = seconds(1);
+/// Callers may send until the very end of the idle time.
+constexpr duration idle_allowance = seconds(1);
+
+/// The exchange of one request; inert once the connection has gone on to the next one.
+class connection_exchange : public server_exchange
+{
+public:
+    explicit connection_exchange(std::shared_ptr<server_connection> owner)
+        : connection(std::move(owner))
+        , request(connection->head())
+        , content(connection->body())
+        , began(connection->arrived())
+    {
+    }
+
+    request_head const& head() const override { return this->request; }
+    std::string const& body() const override { return this->content; }
+    time_point arrived() const override { return this->began; }
+
+    void respond(response_head answer, std::string_view bytes) override
+    {
+        if (auto const target = this->take())
+            target->respond(std::move(answer), bytes);
+    }
+
+    void begin(response_head answer, std::optional<std::uint64_t> length) override
+    {
+        if (this->connection)
+            this->connection->begin(std::move(answer), length);
+    }
+
+    void write(std::string_view bytes) override
+    {
+        if (this->connection)
+            this->connection->write(bytes);
+    }
+
+    void finish() override
+    {
+        if (auto const target = this->take())
+            target->finish();
+    }
+
+    void abort() override
+    {
+        if (auto const target = this->take())
+            target->close();
+    }
+
+    std::size_t unsent_bytes() const override
+    {
+        return this->connection ? this->connection->unsent_bytes() : 0;
+    }
+
+    void on_closed(std::function<void()> handler) override
+    {
+        if (this->connection)
+            this->connection->closed_handler = std::move(handler);
+    }
+
+    void on_drained(std::function<void()> handler) override
+    {
+        if (this->connection)
+            this->connection->drained_handler = std::move(handler);
+    }
+
+private:
+    std::shared_ptr<server_connection> take()
+    {
+        if (this->connection)
+        {
+            this->connection->closed_handler = {};
+            this->connection->drained_handler = {};
+        }
+        return std::exchange(this->connection, nullptr);
+    }
+
+    std::shared_ptr<server_connection> connection;
+    request_head const request;
+    std::string const content;
+    time_point const began;
+};
+
+} // namespace
+
+server_connection::server_connection(asio::ip::tcp::socket accepted,
+                                     std::shared_ptr<server_context> shared)
+    : socket(std::move(accepted))
+    , timer(socket.get_executor())
+    , context(std::move(shared))
+{
+    ++this->context->open_connections;
+}
+
+server_connection::~server_connection()
+{
+    --this->context->open_connections;
+}
+
+void server_connection::start()
+{
+    configure_socket(this->socket, unacknowledged_timeout);
+    this->set_timer(this->context->limits().idle_timeout + idle_allowance);
+    this->read();
+}
+
+request_head const& server_connection::head()
+{
+    return this->parser->head();
+}
+
+std::string const& server_connection::body()
+{
+    return this->parser->body();
+}
+
+void server_connection::read()
+{
+    if (this->reads || this->state == phase::closed || this->input.size() > max_read_ahead)
+        return;
+    this->reads = true;
+    this->socket.async_read_some(
+        asio::buffer(this->chunk),
+        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t count)
+        {
+            self->reads = false;
+            if (self->state == phase::closed)
+                return;
+            if (problem)
+                self->on_read_end();
+            else
+                self->on_read(count);
+        });
+}
+
+void server_connection::on_read(std::size_t count)
+{
+    if (this->state == phase::lingering)
+        return this->read();
+    this->input.append(this->chunk.data(), count);
+    if (this->state == phase::idle || this->state == phase::reading)
+        this->take_input();
+    this->read();
+}
+
+void server_connection::on_read_end()
+{
+    // The rest of an answer may still be on its way to a caller that closed one direction.
+    if (this->state == phase::finishing)
+    {
+        this->closes = true;
+        return;
+    }
+    this->close();
+}
+
+void server_connection::close()
+{
+    if (this->state == phase::closed)
+        return;
+    this->state = phase::closed;
+    this->timer.cancel();
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->drained_handler = {};
+    if (auto const handler = std::exchange(this->closed_handler, {}))
+        handler();
+}
+
+void server_connection::take_input()
+{
+    if (this->input.empty())
+        return;
+    if (this->state == phase::idle)
+    {
+        this->state = phase::reading;
+        this->request_began = this->context->time.now();
+        auto const limits = this->context->limits();
+        this->parser = std::make_unique<request_parser>(limits);
+        this->set_timer(limits.header_timeout);
+    }
+    bool const had_head = this->parser->has_head();
+    std::optional<parse_problem> problem;
+    auto const used = this->parser->put(this->input, problem);
+    this->input.erase(0, used);
+    if (problem)
+        return this->reject(*problem);
+    if (this->parser->is_done())
+        return this->dispatch();
+    if (!this->parser->has_head())
+        return;
+    // Within a body only silence ends the request.
+    this->set_timer(this->context->limits().idle_timeout);
+    if (!had_head && this->parser->expects_continue())
+    {
+        this->pending += "HTTP/1.1 100 Continue\r\n\r\n";
+        this->flush();
+    }
+}
+
+void server_connection::dispatch()
+{
+    this->timer.cancel();
+    this->state = phase::handling;
+    this->closes = !this->parser->keeps_alive();
+    auto const current = std::make_shared<connection_exchange>(this->shared_from_this());
+    this->parser.reset();
+    this->context->handler.handle(current);
+}
+
+void server_connection::reject(parse_problem const& problem)
+{
+    this->context->events.emit(severity::warning, "http.request_rejected",
+                               {{"server", this->context->options.name},
+                                {"status", std::to_string(problem.status)},
+                                {"reason", problem.reason}});
+    this->closes = true;
+    this->state = phase::handling;
+    this->respond({problem.status, {}, {}}, problem.reason);
+}
+
+void server_connection::add_connection_field(response_head& head)
+{
+    if (this->context->closes_after_answers)
+        this->closes = true;
+    if (this->closes)
+        head.headers.set("Connection", "close");
+}
+
+void server_connection::respond(response_head head, std::string_view content)
+{
+    if (this->state != phase::handling)
+        return;
+    this->add_connection_field(head);
+    head.headers.set("Content-Length", std::to_string(content.size()));
+    this->pending += format_head(head);
+    this->pending += content;
+    this->answer_complete();
+}
+
+void server_connection::begin(response_head head, std::optional<std::uint64_t> length)
+{
+    if (this->state != phase::handling)
+        return;
+    this->add_connection_field(head);
+    this->is_chunked = !length;
+    if (length)
+        head.headers.set("Content-Length", std::to_string(*length));
+    else
+        head.headers.set("Transfer-Encoding", "chunked");
+    this->pending += format_head(head);
+    this->flush();
+}
+
+void server_connection::write(std::string_view bytes)
+{
+    if (this->state != phase::handling)
+        return;
+    if (this->is_chunked)
+        append_chunk(this->pending, bytes);
+    else
+        this->pending += bytes;
+    this->flush();
+}
+
+void server_connection::finish()
+{
+    if (this->state != phase::handling)
+        return;
+    if (this->is_chunked)
+        this->pending += last_chunk;
+    this->answer_complete();
+}
+
+void server_connection::answer_complete()
+{
+    this->state = phase::finishing;
+    this->is_chunked = false;
+    this->flush();
+}
+
+void server_connection::flush()
+{
+    if (!this->writing.empty() || this->pending.empty() || this->state == phase::closed)
+        return;
+    this->writing.swap(this->pending);
+    asio::async_write(
+        this->socket, asio::buffer(this->writing),
+        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t)
+        {
+            self->writing.clear();
+            if (problem)
+                return self->close();
+            self->on_written();
+        });
+}
+
+void server_connection::on_written()
+{
+    if (!this->pending.empty())
+        return this->flush();
+    if (this->state == phase::handling && this->drained_handler)
+        return this->drained_handler();
+    if (this->state != phase::finishing)
+        return;
+    if (this->closes)
+        return this->linger();
+    this->next_request();
+}
+
+void server_connection::next_request()
+{
+    this->state = phase::idle;
+    this->set_timer(this->context->limits().idle_timeout + idle_allowance);
+    this->take_input();
+    this->read();
+}
+
+void server_connection::linger()
+{
+    // Closing with unread bytes would reset the connection and drop the answer.
+    this->state = phase::lingering;
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->set_timer(linger_time);
+    this->input.clear();
+    this->read();
+}
+
+void server_connection::set_timer(duration span)
+{
+    this->timer.expires_after(span);
+    this->timer.async_wait(
+        [weak = this->weak_from_this()](asio::error_code const& problem)
+        {
+            auto const self = weak.lock();
+            if (!problem && self)
+                self->on_timer();
+        });
+}
+
+void server_connection::on_timer()
+{
+    // A timer that was set again may already have queued its earlier call.
+    if (this->timer.expiry() > std::chrono::steady_clock::now())
+        return;
+    if (this->state == phase::reading)
+        return this->reject({408, "the request did not arrive in time"});
+    if (this->state == phase::idle || this->state == phase::lingering)
+        this->close();
+}
+
+} // namespace lagoonladder::http
--- /dev/null
+++ b/src/process/http/internal/server_connection.hpp
@@ -0,0 +1,103 @@
+#ifndef LAGOONLADDER_HTTP_SERVER_CONNECTION_HPP
+#define LAGOONLADDER_HTTP_SERVER_CONNECTION_HPP
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio.hpp>
+
+#include <lagoonladder/http/server.hpp>
+
+#include "message_parser.hpp"
+
+namespace lagoonladder::http
+{
+
+/// What the connections of one server share.
+struct server_context
+{
+    server_options options;
+    request_handler& handler;
+    std::function<connection_limits()> limits;
+    event_sink& events;
+    clock const& time;
+    /// Connections end after their next answer.
+    bool closes_after_answers = false;
+    std::size_t open_connections = 0;
+};
+
+/// One accepted connection: reads requests one after the other and writes their answers.
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(asio::ip::tcp::socket accepted, std::shared_ptr<server_context> shared);
+    ~server_connection();
+
+    server_connection(server_connection const&) = delete;
+    server_connection& operator=(server_connection const&) = delete;
+
+    void start();
+    void close();
+
+    // For the exchange of the current request.
+    request_head const& head();
+    std::string const& body();
+    time_point arrived() const { return this->request_began; }
+    void respond(response_head head, std::string_view content);
+    void begin(response_head head, std::optional<std::uint64_t> length);
+    void write(std::string_view bytes);
+    void finish();
+    std::size_t unsent_bytes() const { return this->pending.size() + this->writing.size(); }
+
+    std::function<void()> closed_handler;
+    std::function<void()> drained_handler;
+
+private:
+    enum class phase
+    {
+        idle,
+        reading,
+        /// The handler has the request.
+        handling,
+        /// The answer is complete but not yet written; nothing more is read.
+        finishing,
+        /// All is written; rest of the caller's bytes is dropped.
+        lingering,
+        closed
+    };
+
+    void read();
+    void on_read(std::size_t count);
+    void on_read_end();
+    void take_input();
+    void dispatch();
+    void reject(parse_problem const& problem);
+    void add_connection_field(response_head& head);
+    void flush();
+    void on_written();
+    void answer_complete();
+    void next_request();
+    void linger();
+    void set_timer(duration span);
+    void on_timer();
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::shared_ptr<server_context> context;
+    phase state = phase::idle;
+    std::unique_ptr<request_parser> parser;
+    std::array<char, 8192> chunk{};
+    std::string input;
+    std::string pending;
+    std::string writing;
+    time_point request_began{};
+    bool reads = false;
+    bool is_chunked = false;
+    bool closes = false;
+};
+
+} // namespace lagoonladder::http
+
+#endif
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -8,6 +8,7 @@
 #include <lagoonladder/version/control_state.hpp>
 #include <lagoonladder/version/move_controller.hpp>
 #include <lagoonladder/version/order_book.hpp>
+#include <lagoonladder/version/service_map.hpp>
 #include <lagoonladder/version/traffic_sample.hpp>
 
 #endif
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -13,6 +13,7 @@
 
 #include <lagoonladder/request.hpp>
 #include <lagoonladder/version/configuration.hpp>
+#include <lagoonladder/version/service_map.hpp>
 
 namespace lagoonladder::version
 {
@@ -83,8 +84,47 @@
 {
 };
 
-using command_body = std::variant<apply_configuration, update_move, reserve_orders, expire_records,
-                                  request::once_begin, request::once_refuse, request::once_finish>;
+/// Stores a pass-through configuration when its number is the highest so far.
+struct apply_service_map
+{
+    service_map map;
+    /// The operator's text, returned as it was sent.
+    std::string document;
+};
+
+/// Reads the pass-through configuration and its moves through the log, so that the
+/// answer reflects everything that was acknowledged before.
+struct read_pass_state
+{
+    bool with_document = true;
+};
+
+/// Starts a move of a pass-through service to another version.
+struct start_service_move
+{
+    service_name service;
+    version_name to;
+    /// Time until the move has to be finished.
+    duration span{};
+};
+
+/// Fixes the counts of one usage window; the first counts of a window are final.
+struct close_usage_window
+{
+    std::uint64_t window = 0;
+    std::map<account_id, std::uint64_t> counts;
+};
+
+/// The usage of a window was taken by the platform.
+struct confirm_usage_window
+{
+    std::uint64_t window = 0;
+};
+
+using command_body =
+    std::variant<apply_configuration, update_move, reserve_orders, expire_records,
+                 request::once_begin, request::once_refuse, request::once_finish, apply_service_map,
+                 read_pass_state, start_service_move, close_usage_window, confirm_usage_window>;
 
 /// A command as it stands in the log. `now` is set by the leader and never goes back.
 struct command
@@ -134,8 +174,51 @@
 {
 };
 
+struct apply_map_result
+{
+    /// False when the stored number was not lower; nothing has changed then.
+    bool stored = false;
+    /// Number in force.
+    std::uint64_t number = 0;
+};
+
+struct pass_state_result
+{
+    std::uint64_t number = 0;
+    /// Empty when no configuration is stored, or when it was not asked for.
+    std::string document;
+    /// Moves of all services, oldest first.
+    std::vector<move_record> moves;
+};
+
+enum class start_move_outcome
+{
+    started,
+    /// The move is running, or has just ended.
+    repeated,
+    unknown_service
+};
+
+struct start_move_result
+{
+    start_move_outcome outcome = start_move_outcome::unknown_service;
+};
+
+/// One closed window of usage counts.
+struct usage_window
+{
+    std::map<account_id, std::uint64_t> counts;
+    bool is_confirmed = false;
+};
+
+struct usage_window_result
+{
+    usage_window window;
+};
+
 using command_result = std::variant<no_result, apply_result, update_move_result,
-                                    reserve_orders_result, request::once_reply>;
+                                    reserve_orders_result, request::once_reply, apply_map_result,
+                                    pass_state_result, start_move_result, usage_window_result>;
 
 std::string encode(command_result const& value);
 command_result decode_command_result(std::string const& bytes);
@@ -165,6 +248,10 @@
     version::configuration configuration;
     std::vector<move_record> moves;
     std::map<service_name, traffic_split> splits;
+    /// Pass-through configuration in force; null before the first one.
+    std::shared_ptr<service_index const> services;
+    /// Operator's text of `services`.
+    std::string service_document;
 };
 
 std::string encode(shared_state const& value);
@@ -185,6 +272,8 @@
     std::shared_ptr<shared_state const> shared() const;
     request::once_table const& once_records() const;
     std::uint64_t next_order_sequence() const;
+    /// Closed usage windows by number; the oldest ones are dropped.
+    std::map<std::uint64_t, usage_window> const& usage_windows() const;
     /// The largest `now` that was applied.
     wall_time latest_time() const;
 
@@ -199,6 +288,11 @@
     /// Ended moves that stay visible for each service.
     static constexpr std::size_t max_ended_moves = 16;
 
+    /// A start of the same move within this time after its end is a resent one.
+    static constexpr duration resent_start_age = seconds(20);
+
+    static constexpr std::size_t max_usage_windows = 64;
+
 private:
     struct stored_operation
     {
@@ -213,6 +307,11 @@
     command_result apply_body(request::once_begin const& body);
     command_result apply_body(request::once_refuse const& body);
     command_result apply_body(request::once_finish const& body);
+    command_result apply_body(apply_service_map const& body);
+    command_result apply_body(read_pass_state const& body);
+    command_result apply_body(start_service_move const& body);
+    command_result apply_body(close_usage_window const& body);
+    command_result apply_body(confirm_usage_window const& body);
     apply_result conflict_result(lagoonladder::generation base) const;
     void store(apply_configuration const& body, configuration parsed, std::string digest);
     void forget_old_operations();
@@ -227,6 +326,7 @@
     std::map<operation_id, stored_operation> operations;
     std::map<lagoonladder::generation, operation_id> operation_order;
     request::once_table once;
+    std::map<std::uint64_t, usage_window> usage;
     mutable std::shared_ptr<shared_state const> published;
 };
 
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -1,6 +1,7 @@
 #include <lagoonladder/version/control_state.hpp>
 
 #include "envelope.hpp"
+#include "usage_json.hpp"
 
 namespace lagoonladder::version
 {
@@ -55,6 +56,103 @@
 
 static void from_json(nlohmann::json const&, expire_records&) {}
 
+static void to_json(nlohmann::json& out, apply_service_map const& in)
+{
+    out = {{"map", in.map}, {"document", in.document}};
+}
+
+static void from_json(nlohmann::json const& in, apply_service_map& out)
+{
+    in.at("map").get_to(out.map);
+    in.at("document").get_to(out.document);
+}
+
+static void to_json(nlohmann::json& out, read_pass_state const& in)
+{
+    out = {{"with_document", in.with_document}};
+}
+
+static void from_json(nlohmann::json const& in, read_pass_state& out)
+{
+    in.at("with_document").get_to(out.with_document);
+}
+
+static void to_json(nlohmann::json& out, start_service_move const& in)
+{
+    out = {{"service", in.service}, {"to", in.to}, {"span", in.span}};
+}
+
+static void from_json(nlohmann::json const& in, start_service_move& out)
+{
+    in.at("service").get_to(out.service);
+    in.at("to").get_to(out.to);
+    in.at("span").get_to(out.span);
+}
+
+static void to_json(nlohmann::json& out, close_usage_window const& in)
+{
+    out = {{"window", in.window}, {"counts", counts_json(in.counts)}};
+}
+
+static void from_json(nlohmann::json const& in, close_usage_window& out)
+{
+    in.at("window").get_to(out.window);
+    out.counts = counts_from(in.at("counts"));
+}
+
+static void to_json(nlohmann::json& out, confirm_usage_window const& in)
+{
+    out = {{"window", in.window}};
+}
+
+static void from_json(nlohmann::json const& in, confirm_usage_window& out)
+{
+    in.at("window").get_to(out.window);
+}
+
+static void to_json(nlohmann::json& out, apply_map_result const& in)
+{
+    out = {{"stored", in.stored}, {"number", in.number}};
+}
+
+static void from_json(nlohmann::json const& in, apply_map_result& out)
+{
+    in.at("stored").get_to(out.stored);
+    in.at("number").get_to(out.number);
+}
+
+static void to_json(nlohmann::json& out, pass_state_result const& in)
+{
+    out = {{"number", in.number}, {"document", in.document}, {"moves", in.moves}};
+}
+
+static void from_json(nlohmann::json const& in, pass_state_result& out)
+{
+    in.at("number").get_to(out.number);
+    in.at("document").get_to(out.document);
+    in.at("moves").get_to(out.moves);
+}
+
+static void to_json(nlohmann::json& out, start_move_result const& in)
+{
+    out = {{"outcome", static_cast<int>(in.outcome)}};
+}
+
+static void from_json(nlohmann::json const& in, start_move_result& out)
+{
+    out.outcome = enum_from(in.at("outcome"), start_move_outcome::unknown_service);
+}
+
+static void to_json(nlohmann::json& out, usage_window_result const& in)
+{
+    out = {{"window", in.window}};
+}
+
+static void from_json(nlohmann::json const& in, usage_window_result& out)
+{
+    in.at("window").get_to(out.window);
+}
+
 static void to_json(nlohmann::json& out, no_result const&)
 {
     out = nullptr;
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -5,6 +5,7 @@
 #include "envelope.hpp"
 #include "move_rules.hpp"
 #include "shared_state_json.hpp"
+#include "usage_json.hpp"
 
 namespace lagoonladder::version
 {
@@ -42,6 +43,11 @@
     return this->order_sequence;
 }
 
+std::map<std::uint64_t, usage_window> const& control_state::usage_windows() const
+{
+    return this->usage;
+}
+
 wall_time control_state::latest_time() const
 {
     return this->time;
@@ -170,6 +176,57 @@
     return this->once.finish(this->time, body);
 }
 
+command_result control_state::apply_body(apply_service_map const& body)
+{
+    auto const& known = this->current.services;
+    if (known && body.map.number <= known->map().number)
+        return apply_map_result{false, known->map().number};
+    this->current.services = std::make_shared<service_index const>(body.map);
+    this->current.service_document = body.document;
+    this->current.changed_index = this->index;
+    return apply_map_result{true, body.map.number};
+}
+
+command_result control_state::apply_body(read_pass_state const& body)
+{
+    pass_state_result result;
+    if (this->current.services)
+        result.number = this->current.services->map().number;
+    if (body.with_document)
+        result.document = this->current.service_document;
+    result.moves = this->current.moves;
+    return result;
+}
+
+command_result control_state::apply_body(start_service_move const& body)
+{
+    auto const& known = this->current.services;
+    if (!known || known->find_service(body.service) == nullptr)
+        return start_move_result{start_move_outcome::unknown_service};
+    bool const started = move_rules(this->current, this->time)
+                             .start_service_move(body, lagoonladder::generation(this->index));
+    if (started)
+        this->current.changed_index = this->index;
+    return start_move_result{started ? start_move_outcome::started : start_move_outcome::repeated};
+}
+
+command_result control_state::apply_body(close_usage_window const& body)
+{
+    auto const stored = this->usage.try_emplace(body.window, usage_window{body.counts, false});
+    auto const result = usage_window_result{stored.first->second};
+    while (this->usage.size() > max_usage_windows)
+        this->usage.erase(this->usage.begin());
+    return result;
+}
+
+command_result control_state::apply_body(confirm_usage_window const& body)
+{
+    auto const found = this->usage.find(body.window);
+    if (found != this->usage.end())
+        found->second.is_confirmed = true;
+    return no_result{};
+}
+
 std::string control_state::snapshot() const
 {
     return seal(envelope_kind::of_snapshot, this->snapshot_json());
@@ -181,10 +238,13 @@
     for (auto const& [id, operation] : this->operations)
         stored.push_back(
             {{"id", id}, {"generation", operation.generation}, {"digest", operation.digest}});
+    auto windows = nlohmann::json::array();
+    for (auto const& [number, window] : this->usage)
+        windows.push_back({{"number", number}, {"window", window}});
     return {{"index", this->index},           {"time", this->time},
             {"order_term", this->order_term}, {"order_sequence", this->order_sequence},
             {"shared", this->current},        {"operations", std::move(stored)},
-            {"once", this->once.snapshot()}};
+            {"once", this->once.snapshot()},  {"usage", std::move(windows)}};
 }
 
 void control_state::restore(std::string const& bytes)
@@ -211,6 +271,12 @@
         this->operations.emplace(id, std::move(operation));
     }
     this->once.restore(in.at("once"));
+    // Snapshots of earlier releases hold no usage windows.
+    if (!in.contains("usage"))
+        return;
+    for (auto const& item : in.at("usage"))
+        this->usage.emplace(item.at("number").get<std::uint64_t>(),
+                            item.at("window").get<usage_window>());
 }
 
 } // namespace lagoonladder::version
--- a/src/version/internal/move_rules.cpp
+++ b/src/version/internal/move_rules.cpp
@@ -83,6 +83,36 @@
     this->state.moves.push_back(std::move(move));
 }
 
+bool move_rules::start_service_move(lagoonladder::version::start_service_move const& order,
+                                    lagoonladder::generation stored)
+{
+    auto const latest =
+        std::find_if(this->state.moves.rbegin(), this->state.moves.rend(),
+                     [&](move_record const& move) { return move.service == order.service; });
+    if (latest != this->state.moves.rend() && latest->to == order.to)
+    {
+        bool const is_resent =
+            !latest->ended || this->now - *latest->ended < control_state::resent_start_age;
+        if (is_resent)
+            return false;
+    }
+    if (auto* running = this->find_running(order.service))
+        this->end(*running, move_state::reversed, "another move was started");
+    auto& split = this->state.splits[order.service];
+    move_record move;
+    move.service = order.service;
+    move.from = split.stable;
+    move.to = order.to;
+    move.started = this->now;
+    move.finish_by = this->now + order.span;
+    move.generation = stored;
+    split.candidate = order.to;
+    split.candidate_share = 0;
+    this->state.moves.push_back(std::move(move));
+    this->drop_old_moves();
+    return true;
+}
+
 bool move_rules::update(update_move const& change)
 {
     auto* move = this->find_running(change.service);
@@ -138,7 +168,9 @@
 {
     for (auto split = this->state.splits.begin(); split != this->state.splits.end();)
     {
-        if (next.find_service(split->first) != nullptr)
+        bool const is_passed_through =
+            this->state.services && this->state.services->find_service(split->first) != nullptr;
+        if (is_passed_through || next.find_service(split->first) != nullptr)
         {
             ++split;
             continue;
--- a/src/version/internal/move_rules.hpp
+++ b/src/version/internal/move_rules.hpp
@@ -22,6 +22,11 @@
     /// Takes over `next` as generation `stored`: starts, reverses and drops moves.
     void take_over(configuration next, lagoonladder::generation stored);
 
+    /// Starts a move of a pass-through service; a running move to another version
+    /// is reversed. False when the same move is running or has just ended.
+    bool start_service_move(lagoonladder::version::start_service_move const& order,
+                            lagoonladder::generation stored);
+
     /// False when the service has no running move of that generation.
     bool update(update_move const& change);
 
--- a/src/version/internal/shared_state.cpp
+++ b/src/version/internal/shared_state.cpp
@@ -71,7 +71,9 @@
            {"file", in.file},
            {"text", in.text},
            {"moves", in.moves},
-           {"splits", std::move(splits)}};
+           {"splits", std::move(splits)},
+           {"services", in.services ? nlohmann::json(in.services->map()) : nlohmann::json()},
+           {"service_document", in.service_document}};
 }
 
 void from_json(nlohmann::json const& in, shared_state& out)
@@ -86,6 +88,15 @@
     for (auto const& item : in.at("splits"))
         out.splits.emplace(item.at("service").get<service_name>(),
                            item.at("split").get<traffic_split>());
+    out.services.reset();
+    // States of earlier releases hold no pass-through configuration.
+    if (in.contains("services"))
+    {
+        if (!in.at("services").is_null())
+            out.services =
+                std::make_shared<service_index const>(in.at("services").get<service_map>());
+        in.at("service_document").get_to(out.service_document);
+    }
     try
     {
         out.configuration = parse_configuration(out.file, out.text);
--- /dev/null
+++ b/src/version/tests/service_map_test.cpp
@@ -0,0 +1,152 @@
+#include <catch2/catch.hpp>
+
+#include <lagoonladder/version.hpp>
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+
+namespace
+{
+
+pass_route make_route(std::string const& name, std::string const& prefix)
+{
+    pass_route route;
+    route.name = route_name(name);
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.split = {{service_name("s"), 1}};
+    return route;
+}
+
+service_map make_map(std::uint64_t number)
+{
+    service_map map;
+    map.number = number;
+    pass_service service;
+    service.name = service_name("s");
+    map.services.push_back(service);
+    map.routes = {make_route("a", "/a/"), make_route("ab", "/a/b/"), make_route("all", "/")};
+    pass_account account;
+    account.name = account_id("t");
+    account.keys = {"k1", "k2"};
+    account.quota = token_quota{10, 20, 5};
+    map.accounts.push_back(account);
+    return map;
+}
+
+command make_command(command_body body, wall_time now = wall_time(seconds(1)))
+{
+    return decode_command(encode(command{now, std::move(body)}));
+}
+
+} // namespace
+
+TEST_CASE("the route with the longest prefix is found")
+{
+    service_index const index(make_map(1));
+    auto const found = [&](char const* path) { return index.find_route("h", path)->name.value(); };
+    CHECK(found("/a/b/c") == "ab");
+    CHECK(found("/a/b?x=/a/b/") == "a");
+    CHECK(found("/a/") == "a");
+    CHECK(found("/x") == "all");
+    CHECK(index.find_route("other", "/a/") == nullptr);
+    CHECK(index.find_account_by_key("k2")->name == account_id("t"));
+    CHECK(index.find_account_by_key("k3") == nullptr);
+}
+
+TEST_CASE("invalid service maps are told apart")
+{
+    // Guards against a configuration in force that no route can be chosen from.
+    auto const problem = [](auto change)
+    {
+        auto map = make_map(1);
+        change(map);
+        return find_problem(map);
+    };
+    CHECK(problem([](auto&) {}).empty());
+    CHECK_FALSE(
+        problem([](auto& map) { map.routes[0].split[0].service = service_name("x"); }).empty());
+    CHECK_FALSE(problem([](auto& map) { map.routes[0].split[0].weight = 0; }).empty());
+    CHECK_FALSE(problem([](auto& map) { map.routes[0].timeout = duration(0); }).empty());
+    CHECK_FALSE(problem([](auto& map) { map.routes[1].path_prefix = "/a/"; }).empty());
+    CHECK_FALSE(problem([](auto& map) { map.accounts.push_back(map.accounts[0]); }).empty());
+    CHECK_FALSE(problem(
+                    [](auto& map)
+                    {
+                        map.accounts.push_back(map.accounts[0]);
+                        map.accounts[1].name = account_id("other");
+                    })
+                    .empty());
+}
+
+TEST_CASE("the highest configuration number stays in force")
+{
+    // Guards against an older or changed configuration replacing an acknowledged one.
+    control_state state;
+    auto const apply = [&](std::uint64_t index, std::uint64_t number, std::string const& text)
+    {
+        return std::get<apply_map_result>(
+            state.apply(index, make_command(apply_service_map{make_map(number), text})));
+    };
+    CHECK(apply(1, 7, "seven").stored);
+    CHECK_FALSE(apply(2, 7, "other content").stored);
+    CHECK_FALSE(apply(3, 5, "five").stored);
+    CHECK(apply(4, 9, "nine").stored);
+
+    control_state restored;
+    restored.restore(state.snapshot());
+    auto const read =
+        std::get<pass_state_result>(restored.apply(5, make_command(read_pass_state{true})));
+    CHECK(read.number == 9);
+    CHECK(read.document == "nine");
+
+    auto const shared = decode_shared_state(encode(*restored.shared()));
+    REQUIRE(shared.services);
+    CHECK(nlohmann::json(shared.services->map()) == nlohmann::json(make_map(9)));
+}
+
+TEST_CASE("the first counts of a usage window are final")
+{
+    // Guards against two reports of one window with different counts after a change of leader.
+    control_state state;
+    auto const close = [&](std::uint64_t index, std::uint64_t count)
+    {
+        return std::get<usage_window_result>(
+                   state.apply(index,
+                               make_command(close_usage_window{3, {{account_id("t"), count}}})))
+            .window;
+    };
+    CHECK(close(1, 5).counts.at(account_id("t")) == 5);
+    CHECK(close(2, 6).counts.at(account_id("t")) == 5);
+    state.apply(3, make_command(confirm_usage_window{3}));
+    control_state restored;
+    restored.restore(state.snapshot());
+    CHECK(restored.usage_windows().at(3).is_confirmed);
+    CHECK(restored.usage_windows().at(3).counts.at(account_id("t")) == 5);
+}
+
+TEST_CASE("a resent start of a move has no second effect")
+{
+    control_state state;
+    state.apply(1, make_command(apply_service_map{make_map(1), "one"}));
+    auto const start = [&](std::uint64_t index, char const* service, char const* to,
+                           wall_time now = wall_time(seconds(1)))
+    {
+        return std::get<start_move_result>(
+                   state.apply(index,
+                               make_command(start_service_move{service_name(service),
+                                                               version_name(to), seconds(12)},
+                                            now)))
+            .outcome;
+    };
+    CHECK(start(2, "x", "v2") == start_move_outcome::unknown_service);
+    CHECK(start(3, "s", "v2") == start_move_outcome::started);
+    CHECK(start(4, "s", "v2") == start_move_outcome::repeated);
+    auto const move = state.shared()->moves.at(0);
+    CHECK(move.state == move_state::running);
+    state.apply(5, make_command(update_move{
+                       service_name("s"), move.generation, 0, move_state::reversed, "bad", {}}));
+    // The operator repeats an order whose answer was lost; the verdict stands.
+    CHECK(start(6, "s", "v2") == start_move_outcome::repeated);
+    CHECK(start(7, "s", "v2", wall_time(seconds(60))) == start_move_outcome::started);
+}
