--- a/cmake/lagoonladder.cmake
+++ b/cmake/lagoonladder.cmake
@@ -18,14 +18,16 @@
     PRIVATE ${ARG_PRIVATE_DEPENDS} lagoonladder_warnings)
 endfunction()
 
-include(Catch)
+if(LAGOONLADDER_TESTS)
+  include(Catch)
+endif()
 
 # lagoonladder_test(NAME): one Catch2 program from tests/*.cpp; ctest knows each
 # Catch2 case as "NAME: case".
 function(lagoonladder_test name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS tests/*.cpp)
-  if(NOT sources)
+  if(NOT sources OR NOT LAGOONLADDER_TESTS)
     return()
   endif()
   add_executable(${name}_test ${sources} ${PROJECT_SOURCE_DIR}/cmake/catch_main.cpp)
--- a/src/connection/include/lagoonladder/connection/entry_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_directory.hpp
@@ -82,6 +82,10 @@
     /// Call once per gossip interval: counts the own heartbeat up and takes over the figures.
     void beat(generation current, std::uint32_t open_requests);
 
+    /// Address for callers of pass-through routes, empty while none are taken, and the
+    /// demand of their accounts.
+    void set_pass_through(network_address address, std::map<account_id, double> demand);
+
     /// Marks this or another entry as leaving.
     entry_result set_leaving(time_point now, vm_id const& vm);
 
--- a/src/connection/include/lagoonladder/connection/entry_record.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_record.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_CONNECTION_ENTRY_RECORD_HPP
 
 #include <cstdint>
+#include <map>
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,10 @@
     std::uint32_t open_requests = 0;
     /// Whether the VM has a data folder and can be a voter.
     bool has_disk = false;
+    /// Where callers of pass-through routes connect; empty when it takes none now.
+    network_address pass_through;
+    /// Tokens a second that accounts ask for at this entry.
+    std::map<account_id, double> demand;
 };
 
 void to_json(nlohmann::json& out, entry_record const& in);
--- a/src/connection/internal/entry_directory.cpp
+++ b/src/connection/internal/entry_directory.cpp
@@ -83,6 +83,12 @@
     this->self.open_requests = open_requests;
 }
 
+void entry_directory::set_pass_through(network_address address, std::map<account_id, double> demand)
+{
+    this->self.pass_through = std::move(address);
+    this->self.demand = std::move(demand);
+}
+
 entry_result entry_directory::set_leaving(time_point now, vm_id const& vm)
 {
     auto const found = this->rows.find(vm);
--- a/src/connection/internal/entry_record.cpp
+++ b/src/connection/internal/entry_record.cpp
@@ -5,6 +5,32 @@
 namespace lagoonladder::connection
 {
 
+namespace
+{
+
+nlohmann::json demand_json(std::map<account_id, double> const& demand)
+{
+    auto out = nlohmann::json::array();
+    for (auto const& [account, rate] : demand)
+        out.push_back({account, rate});
+    return out;
+}
+
+void read_demand(nlohmann::json const& in, char const* name, std::map<account_id, double>& out)
+{
+    out.clear();
+    for (auto const& item : require_field(in, name))
+    {
+        bool const is_pair = item.is_array() && item.size() == 2 && item[0].is_string() &&
+                             item[1].is_number() && item[1].get<double>() >= 0;
+        if (!is_pair)
+            throw_field_error(in, name, "holds no pairs of account and rate");
+        out.emplace(item[0].get<account_id>(), item[1].get<double>());
+    }
+}
+
+} // namespace
+
 void to_json(nlohmann::json& out, entry_record const& in)
 {
     out = {{"vm", in.vm},
@@ -17,7 +43,9 @@
            {"heartbeat", in.heartbeat},
            {"generation", in.generation},
            {"open_requests", in.open_requests},
-           {"has_disk", in.has_disk}};
+           {"has_disk", in.has_disk},
+           {"pass_through", in.pass_through},
+           {"demand", demand_json(in.demand)}};
 }
 
 void from_json(nlohmann::json const& in, entry_record& out)
@@ -34,6 +62,8 @@
     read_field(in, "generation", row.generation);
     read_field(in, "open_requests", row.open_requests);
     read_field(in, "has_disk", row.has_disk);
+    read_field(in, "pass_through", row.pass_through);
+    read_demand(in, "demand", row.demand);
     out = std::move(row);
 }
 
--- a/src/process/daemon/internal/consensus_driver.cpp
+++ b/src/process/daemon/internal/consensus_driver.cpp
@@ -13,6 +13,8 @@
 constexpr int heartbeats_per_election_timeout = 3;
 constexpr int ticks_per_heartbeat = 4;
 constexpr duration expiry_interval = seconds(5);
+/// Entries are kept in memory behind a snapshot for followers that lag a little.
+constexpr std::uint64_t retained_part = 8;
 
 char const* to_string(consensus::role role)
 {
@@ -38,6 +40,8 @@
     options.self = std::move(self);
     options.election_timeout = config.election_timeout;
     options.heartbeat_interval = config.election_timeout / heartbeats_per_election_timeout;
+    options.retained_entries =
+        std::min(options.retained_entries, config.snapshot_after_entries / retained_part);
     return options;
 }
 
@@ -87,6 +91,11 @@
         pending.done(false);
 }
 
+void consensus_driver::set_voter_source(std::function<std::vector<network_address>()> source)
+{
+    this->known_voters = std::move(source);
+}
+
 void consensus_driver::set_applied_handler(std::function<void()> handler)
 {
     this->on_applied = std::move(handler);
@@ -132,8 +141,9 @@
     this->report_role();
     this->propose_expiry();
     this->advance_members();
-    if (!this->node.membership().voters.contains(this->node.self()) &&
-        this->time.now() >= this->next_join)
+    bool const is_voter = this->node.membership().voters.contains(this->node.self());
+    // A voter that was removed while it was cut off has heard nothing of it.
+    if ((!is_voter || this->lacks_leader()) && this->time.now() >= this->next_join)
         this->request_join();
 }
 
@@ -216,6 +226,7 @@
     version::command_result result;
     if (entry.kind == consensus::entry_kind::command)
         result = this->control.apply(entry.index.value(), version::decode_command(entry.data));
+    this->bytes_since_snapshot += entry.data.size();
     this->applied = entry.index.value();
     this->resolve_proposal(entry, result);
 }
@@ -333,8 +344,12 @@
 
 void consensus_driver::compact_if_due()
 {
-    if (this->applied < this->node.snapshot_index().value() + this->options.snapshot_after_entries)
+    bool const is_long =
+        this->applied >= this->node.snapshot_index().value() + this->options.snapshot_after_entries;
+    bool const is_large = this->bytes_since_snapshot >= this->options.snapshot_after_bytes;
+    if (!is_long && !is_large)
         return;
+    this->bytes_since_snapshot = 0;
     this->node.compact(consensus::log_index(this->applied), this->control.snapshot());
     this->schedule_flush();
     this->events.emit(severity::info, "consensus.snapshot_stored",
--- a/src/process/daemon/internal/consensus_driver.hpp
+++ b/src/process/daemon/internal/consensus_driver.hpp
@@ -57,6 +57,9 @@
     /// Called after entries were applied.
     void set_applied_handler(std::function<void()> handler);
 
+    /// Names further addresses at which the group may be found.
+    void set_voter_source(std::function<std::vector<network_address>()> source);
+
     void propose(version::command_body body, time_point deadline, proposal_handler done);
     void read(time_point deadline, read_handler done);
     void step(std::string const& from, std::string const& from_address,
@@ -113,7 +116,14 @@
     void report_role();
     void propose_expiry();
     void advance_members();
+    bool promote_learner();
+    bool remove_replaced_voter();
+    void remove_dead_voter();
+    void note_activity();
+    bool propose_removal(consensus::voter_id const& id, char const* reason);
+    bool lacks_leader();
     void request_join();
+    bool is_self(initial_voter const& voter) const;
     void identify_initial_voters();
     void found_group();
 
@@ -146,9 +156,15 @@
     time_point next_member_check{};
     time_point next_join{};
     /// Voter ids of the initial voters that answered with an empty log.
-    std::map<vm_id, consensus::voter_id> empty_voters;
+    std::map<network_address, consensus::voter_id> empty_voters;
     std::size_t join_target = 0;
     network_address join_hint;
+    std::function<std::vector<network_address>()> known_voters;
+    /// Voters that do not answer this leader, and since when.
+    std::map<consensus::voter_id, time_point> inactive_since;
+    time_point leader_heard{};
+    /// Bytes of commands applied since the last snapshot.
+    std::uint64_t bytes_since_snapshot = 0;
 };
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/consensus_membership.cpp
+++ b/src/process/daemon/internal/consensus_membership.cpp
@@ -18,6 +18,12 @@
 /// itself refuses a learner that lacks committed ones.
 constexpr std::uint64_t promotable_lag = 0;
 
+/// Longer than a voter is cut off or stopped for a repair.
+constexpr duration dead_voter_time = seconds(10);
+/// Voters that have to be left when a dead one is removed, so that one more may fail.
+constexpr std::size_t least_active_voters = 3;
+constexpr duration lost_leader_time = seconds(3);
+
 } // namespace
 
 consensus_driver::join_result consensus_driver::join(consensus::voter_id const& id,
@@ -54,12 +60,36 @@
 void consensus_driver::advance_members()
 {
     auto const now = this->time.now();
-    if (!this->is_leader() || now < this->next_member_check)
+    if (!this->is_leader())
+    {
+        this->inactive_since.clear();
+        return;
+    }
+    if (now < this->next_member_check)
         return;
     this->next_member_check = now + member_check_interval;
+    this->note_activity();
+    if (this->promote_learner() || this->remove_replaced_voter())
+        return;
+    this->remove_dead_voter();
+}
+
+void consensus_driver::note_activity()
+{
+    auto const now = this->time.now();
+    for (auto const& follower : this->node.followers(now))
+    {
+        if (follower.active)
+            this->inactive_since.erase(follower.id);
+        else
+            this->inactive_since.try_emplace(follower.id, now);
+    }
+}
 
+bool consensus_driver::promote_learner()
+{
     using operation = consensus::membership_change::operation;
-    auto const& members = this->node.membership();
+    auto const now = this->time.now();
     for (auto const& follower : this->node.followers(now))
     {
         if (!follower.learner || !follower.active ||
@@ -72,11 +102,17 @@
         this->schedule_flush();
         this->events.emit(severity::info, "consensus.voter_promoted",
                           {{"voter", follower.id.value()}});
-        return;
+        return true;
     }
+    return false;
+}
+
+bool consensus_driver::remove_replaced_voter()
+{
     // Two voters of one VM: the one with the lost log is replaced by the one
     // that joined, which is active.
-    for (auto const& follower : this->node.followers(now))
+    auto const& members = this->node.membership();
+    for (auto const& follower : this->node.followers(this->time.now()))
     {
         bool const replaced =
             std::any_of(members.voters.begin(), members.voters.end(),
@@ -85,19 +121,51 @@
                             return voter.first != follower.id &&
                                    consensus::vm_of(voter.first) == consensus::vm_of(follower.id);
                         });
-        if (!replaced || follower.active)
-            continue;
-        auto const proposed =
-            this->node.propose_membership(now, {operation::remove, follower.id, {}});
-        if (proposed.status != consensus::change_status::accepted)
-            continue;
-        this->schedule_flush();
-        this->events.emit(severity::info, "consensus.voter_removed",
-                          {{"voter", follower.id.value()}});
+        if (replaced && !follower.active && this->propose_removal(follower.id, "replaced"))
+            return true;
+    }
+    return false;
+}
+
+void consensus_driver::remove_dead_voter()
+{
+    // A VM that never comes back would count towards the quorum for ever. One that
+    // does come back joins again.
+    auto const now = this->time.now();
+    auto const& members = this->node.membership();
+    auto const inactive = static_cast<std::size_t>(
+        std::count_if(this->inactive_since.begin(), this->inactive_since.end(),
+                      [&](auto const& item) { return members.voters.contains(item.first); }));
+    if (members.voters.size() - inactive < least_active_voters)
         return;
+    for (auto const& [id, since] : this->inactive_since)
+    {
+        bool const is_dead = now - since >= dead_voter_time && members.contains(id);
+        if (is_dead && this->propose_removal(id, "silent"))
+            return;
     }
 }
 
+bool consensus_driver::propose_removal(consensus::voter_id const& id, char const* reason)
+{
+    auto const proposed = this->node.propose_membership(
+        this->time.now(), {consensus::membership_change::operation::remove, id, {}});
+    if (proposed.status != consensus::change_status::accepted)
+        return false;
+    this->schedule_flush();
+    this->events.emit(severity::info, "consensus.voter_removed",
+                      {{"voter", id.value()}, {"reason", reason}});
+    return true;
+}
+
+bool consensus_driver::lacks_leader()
+{
+    auto const now = this->time.now();
+    if (this->node.has_recent_quorum(now) || this->leader_heard == time_point())
+        this->leader_heard = now;
+    return now - this->leader_heard >= lost_leader_time;
+}
+
 void consensus_driver::request_join()
 {
     this->next_join = this->time.now() + join_interval;
@@ -110,10 +178,17 @@
     auto target = this->leader_address();
     if (!this->join_hint.value().empty())
         target = std::exchange(this->join_hint, {});
-    if (target.value().empty())
+    if (target.value().empty() || this->lacks_leader())
     {
-        auto const& voters = this->options.initial_voters;
-        target = voters[this->join_target++ % voters.size()].control;
+        std::vector<network_address> candidates;
+        for (auto const& voter : this->options.initial_voters)
+            candidates.push_back(voter.control);
+        if (this->known_voters)
+        {
+            for (auto const& address : this->known_voters())
+                candidates.push_back(address);
+        }
+        target = candidates[this->join_target++ % candidates.size()];
     }
     if (target == this->options.control)
         return;
@@ -135,39 +210,47 @@
     // say that they hold no state: a founder that lost its disk must not found
     // a second group.
     auto const& voters = this->options.initial_voters;
-    if (voters.front().vm != this->options.vm)
+    if (!this->options.may_found_group || !this->is_self(voters.front()))
         return;
     this->empty_voters.clear();
-    this->empty_voters.emplace(this->options.vm, this->node.self());
+    this->empty_voters.emplace(voters.front().control, this->node.self());
     if (voters.size() == 1)
         return this->found_group();
     for (auto const& voter : voters)
     {
-        if (voter.vm == this->options.vm)
+        if (this->is_self(voter))
             continue;
         std::shared_ptr stub = protocol::Consensus::NewStub(this->peers.channel(voter.control));
         call_async<protocol::IdentifyReply>(
             this->context, this->peers, join_timeout, protocol::IdentifyRequest(),
             [stub](auto* call, auto const* sent, auto* reply, auto done)
             { stub->async()->Identify(call, sent, reply, std::move(done)); },
-            [this, stub, vm = voter.vm](grpc::Status const& status, protocol::IdentifyReply& reply)
+            [this, stub, voter](grpc::Status const& status, protocol::IdentifyReply& reply)
             {
-                if (!status.ok() || reply.has_state() || reply.vm() != vm.value())
+                bool const is_expected = voter.vm.value().empty() || reply.vm() == voter.vm.value();
+                if (!status.ok() || reply.has_state() || !is_expected)
                     return;
-                this->empty_voters[vm] = consensus::voter_id(reply.voter());
+                this->empty_voters[voter.control] = consensus::voter_id(reply.voter());
                 if (this->empty_voters.size() == this->options.initial_voters.size())
                     this->found_group();
             });
     }
 }
 
+bool consensus_driver::is_self(initial_voter const& voter) const
+{
+    if (voter.vm.value().empty())
+        return voter.control == this->options.control;
+    return voter.vm == this->options.vm;
+}
+
 void consensus_driver::found_group()
 {
     if (this->has_log() || this->stopped)
         return;
     consensus::membership members;
     for (auto const& voter : this->options.initial_voters)
-        members.voters.emplace(this->empty_voters.at(voter.vm), voter.control);
+        members.voters.emplace(this->empty_voters.at(voter.control), voter.control);
     auto const state = consensus::founding_state(members);
     if (state.snapshot)
         this->log_store.save_snapshot(*state.snapshot);
--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -2,6 +2,8 @@
 
 #include <future>
 
+#include "pass_through_view.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -38,6 +40,8 @@
     , shared(this->context, this->options, dependencies.peers, this->client, this->events,
              this->time, this->driver.get())
     , version_moves(this->driver.get(), this->events, this->time)
+    , platform_duties(this->driver.get(), this->options, this->events, this->time)
+    , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
     , platform(this->options.cloud_api)
     , reclaims(this->platform, this->events,
                [this](std::vector<platform_notice> notices)
@@ -46,10 +50,13 @@
     , report_timer(*this->context)
 {
     this->published = std::make_shared<control_view const>();
+    this->published_traffic = std::make_shared<proxy::traffic_view const>();
     this->directories.set_change_handler([this] { this->schedule_publish(); });
     this->shared.set_change_handler([this] { this->schedule_publish(); });
-    if (this->driver)
-        this->driver->set_applied_handler([this] { this->shared.refresh_from_node(); });
+    if (!this->driver)
+        return;
+    this->driver->set_applied_handler([this] { this->shared.refresh_from_node(); });
+    this->driver->set_voter_source([this] { return this->client.voters(); });
 }
 
 control_loop::~control_loop()
@@ -140,6 +147,28 @@
     return outcome.result;
 }
 
+void control_loop::propose_async(version::command_body body, duration timeout,
+                                 std::function<void(proposal_outcome const&)> done)
+{
+    this->post([this, body = std::move(body), timeout, done = std::move(done)]
+               { this->client.propose(body, this->time.now() + timeout, done); });
+}
+
+std::shared_ptr<proxy::traffic_view const> control_loop::traffic() const
+{
+    return this->published_traffic.load();
+}
+
+void control_loop::set_demand(std::map<account_id, double> demand)
+{
+    this->post([this, demand = std::move(demand)] { this->account_demand = demand; });
+}
+
+void control_loop::set_platform_duties(proxy::platform_duties* target)
+{
+    this->post([this, target] { this->platform_duties.set_platform(target); });
+}
+
 std::optional<request::once_reply> control_loop::find_once(request::once_key const& key,
                                                            duration timeout)
 {
@@ -176,7 +205,7 @@
 
 void control_loop::record_traffic(version::traffic_sample const& sample)
 {
-    this->traffic.add(sample);
+    this->traffic_counts.add(sample);
 }
 
 void control_loop::set_leaving(vm_id const& vm)
@@ -225,6 +254,10 @@
             next->voters.push_back(id.value());
     }
     this->directories.set_own_figures(next->shared->generation, this->open_requests);
+    bool const takes_calls = next->ready && next->shared->services && !next->leaving;
+    this->directories.set_pass_through(
+        takes_calls ? this->options.pass_through.callers : network_address(), this->account_demand);
+    this->published_traffic.store(make_traffic_view(*next, this->options));
     this->reclaims.set_active(this->directories.entries().polls_cloud(now));
     this->update_metrics(*next);
     this->published.store(std::move(next));
@@ -258,12 +291,19 @@
 
 void control_loop::report()
 {
-    auto const samples = this->traffic.take();
+    auto const samples = this->traffic_counts.take();
+    auto const usage = this->usage_counts.report();
     if (this->driver && this->driver->is_leader())
+    {
         this->version_moves.collect(samples);
-    else if (!samples.empty())
-        this->client.report(samples);
+        this->platform_duties.collect(usage);
+    }
+    else if (!samples.empty() || !usage.windows.empty())
+    {
+        this->client.report(samples, usage);
+    }
     this->version_moves.step();
+    this->platform_duties.step();
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -6,12 +6,14 @@
 #include <thread>
 
 #include "consensus_driver.hpp"
+#include "duty_driver.hpp"
 #include "gossip_driver.hpp"
 #include "leader_client.hpp"
 #include "move_driver.hpp"
 #include "reclaim_poller.hpp"
 #include "state_follower.hpp"
 #include "traffic_counter.hpp"
+#include "usage_counter.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -51,6 +53,16 @@
     void set_leaving(vm_id const& vm) override;
     void set_open_requests(std::uint32_t count) override;
 
+    /// Commits a command; `done` is called on the control thread.
+    void propose_async(version::command_body body, duration timeout,
+                       std::function<void(proposal_outcome const&)> done);
+
+    /// Control state for pass-through calls.
+    std::shared_ptr<proxy::traffic_view const> traffic() const;
+    usage_counter& usage() { return this->usage_counts; }
+    void set_demand(std::map<account_id, double> demand);
+    void set_platform_duties(proxy::platform_duties* target);
+
     /// Runs `action` on the control thread.
     void post(std::function<void()> action);
 
@@ -60,6 +72,7 @@
     state_follower const& follower() const { return this->shared; }
     move_driver& moves() { return this->version_moves; }
     leader_client& leaders() { return this->client; }
+    duty_driver& duties() { return this->platform_duties; }
 
 private:
     void run();
@@ -81,7 +94,10 @@
     leader_client client;
     state_follower shared;
     move_driver version_moves;
-    traffic_counter traffic;
+    duty_driver platform_duties;
+    traffic_counter traffic_counts;
+    usage_counter usage_counts;
+    std::map<account_id, double> account_demand;
     http_cloud_platform platform;
     reclaim_poller reclaims;
     asio::steady_timer publish_timer;
@@ -89,6 +105,7 @@
     bool publish_scheduled = false;
     std::atomic<std::uint32_t> open_requests = 0;
     std::atomic<std::shared_ptr<control_view const>> published;
+    std::atomic<std::shared_ptr<proxy::traffic_view const>> published_traffic;
     std::thread thread;
 };
 
--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/daemon/internal/control_services.cpp
@@ -255,10 +255,23 @@
     {
         auto const samples = nlohmann::json::from_msgpack(request->samples())
                                  .get<std::vector<version::traffic_sample>>();
-        this->control.post([this, samples] { this->control.moves().collect(samples); });
+        std::optional<version::usage_report> usage;
+        if (!request->usage().empty())
+            usage = version::decode_usage_report(request->usage());
+        this->control.post(
+            [this, samples, usage]
+            {
+                this->control.moves().collect(samples);
+                if (usage)
+                    this->control.duties().collect(*usage);
+            });
         reply->set_accepted(true);
         return grpc::Status::OK;
     }
+    catch (parse_error const& problem)
+    {
+        return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
+    }
     catch (nlohmann::json::exception const& problem)
     {
         return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
--- /dev/null
+++ b/src/process/daemon/internal/duty_driver.cpp
@@ -0,0 +1,133 @@
+#include "duty_driver.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+/// Entries report about once a second; late reports of a window still count within this time.
+constexpr duration window_close_delay = seconds(3);
+constexpr duration command_timeout = seconds(2);
+/// Windows without any count are closed too, but not more than this many at once.
+constexpr std::uint64_t max_windows_behind = 16;
+
+} // namespace
+
+duty_driver::duty_driver(consensus_driver* own_node, settings const& config, event_sink& log,
+                         clock const& time_source)
+    : node(own_node)
+    , options(config)
+    , events(log)
+    , time(time_source)
+{
+}
+
+void duty_driver::collect(version::usage_report const& report)
+{
+    this->ledger.add(report);
+}
+
+void duty_driver::step()
+{
+    if (this->platform == nullptr || this->node == nullptr || !this->holds_duty())
+        return;
+    this->close_windows();
+    this->report_windows();
+}
+
+bool duty_driver::holds_duty()
+{
+    if (!this->node->is_leader())
+    {
+        this->held_term = 0;
+        return false;
+    }
+    auto const now = this->time.now();
+    if (this->held_term != this->node->term())
+    {
+        this->held_term = this->node->term();
+        this->held_since = now;
+        this->is_closing = false;
+        this->is_reporting = false;
+        this->events.emit(severity::info, "duty.acquired",
+                          {{"fencing_number", std::to_string(this->held_term)}});
+    }
+    // The last holder's calls must be over before the first one of this holder.
+    return now - this->held_since >= this->options.pass_through.duty_lease &&
+           this->node->lease_valid();
+}
+
+proxy::platform_duties::holder duty_driver::self() const
+{
+    return {this->options.vm, this->node->term()};
+}
+
+void duty_driver::close_windows()
+{
+    auto const span = this->options.pass_through.usage_window;
+    auto const ended = this->time.wall_now() - window_close_delay;
+    auto const end = static_cast<std::uint64_t>(ended.time_since_epoch() / span);
+    auto const& closed = this->node->state().usage_windows();
+    auto const first_known = this->ledger.first_window();
+    if (this->is_closing || (closed.empty() && !first_known))
+        return;
+    auto next = closed.empty() ? *first_known : closed.rbegin()->first + 1;
+    if (next >= end)
+        return;
+    next = std::max(next, end - std::min(end, max_windows_behind));
+    auto counts = this->ledger.totals(next);
+    this->events.emit(
+        severity::info, "usage.window_closing",
+        {{"window", std::to_string(next)}, {"accounts", std::to_string(counts.size())}});
+    this->is_closing = true;
+    this->node->propose(version::close_usage_window{next, std::move(counts)},
+                        this->time.now() + command_timeout,
+                        [this, term = this->held_term](proposal_outcome const&)
+                        {
+                            if (term != this->held_term)
+                                return;
+                            this->is_closing = false;
+                            this->step();
+                        });
+}
+
+void duty_driver::report_windows()
+{
+    if (this->is_reporting)
+        return;
+    for (auto const& [number, window] : this->node->state().usage_windows())
+    {
+        if (window.is_confirmed || window.counts.empty())
+            continue;
+        this->is_reporting = true;
+        this->platform->report_usage(
+            this->self(), number, window.counts,
+            [this, term = this->held_term, window_number = number](bool accepted)
+            {
+                if (term != this->held_term)
+                    return;
+                this->is_reporting = false;
+                this->events.emit(accepted ? severity::info : severity::warning, "usage.reported",
+                                  {{"window", std::to_string(window_number)},
+                                   {"accepted", accepted ? "yes" : "no"}});
+                if (accepted)
+                    this->confirm(window_number);
+            });
+        return;
+    }
+}
+
+void duty_driver::confirm(std::uint64_t window)
+{
+    this->ledger.forget_before(window);
+    this->node->propose(version::confirm_usage_window{window}, this->time.now() + command_timeout,
+                        [this, term = this->held_term](proposal_outcome const& outcome)
+                        {
+                            bool const is_done = outcome.status == proposal_status::committed;
+                            if (is_done && term == this->held_term)
+                                this->step();
+                        });
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/duty_driver.hpp
@@ -0,0 +1,50 @@
+#ifndef LAGOONLADDER_DAEMON_DUTY_DRIVER_HPP
+#define LAGOONLADDER_DAEMON_DUTY_DRIVER_HPP
+
+#include <lagoonladder/proxy.hpp>
+
+#include "consensus_driver.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// Carries out the calls to the platform that one daemon at a time makes: the leader,
+/// once the last holder's lease has run out. Lives on the control thread.
+class duty_driver
+{
+public:
+    /// `own_node` and `platform` are null on a VM without a log or without a platform.
+    duty_driver(consensus_driver* own_node, settings const& config, event_sink& log,
+                clock const& time_source);
+
+    void set_platform(proxy::platform_duties* target) { this->platform = target; }
+
+    /// Counts of one entry.
+    void collect(version::usage_report const& report);
+
+    /// To be called about once a second.
+    void step();
+
+private:
+    bool holds_duty();
+    void close_windows();
+    void report_windows();
+    void confirm(std::uint64_t window);
+    proxy::platform_duties::holder self() const;
+
+    consensus_driver* const node;
+    settings const& options;
+    event_sink& events;
+    clock const& time;
+    proxy::platform_duties* platform = nullptr;
+    version::usage_ledger ledger;
+    /// Term of the own leadership, and when it was first seen.
+    std::uint64_t held_term = 0;
+    time_point held_since{};
+    bool is_closing = false;
+    bool is_reporting = false;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -115,6 +115,12 @@
     this->own_requests = open_requests;
 }
 
+void gossip_driver::set_pass_through(network_address const& address,
+                                     std::map<account_id, double> const& demand)
+{
+    this->entry_rows.set_pass_through(address, demand);
+}
+
 bool gossip_driver::is_leaving() const
 {
     return this->entry_rows.own().state == connection::entry_state::leaving;
--- a/src/process/daemon/internal/gossip_driver.hpp
+++ b/src/process/daemon/internal/gossip_driver.hpp
@@ -36,6 +36,11 @@
     /// Figures for the own row.
     void set_own_figures(generation current, std::uint32_t open_requests);
 
+    /// Address for callers of pass-through routes, empty while none are taken, and the
+    /// demand of their accounts.
+    void set_pass_through(network_address const& address,
+                          std::map<account_id, double> const& demand);
+
     connection::directory_result announce(connection::endpoint_record record);
     void remove(endpoint_id const& id);
     /// Marks an entry VM, or the endpoints of a VM, as leaving.
--- a/src/process/daemon/internal/leader_client.cpp
+++ b/src/process/daemon/internal/leader_client.cpp
@@ -210,7 +210,8 @@
         });
 }
 
-void leader_client::report(std::vector<version::traffic_sample> const& samples)
+void leader_client::report(std::vector<version::traffic_sample> const& samples,
+                           version::usage_report const& usage)
 {
     auto const target = this->leader();
     if (target.value().empty())
@@ -218,6 +219,8 @@
     protocol::ReportRequest request;
     request.set_vm(this->options.vm.value());
     request.set_samples(pack(nlohmann::json(samples)));
+    if (!usage.windows.empty())
+        request.set_usage(version::encode(usage));
     std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
     call_async<protocol::ReportReply>(
         this->context, this->peers, report_timeout, request,
--- a/src/process/daemon/internal/leader_client.hpp
+++ b/src/process/daemon/internal/leader_client.hpp
@@ -39,7 +39,8 @@
     void find_once(request::once_key const& key, time_point deadline, find_handler done);
 
     /// Sends traffic counts to the leader; lost reports are not repeated.
-    void report(std::vector<version::traffic_sample> const& samples);
+    void report(std::vector<version::traffic_sample> const& samples,
+                version::usage_report const& usage);
 
     /// What a voter said last about the leader; empty when unknown.
     void set_leader_hint(network_address address) { this->leader_hint = std::move(address); }
--- /dev/null
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -0,0 +1,256 @@
+#include "pass_through_plane.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+/// An operator that waits longer asks another daemon.
+constexpr duration command_timeout = milliseconds(900);
+constexpr duration count_interval = milliseconds(100);
+/// Connections of operators, endpoints and the platform.
+constexpr std::size_t max_control_connections = 500;
+
+http::server_options server_at(network_address const& address, std::size_t connections,
+                               char const* name)
+{
+    return {address, connections, name};
+}
+
+proxy::proxy_options make_proxy_options(pass_through_settings const& config)
+{
+    proxy::proxy_options options;
+    options.retry_share = config.retry_share;
+    options.retry_burst = config.retry_burst;
+    options.quota = {config.quota_span, config.quota_overshoot, config.quota_tolerance};
+    return options;
+}
+
+/// Bounds of calls that are not passed through; configurations may be large.
+http::connection_limits control_limits()
+{
+    http::connection_limits limits;
+    limits.max_body_bytes = 16 * 1024 * 1024;
+    limits.header_timeout = seconds(10);
+    limits.idle_timeout = seconds(60);
+    return limits;
+}
+
+} // namespace
+
+pass_through_plane::pass_through_plane(settings const& config, control_loop& loop, event_sink& sink,
+                                       observability::metrics& metrics, clock const& time,
+                                       std::uint64_t seed)
+    : options(config)
+    , control(loop)
+    , events(sink)
+    , context(1)
+    , work(asio::make_work_guard(this->context))
+    , client(this->context, {}, time)
+    , proxy({this->context, this->client, this->translation, *this, sink, metrics, time, seed},
+            make_proxy_options(config.pass_through))
+    , control_calls(*this, sink)
+    , directory_calls(*this, config.pass_through.directory_age)
+    , readiness_calls(*this)
+    , duties(this->client, config.pass_through.platform_api)
+    , callers(
+          this->context,
+          server_at(config.pass_through.callers, config.pass_through.max_connections, "callers"),
+          this->proxy, [this] { return this->limits(); }, sink, time)
+    , control_server(this->context,
+                     server_at(config.pass_through.control, max_control_connections, "control"),
+                     this->control_calls, control_limits, sink, time)
+    , directory_server(
+          this->context,
+          server_at(config.pass_through.directory, max_control_connections, "directory"),
+          this->directory_calls, control_limits, sink, time)
+    , readiness_server(
+          this->context,
+          server_at(config.pass_through.readiness, max_control_connections, "readiness"),
+          this->readiness_calls, control_limits, sink, time)
+    , count_timer(this->context)
+{
+}
+
+pass_through_plane::~pass_through_plane()
+{
+    this->stop();
+}
+
+void pass_through_plane::start()
+{
+    this->callers.start();
+    this->control_server.start();
+    this->directory_server.start();
+    this->readiness_server.start();
+    this->count_open_calls();
+    if (!this->options.pass_through.platform_api.value().empty())
+        this->control.set_platform_duties(this);
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void pass_through_plane::run()
+{
+    try
+    {
+        this->context.run();
+    }
+    catch (std::exception const& problem)
+    {
+        this->events.emit(severity::error, "traffic.failed", {{"reason", problem.what()}});
+        invariant_violated(std::string("traffic thread: ") + problem.what());
+    }
+}
+
+void pass_through_plane::drain()
+{
+    asio::post(this->context, [this] { this->callers.close_after_answers(); });
+}
+
+void pass_through_plane::stop()
+{
+    if (!this->thread.joinable())
+        return;
+    this->control.set_platform_duties(nullptr);
+    asio::post(this->context,
+               [this]
+               {
+                   this->count_timer.cancel();
+                   this->callers.stop();
+                   this->control_server.stop();
+                   this->directory_server.stop();
+                   this->readiness_server.stop();
+                   this->client.stop();
+                   this->context.stop();
+               });
+    this->thread.join();
+}
+
+void pass_through_plane::count_open_calls()
+{
+    this->open = this->proxy.open_calls();
+    this->count_timer.expires_after(count_interval);
+    this->count_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (!problem)
+                this->count_open_calls();
+        });
+}
+
+http::connection_limits pass_through_plane::limits() const
+{
+    http::connection_limits limits;
+    auto const current = this->view();
+    if (!current->services)
+        return limits;
+    auto const& stated = current->services->map().limits;
+    limits.max_header_bytes = stated.max_header_bytes;
+    limits.max_body_bytes = stated.max_body_bytes;
+    limits.header_timeout = stated.header_timeout;
+    limits.idle_timeout = stated.idle_timeout;
+    return limits;
+}
+
+std::shared_ptr<proxy::traffic_view const> pass_through_plane::view() const
+{
+    return this->control.traffic();
+}
+
+void pass_through_plane::record(version::traffic_sample const& sample)
+{
+    this->control.record_traffic(sample);
+}
+
+void pass_through_plane::count_usage(account_id const& account)
+{
+    this->control.usage().add(account);
+}
+
+void pass_through_plane::set_demand(std::map<account_id, double> demand)
+{
+    this->control.set_demand(std::move(demand));
+}
+
+template <class Result>
+void pass_through_plane::propose(version::command_body body, handler<Result> done)
+{
+    this->control.propose_async(std::move(body), command_timeout,
+                                [this, done = std::move(done)](proposal_outcome const& outcome)
+                                {
+                                    std::optional<Result> result;
+                                    if (outcome.status == proposal_status::committed)
+                                        result = std::get<Result>(outcome.result);
+                                    asio::post(this->context, [done, result] { done(result); });
+                                });
+}
+
+void pass_through_plane::apply(version::apply_service_map order,
+                               handler<version::apply_map_result> done)
+{
+    this->propose<version::apply_map_result>(std::move(order), std::move(done));
+}
+
+void pass_through_plane::read(version::read_pass_state query,
+                              handler<version::pass_state_result> done)
+{
+    this->propose<version::pass_state_result>(query, std::move(done));
+}
+
+void pass_through_plane::start_move(version::start_service_move order,
+                                    handler<version::start_move_result> done)
+{
+    this->propose<version::start_move_result>(std::move(order), std::move(done));
+}
+
+void pass_through_plane::announce(connection::endpoint_record row)
+{
+    this->control.announce(std::move(row));
+}
+
+void pass_through_plane::remove(endpoint_id const& id)
+{
+    this->control.remove_endpoint(id);
+}
+
+std::vector<network_address> pass_through_plane::entry_addresses() const
+{
+    std::vector<network_address> addresses;
+    for (auto const& entry : this->control.view()->entries)
+    {
+        if (!entry.pass_through.value().empty() && entry.state == connection::entry_state::serving)
+            addresses.push_back(entry.pass_through);
+    }
+    return addresses;
+}
+
+bool pass_through_plane::takes_calls() const
+{
+    auto const current = this->view();
+    return current->is_ready && current->services && !current->is_leaving;
+}
+
+std::function<void(bool)> pass_through_plane::on_control_thread(std::function<void(bool)> done)
+{
+    return [this, done = std::move(done)](bool accepted)
+    { this->control.post([done, accepted] { done(accepted); }); };
+}
+
+void pass_through_plane::report_usage(holder const& self, std::uint64_t window,
+                                      std::map<account_id, std::uint64_t> const& counts,
+                                      std::function<void(bool)> done)
+{
+    asio::post(this->context,
+               [this, self, window, counts, done = this->on_control_thread(std::move(done))]
+               { this->duties.report_usage(self, window, counts, done); });
+}
+
+void pass_through_plane::order_capacity(holder const& self, capacity_order const& order,
+                                        std::function<void(bool)> done)
+{
+    asio::post(this->context, [this, self, order, done = this->on_control_thread(std::move(done))]
+               { this->duties.order_capacity(self, order, done); });
+}
+
+} // namespace lagoonladder::daemon
--- /dev/null
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -0,0 +1,84 @@
+#ifndef LAGOONLADDER_DAEMON_PASS_THROUGH_PLANE_HPP
+#define LAGOONLADDER_DAEMON_PASS_THROUGH_PLANE_HPP
+
+#include <thread>
+
+#include <lagoonladder/platform.hpp>
+
+#include "control_loop.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// The traffic thread of pass-through calls: its event loop, servers and client.
+class pass_through_plane : public proxy::traffic_control,
+                           public proxy::operations,
+                           public proxy::platform_duties
+{
+public:
+    pass_through_plane(settings const& config, control_loop& loop, event_sink& events,
+                       observability::metrics& metrics, clock const& time, std::uint64_t seed);
+    ~pass_through_plane() override;
+
+    /// Throws http_error when an address cannot be listened on.
+    void start();
+    /// Takes no new work: connections end after their next answer.
+    void drain();
+    void stop();
+    std::size_t open_calls() const { return this->open; }
+
+    // traffic_control
+    std::shared_ptr<proxy::traffic_view const> view() const override;
+    void record(version::traffic_sample const& sample) override;
+    void count_usage(account_id const& account) override;
+    void set_demand(std::map<account_id, double> demand) override;
+
+    // operations
+    void apply(version::apply_service_map order, handler<version::apply_map_result> done) override;
+    void read(version::read_pass_state query, handler<version::pass_state_result> done) override;
+    void start_move(version::start_service_move order,
+                    handler<version::start_move_result> done) override;
+    void announce(connection::endpoint_record row) override;
+    void remove(endpoint_id const& id) override;
+    std::vector<network_address> entry_addresses() const override;
+    bool takes_calls() const override;
+
+    // platform_duties, called on the control thread
+    void report_usage(holder const& self, std::uint64_t window,
+                      std::map<account_id, std::uint64_t> const& counts,
+                      std::function<void(bool)> done) override;
+    void order_capacity(holder const& self, capacity_order const& order,
+                        std::function<void(bool)> done) override;
+
+private:
+    template <class Result>
+    void propose(version::command_body body, handler<Result> done);
+    void run();
+    void count_open_calls();
+    http::connection_limits limits() const;
+    std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
+
+    settings const& options;
+    control_loop& control;
+    event_sink& events;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    http::client client;
+    platform::call_translation translation;
+    proxy::call_proxy proxy;
+    platform::control_handler control_calls;
+    platform::directory_handler directory_calls;
+    platform::readiness_handler readiness_calls;
+    platform::duty_client duties;
+    http::server callers;
+    http::server control_server;
+    http::server directory_server;
+    http::server readiness_server;
+    asio::steady_timer count_timer;
+    std::atomic<std::size_t> open = 0;
+    std::thread thread;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/internal/pass_through_view.cpp
@@ -0,0 +1,54 @@
+#include "pass_through_view.hpp"
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+std::map<service_name, version_name>
+reversed_versions(std::vector<version::move_record> const& moves)
+{
+    std::map<service_name, version_name> reversed;
+    // The latest move of a service decides.
+    for (auto const& move : moves)
+    {
+        if (move.state == version::move_state::reversed)
+            reversed[move.service] = move.to;
+        else
+            reversed.erase(move.service);
+    }
+    return reversed;
+}
+
+} // namespace
+
+std::shared_ptr<proxy::traffic_view const> make_traffic_view(control_view const& control,
+                                                             settings const& config)
+{
+    auto view = std::make_shared<proxy::traffic_view>();
+    view->is_ready = control.ready;
+    view->is_leaving = control.leaving;
+    view->data_centre = config.data_centre;
+    if (!control.shared)
+        return view;
+    view->services = control.shared->services;
+    view->splits = control.shared->splits;
+    view->reversed = reversed_versions(control.shared->moves);
+    view->endpoints = control.endpoints;
+    std::uint32_t entries = 0;
+    for (auto const& entry : control.entries)
+    {
+        if (!entry.pass_through.value().empty() && entry.state == connection::entry_state::serving)
+            ++entries;
+        for (auto const& [account, rate] : entry.demand)
+        {
+            auto& known = view->demand[account];
+            (entry.vm == config.vm ? known.own : known.others) += rate;
+        }
+    }
+    view->entries = std::max(entries, 1U);
+    return view;
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -8,6 +8,7 @@
 
 #include "control_services.hpp"
 #include "operator_api.hpp"
+#include "pass_through_plane.hpp"
 #include "traffic_server.hpp"
 
 namespace lagoonladder::daemon
@@ -76,6 +77,11 @@
         , operators(config, this->control, this->timeline, this->peers)
         , traffic(config, this->control, this->timeline, this->metrics, this->time,
                   this->random.next(), {&this->operators})
+        , pass_through(config.pass_through.callers.value().empty()
+                           ? nullptr
+                           : std::make_unique<pass_through_plane>(config, this->control,
+                                                                  this->timeline, this->metrics,
+                                                                  this->time, this->random.next()))
         , consensus_calls(this->control, config)
         , control_calls(this->control, config, this->time)
         , directory_calls(this->control, config)
@@ -97,6 +103,8 @@
         this->start_grpc();
         this->control.start();
         this->traffic.start();
+        if (this->pass_through)
+            this->pass_through->start();
         this->timeline.emit(
             severity::info, "daemon.started",
             {{"http", this->options.http.value()}, {"control", this->options.control.value()}});
@@ -105,12 +113,14 @@
     int run(stop_signals& signals)
     {
         while (!signals.wait(housekeeping_interval))
-            this->control.set_open_requests(this->traffic.open_requests());
+            this->control.set_open_requests(this->open_requests());
         return this->drain(signals);
     }
 
     void stop()
     {
+        if (this->pass_through)
+            this->pass_through->stop();
         this->traffic.stop();
         this->grpc_server->Shutdown(std::chrono::system_clock::now() + seconds(1));
         this->control.stop();
@@ -152,21 +162,23 @@
     int drain(stop_signals& signals)
     {
         this->timeline.emit(severity::info, "daemon.draining",
-                            {{"open_requests", std::to_string(this->traffic.open_requests())}});
+                            {{"open_requests", std::to_string(this->open_requests())}});
         this->traffic.drain();
+        if (this->pass_through)
+            this->pass_through->drain();
         auto const begun = this->time.now();
         // Callers use this address until their answer of /v1/entries is too old.
         auto const addresses_expire = begun + this->options.entry_list_max_age;
         auto const give_up = begun + this->options.drain_timeout;
         while (this->time.now() < give_up)
         {
-            if (this->time.now() >= addresses_expire && this->traffic.open_requests() == 0)
+            if (this->time.now() >= addresses_expire && this->open_requests() == 0)
                 return 0;
             if (signals.wait(housekeeping_interval))
                 break;
-            this->control.set_open_requests(this->traffic.open_requests());
+            this->control.set_open_requests(this->open_requests());
         }
-        auto const open = this->traffic.open_requests();
+        auto const open = this->open_requests();
         if (open == 0)
             return 0;
         this->timeline.emit(severity::error, "daemon.drain_incomplete",
@@ -174,6 +186,12 @@
         return 1;
     }
 
+    std::uint32_t open_requests() const
+    {
+        auto const passed = this->pass_through ? this->pass_through->open_calls() : 0;
+        return this->traffic.open_requests() + static_cast<std::uint32_t>(passed);
+    }
+
     settings const& options;
     system_clock time;
     observability::event_timeline timeline;
@@ -184,6 +202,7 @@
     control_loop control;
     operator_api operators;
     traffic_server traffic;
+    std::unique_ptr<pass_through_plane> pass_through;
     consensus_service consensus_calls;
     control_service control_calls;
     directory_service directory_calls;
--- a/src/process/daemon/internal/settings.cpp
+++ b/src/process/daemon/internal/settings.cpp
@@ -24,10 +24,11 @@
         else if (section.kind == "listen")
             document.require_known_keys(section, {"http", "control"});
         else if (section.kind == "peers")
-            document.require_known_keys(section, {"seeds"});
+            document.require_known_keys(section, {"seeds", "port"});
         else if (section.kind == "storage")
-            document.require_known_keys(
-                section, {"data_folder", "initial_voters", "snapshot_after_entries"});
+            document.require_known_keys(section, {"data_folder", "initial_voters", "founders",
+                                                  "may_found_group", "snapshot_after_entries",
+                                                  "snapshot_after"});
         else if (section.kind == "security")
             document.require_known_keys(section,
                                         {"operator_token", "endpoint_token", "cluster_token"});
@@ -42,6 +43,12 @@
                                                   "entry_list_max_age", "drain_timeout"});
         else if (section.kind == "platform")
             document.require_known_keys(section, {"cloud_api", "weight_store"});
+        else if (section.kind == "pass_through")
+            document.require_known_keys(section, {"callers", "control", "directory", "readiness",
+                                                  "platform_api", "max_connections", "retry_share",
+                                                  "retry_burst", "quota_span", "quota_overshoot",
+                                                  "quota_tolerance", "usage_window", "duty_lease",
+                                                  "directory_age"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -63,6 +70,20 @@
     result.zone = zone_id(zone);
 }
 
+/// Seeds may be known by another of their ports than the one for daemons.
+void replace_ports(ini_section_reader const& peers, std::vector<network_address>& addresses)
+{
+    std::uint32_t port = 0;
+    peers.read_count("port", port, 1, 65535);
+    if (port == 0)
+        return;
+    for (auto& address : addresses)
+    {
+        auto const& text = address.value();
+        address = network_address(text.substr(0, text.rfind(':') + 1) + std::to_string(port));
+    }
+}
+
 void parse_network(ini_document const& document, settings& result)
 {
     ini_section_reader const listen(document, "listen");
@@ -70,7 +91,9 @@
     listen.require("control");
     listen.read("http", result.http);
     listen.read("control", result.control);
-    ini_section_reader(document, "peers").read("seeds", result.seeds);
+    ini_section_reader const peers(document, "peers");
+    peers.read("seeds", result.seeds);
+    replace_ports(peers, result.seeds);
     ini_section_reader const platform(document, "platform");
     platform.read("cloud_api", result.cloud_api);
     platform.read("weight_store", result.weight_store);
@@ -99,8 +122,18 @@
     storage.read("initial_voters", voters);
     for (auto const& voter : split_list(voters))
         result.initial_voters.push_back(parse_initial_voter(storage, voter));
+    std::vector<network_address> founders;
+    storage.read("founders", founders);
+    if (!founders.empty() && !result.initial_voters.empty())
+        storage.fail_at("founders", "stands beside initial_voters; only one of them may be set");
+    replace_ports(ini_section_reader(document, "peers"), founders);
+    for (auto const& address : founders)
+        result.initial_voters.push_back({vm_id(), address});
     if (!result.data_folder.empty() && result.initial_voters.empty())
         storage.fail_at("data_folder", "a data_folder needs initial_voters");
+    storage.read("may_found_group", result.may_found_group);
+    storage.read_bytes("snapshot_after", result.snapshot_after_bytes, 64 * 1024,
+                       1024 * 1024 * 1024);
     storage.read_count("snapshot_after_entries", result.snapshot_after_entries, 100, 10'000'000);
 }
 
@@ -147,6 +180,26 @@
     timing.read("drain_timeout", result.drain_timeout, seconds(1), hours(24));
 }
 
+void parse_pass_through(ini_document const& document, settings& result)
+{
+    ini_section_reader const section(document, "pass_through");
+    auto& out = result.pass_through;
+    section.read("callers", out.callers);
+    section.read("control", out.control);
+    section.read("directory", out.directory);
+    section.read("readiness", out.readiness);
+    section.read("platform_api", out.platform_api);
+    section.read_count("max_connections", out.max_connections, 8, 65'536);
+    section.read_number("retry_share", out.retry_share, 0, 1);
+    section.read_number("retry_burst", out.retry_burst, 0, 1'000'000);
+    section.read("quota_span", out.quota_span, milliseconds(1), std::chrono::hours(1));
+    section.read_number("quota_overshoot", out.quota_overshoot, 0, 10);
+    section.read_number("quota_tolerance", out.quota_tolerance, 0, 1e12);
+    section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
+    section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
+    section.read("directory_age", out.directory_age, milliseconds(100), std::chrono::minutes(5));
+}
+
 } // namespace
 
 settings parse_settings(std::string const& file, std::string const& text)
@@ -163,6 +216,7 @@
         parse_log(document, result);
         parse_limits(document, result);
         parse_timing(document, result);
+        parse_pass_through(document, result);
         return result;
     }
     catch (parse_error const& problem)
--- /dev/null
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -0,0 +1,64 @@
+#ifndef LAGOONLADDER_PROXY_CALL_PROXY_HPP
+#define LAGOONLADDER_PROXY_CALL_PROXY_HPP
+
+#include <memory>
+
+#include <asio.hpp>
+
+#include <lagoonladder/http.hpp>
+#include <lagoonladder/observability.hpp>
+#include <lagoonladder/proxy/call.hpp>
+#include <lagoonladder/proxy/traffic_control.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// By how much the requests of an account may exceed its quota over a span.
+struct quota_tolerance
+{
+    duration span{};
+    /// Part of what the quota allows in the span.
+    double overshoot = 0;
+    double tokens = 0;
+};
+
+struct proxy_options
+{
+    /// Retries of a service as a share of its first attempts.
+    double retry_share = 0.15;
+    /// Retries of a service that all entries together may save up.
+    double retry_burst = 40;
+    quota_tolerance quota;
+};
+
+/// Passes calls through to endpoints. Used on its event loop only.
+class call_proxy : public http::request_handler
+{
+public:
+    struct dependencies
+    {
+        asio::io_context& context;
+        http::client& client;
+        call_codec const& codec;
+        traffic_control& control;
+        event_sink& events;
+        observability::metrics& metrics;
+        clock const& time;
+        std::uint64_t seed = 0;
+    };
+
+    call_proxy(dependencies const& parts, proxy_options const& options);
+    ~call_proxy() override;
+
+    void handle(std::shared_ptr<http::server_exchange> const& exchange) override;
+
+    /// Calls without a complete answer.
+    std::size_t open_calls() const;
+
+private:
+    std::shared_ptr<struct proxy_context> context;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- /dev/null
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -0,0 +1,74 @@
+#ifndef LAGOONLADDER_PROXY_OPERATIONS_HPP
+#define LAGOONLADDER_PROXY_OPERATIONS_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <lagoonladder/connection.hpp>
+#include <lagoonladder/version.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// What operators, endpoints and callers ask of the system besides calls. Safe to call
+/// from any thread; results come on the event loop that calls are answered on.
+class operations
+{
+public:
+    virtual ~operations() = default;
+
+    /// The result has no value when no quorum confirmed the command in time.
+    template <class Result>
+    using handler = std::function<void(std::optional<Result> const&)>;
+
+    virtual void apply(version::apply_service_map order,
+                       handler<version::apply_map_result> done) = 0;
+    virtual void read(version::read_pass_state query, handler<version::pass_state_result> done) = 0;
+    virtual void start_move(version::start_service_move order,
+                            handler<version::start_move_result> done) = 0;
+
+    virtual void announce(connection::endpoint_record row) = 0;
+    /// The endpoint ends and takes no more requests.
+    virtual void remove(endpoint_id const& id) = 0;
+
+    /// Addresses of the entries that take calls.
+    virtual std::vector<network_address> entry_addresses() const = 0;
+    virtual bool takes_calls() const = 0;
+};
+
+/// Calls to the platform that one daemon at a time makes.
+class platform_duties
+{
+public:
+    virtual ~platform_duties() = default;
+
+    /// Who makes a call, for the platform to tell an earlier holder's calls.
+    struct holder
+    {
+        vm_id vm;
+        std::uint64_t fencing_number = 0;
+    };
+
+    /// `done` gets whether the platform took the report.
+    virtual void report_usage(holder const& self, std::uint64_t window,
+                              std::map<account_id, std::uint64_t> const& counts,
+                              std::function<void(bool)> done) = 0;
+
+    struct capacity_order
+    {
+        service_name service;
+        data_centre_id data_centre;
+        std::uint32_t replicas = 0;
+        bool reclaimable = false;
+    };
+
+    /// Orders a number of replicas; `done` gets whether the platform took the order.
+    virtual void order_capacity(holder const& self, capacity_order const& order,
+                                std::function<void(bool)> done) = 0;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- /dev/null
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -0,0 +1,51 @@
+#ifndef LAGOONLADDER_PROXY_TRAFFIC_CONTROL_HPP
+#define LAGOONLADDER_PROXY_TRAFFIC_CONTROL_HPP
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <lagoonladder/connection.hpp>
+#include <lagoonladder/request.hpp>
+#include <lagoonladder/version.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// Control state as the traffic plane uses it. Immutable.
+struct traffic_view
+{
+    /// The state was read through a quorum since the start.
+    bool is_ready = false;
+    /// This entry is stopping.
+    bool is_leaving = false;
+    /// Null before the first configuration.
+    std::shared_ptr<version::service_index const> services;
+    std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
+    std::map<service_name, version::traffic_split> splits;
+    /// Versions whose move was reversed last; they get no traffic.
+    std::map<service_name, version_name> reversed;
+    std::map<account_id, request::peer_demand> demand;
+    /// Serving entries, this one included.
+    std::uint32_t entries = 1;
+    data_centre_id data_centre;
+};
+
+/// What the traffic plane asks of the control plane. Safe to call from any thread.
+class traffic_control
+{
+public:
+    virtual ~traffic_control() = default;
+
+    virtual std::shared_ptr<traffic_view const> view() const = 0;
+    virtual void record(version::traffic_sample const& sample) = 0;
+    /// A request of the account has begun to run.
+    virtual void count_usage(account_id const& account) = 0;
+    /// Tokens a second that accounts ask for at this entry.
+    virtual void set_demand(std::map<account_id, double> demand) = 0;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- /dev/null
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -0,0 +1,164 @@
+#include "call_admission.hpp"
+
+#include <algorithm>
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+/// A starting entry has the configuration within about this time.
+constexpr duration configuration_wait = seconds(1);
+
+service_name choose_service(version::pass_route const& route, request_id const& call)
+{
+    std::uint64_t total = 0;
+    for (auto const& part : route.split)
+        total += part.weight;
+    // Seeded by the route, so that the split is independent of other choices by the id.
+    auto position = stable_hash(call.value(), stable_hash(route.name.value())) % total;
+    for (auto const& part : route.split)
+    {
+        if (position < part.weight)
+            return part.service;
+        position -= part.weight;
+    }
+    return route.split.front().service;
+}
+
+double tokens_of(incoming_call const& call, version::token_quota const& quota)
+{
+    if (!call.tokens)
+        return static_cast<double>(quota.default_tokens);
+    return static_cast<double>(call.tokens->prompt) + static_cast<double>(call.tokens->most_output);
+}
+
+refusal check_account(traffic_view const& view, incoming_call const& call, admitted_call& result)
+{
+    if (!view.services->has_accounts())
+        return refusal::none;
+    result.account = view.services->find_account_by_key(call.account_key);
+    if (result.account == nullptr && !result.route->is_anonymous)
+        return refusal::unknown_key;
+    return refusal::none;
+}
+
+request::account_limit limit_of(version::token_quota const& quota, quota_tolerance const& tolerance)
+{
+    // The rest covers entries whose view of each other's demand is old.
+    constexpr double used_part = 0.6;
+    auto const in_span = quota.tokens_per_second * to_seconds(tolerance.span) + quota.burst;
+    auto const allowance = used_part * (tolerance.tokens + tolerance.overshoot * in_span);
+    return {quota.tokens_per_second, quota.burst, allowance};
+}
+
+refusal check_quota(time_point now, traffic_view const& view, incoming_call const& call,
+                    request::account_quota& quotas, quota_tolerance const& tolerance,
+                    admitted_call& result)
+{
+    if (result.account == nullptr || !result.account->quota)
+        return refusal::none;
+    auto const& quota = *result.account->quota;
+    request::peer_demand peers;
+    auto const told = view.demand.find(result.account->name);
+    if (told != view.demand.end())
+        peers = told->second;
+    peers.entries = view.entries;
+    auto const decision = quotas.take(now, result.account->name, limit_of(quota, tolerance), peers,
+                                      tokens_of(call, quota));
+    result.retry_after = decision.retry_after;
+    return decision.granted ? refusal::none : refusal::over_quota;
+}
+
+} // namespace
+
+char const* to_string(refusal reason)
+{
+    switch (reason)
+    {
+    case refusal::none:
+        return "none";
+    case refusal::malformed:
+        return "malformed";
+    case refusal::no_configuration:
+        return "no_configuration";
+    case refusal::unknown_route:
+        return "unknown_route";
+    case refusal::unknown_key:
+        return "unknown_key";
+    case refusal::over_quota:
+        return "over_quota";
+    case refusal::no_endpoint:
+        return "no_endpoint";
+    case refusal::overloaded:
+        return "overloaded";
+    case refusal::too_late:
+        return "too_late";
+    case refusal::endpoint_failed:
+        return "endpoint_failed";
+    case refusal::timed_out:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+unsigned status_of(refusal reason)
+{
+    switch (reason)
+    {
+    case refusal::none:
+        return 200;
+    case refusal::malformed:
+        return 400;
+    case refusal::unknown_key:
+        return 401;
+    case refusal::unknown_route:
+        return 404;
+    case refusal::over_quota:
+        return 429;
+    case refusal::no_configuration:
+    case refusal::no_endpoint:
+    case refusal::overloaded:
+    case refusal::too_late:
+        return 503;
+    case refusal::endpoint_failed:
+        return 502;
+    case refusal::timed_out:
+        return 504;
+    }
+    return 500;
+}
+
+admitted_call admit(time_point now, time_point arrived, traffic_view const& view,
+                    incoming_call const& call, request::account_quota& quotas,
+                    quota_tolerance const& tolerance)
+{
+    admitted_call result;
+    result.retry_after = configuration_wait;
+    result.services = view.services;
+    result.reason = refusal::malformed;
+    if (!call.problem.empty())
+        return result;
+    result.reason = refusal::no_configuration;
+    if (!view.is_ready || !view.services)
+        return result;
+    result.route = view.services->find_route(call.host, call.target);
+    result.reason = refusal::unknown_route;
+    if (result.route == nullptr)
+        return result;
+    result.reason = check_account(view, call, result);
+    if (result.reason != refusal::none)
+        return result;
+    auto const allowed =
+        std::min(call.time_left.value_or(result.route->timeout), result.route->timeout);
+    result.deadline = arrived + allowed;
+    result.reason = refusal::too_late;
+    if (result.deadline <= now)
+        return result;
+    result.reason = check_quota(now, view, call, quotas, tolerance, result);
+    result.service = choose_service(*result.route, call.id);
+    return result;
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -0,0 +1,58 @@
+#ifndef LAGOONLADDER_PROXY_CALL_ADMISSION_HPP
+#define LAGOONLADDER_PROXY_CALL_ADMISSION_HPP
+
+#include <memory>
+
+#include <lagoonladder/proxy/call.hpp>
+#include <lagoonladder/proxy/call_proxy.hpp>
+#include <lagoonladder/proxy/traffic_control.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// Why a call gets an answer of this entry's own.
+enum class refusal
+{
+    none,
+    malformed,
+    no_configuration,
+    unknown_route,
+    unknown_key,
+    over_quota,
+    no_endpoint,
+    overloaded,
+    /// The time was over before the call was sent to an endpoint.
+    too_late,
+    /// The endpoint gave no complete answer.
+    endpoint_failed,
+    /// The time was over while an endpoint worked on the call.
+    timed_out
+};
+
+char const* to_string(refusal reason);
+
+/// HTTP status of the refusal. 429 and 503 state that the call has not run.
+unsigned status_of(refusal reason);
+
+/// A call that may be sent, or why not.
+struct admitted_call
+{
+    refusal reason = refusal::none;
+    duration retry_after{};
+    /// Keeps `route` and `account` valid.
+    std::shared_ptr<version::service_index const> services;
+    version::pass_route const* route = nullptr;
+    /// Null for anonymous calls.
+    version::pass_account const* account = nullptr;
+    service_name service;
+    time_point deadline{};
+};
+
+/// Decides whether a call is admitted and which service gets it.
+admitted_call admit(time_point now, time_point arrived, traffic_view const& view,
+                    incoming_call const& call, request::account_quota& quotas,
+                    quota_tolerance const& tolerance);
+
+} // namespace lagoonladder::proxy
+
+#endif
--- /dev/null
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -0,0 +1,86 @@
+#include <lagoonladder/proxy/call_proxy.hpp>
+
+#include "proxied_call.hpp"
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+constexpr duration demand_interval = milliseconds(250);
+
+/// Answers a call that is not admitted.
+void refuse(proxy_context& context, http::server_exchange& exchange, incoming_call const& call,
+            admitted_call const& admitted)
+{
+    auto const status = status_of(admitted.reason);
+    http::response_head head{status, {}, {}};
+    bool const may_come_back = status == 429 || status == 503;
+    if (may_come_back && admitted.retry_after > duration(0))
+        head.headers.set("Retry-After", std::to_string(to_seconds(admitted.retry_after)));
+    auto const number = admitted.services ? admitted.services->map().number : 0;
+    context.parts.events.emit(severity::info, "call.refused",
+                              {{"id", call.id.value()},
+                               {"host", call.host},
+                               {"target", call.target},
+                               {"reason", to_string(admitted.reason)},
+                               {"detail", call.problem},
+                               {"status", std::to_string(status)},
+                               {"configuration", std::to_string(number)}});
+    context.parts.metrics.add("refused_calls_total", {{"reason", to_string(admitted.reason)}});
+    exchange.respond(std::move(head), to_string(admitted.reason));
+}
+
+} // namespace
+
+proxy_context::proxy_context(call_proxy::dependencies const& dependencies,
+                             proxy_options const& settings)
+    : parts(dependencies)
+    , options(settings)
+    , random(dependencies.seed)
+{
+}
+
+request::retry_budget& proxy_context::budget(service_name const& service, std::uint32_t entries)
+{
+    auto const found = this->budgets.find(service);
+    if (found != this->budgets.end())
+        return found->second;
+    request::retry_budget_options budget;
+    budget.share = this->options.retry_share;
+    budget.burst = std::max(1.0, this->options.retry_burst / std::max(entries, 1U));
+    return this->budgets.emplace(service, request::retry_budget(budget)).first->second;
+}
+
+call_proxy::call_proxy(dependencies const& parts, proxy_options const& options)
+    : context(std::make_shared<proxy_context>(parts, options))
+{
+}
+
+call_proxy::~call_proxy() = default;
+
+void call_proxy::handle(std::shared_ptr<http::server_exchange> const& exchange)
+{
+    auto const now = this->context->parts.time.now();
+    auto const view = this->context->parts.control.view();
+    auto call = this->context->parts.codec.decode(exchange->head());
+    auto admitted = admit(now, exchange->arrived(), *view, call, this->context->quotas,
+                          this->context->options.quota);
+    if (now >= this->context->demand_told + demand_interval)
+    {
+        this->context->demand_told = now;
+        this->context->parts.control.set_demand(this->context->quotas.demand(now));
+    }
+    if (admitted.reason != refusal::none)
+        return refuse(*this->context, *exchange, call, admitted);
+    std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admitted))
+        ->start();
+}
+
+std::size_t call_proxy::open_calls() const
+{
+    return this->context->open_calls;
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -0,0 +1,152 @@
+#include "endpoint_attempt.hpp"
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+constexpr unsigned first_failure_status = 500;
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+char const* to_string(attempt_result result)
+{
+    switch (result)
+    {
+    case attempt_result::complete:
+        return "complete";
+    case attempt_result::not_sent:
+        return "not_sent";
+    case attempt_result::not_run:
+        return "not_run";
+    case attempt_result::failed_answer:
+        return "failed_answer";
+    case attempt_result::broken:
+        return "broken";
+    case attempt_result::silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+endpoint_attempt::endpoint_attempt(std::weak_ptr<attempt_owner> call_of,
+                                   call_codec const& translation, connection::endpoint_record to,
+                                   request_id id, time_point now)
+    : owner(std::move(call_of))
+    , codec(translation)
+    , target(std::move(to))
+    , request(std::move(id))
+    , begin(now)
+{
+}
+
+void endpoint_attempt::send(http::client& client, std::shared_ptr<std::string const> bytes,
+                            std::size_t max_connections)
+{
+    this->call = client.send(this->target.address, std::move(bytes), this->shared_from_this(),
+                             max_connections);
+}
+
+void endpoint_attempt::cancel()
+{
+    this->is_over = true;
+    if (this->call)
+        this->call->cancel();
+}
+
+void endpoint_attempt::pause()
+{
+    if (this->call)
+        this->call->pause();
+}
+
+void endpoint_attempt::resume()
+{
+    if (this->call)
+        this->call->resume();
+}
+
+bool endpoint_attempt::may_have_run() const
+{
+    return this->call && this->call->may_have_sent() && !this->received.is_not_run;
+}
+
+http::head_action endpoint_attempt::on_head(http::response_head const& head)
+{
+    auto const decoded = this->codec.decode(head);
+    // An answer that comes late stands where the answer to this request is due.
+    if (!decoded.request.value().empty() && decoded.request != this->request)
+        return http::head_action::skip;
+    this->received = decoded;
+    this->answer_status = head.status;
+    if (decoded.is_not_run)
+        return http::head_action::accept;
+    auto const problem = this->problem_of(head);
+    if (!problem.empty())
+    {
+        auto const self = this->shared_from_this();
+        this->call->cancel();
+        this->end(attempt_result::broken, problem);
+        return http::head_action::accept;
+    }
+    this->is_valid = true;
+    if (auto const target_call = this->owner.lock())
+        target_call->on_answer(*this, head);
+    return http::head_action::accept;
+}
+
+std::string endpoint_attempt::problem_of(http::response_head const& head) const
+{
+    if (this->received.is_recoded)
+        return "the answer is encoded in a way that was not asked for";
+    if (!is_success(head.status))
+        return {};
+    if (!this->received.is_sealed)
+        return "the answer is not signed by the endpoint";
+    if (this->received.request.value().empty())
+        return "the answer names no request";
+    return {};
+}
+
+void endpoint_attempt::on_body(std::string_view bytes)
+{
+    auto const target_call = this->owner.lock();
+    if (this->is_valid && !this->is_over && target_call)
+        target_call->on_answer_bytes(*this, bytes);
+}
+
+void endpoint_attempt::on_end()
+{
+    if (this->received.is_not_run)
+        return this->end(attempt_result::not_run,
+                         "status " + std::to_string(this->answer_status) + " without a run");
+    bool const failed = this->answer_status >= first_failure_status;
+    this->end(failed ? attempt_result::failed_answer : attempt_result::complete,
+              failed ? "status " + std::to_string(this->answer_status) : "");
+}
+
+void endpoint_attempt::on_failure(http::call_failure failure, std::string const& reason)
+{
+    bool const is_unsent = failure == http::call_failure::not_sent;
+    // The statement that the call did not run holds though its body is cut.
+    if (this->received.is_not_run)
+        return this->end(attempt_result::not_run, reason);
+    this->end(is_unsent ? attempt_result::not_sent : attempt_result::broken, reason);
+}
+
+void endpoint_attempt::end(attempt_result result, std::string const& reason)
+{
+    if (std::exchange(this->is_over, true))
+        return;
+    auto const self = this->shared_from_this();
+    if (auto const target_call = this->owner.lock())
+        target_call->on_attempt_end(*this, result, reason);
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -0,0 +1,165 @@
+#include "endpoint_chooser.hpp"
+
+#include <algorithm>
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+/// Shared parts below this are read again faster than a busier endpoint answers.
+constexpr std::uint64_t least_shared_tokens = 1000;
+constexpr duration gone_memory = seconds(10);
+
+request::balanced_route_options engine_options()
+{
+    request::balanced_route_options options;
+    // One holder of each shared part, unless the bound on load asks for another.
+    options.affinity_group = 1;
+    return options;
+}
+
+bool is_serving(connection::endpoint_record const& row)
+{
+    return row.state == connection::endpoint_state::serving;
+}
+
+/// Two rows with one address: the endpoint that started later has it now.
+void remove_replaced(std::vector<connection::endpoint_record>& rows)
+{
+    std::map<network_address, incarnation> latest;
+    for (auto const& row : rows)
+    {
+        auto& known = latest[row.address];
+        known = std::max(known, row.incarnation);
+    }
+    std::erase_if(rows, [&](auto const& row) { return row.incarnation < latest[row.address]; });
+}
+
+request::route_candidate make_candidate(connection::endpoint_record const& row, double load)
+{
+    request::route_candidate candidate;
+    candidate.endpoint_id = row.id;
+    candidate.data_centre = row.data_centre;
+    candidate.zone = row.zone;
+    candidate.version = row.version;
+    candidate.reclaimable = row.reclaimable;
+    candidate.load = load;
+    candidate.slots = row.load.slots;
+    return candidate;
+}
+
+} // namespace
+
+std::vector<connection::endpoint_record>
+usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call)
+{
+    auto const known = view.endpoints.find(service);
+    if (known == view.endpoints.end())
+        return {};
+    auto rows = known->second;
+    remove_replaced(rows);
+    std::erase_if(rows, [](auto const& row) { return !is_serving(row); });
+    auto const reversed = view.reversed.find(service);
+    if (reversed != view.reversed.end())
+        std::erase_if(rows, [&](auto const& row) { return row.version == reversed->second; });
+    auto const found = view.splits.find(service);
+    if (found == view.splits.end())
+        return rows;
+    auto const& split = found->second;
+    if (!split.candidate.value().empty())
+    {
+        bool const uses_candidate = split.choose(call) == split.candidate;
+        std::erase_if(rows, [&](auto const& row)
+                      { return (row.version == split.candidate) != uses_candidate; });
+        return rows;
+    }
+    bool const has_stable = std::any_of(
+        rows.begin(), rows.end(), [&](auto const& row) { return row.version == split.stable; });
+    if (has_stable)
+        std::erase_if(rows, [&](auto const& row) { return row.version != split.stable; });
+    return rows;
+}
+
+std::uint64_t affinity_hash(version::pass_route const& route, incoming_call const& call)
+{
+    if (!route.has_prefix_affinity || call.prompt.size() < 2)
+        return 0;
+    std::uint64_t shared = 0;
+    for (std::size_t i = 0; i + 1 < call.prompt.size(); ++i)
+        shared += call.prompt[i].tokens;
+    return shared >= least_shared_tokens ? call.prompt[call.prompt.size() - 2].hash : 0;
+}
+
+request::balanced_route_policy& endpoint_chooser::policy(service_name const& service,
+                                                         bool is_engine)
+{
+    auto const found = this->policies.find(service);
+    if (found != this->policies.end())
+        return found->second;
+    auto const options = is_engine ? engine_options() : request::balanced_route_options();
+    return this->policies.emplace(service, request::balanced_route_policy(options)).first->second;
+}
+
+std::optional<connection::endpoint_record>
+endpoint_chooser::choose(time_point now, traffic_view const& view, version::pass_route const& route,
+                         service_name const& service, incoming_call const& call,
+                         std::vector<endpoint_id> const& excluded, random_source& random)
+{
+    auto rows = usable_endpoints(view, service, call.id);
+    std::erase_if(rows, [&](auto const& row) { return this->is_gone(now, row); });
+    std::vector<request::route_candidate> candidates;
+    candidates.reserve(rows.size());
+    for (auto const& row : rows)
+        candidates.push_back(make_candidate(row, this->loads.estimate(now, row.id)));
+    request::route_query query;
+    query.data_centre = view.data_centre;
+    query.prefix_hash = affinity_hash(route, call);
+    query.excluded = excluded;
+    auto const* known = view.services->find_service(service);
+    auto& choice = this->policy(service, known != nullptr && known->is_engine);
+    auto const chosen = choice.choose(now, candidates, query, random);
+    if (!chosen)
+        return std::nullopt;
+    auto const row = std::find_if(rows.begin(), rows.end(),
+                                  [&](auto const& other) { return other.id == *chosen; });
+    return *row;
+}
+
+void endpoint_chooser::started(time_point now, endpoint_id const& endpoint)
+{
+    this->loads.dispatched(now, endpoint);
+}
+
+void endpoint_chooser::ended(time_point now, service_name const& service,
+                             endpoint_id const& endpoint,
+                             std::optional<request::route_outcome> const& outcome)
+{
+    this->loads.completed(now, endpoint);
+    this->loads.expire(now);
+    auto const found = this->policies.find(service);
+    if (outcome && found != this->policies.end())
+        found->second.record(now, endpoint, *outcome);
+}
+
+void endpoint_chooser::report(time_point now, endpoint_id const& endpoint,
+                              connection::load_report const& load)
+{
+    this->loads.report(now, endpoint, this->next_report++, load.running, load.waiting);
+}
+
+void endpoint_chooser::mark_gone(time_point now, connection::endpoint_record const& endpoint)
+{
+    std::erase_if(this->gone, [&](auto const& item) { return item.second.until <= now; });
+    this->gone[endpoint.id] = {endpoint.incarnation, now + gone_memory};
+}
+
+bool endpoint_chooser::is_gone(time_point now, connection::endpoint_record const& endpoint) const
+{
+    auto const found = this->gone.find(endpoint.id);
+    return found != this->gone.end() && found->second.until > now &&
+           endpoint.incarnation <= found->second.known;
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -0,0 +1,57 @@
+#ifndef LAGOONLADDER_PROXY_ENDPOINT_CHOOSER_HPP
+#define LAGOONLADDER_PROXY_ENDPOINT_CHOOSER_HPP
+
+#include <map>
+#include <optional>
+
+#include <lagoonladder/proxy/call.hpp>
+#include <lagoonladder/proxy/traffic_control.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// Chooses the endpoint of an attempt from the control view, the load estimate and
+/// the outcomes of earlier attempts.
+class endpoint_chooser
+{
+public:
+    /// No value when no endpoint may be used.
+    std::optional<connection::endpoint_record>
+    choose(time_point now, traffic_view const& view, version::pass_route const& route,
+           service_name const& service, incoming_call const& call,
+           std::vector<endpoint_id> const& excluded, random_source& random);
+
+    void started(time_point now, endpoint_id const& endpoint);
+    /// An attempt has ended; `outcome` is empty when it tells nothing of the endpoint.
+    void ended(time_point now, service_name const& service, endpoint_id const& endpoint,
+               std::optional<request::route_outcome> const& outcome);
+    void report(time_point now, endpoint_id const& endpoint, connection::load_report const& load);
+    /// Another endpoint has the address of this one.
+    void mark_gone(time_point now, connection::endpoint_record const& endpoint);
+
+private:
+    struct gone_endpoint
+    {
+        incarnation known;
+        time_point until{};
+    };
+
+    request::balanced_route_policy& policy(service_name const& service, bool is_engine);
+    bool is_gone(time_point now, connection::endpoint_record const& endpoint) const;
+
+    std::map<service_name, request::balanced_route_policy> policies;
+    request::load_estimate loads;
+    std::map<endpoint_id, gone_endpoint> gone;
+    std::uint64_t next_report = 1;
+};
+
+/// Endpoints of the service that a call may go to by their state and version.
+std::vector<connection::endpoint_record>
+usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call);
+
+/// Hash of the prompt's shared part that is worth keeping together; 0 when there is none.
+std::uint64_t affinity_hash(version::pass_route const& route, incoming_call const& call);
+
+} // namespace lagoonladder::proxy
+
+#endif
--- /dev/null
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -0,0 +1,407 @@
+#include "proxied_call.hpp"
+
+#include <algorithm>
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+/// An endpoint is not read from while this much waits for the caller.
+constexpr std::size_t max_unsent_bytes = 256 * 1024;
+/// Endpoints whose connection failed; after that the service is taken for unreachable.
+constexpr std::uint32_t max_unsent_tries = 4;
+/// A plain call that takes this many times its objective is tried elsewhere.
+constexpr int plain_patience_objectives = 3;
+/// The first event of a stream may wait behind long prompts.
+constexpr int first_event_patience_objectives = 4;
+constexpr int gap_patience_objectives = 3;
+constexpr duration least_stream_patience = seconds(2);
+/// Urgency values of the engines; routes state theirs from 0 on.
+constexpr std::uint32_t urgency_of_first_priority = 2;
+constexpr std::uint32_t urgency_step = 2;
+constexpr std::uint32_t last_urgency = 9;
+/// Part of the connections an endpoint accepts that the entries use together.
+constexpr double used_connection_part = 0.8;
+/// When a caller whose call did not run should come back.
+constexpr duration overload_retry_after = milliseconds(250);
+
+std::string milliseconds_text(duration span)
+{
+    return std::to_string(span / milliseconds(1));
+}
+
+} // namespace
+
+proxied_call::proxied_call(std::shared_ptr<proxy_context> shared,
+                           std::shared_ptr<http::server_exchange> received, incoming_call decoded,
+                           admitted_call admission)
+    : context(std::move(shared))
+    , exchange(std::move(received))
+    , call(std::move(decoded))
+    , admitted(std::move(admission))
+    , relay(exchange, admitted.route->is_stream, call.last_event)
+    , timer(context->parts.context)
+{
+    ++this->context->open_calls;
+}
+
+proxied_call::~proxied_call()
+{
+    --this->context->open_calls;
+}
+
+void proxied_call::start()
+{
+    auto const self = this->shared_from_this();
+    this->exchange->on_closed([self] { self->on_caller_gone(); });
+    this->exchange->on_drained([self] { self->on_drained(); });
+    auto const view = this->context->parts.control.view();
+    this->context->budget(this->admitted.service, view->entries).first_attempt();
+    this->try_next();
+}
+
+void proxied_call::try_next()
+{
+    if (this->is_over)
+        return;
+    auto const now = this->context->parts.time.now();
+    if (now >= this->admitted.deadline)
+        return this->give_up(this->may_have_run ? refusal::timed_out : refusal::too_late,
+                             "no time is left for another attempt");
+    auto const view = this->context->parts.control.view();
+    auto const endpoint =
+        this->context->chooser.choose(now, *view, this->route(), this->admitted.service, this->call,
+                                      this->tried, this->context->random);
+    if (!endpoint)
+        return this->give_up(this->may_have_run ? refusal::endpoint_failed : refusal::no_endpoint,
+                             "no endpoint may be used");
+    this->send(*endpoint);
+}
+
+void proxied_call::send(connection::endpoint_record const& endpoint)
+{
+    auto const now = this->context->parts.time.now();
+    forwarding fields;
+    fields.time_left = this->admitted.deadline - now;
+    fields.expected = endpoint.id;
+    if (this->admitted.account != nullptr)
+        fields.account = this->admitted.account->name;
+    fields.urgency = this->urgency();
+    fields.last_event = this->relay.last_event();
+    auto const head = this->context->parts.codec.encode(this->exchange->head(), fields);
+    this->last_byte = now;
+    this->first_byte = {};
+    this->current = std::make_shared<endpoint_attempt>(
+        this->weak_from_this(), this->context->parts.codec, endpoint, this->call.id, now);
+    this->context->chooser.started(now, endpoint.id);
+    this->set_timer();
+    auto const view = this->context->parts.control.view();
+    this->current->send(
+        this->context->parts.client,
+        std::make_shared<std::string const>(http::format_request(head, this->exchange->body())),
+        this->connection_limit(*view));
+}
+
+std::size_t proxied_call::connection_limit(traffic_view const& view) const
+{
+    auto const* service = this->admitted.services->find_service(this->admitted.service);
+    if (service == nullptr || service->max_connections == 0)
+        return 0;
+    auto const part = used_connection_part * service->max_connections / std::max(view.entries, 1U);
+    return std::max<std::size_t>(2, static_cast<std::size_t>(part));
+}
+
+std::optional<std::uint32_t> proxied_call::urgency() const
+{
+    if (!this->route().is_stream)
+        return std::nullopt;
+    auto const* account = this->admitted.account;
+    auto const priority =
+        account != nullptr && account->priority ? *account->priority : this->route().priority;
+    return std::min(urgency_of_first_priority + urgency_step * priority, last_urgency);
+}
+
+bool proxied_call::is_idempotent() const
+{
+    return this->route().repeat == version::repeat_rule::idempotent || this->route().is_resumable;
+}
+
+duration proxied_call::patience() const
+{
+    bool const may_try_again = this->is_idempotent() && this->sends < this->route().max_attempts;
+    if (!may_try_again)
+        return duration(0);
+    if (!this->route().is_stream)
+        return plain_patience_objectives * this->route().latency_objective;
+    if (!this->relay.has_content())
+        return std::max<duration>(least_stream_patience, first_event_patience_objectives *
+                                                             this->route().latency_objective);
+    return std::max<duration>(least_stream_patience,
+                              gap_patience_objectives * this->route().gap_objective);
+}
+
+void proxied_call::set_timer()
+{
+    auto const now = this->context->parts.time.now();
+    auto wake = this->admitted.deadline;
+    auto const span = this->patience();
+    if (span > duration(0) && !this->is_paused)
+        wake = std::min(wake, this->last_byte + span);
+    this->timer.expires_after(std::max(wake - now, duration(0)));
+    this->timer.async_wait(
+        [weak = this->weak_from_this()](asio::error_code const& problem)
+        {
+            auto const self = weak.lock();
+            if (!problem && self)
+                self->on_timer();
+        });
+}
+
+void proxied_call::on_timer()
+{
+    if (this->is_over || this->timer.expiry() > std::chrono::steady_clock::now())
+        return;
+    auto const now = this->context->parts.time.now();
+    if (now >= this->admitted.deadline)
+    {
+        if (this->current)
+            this->end_attempt(attempt_result::silent, "the deadline has passed");
+        return this->give_up(this->may_have_run ? refusal::timed_out : refusal::too_late,
+                             "the deadline has passed");
+    }
+    auto const span = this->patience();
+    bool const is_silent = span > duration(0) && now >= this->last_byte + span && !this->is_paused;
+    if (!is_silent || !this->current)
+        return this->set_timer();
+    this->end_attempt(attempt_result::silent, "no byte for " + milliseconds_text(span) + " ms");
+    this->decide_after(attempt_result::silent, "the endpoint is silent");
+}
+
+void proxied_call::on_answer(endpoint_attempt& attempt, http::response_head const& head)
+{
+    this->last_byte = this->context->parts.time.now();
+    this->first_byte = this->last_byte;
+    auto const* length = head.headers.find("Content-Length");
+    this->relay.start(this->context->parts.codec.relay(head),
+                      length == nullptr ? std::nullopt : http::parse_number(*length));
+    if (!this->route().is_stream)
+        this->count_start(attempt);
+}
+
+void proxied_call::on_answer_bytes(endpoint_attempt& attempt, std::string_view bytes)
+{
+    this->last_byte = this->context->parts.time.now();
+    if (this->route().is_stream && !this->relay.has_content())
+    {
+        this->first_byte = this->last_byte;
+        this->count_start(attempt);
+        this->set_timer();
+    }
+    // An answer that reports a failure may be replaced by another attempt's.
+    auto const self = this->shared_from_this();
+    if (!this->relay.add(bytes))
+    {
+        this->end_attempt(attempt_result::broken, "the answer does not continue the stream");
+        return this->decide_after(attempt_result::broken, "the answer is malformed");
+    }
+    if (this->exchange->unsent_bytes() > max_unsent_bytes && !this->is_paused && this->current)
+    {
+        this->is_paused = true;
+        attempt.pause();
+    }
+}
+
+void proxied_call::on_drained()
+{
+    if (!std::exchange(this->is_paused, false) || !this->current)
+        return;
+    this->last_byte = this->context->parts.time.now();
+    this->current->resume();
+    this->set_timer();
+}
+
+void proxied_call::on_attempt_end(endpoint_attempt& attempt, attempt_result result,
+                                  std::string const& reason)
+{
+    if (this->is_over || this->current.get() != &attempt)
+        return;
+    auto const self = this->shared_from_this();
+    bool const is_whole = result == attempt_result::complete ||
+                          (result == attempt_result::failed_answer && !this->may_repeat(result));
+    if (is_whole && this->relay.complete())
+    {
+        auto const status = this->relay.status();
+        this->end_attempt(result, reason);
+        return this->finish("answered", status, reason);
+    }
+    auto const seen = is_whole ? attempt_result::broken : result;
+    this->end_attempt(seen, reason);
+    this->decide_after(seen, reason);
+}
+
+void proxied_call::end_attempt(attempt_result result, std::string const& reason)
+{
+    auto const attempt = std::exchange(this->current, nullptr);
+    auto const now = this->context->parts.time.now();
+    auto const& endpoint = attempt->endpoint();
+    this->tried.push_back(endpoint.id);
+    if (result == attempt_result::not_sent)
+        ++this->unsent_tries;
+    else
+        ++this->sends;
+    this->may_have_run = this->may_have_run || attempt->may_have_run();
+    if (attempt->answer().load)
+        this->context->chooser.report(now, endpoint.id, *attempt->answer().load);
+    std::optional<request::route_outcome> outcome;
+    if (attempt->answer().is_other_endpoint)
+    {
+        this->context->chooser.mark_gone(now, endpoint);
+        this->context->parts.client.forget(endpoint.address);
+    }
+    else if (result != attempt_result::not_run)
+    {
+        outcome.emplace();
+        outcome->ok = result == attempt_result::complete;
+        outcome->first_byte =
+            this->first_byte == time_point() ? duration(0) : this->first_byte - attempt->started();
+        outcome->elapsed = now - attempt->started();
+    }
+    this->context->chooser.ended(now, this->admitted.service, endpoint.id, outcome);
+    this->record_sample(*attempt, result);
+    if (result != attempt_result::complete)
+        this->context->parts.events.emit(
+            severity::info, "call.attempt_failed",
+            {{"id", this->call.id.value()},
+             {"endpoint", endpoint.id.value()},
+             {"address", endpoint.address.value()},
+             {"result", to_string(result)},
+             {"reason", reason},
+             {"elapsed_ms", milliseconds_text(now - attempt->started())},
+             {"row_sequence", std::to_string(endpoint.sequence)}});
+    if (result == attempt_result::silent || result == attempt_result::broken)
+        attempt->cancel();
+    if (!this->relay.is_committed() || result != attempt_result::complete)
+        this->relay.interrupt();
+}
+
+void proxied_call::decide_after(attempt_result result, std::string const& reason)
+{
+    if (this->is_over)
+        return;
+    if (result == attempt_result::not_sent && this->unsent_tries < max_unsent_tries)
+        return this->try_next();
+    if (this->may_repeat(result))
+        return this->try_next();
+    if (result == attempt_result::not_run && !this->may_have_run)
+        return this->give_up(refusal::overloaded, reason);
+    if (result == attempt_result::not_sent && !this->may_have_run)
+        return this->give_up(refusal::no_endpoint, reason);
+    this->give_up(refusal::endpoint_failed, reason);
+}
+
+bool proxied_call::may_repeat(attempt_result result)
+{
+    if (this->relay.is_committed() && !(this->route().is_resumable && this->relay.can_continue()))
+        return false;
+    bool const is_current = this->current != nullptr;
+    auto const attempts = this->sends + (is_current ? 1 : 0);
+    if (result == attempt_result::not_sent || attempts >= this->route().max_attempts)
+        return false;
+    auto const view = this->context->parts.control.view();
+    request::retry_query query;
+    query.attempts = attempts;
+    query.deadline = this->admitted.deadline;
+    query.idempotent = this->is_idempotent();
+    query.dispatched = this->may_have_run || (is_current && this->current->may_have_run());
+    auto const decision = this->context->budget(this->admitted.service, view->entries)
+                              .retry(this->context->parts.time.now(), query, this->context->random);
+    return decision.delay.has_value();
+}
+
+void proxied_call::on_caller_gone()
+{
+    if (this->is_over)
+        return;
+    auto const self = this->shared_from_this();
+    if (this->current)
+    {
+        auto const attempt = std::exchange(this->current, nullptr);
+        attempt->cancel();
+        this->context->chooser.ended(this->context->parts.time.now(), this->admitted.service,
+                                     attempt->endpoint().id, std::nullopt);
+    }
+    this->finish("caller_gone", 0, "the caller closed the connection");
+}
+
+void proxied_call::record_sample(endpoint_attempt const& attempt, attempt_result result)
+{
+    if (result == attempt_result::not_sent || result == attempt_result::not_run)
+        return;
+    auto const now = this->context->parts.time.now();
+    version::traffic_sample sample;
+    sample.service = this->admitted.service;
+    sample.version = attempt.endpoint().version;
+    sample.route = this->route().name;
+    sample.requests = 1;
+    sample.failures = result == attempt_result::complete ? 0 : 1;
+    if (this->route().is_stream && this->first_byte != time_point())
+        sample.first_token.add(this->first_byte - attempt.started());
+    sample.whole_call.add(now - attempt.started());
+    this->context->parts.control.record(sample);
+}
+
+void proxied_call::count_start(endpoint_attempt const&)
+{
+    if (this->admitted.account != nullptr)
+        this->context->parts.control.count_usage(this->admitted.account->name);
+}
+
+void proxied_call::give_up(refusal reason, std::string const& detail)
+{
+    if (this->is_over)
+        return;
+    auto const self = this->shared_from_this();
+    if (this->relay.is_committed())
+    {
+        this->exchange->abort();
+        return this->finish("broken_off", 0, detail);
+    }
+    auto const status = status_of(reason);
+    http::response_head head{status, {}, {}};
+    if (status == status_of(refusal::overloaded))
+        head.headers.set("Retry-After", std::to_string(to_seconds(overload_retry_after)));
+    this->exchange->respond(std::move(head), detail);
+    this->finish(to_string(reason), status, detail);
+}
+
+void proxied_call::finish(char const* outcome, unsigned status, std::string const& detail)
+{
+    if (std::exchange(this->is_over, true))
+        return;
+    this->timer.cancel();
+    auto const now = this->context->parts.time.now();
+    auto const elapsed = now - this->exchange->arrived();
+    bool const is_answered = status >= 200 && status < 300;
+    this->context->parts.events.emit(
+        is_answered ? severity::debug : severity::info, "call.ended",
+        {{"id", this->call.id.value()},
+         {"route", this->route().name.value()},
+         {"service", this->admitted.service.value()},
+         {"outcome", outcome},
+         {"status", std::to_string(status)},
+         {"reason", detail},
+         {"attempts", std::to_string(this->sends)},
+         {"endpoint", this->tried.empty() ? "" : this->tried.back().value()},
+         {"elapsed_ms", milliseconds_text(elapsed)},
+         {"configuration", std::to_string(this->admitted.services->map().number)}});
+    this->context->parts.metrics.add("proxied_calls_total",
+                                     {{"route", this->route().name.value()}, {"outcome", outcome}});
+    this->context->parts.metrics.observe_seconds(
+        "proxied_call_seconds", {{"route", this->route().name.value()}}, to_seconds(elapsed));
+    this->exchange->on_closed({});
+    this->exchange->on_drained({});
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -0,0 +1,33 @@
+#ifndef LAGOONLADDER_PROXY_PROXY_CONTEXT_HPP
+#define LAGOONLADDER_PROXY_PROXY_CONTEXT_HPP
+
+#include <map>
+
+#include <lagoonladder/proxy/call_proxy.hpp>
+
+#include "endpoint_chooser.hpp"
+
+namespace lagoonladder::proxy
+{
+
+/// What all calls of the process share.
+struct proxy_context
+{
+    proxy_context(call_proxy::dependencies const& parts, proxy_options const& settings);
+
+    /// Retry budget of a service; this entry has an equal part of what all may save up.
+    request::retry_budget& budget(service_name const& service, std::uint32_t entries);
+
+    call_proxy::dependencies parts;
+    proxy_options const options;
+    seeded_random random;
+    endpoint_chooser chooser;
+    request::account_quota quotas;
+    std::map<service_name, request::retry_budget> budgets;
+    time_point demand_told{};
+    std::size_t open_calls = 0;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -4,7 +4,9 @@
 /// Public header of the request library: decisions that live for one request.
 
 #include <lagoonladder/request/accepted_request.hpp>
+#include <lagoonladder/request/account_quota.hpp>
 #include <lagoonladder/request/admission.hpp>
+#include <lagoonladder/request/event_splitter.hpp>
 #include <lagoonladder/request/fair_queue.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/once_record.hpp>
--- /dev/null
+++ b/src/request/internal/account_quota.cpp
@@ -0,0 +1,79 @@
+#include <lagoonladder/request/account_quota.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonladder::request
+{
+
+namespace
+{
+
+/// Time constant of the demand; requests of seconds ago still tell where the next ones come.
+constexpr duration demand_memory = seconds(4);
+/// Part of the equal share that an entry without demand keeps, so that its first
+/// requests are not refused while the others learn of them.
+constexpr double least_part_of_equal_share = 0.25;
+constexpr duration longest_retry_after = seconds(5);
+/// A request may take the whole allowance, but a larger one could never be granted.
+constexpr double least_burst_seconds = 1;
+
+} // namespace
+
+double account_quota::share_of(peer_demand const& peers)
+{
+    auto const equal = 1.0 / std::max(peers.entries, 1U);
+    auto const total = peers.own + peers.others;
+    auto const by_demand = total > 0 ? peers.own / total : equal;
+    // Scaled so that the floors of entries without demand do not lift the sum over the limit.
+    return least_part_of_equal_share * equal + (1 - least_part_of_equal_share) * by_demand;
+}
+
+void account_quota::decay(bucket& known, time_point now)
+{
+    auto const age = to_seconds(std::max(duration(0), now - known.updated));
+    known.asked *= std::exp(-age / to_seconds(demand_memory));
+}
+
+quota_decision account_quota::take(time_point now, account_id const& account,
+                                   account_limit const& limit, peer_demand const& peers,
+                                   double tokens)
+{
+    auto& known = this->buckets[account];
+    auto const elapsed = known.is_new ? 0 : to_seconds(std::max(duration(0), now - known.updated));
+    if (!known.is_new)
+        decay(known, now);
+    known.asked += tokens / to_seconds(demand_memory);
+    auto const share = share_of(peers);
+    auto const rate = limit.tokens_per_second * share;
+    auto const burst = std::max(limit.burst, limit.tokens_per_second * least_burst_seconds);
+    auto const most = burst * share + limit.allowance / std::max(peers.entries, 1U);
+    known.available = known.is_new ? most : std::min(most, known.available + rate * elapsed);
+    known.is_new = false;
+    known.updated = now;
+    // A request larger than the allowance goes through when the allowance is full.
+    auto const needed = std::min(tokens, most);
+    if (known.available >= needed)
+    {
+        known.available -= tokens;
+        return {};
+    }
+    auto const wait =
+        rate > 0 ? from_seconds((needed - known.available) / rate) : longest_retry_after;
+    return {false, std::min<duration>(wait, longest_retry_after)};
+}
+
+std::map<account_id, double> account_quota::demand(time_point now)
+{
+    std::map<account_id, double> out;
+    for (auto const& [account, known] : this->buckets)
+    {
+        auto const age = to_seconds(std::max(duration(0), now - known.updated));
+        auto const rate = known.asked * std::exp(-age / to_seconds(demand_memory));
+        if (rate >= 1)
+            out.emplace(account, rate);
+    }
+    return out;
+}
+
+} // namespace lagoonladder::request
--- /dev/null
+++ b/src/request/tests/event_splitter_test.cpp
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <lagoonladder/request.hpp>
+
+using namespace lagoonladder;
+using request::event_splitter;
+
+TEST_CASE("a stream is cut into the same events however its bytes arrive")
+{
+    // Guards against a joined or lost event when a chunk ends within one.
+    std::string const text =
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: ping\n\nid:30\ndata: c\n\n";
+    rc::prop("the events are the same",
+             [&]
+             {
+                 event_splitter splitter;
+                 std::string joined;
+                 std::vector<std::uint64_t> ids;
+                 int count = 0;
+                 std::size_t at = 0;
+                 while (at < text.size())
+                 {
+                     auto const length = *rc::gen::inRange<std::size_t>(1, 12);
+                     splitter.add(std::string_view(text).substr(at, length),
+                                  [&](event_splitter::event const& event)
+                                  {
+                                      ++count;
+                                      joined += event.bytes;
+                                      if (event.id)
+                                          ids.push_back(*event.id);
+                                  });
+                     at += length;
+                 }
+                 RC_ASSERT(joined == text);
+                 RC_ASSERT(count == 4);
+                 RC_ASSERT((ids == std::vector<std::uint64_t>{1, 2, 30}));
+                 RC_ASSERT(!splitter.has_partial());
+             });
+}
+
+TEST_CASE("an event that has not ended is held")
+{
+    event_splitter splitter;
+    int count = 0;
+    auto const take = [&](event_splitter::event const&) { ++count; };
+    CHECK(splitter.add("id: 1\ndata: a", take));
+    CHECK(count == 0);
+    CHECK(splitter.has_partial());
+    // Guards against unbounded memory for a stream without an end of event.
+    CHECK_FALSE(splitter.add(std::string(event_splitter::max_event_bytes, 'x'), take));
+}
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -10,5 +10,6 @@
 #include <lagoonladder/version/order_book.hpp>
 #include <lagoonladder/version/service_map.hpp>
 #include <lagoonladder/version/traffic_sample.hpp>
+#include <lagoonladder/version/usage_ledger.hpp>
 
 #endif
--- a/src/version/internal/envelope.hpp
+++ b/src/version/internal/envelope.hpp
@@ -16,7 +16,8 @@
     of_command = 'c',
     of_result = 'r',
     of_shared_state = 's',
-    of_snapshot = 'z'
+    of_snapshot = 'z',
+    of_usage = 'u'
 };
 
 /// MessagePack behind a kind and a checksum. MessagePack alone would take many
