Read the settings again on SIGHUP and when the file changes

Ruled out: a restart on SIGHUP, which would cut off streams. Change: the main loop takes SIGHUP, and looks at the file's content once a second; an invalid file is logged once and changes nothing; seeds take effect at once.

--- a/src/process/cli/internal/serve_command.cpp
+++ b/src/process/cli/internal/serve_command.cpp
@@ -26,8 +26,7 @@
     parser.parse(arguments);
     try
     {
-        auto const settings = daemon::load_settings(path.getValue());
-        return daemon::run_daemon(settings) == 0 ? exit_code::done : exit_code::failed;
+        return daemon::run_daemon(path.getValue()) == 0 ? exit_code::done : exit_code::failed;
     }
     catch (daemon::settings_error const& problem)
     {
--- a/src/process/daemon/include/lagoonladder/daemon/run.hpp
+++ b/src/process/daemon/include/lagoonladder/daemon/run.hpp
@@ -9,8 +9,9 @@
 /// Runs the daemon until SIGTERM or SIGINT, then drains it. Returns the exit
 /// code: 0 after a complete drain, 1 when requests were still open at the end of
 /// timing.drain_timeout. A second signal ends the drain early.
-/// Throws daemon_error or storage_error when the daemon cannot start.
-int run_daemon(settings const& config);
+/// SIGHUP reads the settings again. Throws settings_error, daemon_error or storage_error when the
+/// daemon cannot start.
+int run_daemon(std::string const& settings_path);
 
 } // namespace lagoonladder::daemon
 
--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -164,6 +164,11 @@
     this->post([this, demand = std::move(demand)] { this->account_demand = demand; });
 }
 
+void control_loop::set_seeds(std::vector<network_address> seeds)
+{
+    this->post([this, seeds = std::move(seeds)] { this->directories.set_seeds(seeds); });
+}
+
 void control_loop::set_platform_duties(proxy::platform_duties* target)
 {
     this->post([this, target] { this->platform_duties.set_platform(target); });
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -61,6 +61,7 @@
     std::shared_ptr<proxy::traffic_view const> traffic() const;
     usage_counter& usage() { return this->usage_counts; }
     void set_demand(std::map<account_id, double> demand);
+    void set_seeds(std::vector<network_address> seeds);
     void set_platform_duties(proxy::platform_duties* target);
 
     /// Runs `action` on the control thread.
--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/daemon/internal/gossip_driver.cpp
@@ -89,6 +89,7 @@
     , timer(*io)
     , entry_rows(make_own_row(config, time_source))
     , endpoint_rows(make_endpoint_options(config))
+    , seeds(config.seeds)
 {
 }
 
@@ -155,10 +156,10 @@
     // Seeds are asked while too few peers are known, and now and then later, so
     // that two halves of a system that lost each other meet again.
     bool const use_seed =
-        !this->options.seeds.empty() && (chosen.size() < 2 || this->random.below(10) == 0);
+        !this->seeds.empty() && (chosen.size() < 2 || this->random.below(10) == 0);
     if (use_seed)
     {
-        auto const& seed = this->options.seeds[this->next_seed++ % this->options.seeds.size()];
+        auto const& seed = this->seeds[this->next_seed++ % this->seeds.size()];
         if (seed != this->options.control)
             this->send_to(seed, seed.value());
     }
--- a/src/process/daemon/internal/gossip_driver.hpp
+++ b/src/process/daemon/internal/gossip_driver.hpp
@@ -53,6 +53,8 @@
     connection::entry_directory const& entries() const { return this->entry_rows; }
     connection::endpoint_directory const& endpoints() const { return this->endpoint_rows; }
     bool is_leaving() const;
+    std::vector<network_address> const& seed_addresses() const { return this->seeds; }
+    void set_seeds(std::vector<network_address> addresses) { this->seeds = std::move(addresses); }
     std::uint64_t sent_bytes() const { return this->bytes; }
 
 private:
@@ -87,6 +89,7 @@
     connection::endpoint_directory endpoint_rows;
     std::map<std::string, peer_progress> progress;
     std::function<void()> on_change;
+    std::vector<network_address> seeds;
     generation own_generation;
     std::uint32_t own_requests = 0;
     std::size_t next_seed = 0;
--- a/src/process/daemon/internal/leader_client.cpp
+++ b/src/process/daemon/internal/leader_client.cpp
@@ -59,7 +59,7 @@
             found.push_back(entry.control);
     }
     if (found.empty())
-        found = this->options.seeds;
+        found = this->gossip.seed_addresses();
     return found;
 }
 
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -9,6 +9,7 @@
 #include "control_services.hpp"
 #include "operator_api.hpp"
 #include "pass_through_plane.hpp"
+#include "settings_watcher.hpp"
 #include "traffic_server.hpp"
 
 namespace lagoonladder::daemon
@@ -18,33 +19,49 @@
 {
 
 constexpr duration housekeeping_interval = milliseconds(250);
+constexpr duration settings_check_interval = seconds(1);
 constexpr int max_grpc_message_bytes = 16 * 1024 * 1024;
 
-/// SIGTERM and SIGINT of the process. To be created before any thread, since
+enum class daemon_signal
+{
+    none,
+    reload,
+    stop
+};
+
+/// Signals that the daemon reacts to. To be created before any thread, since
 /// threads inherit the blocked signals.
-class stop_signals
+class process_signals
 {
 public:
-    stop_signals()
+    process_signals()
     {
         sigemptyset(&this->set);
         sigaddset(&this->set, SIGTERM);
         sigaddset(&this->set, SIGINT);
+        sigaddset(&this->set, SIGHUP);
         pthread_sigmask(SIG_BLOCK, &this->set, nullptr);
         signal(SIGPIPE, SIG_IGN);
     }
 
-    /// True when a signal arrived within the time.
-    bool wait(duration timeout)
+    /// The signal that arrived within the time, if any.
+    daemon_signal wait(duration timeout)
     {
         timespec const span{timeout.count() / 1'000'000, timeout.count() % 1'000'000 * 1000};
-        return sigtimedwait(&this->set, nullptr, &span) > 0;
+        auto const number = sigtimedwait(&this->set, nullptr, &span);
+        if (number <= 0)
+            return daemon_signal::none;
+        return number == SIGHUP ? daemon_signal::reload : daemon_signal::stop;
     }
 
 private:
     sigset_t set{};
 };
 
+/// Part of the drain timeout that closing all servers takes.
+constexpr duration shutdown_time = milliseconds(700);
+constexpr duration drain_check_interval = milliseconds(50);
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -65,9 +82,10 @@
 class daemon_process
 {
 public:
-    explicit daemon_process(settings const& config)
+    daemon_process(std::string const& settings_path, settings const& config)
         : options(config)
         , timeline(config.vm, this->time, config.log_level)
+        , watcher(settings_path, config, this->timeline)
         , random(random_seed())
         , peers(config.cluster_token)
         , store(config.data_folder.empty()
@@ -110,10 +128,20 @@
             {{"http", this->options.http.value()}, {"control", this->options.control.value()}});
     }
 
-    int run(stop_signals& signals)
+    int run(process_signals& signals)
     {
-        while (!signals.wait(housekeeping_interval))
+        auto next_check = this->time.now() + settings_check_interval;
+        for (auto signal = signals.wait(housekeeping_interval); signal != daemon_signal::stop;
+             signal = signals.wait(housekeeping_interval))
+        {
+            bool const is_requested = signal == daemon_signal::reload;
+            if (is_requested || this->time.now() >= next_check)
+            {
+                next_check = this->time.now() + settings_check_interval;
+                this->reload(is_requested);
+            }
             this->control.set_open_requests(this->open_requests());
+        }
         return this->drain(signals);
     }
 
@@ -159,7 +187,14 @@
                                " for control calls; is the port in use?");
     }
 
-    int drain(stop_signals& signals)
+    /// Seeds take effect at once; all other settings at the next start.
+    void reload(bool is_requested)
+    {
+        if (auto const changed = this->watcher.poll(is_requested))
+            this->control.set_seeds(changed->seeds);
+    }
+
+    int drain(process_signals& signals)
     {
         this->timeline.emit(severity::info, "daemon.draining",
                             {{"open_requests", std::to_string(this->open_requests())}});
@@ -169,12 +204,12 @@
         auto const begun = this->time.now();
         // Callers use this address until their answer of /v1/entries is too old.
         auto const addresses_expire = begun + this->options.entry_list_max_age;
-        auto const give_up = begun + this->options.drain_timeout;
+        auto const give_up = begun + this->options.drain_timeout - shutdown_time;
         while (this->time.now() < give_up)
         {
             if (this->time.now() >= addresses_expire && this->open_requests() == 0)
                 return 0;
-            if (signals.wait(housekeeping_interval))
+            if (signals.wait(drain_check_interval) == daemon_signal::stop)
                 break;
             this->control.set_open_requests(this->open_requests());
         }
@@ -196,6 +231,7 @@
     system_clock time;
     observability::event_timeline timeline;
     observability::metrics metrics;
+    settings_watcher watcher;
     seeded_random random;
     peer_channels peers;
     std::unique_ptr<storage::file_log_store> store;
@@ -212,11 +248,12 @@
 
 } // namespace
 
-int run_daemon(settings const& config)
+int run_daemon(std::string const& settings_path)
 {
-    stop_signals signals;
+    process_signals signals;
+    auto const config = load_settings(settings_path);
     log_session const log;
-    daemon_process process(config);
+    daemon_process process(settings_path, config);
     process.start();
     int const code = process.run(signals);
     process.stop();
--- /dev/null
+++ b/src/process/daemon/internal/settings_watcher.cpp
@@ -0,0 +1,64 @@
+#include "settings_watcher.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+std::optional<std::string> read_file(std::string const& path)
+{
+    std::ifstream input(path, std::ios::binary);
+    std::ostringstream text;
+    text << input.rdbuf();
+    if (!input)
+        return std::nullopt;
+    return text.str();
+}
+
+} // namespace
+
+settings_watcher::settings_watcher(std::string file, settings current, event_sink& sink)
+    : path(std::move(file))
+    , latest(std::move(current))
+    , latest_text(read_file(path).value_or(""))
+    , events(sink)
+{
+}
+
+std::optional<settings> settings_watcher::poll(bool is_requested)
+{
+    auto const text = read_file(this->path);
+    if (!text)
+    {
+        // The file may be replaced at this moment; the next poll reads it.
+        if (is_requested)
+            this->events.emit(severity::warning, "settings.unreadable", {{"path", this->path}});
+        return std::nullopt;
+    }
+    if (*text == this->latest_text || *text == this->rejected_text)
+    {
+        if (is_requested)
+            this->events.emit(severity::info, "settings.unchanged", {{"path", this->path}});
+        return std::nullopt;
+    }
+    try
+    {
+        this->latest = parse_settings(this->path, *text);
+    }
+    catch (settings_error const& problem)
+    {
+        this->rejected_text = *text;
+        this->events.emit(severity::error, "settings.rejected", {{"reason", problem.what()}});
+        return std::nullopt;
+    }
+    this->latest_text = *text;
+    this->rejected_text.clear();
+    this->events.emit(severity::info, "settings.reloaded", {{"path", this->path}});
+    return this->latest;
+}
+
+} // namespace lagoonladder::daemon
