--- /dev/null
+++ b/src/process/daemon/internal/capacity_driver.cpp
@@ -0,0 +1,151 @@
+#include "capacity_driver.hpp"
+
+#include <algorithm>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+/// Replicas are kept for the largest demand within this time, since starts take seconds.
+constexpr duration demand_memory = seconds(10);
+/// Assumed before callers have come, in tokens a second.
+constexpr double initial_demand = 180'000;
+/// An order is repeated while the number of replicas differs from it.
+constexpr duration repeat_interval = seconds(8);
+/// A replica that was started is kept at least this long, so that short changes of the
+/// plan do not start and stop replicas in turn.
+constexpr duration lowering_delay = seconds(6);
+constexpr duration refused_interval = seconds(3);
+
+version::capacity_by_data_centre serving_replicas(control_view const& view,
+                                                  service_name const& service)
+{
+    version::capacity_by_data_centre serving;
+    auto const found = view.endpoints.find(service);
+    if (found == view.endpoints.end())
+        return serving;
+    for (auto const& row : found->second)
+    {
+        if (row.state != connection::endpoint_state::serving)
+            continue;
+        auto& counts = serving[row.data_centre];
+        ++(row.reclaimable ? counts.reclaimable : counts.on_demand);
+    }
+    return serving;
+}
+
+} // namespace
+
+capacity_driver::capacity_driver(event_sink& log, clock const& time_source)
+    : events(log)
+    , time(time_source)
+{
+}
+
+void capacity_driver::reset()
+{
+    this->orders.clear();
+    this->demands.clear();
+    ++this->epoch;
+}
+
+double capacity_driver::peak_demand(control_view const& view)
+{
+    auto const now = this->time.now();
+    double demand = 0;
+    for (auto const& entry : view.entries)
+    {
+        for (auto const& [account, rate] : entry.demand)
+            demand += rate;
+    }
+    // What was asked for before this daemon held the duty is not known.
+    if (this->demands.empty())
+        this->demands.emplace_back(now, initial_demand);
+    this->demands.emplace_back(now, demand);
+    while (now - this->demands.front().first > demand_memory)
+        this->demands.pop_front();
+    double peak = 0;
+    for (auto const& [when, value] : this->demands)
+        peak = std::max(peak, value);
+    return peak;
+}
+
+void capacity_driver::step(control_view const& view, proxy::platform_duties& platform,
+                           proxy::platform_duties::holder const& self)
+{
+    if (!view.shared || !view.shared->services)
+        return;
+    auto const demand = this->peak_demand(view);
+    for (auto const& service : view.shared->services->map().services)
+    {
+        if (!service.scaling || !service.is_engine)
+            continue;
+        version::capacity_situation now;
+        now.limits = *service.scaling;
+        now.serving = serving_replicas(view, service.name);
+        now.demand = demand;
+        for (auto const& [data_centre, counts] : version::plan_capacity(now))
+        {
+            auto const serving = now.serving[data_centre];
+            this->order({service.name, data_centre, true}, counts.reclaimable, serving.reclaimable,
+                        platform, self);
+            this->order({service.name, data_centre, false}, counts.on_demand, serving.on_demand,
+                        platform, self);
+        }
+    }
+}
+
+std::uint32_t capacity_driver::hold_down(order_state& state, std::uint32_t replicas) const
+{
+    auto const now = this->time.now();
+    if (!state.accepted || replicas >= *state.accepted)
+    {
+        state.lower_since.reset();
+        return replicas;
+    }
+    if (!state.lower_since)
+        state.lower_since = now;
+    return now - *state.lower_since >= lowering_delay ? replicas : *state.accepted;
+}
+
+void capacity_driver::order(order_key const& key, std::uint32_t replicas, std::uint32_t serving,
+                            proxy::platform_duties& platform,
+                            proxy::platform_duties::holder const& self)
+{
+    auto const now = this->time.now();
+    auto& state = this->orders[key];
+    replicas = this->hold_down(state, replicas);
+    bool const is_settled = state.accepted == replicas && serving == replicas;
+    bool const was_ordered = state.accepted == replicas && now < state.next_try;
+    bool const is_refused = !state.accepted && now < state.next_try;
+    if (state.in_flight || is_settled || was_ordered || is_refused)
+        return;
+    state.in_flight = true;
+    this->events.emit(severity::info, "capacity.ordered",
+                      {{"service", key.service.value()},
+                       {"data_centre", key.data_centre.value()},
+                       {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
+                       {"replicas", std::to_string(replicas)},
+                       {"serving", std::to_string(serving)}});
+    platform.order_capacity(
+        self, {key.service, key.data_centre, replicas, key.reclaimable},
+        [this, key, replicas, began = this->epoch](bool accepted)
+        {
+            if (began != this->epoch)
+                return;
+            auto& known = this->orders[key];
+            known.in_flight = false;
+            known.accepted = accepted ? std::optional(replicas) : std::nullopt;
+            known.next_try = this->time.now() + (accepted ? repeat_interval : refused_interval);
+            if (!accepted)
+                this->events.emit(severity::warning, "capacity.refused",
+                                  {{"service", key.service.value()},
+                                   {"data_centre", key.data_centre.value()},
+                                   {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
+                                   {"replicas", std::to_string(replicas)}});
+        });
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -308,7 +308,7 @@
         this->client.report(samples, usage);
     }
     this->version_moves.step();
-    this->platform_duties.step();
+    this->platform_duties.step(*this->view());
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/duty_driver.cpp
+++ b/src/process/daemon/internal/duty_driver.cpp
@@ -20,6 +20,7 @@
     , options(config)
     , events(log)
     , time(time_source)
+    , capacity(log, time_source)
 {
 }
 
@@ -28,10 +29,18 @@
     this->ledger.add(report);
 }
 
-void duty_driver::step()
+void duty_driver::step(control_view const& view)
 {
     if (this->platform == nullptr || this->node == nullptr || !this->holds_duty())
         return;
+    this->step_usage();
+    this->capacity.step(view, *this->platform, this->self());
+}
+
+void duty_driver::step_usage()
+{
+    if (this->platform == nullptr || !this->holds_duty())
+        return;
     this->close_windows();
     this->report_windows();
 }
@@ -50,6 +59,7 @@
         this->held_since = now;
         this->is_closing = false;
         this->is_reporting = false;
+        this->capacity.reset();
         this->events.emit(severity::info, "duty.acquired",
                           {{"fencing_number", std::to_string(this->held_term)}});
     }
@@ -88,7 +98,7 @@
                             if (term != this->held_term)
                                 return;
                             this->is_closing = false;
-                            this->step();
+                            this->step_usage();
                         });
 }
 
@@ -126,7 +136,7 @@
                         {
                             bool const is_done = outcome.status == proposal_status::committed;
                             if (is_done && term == this->held_term)
-                                this->step();
+                                this->step_usage();
                         });
 }
 
--- a/src/process/daemon/internal/duty_driver.hpp
+++ b/src/process/daemon/internal/duty_driver.hpp
@@ -3,6 +3,7 @@
 
 #include <lagoonladder/proxy.hpp>
 
+#include "capacity_driver.hpp"
 #include "consensus_driver.hpp"
 
 namespace lagoonladder::daemon
@@ -23,9 +24,10 @@
     void collect(version::usage_report const& report);
 
     /// To be called about once a second.
-    void step();
+    void step(control_view const& view);
 
 private:
+    void step_usage();
     bool holds_duty();
     void close_windows();
     void report_windows();
@@ -41,6 +43,7 @@
     /// Term of the own leadership, and when it was first seen.
     std::uint64_t held_term = 0;
     time_point held_since{};
+    capacity_driver capacity;
     bool is_closing = false;
     bool is_reporting = false;
 };
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -4,6 +4,7 @@
 /// Public header of the version library: configuration, version moves and the
 /// replicated control state.
 
+#include <lagoonladder/version/capacity_plan.hpp>
 #include <lagoonladder/version/configuration.hpp>
 #include <lagoonladder/version/control_state.hpp>
 #include <lagoonladder/version/move_controller.hpp>
--- /dev/null
+++ b/src/version/tests/capacity_plan_test.cpp
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <lagoonladder/version.hpp>
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+
+namespace
+{
+
+capacity_situation make_situation(double demand)
+{
+    capacity_situation now;
+    now.limits.least = 1;
+    now.limits.most = 6;
+    now.limits.reclaimable_price = 0.2;
+    now.limits.prices = {{data_centre_id("a"), 1.0},
+                         {data_centre_id("b"), 0.8},
+                         {data_centre_id("c"), 1.25},
+                         {data_centre_id("d"), 0.9}};
+    now.demand = demand;
+    return now;
+}
+
+std::uint32_t total(capacity_by_data_centre const& plan, std::uint32_t replica_counts::*kind)
+{
+    std::uint32_t sum = 0;
+    for (auto const& [data_centre, counts] : plan)
+        sum += counts.*kind;
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("on-demand replicas stay until reclaimable ones serve")
+{
+    // Guards against a gap in capacity while cheaper replicas start.
+    auto now = make_situation(200'000);
+    for (auto const* name : {"a", "b", "c", "d"})
+        now.serving[data_centre_id(name)] = {2, 0};
+    auto const before = plan_capacity(now);
+    CHECK(total(before, &replica_counts::on_demand) >= 6);
+    CHECK(total(before, &replica_counts::reclaimable) >= 8);
+    for (auto& [data_centre, counts] : now.serving)
+        counts.reclaimable = 2;
+    CHECK(total(plan_capacity(now), &replica_counts::on_demand) == 0);
+}
+
+TEST_CASE("a reclaimed data centre leaves enough replicas")
+{
+    auto now = make_situation(200'000);
+    auto const plan = plan_capacity(now);
+    for (auto const& [data_centre, counts] : plan)
+        now.serving[data_centre] = {0, counts.reclaimable};
+    now.serving[data_centre_id("b")] = {0, 0};
+    auto const after = plan_capacity(now);
+    // Only the least number of the data centre itself is ordered on demand.
+    CHECK(total(after, &replica_counts::on_demand) == 1);
+    CHECK(after.at(data_centre_id("b")).on_demand == 1);
+}
+
+TEST_CASE("orders stay within the limits for any demand and any replicas")
+{
+    rc::prop("least and most hold",
+             []
+             {
+                 auto now = make_situation(*rc::gen::inRange(0, 3'000'000));
+                 now.limits.reclaimable_price = *rc::gen::element(0.2, 1.0);
+                 for (auto const* name : {"a", "b", "c", "d"})
+                     now.serving[data_centre_id(name)] = {*rc::gen::inRange<std::uint32_t>(0, 8),
+                                                          *rc::gen::inRange<std::uint32_t>(0, 8)};
+                 for (auto const& [data_centre, counts] : plan_capacity(now))
+                 {
+                     auto const both = counts.on_demand + counts.reclaimable;
+                     RC_ASSERT(both >= now.limits.least);
+                     RC_ASSERT(both <= now.limits.most);
+                 }
+             });
+}
