Go on without the log while the disk takes no writes

Ruled out: keeping the node with its memory, since what is on disk after a failed write is unknown. Change: the driver drops the node, the daemon follows the other voters, and once a write succeeds the node is built again from what is on disk. Test: 'a daemon whose disk is full goes on without its log until there is space'.

--- a/src/process/daemon/internal/consensus_driver.cpp
+++ b/src/process/daemon/internal/consensus_driver.cpp
@@ -13,6 +13,7 @@
 constexpr int heartbeats_per_election_timeout = 3;
 constexpr int ticks_per_heartbeat = 4;
 constexpr duration expiry_interval = seconds(5);
+constexpr duration reopen_interval = seconds(1);
 /// Entries are kept in memory behind a snapshot for followers that lag a little.
 constexpr std::uint64_t retained_part = 8;
 
@@ -56,24 +57,64 @@
     , events(log)
     , time(time_source)
     , random(random_numbers)
-    , node(
-          make_node_options(config, self),
-          [this, &store]
-          {
-              auto state = store.load();
-              if (state.snapshot && !state.snapshot->data.empty())
-              {
-                  this->control.restore(state.snapshot->data);
-                  this->applied = state.snapshot->index.value();
-              }
-              return state;
-          }(),
-          random_numbers, time_source.now())
+    , node(make_node_options(config, self), this->load(), random_numbers, time_source.now())
     , sender(io, channels, self, config.control, config.election_timeout / 2)
     , timer(*io)
 {
 }
 
+consensus::persistent_state consensus_driver::load()
+{
+    auto state = this->log_store.load();
+    this->control = {};
+    this->applied = 0;
+    if (state.snapshot && !state.snapshot->data.empty())
+    {
+        this->control.restore(state.snapshot->data);
+        this->applied = state.snapshot->index.value();
+    }
+    return state;
+}
+
+void consensus_driver::suspend(storage::storage_error const& problem)
+{
+    this->usable = false;
+    this->next_reopen = this->time.now() + reopen_interval;
+    this->events.emit(severity::error, "storage.lost", {{"reason", problem.what()}});
+    this->fail_pending();
+}
+
+void consensus_driver::reopen()
+{
+    if (this->time.now() < this->next_reopen)
+        return;
+    this->next_reopen = this->time.now() + reopen_interval;
+    try
+    {
+        auto state = this->load();
+        // A full disk can be read; only a write shows that it takes data again.
+        this->log_store.save(state.hard_state, {}, true);
+        this->node = consensus::node(make_node_options(this->options, this->node.self()),
+                                     std::move(state), this->random, this->time.now());
+        this->usable = true;
+        this->bytes_since_snapshot = 0;
+        this->events.emit(severity::info, "storage.regained",
+                          {{"last_index", std::to_string(this->node.last_index().value())}});
+    }
+    catch (storage::storage_error const& problem)
+    {
+        this->events.emit(severity::warning, "storage.still_lost", {{"reason", problem.what()}});
+    }
+}
+
+void consensus_driver::fail_pending()
+{
+    for (auto& [index, pending] : std::exchange(this->proposals, {}))
+        pending.done({proposal_status::unknown, {}});
+    for (auto& [id, pending] : std::exchange(this->reads, {}))
+        pending.done(false);
+}
+
 void consensus_driver::start()
 {
     this->schedule_tick();
@@ -85,10 +126,7 @@
     this->stopped = true;
     this->timer.cancel();
     this->sender.stop();
-    for (auto& [index, pending] : std::exchange(this->proposals, {}))
-        pending.done({proposal_status::unknown, {}});
-    for (auto& [id, pending] : std::exchange(this->reads, {}))
-        pending.done(false);
+    this->fail_pending();
 }
 
 void consensus_driver::set_voter_source(std::function<std::vector<network_address>()> source)
@@ -104,7 +142,7 @@
 network_address consensus_driver::leader_address() const
 {
     auto const leader = this->node.leader();
-    if (!leader)
+    if (!leader || !this->usable)
         return {};
     if (*leader == this->node.self())
         return this->options.control;
@@ -135,8 +173,14 @@
 
 void consensus_driver::tick()
 {
+    if (!this->usable)
+        this->reopen();
+    if (!this->usable)
+        return;
     this->node.tick(this->time.now());
     this->flush();
+    if (!this->usable)
+        return;
     this->expire_pending();
     this->report_role();
     this->propose_expiry();
@@ -164,7 +208,27 @@
 void consensus_driver::flush()
 {
     bool changed = false;
-    while (!this->stopped && this->node.has_ready())
+    try
+    {
+        changed = this->process_ready();
+    }
+    catch (storage::storage_error const& problem)
+    {
+        return this->suspend(problem);
+    }
+    if (changed)
+    {
+        this->compact_if_due();
+        if (this->on_applied)
+            this->on_applied();
+    }
+    this->serve_reads();
+}
+
+bool consensus_driver::process_ready()
+{
+    bool changed = false;
+    while (!this->stopped && this->usable && this->node.has_ready())
     {
         auto const work = this->node.take_ready();
         this->log_store.save(work);
@@ -184,13 +248,7 @@
         for (auto const failed : work.failed_reads)
             this->fail_read(failed);
     }
-    if (changed)
-    {
-        this->compact_if_due();
-        if (this->on_applied)
-            this->on_applied();
-    }
-    this->serve_reads();
+    return changed;
 }
 
 void consensus_driver::send(consensus::message const& message)
@@ -254,6 +312,8 @@
     version::command entry;
     entry.now = std::max({this->time.wall_now(), this->control.latest_time(), this->last_proposed});
     entry.body = std::move(body);
+    if (!this->usable)
+        return done({proposal_status::not_proposed, {}});
     auto const position = this->node.propose(this->time.now(), version::encode(entry));
     if (!position)
         return done({proposal_status::not_proposed, {}});
@@ -266,7 +326,7 @@
 void consensus_driver::read(time_point deadline, read_handler done)
 {
     auto const id = this->next_read++;
-    if (!this->node.request_read(this->time.now(), id))
+    if (!this->usable || !this->node.request_read(this->time.now(), id))
         return done(false);
     this->reads.emplace(id, pending_read{deadline, std::nullopt, std::move(done)});
     this->schedule_flush();
@@ -325,6 +385,8 @@
 void consensus_driver::step(std::string const& from, std::string const& from_address,
                             std::vector<std::string> const& messages)
 {
+    if (!this->usable)
+        return;
     if (!from.empty() && !from_address.empty())
         this->addresses[consensus::voter_id(from)] = network_address(from_address);
     for (auto const& bytes : messages)
--- a/src/process/daemon/internal/consensus_driver.hpp
+++ b/src/process/daemon/internal/consensus_driver.hpp
@@ -76,9 +76,14 @@
     version::control_state const& state() const { return this->control; }
     consensus::voter_id const& self() const { return this->node.self(); }
     bool has_log() const { return this->node.last_index().value() > 0; }
-    bool is_leader() const { return this->node.role() == consensus::role::leader; }
-    bool lease_valid() const { return this->node.lease_valid(this->time.now()); }
-    bool has_recent_quorum() const { return this->node.has_recent_quorum(this->time.now()); }
+    /// False while the disk takes no writes; the daemon then does without a log.
+    bool is_usable() const { return this->usable; }
+    bool is_leader() const { return this->usable && this->node.role() == consensus::role::leader; }
+    bool lease_valid() const { return this->usable && this->node.lease_valid(this->time.now()); }
+    bool has_recent_quorum() const
+    {
+        return this->usable && this->node.has_recent_quorum(this->time.now());
+    }
     std::uint64_t term() const { return this->node.term().value(); }
     /// Control address of the leader; empty when unknown.
     network_address leader_address() const;
@@ -105,6 +110,12 @@
     void tick();
     void schedule_flush();
     void flush();
+    bool process_ready();
+    consensus::persistent_state load();
+    /// The disk took no write: what is on it is known only after it is read again.
+    void suspend(storage::storage_error const& problem);
+    void reopen();
+    void fail_pending();
     void send(consensus::message const& message);
     void restore(consensus::snapshot const& state);
     void apply(consensus::log_entry const& entry);
@@ -150,6 +161,8 @@
     std::map<consensus::voter_id, network_address> addresses;
     bool flush_scheduled = false;
     bool stopped = false;
+    bool usable = true;
+    time_point next_reopen{};
 
     consensus::role last_role = consensus::role::follower;
     time_point next_expiry{};
--- a/src/process/daemon/internal/consensus_membership.cpp
+++ b/src/process/daemon/internal/consensus_membership.cpp
@@ -246,15 +246,22 @@
 
 void consensus_driver::found_group()
 {
-    if (this->has_log() || this->stopped)
+    if (this->has_log() || this->stopped || !this->usable)
         return;
     consensus::membership members;
     for (auto const& voter : this->options.initial_voters)
         members.voters.emplace(this->empty_voters.at(voter.control), voter.control);
     auto const state = consensus::founding_state(members);
-    if (state.snapshot)
-        this->log_store.save_snapshot(*state.snapshot);
-    this->log_store.save(state.hard_state, state.entries, true);
+    try
+    {
+        if (state.snapshot)
+            this->log_store.save_snapshot(*state.snapshot);
+        this->log_store.save(state.hard_state, state.entries, true);
+    }
+    catch (storage::storage_error const& problem)
+    {
+        return this->suspend(problem);
+    }
     this->node = consensus::node(make_node_options(this->options, this->node.self()), state,
                                  this->random, this->time.now());
     this->events.emit(severity::info, "consensus.group_founded",
--- a/src/process/daemon/internal/leader_client.cpp
+++ b/src/process/daemon/internal/leader_client.cpp
@@ -47,7 +47,8 @@
 
 network_address leader_client::leader() const
 {
-    return this->node ? this->node->leader_address() : this->leader_hint;
+    bool const has_log = this->node != nullptr && this->node->is_usable();
+    return has_log ? this->node->leader_address() : this->leader_hint;
 }
 
 std::vector<network_address> leader_client::voters() const
@@ -174,7 +175,7 @@
         return done(find_status::unavailable, {});
     auto const again = [this, key, deadline, done]
     { this->retry_later([this, key, deadline, done] { this->try_find(key, deadline, done); }); };
-    if (this->node)
+    if (this->node != nullptr && this->node->is_usable())
         return this->node->read(deadline,
                                 [this, key, done, again](bool confirmed)
                                 {
--- a/src/process/daemon/internal/state_follower.cpp
+++ b/src/process/daemon/internal/state_follower.cpp
@@ -47,7 +47,7 @@
 
 bool state_follower::has_recent_quorum() const
 {
-    if (this->node)
+    if (this->node && this->node->is_usable())
         return this->node->has_recent_quorum();
     return this->ready && this->time.now() < this->quorum_heard + quorum_memory;
 }
@@ -69,7 +69,7 @@
 {
     if (this->poll_in_flight)
         return;
-    if (!this->node)
+    if (!this->node || !this->node->is_usable())
         return this->poll_voter();
     this->latest_term = this->node->term();
     if (!this->ready)
--- a/src/process/daemon/tests/control_loop_test.cpp
+++ b/src/process/daemon/tests/control_loop_test.cpp
@@ -18,6 +18,37 @@
 std::string const second_text = first_text + "[route create]\nservice = booking\nmethod = POST\n"
                                              "path = /bookings\nidempotent = false\n";
 
+/// Log store on a disk that can fill up.
+class fillable_store : public storage::memory_log_store
+{
+public:
+    fillable_store() = default;
+
+    using log_store::save;
+
+    void save(std::optional<consensus::hard_state> const& state,
+              std::vector<consensus::log_entry> const& entries, bool must_sync) override
+    {
+        this->require_space();
+        this->storage::memory_log_store::save(state, entries, must_sync);
+    }
+
+    void save_snapshot(consensus::snapshot const& state) override
+    {
+        this->require_space();
+        this->storage::memory_log_store::save_snapshot(state);
+    }
+
+    std::atomic<bool> is_full = false;
+
+private:
+    void require_space() const
+    {
+        if (this->is_full)
+            throw storage::storage_error("no space left");
+    }
+};
+
 /// One daemon without its traffic plane, with real sockets between daemons.
 class control_process
 {
@@ -106,7 +137,7 @@
 
     void lose_disk(std::size_t index)
     {
-        this->stores[index] = storage::memory_log_store();
+        static_cast<storage::memory_log_store&>(this->stores[index]) = storage::memory_log_store();
         ++this->incarnations[index];
     }
 
@@ -121,7 +152,7 @@
     }
 
     std::vector<network_address> addresses;
-    storage::memory_log_store stores[3];
+    fillable_store stores[3];
     std::uint64_t incarnations[4] = {1, 1, 1, 1};
     std::unique_ptr<control_process> processes[4];
 };
@@ -295,3 +326,20 @@
                          std::chrono::seconds(3)));
     CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(3));
 }
+
+TEST_CASE("a daemon whose disk is full goes on without its log until there is space")
+{
+    // Guards against the end of the process, which cuts off its callers' streams.
+    small_system system;
+    CHECK(system.apply(3, 0, first_text, "one").outcome == version::apply_outcome::stored);
+    REQUIRE(eventually([&] { return system.loop(0).view()->shared->generation.value() == 1; }));
+    system.stores[0].is_full = true;
+    CHECK(system.apply(3, 1, second_text, "two").outcome == version::apply_outcome::stored);
+    REQUIRE(eventually([&] { return system.loop(0).view()->shared->generation.value() == 2; }));
+    CHECK(system.apply(0, 2, first_text, "three").outcome == version::apply_outcome::stored);
+    system.stores[0].is_full = false;
+    // Needs voter 0: the only other running one is no quorum.
+    std::this_thread::sleep_for(seconds(3));
+    system.stop(1);
+    CHECK(system.apply(3, 3, second_text, "four").outcome == version::apply_outcome::stored);
+}
