--- /dev/null
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -0,0 +1,175 @@
+#include <catch2/catch.hpp>
+
+#include "proxy_fixture.hpp"
+
+using namespace lagoonladder;
+
+TEST_CASE("a call reaches an endpoint of its route and its answer the caller")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    auto const answer = system.call("/plain/x", "id-1", "body");
+    CHECK(answer.status() == 200);
+    CHECK(answer.body == "answer to id-1");
+    REQUIRE(endpoint.requests.size() == 1);
+    CHECK(endpoint.requests[0].target == "/plain/x");
+    CHECK(endpoint.bodies[0] == "body");
+    CHECK(*endpoint.requests[0].headers.find("Expected") == "e1");
+}
+
+TEST_CASE("refusals state that the call has not run")
+{
+    // Guards against 401 and 404 while the configuration is not known.
+    proxy_fixture system;
+    CHECK(system.call("/nowhere/", "id-1").status() == 404);
+    CHECK(system.call("/plain/x", "id-2").status() == 503);
+    system.control.change([](proxy::traffic_view& view) { view.services.reset(); });
+    CHECK(system.call("/nowhere/", "id-3").status() == 503);
+}
+
+TEST_CASE("a call that may run once is not sent again after a cut")
+{
+    // Guards against a booking that is lodged twice.
+    proxy_fixture system;
+    auto& first = system.add_endpoint("once", "e1");
+    auto& second = system.add_endpoint("once", "e2");
+    first.mode = second.mode = endpoint_mode::close_without_answer;
+    CHECK(system.call("/once/x", "id-1").status() == 502);
+    CHECK(first.requests.size() + second.requests.size() == 1);
+}
+
+TEST_CASE("a call that an endpoint did not run is refused as not run")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("once", "e1");
+    endpoint.mode = endpoint_mode::refuse;
+    auto const answer = system.call("/once/x", "id-1");
+    CHECK(answer.status() == 503);
+    CHECK(answer.heads[0].headers.find("Retry-After") != nullptr);
+}
+
+TEST_CASE("an idempotent call goes to another endpoint after a cut or a failure")
+{
+    for (auto const mode :
+         {endpoint_mode::close_without_answer, endpoint_mode::fail, endpoint_mode::cut_answer,
+          endpoint_mode::refuse, endpoint_mode::unsigned_answer, endpoint_mode::silent})
+    {
+        proxy_fixture system;
+        auto& bad = system.add_endpoint("plain", "bad");
+        bad.mode = mode;
+        system.add_endpoint("plain", "good");
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const answer = system.call("/plain/x", "id-" + std::to_string(i));
+            INFO("mode " << static_cast<int>(mode) << " call " << i);
+            CHECK(answer.status() == 200);
+            CHECK(answer.body == "answer to id-" + std::to_string(i));
+        }
+    }
+}
+
+TEST_CASE("attempts of a call stay within its route's number")
+{
+    proxy_fixture system;
+    std::size_t sent = 0;
+    std::vector<fake_endpoint*> all;
+    for (int i = 0; i < 4; ++i)
+    {
+        all.push_back(&system.add_endpoint("plain", "e" + std::to_string(i)));
+        all.back()->mode = endpoint_mode::close_without_answer;
+    }
+    CHECK(system.call("/plain/x", "id-1").status() == 502);
+    for (auto const* endpoint : all)
+        sent += endpoint->requests.size();
+    CHECK(sent == 2);
+}
+
+TEST_CASE("a late answer to another call is not handed on")
+{
+    // Guards against an answer that reaches the caller of another request.
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("once", "e1");
+    endpoint.mode = endpoint_mode::stale_answer_first;
+    CHECK(system.call("/once/x", "id-7").body == "answer to id-7");
+}
+
+TEST_CASE("an endpoint at a reused address is forgotten")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "old");
+    endpoint.id = "new";
+    CHECK(system.call("/plain/x", "id-1").status() == 503);
+    CHECK(system.call("/plain/x", "id-2").status() == 503);
+    CHECK(endpoint.requests.size() == 1);
+}
+
+TEST_CASE("a leaving endpoint gets no new call")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    system.control.change(
+        [](proxy::traffic_view& view)
+        {
+            for (auto& row : view.endpoints[service_name("plain")])
+                row.state = connection::endpoint_state::leaving;
+        });
+    CHECK(system.call("/plain/x", "id-1").status() == 503);
+    CHECK(endpoint.requests.empty());
+}
+
+TEST_CASE("the endpoint's work ends when the caller has gone")
+{
+    // Guards against work that nobody waits for any more.
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    endpoint.mode = endpoint_mode::silent;
+    auto const pending = system.start_call("/plain/x", "id-1");
+    system.run_until([&] { return !endpoint.requests.empty(); });
+    pending.call->cancel();
+    system.run_until([&] { return endpoint.closed_by_peer == 1; });
+    system.run_until([&] { return system.proxy.open_calls() == 0; });
+}
+
+TEST_CASE("a call ends at its deadline with its final answer")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("once", "e1");
+    endpoint.mode = endpoint_mode::silent;
+    auto const began = std::chrono::steady_clock::now();
+    CHECK(system.call("/once/x", "id-1").status() == 504);
+    auto const elapsed = std::chrono::steady_clock::now() - began;
+    CHECK(elapsed >= std::chrono::milliseconds(290));
+    CHECK(elapsed < std::chrono::milliseconds(800));
+}
+
+TEST_CASE("a broken stream continues at another endpoint without a gap")
+{
+    // Guards against a missing, repeated or joined event.
+    proxy_fixture system;
+    auto& first = system.add_endpoint("stream", "e1");
+    auto& second = system.add_endpoint("stream", "e2");
+    first.mode = second.mode = endpoint_mode::cut_stream_once;
+    auto const answer = system.call("/stream/x", "id-1");
+    CHECK(answer.ended);
+    CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_CASE("a stream that may not continue is broken off visibly")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("stream-once", "e1");
+    endpoint.mode = endpoint_mode::cut_stream_once;
+    auto const answer = system.call("/stream-once/x", "id-1");
+    CHECK_FALSE(answer.ended);
+    CHECK(answer.failure == http::call_failure::broken_response);
+    CHECK(endpoint.requests.size() == 1);
+}
+
+TEST_CASE("usage counts each request that has begun to run")
+{
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    system.call("/plain/x", "id-1", "", "key-1");
+    system.call("/plain/x", "id-2", "", "key-1");
+    CHECK(system.control.usage[account_id("account")] == 2);
+}
