Test the whole pass-through path with real processes

Stand-ins of the platform's replicas, cloud API and callers stand in platform/fakes, since they speak its words. The system test drains a replica, stops a daemon as planned under bookings and streams, kills another one and reads the configuration back.

--- /dev/null
+++ b/tests/system/pass_through.sh
@@ -0,0 +1,116 @@
+#!/bin/bash
+# Real daemons, replicas and callers of the platform's protocol. Guards against calls that
+# are lost or run twice around a drained replica, a planned stop, a kill and a change of
+# the configuration, and against usage that is not reported.
+set -euo pipefail
+. "$(dirname "$0")/../../scripts/cluster.sh"
+cluster_begin 23000
+platform_fakes="$build/platform/fakes/lagoonladder-platform-fakes"
+
+callers_address() { echo "127.0.0.1:$((port_base + 100 + $1))"; }
+operator_address() { echo "127.0.0.1:$((port_base + 120 + $1))"; }
+directory_address() { echo "127.0.0.1:$((port_base + 140 + $1))"; }
+readiness_address() { echo "127.0.0.1:$((port_base + 160 + $1))"; }
+replica_address() { echo "127.0.0.1:$((port_base + 180 + $1))"; }
+
+write_pass_through_settings() {
+  local i=$1
+  {
+    printf '[vm]\nid = vm%s\ndata_centre = %s\n' "$i" "${data_centres[$i]}"
+    printf '[listen]\nhttp = %s\ncontrol = %s\n' "$(entry "$i")" "$(control_address "$i")"
+    printf '[peers]\nseeds = %s, %s, %s\n' "$(control_address 1)" "$(control_address 2)" "$(control_address 3)"
+    if [ "$i" -le 3 ]; then
+      printf '[storage]\ndata_folder = %s\nmay_found_group = true\n' "$work/data$i"
+      printf 'founders = %s, %s, %s\n' "$(control_address 1)" "$(control_address 2)" "$(control_address 3)"
+    fi
+    printf '[security]\noperator_token = o\nendpoint_token = e\ncluster_token = c\n'
+    printf '[timing]\ngossip_interval = 200 ms\nstate_poll_interval = 200 ms\n'
+    printf 'entry_list_max_age = 2 s\ndrain_timeout = 8 s\n'
+    printf '[pass_through]\ncallers = %s\ncontrol = %s\ndirectory = %s\nreadiness = %s\n' \
+      "$(callers_address "$i")" "$(operator_address "$i")" "$(directory_address "$i")" "$(readiness_address "$i")"
+    printf 'platform_api = %s\nusage_window = 1 s\nduty_lease = 500 ms\n' "$(cloud_address)"
+  } >"$work/vm$i.ini"
+}
+
+start_pass_through_daemon() {
+  write_pass_through_settings "$1"
+  start_process "vm$1" "$daemon_binary" serve --settings "$work/vm$1.ini"
+}
+
+# start_replica NUMBER SERVICE OPTIONS...
+start_replica() {
+  local number=$1 service=$2
+  shift 2
+  start_process "replica$number" "$platform_fakes" replica --id "r$number" --service "$service" \
+    --address "$(replica_address "$number")" --runs "$work/runs" \
+    --control "$(operator_address 1),$(operator_address 2),$(operator_address 4)" "$@"
+}
+
+configuration() {
+  cat <<JSON
+{"version": $1,
+ "routes": [
+  {"name": "book", "hostname": "shop", "pathPrefix": "/book/", "routeType": "unsafe", "timeoutMs": 3000, "backend": "plain", "maxAttempts": 1},
+  {"name": "look", "hostname": "shop", "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 3000, "backend": "plain", "maxAttempts": 2},
+  {"name": "draft", "hostname": "shop", "pathPrefix": "/draft/", "routeType": "stream", "timeoutMs": 8000, "backend": "model", "maxAttempts": 2, "resumable": true}],
+ "services": [{"name": "plain", "healthPath": "/h", "maxConnections": 100}, {"name": "model", "healthPath": "/h", "maxConnections": 100}],
+ "tenants": [{"name": "office", "apiKeys": ["key-1"]}]}
+JSON
+}
+
+put_configuration() { curl -sSf -m 3 -X POST --data "$(configuration "$2")" "http://$(operator_address "$1")/Config.Put"; }
+version_at() { curl -sSf -m 3 "http://$(operator_address "$1")/Config.Get" | head -1 | tr -dc '0-9'; }
+is_ready() { curl -sSf -m 1 "http://$(readiness_address "$1")/ready"; }
+is_usable() { curl -sSf -m 1 -X POST -H 'Host: shop' -H "Request-Id: probe-$RANDOM" -H 'Authorization: Token key-1' "http://$(callers_address "$1")$2"; }
+
+# load NAME PATH REQUESTS RATE OPTIONS...
+load() {
+  local name=$1 path=$2 requests=$3 rate=$4
+  shift 4
+  "$platform_fakes" load --prefix "$name" --host shop --path "$path" --key key-1 --requests "$requests" --rate "$rate" \
+    --directory "$(directory_address 1),$(directory_address 2),$(directory_address 4)" "$@" >"$work/$name.json" 2>"$work/$name.err"
+}
+
+start_process cloud "$platform_fakes" cloud --address "$(cloud_address)"
+for i in 1 2 3 4; do start_pass_through_daemon "$i"; done
+wait_until 20 put_configuration 4 7 || fail "the first configuration was not taken"
+for i in 1 2 3 4; do wait_until 10 is_ready "$i" || fail "vm$i is not ready"; done
+start_replica 1 plain; start_replica 2 plain; start_replica 3 plain
+start_replica 4 model --events 30; start_replica 5 model --events 30
+for i in 1 2 3 4; do
+  wait_until 10 is_usable "$i" /look/x || fail "vm$i reaches no plain replica"
+  wait_until 10 is_usable "$i" /draft/x || fail "vm$i reaches no model replica"
+done
+
+# Bad input changes nothing.
+[ "$(curl -s -o /dev/null -w '%{http_code}' -X POST --data '{"version": 8' "http://$(operator_address 1)/Config.Put")" = 400 ] || fail "a cut configuration was not rejected"
+[ "$(curl -s -o /dev/null -w '%{http_code}' -X POST --data 'noise' "http://$(operator_address 1)/Replicas.Heartbeat/x")" = 400 ] || fail "an unreadable heartbeat was not rejected"
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: shop' -H 'Request-Id: bad-key' "http://$(callers_address 1)/look/x")" = 401 ] || fail "a call without a key was not rejected"
+
+load books /book/x 200 40 &
+books=$!
+load drafts /draft/x 60 12 --deadline-ms 8000 &
+drafts=$!
+sleep 1
+put_configuration 2 9 || fail "a change was not taken"
+stop_process replica1 TERM
+stop_process vm4 TERM
+[ "$stopped_with" -eq 0 ] || fail "the planned stop of vm4 was not clean: $stopped_with"
+wait "$books" || fail "a booking around the planned stop: $(cat "$work/books.json" "$work/books.err")"
+wait "$drafts" || fail "a stream around the planned stop: $(cat "$work/drafts.json" "$work/drafts.err")"
+[ "$(cut -d' ' -f1 "$work/runs" | grep '^books-' | sort | uniq -d | wc -l)" -eq 0 ] || fail "a booking ran twice"
+[ "$(grep -c ' office$' "$work/runs")" -eq "$(wc -l <"$work/runs")" ] || fail "a run without its account"
+
+# A killed daemon costs only the calls that it held; idempotent ones are repeated by their callers.
+load looks /look/x 150 50 --retries 3 &
+looks=$!
+sleep 1
+stop_process vm2 KILL
+wait "$looks" || fail "a look-up around the kill: $(cat "$work/looks.json" "$work/looks.err")"
+wait_until 10 put_configuration 1 12 || fail "no change was taken after the kill"
+[ "$(version_at 3)" = 12 ] || fail "vm3 reads back $(version_at 3)"
+
+start_pass_through_daemon 2
+is_current() { [ "$(version_at 2)" = 12 ]; }
+wait_until 15 is_current || fail "vm2 reads back $(version_at 2)"
+grep -q '^/usage vm[0-9] [0-9]* .*office' "$work/cloud.log" || fail "no usage was reported"
