Write the log from a thread of its own and serve metrics without a token

Cause: a slow reader of the log blocked requests, the log went to standard error, and the platform could not read the metrics. Change: Boost.Log's asynchronous sink with a bounded queue; dropped lines are counted and the count is logged; answered calls are written up to 100 lines a second, all others always.

--- a/src/process/daemon/include/lagoonladder/daemon/settings.hpp
+++ b/src/process/daemon/include/lagoonladder/daemon/settings.hpp
@@ -36,6 +36,8 @@
     network_address directory;
     /// Where the platform asks whether this entry takes calls.
     network_address readiness;
+    /// Where GET /metrics is answered without a token; empty for nowhere.
+    network_address metrics;
     /// The platform's API for usage reports and capacity; empty for none.
     network_address platform_api;
     std::uint32_t max_connections = 2000;
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -39,6 +39,15 @@
 
 } // namespace
 
+void metrics_handler::handle(std::shared_ptr<http::server_exchange> const& exchange)
+{
+    if (exchange->head().target != "/metrics")
+        return exchange->respond({404, {}, {}}, "unknown call");
+    http::response_head head{200, {}, {}};
+    head.headers.set("Content-Type", "text/plain; version=0.0.4");
+    exchange->respond(std::move(head), this->values.expose());
+}
+
 pass_through_plane::pass_through_plane(settings const& config, control_loop& loop, event_sink& sink,
                                        observability::metrics& metrics, clock const& time,
                                        std::uint64_t seed)
@@ -53,6 +62,7 @@
     , control_calls(*this, sink)
     , directory_calls(*this, config.pass_through.directory_age)
     , readiness_calls(*this)
+    , metrics_calls(metrics)
     , duties(this->client, config.pass_through.platform_api)
     , callers(
           this->context,
@@ -69,6 +79,9 @@
           this->context,
           server_at(config.pass_through.readiness, max_control_connections, "readiness"),
           this->readiness_calls, control_limits, sink, time)
+    , metrics_server(this->context,
+                     server_at(config.pass_through.metrics, max_control_connections, "metrics"),
+                     this->metrics_calls, control_limits, sink, time)
     , count_timer(this->context)
 {
 }
@@ -84,6 +97,8 @@
     this->control_server.start();
     this->directory_server.start();
     this->readiness_server.start();
+    if (!this->options.pass_through.metrics.value().empty())
+        this->metrics_server.start();
     this->count_open_calls();
     if (!this->options.pass_through.platform_api.value().empty())
         this->control.set_platform_duties(this);
@@ -121,6 +136,7 @@
                    this->control_server.stop();
                    this->directory_server.stop();
                    this->readiness_server.stop();
+                   this->metrics_server.stop();
                    this->client.stop();
                    this->context.stop();
                });
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -10,6 +10,21 @@
 namespace lagoonladder::daemon
 {
 
+/// Answers GET /metrics.
+class metrics_handler : public http::request_handler
+{
+public:
+    explicit metrics_handler(observability::metrics const& source)
+        : values(source)
+    {
+    }
+
+    void handle(std::shared_ptr<http::server_exchange> const& exchange) override;
+
+private:
+    observability::metrics const& values;
+};
+
 /// The traffic thread of pass-through calls: its event loop, servers and client.
 class pass_through_plane : public proxy::traffic_control,
                            public proxy::operations,
@@ -69,11 +84,13 @@
     platform::control_handler control_calls;
     platform::directory_handler directory_calls;
     platform::readiness_handler readiness_calls;
+    metrics_handler metrics_calls;
     platform::duty_client duties;
     http::server callers;
     http::server control_server;
     http::server directory_server;
     http::server readiness_server;
+    http::server metrics_server;
     asio::steady_timer count_timer;
     std::atomic<std::size_t> open = 0;
     std::thread thread;
--- a/src/process/daemon/internal/settings.cpp
+++ b/src/process/daemon/internal/settings.cpp
@@ -45,10 +45,10 @@
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
             document.require_known_keys(section, {"callers", "control", "directory", "readiness",
-                                                  "platform_api", "max_connections", "retry_share",
-                                                  "retry_burst", "quota_span", "quota_overshoot",
-                                                  "quota_tolerance", "usage_window", "duty_lease",
-                                                  "directory_age"});
+                                                  "metrics", "platform_api", "max_connections",
+                                                  "retry_share", "retry_burst", "quota_span",
+                                                  "quota_overshoot", "quota_tolerance",
+                                                  "usage_window", "duty_lease", "directory_age"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -188,6 +188,7 @@
     section.read("control", out.control);
     section.read("directory", out.directory);
     section.read("readiness", out.readiness);
+    section.read("metrics", out.metrics);
     section.read("platform_api", out.platform_api);
     section.read_count("max_connections", out.max_connections, 8, 65'536);
     section.read_number("retry_share", out.retry_share, 0, 1);
--- a/src/process/daemon/tests/traffic_http_test.cpp
+++ b/src/process/daemon/tests/traffic_http_test.cpp
@@ -160,6 +160,8 @@
     one.entry.server->drain();
     CHECK(one.entry.server->open_requests() == 1);
     CHECK(read_completion(one.entry, chat_body()).is_done);
+    // The daemon stops its server only when no request is open.
+    REQUIRE(one.entry.server->wait_until_idle(seconds(10)));
     one.entry.server->stop();
     caller.join();
     CHECK(seen.text == expected_text(0, 20));
--- a/src/process/observability/internal/event_timeline.cpp
+++ b/src/process/observability/internal/event_timeline.cpp
@@ -75,7 +75,15 @@
 {
     event entry{this->stamp(), this->vm, level, std::move(name), std::move(fields)};
     if (level >= this->threshold)
+    {
+        if (auto const dropped = take_dropped_log_lines(); dropped > 0)
+            write_log_line(format_event({this->stamp(),
+                                         this->vm,
+                                         severity::warning,
+                                         "log.lines_dropped",
+                                         {{"count", std::to_string(dropped)}}}));
         write_log_line(format_event(entry));
+    }
     if (level == severity::debug)
         return;
     std::lock_guard const lock(this->mutex);
--- a/src/process/observability/tests/observability_test.cpp
+++ b/src/process/observability/tests/observability_test.cpp
@@ -1,3 +1,8 @@
+#include <condition_variable>
+#include <mutex>
+#include <ostream>
+#include <streambuf>
+
 #include <catch2/catch.hpp>
 
 #include <lagoonladder/observability.hpp>
@@ -50,3 +55,65 @@
     CHECK_THAT(text, Contains("lagoonladder_queue_age_seconds 1.5"));
     CHECK_THAT(text, Contains("lagoonladder_first_token_seconds_count 1"));
 }
+
+namespace
+{
+
+/// A reader of the log that takes nothing until it is released.
+class blocked_buffer : public std::streambuf
+{
+public:
+    void release()
+    {
+        std::lock_guard const lock(this->mutex);
+        this->is_open = true;
+        this->changed.notify_all();
+    }
+
+    std::string text;
+
+protected:
+    std::streamsize xsputn(char const* bytes, std::streamsize count) override
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->is_open; });
+        this->text.append(bytes, static_cast<std::size_t>(count));
+        return count;
+    }
+
+    int overflow(int c) override
+    {
+        char const byte = static_cast<char>(c);
+        this->xsputn(&byte, 1);
+        return c;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool is_open = false;
+};
+
+} // namespace
+
+TEST_CASE("a blocked reader of the log blocks no event")
+{
+    // Guards against requests that wait for the log, and against lines lost unseen.
+    blocked_buffer buffer;
+    std::ostream out(&buffer);
+    start_log(out);
+    constexpr std::size_t lines = max_waiting_log_lines * 2;
+    std::uint64_t dropped = 0;
+    for (std::size_t i = 0; i < lines; ++i)
+    {
+        write_log_line("line");
+        dropped += take_dropped_log_lines();
+    }
+    CHECK(dropped > 0);
+    CHECK(dropped < lines);
+    buffer.release();
+    stop_log();
+    CHECK_THAT(buffer.text, Contains("line"));
+    auto const written = std::count(buffer.text.begin(), buffer.text.end(), '\n');
+    CHECK(static_cast<std::uint64_t>(written) + dropped == lines);
+}
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -21,6 +21,12 @@
            service_name const& service, incoming_call const& call,
            std::vector<endpoint_id> const& excluded, random_source& random);
 
+    /// Estimated requests running and waiting at the endpoint.
+    double load(time_point now, endpoint_id const& endpoint) const
+    {
+        return this->loads.estimate(now, endpoint);
+    }
+
     void started(time_point now, endpoint_id const& endpoint);
     /// An attempt has ended; `outcome` is empty when it tells nothing of the endpoint.
     void ended(time_point now, service_name const& service, endpoint_id const& endpoint,
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -95,6 +95,7 @@
     this->first_byte = {};
     this->current = std::make_shared<endpoint_attempt>(
         this->weak_from_this(), this->context->parts.codec, endpoint, this->call.id, now);
+    this->chosen_load = this->context->chooser.load(now, endpoint.id);
     this->context->chooser.started(now, endpoint.id);
     this->set_timer();
     auto const view = this->context->parts.control.view();
@@ -384,8 +385,9 @@
     auto const now = this->context->parts.time.now();
     auto const elapsed = now - this->exchange->arrived();
     bool const is_answered = status >= 200 && status < 300;
+    bool const is_written = !is_answered || this->context->answered_lines.take(now);
     this->context->parts.events.emit(
-        is_answered ? severity::debug : severity::info, "call.ended",
+        is_written ? severity::info : severity::debug, "call.ended",
         {{"id", this->call.id.value()},
          {"route", this->route().name.value()},
          {"service", this->admitted.service.value()},
@@ -394,6 +396,7 @@
          {"reason", detail},
          {"attempts", std::to_string(this->sends)},
          {"endpoint", this->tried.empty() ? "" : this->tried.back().value()},
+         {"endpoint_load", std::to_string(this->chosen_load)},
          {"elapsed_ms", milliseconds_text(elapsed)},
          {"configuration", std::to_string(this->admitted.services->map().number)}});
     this->context->parts.metrics.add("proxied_calls_total",
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -65,6 +65,8 @@
     /// Attempts of which a byte was sent.
     std::uint32_t sends = 0;
     std::uint32_t unsent_tries = 0;
+    /// Estimated requests at the endpoint when it was chosen last.
+    double chosen_load = 0;
     bool may_have_run = false;
     time_point last_byte{};
     time_point first_byte{};
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -10,6 +10,27 @@
 namespace lagoonladder::proxy
 {
 
+/// Bounds the log lines of calls that were answered; those of others are always written.
+class line_budget
+{
+public:
+    static constexpr std::uint32_t lines_per_second = 100;
+
+    bool take(time_point now)
+    {
+        if (now >= this->begin + seconds(1))
+        {
+            this->begin = now;
+            this->used = 0;
+        }
+        return this->used++ < lines_per_second;
+    }
+
+private:
+    time_point begin{};
+    std::uint32_t used = 0;
+};
+
 /// What all calls of the process share.
 struct proxy_context
 {
@@ -25,6 +46,7 @@
     request::account_quota quotas;
     std::map<service_name, request::retry_budget> budgets;
     time_point demand_told{};
+    line_budget answered_lines;
     std::size_t open_calls = 0;
 };
 
