Judge moves of pass-through services, and serve while a version has no endpoint

Cause: the move driver knew only services of the product's own configuration, so a move of a pass-through service never left its first state; and a call that the split gave to a version without endpoints was refused. Change: such services get a controller with steps of a second; calls go to the other version while theirs has no endpoint, but never to a candidate without a share; outcomes are compared under the version names of the split.

--- a/src/process/daemon/internal/move_driver.cpp
+++ b/src/process/daemon/internal/move_driver.cpp
@@ -8,6 +8,9 @@
 
 constexpr duration update_timeout = seconds(2);
 
+/// A move at full share is watched for this part of its time.
+constexpr int watch_part = 4;
+
 /// Samples kept for one service between two steps; a burst of late reports must
 /// not grow the memory.
 constexpr std::size_t max_collected = 10'000;
@@ -39,6 +42,40 @@
     return fields;
 }
 
+bool is_passed_through(version::shared_state const& shared, version::move_record const& record)
+{
+    return shared.services && shared.services->find_service(record.service) != nullptr;
+}
+
+/// What the move of a service is judged by; no value for a service that is gone.
+std::optional<version::service_config> find_move_service(version::shared_state const& shared,
+                                                         version::move_record const& record)
+{
+    if (auto const* service = shared.configuration.find_service(record.service))
+        return *service;
+    if (!is_passed_through(shared, record))
+        return std::nullopt;
+    version::service_config service;
+    service.name = record.service;
+    service.version = record.to;
+    service.watch = (record.finish_by - record.started) / watch_part;
+    return service;
+}
+
+/// Moves of pass-through services take seconds, so their steps are close to each other.
+version::move_controller make_controller(version::shared_state const& shared,
+                                         version::move_record const& record)
+{
+    if (!is_passed_through(shared, record))
+        return version::move_controller();
+    version::move_settings settings;
+    settings.observe = seconds(1);
+    settings.commit_margin = milliseconds(1500);
+    settings.most_first_share = 0.1;
+    settings.least_requests = 20;
+    return version::move_controller(settings);
+}
+
 } // namespace
 
 move_driver::move_driver(consensus_driver* own_node, event_sink& log, clock const& time_source)
@@ -89,10 +126,15 @@
 
 void move_driver::step_move(version::shared_state const& shared, version::move_record const& record)
 {
-    auto const* service = shared.configuration.find_service(record.service);
+    auto const service = find_move_service(shared, record);
     if (!service)
         return;
-    auto& controller = this->controllers[record.service];
+    auto const known = this->controllers.find(record.service);
+    auto& controller =
+        known != this->controllers.end()
+            ? known->second
+            : this->controllers.emplace(record.service, make_controller(shared, record))
+                  .first->second;
     auto const change =
         controller.step(this->time.wall_now(), record, *service, this->collected[record.service]);
     if (!change)
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -50,6 +50,23 @@
     return candidate;
 }
 
+/// Endpoints of the version that a running move gives the call. While there are none
+/// of it, the others serve, but no endpoint of the candidate before its first share.
+std::vector<connection::endpoint_record>
+select_version(std::vector<connection::endpoint_record> rows, version::traffic_split const& split,
+               request_id const& call)
+{
+    auto const is_candidate = [&](auto const& row) { return row.version == split.candidate; };
+    bool const has_candidate = std::any_of(rows.begin(), rows.end(), is_candidate);
+    bool const has_stable = !std::all_of(rows.begin(), rows.end(), is_candidate);
+    bool const wants_candidate = split.choose(call) == split.candidate;
+    bool const may_use_candidate = split.candidate_share > 0;
+    bool const uses_candidate =
+        has_candidate && (wants_candidate || (!has_stable && may_use_candidate));
+    std::erase_if(rows, [&](auto const& row) { return is_candidate(row) != uses_candidate; });
+    return rows;
+}
+
 } // namespace
 
 std::vector<connection::endpoint_record>
@@ -70,10 +87,7 @@
     auto const& split = found->second;
     if (!split.candidate.value().empty())
     {
-        bool const uses_candidate = split.choose(call) == split.candidate;
-        std::erase_if(rows, [&](auto const& row)
-                      { return (row.version == split.candidate) != uses_candidate; });
-        return rows;
+        return select_version(std::move(rows), split, call);
     }
     bool const has_stable = std::any_of(
         rows.begin(), rows.end(), [&](auto const& row) { return row.version == split.stable; });
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -343,7 +343,7 @@
     auto const now = this->context->parts.time.now();
     version::traffic_sample sample;
     sample.service = this->admitted.service;
-    sample.version = attempt.endpoint().version;
+    sample.version = this->compared_version(attempt.endpoint());
     sample.route = this->route().name;
     sample.requests = 1;
     sample.failures = result == attempt_result::complete ? 0 : 1;
@@ -353,6 +353,16 @@
     this->context->parts.control.record(sample);
 }
 
+version_name proxied_call::compared_version(connection::endpoint_record const& endpoint) const
+{
+    auto const view = this->context->parts.control.view();
+    auto const split = view->splits.find(this->admitted.service);
+    if (split == view->splits.end() || endpoint.version == split->second.candidate)
+        return endpoint.version;
+    // The move compares its candidate with all that was there before.
+    return split->second.stable;
+}
+
 void proxied_call::count_start(endpoint_attempt const&)
 {
     if (this->admitted.account != nullptr)
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -49,6 +49,8 @@
     bool may_repeat(attempt_result result);
     bool is_idempotent() const;
     void record_sample(endpoint_attempt const& attempt, attempt_result result);
+    /// Version under which the outcomes of a running move are compared.
+    version_name compared_version(connection::endpoint_record const& endpoint) const;
     void count_start(endpoint_attempt const& attempt);
     void give_up(refusal reason, std::string const& detail);
     void finish(char const* outcome, unsigned status, std::string const& detail);
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -173,3 +173,53 @@
     system.call("/plain/x", "id-2", "", "key-1");
     CHECK(system.control.usage[account_id("account")] == 2);
 }
+
+TEST_CASE("a version gets the calls of its share only")
+{
+    // Guards against calls for a version before its first share or after it was reversed,
+    // and against refusals while only the other version is there.
+    proxy_fixture system;
+    auto& old_version = system.add_endpoint("plain", "old");
+    auto& new_version = system.add_endpoint("plain", "new");
+    service_name const service("plain");
+    auto const set_split = [&](double share)
+    {
+        system.control.change(
+            [&](proxy::traffic_view& view) {
+                view.splits[service] = {version_name(""), version_name("v2"), share};
+            });
+    };
+    auto const calls = [&](std::string const& prefix)
+    {
+        auto const before = new_version.requests.size();
+        for (int i = 0; i < 40; ++i)
+            CHECK(system.call("/plain/x", prefix + std::to_string(i)).status() == 200);
+        return new_version.requests.size() - before;
+    };
+    system.control.change([&](proxy::traffic_view& view)
+                          { view.endpoints[service][1].version = version_name("v2"); });
+    set_split(0);
+    CHECK(calls("none-") == 0);
+    set_split(0.5);
+    auto const half = calls("half-");
+    CHECK(half > 8);
+    CHECK(half < 32);
+    set_split(1);
+    CHECK(calls("all-") == 40);
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            view.splits.clear();
+            view.reversed[service] = version_name("v2");
+        });
+    CHECK(calls("reversed-") == 0);
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            view.reversed.clear();
+            view.endpoints[service].pop_back();
+        });
+    set_split(0.5);
+    CHECK(calls("missing-") == 0);
+    CHECK(old_version.requests.size() >= 120);
+}
