Keep usage counts in the replicated state; exclude unreachable endpoints at once

Change: entries report every 500 ms, the leader commits the counts by entry, and a window is closed from what was committed. Refusals for quota name what decided them. One reason phrase, one base of both parsers.

--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -13,7 +13,10 @@
 /// Changes within this time are published together; announcements of many
 /// endpoints must not copy the directory each time.
 constexpr duration publish_delay = milliseconds(5);
-constexpr duration report_interval = seconds(1);
+/// Usage counts of this span are lost with an entry.
+constexpr duration report_interval = milliseconds(500);
+/// Traffic counts and moves need no shorter intervals than a second.
+constexpr std::uint32_t reports_per_step = 2;
 /// Added to the wait of the calling thread, so that the control thread decides
 /// whether a command is unknown.
 constexpr duration caller_grace = seconds(1);
@@ -274,6 +277,9 @@
     this->gauges.set("quorum_recent", {}, current.quorum_recent ? 1 : 0);
     this->gauges.set("configuration_generation", {},
                      static_cast<double>(current.shared->generation.value()));
+    if (current.shared->services)
+        this->gauges.set("pass_through_configuration", {},
+                         static_cast<double>(current.shared->services->map().number));
     this->gauges.set("entries", {}, static_cast<double>(current.entries.size()));
     for (auto const& [service, rows] : current.endpoints)
         this->gauges.set("endpoints", {{"service", service.value()}},
@@ -296,7 +302,9 @@
 
 void control_loop::report()
 {
-    auto const samples = this->traffic_counts.take();
+    bool const is_step = ++this->report_count % reports_per_step == 0;
+    auto const samples =
+        is_step ? this->traffic_counts.take() : std::vector<version::traffic_sample>();
     auto const usage = this->usage_counts.report();
     if (this->driver && this->driver->is_leader())
     {
@@ -307,7 +315,8 @@
     {
         this->client.report(samples, usage);
     }
-    this->version_moves.step();
+    if (is_step)
+        this->version_moves.step();
     this->platform_duties.step(*this->view());
 }
 
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -104,6 +104,7 @@
     asio::steady_timer publish_timer;
     asio::steady_timer report_timer;
     bool publish_scheduled = false;
+    std::uint32_t report_count = 0;
     std::atomic<std::uint32_t> open_requests = 0;
     std::atomic<std::shared_ptr<control_view const>> published;
     std::atomic<std::shared_ptr<proxy::traffic_view const>> published_traffic;
--- a/src/process/daemon/internal/duty_driver.cpp
+++ b/src/process/daemon/internal/duty_driver.cpp
@@ -26,7 +26,9 @@
 
 void duty_driver::collect(version::usage_report const& report)
 {
-    this->ledger.add(report);
+    auto const known = this->noted.find(report.vm);
+    if (known == this->noted.end() || known->second != report)
+        this->received[report.vm] = report;
 }
 
 void duty_driver::step(control_view const& view)
@@ -41,10 +43,34 @@
 {
     if (this->platform == nullptr || !this->holds_duty())
         return;
+    this->note_counts();
     this->close_windows();
     this->report_windows();
 }
 
+void duty_driver::note_counts()
+{
+    if (this->is_noting || this->received.empty())
+        return;
+    version::note_usage order;
+    for (auto const& [vm, report] : this->received)
+        order.reports.push_back(report);
+    auto sent = std::exchange(this->received, {});
+    this->is_noting = true;
+    this->node->propose(
+        std::move(order), this->time.now() + command_timeout,
+        [this, term = this->held_term, sent = std::move(sent)](proposal_outcome const& outcome)
+        {
+            if (term != this->held_term)
+                return;
+            this->is_noting = false;
+            if (outcome.status != proposal_status::committed)
+                return;
+            for (auto const& [vm, report] : sent)
+                this->noted[vm] = report;
+        });
+}
+
 bool duty_driver::holds_duty()
 {
     if (!this->node->is_leader())
@@ -57,6 +83,8 @@
     {
         this->held_term = this->node->term();
         this->held_since = now;
+        this->noted.clear();
+        this->is_noting = false;
         this->is_closing = false;
         this->is_reporting = false;
         this->capacity.reset();
@@ -79,20 +107,19 @@
     auto const ended = this->time.wall_now() - window_close_delay;
     auto const end = static_cast<std::uint64_t>(ended.time_since_epoch() / span);
     auto const& closed = this->node->state().usage_windows();
-    auto const first_known = this->ledger.first_window();
+    auto const first_known = this->node->state().open_usage().first_window();
     if (this->is_closing || (closed.empty() && !first_known))
         return;
     auto next = closed.empty() ? *first_known : closed.rbegin()->first + 1;
     if (next >= end)
         return;
     next = std::max(next, end - std::min(end, max_windows_behind));
-    auto counts = this->ledger.totals(next);
+    auto const counts = this->node->state().open_usage().totals(next);
     this->events.emit(
         severity::info, "usage.window_closing",
         {{"window", std::to_string(next)}, {"accounts", std::to_string(counts.size())}});
     this->is_closing = true;
-    this->node->propose(version::close_usage_window{next, std::move(counts)},
-                        this->time.now() + command_timeout,
+    this->node->propose(version::close_usage_window{next}, this->time.now() + command_timeout,
                         [this, term = this->held_term](proposal_outcome const&)
                         {
                             if (term != this->held_term)
@@ -130,7 +157,6 @@
 
 void duty_driver::confirm(std::uint64_t window)
 {
-    this->ledger.forget_before(window);
     this->node->propose(version::confirm_usage_window{window}, this->time.now() + command_timeout,
                         [this, term = this->held_term](proposal_outcome const& outcome)
                         {
--- a/src/process/daemon/internal/duty_driver.hpp
+++ b/src/process/daemon/internal/duty_driver.hpp
@@ -23,12 +23,13 @@
     /// Counts of one entry.
     void collect(version::usage_report const& report);
 
-    /// To be called about once a second.
+    /// To be called with each report.
     void step(control_view const& view);
 
 private:
     void step_usage();
     bool holds_duty();
+    void note_counts();
     void close_windows();
     void report_windows();
     void confirm(std::uint64_t window);
@@ -39,11 +40,14 @@
     event_sink& events;
     clock const& time;
     proxy::platform_duties* platform = nullptr;
-    version::usage_ledger ledger;
+    /// Counts that were not noted yet, and those that were noted last, by entry.
+    std::map<vm_id, version::usage_report> received;
+    std::map<vm_id, version::usage_report> noted;
     /// Term of the own leadership, and when it was first seen.
     std::uint64_t held_term = 0;
     time_point held_since{};
     capacity_driver capacity;
+    bool is_noting = false;
     bool is_closing = false;
     bool is_reporting = false;
 };
--- a/src/process/daemon/internal/traffic_problem.cpp
+++ b/src/process/daemon/internal/traffic_problem.cpp
@@ -2,52 +2,10 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
-{
+#include <lagoonladder/http.hpp>
 
-namespace
-{
-
-char const* status_title(int status)
+namespace lagoonladder::daemon
 {
-    switch (status)
-    {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 409:
-        return "Conflict";
-    case 413:
-        return "Payload Too Large";
-    case 414:
-        return "URI Too Long";
-    case 415:
-        return "Unsupported Media Type";
-    case 422:
-        return "Unprocessable Entity";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return status < 500 ? "Request Refused" : "Internal Server Error";
-    }
-}
-
-} // namespace
 
 char const* to_string(execution value)
 {
@@ -66,7 +24,7 @@
 std::string format_problem(problem const& value)
 {
     nlohmann::json body{{"type", "urn:lagoonladder:problem:" + value.type},
-                        {"title", status_title(value.status)},
+                        {"title", http::reason_phrase(value.status)},
                         {"status", value.status},
                         {"detail", value.detail},
                         {"executed", to_string(value.executed)},
--- a/src/process/http/include/lagoonladder/http/client.hpp
+++ b/src/process/http/include/lagoonladder/http/client.hpp
@@ -62,7 +62,7 @@
 
 struct client_options
 {
-    duration connect_timeout = milliseconds(500);
+    duration connect_timeout = milliseconds(200);
     /// Idle connections are used again within this time when the server states none.
     duration default_idle_time = seconds(4);
     /// Part of the idle time that a server states within which a connection is used again.
--- a/src/process/http/internal/message.cpp
+++ b/src/process/http/internal/message.cpp
@@ -108,6 +108,8 @@
         return "Bad Request";
     case 401:
         return "Unauthorized";
+    case 403:
+        return "Forbidden";
     case 404:
         return "Not Found";
     case 405:
@@ -117,7 +119,13 @@
     case 409:
         return "Conflict";
     case 413:
-        return "Content Too Large";
+        return "Payload Too Large";
+    case 414:
+        return "URI Too Long";
+    case 415:
+        return "Unsupported Media Type";
+    case 422:
+        return "Unprocessable Entity";
     case 429:
         return "Too Many Requests";
     case 431:
@@ -133,7 +141,7 @@
     case 504:
         return "Gateway Timeout";
     default:
-        return "Status";
+        return status >= 400 && status < 500 ? "Request Refused" : "Internal Server Error";
     }
 }
 
--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -56,7 +56,43 @@
 
 } // namespace
 
-class request_parser::implementation : public beast::http::basic_parser<true>
+namespace
+{
+
+/// Hands whole heads and parts of bodies to two functions, whatever the framing is.
+template <bool is_request>
+class body_parser : public beast::http::basic_parser<is_request>
+{
+protected:
+    virtual void take_body(beast::string_view bytes) = 0;
+
+    void on_request_impl(beast::http::verb, beast::string_view, beast::string_view, int,
+                         beast::error_code&) override
+    {
+    }
+    void on_response_impl(int, beast::string_view, int, beast::error_code&) override {}
+    void on_header_impl(beast::error_code&) override {}
+    void on_body_init_impl(boost::optional<std::uint64_t> const&, beast::error_code&) override {}
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
+    void on_finish_impl(beast::error_code&) override {}
+
+    std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
+    {
+        this->take_body(bytes);
+        return bytes.size();
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
+                                   beast::error_code&) override
+    {
+        this->take_body(bytes);
+        return bytes.size();
+    }
+};
+
+} // namespace
+
+class request_parser::implementation : public body_parser<true>
 {
 public:
     request_head head;
@@ -71,8 +107,6 @@
         this->head.target = text_of(target);
     }
 
-    void on_response_impl(int, beast::string_view, int, beast::error_code&) override {}
-
     void on_field_impl(beast::http::field name, beast::string_view text, beast::string_view value,
                        beast::error_code& code) override
     {
@@ -84,24 +118,10 @@
         this->head.headers.add(text_of(text), text_of(value));
     }
 
-    void on_header_impl(beast::error_code&) override {}
-    void on_body_init_impl(boost::optional<std::uint64_t> const&, beast::error_code&) override {}
-
-    std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
+    void take_body(beast::string_view bytes) override
     {
         this->body.append(bytes.data(), bytes.size());
-        return bytes.size();
     }
-
-    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
-
-    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
-                                   beast::error_code& code) override
-    {
-        return this->on_body_impl(bytes, code);
-    }
-
-    void on_finish_impl(beast::error_code&) override {}
 };
 
 request_parser::request_parser(connection_limits const& limits)
@@ -149,7 +169,7 @@
     return this->state->body;
 }
 
-class response_parser::implementation : public beast::http::basic_parser<false>
+class response_parser::implementation : public body_parser<false>
 {
 public:
     std::function<void(response_head const&)> on_head;
@@ -157,11 +177,6 @@
     response_head head;
 
 protected:
-    void on_request_impl(beast::http::verb, beast::string_view, beast::string_view, int,
-                         beast::error_code&) override
-    {
-    }
-
     void on_response_impl(int status, beast::string_view reason, int, beast::error_code&) override
     {
         this->head.status = static_cast<unsigned>(status);
@@ -175,23 +190,11 @@
     }
 
     void on_header_impl(beast::error_code&) override { this->on_head(this->head); }
-    void on_body_init_impl(boost::optional<std::uint64_t> const&, beast::error_code&) override {}
 
-    std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
+    void take_body(beast::string_view bytes) override
     {
         this->on_body({bytes.data(), bytes.size()});
-        return bytes.size();
     }
-
-    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
-
-    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
-                                   beast::error_code& code) override
-    {
-        return this->on_body_impl(bytes, code);
-    }
-
-    void on_finish_impl(beast::error_code&) override {}
 };
 
 response_parser::response_parser(std::function<void(response_head const&)> on_head,
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -65,8 +65,10 @@
     if (told != view.demand.end())
         peers = told->second;
     peers.entries = view.entries;
+    result.quota_tokens = tokens_of(call, quota);
+    result.quota_demand = peers;
     auto const decision = quotas.take(now, result.account->name, limit_of(quota, tolerance), peers,
-                                      tokens_of(call, quota));
+                                      result.quota_tokens);
     result.retry_after = decision.retry_after;
     return decision.granted ? refusal::none : refusal::over_quota;
 }
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -46,6 +46,10 @@
     version::pass_account const* account = nullptr;
     service_name service;
     time_point deadline{};
+    /// Tokens that the call counts towards the quota, and what this entry's part of it
+    /// was decided by.
+    double quota_tokens = 0;
+    request::peer_demand quota_demand;
 };
 
 /// Decides whether a call is admitted and which service gets it.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -10,6 +10,30 @@
 
 constexpr duration demand_interval = milliseconds(250);
 
+std::vector<event_field> describe_refusal(incoming_call const& call, admitted_call const& admitted,
+                                          unsigned status)
+{
+    auto const number = admitted.services ? admitted.services->map().number : 0;
+    std::vector<event_field> fields{{"id", call.id.value()},
+                                    {"host", call.host},
+                                    {"target", call.target},
+                                    {"reason", to_string(admitted.reason)},
+                                    {"detail", call.problem},
+                                    {"status", std::to_string(status)},
+                                    {"configuration", std::to_string(number)}};
+    if (admitted.reason != refusal::over_quota)
+        return fields;
+    auto const& demand = admitted.quota_demand;
+    fields.push_back({"account", admitted.account->name.value()});
+    fields.push_back({"tokens", std::to_string(admitted.quota_tokens)});
+    fields.push_back({"limit", std::to_string(admitted.account->quota->tokens_per_second)});
+    fields.push_back({"demand_here", std::to_string(demand.own)});
+    fields.push_back({"demand_elsewhere", std::to_string(demand.others)});
+    fields.push_back({"entries", std::to_string(demand.entries)});
+    fields.push_back({"retry_after", format_duration(admitted.retry_after)});
+    return fields;
+}
+
 /// Answers a call that is not admitted.
 void refuse(proxy_context& context, http::server_exchange& exchange, incoming_call const& call,
             admitted_call const& admitted)
@@ -19,15 +43,8 @@
     bool const may_come_back = status == 429 || status == 503;
     if (may_come_back && admitted.retry_after > duration(0))
         head.headers.set("Retry-After", std::to_string(to_seconds(admitted.retry_after)));
-    auto const number = admitted.services ? admitted.services->map().number : 0;
     context.parts.events.emit(severity::info, "call.refused",
-                              {{"id", call.id.value()},
-                               {"host", call.host},
-                               {"target", call.target},
-                               {"reason", to_string(admitted.reason)},
-                               {"detail", call.problem},
-                               {"status", std::to_string(status)},
-                               {"configuration", std::to_string(number)}});
+                              describe_refusal(call, admitted, status));
     context.parts.metrics.add("refused_calls_total", {{"reason", to_string(admitted.reason)}});
     exchange.respond(std::move(head), to_string(admitted.reason));
 }
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -265,6 +265,7 @@
     {
         outcome.emplace();
         outcome->ok = result == attempt_result::complete;
+        outcome->unreachable = result == attempt_result::not_sent;
         outcome->first_byte =
             this->first_byte == time_point() ? duration(0) : this->first_byte - attempt->started();
         outcome->elapsed = now - attempt->started();
--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -51,6 +51,8 @@
     duration elapsed{};
     /// Tokens generated; 0 for plain services.
     std::uint64_t tokens = 0;
+    /// No connection could be opened; the endpoint is excluded at once.
+    bool unreachable = false;
 };
 
 /// Picks an endpoint for one attempt. Not safe for concurrent calls.
@@ -147,7 +149,7 @@
     rated_list within_bound(rated_list const& all) const;
     rated_list affinity(rated_list all, route_query const& query) const;
     static rated const& choose_of_two(rated_list const& group, random_source& random);
-    void record_failure(time_point now, health& state) const;
+    void record_failure(time_point now, health& state, bool unreachable) const;
     static void record_success(time_point now, health& state, route_outcome const& outcome);
     void note_probe(time_point now, endpoint_id const& endpoint);
 
--- a/src/request/internal/route_choice.cpp
+++ b/src/request/internal/route_choice.cpp
@@ -74,13 +74,15 @@
     if (outcome.ok)
         record_success(now, state, outcome);
     else
-        this->record_failure(now, state);
+        this->record_failure(now, state, outcome.unreachable);
 }
 
-void balanced_route_policy::record_failure(time_point now, health& state) const
+void balanced_route_policy::record_failure(time_point now, health& state, bool unreachable) const
 {
     ++state.failures;
-    if (state.failures < this->options.failures_to_exclude && state.exclusions == 0)
+    bool const may_be_chance =
+        state.failures < this->options.failures_to_exclude && state.exclusions == 0;
+    if (may_be_chance && !unreachable)
         return;
     auto const doublings = std::min<std::uint32_t>(state.exclusions, 16);
     auto const span = this->options.exclusion * (std::int64_t(1) << doublings);
--- a/src/request/tests/route_choice_test.cpp
+++ b/src/request/tests/route_choice_test.cpp
@@ -251,3 +251,22 @@
     CHECK(index.match(at(seconds(5)), endpoint_id("e4"), long_prompt) == Approx(4.0 / 6));
     CHECK(prefix_blocks(std::string(255, 'y')).empty());
 }
+
+TEST_CASE("an endpoint that takes no connection is excluded at once")
+{
+    // Guards against calls that each wait for a connection to an endpoint that is gone.
+    balanced_route_policy policy;
+    seeded_random random(3);
+    std::vector<route_candidate> candidates(2);
+    candidates[0].endpoint_id = endpoint_id("gone");
+    candidates[1].endpoint_id = endpoint_id("there");
+    auto const now = time_point(seconds(100));
+    policy.choose(now, candidates, {}, random);
+    route_outcome outcome;
+    outcome.ok = false;
+    policy.record(now, endpoint_id("there"), outcome);
+    CHECK_FALSE(policy.is_excluded(now, endpoint_id("there")));
+    outcome.unreachable = true;
+    policy.record(now, endpoint_id("gone"), outcome);
+    CHECK(policy.is_excluded(now, endpoint_id("gone")));
+}
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -14,6 +14,7 @@
 #include <lagoonladder/request.hpp>
 #include <lagoonladder/version/configuration.hpp>
 #include <lagoonladder/version/service_map.hpp>
+#include <lagoonladder/version/usage_ledger.hpp>
 
 namespace lagoonladder::version
 {
@@ -108,11 +109,17 @@
     duration span{};
 };
 
-/// Fixes the counts of one usage window; the first counts of a window are final.
+/// Adds the counts of entries, so that they outlive the entries and the leader.
+struct note_usage
+{
+    std::vector<usage_report> reports;
+};
+
+/// Fixes the counts of one usage window from what was noted; later counts of it are
+/// ignored.
 struct close_usage_window
 {
     std::uint64_t window = 0;
-    std::map<account_id, std::uint64_t> counts;
 };
 
 /// The usage of a window was taken by the platform.
@@ -121,10 +128,10 @@
     std::uint64_t window = 0;
 };
 
-using command_body =
-    std::variant<apply_configuration, update_move, reserve_orders, expire_records,
-                 request::once_begin, request::once_refuse, request::once_finish, apply_service_map,
-                 read_pass_state, start_service_move, close_usage_window, confirm_usage_window>;
+using command_body = std::variant<apply_configuration, update_move, reserve_orders, expire_records,
+                                  request::once_begin, request::once_refuse, request::once_finish,
+                                  apply_service_map, read_pass_state, start_service_move,
+                                  close_usage_window, confirm_usage_window, note_usage>;
 
 /// A command as it stands in the log. `now` is set by the leader and never goes back.
 struct command
@@ -207,7 +214,7 @@
 /// One closed window of usage counts.
 struct usage_window
 {
-    std::map<account_id, std::uint64_t> counts;
+    account_counts counts;
     bool is_confirmed = false;
 };
 
@@ -274,6 +281,8 @@
     std::uint64_t next_order_sequence() const;
     /// Closed usage windows by number; the oldest ones are dropped.
     std::map<std::uint64_t, usage_window> const& usage_windows() const;
+    /// Counts of windows that are not closed.
+    usage_ledger const& open_usage() const;
     /// The largest `now` that was applied.
     wall_time latest_time() const;
 
@@ -292,6 +301,8 @@
     static constexpr duration resent_start_age = seconds(20);
 
     static constexpr std::size_t max_usage_windows = 64;
+    /// Windows before the latest one that may still be open.
+    static constexpr std::uint64_t max_open_windows = 64;
 
 private:
     struct stored_operation
@@ -312,6 +323,7 @@
     command_result apply_body(start_service_move const& body);
     command_result apply_body(close_usage_window const& body);
     command_result apply_body(confirm_usage_window const& body);
+    command_result apply_body(note_usage const& body);
     apply_result conflict_result(lagoonladder::generation base) const;
     void store(apply_configuration const& body, configuration parsed, std::string digest);
     void forget_old_operations();
@@ -327,6 +339,7 @@
     std::map<lagoonladder::generation, operation_id> operation_order;
     request::once_table once;
     std::map<std::uint64_t, usage_window> usage;
+    usage_ledger ledger;
     mutable std::shared_ptr<shared_state const> published;
 };
 
--- a/src/version/include/lagoonladder/version/usage_ledger.hpp
+++ b/src/version/include/lagoonladder/version/usage_ledger.hpp
@@ -3,6 +3,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include <lagoonladder/base.hpp>
 
@@ -19,8 +22,13 @@
     /// Start of the daemon; its totals begin anew with each start.
     incarnation started;
     std::map<std::uint64_t, account_counts> windows;
+
+    friend bool operator==(usage_report const&, usage_report const&) = default;
 };
 
+void to_json(nlohmann::json& out, usage_report const& in);
+void from_json(nlohmann::json const& in, usage_report& out);
+
 /// MessagePack. decode_usage_report throws parse_error on damaged bytes.
 std::string encode(usage_report const& value);
 usage_report decode_usage_report(std::string const& bytes);
@@ -37,6 +45,12 @@
     /// First window that a report has named; no value before any.
     std::optional<std::uint64_t> first_window() const;
 
+    /// Latest window that a report has named; no value before any.
+    std::optional<std::uint64_t> last_window() const;
+
+    /// All counts as reports, from which an equal ledger can be made.
+    std::vector<usage_report> reports() const;
+
     /// Drops windows before `window`; later reports of them are ignored.
     void forget_before(std::uint64_t window);
 
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -91,13 +91,22 @@
 
 static void to_json(nlohmann::json& out, close_usage_window const& in)
 {
-    out = {{"window", in.window}, {"counts", counts_json(in.counts)}};
+    out = {{"window", in.window}};
 }
 
 static void from_json(nlohmann::json const& in, close_usage_window& out)
 {
     in.at("window").get_to(out.window);
-    out.counts = counts_from(in.at("counts"));
+}
+
+static void to_json(nlohmann::json& out, note_usage const& in)
+{
+    out = {{"reports", in.reports}};
+}
+
+static void from_json(nlohmann::json const& in, note_usage& out)
+{
+    in.at("reports").get_to(out.reports);
 }
 
 static void to_json(nlohmann::json& out, confirm_usage_window const& in)
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -48,6 +48,11 @@
     return this->usage;
 }
 
+usage_ledger const& control_state::open_usage() const
+{
+    return this->ledger;
+}
+
 wall_time control_state::latest_time() const
 {
     return this->time;
@@ -210,9 +215,20 @@
     return start_move_result{started ? start_move_outcome::started : start_move_outcome::repeated};
 }
 
+command_result control_state::apply_body(note_usage const& body)
+{
+    for (auto const& report : body.reports)
+        this->ledger.add(report);
+    auto const last = this->ledger.last_window().value_or(0);
+    this->ledger.forget_before(last - std::min(last, max_open_windows));
+    return no_result{};
+}
+
 command_result control_state::apply_body(close_usage_window const& body)
 {
-    auto const stored = this->usage.try_emplace(body.window, usage_window{body.counts, false});
+    auto const stored =
+        this->usage.try_emplace(body.window, usage_window{this->ledger.totals(body.window), false});
+    this->ledger.forget_before(body.window + 1);
     auto const result = usage_window_result{stored.first->second};
     while (this->usage.size() > max_usage_windows)
         this->usage.erase(this->usage.begin());
@@ -241,10 +257,15 @@
     auto windows = nlohmann::json::array();
     for (auto const& [number, window] : this->usage)
         windows.push_back({{"number", number}, {"window", window}});
-    return {{"index", this->index},           {"time", this->time},
-            {"order_term", this->order_term}, {"order_sequence", this->order_sequence},
-            {"shared", this->current},        {"operations", std::move(stored)},
-            {"once", this->once.snapshot()},  {"usage", std::move(windows)}};
+    return {{"index", this->index},
+            {"time", this->time},
+            {"order_term", this->order_term},
+            {"order_sequence", this->order_sequence},
+            {"shared", this->current},
+            {"operations", std::move(stored)},
+            {"once", this->once.snapshot()},
+            {"usage", std::move(windows)},
+            {"open_usage", this->ledger.reports()}};
 }
 
 void control_state::restore(std::string const& bytes)
@@ -274,6 +295,8 @@
     // Snapshots of earlier releases hold no usage windows.
     if (!in.contains("usage"))
         return;
+    for (auto const& report : in.at("open_usage").get<std::vector<usage_report>>())
+        this->ledger.add(report);
     for (auto const& item : in.at("usage"))
         this->usage.emplace(item.at("number").get<std::uint64_t>(),
                             item.at("window").get<usage_window>());
--- a/src/version/internal/usage_ledger.cpp
+++ b/src/version/internal/usage_ledger.cpp
@@ -8,29 +8,32 @@
 namespace lagoonladder::version
 {
 
-std::string encode(usage_report const& value)
+void to_json(nlohmann::json& out, usage_report const& in)
 {
     auto windows = nlohmann::json::array();
-    for (auto const& [window, counts] : value.windows)
+    for (auto const& [window, counts] : in.windows)
         windows.push_back({window, counts_json(counts)});
-    return seal(envelope_kind::of_usage,
-                {{"vm", value.vm}, {"started", value.started}, {"windows", std::move(windows)}});
+    out = {{"vm", in.vm}, {"started", in.started}, {"windows", std::move(windows)}};
+}
+
+void from_json(nlohmann::json const& in, usage_report& out)
+{
+    in.at("vm").get_to(out.vm);
+    in.at("started").get_to(out.started);
+    out.windows.clear();
+    for (auto const& item : in.at("windows"))
+        out.windows.emplace(item.at(0).get<std::uint64_t>(), counts_from(item.at(1)));
+}
+
+std::string encode(usage_report const& value)
+{
+    return seal(envelope_kind::of_usage, value);
 }
 
 usage_report decode_usage_report(std::string const& bytes)
 {
     auto const in = open_envelope(envelope_kind::of_usage, bytes);
-    return read_fields("a usage report",
-                       [&]
-                       {
-                           usage_report report;
-                           in.at("vm").get_to(report.vm);
-                           in.at("started").get_to(report.started);
-                           for (auto const& item : in.at("windows"))
-                               report.windows.emplace(item.at(0).get<std::uint64_t>(),
-                                                      counts_from(item.at(1)));
-                           return report;
-                       });
+    return read_fields("a usage report", [&] { return in.get<usage_report>(); });
 }
 
 void usage_ledger::add(usage_report const& report)
@@ -67,6 +70,32 @@
     return this->windows.begin()->first;
 }
 
+std::optional<std::uint64_t> usage_ledger::last_window() const
+{
+    if (this->windows.empty())
+        return std::nullopt;
+    return this->windows.rbegin()->first;
+}
+
+std::vector<usage_report> usage_ledger::reports() const
+{
+    std::map<source, usage_report> by_source;
+    for (auto const& [window, entries] : this->windows)
+    {
+        for (auto const& [entry, counts] : entries)
+        {
+            auto& report = by_source[entry];
+            report.vm = entry.first;
+            report.started = entry.second;
+            report.windows.emplace(window, counts);
+        }
+    }
+    std::vector<usage_report> all;
+    for (auto& [entry, report] : by_source)
+        all.push_back(std::move(report));
+    return all;
+}
+
 void usage_ledger::forget_before(std::uint64_t window)
 {
     this->oldest = std::max(this->oldest, window);
