--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -200,7 +200,7 @@
         this->count_start(attempt);
         this->set_timer();
     }
-    // An answer that reports a failure may be replaced by another attempt's.
+    // A malformed stream ends the attempt, which may drop the last owner of this call.
     auto const self = this->shared_from_this();
     if (!this->relay.add(bytes))
     {
