End calls of duties that get no response

The connection was acknowledged, so the time-out of unacknowledged data did not end it. Ruled out: a retry in the duty driver, which would leave a connection behind each time. Change: the client can limit the time from a request to the end of its response; the calls of duties have a client of their own with a limit of 1 s. Test: 'a call without a response ends at its timeout'.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -27,6 +27,14 @@
     return options;
 }
 
+http::client_options make_duty_options()
+{
+    http::client_options options;
+    // The platform answers in milliseconds; a later holder must not wait for a lost call.
+    options.response_timeout = seconds(1);
+    return options;
+}
+
 /// Bounds of calls that are not passed through; configurations may be large.
 http::connection_limits control_limits()
 {
@@ -57,13 +65,14 @@
     , context(1)
     , work(asio::make_work_guard(this->context))
     , client(this->context, {}, time)
+    , duty_calls(this->context, make_duty_options(), time)
     , proxy({this->context, this->client, this->translation, *this, sink, metrics, time, seed},
             make_proxy_options(config.pass_through))
     , control_calls(*this, sink)
     , directory_calls(*this, config.pass_through.directory_age)
     , readiness_calls(*this)
     , metrics_calls(metrics)
-    , duties(this->client, config.pass_through.platform_api)
+    , duties(this->duty_calls, config.pass_through.platform_api)
     , callers(
           this->context,
           server_at(config.pass_through.callers, config.pass_through.max_connections, "callers"),
@@ -138,6 +147,7 @@
                    this->readiness_server.stop();
                    this->metrics_server.stop();
                    this->client.stop();
+                   this->duty_calls.stop();
                    this->context.stop();
                });
     this->thread.join();
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -79,6 +79,8 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     http::client client;
+    /// Sends the calls of duties, which must not wait for ever for the platform.
+    http::client duty_calls;
     platform::call_translation translation;
     proxy::call_proxy proxy;
     platform::control_handler control_calls;
--- a/src/process/http/include/lagoonladder/http/client.hpp
+++ b/src/process/http/include/lagoonladder/http/client.hpp
@@ -63,6 +63,8 @@
 struct client_options
 {
     duration connect_timeout = milliseconds(200);
+    /// From sending a request to the end of its response; zero is no limit.
+    duration response_timeout{};
     /// Idle connections are used again within this time when the server states none.
     duration default_idle_time = seconds(4);
     /// Part of the idle time that a server states within which a connection is used again.
--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -17,6 +17,7 @@
                                      std::weak_ptr<connection_keeper> owner)
     : socket(context)
     , connect_timer(context)
+    , response_timer(context)
     , target(std::move(to))
     , options(settings)
     , time(clock_source)
@@ -86,9 +87,24 @@
                           if (!problem && self->request == sent)
                               self->is_sent = true;
                       });
+    this->set_response_timer();
     this->read();
 }
 
+void client_connection::set_response_timer()
+{
+    if (this->options.response_timeout <= duration(0))
+        return;
+    this->response_timer.expires_after(this->options.response_timeout);
+    this->response_timer.async_wait(
+        [weak = this->weak_from_this(), sent = this->request](asio::error_code const& problem)
+        {
+            auto const self = weak.lock();
+            if (!problem && self && self->request == sent)
+                self->fail(self->failure_now(), "the response did not end in time");
+        });
+}
+
 void client_connection::begin_response()
 {
     this->skips = false;
@@ -209,6 +225,7 @@
         this->parser->keeps_alive() && this->is_sent && this->input.empty() && !this->is_closed;
     auto const receiver = std::exchange(this->observer, nullptr);
     this->request.reset();
+    this->response_timer.cancel();
     if (!is_reusable)
     {
         this->close();
@@ -246,6 +263,7 @@
     this->is_closed = true;
     this->observer.reset();
     this->connect_timer.cancel();
+    this->response_timer.cancel();
     asio::error_code ignored;
     this->socket.close(ignored);
     if (auto const owner = this->keeper.lock())
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -59,6 +59,7 @@
     void take_input();
     void on_connection_end(std::string const& reason);
     void begin_response();
+    void set_response_timer();
     void on_message_end();
     void fail(call_failure failure, std::string const& reason);
     call_failure failure_now() const;
@@ -66,6 +67,7 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer connect_timer;
+    asio::steady_timer response_timer;
     network_address const target;
     client_options const& options;
     clock const& time;
--- a/src/process/http/tests/server_client_test.cpp
+++ b/src/process/http/tests/server_client_test.cpp
@@ -312,6 +312,33 @@
     CHECK_FALSE(call->may_have_sent());
 }
 
+TEST_CASE("a call without a response ends at its timeout")
+{
+    // Guards against a duty that waits for ever for a platform that takes calls and is silent.
+    loop_fixture loop;
+    http::client_options options;
+    options.response_timeout = milliseconds(100);
+    http::client client(loop.context, options, loop.time);
+    auto const observer = std::make_shared<recording_observer>();
+    client.send(loop.address, loop.request(), observer);
+    loop.run_until([&] { return observer->is_over(); });
+    CHECK(observer->failure == http::call_failure::no_response);
+    CHECK(client.connections(loop.address) == 0);
+
+    // An answered call leaves no timer behind that ends the next one.
+    loop.handler.on_request = [](http::server_exchange& exchange) {
+        exchange.respond({200, {}, {}}, "x");
+    };
+    for (int round = 0; round < 3; ++round)
+    {
+        auto const answered = std::make_shared<recording_observer>();
+        client.send(loop.address, loop.request(), answered);
+        loop.run_until([&] { return answered->is_over(); });
+        CHECK(answered->ended);
+        loop.context.run_for(std::chrono::milliseconds(60));
+    }
+}
+
 TEST_CASE("responses without a length, cut or malformed")
 {
     loop_fixture loop;
