End the calls between daemons before their channels go

Calls that were open at the tear-down went on: each held the event loop, the stub and the channel, so that the last reference to them, and the last use of gRPC, could end on a gRPC thread while the process ran its static destructors.

Ruled out: a race in the test itself (its checks had passed); a memory error that valgrind sees (0 errors in one run of the test). The abort itself was not reproduced: 5,700 runs of the test and 720 runs of a mix of the short control tests passed on the old code, alone and beside load. What is shown is the state that permits it: eight open calls still held the event loop after the channels were destroyed (use count 9).

Change: peer_channels counts its open calls, cancels them and waits for them when the control loop stops; gRPC stays initialized as long as the channels.

Conclusion: nothing of a call is left when the process exits. If the assertion shows again, this was not its cause.

--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -28,6 +28,7 @@
     , events(dependencies.events)
     , gauges(dependencies.metrics)
     , time(dependencies.time)
+    , peers(dependencies.peers)
     , random(dependencies.seed)
     , context(std::make_shared<asio::io_context>(1))
     , work(asio::make_work_guard(*this->context))
@@ -117,6 +118,7 @@
             this->context->stop();
         });
     this->thread.join();
+    this->peers.cancel_calls();
 }
 
 void control_loop::post(std::function<void()> action)
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -87,6 +87,7 @@
     observability::event_timeline& events;
     observability::metrics& gauges;
     clock const& time;
+    peer_channels& peers;
     seeded_random random;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
--- a/src/process/daemon/internal/peer_channels.cpp
+++ b/src/process/daemon/internal/peer_channels.cpp
@@ -1,8 +1,22 @@
 #include "peer_channels.hpp"
 
+#include <vector>
+
+#include <grpc/grpc.h>
+
 namespace lagoonladder::daemon
 {
 
+grpc_session::grpc_session()
+{
+    grpc_init();
+}
+
+grpc_session::~grpc_session()
+{
+    grpc_shutdown();
+}
+
 std::shared_ptr<grpc::Channel> peer_channels::channel(network_address const& address)
 {
     std::lock_guard const lock(this->mutex);
@@ -32,4 +46,44 @@
     context.AddMetadata("cluster-token", this->cluster_token);
 }
 
+std::uint64_t peer_channels::begin_call(std::shared_ptr<grpc::ClientContext> context)
+{
+    std::lock_guard const lock(this->mutex);
+    this->open_calls.emplace(++this->last_call, std::move(context));
+    return this->last_call;
+}
+
+void peer_channels::end_call(std::uint64_t number)
+{
+    std::unique_lock lock(this->mutex);
+    auto const found = this->open_calls.find(number);
+    invariant(found != this->open_calls.end(), "a call between daemons ended twice");
+    auto context = std::move(found->second);
+    lock.unlock();
+    // Frees gRPC's part of the call before the call counts as ended.
+    context.reset();
+    lock.lock();
+    this->open_calls.erase(found);
+    this->call_ended.notify_all();
+}
+
+void peer_channels::cancel_calls()
+{
+    std::vector<std::shared_ptr<grpc::ClientContext>> contexts;
+    {
+        std::lock_guard const lock(this->mutex);
+        for (auto const& [number, context] : this->open_calls)
+        {
+            if (context)
+                contexts.push_back(context);
+        }
+    }
+    // A call may end within its cancellation, which takes the lock.
+    for (auto const& context : contexts)
+        context->TryCancel();
+    contexts.clear();
+    std::unique_lock lock(this->mutex);
+    this->call_ended.wait(lock, [this] { return this->open_calls.empty(); });
+}
+
 } // namespace lagoonladder::daemon
