Lend quota tokens between entries before a call is refused

Cause: each entry has its own part of an account's quota. With 11 entries a part is often smaller than one large request, so that requests of 15,000 to 40,000 tokens were refused although the account used half of its quota.

One entry that grants for all was not chosen: when its holder changes, two could grant at once; lending only moves tokens.

Change: an entry asks the others for tokens before it answers 429 and decides again with what they gave. Tokens are taken from the lender's part, so that lost or repeated messages never make the sum larger.

--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/daemon/internal/control_services.cpp
@@ -299,6 +299,29 @@
     return grpc::Status::OK;
 }
 
+quota_service::quota_service(pass_through_plane* traffic, settings const& config)
+    : plane(traffic)
+    , options(config)
+{
+}
+
+grpc::Status quota_service::Lend(grpc::ServerContext* context, protocol::LendRequest const* request,
+                                 protocol::LendReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_token();
+    if (this->plane == nullptr)
+        return grpc::Status::OK;
+    auto const answer = std::make_shared<std::promise<double>>();
+    auto lent = answer->get_future();
+    this->plane->lend_tokens(account_id(request->account()), request->tokens(),
+                             [answer](double tokens) { answer->set_value(tokens); });
+    if (lent.wait_for(remaining(*context)) != std::future_status::ready)
+        return busy();
+    reply->set_tokens(lent.get());
+    return grpc::Status::OK;
+}
+
 events_service::events_service(observability::event_timeline& log, settings const& config)
     : events(log)
     , options(config)
--- a/src/process/daemon/internal/control_services.hpp
+++ b/src/process/daemon/internal/control_services.hpp
@@ -4,7 +4,7 @@
 #include <consensus.grpc.pb.h>
 #include <control.grpc.pb.h>
 
-#include "control_loop.hpp"
+#include "pass_through_plane.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -62,6 +62,21 @@
     settings const& options;
 };
 
+/// gRPC service that gives this entry's quota tokens to other entries.
+class quota_service : public protocol::Quotas::Service
+{
+public:
+    /// `traffic` is null on a daemon without pass-through calls.
+    quota_service(pass_through_plane* traffic, settings const& config);
+
+    grpc::Status Lend(grpc::ServerContext* context, protocol::LendRequest const* request,
+                      protocol::LendReply* reply) override;
+
+private:
+    pass_through_plane* const plane;
+    settings const& options;
+};
+
 /// gRPC service for the daemon's part of the event timeline.
 class events_service : public protocol::Events::Service
 {
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -1,5 +1,7 @@
 #include "pass_through_plane.hpp"
 
+#include <control.grpc.pb.h>
+
 namespace lagoonladder::daemon
 {
 
@@ -9,6 +11,8 @@
 /// An operator that waits longer asks another daemon.
 constexpr duration command_timeout = milliseconds(900);
 constexpr duration count_interval = milliseconds(100);
+/// Longer than a message to another region and back; a call that waits for it is rare.
+constexpr duration lend_timeout = milliseconds(60);
 /// Connections of operators, endpoints and the platform.
 constexpr std::size_t max_control_connections = 500;
 
@@ -35,6 +39,16 @@
     return options;
 }
 
+/// Tokens that the other entries give for one call.
+struct lending_round
+{
+    double missing = 0;
+    double lent = 0;
+    std::size_t open = 0;
+    /// Empty once the call has gone on.
+    std::function<void(double)> done;
+};
+
 /// Bounds of calls that are not passed through; configurations may be large.
 http::connection_limits control_limits()
 {
@@ -56,17 +70,19 @@
     exchange->respond(std::move(head), this->values.expose());
 }
 
-pass_through_plane::pass_through_plane(settings const& config, control_loop& loop, event_sink& sink,
+pass_through_plane::pass_through_plane(settings const& config, control_loop& loop,
+                                       peer_channels& channels, event_sink& sink,
                                        observability::metrics& metrics, clock const& time,
                                        std::uint64_t seed)
     : options(config)
     , control(loop)
     , events(sink)
-    , context(1)
-    , work(asio::make_work_guard(this->context))
-    , client(this->context, {}, time)
-    , duty_calls(this->context, make_duty_options(), time)
-    , proxy({this->context, this->client, this->translation, *this, sink, metrics, time, seed},
+    , peers(channels)
+    , context(std::make_shared<asio::io_context>(1))
+    , work(asio::make_work_guard(*this->context))
+    , client(*this->context, {}, time)
+    , duty_calls(*this->context, make_duty_options(), time)
+    , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed},
             make_proxy_options(config.pass_through))
     , control_calls(*this, sink)
     , directory_calls(*this, config.pass_through.directory_age)
@@ -74,24 +90,24 @@
     , metrics_calls(metrics)
     , duties(this->duty_calls, config.pass_through.platform_api)
     , callers(
-          this->context,
+          *this->context,
           server_at(config.pass_through.callers, config.pass_through.max_connections, "callers"),
           this->proxy, [this] { return this->limits(); }, sink, time)
-    , control_server(this->context,
+    , control_server(*this->context,
                      server_at(config.pass_through.control, max_control_connections, "control"),
                      this->control_calls, control_limits, sink, time)
     , directory_server(
-          this->context,
+          *this->context,
           server_at(config.pass_through.directory, max_control_connections, "directory"),
           this->directory_calls, control_limits, sink, time)
     , readiness_server(
-          this->context,
+          *this->context,
           server_at(config.pass_through.readiness, max_control_connections, "readiness"),
           this->readiness_calls, control_limits, sink, time)
-    , metrics_server(this->context,
+    , metrics_server(*this->context,
                      server_at(config.pass_through.metrics, max_control_connections, "metrics"),
                      this->metrics_calls, control_limits, sink, time)
-    , count_timer(this->context)
+    , count_timer(*this->context)
 {
 }
 
@@ -118,7 +134,7 @@
 {
     try
     {
-        this->context.run();
+        this->context->run();
     }
     catch (std::exception const& problem)
     {
@@ -129,7 +145,7 @@
 
 void pass_through_plane::drain()
 {
-    asio::post(this->context, [this] { this->callers.close_after_answers(); });
+    asio::post(*this->context, [this] { this->callers.close_after_answers(); });
 }
 
 void pass_through_plane::stop()
@@ -137,7 +153,7 @@
     if (!this->thread.joinable())
         return;
     this->control.set_platform_duties(nullptr);
-    asio::post(this->context,
+    asio::post(*this->context,
                [this]
                {
                    this->count_timer.cancel();
@@ -148,7 +164,7 @@
                    this->metrics_server.stop();
                    this->client.stop();
                    this->duty_calls.stop();
-                   this->context.stop();
+                   this->context->stop();
                });
     this->thread.join();
 }
@@ -199,6 +215,51 @@
     this->control.set_demand(std::move(demand));
 }
 
+void pass_through_plane::borrow_tokens(account_id const& account, double missing,
+                                       std::function<void(double)> done)
+{
+    std::vector<network_address> lenders;
+    for (auto const& entry : this->control.view()->entries)
+    {
+        if (entry.vm != this->options.vm && !entry.pass_through.value().empty())
+            lenders.push_back(entry.control);
+    }
+    auto const round = std::make_shared<lending_round>();
+    round->missing = missing;
+    round->open = lenders.size();
+    round->done = std::move(done);
+    if (lenders.empty())
+        return asio::post(*this->context, [round] { round->done(0); });
+    protocol::LendRequest request;
+    request.set_account(account.value());
+    request.set_tokens(request::account_quota::part_to_ask(missing, lenders.size()));
+    for (auto const& lender : lenders)
+    {
+        std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
+        call_async<protocol::LendReply>(
+            this->context, this->peers, lend_timeout, request,
+            [stub](auto* call, auto const* sent, auto* reply, auto finished)
+            { stub->async()->Lend(call, sent, reply, std::move(finished)); },
+            [this, stub, account, round](grpc::Status const& status, protocol::LendReply& reply)
+            {
+                auto const lent = status.ok() ? reply.tokens() : 0;
+                // A later answer still brings its tokens.
+                if (!round->done)
+                    return this->proxy.deposit_tokens(account, lent);
+                round->lent += lent;
+                if (--round->open == 0 || round->lent >= round->missing)
+                    std::exchange(round->done, {})(round->lent);
+            });
+    }
+}
+
+void pass_through_plane::lend_tokens(account_id const& account, double wanted,
+                                     std::function<void(double)> done)
+{
+    asio::post(*this->context, [this, account, wanted, done = std::move(done)]
+               { done(this->proxy.lend_tokens(account, wanted)); });
+}
+
 template <class Result>
 void pass_through_plane::propose(version::command_body body, handler<Result> done)
 {
@@ -208,7 +269,7 @@
                                     std::optional<Result> result;
                                     if (outcome.status == proposal_status::committed)
                                         result = std::get<Result>(outcome.result);
-                                    asio::post(this->context, [done, result] { done(result); });
+                                    asio::post(*this->context, [done, result] { done(result); });
                                 });
 }
 
@@ -267,7 +328,7 @@
                                       std::map<account_id, std::uint64_t> const& counts,
                                       std::function<void(bool)> done)
 {
-    asio::post(this->context,
+    asio::post(*this->context,
                [this, self, window, counts, done = this->on_control_thread(std::move(done))]
                { this->duties.report_usage(self, window, counts, done); });
 }
@@ -275,7 +336,7 @@
 void pass_through_plane::order_capacity(holder const& self, capacity_order const& order,
                                         std::function<void(bool)> done)
 {
-    asio::post(this->context, [this, self, order, done = this->on_control_thread(std::move(done))]
+    asio::post(*this->context, [this, self, order, done = this->on_control_thread(std::move(done))]
                { this->duties.order_capacity(self, order, done); });
 }
 
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -31,8 +31,9 @@
                            public proxy::platform_duties
 {
 public:
-    pass_through_plane(settings const& config, control_loop& loop, event_sink& events,
-                       observability::metrics& metrics, clock const& time, std::uint64_t seed);
+    pass_through_plane(settings const& config, control_loop& loop, peer_channels& channels,
+                       event_sink& events, observability::metrics& metrics, clock const& time,
+                       std::uint64_t seed);
     ~pass_through_plane() override;
 
     /// Throws http_error when an address cannot be listened on.
@@ -47,6 +48,11 @@
     void record(version::traffic_sample const& sample) override;
     void count_usage(account_id const& account) override;
     void set_demand(std::map<account_id, double> demand) override;
+    void borrow_tokens(account_id const& account, double missing,
+                       std::function<void(double)> done) override;
+
+    /// Gives tokens of the account's quota away to another entry. Safe to call from any thread.
+    void lend_tokens(account_id const& account, double wanted, std::function<void(double)> done);
 
     // operations
     void apply(version::apply_service_map order, handler<version::apply_map_result> done) override;
@@ -76,7 +82,8 @@
     settings const& options;
     control_loop& control;
     event_sink& events;
-    asio::io_context context;
+    peer_channels& peers;
+    std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     http::client client;
     /// Sends the calls of duties, which must not wait for ever for the platform.
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -97,12 +97,13 @@
                   this->random.next(), {&this->operators})
         , pass_through(config.pass_through.callers.value().empty()
                            ? nullptr
-                           : std::make_unique<pass_through_plane>(config, this->control,
-                                                                  this->timeline, this->metrics,
-                                                                  this->time, this->random.next()))
+                           : std::make_unique<pass_through_plane>(
+                                 config, this->control, this->peers, this->timeline, this->metrics,
+                                 this->time, this->random.next()))
         , consensus_calls(this->control, config)
         , control_calls(this->control, config, this->time)
         , directory_calls(this->control, config)
+        , quota_calls(this->pass_through.get(), config)
         , event_calls(this->timeline, config)
     {
         set_invariant_handler(
@@ -179,6 +180,7 @@
              {static_cast<grpc::Service*>(&this->consensus_calls),
               static_cast<grpc::Service*>(&this->control_calls),
               static_cast<grpc::Service*>(&this->directory_calls),
+              static_cast<grpc::Service*>(&this->quota_calls),
               static_cast<grpc::Service*>(&this->event_calls), &this->traffic.requests_service()})
             builder.RegisterService(service);
         this->grpc_server = builder.BuildAndStart();
@@ -242,6 +244,7 @@
     consensus_service consensus_calls;
     control_service control_calls;
     directory_service directory_calls;
+    quota_service quota_calls;
     events_service event_calls;
     std::unique_ptr<grpc::Server> grpc_server;
 };
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -52,10 +52,21 @@
 
     void handle(std::shared_ptr<http::server_exchange> const& exchange) override;
 
+    /// Gives tokens of the account's quota away to another entry.
+    double lend_tokens(account_id const& account, double wanted);
+    /// Takes tokens that another entry gave away after the call had gone on without them.
+    void deposit_tokens(account_id const& account, double tokens);
+
     /// Calls without a complete answer.
     std::size_t open_calls() const;
 
 private:
+    void borrow(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
+                struct admitted_call const& refused);
+    void start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
+               struct admitted_call admitted);
+    void tell_demand(time_point now);
+
     std::shared_ptr<struct proxy_context> context;
 };
 
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONLADDER_PROXY_TRAFFIC_CONTROL_HPP
 #define LAGOONLADDER_PROXY_TRAFFIC_CONTROL_HPP
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -44,6 +45,10 @@
     virtual void count_usage(account_id const& account) = 0;
     /// Tokens a second that accounts ask for at this entry.
     virtual void set_demand(std::map<account_id, double> demand) = 0;
+    /// Asks the other entries for tokens of the account's quota. `done` gets what they
+    /// gave, on the traffic thread and within a bounded time.
+    virtual void borrow_tokens(account_id const& account, double missing,
+                               std::function<void(double)> done) = 0;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -53,28 +53,42 @@
     return {quota.tokens_per_second, quota.burst, allowance};
 }
 
-refusal check_quota(time_point now, traffic_view const& view, incoming_call const& call,
-                    request::account_quota& quotas, quota_tolerance const& tolerance,
-                    admitted_call& result)
+void set_decision(request::quota_decision const& decision, admitted_call& result)
 {
-    if (result.account == nullptr || !result.account->quota)
-        return refusal::none;
-    auto const& quota = *result.account->quota;
-    request::peer_demand peers;
-    auto const told = view.demand.find(result.account->name);
-    if (told != view.demand.end())
-        peers = told->second;
-    peers.entries = view.entries;
-    result.quota_tokens = tokens_of(call, quota);
-    result.quota_demand = peers;
-    auto const decision = quotas.take(now, result.account->name, limit_of(quota, tolerance), peers,
-                                      result.quota_tokens);
+    result.reason = decision.granted ? refusal::none : refusal::over_quota;
     result.retry_after = decision.retry_after;
-    return decision.granted ? refusal::none : refusal::over_quota;
+    result.missing_tokens = decision.missing;
+}
+
+void check_quota(time_point now, traffic_view const& view, incoming_call const& call,
+                 request::account_quota& quotas, quota_tolerance const& tolerance,
+                 admitted_call& result)
+{
+    result.reason = refusal::none;
+    if (result.account == nullptr || !result.account->quota)
+        return;
+    auto const situation = quota_situation_of(view, *result.account, tolerance);
+    result.quota_tokens = tokens_of(call, *result.account->quota);
+    result.quota_demand = situation.peers;
+    set_decision(quotas.take(now, result.account->name, situation.limit, situation.peers,
+                             result.quota_tokens),
+                 result);
 }
 
 } // namespace
 
+quota_situation quota_situation_of(traffic_view const& view, version::pass_account const& account,
+                                   quota_tolerance const& tolerance)
+{
+    quota_situation situation;
+    situation.limit = limit_of(*account.quota, tolerance);
+    auto const told = view.demand.find(account.name);
+    if (told != view.demand.end())
+        situation.peers = told->second;
+    situation.peers.entries = view.entries;
+    return situation;
+}
+
 char const* to_string(refusal reason)
 {
     switch (reason)
@@ -158,9 +172,23 @@
     result.reason = refusal::too_late;
     if (result.deadline <= now)
         return result;
-    result.reason = check_quota(now, view, call, quotas, tolerance, result);
+    check_quota(now, view, call, quotas, tolerance, result);
     result.service = choose_service(*result.route, call.id);
     return result;
 }
 
+void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
+                 quota_tolerance const& tolerance, admitted_call& call)
+{
+    if (call.deadline <= now)
+    {
+        call.reason = refusal::too_late;
+        return;
+    }
+    auto const situation = quota_situation_of(view, *call.account, tolerance);
+    set_decision(quotas.take_again(now, call.account->name, situation.limit, situation.peers,
+                                   call.quota_tokens),
+                 call);
+}
+
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -50,13 +50,29 @@
     /// was decided by.
     double quota_tokens = 0;
     request::peer_demand quota_demand;
+    /// Tokens that this entry's part lacks when the quota refuses the call.
+    double missing_tokens = 0;
 };
 
+/// What decides on this entry's part of an account's quota.
+struct quota_situation
+{
+    request::account_limit limit;
+    request::peer_demand peers;
+};
+
+quota_situation quota_situation_of(traffic_view const& view, version::pass_account const& account,
+                                   quota_tolerance const& tolerance);
+
 /// Decides whether a call is admitted and which service gets it.
 admitted_call admit(time_point now, time_point arrived, traffic_view const& view,
                     incoming_call const& call, request::account_quota& quotas,
                     quota_tolerance const& tolerance);
 
+/// Decides again on a call that was refused by its quota, after other entries lent tokens.
+void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
+                 quota_tolerance const& tolerance, admitted_call& call);
+
 } // namespace lagoonladder::proxy
 
 #endif
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -84,17 +84,74 @@
     auto call = this->context->parts.codec.decode(exchange->head());
     auto admitted = admit(now, exchange->arrived(), *view, call, this->context->quotas,
                           this->context->options.quota);
-    if (now >= this->context->demand_told + demand_interval)
-    {
-        this->context->demand_told = now;
-        this->context->parts.control.set_demand(this->context->quotas.demand(now));
-    }
+    this->tell_demand(now);
+    if (admitted.reason == refusal::over_quota && view->entries > 1 &&
+        this->context->borrowing.begin_round(now, admitted.account->name))
+        return this->borrow(exchange, std::move(call), admitted);
+    this->start(exchange, std::move(call), std::move(admitted));
+}
+
+void call_proxy::start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
+                       admitted_call admitted)
+{
     if (admitted.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admitted);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admitted))
         ->start();
 }
 
+void call_proxy::borrow(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
+                        admitted_call const& refused)
+{
+    auto const is_gone = std::make_shared<bool>(false);
+    exchange->on_closed([is_gone] { *is_gone = true; });
+    ++this->context->open_calls;
+    auto const& account = refused.account->name;
+    this->context->parts.control.borrow_tokens(
+        account, refused.missing_tokens,
+        [this, exchange, call = std::move(call), admitted = refused, is_gone](double lent) mutable
+        {
+            --this->context->open_calls;
+            exchange->on_closed({});
+            auto const now = this->context->parts.time.now();
+            auto& quotas = this->context->quotas;
+            bool const is_enough = lent >= admitted.missing_tokens;
+            this->context->borrowing.end_round(now, admitted.account->name, is_enough);
+            quotas.deposit(admitted.account->name, lent);
+            this->context->parts.metrics.add("quota_rounds_total",
+                                             {{"outcome", is_enough ? "enough" : "too_little"}});
+            if (*is_gone)
+                return;
+            auto const view = this->context->parts.control.view();
+            admit_again(now, *view, quotas, this->context->options.quota, admitted);
+            this->start(exchange, std::move(call), std::move(admitted));
+        });
+}
+
+double call_proxy::lend_tokens(account_id const& account, double wanted)
+{
+    auto const view = this->context->parts.control.view();
+    auto const* known = view->services ? view->services->find_account(account) : nullptr;
+    if (known == nullptr || !known->quota)
+        return 0;
+    auto const situation = quota_situation_of(*view, *known, this->context->options.quota);
+    return this->context->quotas.lend(this->context->parts.time.now(), account, situation.limit,
+                                      situation.peers, wanted);
+}
+
+void call_proxy::deposit_tokens(account_id const& account, double tokens)
+{
+    this->context->quotas.deposit(account, tokens);
+}
+
+void call_proxy::tell_demand(time_point now)
+{
+    if (now < this->context->demand_told + demand_interval)
+        return;
+    this->context->demand_told = now;
+    this->context->parts.control.set_demand(this->context->quotas.demand(now));
+}
+
 std::size_t call_proxy::open_calls() const
 {
     return this->context->open_calls;
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -78,6 +78,12 @@
     void record(lagoonladder::version::traffic_sample const&) override {}
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
     void set_demand(std::map<lagoonladder::account_id, double>) override {}
+    void borrow_tokens(lagoonladder::account_id const& account, double missing,
+                       std::function<void(double)> done) override
+    {
+        this->borrowed.push_back({account, missing});
+        done(this->lent);
+    }
 
     template <class Change>
     void change(Change const& change)
@@ -88,6 +94,9 @@
     }
 
     std::map<lagoonladder::account_id, int> usage;
+    std::vector<std::pair<lagoonladder::account_id, double>> borrowed;
+    /// What other entries give at each request for tokens.
+    double lent = 0;
 
 private:
     std::shared_ptr<lagoonladder::proxy::traffic_view const> current;
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -223,3 +223,62 @@
     CHECK(calls("missing-") == 0);
     CHECK(old_version.requests.size() >= 120);
 }
+
+namespace
+{
+
+/// Gives the account of the fixture a quota; calls without stated tokens count 100.
+void set_quota(proxy_fixture& system, double tokens_per_second)
+{
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            map.accounts[0].quota = version::token_quota{tokens_per_second, 0, 100};
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+            view.entries = 2;
+        });
+}
+
+} // namespace
+
+TEST_CASE("a call beyond the entry's part of a quota goes through with lent tokens")
+{
+    // Guards against refusals of calls that the quota as a whole allows.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    set_quota(system, 200);
+    CHECK(system.call("/plain/x", "id-1").status() == 200);
+    CHECK(system.control.borrowed.empty());
+    system.control.lent = 100;
+    CHECK(system.call("/plain/x", "id-2").status() == 200);
+    REQUIRE(system.control.borrowed.size() == 1);
+    CHECK(system.control.borrowed[0].first == account_id("account"));
+    CHECK(system.control.borrowed[0].second > 0);
+    CHECK(system.control.borrowed[0].second <= 100);
+}
+
+TEST_CASE("an account over its quota does not make the entry ask for each call")
+{
+    // Guards against a flood of one account that becomes a flood between entries.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    set_quota(system, 200);
+    CHECK(system.call("/plain/x", "id-1").status() == 200);
+    for (int i = 2; i < 12; ++i)
+    {
+        auto const answer = system.call("/plain/x", "id-" + std::to_string(i));
+        CHECK(answer.status() == 429);
+        CHECK(answer.heads[0].headers.find("Retry-After") != nullptr);
+    }
+    CHECK(system.control.borrowed.size() == 1);
+}
+
+TEST_CASE("an entry lends tokens of known accounts with a quota only")
+{
+    proxy_fixture system;
+    CHECK(system.proxy.lend_tokens(account_id("account"), 10) == 0);
+    set_quota(system, 200);
+    CHECK(system.proxy.lend_tokens(account_id("other"), 10) == 0);
+    CHECK(system.proxy.lend_tokens(account_id("account"), 10) == 10);
+}
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -36,11 +36,15 @@
     bool granted = true;
     /// When refused: time until the tokens are there.
     duration retry_after{};
+    /// When refused: tokens that are missing now.
+    double missing = 0;
 };
 
 /// This entry's part of the token quotas of client accounts. The parts follow the
 /// demand at each entry, as the entries tell it to each other, so that their sum
-/// stays at the limit. Not safe for concurrent calls.
+/// stays at the limit. A request that is larger than the entry's part can be served
+/// with tokens that other entries lend: these are taken from the lender's part, so
+/// that no lost or repeated message makes the sum larger. Not safe for concurrent calls.
 class account_quota
 {
 public:
@@ -48,6 +52,20 @@
     quota_decision take(time_point now, account_id const& account, account_limit const& limit,
                         peer_demand const& peers, double tokens);
 
+    /// Takes tokens for a request that `take` refused before; its demand is not counted again.
+    quota_decision take_again(time_point now, account_id const& account, account_limit const& limit,
+                              peer_demand const& peers, double tokens);
+
+    /// Tokens to ask each of the other entries for, so that enough have some to spare.
+    static double part_to_ask(double missing, std::size_t lenders);
+
+    /// Gives away up to `wanted` tokens that this entry does not need at once.
+    double lend(time_point now, account_id const& account, account_limit const& limit,
+                peer_demand const& peers, double wanted);
+
+    /// Adds tokens that another entry has given away.
+    void deposit(account_id const& account, double tokens);
+
     /// Tokens a second that were asked for here, refused ones included.
     std::map<account_id, double> demand(time_point now);
 
@@ -58,12 +76,18 @@
     struct bucket
     {
         double available = 0;
+        /// Received from other entries and not yet used.
+        double lent = 0;
         double asked = 0;
         time_point updated{};
         bool is_new = true;
     };
 
     static void decay(bucket& known, time_point now);
+    /// Adds what has come since the last update. Returns the most that the bucket holds.
+    static double refill(bucket& known, time_point now, account_limit const& limit,
+                         peer_demand const& peers);
+    static quota_decision grant(bucket& known, double most, double rate, double tokens);
 
     std::map<account_id, bucket> buckets;
 };
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lagoonladder::request
 {
@@ -17,6 +18,10 @@
 constexpr duration longest_retry_after = seconds(5);
 /// A request may take the whole allowance, but a larger one could never be granted.
 constexpr double least_burst_seconds = 1;
+/// Entries differ in what they can spare; what was lent in excess serves the next requests.
+constexpr double lending_reserve = 6;
+/// Part of its bucket that an entry keeps for its own next requests when it lends.
+constexpr double kept_part = 0.25;
 
 } // namespace
 
@@ -35,22 +40,24 @@
     known.asked *= std::exp(-age / to_seconds(demand_memory));
 }
 
-quota_decision account_quota::take(time_point now, account_id const& account,
-                                   account_limit const& limit, peer_demand const& peers,
-                                   double tokens)
+double account_quota::refill(bucket& known, time_point now, account_limit const& limit,
+                             peer_demand const& peers)
 {
-    auto& known = this->buckets[account];
     auto const elapsed = known.is_new ? 0 : to_seconds(std::max(duration(0), now - known.updated));
     if (!known.is_new)
         decay(known, now);
-    known.asked += tokens / to_seconds(demand_memory);
     auto const share = share_of(peers);
-    auto const rate = limit.tokens_per_second * share;
     auto const burst = std::max(limit.burst, limit.tokens_per_second * least_burst_seconds);
     auto const most = burst * share + limit.allowance / std::max(peers.entries, 1U);
-    known.available = known.is_new ? most : std::min(most, known.available + rate * elapsed);
+    auto const refilled = known.available + limit.tokens_per_second * share * elapsed;
+    known.available = known.is_new ? most : std::min(most, refilled);
     known.is_new = false;
     known.updated = now;
+    return most;
+}
+
+quota_decision account_quota::grant(bucket& known, double most, double rate, double tokens)
+{
     // A request larger than the allowance goes through when the allowance is full.
     auto const needed = std::min(tokens, most);
     if (known.available >= needed)
@@ -58,9 +65,52 @@
         known.available -= tokens;
         return {};
     }
-    auto const wait =
-        rate > 0 ? from_seconds((needed - known.available) / rate) : longest_retry_after;
-    return {false, std::min<duration>(wait, longest_retry_after)};
+    auto const missing = needed - known.available;
+    auto const wait = rate > 0 ? from_seconds(missing / rate) : longest_retry_after;
+    return {false, std::min<duration>(wait, longest_retry_after), missing};
+}
+
+quota_decision account_quota::take(time_point now, account_id const& account,
+                                   account_limit const& limit, peer_demand const& peers,
+                                   double tokens)
+{
+    auto& known = this->buckets[account];
+    auto const most = refill(known, now, limit, peers);
+    known.asked += tokens / to_seconds(demand_memory);
+    return grant(known, most, limit.tokens_per_second * share_of(peers), tokens);
+}
+
+quota_decision account_quota::take_again(time_point now, account_id const& account,
+                                         account_limit const& limit, peer_demand const& peers,
+                                         double tokens)
+{
+    auto& known = this->buckets[account];
+    // What was lent must not be cut off at the most that a refill gives.
+    auto const lent = std::exchange(known.lent, 0);
+    auto const most = refill(known, now, limit, peers);
+    known.available += lent;
+    return grant(known, most, limit.tokens_per_second * share_of(peers), tokens);
+}
+
+double account_quota::part_to_ask(double missing, std::size_t lenders)
+{
+    return lenders == 0 ? 0 : lending_reserve * missing / static_cast<double>(lenders);
+}
+
+double account_quota::lend(time_point now, account_id const& account, account_limit const& limit,
+                           peer_demand const& peers, double wanted)
+{
+    auto& known = this->buckets[account];
+    auto const most = refill(known, now, limit, peers);
+    auto const spare = known.available - kept_part * most;
+    auto const given = std::clamp(spare, 0.0, std::max(wanted, 0.0));
+    known.available -= given;
+    return given;
+}
+
+void account_quota::deposit(account_id const& account, double tokens)
+{
+    this->buckets[account].lent += tokens;
 }
 
 std::map<account_id, double> account_quota::demand(time_point now)
--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -80,3 +80,127 @@
     CHECK(refused.retry_after == milliseconds(500));
     CHECK(quota.take(now + milliseconds(501), account, limit, {}, 50).granted);
 }
+
+namespace
+{
+
+/// Entries that ask each other for tokens before they refuse a request.
+class lending_entries
+{
+public:
+    lending_entries(std::size_t count, account_limit const& allowed)
+        : entries(count)
+        , told(count)
+        , limit(allowed)
+    {
+    }
+
+    /// Each entry hears of the demand at all others.
+    void tell_demand(time_point now)
+    {
+        for (std::size_t i = 0; i < this->entries.size(); ++i)
+            this->told[i] = this->entries[i].demand(now)[account];
+    }
+
+    bool take(time_point now, std::size_t at, double tokens)
+    {
+        auto const first =
+            this->entries[at].take(now, account, this->limit, this->peers_of(at), tokens);
+        if (first.granted)
+            return true;
+        auto const part = account_quota::part_to_ask(first.missing, this->entries.size() - 1);
+        for (std::size_t i = 0; i < this->entries.size(); ++i)
+        {
+            if (i == at)
+                continue;
+            auto const given =
+                this->entries[i].lend(now, account, this->limit, this->peers_of(i), part);
+            this->entries[at].deposit(account, given);
+        }
+        return this->entries[at]
+            .take_again(now, account, this->limit, this->peers_of(at), tokens)
+            .granted;
+    }
+
+    std::size_t size() const { return this->entries.size(); }
+
+private:
+    request::peer_demand peers_of(std::size_t at) const
+    {
+        double others = 0;
+        for (std::size_t i = 0; i < this->told.size(); ++i)
+            others += i == at ? 0 : this->told[i];
+        return {this->told[at], others, static_cast<std::uint32_t>(this->told.size())};
+    }
+
+    std::vector<account_quota> entries;
+    std::vector<double> told;
+    account_limit limit;
+};
+
+struct lending_result
+{
+    double asked = 0;
+    double granted = 0;
+};
+
+/// Large requests at random entries for a minute, asking `part_of_limit` of the quota.
+lending_result ask_for_large_requests(std::uint64_t seed, account_limit const& limit,
+                                      double part_of_limit)
+{
+    constexpr double mean_tokens = 15'000;
+    lending_entries system(11, limit);
+    seeded_random random(seed);
+    auto const rate = part_of_limit * limit.tokens_per_second / mean_tokens;
+    auto const step = milliseconds(10);
+    lending_result result;
+    for (time_point now{}; now < time_point(seconds(60)); now += step)
+    {
+        if (now.time_since_epoch() % milliseconds(500) == duration(0))
+            system.tell_demand(now);
+        if (random.unit() >= rate * to_seconds(step))
+            continue;
+        auto const tokens = 2 * mean_tokens * random.unit();
+        result.asked += tokens;
+        result.granted += system.take(now, random.below(system.size()), tokens) ? tokens : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("large requests within the quota are served with tokens of other entries")
+{
+    // Guards against refusals because one entry's part is smaller than a request: on a
+    // quiet day one in six of the largest requests was refused below its quota.
+    account_limit const limit{47'000, 47'000, 100'000};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        auto const result = ask_for_large_requests(seed, limit, 0.55);
+        CHECK(result.granted >= 0.99 * result.asked);
+    }
+}
+
+TEST_CASE("entries that lend to each other stay within the quota")
+{
+    // Guards against tokens that are created by lending.
+    account_limit const limit{47'000, 47'000, 100'000};
+    auto const most = 60 * limit.tokens_per_second + limit.burst + limit.allowance;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        auto const result = ask_for_large_requests(seed, limit, 6);
+        CHECK(result.granted <= 1.1 * most);
+        CHECK(result.granted >= 0.8 * 60 * limit.tokens_per_second);
+    }
+}
+
+TEST_CASE("an entry lends at most what it has beyond its own part")
+{
+    account_quota quota;
+    account_limit const limit{100, 100};
+    time_point const now{seconds(1)};
+    CHECK(quota.lend(now, account, limit, {}, 1'000) == 75);
+    CHECK(quota.lend(now, account, limit, {}, 1'000) == 0);
+    CHECK(quota.lend(now, account, limit, {}, -5) == 0);
+    CHECK(quota.take(now, account, limit, {}, 25).granted);
+}
--- a/src/version/include/lagoonladder/version/service_map.hpp
+++ b/src/version/include/lagoonladder/version/service_map.hpp
@@ -144,6 +144,7 @@
     pass_route const* find_route(std::string_view host, std::string_view path) const;
     pass_service const* find_service(service_name const& name) const;
     pass_account const* find_account_by_key(std::string const& key) const;
+    pass_account const* find_account(account_id const& name) const;
     bool has_accounts() const { return !this->source.accounts.empty(); }
 
 private:
--- a/src/version/internal/service_map.cpp
+++ b/src/version/internal/service_map.cpp
@@ -280,4 +280,12 @@
     return found == this->keys.end() ? nullptr : found->second;
 }
 
+pass_account const* service_index::find_account(account_id const& name) const
+{
+    auto const& all = this->source.accounts;
+    auto const found =
+        std::find_if(all.begin(), all.end(), [&](auto const& one) { return one.name == name; });
+    return found == all.end() ? nullptr : &*found;
+}
+
 } // namespace lagoonladder::version
