Send prompts to the engine that will have read them soonest

Cause: prompts went to one engine for each shared part, and requests, not tokens, were counted as load. While engines keep little (after a start or a reclaim) long prompts waited behind each other at one engine while others were idle.

Ruled out: too few engines in the steady state.

Change: request::prompt_backlog estimates for each engine the tokens still to be read and the parts that it keeps, and learns each engine's time per token from answers. Entries tell each other of prompts by datagrams at the port of the control address (prompt_exchange, at most 32 receivers). Engines start with half of their share instead of a tenth. Ended calls log prompt_ahead and first_byte_ms.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -39,6 +39,10 @@
     return options;
 }
 
+/// Bounds the datagrams of large systems. The entries that hear of a prompt are drawn
+/// anew each time.
+constexpr std::size_t max_prompt_receivers = 32;
+
 /// Tokens that the other entries give for one call.
 struct lending_round
 {
@@ -84,6 +88,10 @@
     , duty_calls(*this->context, make_duty_options(), time)
     , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed},
             make_proxy_options(config.pass_through))
+    , prompts(
+          *this->context, config.cluster_token,
+          [this](proxy::prompt_news const& news) { this->proxy.note_prompt(news); }, sink, metrics)
+    , random(seed)
     , control_calls(*this, sink)
     , directory_calls(*this, config.pass_through.directory_age)
     , readiness_calls(*this)
@@ -124,6 +132,7 @@
     this->readiness_server.start();
     if (!this->options.pass_through.metrics.value().empty())
         this->metrics_server.start();
+    this->prompts.start(this->options.control);
     this->count_open_calls();
     if (!this->options.pass_through.platform_api.value().empty())
         this->control.set_platform_duties(this);
@@ -162,6 +171,7 @@
                    this->directory_server.stop();
                    this->readiness_server.stop();
                    this->metrics_server.stop();
+                   this->prompts.stop();
                    this->client.stop();
                    this->duty_calls.stop();
                    this->context->stop();
@@ -218,12 +228,7 @@
 void pass_through_plane::borrow_tokens(account_id const& account, double missing,
                                        std::function<void(double)> done)
 {
-    std::vector<network_address> lenders;
-    for (auto const& entry : this->control.view()->entries)
-    {
-        if (entry.vm != this->options.vm && !entry.pass_through.value().empty())
-            lenders.push_back(entry.control);
-    }
+    auto const lenders = this->other_entries();
     auto const round = std::make_shared<lending_round>();
     round->missing = missing;
     round->open = lenders.size();
@@ -253,6 +258,28 @@
     }
 }
 
+void pass_through_plane::tell_prompt(proxy::prompt_news const& news)
+{
+    auto receivers = this->other_entries();
+    while (receivers.size() > max_prompt_receivers)
+    {
+        std::swap(receivers[this->random.below(receivers.size())], receivers.back());
+        receivers.pop_back();
+    }
+    this->prompts.send(receivers, news);
+}
+
+std::vector<network_address> pass_through_plane::other_entries() const
+{
+    std::vector<network_address> others;
+    for (auto const& entry : this->control.view()->entries)
+    {
+        if (entry.vm != this->options.vm && !entry.pass_through.value().empty())
+            others.push_back(entry.control);
+    }
+    return others;
+}
+
 void pass_through_plane::lend_tokens(account_id const& account, double wanted,
                                      std::function<void(double)> done)
 {
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -6,6 +6,7 @@
 #include <lagoonladder/platform.hpp>
 
 #include "control_loop.hpp"
+#include "prompt_exchange.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -50,6 +51,7 @@
     void set_demand(std::map<account_id, double> demand) override;
     void borrow_tokens(account_id const& account, double missing,
                        std::function<void(double)> done) override;
+    void tell_prompt(proxy::prompt_news const& news) override;
 
     /// Gives tokens of the account's quota away to another entry. Safe to call from any thread.
     void lend_tokens(account_id const& account, double wanted, std::function<void(double)> done);
@@ -77,6 +79,8 @@
     void run();
     void count_open_calls();
     http::connection_limits limits() const;
+    /// Control addresses of the other entries that take calls.
+    std::vector<network_address> other_entries() const;
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
 
     settings const& options;
@@ -90,6 +94,8 @@
     http::client duty_calls;
     platform::call_translation translation;
     proxy::call_proxy proxy;
+    prompt_exchange prompts;
+    seeded_random random;
     platform::control_handler control_calls;
     platform::directory_handler directory_calls;
     platform::readiness_handler readiness_calls;
--- /dev/null
+++ b/src/process/daemon/tests/prompt_exchange_test.cpp
@@ -0,0 +1,108 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "free_port.hpp"
+#include "prompt_exchange.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+/// Two entries on one event loop.
+class exchange_pair
+{
+public:
+    explicit exchange_pair(std::string const& token_of_second = "secret")
+        : first(
+              this->context, "secret", [](proxy::prompt_news const&) {}, this->events,
+              this->metrics)
+        , second(
+              this->context, token_of_second,
+              [this](proxy::prompt_news const& news) { this->received.push_back(news); },
+              this->events, this->metrics)
+    {
+        this->first.start(free_address());
+        this->second.start(this->address);
+    }
+
+    void run() { this->context.run_for(std::chrono::milliseconds(50)); }
+
+    asio::io_context context;
+    null_event_sink events;
+    observability::metrics metrics;
+    network_address const address = free_address();
+    std::vector<proxy::prompt_news> received;
+    prompt_exchange first;
+    prompt_exchange second;
+};
+
+proxy::prompt_news make_news(std::size_t parts)
+{
+    proxy::prompt_news news{endpoint_id("e1"), incarnation(7), {}};
+    for (std::size_t i = 0; i < parts; ++i)
+        news.prompt.push_back({0x8000000000000000 + i, 100 + i});
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("an entry hears of the prompts of another")
+{
+    exchange_pair entries;
+    auto const news = make_news(3);
+    entries.first.send({entries.address}, news);
+    entries.run();
+    REQUIRE(entries.received.size() == 1);
+    CHECK(entries.received[0].engine == news.engine);
+    CHECK(entries.received[0].incarnation == news.incarnation);
+    CHECK(entries.received[0].prompt == news.prompt);
+}
+
+TEST_CASE("news of other systems, of no receiver and too long news are left out")
+{
+    // Guards against datagrams that end the traffic thread.
+    exchange_pair other("another secret");
+    other.first.send({other.address}, make_news(3));
+    other.run();
+    CHECK(other.received.empty());
+
+    exchange_pair entries;
+    entries.first.send({network_address("nowhere"), free_address()}, make_news(1));
+    entries.first.send({entries.address}, make_news(1'000));
+    entries.run();
+    CHECK(entries.received.empty());
+    entries.first.send({entries.address}, make_news(1));
+    entries.run();
+    CHECK(entries.received.size() == 1);
+}
+
+TEST_CASE("an entry without the port goes on without news")
+{
+    exchange_pair entries;
+    prompt_exchange third(
+        entries.context, "secret", [](proxy::prompt_news const&) {}, entries.events,
+        entries.metrics);
+    third.start(entries.address);
+    third.send({entries.address}, make_news(1));
+    entries.run();
+    CHECK(entries.received.empty());
+}
+
+TEST_CASE("datagrams of any bytes are survived")
+{
+    exchange_pair entries;
+    asio::io_context context;
+    asio::ip::udp::socket stranger(context, asio::ip::udp::endpoint(asio::ip::udp::v4(), 0));
+    auto const port = entries.address.value().substr(entries.address.value().rfind(':') + 1);
+    asio::ip::udp::endpoint const target(asio::ip::address_v4::loopback(),
+                                         static_cast<std::uint16_t>(std::stoul(port)));
+    rc::prop("nothing is taken for news",
+             [&](std::vector<std::uint8_t> const& bytes)
+             {
+                 stranger.send_to(asio::buffer(bytes), target);
+                 entries.context.poll();
+                 RC_ASSERT(entries.received.empty());
+             });
+}
--- a/src/process/proxy/include/lagoonladder/proxy/call.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call.hpp
@@ -8,17 +8,11 @@
 
 #include <lagoonladder/connection.hpp>
 #include <lagoonladder/http.hpp>
+#include <lagoonladder/request.hpp>
 
 namespace lagoonladder::proxy
 {
 
-/// A part of a prompt that other prompts may share.
-struct prompt_part
-{
-    std::uint64_t hash = 0;
-    std::uint64_t tokens = 0;
-};
-
 struct token_figures
 {
     std::uint64_t prompt = 0;
@@ -37,8 +31,7 @@
     /// How long the caller waits.
     std::optional<duration> time_left;
     std::optional<token_figures> tokens;
-    /// From the start of the prompt on; the last one is the request's own.
-    std::vector<prompt_part> prompt;
+    request::prompt_parts prompt;
     /// A stream continues after this event.
     std::optional<std::uint64_t> last_event;
     /// Why the request is malformed; empty for a proper one.
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -57,6 +57,9 @@
     /// Takes tokens that another entry gave away after the call had gone on without them.
     void deposit_tokens(account_id const& account, double tokens);
 
+    /// Another entry has sent a prompt to an engine.
+    void note_prompt(prompt_news const& news);
+
     /// Calls without a complete answer.
     std::size_t open_calls() const;
 
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -33,6 +33,15 @@
     data_centre_id data_centre;
 };
 
+/// A prompt was sent to an engine.
+struct prompt_news
+{
+    endpoint_id engine;
+    /// Start of the engine that got it.
+    lagoonladder::incarnation incarnation;
+    request::prompt_parts prompt;
+};
+
 /// What the traffic plane asks of the control plane. Safe to call from any thread.
 class traffic_control
 {
@@ -49,6 +58,8 @@
     /// gave, on the traffic thread and within a bounded time.
     virtual void borrow_tokens(account_id const& account, double missing,
                                std::function<void(double)> done) = 0;
+    /// Tells the other entries of a prompt, so that they count it at the engine. May be lost.
+    virtual void tell_prompt(prompt_news const& news) = 0;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -8,15 +8,16 @@
 namespace
 {
 
-/// Shared parts below this are read again faster than a busier endpoint answers.
-constexpr std::uint64_t least_shared_tokens = 1000;
 constexpr duration gone_memory = seconds(10);
+/// Engines whose reading times differ by less are equal: the estimate is no better.
+constexpr duration reading_tolerance = milliseconds(15);
 
 request::balanced_route_options engine_options()
 {
     request::balanced_route_options options;
-    // One holder of each shared part, unless the bound on load asks for another.
-    options.affinity_group = 1;
+    // Engines answer at full speed from their start on.
+    options.ramp_up = seconds(1);
+    options.ramp_start = 0.5;
     return options;
 }
 
@@ -96,16 +97,6 @@
     return rows;
 }
 
-std::uint64_t affinity_hash(version::pass_route const& route, incoming_call const& call)
-{
-    if (!route.has_prefix_affinity || call.prompt.size() < 2)
-        return 0;
-    std::uint64_t shared = 0;
-    for (std::size_t i = 0; i + 1 < call.prompt.size(); ++i)
-        shared += call.prompt[i].tokens;
-    return shared >= least_shared_tokens ? call.prompt[call.prompt.size() - 2].hash : 0;
-}
-
 request::balanced_route_policy& endpoint_chooser::policy(service_name const& service,
                                                          bool is_engine)
 {
@@ -129,10 +120,12 @@
         candidates.push_back(make_candidate(row, this->loads.estimate(now, row.id)));
     request::route_query query;
     query.data_centre = view.data_centre;
-    query.prefix_hash = affinity_hash(route, call);
     query.excluded = excluded;
     auto const* known = view.services->find_service(service);
-    auto& choice = this->policy(service, known != nullptr && known->is_engine);
+    bool const is_engine = known != nullptr && known->is_engine;
+    auto& choice = this->policy(service, is_engine);
+    if (is_engine && route.has_prefix_affinity)
+        this->keep_soonest(now, call.prompt, choice, excluded, candidates);
     auto const chosen = choice.choose(now, candidates, query, random);
     if (!chosen)
         return std::nullopt;
@@ -141,6 +134,33 @@
     return *row;
 }
 
+void endpoint_chooser::keep_soonest(time_point now, request::prompt_parts const& prompt,
+                                    request::balanced_route_policy const& health,
+                                    std::vector<endpoint_id> const& excluded,
+                                    std::vector<request::route_candidate>& candidates) const
+{
+    std::map<endpoint_id, duration> times;
+    auto soonest = duration::max();
+    for (auto const& candidate : candidates)
+    {
+        auto const& id = candidate.endpoint_id;
+        bool const was_tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+        if (was_tried || health.is_excluded(now, id))
+            continue;
+        auto const time = this->prompts.reading_time(now, id, prompt);
+        times.emplace(id, time);
+        soonest = std::min(soonest, time);
+    }
+    if (times.empty())
+        return;
+    std::erase_if(candidates,
+                  [&](auto const& candidate)
+                  {
+                      auto const found = times.find(candidate.endpoint_id);
+                      return found == times.end() || found->second > soonest + reading_tolerance;
+                  });
+}
+
 void endpoint_chooser::started(time_point now, endpoint_id const& endpoint)
 {
     this->loads.dispatched(now, endpoint);
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -27,7 +27,20 @@
         return this->loads.estimate(now, endpoint);
     }
 
+    /// The call is sent to the endpoint.
     void started(time_point now, endpoint_id const& endpoint);
+    /// A prompt was sent to an engine, by this entry or another.
+    request::sent_prompt prompt_sent(time_point now, endpoint_id const& engine, incarnation start,
+                                     request::prompt_parts const& prompt)
+    {
+        return this->prompts.sent(now, engine, start, prompt);
+    }
+    /// The engine has begun to answer a prompt of this entry.
+    void prompt_answered(time_point now, connection::endpoint_record const& engine,
+                         request::sent_prompt const& prompt)
+    {
+        this->prompts.answered(now, engine.id, engine.incarnation, prompt);
+    }
     /// An attempt has ended; `outcome` is empty when it tells nothing of the endpoint.
     void ended(time_point now, service_name const& service, endpoint_id const& endpoint,
                std::optional<request::route_outcome> const& outcome);
@@ -43,10 +56,16 @@
     };
 
     request::balanced_route_policy& policy(service_name const& service, bool is_engine);
+    /// Leaves the engines that would have read the prompt soonest.
+    void keep_soonest(time_point now, request::prompt_parts const& prompt,
+                      request::balanced_route_policy const& health,
+                      std::vector<endpoint_id> const& excluded,
+                      std::vector<request::route_candidate>& candidates) const;
     bool is_gone(time_point now, connection::endpoint_record const& endpoint) const;
 
     std::map<service_name, request::balanced_route_policy> policies;
     request::load_estimate loads;
+    request::prompt_backlog prompts;
     std::map<endpoint_id, gone_endpoint> gone;
     std::uint64_t next_report = 1;
 };
@@ -55,9 +74,6 @@
 std::vector<connection::endpoint_record>
 usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call);
 
-/// Hash of the prompt's shared part that is worth keeping together; 0 when there is none.
-std::uint64_t affinity_hash(version::pass_route const& route, incoming_call const& call);
-
 } // namespace lagoonladder::proxy
 
 #endif
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -97,6 +97,7 @@
         this->weak_from_this(), this->context->parts.codec, endpoint, this->call.id, now);
     this->chosen_load = this->context->chooser.load(now, endpoint.id);
     this->context->chooser.started(now, endpoint.id);
+    this->tell_prompt(endpoint);
     this->set_timer();
     auto const view = this->context->parts.control.view();
     this->current->send(
@@ -105,6 +106,18 @@
         this->connection_limit(*view));
 }
 
+void proxied_call::tell_prompt(connection::endpoint_record const& endpoint)
+{
+    this->sent.reset();
+    if (this->call.prompt.empty())
+        return;
+    auto const now = this->context->parts.time.now();
+    this->sent = this->context->chooser.prompt_sent(now, endpoint.id, endpoint.incarnation,
+                                                    this->call.prompt);
+    this->context->parts.control.tell_prompt(
+        {endpoint.id, endpoint.incarnation, this->call.prompt});
+}
+
 std::size_t proxied_call::connection_limit(traffic_view const& view) const
 {
     auto const* service = this->admitted.services->find_service(this->admitted.service);
@@ -199,6 +212,9 @@
         this->first_byte = this->last_byte;
         this->count_start(attempt);
         this->set_timer();
+        if (this->sent)
+            this->context->chooser.prompt_answered(this->first_byte, attempt.endpoint(),
+                                                   *this->sent);
     }
     // A malformed stream ends the attempt, which may drop the last owner of this call.
     auto const self = this->shared_from_this();
@@ -408,6 +424,10 @@
          {"attempts", std::to_string(this->sends)},
          {"endpoint", this->tried.empty() ? "" : this->tried.back().value()},
          {"endpoint_load", std::to_string(this->chosen_load)},
+         {"prompt_ahead", std::to_string(this->sent ? this->sent->tokens_ahead : 0)},
+         {"first_byte_ms", this->first_byte == time_point()
+                               ? ""
+                               : milliseconds_text(this->first_byte - this->exchange->arrived())},
          {"elapsed_ms", milliseconds_text(elapsed)},
          {"configuration", std::to_string(this->admitted.services->map().number)}});
     this->context->parts.metrics.add("proxied_calls_total",
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -36,6 +36,8 @@
 private:
     void try_next();
     void send(connection::endpoint_record const& endpoint);
+    /// Counts the prompt at the engine and tells the other entries of it.
+    void tell_prompt(connection::endpoint_record const& endpoint);
     std::size_t connection_limit(traffic_view const& view) const;
     std::optional<std::uint32_t> urgency() const;
     /// Time without a byte after which another endpoint is tried; zero for none.
@@ -69,6 +71,8 @@
     std::uint32_t unsent_tries = 0;
     /// Estimated requests at the endpoint when it was chosen last.
     double chosen_load = 0;
+    /// Set while the call has a prompt and an attempt.
+    std::optional<request::sent_prompt> sent;
     bool may_have_run = false;
     time_point last_byte{};
     time_point first_byte{};
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -84,6 +84,10 @@
         this->borrowed.push_back({account, missing});
         done(this->lent);
     }
+    void tell_prompt(lagoonladder::proxy::prompt_news const& news) override
+    {
+        this->told.push_back(news);
+    }
 
     template <class Change>
     void change(Change const& change)
@@ -97,6 +101,7 @@
     std::vector<std::pair<lagoonladder::account_id, double>> borrowed;
     /// What other entries give at each request for tokens.
     double lent = 0;
+    std::vector<lagoonladder::proxy::prompt_news> told;
 
 private:
     std::shared_ptr<lagoonladder::proxy::traffic_view const> current;
--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -11,6 +11,7 @@
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/once_record.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
+#include <lagoonladder/request/prompt_backlog.hpp>
 #include <lagoonladder/request/queue_trend.hpp>
 #include <lagoonladder/request/queued_request.hpp>
 #include <lagoonladder/request/retry_budget.hpp>
--- /dev/null
+++ b/src/request/tests/prompt_backlog_test.cpp
@@ -0,0 +1,198 @@
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <set>
+
+#include <lagoonladder/request.hpp>
+
+using namespace lagoonladder;
+using request::prompt_backlog;
+using request::prompt_backlog_options;
+using request::prompt_parts;
+
+namespace
+{
+
+endpoint_id const first_engine("e1");
+incarnation const first_start(1);
+time_point const start{seconds(100)};
+
+prompt_backlog_options options_of_tests()
+{
+    prompt_backlog_options options;
+    options.tokens_per_second = 10'000;
+    options.cache_tokens = 50'000;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("a prompt is kept from its start on only")
+{
+    prompt_backlog backlog(options_of_tests());
+    backlog.sent(start, first_engine, first_start, {{1, 1000}, {2, 500}, {3, 10}});
+    CHECK(backlog.unread_tokens(first_engine, {{1, 1000}, {2, 500}, {4, 20}}) == 20);
+    CHECK(backlog.unread_tokens(first_engine, {{1, 1000}, {5, 700}, {2, 500}}) == 1200);
+    CHECK(backlog.unread_tokens(endpoint_id("other"), {{1, 1000}, {4, 20}}) == 1020);
+}
+
+TEST_CASE("prompts that were sent delay the next one until they are read")
+{
+    prompt_backlog backlog(options_of_tests());
+    backlog.sent(start, first_engine, first_start, {{1, 10'000}});
+    CHECK(backlog.reading_time(start, first_engine, {{2, 5'000}}) == milliseconds(1500));
+    CHECK(backlog.reading_time(start + milliseconds(400), first_engine, {{2, 5'000}}) ==
+          milliseconds(1100));
+    CHECK(backlog.reading_time(start + seconds(9), first_engine, {{2, 5'000}}) ==
+          milliseconds(500));
+}
+
+TEST_CASE("an answer shows that the prompts before it were read")
+{
+    prompt_backlog backlog(options_of_tests());
+    auto const sent = backlog.sent(start, first_engine, first_start, {{1, 2'000}});
+    backlog.sent(start, first_engine, first_start, {{2, 1'000}});
+    backlog.answered(start + milliseconds(50), first_engine, first_start, sent);
+    CHECK(backlog.reading_time(start + milliseconds(50), first_engine, {}) == milliseconds(100));
+}
+
+TEST_CASE("a slow engine is known after its answers")
+{
+    // Guards against prompts that go to an engine which reads at a fifth of the speed.
+    prompt_backlog backlog(options_of_tests());
+    auto now = start;
+    for (int i = 0; i < 10; ++i)
+    {
+        auto const sent =
+            backlog.sent(now, first_engine, first_start, {{static_cast<std::uint64_t>(i), 10'000}});
+        now += seconds(5);
+        backlog.answered(now, first_engine, first_start, sent);
+    }
+    CHECK(backlog.reading_time(now, first_engine, {{99, 10'000}}) >= seconds(4));
+}
+
+TEST_CASE("a later start of an engine keeps nothing")
+{
+    prompt_backlog backlog(options_of_tests());
+    auto const old = backlog.sent(start, first_engine, first_start, {{1, 1000}});
+    backlog.sent(start, first_engine, incarnation(2), {{2, 10}});
+    CHECK(backlog.unread_tokens(first_engine, {{1, 1000}}) == 1000);
+    // News of the start before and answers to it change nothing.
+    backlog.answered(start + seconds(1), first_engine, first_start, old);
+    CHECK(backlog.unread_tokens(first_engine, {{2, 10}}) == 0);
+}
+
+TEST_CASE("parts that were not used for long are taken for gone")
+{
+    prompt_backlog backlog(options_of_tests());
+    backlog.sent(start, first_engine, first_start, {{1, 1000}});
+    for (std::uint64_t i = 0; i < 60; ++i)
+        backlog.sent(start, first_engine, first_start, {{100 + i, 1000}});
+    CHECK(backlog.unread_tokens(first_engine, {{1, 1000}}) == 1000);
+    CHECK(backlog.unread_tokens(first_engine, {{159, 1000}}) == 0);
+}
+
+namespace
+{
+
+/// Engines that read one prompt after the other and keep all parts.
+class model_engines
+{
+public:
+    static constexpr double tokens_per_second = 44'000;
+
+    explicit model_engines(std::size_t count)
+        : free_at(count, start)
+        , kept(count)
+    {
+    }
+
+    /// Time from sending to the end of reading.
+    duration read(time_point now, std::size_t engine, prompt_parts const& prompt)
+    {
+        double tokens = 0;
+        bool is_kept = true;
+        for (auto const& part : prompt)
+        {
+            is_kept = is_kept && this->kept[engine].contains(part.hash);
+            tokens += is_kept ? 0 : static_cast<double>(part.tokens);
+            this->kept[engine].insert(part.hash);
+        }
+        this->free_at[engine] =
+            std::max(this->free_at[engine], now) + from_seconds(tokens / tokens_per_second);
+        return this->free_at[engine] - now;
+    }
+
+private:
+    std::vector<time_point> free_at;
+    std::vector<std::set<std::uint64_t>> kept;
+};
+
+/// Long prompts with 73 shared parts, eight a second, to engines that keep nothing at the
+/// start: as after a start or when engines were reclaimed.
+prompt_parts make_cold_prompt(std::uint64_t number, random_source& random)
+{
+    // Lognormal sizes: few prompts are many times the mean.
+    auto const size = [](double mean, double spread, double unit)
+    {
+        auto const normal = std::sqrt(12.0) * (unit - 0.5);
+        return static_cast<std::uint64_t>(mean * std::exp(spread * normal - spread * spread / 2));
+    };
+    auto const subject = 1 + random.below(73);
+    seeded_random of_subject(subject);
+    return {{subject, size(13'300, 0.7, of_subject.unit())},
+            {1'000 + number, size(3'720, 1.1, random.unit())}};
+}
+
+/// Share of prompts whose reading takes over 650 ms in the first fifteen seconds.
+template <class Choose>
+double late_share(std::uint64_t seed, std::size_t engines, Choose choose)
+{
+    seeded_random random(seed);
+    model_engines model(engines);
+    std::size_t late = 0;
+    std::size_t count = 0;
+    for (auto now = start; now < start + seconds(15);)
+    {
+        now += from_seconds(-std::log(1 - random.unit()) / 8);
+        auto const prompt = make_cold_prompt(++count, random);
+        auto const taken = model.read(now, choose(now, prompt, random), prompt);
+        late += taken > milliseconds(650) ? 1 : 0;
+    }
+    return static_cast<double>(late) / static_cast<double>(count);
+}
+
+} // namespace
+
+TEST_CASE("long prompts of a cold start wait less than with one engine for each shared part")
+{
+    // Guards against long prompts behind each other at one engine while others are idle.
+    constexpr std::size_t engines = 6;
+    double by_backlog = 0;
+    double by_part = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        prompt_backlog backlog;
+        by_backlog += late_share(seed, engines,
+                                 [&](time_point now, prompt_parts const& prompt, random_source&)
+                                 {
+                                     std::size_t best = 0;
+                                     auto best_time = duration::max();
+                                     for (std::size_t i = 0; i < engines; ++i)
+                                     {
+                                         auto const id = endpoint_id(std::to_string(i));
+                                         auto const time = backlog.reading_time(now, id, prompt);
+                                         best = time < best_time ? i : best;
+                                         best_time = std::min(time, best_time);
+                                     }
+                                     backlog.sent(now, endpoint_id(std::to_string(best)),
+                                                  first_start, prompt);
+                                     return best;
+                                 });
+        by_part += late_share(seed, engines,
+                              [](time_point, prompt_parts const& prompt, random_source&)
+                              { return stable_hash(std::to_string(prompt[0].hash)) % engines; });
+    }
+    INFO("late by backlog " << by_backlog / 20 << ", by shared part " << by_part / 20);
+    CHECK(by_backlog <= 0.5 * by_part);
+}
