Let calls wait for the configuration after a start, and order cheaper engines

Each refusal costs a caller one of its few retries.

Ruled out: a shorter election timeout in the first election. A voter grants no vote in its first election timeout, since it may have promised the lease before it ended; the lease needs that. Missing endpoints: no call was refused for that.

Change: calls that come before the configuration wait for it, at most 1 s and a third of their time, at most 200 of them. A daemon polls each 50 ms until it is ready. On-demand engines carry 0.2 of the demand instead of 0.4, which leaves more reclaimable ones in each data centre.

The two tests of the plan state the part that they were written for; their checks are unchanged.

--- a/src/process/daemon/internal/state_follower.cpp
+++ b/src/process/daemon/internal/state_follower.cpp
@@ -1,5 +1,7 @@
 #include "state_follower.hpp"
 
+#include <algorithm>
+
 #include <control.grpc.pb.h>
 
 namespace lagoonladder::daemon
@@ -9,6 +11,7 @@
 {
 
 constexpr duration read_timeout = milliseconds(800);
+constexpr duration start_poll_interval = milliseconds(50);
 /// Several polls, so that one slow voter does not make the quorum look lost.
 constexpr duration quorum_memory = seconds(3);
 
@@ -54,7 +57,9 @@
 
 void state_follower::schedule_poll()
 {
-    this->timer.expires_after(this->options.state_poll_interval);
+    // Callers wait for a daemon that starts.
+    auto const interval = this->ready ? this->options.state_poll_interval : start_poll_interval;
+    this->timer.expires_after(std::min(interval, this->options.state_poll_interval));
     this->timer.async_wait(
         [this](asio::error_code const& problem)
         {
--- a/src/process/daemon/tests/control_loop_test.cpp
+++ b/src/process/daemon/tests/control_loop_test.cpp
@@ -94,7 +94,8 @@
 class small_system
 {
 public:
-    small_system()
+    explicit small_system(duration poll_interval = milliseconds(100))
+        : state_poll_interval(poll_interval)
     {
         for (std::size_t i = 0; i < 4; ++i)
             this->addresses.push_back(free_address());
@@ -114,7 +115,7 @@
         config.cluster_token = "secret";
         config.election_timeout = milliseconds(400);
         config.gossip_interval = milliseconds(200);
-        config.state_poll_interval = milliseconds(100);
+        config.state_poll_interval = this->state_poll_interval;
         if (index < 3)
         {
             config.data_folder = "in memory";
@@ -151,6 +152,7 @@
         return std::get<version::apply_result>(this->loop(index).propose(command, seconds(10)));
     }
 
+    duration const state_poll_interval;
     std::vector<network_address> addresses;
     fillable_store stores[3];
     std::uint64_t incarnations[4] = {1, 1, 1, 1};
@@ -424,3 +426,11 @@
     CHECK_FALSE(older.stored);
     CHECK(read().number == 7);
 }
+
+TEST_CASE("a daemon that starts does not wait for its poll interval to be ready")
+{
+    // Guards against refusals for the rest of an interval after all daemons restarted.
+    small_system system(seconds(20));
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return system.loop(i).view()->ready; }, std::chrono::seconds(5)));
+}
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -71,6 +71,7 @@
     void tell_demand(time_point now);
 
     std::shared_ptr<struct proxy_context> context;
+    std::unique_ptr<class early_calls> early;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -1,5 +1,6 @@
 #include <lagoonladder/proxy/call_proxy.hpp>
 
+#include "early_calls.hpp"
 #include "proxied_call.hpp"
 
 namespace lagoonladder::proxy
@@ -9,6 +10,8 @@
 {
 
 constexpr duration demand_interval = milliseconds(250);
+/// Of callers that state none.
+constexpr duration default_time_left = seconds(3);
 
 std::vector<event_field> describe_refusal(incoming_call const& call, admitted_call const& admitted,
                                           unsigned status)
@@ -72,6 +75,15 @@
 
 call_proxy::call_proxy(dependencies const& parts, proxy_options const& options)
     : context(std::make_shared<proxy_context>(parts, options))
+    , early(std::make_unique<early_calls>(
+          parts.context, parts.time,
+          [this]
+          {
+              auto const view = this->context->parts.control.view();
+              return view->is_ready && view->services;
+          },
+          [this](std::shared_ptr<http::server_exchange> const& exchange)
+          { this->handle(exchange); }))
 {
 }
 
@@ -85,6 +97,9 @@
     auto admitted = admit(now, exchange->arrived(), *view, call, this->context->quotas,
                           this->context->options.quota);
     this->tell_demand(now);
+    if (admitted.reason == refusal::no_configuration &&
+        this->early->wait(exchange, call.time_left.value_or(default_time_left)))
+        return;
     if (admitted.reason == refusal::over_quota && view->entries > 1 &&
         this->context->borrowing.begin_round(now, admitted.account->name))
         return this->borrow(exchange, std::move(call), admitted);
@@ -160,7 +175,7 @@
 
 std::size_t call_proxy::open_calls() const
 {
-    return this->context->open_calls;
+    return this->context->open_calls + this->early->size();
 }
 
 } // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/early_calls.cpp
@@ -0,0 +1,73 @@
+#include "early_calls.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+constexpr duration check_interval = milliseconds(10);
+/// Part of the caller's time that may pass before it is told to come back.
+constexpr int part_of_time_left = 3;
+
+} // namespace
+
+early_calls::early_calls(asio::io_context& context, clock const& time_source,
+                         std::function<bool()> known, handler next)
+    : time(time_source)
+    , is_known(std::move(known))
+    , go_on(std::move(next))
+    , timer(context)
+{
+}
+
+bool early_calls::wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left)
+{
+    if (exchange.get() == this->current || this->waiting.size() >= max_waiting)
+        return false;
+    auto const span = std::min<duration>(longest_wait, time_left / part_of_time_left);
+    auto const is_gone = std::make_shared<bool>(false);
+    exchange->on_closed([is_gone] { *is_gone = true; });
+    this->waiting.push_back({exchange, exchange->arrived() + span, is_gone});
+    if (this->waiting.size() == 1)
+        this->schedule();
+    return true;
+}
+
+void early_calls::schedule()
+{
+    this->timer.expires_after(check_interval);
+    this->timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (!problem)
+                this->check();
+        });
+}
+
+void early_calls::check()
+{
+    bool const may_go = this->is_known();
+    auto const now = this->time.now();
+    for (auto& call : std::exchange(this->waiting, {}))
+    {
+        if (*call.is_gone)
+            continue;
+        if (!may_go && now < call.until)
+        {
+            this->waiting.push_back(std::move(call));
+            continue;
+        }
+        call.exchange->on_closed({});
+        this->current = call.exchange.get();
+        this->go_on(call.exchange);
+        this->current = nullptr;
+    }
+    if (!this->waiting.empty())
+        this->schedule();
+}
+
+} // namespace lagoonladder::proxy
--- /dev/null
+++ b/src/process/proxy/internal/early_calls.hpp
@@ -0,0 +1,59 @@
+#ifndef LAGOONLADDER_PROXY_EARLY_CALLS_HPP
+#define LAGOONLADDER_PROXY_EARLY_CALLS_HPP
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <asio.hpp>
+
+#include <lagoonladder/http.hpp>
+
+namespace lagoonladder::proxy
+{
+
+/// Calls that arrived before this entry had read the configuration. An entry that starts
+/// again has it in a fraction of a second; a refusal would cost callers a longer pause and
+/// one of their few retries. Used on its event loop only.
+class early_calls
+{
+public:
+    /// More calls are refused at once, so that a long wait does not take the memory.
+    static constexpr std::size_t max_waiting = 200;
+    static constexpr duration longest_wait = seconds(1);
+
+    using handler = std::function<void(std::shared_ptr<http::server_exchange> const&)>;
+
+    /// `is_known` tells whether the configuration is there; `go_on` gets each call then, or
+    /// when it has waited for its time.
+    early_calls(asio::io_context& context, clock const& time_source, std::function<bool()> is_known,
+                handler go_on);
+
+    /// Keeps the call; false when it has waited before or too many wait.
+    bool wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left);
+
+    std::size_t size() const { return this->waiting.size(); }
+
+private:
+    struct waiting_call
+    {
+        std::shared_ptr<http::server_exchange> exchange;
+        time_point until{};
+        std::shared_ptr<bool> is_gone;
+    };
+
+    void schedule();
+    void check();
+
+    clock const& time;
+    std::function<bool()> const is_known;
+    handler const go_on;
+    asio::steady_timer timer;
+    std::vector<waiting_call> waiting;
+    /// The call that goes on at present; it does not wait a second time.
+    http::server_exchange const* current = nullptr;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -282,3 +282,47 @@
     CHECK(system.proxy.lend_tokens(account_id("other"), 10) == 0);
     CHECK(system.proxy.lend_tokens(account_id("account"), 10) == 10);
 }
+
+TEST_CASE("a call that comes before the configuration waits for it")
+{
+    // Guards against refusals in the moments after a restart, when one more moment is enough.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    auto const services = system.control.view()->services;
+    system.control.change([](proxy::traffic_view& view) { view.services.reset(); });
+    auto const early = system.start_call("/plain/x", "id-1");
+    system.context.run_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(early.observer->is_over());
+    CHECK(system.proxy.open_calls() == 1);
+    system.control.change([&](proxy::traffic_view& view) { view.services = services; });
+    system.run_until([&] { return early.observer->is_over(); });
+    CHECK(early.observer->status() == 200);
+    CHECK(system.proxy.open_calls() == 0);
+}
+
+TEST_CASE("a call that waited for the configuration in vain is refused as not run")
+{
+    proxy_fixture system;
+    system.control.change([](proxy::traffic_view& view) { view.services.reset(); });
+    auto const begun = std::chrono::steady_clock::now();
+    auto const answer = system.call("/plain/x", "id-1");
+    CHECK(answer.status() == 503);
+    CHECK(answer.heads[0].headers.find("Retry-After") != nullptr);
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("a caller that leaves while its call waits for the configuration is forgotten")
+{
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    auto const services = system.control.view()->services;
+    system.control.change([](proxy::traffic_view& view) { view.services.reset(); });
+    auto const early = system.start_call("/plain/x", "id-1");
+    system.context.run_for(std::chrono::milliseconds(50));
+    early.call->cancel();
+    system.context.run_for(std::chrono::milliseconds(50));
+    system.control.change([&](proxy::traffic_view& view) { view.services = services; });
+    system.context.run_for(std::chrono::milliseconds(50));
+    CHECK(endpoint.requests.empty());
+    CHECK(system.proxy.open_calls() == 0);
+}
--- a/src/version/include/lagoonladder/version/capacity_plan.hpp
+++ b/src/version/include/lagoonladder/version/capacity_plan.hpp
@@ -26,7 +26,7 @@
     double tokens_per_engine = 30'000;
     /// Part of the demand that on-demand replicas carry at all times: the reclaimable
     /// ones of several data centres may be taken away within seconds.
-    double on_demand_part = 0.4;
+    double on_demand_part = 0.2;
     /// Part of the demand for which on-demand replicas are started while reclaimable ones
     /// are not to be had.
     double least_served_part = 0.7;
--- a/src/version/tests/capacity_plan_test.cpp
+++ b/src/version/tests/capacity_plan_test.cpp
@@ -38,6 +38,7 @@
     // Guards against a gap in capacity while cheaper replicas start.
     capacity_options options;
     options.tokens_per_engine = 25'000;
+    options.on_demand_part = 0.4;
     auto now = make_situation(200'000);
     for (auto const* name : {"a", "b", "c", "d"})
         now.serving[data_centre_id(name)] = {2, 0};
@@ -56,6 +57,7 @@
     // Guards against a reclaim of several data centres within seconds.
     capacity_options options;
     options.tokens_per_engine = 25'000;
+    options.on_demand_part = 0.4;
     auto now = make_situation(200'000);
     for (auto const& [data_centre, counts] : plan_capacity(now, options))
         now.serving[data_centre] = {1, counts.reclaimable};
