Charge for reading shared parts again, and split four long files

Change: the cost of an engine adds three times what reading parts again takes, and where no engine is known to keep a part all entries expect the same one. Long files: consensus_requests from consensus_driver, call_report and call_timing from proxied_call, test_engine and control_fixture from the tests of the daemon; no check changed.

--- /dev/null
+++ b/src/process/daemon/tests/control_fixture.hpp
@@ -0,0 +1,191 @@
+#ifndef LAGOONLADDER_DAEMON_TESTS_CONTROL_FIXTURE_HPP
+#define LAGOONLADDER_DAEMON_TESTS_CONTROL_FIXTURE_HPP
+
+#include <thread>
+
+#include <grpcpp/grpcpp.h>
+
+#include "control_loop.hpp"
+#include "control_services.hpp"
+#include "free_port.hpp"
+
+namespace lagoonladder::daemon
+{
+
+inline std::string const first_text = "[service booking]\nkind = plain\nversion = v1\n";
+inline std::string const second_text = first_text +
+                                       "[route create]\nservice = booking\nmethod = POST\n"
+                                       "path = /bookings\nidempotent = false\n";
+
+/// Log store on a disk that can fill up.
+class fillable_store : public storage::memory_log_store
+{
+public:
+    fillable_store() = default;
+
+    using log_store::save;
+
+    void save(std::optional<consensus::hard_state> const& state,
+              std::vector<consensus::log_entry> const& entries, bool must_sync) override
+    {
+        this->require_space();
+        this->storage::memory_log_store::save(state, entries, must_sync);
+    }
+
+    void save_snapshot(consensus::snapshot const& state) override
+    {
+        this->require_space();
+        this->storage::memory_log_store::save_snapshot(state);
+    }
+
+    std::atomic<bool> is_full = false;
+
+private:
+    void require_space() const
+    {
+        if (this->is_full)
+            throw storage::storage_error("no space left");
+    }
+};
+
+/// One daemon without its traffic plane, with real sockets between daemons.
+class control_process
+{
+public:
+    control_process(settings const& config, storage::log_store* store, std::string const& voter)
+        : options(config)
+        , events(config.vm, this->time, severity::error)
+        , peers(config.cluster_token)
+        , loop({this->options, this->events, this->metrics, this->time, this->peers, store,
+                consensus::voter_id(voter), stable_hash(voter + config.vm.value())})
+        , consensus_calls(this->loop, this->options)
+        , control_calls(this->loop, this->options, this->time)
+        , directory_calls(this->loop, this->options)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(config.control.value(), grpc::InsecureServerCredentials());
+        builder.RegisterService(&this->consensus_calls);
+        builder.RegisterService(&this->control_calls);
+        builder.RegisterService(&this->directory_calls);
+        this->server = builder.BuildAndStart();
+        this->loop.start();
+    }
+
+    ~control_process()
+    {
+        this->server->Shutdown(std::chrono::system_clock::now());
+        this->loop.stop();
+    }
+
+    settings const options;
+    system_clock time;
+    observability::metrics metrics;
+    observability::event_timeline events;
+    peer_channels peers;
+    control_loop loop;
+    consensus_service consensus_calls;
+    control_service control_calls;
+    directory_service directory_calls;
+    std::unique_ptr<grpc::Server> server;
+};
+
+/// Three voters and one daemon without a disk.
+class small_system
+{
+public:
+    explicit small_system(duration poll_interval = milliseconds(100))
+        : state_poll_interval(poll_interval)
+    {
+        for (std::size_t i = 0; i < 4; ++i)
+            this->addresses.push_back(free_address());
+        for (std::size_t i = 0; i < 4; ++i)
+            this->start(i);
+    }
+
+    settings make_settings(std::size_t index) const
+    {
+        settings config;
+        config.vm = vm_id("entry-" + std::to_string(index));
+        config.data_centre = data_centre_id("dc-" + std::to_string(index));
+        config.zone = zone_id("zone-" + std::to_string(index));
+        config.http = network_address("127.0.0.1:1");
+        config.control = this->addresses[index];
+        config.seeds = {this->addresses[0], this->addresses[1], this->addresses[2]};
+        config.cluster_token = "secret";
+        config.election_timeout = milliseconds(400);
+        config.gossip_interval = milliseconds(200);
+        config.state_poll_interval = this->state_poll_interval;
+        if (index < 3)
+        {
+            config.data_folder = "in memory";
+            for (std::size_t i = 0; i < 3; ++i)
+                config.initial_voters.push_back(
+                    {vm_id("entry-" + std::to_string(i)), this->addresses[i]});
+        }
+        return config;
+    }
+
+    void start(std::size_t index)
+    {
+        auto const voter =
+            "entry-" + std::to_string(index) + "#" + std::to_string(this->incarnations[index]);
+        this->processes[index] = std::make_unique<control_process>(
+            this->make_settings(index), index < 3 ? &this->stores[index] : nullptr, voter);
+    }
+
+    void stop(std::size_t index) { this->processes[index].reset(); }
+
+    void lose_disk(std::size_t index)
+    {
+        static_cast<storage::memory_log_store&>(this->stores[index]) = storage::memory_log_store();
+        ++this->incarnations[index];
+    }
+
+    control_loop& loop(std::size_t index) { return this->processes[index]->loop; }
+
+    version::apply_result apply(std::size_t index, std::uint64_t base, std::string const& text,
+                                std::string const& operation)
+    {
+        version::apply_configuration const command{generation(base), "test.ini", text,
+                                                   operation_id(operation)};
+        return std::get<version::apply_result>(this->loop(index).propose(command, seconds(10)));
+    }
+
+    duration const state_poll_interval;
+    std::vector<network_address> addresses;
+    fillable_store stores[3];
+    std::uint64_t incarnations[4] = {1, 1, 1, 1};
+    std::unique_ptr<control_process> processes[4];
+};
+
+template <class Condition>
+bool eventually(Condition condition, std::chrono::seconds limit = std::chrono::seconds(15))
+{
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+}
+
+inline bool in_force(control_loop& loop, std::uint64_t number)
+{
+    auto const view = loop.view();
+    return view->ready && view->shared->generation == generation(number);
+}
+
+inline request::once_begin begin_booking(std::string const& attempt, wall_time now)
+{
+    return {{account_id("a"), service_name("booking"), idempotency_key("k")},
+            "digest",
+            attempt_id(attempt),
+            now,
+            now + seconds(30)};
+}
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/tests/control_pass_through_test.cpp
@@ -0,0 +1,89 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "control_fixture.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::daemon;
+
+namespace
+{
+
+version::apply_service_map make_pass_through(std::uint64_t number)
+{
+    version::apply_service_map order;
+    order.map.number = number;
+    version::pass_service service;
+    service.name = service_name("model");
+    order.map.services = {service};
+    order.document = "document " + std::to_string(number);
+    return order;
+}
+
+/// Reports traffic as an entry sees it while the move gives the new version its share.
+version::move_state outcome_of_move(double failures_of_new)
+{
+    small_system system;
+    system.loop(3).propose(make_pass_through(1), seconds(10));
+    system.loop(3).propose(
+        version::start_service_move{service_name("model"), version_name("v2"), seconds(8)},
+        seconds(10));
+    seeded_random random(7);
+    auto const state = [&]
+    {
+        auto const shared = system.loop(3).view()->shared;
+        return shared->moves.empty() ? version::move_state::running : shared->moves[0].state;
+    };
+    auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    while (state() == version::move_state::running && std::chrono::steady_clock::now() < end)
+    {
+        auto const shared = system.loop(3).view()->shared;
+        auto const share = shared->moves.empty() ? 0 : shared->moves[0].share;
+        for (std::size_t i = 0; i < 10; ++i)
+        {
+            bool const is_new = random.unit() < share;
+            version::traffic_sample sample;
+            sample.service = service_name("model");
+            sample.version = version_name(is_new ? "v2" : "");
+            sample.route = route_name("r");
+            sample.requests = 1;
+            sample.failures = is_new && random.unit() < failures_of_new ? 1 : 0;
+            sample.whole_call.add(milliseconds(20));
+            system.loop(i % 4).record_traffic(sample);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return state();
+}
+
+} // namespace
+
+TEST_CASE("a short move of a pass-through service finishes in its time")
+{
+    // Guards against moves of seconds that never leave their first step.
+    CHECK(outcome_of_move(0) == version::move_state::finished);
+}
+
+TEST_CASE("a bad version of a pass-through service is taken back")
+{
+    CHECK(outcome_of_move(0.5) == version::move_state::reversed);
+}
+
+TEST_CASE("a pass-through configuration survives the loss of its leader")
+{
+    // Guards against an acknowledged configuration that is lost or reverts.
+    small_system system;
+    system.loop(3).propose(make_pass_through(7), seconds(10));
+    system.stop(0);
+    auto const read = [&]
+    {
+        return std::get<version::pass_state_result>(
+            system.loop(3).propose(version::read_pass_state{true}, seconds(10)));
+    };
+    CHECK(read().document == "document 7");
+    auto const older = std::get<version::apply_map_result>(
+        system.loop(3).propose(make_pass_through(5), seconds(10)));
+    CHECK_FALSE(older.stored);
+    CHECK(read().number == 7);
+}
--- /dev/null
+++ b/src/process/daemon/tests/memory_cluster.hpp
@@ -0,0 +1,37 @@
+#ifndef LAGOONLADDER_DAEMON_TESTS_MEMORY_CLUSTER_HPP
+#define LAGOONLADDER_DAEMON_TESTS_MEMORY_CLUSTER_HPP
+
+#include <atomic>
+#include <mutex>
+#include <set>
+
+#include <traffic_server.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Control state and directories that all entries of a test share.
+struct memory_cluster
+{
+    memory_cluster();
+    void apply_configuration(std::string const& text);
+    void add(connection::endpoint_record const& record);
+    void set_leaving(endpoint_id const& id);
+    version::command_result commit(version::command_body body);
+
+    std::mutex mutex;
+    version::control_state state;
+    std::uint64_t index = 0;
+    std::map<endpoint_id, connection::endpoint_record> endpoints;
+    std::map<vm_id, connection::entry_record> entries;
+    std::set<vm_id> leaving;
+    std::atomic<bool> has_quorum = true;
+    /// The next command is committed and its reply lost.
+    std::atomic<bool> loses_next_reply = false;
+    std::atomic<bool> is_ready = true;
+    system_clock time;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- /dev/null
+++ b/src/process/daemon/tests/test_engine.hpp
@@ -0,0 +1,65 @@
+#ifndef LAGOONLADDER_DAEMON_TESTS_TEST_ENGINE_HPP
+#define LAGOONLADDER_DAEMON_TESTS_TEST_ENGINE_HPP
+
+#include <thread>
+
+#include <httplib.h>
+
+#include "memory_cluster.hpp"
+
+namespace lagoonladder::daemon
+{
+
+/// HTTP server of an endpoint.
+class test_endpoint
+{
+public:
+    test_endpoint(memory_cluster& cluster, std::string const& id, std::string const& service,
+                  std::string const& version = "v1");
+    ~test_endpoint();
+    void start();
+    void stop();
+    /// Refuses connections from now on.
+    connection::endpoint_record record;
+    httplib::Server server;
+
+protected:
+    memory_cluster& shared;
+    std::thread acceptor;
+};
+
+/// Model engine whose token N is "tN ".
+class test_engine : public test_endpoint
+{
+public:
+    test_engine(memory_cluster& cluster, std::string const& id, std::string const& version = "v1");
+
+    std::uint64_t total = 20;
+    std::atomic<int> token_delay_us = 1000;
+    /// The attempt's connection breaks, or goes silent, at this offset.
+    std::atomic<std::uint64_t> break_at = UINT64_MAX;
+    std::atomic<std::uint64_t> silent_at = UINT64_MAX;
+    /// Tokens are left out or repeated at this offset.
+    std::atomic<std::uint64_t> skip_at = UINT64_MAX;
+    std::atomic<std::uint64_t> repeat_at = UINT64_MAX;
+    std::atomic<int> status = 200;
+    std::atomic<bool> has_kv = false;
+    std::atomic<int> attempts = 0;
+    std::atomic<int> imports = 0;
+    std::atomic<bool> is_closing = false;
+
+    std::vector<nlohmann::json> bodies() const;
+    ~test_engine();
+
+private:
+    void install();
+    void complete(httplib::Request const& request, httplib::Response& response);
+    bool write(httplib::DataSink& sink, std::uint64_t offset);
+
+    mutable std::mutex mutex;
+    std::vector<nlohmann::json> received;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- a/src/process/daemon/tests/traffic_harness.hpp
+++ b/src/process/daemon/tests/traffic_harness.hpp
@@ -13,6 +13,9 @@
 #include <event_stream_parser.hpp>
 #include <traffic_server.hpp>
 
+#include "memory_cluster.hpp"
+#include "test_engine.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -30,28 +33,6 @@
     std::vector<event> events;
 };
 
-/// Control state and directories that all entries of a test share.
-struct memory_cluster
-{
-    memory_cluster();
-    void apply_configuration(std::string const& text);
-    void add(connection::endpoint_record const& record);
-    void set_leaving(endpoint_id const& id);
-    version::command_result commit(version::command_body body);
-
-    std::mutex mutex;
-    version::control_state state;
-    std::uint64_t index = 0;
-    std::map<endpoint_id, connection::endpoint_record> endpoints;
-    std::map<vm_id, connection::entry_record> entries;
-    std::set<vm_id> leaving;
-    std::atomic<bool> has_quorum = true;
-    /// The next command is committed and its reply lost.
-    std::atomic<bool> loses_next_reply = false;
-    std::atomic<bool> is_ready = true;
-    system_clock time;
-};
-
 class memory_control_plane : public control_plane
 {
 public:
@@ -99,56 +80,6 @@
     std::unique_ptr<grpc::Server> rpc;
 };
 
-/// HTTP server of an endpoint.
-class test_endpoint
-{
-public:
-    test_endpoint(memory_cluster& cluster, std::string const& id, std::string const& service,
-                  std::string const& version = "v1");
-    ~test_endpoint();
-    void start();
-    void stop();
-    /// Refuses connections from now on.
-    connection::endpoint_record record;
-    httplib::Server server;
-
-protected:
-    memory_cluster& shared;
-    std::thread acceptor;
-};
-
-/// Model engine whose token N is "tN ".
-class test_engine : public test_endpoint
-{
-public:
-    test_engine(memory_cluster& cluster, std::string const& id, std::string const& version = "v1");
-
-    std::uint64_t total = 20;
-    std::atomic<int> token_delay_us = 1000;
-    /// The attempt's connection breaks, or goes silent, at this offset.
-    std::atomic<std::uint64_t> break_at = UINT64_MAX;
-    std::atomic<std::uint64_t> silent_at = UINT64_MAX;
-    /// Tokens are left out or repeated at this offset.
-    std::atomic<std::uint64_t> skip_at = UINT64_MAX;
-    std::atomic<std::uint64_t> repeat_at = UINT64_MAX;
-    std::atomic<int> status = 200;
-    std::atomic<bool> has_kv = false;
-    std::atomic<int> attempts = 0;
-    std::atomic<int> imports = 0;
-    std::atomic<bool> is_closing = false;
-
-    std::vector<nlohmann::json> bodies() const;
-    ~test_engine();
-
-private:
-    void install();
-    void complete(httplib::Request const& request, httplib::Response& response);
-    bool write(httplib::DataSink& sink, std::uint64_t offset);
-
-    mutable std::mutex mutex;
-    std::vector<nlohmann::json> received;
-};
-
 /// What a caller saw of a streamed answer.
 struct seen_stream
 {
--- /dev/null
+++ b/src/process/proxy/internal/call_report.cpp
@@ -0,0 +1,66 @@
+#include "call_report.hpp"
+
+namespace lagoonladder::proxy
+{
+
+namespace
+{
+
+std::string milliseconds_text(duration span)
+{
+    return std::to_string(span / milliseconds(1));
+}
+
+} // namespace
+
+void report_failed_attempt(proxy_context& context, incoming_call const& call,
+                           endpoint_attempt const& attempt, attempt_result result,
+                           std::string const& reason)
+{
+    auto const& endpoint = attempt.endpoint();
+    context.parts.events.emit(
+        severity::info, "call.attempt_failed",
+        {{"id", call.id.value()},
+         {"endpoint", endpoint.id.value()},
+         {"address", endpoint.address.value()},
+         {"result", to_string(result)},
+         {"reason", reason},
+         {"elapsed_ms", milliseconds_text(context.parts.time.now() - attempt.started())},
+         {"row_sequence", std::to_string(endpoint.sequence)}});
+}
+
+void report_end(proxy_context& context, incoming_call const& call, admitted_call const& admitted,
+                call_end const& end)
+{
+    auto const now = context.parts.time.now();
+    auto const elapsed = now - end.arrived;
+    auto const& route = admitted.route->name;
+    bool const has_first_byte = end.first_byte != time_point();
+    bool const is_answered = end.status >= 200 && end.status < 300;
+    bool const is_written = !is_answered || context.answered_lines.take(now);
+    context.parts.events.emit(
+        is_written ? severity::info : severity::debug, "call.ended",
+        {{"id", call.id.value()},
+         {"route", route.value()},
+         {"service", admitted.service.value()},
+         {"outcome", end.outcome},
+         {"status", std::to_string(end.status)},
+         {"reason", end.reason},
+         {"attempts", std::to_string(end.attempts)},
+         {"endpoint", end.endpoint.value()},
+         {"endpoint_load", std::to_string(end.endpoint_load)},
+         {"prompt_ahead", std::to_string(end.prompt_ahead)},
+         {"first_byte_ms", has_first_byte ? milliseconds_text(end.first_byte - end.arrived) : ""},
+         {"elapsed_ms", milliseconds_text(elapsed)},
+         {"configuration", std::to_string(admitted.services->map().number)}});
+    context.parts.metrics.add("proxied_calls_total",
+                              {{"route", route.value()}, {"outcome", end.outcome}});
+    context.parts.metrics.observe_seconds("proxied_call_seconds", {{"route", route.value()}},
+                                          to_seconds(elapsed));
+    if (has_first_byte)
+        context.parts.metrics.observe_seconds("proxied_first_byte_seconds",
+                                              {{"route", route.value()}},
+                                              to_seconds(end.first_byte - end.arrived));
+}
+
+} // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_chooser.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace lagoonladder::proxy
 {
@@ -9,8 +10,8 @@
 {
 
 constexpr duration gone_memory = seconds(10);
-/// Engines whose reading times differ by less are equal: the estimate is no better.
-constexpr duration reading_tolerance = milliseconds(15);
+/// Engines whose costs differ by less are equal: the estimate is no better.
+constexpr duration cost_tolerance = milliseconds(15);
 
 request::balanced_route_options engine_options()
 {
@@ -125,7 +126,7 @@
     bool const is_engine = known != nullptr && known->is_engine;
     auto& choice = this->policy(service, is_engine);
     if (is_engine && route.has_prefix_affinity)
-        this->keep_soonest(now, call.prompt, choice, excluded, candidates);
+        this->keep_cheapest(now, call.prompt, choice, excluded, candidates);
     auto const chosen = choice.choose(now, candidates, query, random);
     if (!chosen)
         return std::nullopt;
@@ -134,31 +135,31 @@
     return *row;
 }
 
-void endpoint_chooser::keep_soonest(time_point now, request::prompt_parts const& prompt,
-                                    request::balanced_route_policy const& health,
-                                    std::vector<endpoint_id> const& excluded,
-                                    std::vector<request::route_candidate>& candidates) const
+void endpoint_chooser::keep_cheapest(time_point now, request::prompt_parts const& prompt,
+                                     request::balanced_route_policy const& health,
+                                     std::vector<endpoint_id> const& excluded,
+                                     std::vector<request::route_candidate>& candidates) const
 {
-    std::map<endpoint_id, duration> times;
-    auto soonest = duration::max();
+    std::vector<endpoint_id> healthy;
     for (auto const& candidate : candidates)
     {
         auto const& id = candidate.endpoint_id;
         bool const was_tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (was_tried || health.is_excluded(now, id))
-            continue;
-        auto const time = this->prompts.reading_time(now, id, prompt);
-        times.emplace(id, time);
-        soonest = std::min(soonest, time);
+        if (!was_tried && !health.is_excluded(now, id))
+            healthy.push_back(id);
     }
-    if (times.empty())
+    if (healthy.empty())
         return;
+    auto const costs = this->prompts.placement_costs(now, healthy, prompt);
+    auto const least = *std::min_element(costs.begin(), costs.end());
+    std::set<endpoint_id> kept;
+    for (std::size_t i = 0; i < healthy.size(); ++i)
+    {
+        if (costs[i] <= least + cost_tolerance)
+            kept.insert(healthy[i]);
+    }
     std::erase_if(candidates,
-                  [&](auto const& candidate)
-                  {
-                      auto const found = times.find(candidate.endpoint_id);
-                      return found == times.end() || found->second > soonest + reading_tolerance;
-                  });
+                  [&](auto const& candidate) { return !kept.contains(candidate.endpoint_id); });
 }
 
 void endpoint_chooser::started(time_point now, endpoint_id const& endpoint)
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -56,11 +56,11 @@
     };
 
     request::balanced_route_policy& policy(service_name const& service, bool is_engine);
-    /// Leaves the engines that would have read the prompt soonest.
-    void keep_soonest(time_point now, request::prompt_parts const& prompt,
-                      request::balanced_route_policy const& health,
-                      std::vector<endpoint_id> const& excluded,
-                      std::vector<request::route_candidate>& candidates) const;
+    /// Leaves the engines at which the prompt costs least.
+    void keep_cheapest(time_point now, request::prompt_parts const& prompt,
+                       request::balanced_route_policy const& health,
+                       std::vector<endpoint_id> const& excluded,
+                       std::vector<request::route_candidate>& candidates) const;
     bool is_gone(time_point now, connection::endpoint_record const& endpoint) const;
 
     std::map<service_name, request::balanced_route_policy> policies;
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "call_report.hpp"
+#include "call_timing.hpp"
+
 namespace lagoonladder::proxy
 {
 
@@ -12,16 +15,6 @@
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
 /// Endpoints whose connection failed; after that the service is taken for unreachable.
 constexpr std::uint32_t max_unsent_tries = 4;
-/// A plain call that takes this many times its objective is tried elsewhere.
-constexpr int plain_patience_objectives = 3;
-/// The first event of a stream may wait behind long prompts.
-constexpr int first_event_patience_objectives = 4;
-constexpr int gap_patience_objectives = 3;
-constexpr duration least_stream_patience = seconds(2);
-/// Urgency values of the engines; routes state theirs from 0 on.
-constexpr std::uint32_t urgency_of_first_priority = 2;
-constexpr std::uint32_t urgency_step = 2;
-constexpr std::uint32_t last_urgency = 9;
 /// Part of the connections an endpoint accepts that the entries use together.
 constexpr double used_connection_part = 0.8;
 /// When a caller whose call did not run should come back.
@@ -88,7 +81,7 @@
     fields.expected = endpoint.id;
     if (this->admitted.account != nullptr)
         fields.account = this->admitted.account->name;
-    fields.urgency = this->urgency();
+    fields.urgency = urgency_of(this->route(), this->admitted.account);
     fields.last_event = this->relay.last_event();
     auto const head = this->context->parts.codec.encode(this->exchange->head(), fields);
     this->last_byte = now;
@@ -127,16 +120,6 @@
     return std::max<std::size_t>(2, static_cast<std::size_t>(part));
 }
 
-std::optional<std::uint32_t> proxied_call::urgency() const
-{
-    if (!this->route().is_stream)
-        return std::nullopt;
-    auto const* account = this->admitted.account;
-    auto const priority =
-        account != nullptr && account->priority ? *account->priority : this->route().priority;
-    return std::min(urgency_of_first_priority + urgency_step * priority, last_urgency);
-}
-
 bool proxied_call::is_idempotent() const
 {
     return this->route().repeat == version::repeat_rule::idempotent || this->route().is_resumable;
@@ -145,15 +128,7 @@
 duration proxied_call::patience() const
 {
     bool const may_try_again = this->is_idempotent() && this->sends < this->route().max_attempts;
-    if (!may_try_again)
-        return duration(0);
-    if (!this->route().is_stream)
-        return plain_patience_objectives * this->route().latency_objective;
-    if (!this->relay.has_content())
-        return std::max<duration>(least_stream_patience, first_event_patience_objectives *
-                                                             this->route().latency_objective);
-    return std::max<duration>(least_stream_patience,
-                              gap_patience_objectives * this->route().gap_objective);
+    return may_try_again ? patience_of(this->route(), this->relay.has_content()) : duration(0);
 }
 
 void proxied_call::set_timer()
@@ -289,15 +264,7 @@
     this->context->chooser.ended(now, this->admitted.service, endpoint.id, outcome);
     this->record_sample(*attempt, result);
     if (result != attempt_result::complete)
-        this->context->parts.events.emit(
-            severity::info, "call.attempt_failed",
-            {{"id", this->call.id.value()},
-             {"endpoint", endpoint.id.value()},
-             {"address", endpoint.address.value()},
-             {"result", to_string(result)},
-             {"reason", reason},
-             {"elapsed_ms", milliseconds_text(now - attempt->started())},
-             {"row_sequence", std::to_string(endpoint.sequence)}});
+        report_failed_attempt(*this->context, this->call, *attempt, result, reason);
     if (result == attempt_result::silent || result == attempt_result::broken)
         attempt->cancel();
     if (!this->relay.is_committed() || result != attempt_result::complete)
@@ -409,31 +376,18 @@
     if (std::exchange(this->is_over, true))
         return;
     this->timer.cancel();
-    auto const now = this->context->parts.time.now();
-    auto const elapsed = now - this->exchange->arrived();
-    bool const is_answered = status >= 200 && status < 300;
-    bool const is_written = !is_answered || this->context->answered_lines.take(now);
-    this->context->parts.events.emit(
-        is_written ? severity::info : severity::debug, "call.ended",
-        {{"id", this->call.id.value()},
-         {"route", this->route().name.value()},
-         {"service", this->admitted.service.value()},
-         {"outcome", outcome},
-         {"status", std::to_string(status)},
-         {"reason", detail},
-         {"attempts", std::to_string(this->sends)},
-         {"endpoint", this->tried.empty() ? "" : this->tried.back().value()},
-         {"endpoint_load", std::to_string(this->chosen_load)},
-         {"prompt_ahead", std::to_string(this->sent ? this->sent->tokens_ahead : 0)},
-         {"first_byte_ms", this->first_byte == time_point()
-                               ? ""
-                               : milliseconds_text(this->first_byte - this->exchange->arrived())},
-         {"elapsed_ms", milliseconds_text(elapsed)},
-         {"configuration", std::to_string(this->admitted.services->map().number)}});
-    this->context->parts.metrics.add("proxied_calls_total",
-                                     {{"route", this->route().name.value()}, {"outcome", outcome}});
-    this->context->parts.metrics.observe_seconds(
-        "proxied_call_seconds", {{"route", this->route().name.value()}}, to_seconds(elapsed));
+    call_end end;
+    end.outcome = outcome;
+    end.status = status;
+    end.reason = detail;
+    end.attempts = this->sends;
+    if (!this->tried.empty())
+        end.endpoint = this->tried.back();
+    end.endpoint_load = this->chosen_load;
+    end.prompt_ahead = this->sent ? this->sent->tokens_ahead : 0;
+    end.arrived = this->exchange->arrived();
+    end.first_byte = this->first_byte;
+    report_end(*this->context, this->call, this->admitted, end);
     this->exchange->on_closed({});
     this->exchange->on_drained({});
 }
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -39,7 +39,6 @@
     /// Counts the prompt at the engine and tells the other entries of it.
     void tell_prompt(connection::endpoint_record const& endpoint);
     std::size_t connection_limit(traffic_view const& view) const;
-    std::optional<std::uint32_t> urgency() const;
     /// Time without a byte after which another endpoint is tried; zero for none.
     duration patience() const;
     void set_timer();
--- a/src/request/include/lagoonladder/request/prompt_backlog.hpp
+++ b/src/request/include/lagoonladder/request/prompt_backlog.hpp
@@ -33,6 +33,8 @@
     /// Tokens that an engine is taken to keep; parts that were not used while it read so
     /// many are expected to be gone.
     double cache_tokens = 400'000;
+    /// What a second spent on reading again costs later prompts, in seconds.
+    double repeated_reading_cost = 3;
     /// State of an engine that got no prompt for this long is dropped.
     duration forget_after = std::chrono::minutes(1);
 };
@@ -63,6 +65,13 @@
     duration reading_time(time_point now, endpoint_id const& engine,
                           prompt_parts const& prompt) const;
 
+    /// What it costs to send the prompt to each of the engines: the time until it is read, and
+    /// what reading parts again that another engine keeps takes from later prompts. Without
+    /// that, busy engines would read each shared part everywhere and be busier still.
+    std::vector<duration> placement_costs(time_point now,
+                                          std::vector<endpoint_id> const& candidates,
+                                          prompt_parts const& prompt) const;
+
     /// A prompt was sent to the engine, by this entry or another. A later start of the
     /// engine knows nothing of the prompts before it.
     sent_prompt sent(time_point now, endpoint_id const& engine, incarnation start,
@@ -86,6 +95,7 @@
         std::unordered_map<std::uint64_t, double> parts;
     };
 
+    double pace_of(endpoint_id const& engine) const;
     static double backlog_of(engine_state const& state, time_point now);
     bool keeps(engine_state const& state, prompt_part const& part) const;
     engine_state& state_of(time_point now, endpoint_id const& engine, incarnation start);
--- a/src/request/internal/prompt_backlog.cpp
+++ b/src/request/internal/prompt_backlog.cpp
@@ -17,6 +17,29 @@
 constexpr duration least_sample_time = milliseconds(5);
 /// Parts in the table of an engine before old ones are looked for.
 constexpr std::size_t parts_before_cleaning = 512;
+/// Part of the shared tokens that the expected engine is taken to keep when none is known.
+constexpr double expected_part = 0.15;
+
+/// Tokens of all parts but the request's own.
+double shared_tokens(prompt_parts const& prompt)
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        tokens += static_cast<double>(prompt[i].tokens);
+    return tokens;
+}
+
+/// The engine that gets a shared part first, by rendezvous; none without shared parts.
+endpoint_id home_of(std::vector<endpoint_id> const& engines, prompt_parts const& prompt)
+{
+    if (prompt.size() < 2)
+        return {};
+    auto const hash = prompt[prompt.size() - 2].hash;
+    return *std::max_element(
+        engines.begin(), engines.end(),
+        [&](endpoint_id const& left, endpoint_id const& right)
+        { return stable_hash(left.value(), hash) < stable_hash(right.value(), hash); });
+}
 
 } // namespace
 
@@ -63,6 +86,39 @@
     return from_seconds((backlog_of(state, now) + unread) * state.seconds_per_token);
 }
 
+double prompt_backlog::pace_of(endpoint_id const& engine) const
+{
+    auto const known = this->engines.find(engine);
+    return known == this->engines.end() ? this->common_pace : known->second.seconds_per_token;
+}
+
+std::vector<duration> prompt_backlog::placement_costs(time_point now,
+                                                      std::vector<endpoint_id> const& candidates,
+                                                      prompt_parts const& prompt) const
+{
+    std::vector<double> unread;
+    for (auto const& engine : candidates)
+        unread.push_back(this->unread_tokens(engine, prompt));
+    if (unread.empty())
+        return {};
+    auto const least = *std::min_element(unread.begin(), unread.end());
+    // News of an engine that keeps the shared parts may be missing; all entries expect the
+    // same engine to have them.
+    bool const is_unknown = least >= shared_tokens(prompt);
+    auto const home = home_of(candidates, prompt);
+    std::vector<duration> costs;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        auto repeated = unread[i] - least;
+        if (is_unknown && candidates[i] != home)
+            repeated += expected_part * shared_tokens(prompt);
+        auto const seconds =
+            this->options.repeated_reading_cost * repeated * this->pace_of(candidates[i]);
+        costs.push_back(this->reading_time(now, candidates[i], prompt) + from_seconds(seconds));
+    }
+    return costs;
+}
+
 prompt_backlog::engine_state& prompt_backlog::state_of(time_point now, endpoint_id const& engine,
                                                        incarnation start)
 {
--- a/src/request/tests/prompt_backlog_test.cpp
+++ b/src/request/tests/prompt_backlog_test.cpp
@@ -95,6 +95,54 @@
 namespace
 {
 
+/// The engine at which the prompt costs least.
+std::string cheapest(prompt_backlog const& backlog, std::vector<endpoint_id> const& engines,
+                     prompt_parts const& prompt)
+{
+    auto const costs = backlog.placement_costs(start, engines, prompt);
+    auto const least = std::min_element(costs.begin(), costs.end());
+    return engines[static_cast<std::size_t>(least - costs.begin())].value();
+}
+
+} // namespace
+
+TEST_CASE("a shared part is read again only when that saves much time")
+{
+    // Guards against engines under load that read each shared part everywhere and are
+    // busier still: five engines at 36 prompts a second were late with 40% of the long ones.
+    prompt_backlog backlog(options_of_tests());
+    std::vector<endpoint_id> const engines{first_engine, endpoint_id("e2")};
+    backlog.sent(start, first_engine, first_start, {{1, 5'000}});
+    backlog.sent(start, first_engine, first_start, {{2, 10'000}});
+    CHECK(cheapest(backlog, engines, {{1, 5'000}, {3, 100}}) == "e1");
+    backlog.sent(start, first_engine, first_start, {{4, 15'000}});
+    CHECK(cheapest(backlog, engines, {{1, 5'000}, {3, 100}}) == "e2");
+}
+
+TEST_CASE("entries that know nothing of a shared part choose the same engine")
+{
+    // Guards against shared parts that each entry has read at another engine while news of
+    // prompts is lost.
+    std::vector<endpoint_id> engines;
+    for (int i = 0; i < 6; ++i)
+        engines.push_back(endpoint_id("e" + std::to_string(i)));
+    std::set<std::string> chosen;
+    for (std::uint64_t part = 1; part <= 50; ++part)
+    {
+        prompt_backlog first(options_of_tests());
+        prompt_backlog second(options_of_tests());
+        // Small differences of load do not matter.
+        second.sent(start, engines[part % 6], first_start, {{1'000 + part, 300}});
+        auto const engine = cheapest(first, engines, {{part, 8'000}, {500, 100}});
+        CHECK(engine == cheapest(second, engines, {{part, 8'000}, {501, 100}}));
+        chosen.insert(engine);
+    }
+    CHECK(chosen.size() == engines.size());
+}
+
+namespace
+{
+
 /// Engines that read one prompt after the other and keep all parts.
 class model_engines
 {
@@ -173,22 +221,19 @@
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
     {
         prompt_backlog backlog;
-        by_backlog += late_share(seed, engines,
-                                 [&](time_point now, prompt_parts const& prompt, random_source&)
-                                 {
-                                     std::size_t best = 0;
-                                     auto best_time = duration::max();
-                                     for (std::size_t i = 0; i < engines; ++i)
-                                     {
-                                         auto const id = endpoint_id(std::to_string(i));
-                                         auto const time = backlog.reading_time(now, id, prompt);
-                                         best = time < best_time ? i : best;
-                                         best_time = std::min(time, best_time);
-                                     }
-                                     backlog.sent(now, endpoint_id(std::to_string(best)),
-                                                  first_start, prompt);
-                                     return best;
-                                 });
+        by_backlog += late_share(
+            seed, engines,
+            [&](time_point now, prompt_parts const& prompt, random_source&)
+            {
+                std::vector<endpoint_id> ids;
+                for (std::size_t i = 0; i < engines; ++i)
+                    ids.push_back(endpoint_id(std::to_string(i)));
+                auto const costs = backlog.placement_costs(now, ids, prompt);
+                auto const least = std::min_element(costs.begin(), costs.end());
+                auto const best = static_cast<std::size_t>(least - costs.begin());
+                backlog.sent(now, endpoint_id(std::to_string(best)), first_start, prompt);
+                return best;
+            });
         by_part += late_share(seed, engines,
                               [](time_point, prompt_parts const& prompt, random_source&)
                               { return stable_hash(std::to_string(prompt[0].hash)) % engines; });
--- /dev/null
+++ b/src/request/tools/internal/placement_run.cpp
@@ -0,0 +1,207 @@
+#include "placement_run.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace lagoonladder::study
+{
+
+namespace
+{
+
+constexpr duration run_time = seconds(60);
+constexpr duration disturbed_after = seconds(20);
+/// Objective of the long kind to its first token.
+constexpr duration objective = seconds(1);
+constexpr double slow_factor = 5;
+
+struct prompt_kind
+{
+    double weight = 0;
+    double shared_mean = 0;
+    double shared_spread = 0;
+    double shared_most = 0;
+    std::uint64_t subjects = 0;
+    double own_mean = 0;
+    double own_spread = 0;
+    double own_most = 0;
+};
+
+/// bylaw-brief, pitch-draft and kerb-query of the Permits Office.
+constexpr prompt_kind kinds[] = {
+    {12.9, 13'300, 0.7, 39'900, 73, 3'720, 1.1, 53'200},
+    {9.3, 6'300, 0.6, 17'500, 35, 2'890, 1.0, 39'600},
+    {15.6, 350, 0.6, 940, 132, 1'110, 1.0, 3'790},
+};
+constexpr double total_weight = 37.8;
+
+endpoint_id id_of(std::size_t engine)
+{
+    return endpoint_id("e" + std::to_string(engine));
+}
+
+} // namespace
+
+char const* to_string(placement policy)
+{
+    switch (policy)
+    {
+    case placement::by_part:
+        return "one engine for each shared part";
+    case placement::two_choices:
+        return "two choices by own requests";
+    case placement::own_backlog:
+        return "backlog of own prompts";
+    case placement::shared_backlog:
+        return "backlog of all prompts";
+    }
+    return "unknown";
+}
+
+placement_run::placement_run(placement_scenario const& conditions, placement chosen,
+                             std::uint64_t seed)
+    : scenario(conditions)
+    , policy(chosen)
+    , random(seed)
+    , subjects_seed(seed)
+    , engines(conditions.engines)
+    , is_lost(conditions.engines)
+    , states(entries)
+{
+    for (auto& state : this->states)
+        state.sent.resize(conditions.engines);
+}
+
+double placement_run::lognormal(double mean, double spread, double most)
+{
+    auto const normal = std::sqrt(-2 * std::log(1 - this->uniform())) *
+                        std::cos(2 * std::numbers::pi * this->uniform());
+    return std::min(most, mean * std::exp(spread * normal - spread * spread / 2));
+}
+
+request::prompt_parts placement_run::make_prompt(bool& is_long)
+{
+    auto position = this->uniform() * total_weight;
+    std::size_t kind = 0;
+    while (kind + 1 < std::size(kinds) && position >= kinds[kind].weight)
+        position -= kinds[kind++].weight;
+    is_long = kind == 0;
+    auto const& sizes = kinds[kind];
+    auto const subject = 1 + kind * 1'000 + this->random.below(sizes.subjects);
+    // The size of a subject is the same in each of its prompts.
+    seeded_random of_subject(this->subjects_seed * 7'919 + subject);
+    std::swap(this->random, of_subject);
+    auto const shared = this->lognormal(sizes.shared_mean, sizes.shared_spread, sizes.shared_most);
+    std::swap(this->random, of_subject);
+    auto const own = this->lognormal(sizes.own_mean, sizes.own_spread, sizes.own_most);
+    return {{subject, static_cast<std::uint64_t>(shared)},
+            {this->next_own_part++, static_cast<std::uint64_t>(own)}};
+}
+
+void placement_run::disturb()
+{
+    if (this->is_disturbed || this->now < time_point(disturbed_after))
+        return;
+    this->is_disturbed = true;
+    for (std::size_t i = 0; i < this->scenario.lost_engines; ++i)
+        this->is_lost[i] = true;
+    for (std::size_t i = 0; i < this->scenario.slow_engines; ++i)
+        this->engines[i].slowness = slow_factor;
+}
+
+void placement_run::deliver()
+{
+    for (; !this->messages.empty() && this->messages.front().arrives <= this->now;
+         this->messages.pop_front())
+    {
+        auto const& message = this->messages.front();
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            if (i != message.from)
+                this->states[i].backlog.sent(this->now, id_of(message.engine), incarnation(1),
+                                             message.prompt);
+        }
+    }
+    std::erase_if(this->answers,
+                  [&](answer const& one)
+                  {
+                      if (one.when > this->now)
+                          return false;
+                      this->states[one.entry].backlog.answered(one.when, id_of(one.engine),
+                                                               incarnation(1), one.sent);
+                      return true;
+                  });
+}
+
+std::size_t placement_run::choose(std::size_t entry, request::prompt_parts const& prompt)
+{
+    auto& state = this->states[entry];
+    std::vector<std::size_t> usable;
+    for (std::size_t i = 0; i < this->engines.size(); ++i)
+    {
+        if (!this->is_lost[i])
+            usable.push_back(i);
+    }
+    auto const load = [&](std::size_t engine)
+    {
+        auto& sent = state.sent[engine];
+        while (!sent.empty() && sent.front() + seconds(1) < this->now)
+            sent.pop_front();
+        return sent.size();
+    };
+    if (this->policy == placement::two_choices)
+    {
+        auto const first = usable[this->random.below(usable.size())];
+        auto const second = usable[this->random.below(usable.size())];
+        return load(second) < load(first) ? second : first;
+    }
+    if (this->policy == placement::by_part)
+        return *std::max_element(usable.begin(), usable.end(),
+                                 [&](std::size_t left, std::size_t right)
+                                 {
+                                     return stable_hash(id_of(left).value(), prompt[0].hash) <
+                                            stable_hash(id_of(right).value(), prompt[0].hash);
+                                 });
+    std::vector<endpoint_id> candidates;
+    for (auto const engine : usable)
+        candidates.push_back(id_of(engine));
+    auto const costs = state.backlog.placement_costs(this->now, candidates, prompt);
+    auto const least = std::min_element(costs.begin(), costs.end());
+    return usable[static_cast<std::size_t>(least - costs.begin())];
+}
+
+void placement_run::send(std::size_t entry, request::prompt_parts const& prompt, bool is_long)
+{
+    auto const engine = this->choose(entry, prompt);
+    this->states[entry].sent[engine].push_back(this->now);
+    auto const sent =
+        this->states[entry].backlog.sent(this->now, id_of(engine), incarnation(1), prompt);
+    auto const first_token = this->engines[engine].submit(this->now, prompt);
+    this->answers.push_back({first_token, entry, engine, sent});
+    if (this->policy == placement::shared_backlog)
+        this->messages.push_back({this->now + this->scenario.news_delay, entry, engine, prompt});
+    ++this->result.prompts;
+    this->result.seconds_to_first_token += to_seconds(first_token - this->now);
+    this->result.long_prompts += is_long ? 1 : 0;
+    this->result.late_long_prompts += is_long && first_token - this->now > objective ? 1 : 0;
+}
+
+placement_figures placement_run::run()
+{
+    while (this->now < time_point(run_time))
+    {
+        auto const pause = -std::log(1 - this->uniform()) / this->scenario.prompts_per_second;
+        this->now += from_seconds(pause);
+        this->disturb();
+        this->deliver();
+        bool is_long = false;
+        auto const prompt = this->make_prompt(is_long);
+        this->send(this->random.below(entries), prompt, is_long);
+    }
+    for (auto const& engine : this->engines)
+        this->result.tokens_read += engine.tokens_read();
+    return this->result;
+}
+
+} // namespace lagoonladder::study
--- a/src/request/tools/main.cpp
+++ b/src/request/tools/main.cpp
@@ -4,12 +4,14 @@
 #include <tclap/CmdLine.h>
 
 #include <overnight_run.hpp>
+#include <placement_run.hpp>
 #include <routing_run.hpp>
 
 namespace
 {
 
 using namespace lagoonladder::study;
+using lagoonladder::milliseconds;
 
 void add(routing_figures& total, routing_figures const& one)
 {
@@ -51,6 +53,47 @@
     }
 }
 
+void compare_placements(placement_scenario const& scenario, std::uint64_t seeds, std::uint64_t seed)
+{
+    std::printf("\n%s\n\n", scenario.name.c_str());
+    std::printf("| placement | long prompts late %% | mean to first token s | tokens read per "
+                "prompt |\n|---|---|---|---|\n");
+    for (auto const policy : {placement::two_choices, placement::by_part, placement::own_backlog,
+                              placement::shared_backlog})
+    {
+        placement_figures total;
+        for (std::uint64_t i = 0; i < seeds; ++i)
+        {
+            auto const one = placement_run(scenario, policy, seed + i).run();
+            total.long_prompts += one.long_prompts;
+            total.late_long_prompts += one.late_long_prompts;
+            total.prompts += one.prompts;
+            total.seconds_to_first_token += one.seconds_to_first_token;
+            total.tokens_read += one.tokens_read;
+        }
+        auto const prompts = static_cast<double>(total.prompts);
+        std::printf("| %s | %.2f | %.3f | %.0f |\n", to_string(policy),
+                    100 * static_cast<double>(total.late_long_prompts) /
+                        static_cast<double>(total.long_prompts),
+                    total.seconds_to_first_token / prompts, total.tokens_read / prompts);
+    }
+}
+
+void study_placement(std::uint64_t seeds, std::uint64_t seed)
+{
+    compare_placements({"Six engines", 6, 23, 0, 0, milliseconds(3)}, seeds, seed);
+    compare_placements({"Five engines, 36 prompts a second", 5, 36, 0, 0, milliseconds(3)}, seeds,
+                       seed);
+    compare_placements({"Two of six engines lost", 6, 23, 2, 0, milliseconds(3)}, seeds, seed);
+    compare_placements({"One of six engines slow", 6, 23, 0, 1, milliseconds(3)}, seeds, seed);
+    compare_placements(
+        {"Two of six engines lost, news after 100 ms", 6, 23, 2, 0, milliseconds(100)}, seeds,
+        seed);
+    compare_placements(
+        {"Two of six engines lost, news after 500 ms", 6, 23, 2, 0, milliseconds(500)}, seeds,
+        seed);
+}
+
 void compare_queues(std::uint64_t seed)
 {
     for (auto const kind : {compared_queue::admission, compared_queue::first_in_first_out})
@@ -88,7 +131,14 @@
         TCLAP::ValueArg<unsigned> seeds("", "seeds", "Runs per policy and scenario.", false, 5, "N",
                                         command);
         TCLAP::ValueArg<unsigned> seed("", "seed", "First seed.", false, 20261204, "S", command);
+        TCLAP::SwitchArg placement("", "placement", "Compares placements of prompts only.",
+                                   command);
         command.parse(argc, argv);
+        if (placement.getValue())
+        {
+            study_placement(seeds, seed);
+            return 0;
+        }
         compare_policies({"Steady load", 34, 1, 2, false, false}, seeds, seed);
         compare_policies({"Bursts of twice the load", 30, 2, 2, false, false}, seeds, seed);
         compare_policies({"One slow replica", 30, 1.3, 2, true, false}, seeds, seed);
