Ask the retry budget once for one second attempt

The end of an attempt asked the retry budget twice: whether the failed answer is handed on, and again whether another attempt may start. When the budget's last consent went to the first question, the answer was dropped and nothing was sent.

Ruled out: a route with one attempt (its other calls had two); a malformed answer (the endpoint's line says status 500, and the reason was not "broken").

Change: the end of an attempt keeps the first decision.

Before: the new test fails, 502 instead of 500 and one request at the endpoints instead of two.

--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -220,8 +220,10 @@
     if (this->is_over || this->current.get() != &attempt)
         return;
     auto const self = this->shared_from_this();
-    bool const is_whole = result == attempt_result::complete ||
-                          (result == attempt_result::failed_answer && !this->may_repeat(result));
+    // Asked once: each consent of the retry budget is spent.
+    bool const is_failed = result == attempt_result::failed_answer;
+    bool const is_repeated = is_failed && this->may_repeat(result);
+    bool const is_whole = result == attempt_result::complete || (is_failed && !is_repeated);
     if (is_whole && this->relay.complete())
     {
         auto const status = this->relay.status();
@@ -230,6 +232,8 @@
     }
     auto const seen = is_whole ? attempt_result::broken : result;
     this->end_attempt(seen, reason);
+    if (is_repeated)
+        return this->try_next();
     this->decide_after(seen, reason);
 }
 
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -264,12 +264,12 @@
     return http::head_action::accept;
 }
 
-proxy_fixture::proxy_fixture()
+proxy_fixture::proxy_fixture(proxy::proxy_options const& options)
     : upstream(this->context, {}, this->time)
     , caller(this->context, {}, this->time)
     , proxy({this->context, this->upstream, this->codec, this->control, this->events, this->metrics,
              this->time, 7},
-            {1.0, 100, {}})
+            options)
     , address(free_address())
     , server(
           this->context, {this->address, 100, "test"}, this->proxy,
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -142,7 +142,7 @@
 class proxy_fixture
 {
 public:
-    proxy_fixture();
+    explicit proxy_fixture(lagoonladder::proxy::proxy_options const& options = {1.0, 100, {}});
 
     fake_endpoint& add_endpoint(std::string const& service, std::string const& id);
 
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -326,3 +326,18 @@
     CHECK(endpoint.requests.empty());
     CHECK(system.proxy.open_calls() == 0);
 }
+
+TEST_CASE("a second attempt takes the retry budget once")
+{
+    // Guards against a 502 in place of the endpoint's own answer: the budget was asked twice
+    // for one attempt, and refused the second time.
+    proxy_fixture system({0, 1, {}});
+    auto& first = system.add_endpoint("plain", "e1");
+    auto& second = system.add_endpoint("plain", "e2");
+    first.mode = second.mode = endpoint_mode::fail;
+    CHECK(system.call("/plain/x", "id-1").status() == 500);
+    CHECK(first.requests.size() + second.requests.size() == 2);
+    // Nothing is left for another one; the endpoint's answer is handed on.
+    CHECK(system.call("/plain/x", "id-2").status() == 500);
+    CHECK(first.requests.size() + second.requests.size() == 3);
+}
