Bound what callers state about their prompts

Cause: the backlog of prompts believed the sizes that callers state. Two parts of 2^63 tokens made the cost of an engine overflow, and a prompt of many small parts was remembered part by part.

Ruled out: refusing such calls, since the sizes are hints and the endpoint judges the prompt.

Change: what a prompt adds is clamped to the memory of an engine, parts without tokens are not remembered, and at most 4,096 parts are kept for an engine, the latest used ones.

Conclusion: a caller's wrong figures neither keep an engine from others nor take the memory of the entry.

--- a/src/request/include/lagoonladder/request/prompt_backlog.hpp
+++ b/src/request/include/lagoonladder/request/prompt_backlog.hpp
@@ -58,7 +58,8 @@
 public:
     explicit prompt_backlog(prompt_backlog_options initial = {});
 
-    /// Tokens of the prompt that the engine does not keep.
+    /// Tokens of the prompt that the engine does not keep. What callers state beyond the
+    /// memory of an engine is not believed.
     double unread_tokens(endpoint_id const& engine, prompt_parts const& prompt) const;
 
     /// Time until the engine would have read the prompt, if it were sent now.
@@ -81,6 +82,9 @@
     void answered(time_point now, endpoint_id const& engine, incarnation start,
                   sent_prompt const& prompt);
 
+    /// Parts that are remembered, over all engines.
+    std::size_t part_count() const;
+
 private:
     struct engine_state
     {
@@ -97,6 +101,7 @@
 
     double pace_of(endpoint_id const& engine) const;
     static double backlog_of(engine_state const& state, time_point now);
+    double shared_tokens(prompt_parts const& prompt) const;
     bool keeps(engine_state const& state, prompt_part const& part) const;
     engine_state& state_of(time_point now, endpoint_id const& engine, incarnation start);
     void drop_old_parts(engine_state& state) const;
--- a/src/request/internal/prompt_backlog.cpp
+++ b/src/request/internal/prompt_backlog.cpp
@@ -17,18 +17,11 @@
 constexpr duration least_sample_time = milliseconds(5);
 /// Parts in the table of an engine before old ones are looked for.
 constexpr std::size_t parts_before_cleaning = 512;
+/// Beyond this the older half is dropped; callers state the parts, and may state many.
+constexpr std::size_t max_parts = 4'096;
 /// Part of the shared tokens that the expected engine is taken to keep when none is known.
 constexpr double expected_part = 0.15;
 
-/// Tokens of all parts but the request's own.
-double shared_tokens(prompt_parts const& prompt)
-{
-    double tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-        tokens += static_cast<double>(prompt[i].tokens);
-    return tokens;
-}
-
 /// The engine that gets a shared part first, by rendezvous; none without shared parts.
 endpoint_id home_of(std::vector<endpoint_id> const& engines, prompt_parts const& prompt)
 {
@@ -72,7 +65,15 @@
         is_kept = is_kept && this->keeps(known->second, part);
         tokens += is_kept ? 0 : static_cast<double>(part.tokens);
     }
-    return tokens;
+    return std::min(tokens, this->options.cache_tokens);
+}
+
+double prompt_backlog::shared_tokens(prompt_parts const& prompt) const
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        tokens += static_cast<double>(prompt[i].tokens);
+    return std::min(tokens, this->options.cache_tokens);
 }
 
 duration prompt_backlog::reading_time(time_point now, endpoint_id const& engine,
@@ -104,14 +105,14 @@
     auto const least = *std::min_element(unread.begin(), unread.end());
     // News of an engine that keeps the shared parts may be missing; all entries expect the
     // same engine to have them.
-    bool const is_unknown = least >= shared_tokens(prompt);
+    bool const is_unknown = least >= this->shared_tokens(prompt);
     auto const home = home_of(candidates, prompt);
     std::vector<duration> costs;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         auto repeated = unread[i] - least;
         if (is_unknown && candidates[i] != home)
-            repeated += expected_part * shared_tokens(prompt);
+            repeated += expected_part * this->shared_tokens(prompt);
         auto const seconds =
             this->options.repeated_reading_cost * repeated * this->pace_of(candidates[i]);
         costs.push_back(this->reading_time(now, candidates[i], prompt) + from_seconds(seconds));
@@ -143,7 +144,10 @@
     state.updated = now;
     state.total += unread;
     for (auto const& part : prompt)
-        state.parts[part.hash] = state.total;
+    {
+        if (part.tokens > 0)
+            state.parts[part.hash] = state.total;
+    }
     this->drop_old_parts(state);
     return {now, state.total, state.backlog};
 }
@@ -170,12 +174,28 @@
     state.updated = now;
 }
 
+std::size_t prompt_backlog::part_count() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, state] : this->engines)
+        count += state.parts.size();
+    return count;
+}
+
 void prompt_backlog::drop_old_parts(engine_state& state) const
 {
     if (state.parts.size() < parts_before_cleaning)
         return;
     std::erase_if(state.parts, [&](auto const& item)
                   { return state.total - item.second > this->options.cache_tokens; });
+    if (state.parts.size() <= max_parts)
+        return;
+    std::vector<double> used;
+    for (auto const& [hash, total] : state.parts)
+        used.push_back(total);
+    auto const middle = used.begin() + static_cast<std::ptrdiff_t>(used.size() / 2);
+    std::nth_element(used.begin(), middle, used.end());
+    std::erase_if(state.parts, [&](auto const& item) { return item.second <= *middle; });
 }
 
 void prompt_backlog::forget_idle(time_point now)
--- a/src/request/tests/prompt_backlog_test.cpp
+++ b/src/request/tests/prompt_backlog_test.cpp
@@ -140,6 +140,42 @@
     CHECK(chosen.size() == engines.size());
 }
 
+TEST_CASE("a caller's wrong figures do not keep an engine from others")
+{
+    // Guards against a stated size of 2^63 tokens, after which the engine counts as busy
+    // until it is forgotten, and its time no longer fits the type.
+    prompt_backlog backlog(options_of_tests());
+    std::vector<endpoint_id> const engines{first_engine, endpoint_id("e2")};
+    prompt_parts const forged{{1, std::uint64_t(1) << 63}, {2, std::uint64_t(1) << 63}};
+    for (auto const cost : backlog.placement_costs(start, engines, forged))
+    {
+        CHECK(cost >= duration(0));
+        CHECK(cost <= std::chrono::minutes(1));
+    }
+    backlog.sent(start, first_engine, first_start, forged);
+    // No prompt takes longer than reading all that an engine can keep.
+    auto const longest = seconds(5);
+    CHECK(backlog.reading_time(start, first_engine, {{3, 100}}) <= longest + milliseconds(10));
+}
+
+TEST_CASE("many small parts do not take the memory")
+{
+    // Guards against callers that make the table of parts grow without a bound.
+    for (std::uint64_t const tokens : {0, 1})
+    {
+        prompt_backlog backlog(options_of_tests());
+        std::uint64_t hash = 0;
+        for (int i = 0; i < 100; ++i)
+        {
+            prompt_parts prompt;
+            for (int part = 0; part < 500; ++part)
+                prompt.push_back({++hash, tokens});
+            backlog.sent(start, first_engine, first_start, prompt);
+        }
+        CHECK(backlog.part_count() <= 5'000);
+    }
+}
+
 namespace
 {
 
