Do not save up quota tokens that arrive after their call

Cause: tokens that other entries lent were put into the account's own store and kept there without a bound when their call had already gone or was too late. Several late answers could all be spent within one window.

Ruled out: returning the tokens to their lender, which costs another message and can be lost.

Change: lent tokens are an argument of the second decision. When their call is gone they are added to the entry's own tokens, which the next refill clips.

After: at most the burst.

Conclusion: lending no longer adds to what an account may spend.

--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -178,16 +178,17 @@
 }
 
 void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
-                 quota_tolerance const& tolerance, admitted_call& call)
+                 quota_tolerance const& tolerance, double lent, admitted_call& call)
 {
     if (call.deadline <= now)
     {
+        quotas.deposit(call.account->name, lent);
         call.reason = refusal::too_late;
         return;
     }
     auto const situation = quota_situation_of(view, *call.account, tolerance);
     set_decision(quotas.take_again(now, call.account->name, situation.limit, situation.peers,
-                                   call.quota_tokens),
+                                   call.quota_tokens, lent),
                  call);
 }
 
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -69,9 +69,9 @@
                     incoming_call const& call, request::account_quota& quotas,
                     quota_tolerance const& tolerance);
 
-/// Decides again on a call that was refused by its quota, after other entries lent tokens.
+/// Decides again on a call that was refused by its quota, with tokens that other entries lent.
 void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
-                 quota_tolerance const& tolerance, admitted_call& call);
+                 quota_tolerance const& tolerance, double lent, admitted_call& call);
 
 } // namespace lagoonladder::proxy
 
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -132,13 +132,12 @@
             auto& quotas = this->context->quotas;
             bool const is_enough = lent >= admitted.missing_tokens;
             this->context->borrowing.end_round(now, admitted.account->name, is_enough);
-            quotas.deposit(admitted.account->name, lent);
             this->context->parts.metrics.add("quota_rounds_total",
                                              {{"outcome", is_enough ? "enough" : "too_little"}});
             if (*is_gone)
-                return;
+                return quotas.deposit(admitted.account->name, lent);
             auto const view = this->context->parts.control.view();
-            admit_again(now, *view, quotas, this->context->options.quota, admitted);
+            admit_again(now, *view, quotas, this->context->options.quota, lent, admitted);
             this->start(exchange, std::move(call), std::move(admitted));
         });
 }
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -52,9 +52,10 @@
     quota_decision take(time_point now, account_id const& account, account_limit const& limit,
                         peer_demand const& peers, double tokens);
 
-    /// Takes tokens for a request that `take` refused before; its demand is not counted again.
+    /// Takes tokens for a request that `take` refused before, with what other entries lent for
+    /// it. Its demand is not counted again.
     quota_decision take_again(time_point now, account_id const& account, account_limit const& limit,
-                              peer_demand const& peers, double tokens);
+                              peer_demand const& peers, double tokens, double lent);
 
     /// Tokens to ask each of the other entries for, so that enough have some to spare.
     static double part_to_ask(double missing, std::size_t lenders);
@@ -63,7 +64,8 @@
     double lend(time_point now, account_id const& account, account_limit const& limit,
                 peer_demand const& peers, double wanted);
 
-    /// Adds tokens that another entry has given away.
+    /// Adds tokens that came too late for their request. They count like the entry's own,
+    /// so that no more than its part is saved up.
     void deposit(account_id const& account, double tokens);
 
     /// Tokens a second that were asked for here, refused ones included.
@@ -76,8 +78,6 @@
     struct bucket
     {
         double available = 0;
-        /// Received from other entries and not yet used.
-        double lent = 0;
         double asked = 0;
         time_point updated{};
         bool is_new = true;
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace lagoonladder::request
 {
@@ -82,11 +81,9 @@
 
 quota_decision account_quota::take_again(time_point now, account_id const& account,
                                          account_limit const& limit, peer_demand const& peers,
-                                         double tokens)
+                                         double tokens, double lent)
 {
     auto& known = this->buckets[account];
-    // What was lent must not be cut off at the most that a refill gives.
-    auto const lent = std::exchange(known.lent, 0);
     auto const most = refill(known, now, limit, peers);
     known.available += lent;
     return grant(known, most, limit.tokens_per_second * share_of(peers), tokens);
@@ -110,7 +107,7 @@
 
 void account_quota::deposit(account_id const& account, double tokens)
 {
-    this->buckets[account].lent += tokens;
+    this->buckets[account].available += tokens;
 }
 
 std::map<account_id, double> account_quota::demand(time_point now)
--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -109,16 +109,14 @@
         if (first.granted)
             return true;
         auto const part = account_quota::part_to_ask(first.missing, this->entries.size() - 1);
+        double lent = 0;
         for (std::size_t i = 0; i < this->entries.size(); ++i)
         {
-            if (i == at)
-                continue;
-            auto const given =
-                this->entries[i].lend(now, account, this->limit, this->peers_of(i), part);
-            this->entries[at].deposit(account, given);
+            if (i != at)
+                lent += this->entries[i].lend(now, account, this->limit, this->peers_of(i), part);
         }
         return this->entries[at]
-            .take_again(now, account, this->limit, this->peers_of(at), tokens)
+            .take_again(now, account, this->limit, this->peers_of(at), tokens, lent)
             .granted;
     }
 
@@ -204,3 +202,20 @@
     CHECK(quota.lend(now, account, limit, {}, -5) == 0);
     CHECK(quota.take(now, account, limit, {}, 25).granted);
 }
+
+TEST_CASE("tokens that come after their call are not saved up")
+{
+    // Guards against late answers of lenders whose tokens are all spent in one window.
+    account_quota quota;
+    account_limit const limit{100, 100};
+    time_point const now{seconds(1)};
+    CHECK(quota.take(now, account, limit, {}, 100).granted);
+    for (int i = 0; i < 50; ++i)
+        quota.deposit(account, 100);
+    double granted = 0;
+    while (quota.take(now, account, limit, {}, 50).granted)
+        granted += 50;
+    while (quota.take_again(now, account, limit, {}, 50, 0).granted)
+        granted += 50;
+    CHECK(granted <= limit.burst);
+}
