--- a/src/process/daemon/include/lagoonladder/daemon/control_plane.hpp
+++ b/src/process/daemon/include/lagoonladder/daemon/control_plane.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONLADDER_DAEMON_CONTROL_PLANE_HPP
 #define LAGOONLADDER_DAEMON_CONTROL_PLANE_HPP
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,18 +21,28 @@
     using error::error;
 };
 
-/// The command was not proposed and will not be: nothing has changed.
-class not_proposed_error : public daemon_error
+enum class proposal_status
 {
-public:
-    using daemon_error::daemon_error;
+    committed,
+    /// Not proposed, or replaced by another entry: it never takes effect.
+    not_proposed,
+    /// No quorum answered in time: it may or may not take effect.
+    unknown
 };
 
-/// The command may or may not take effect: no quorum answered in time.
-class outcome_unknown_error : public daemon_error
+struct proposal_outcome
 {
-public:
-    using daemon_error::daemon_error;
+    proposal_status status = proposal_status::unknown;
+    version::command_result result;
+};
+
+/// Result of a look-up that is read through the quorum.
+enum class find_status
+{
+    found,
+    not_found,
+    /// No quorum answered in time.
+    unavailable
 };
 
 /// Control state as traffic threads see it. Immutable.
@@ -57,23 +68,24 @@
     std::vector<std::string> voters;
 };
 
-/// What the traffic threads ask of the control thread. All functions may be
-/// called from any thread except the control thread.
+/// What the traffic threads ask of the control thread. All functions may be called from
+/// any thread; handlers are called on any thread and must not block.
 class control_plane
 {
 public:
     virtual ~control_plane() = default;
 
+    using proposal_handler = std::function<void(proposal_outcome const&)>;
+    using find_handler =
+        std::function<void(find_status, std::optional<request::once_reply> const&)>;
+
     virtual std::shared_ptr<control_view const> view() const = 0;
 
-    /// Commits a command through the quorum. Throws not_proposed_error or
-    /// outcome_unknown_error.
-    virtual version::command_result propose(version::command_body body, duration timeout) = 0;
+    /// Commits a command through the quorum.
+    virtual void propose(version::command_body body, duration timeout, proposal_handler done) = 0;
 
-    /// Current record of a key, read through the quorum; no value when there is none.
-    /// Throws outcome_unknown_error when no quorum answers.
-    virtual std::optional<request::once_reply> find_once(request::once_key const& key,
-                                                         duration timeout) = 0;
+    /// Current record of a key, read through the quorum.
+    virtual void find_once(request::once_key const& key, duration timeout, find_handler done) = 0;
 
     /// Takes an announcement, renewal or `leaving` of an endpoint.
     virtual void announce(connection::endpoint_record record) = 0;
--- a/src/process/daemon/internal/admission_gate.cpp
+++ b/src/process/daemon/internal/admission_gate.cpp
@@ -35,41 +35,33 @@
     return this->queues.try_emplace(key, options).first->second;
 }
 
-connection::endpoint_record admission_gate::enter(admission_request const& request)
+void admission_gate::enter(admission_request const& request, handler done)
 {
     auto const view = this->context.control.view();
     auto const& query = request.query;
-    std::unique_lock lock(this->mutex);
     auto& known = this->queue_for(*view, query);
     if (known.waiting.size() == 0 &&
         this->router.has_free_slot(*view, query.service, query.version))
     {
         if (auto const chosen = this->router.choose(*view, query))
-            return *chosen;
+            return done(*chosen);
     }
     if (traffic_router::slots(*view, query.service, query.version) == 0)
-        throw refusal({503, "no-endpoint", "no endpoint of the service is serving", execution::no,
-                       request.queued.request_id.value(), seconds(2)});
-    waiter own;
-    own.request = &request;
+        return done(problem{503, "no-endpoint", "no endpoint of the service is serving",
+                            execution::no, request.queued.request_id.value(), seconds(2)});
     auto const offered = known.waiting.offer(this->context.time.now(), request.queued);
     if (auto const* refused = std::get_if<request::refused>(&offered))
-        throw refusal(this->refuse(request, *refused));
-    known.waiters[request.queued.request_id] = &own;
-    return this->wait(lock, known, own, std::get<request::queued>(offered));
+        return done(this->refuse(request, *refused));
+    this->context.metrics.observe_seconds(
+        "predicted_wait_seconds", {{"service", query.service.value()}},
+        to_seconds(std::get<request::queued>(offered).predicted_wait));
+    known.waiters[request.queued.request_id] = {request, std::move(done)};
 }
 
-connection::endpoint_record admission_gate::wait(std::unique_lock<std::mutex>& lock, queue& known,
-                                                 waiter& own, request::queued const& place)
+bool admission_gate::has_waiters() const
 {
-    auto const& service = own.request->query.service.value();
-    this->context.metrics.observe_seconds("predicted_wait_seconds", {{"service", service}},
-                                          to_seconds(place.predicted_wait));
-    own.decided.wait(lock, [&own] { return own.endpoint || own.refused; });
-    known.waiters.erase(own.request->queued.request_id);
-    if (own.refused)
-        throw refusal(this->refuse(*own.request, *own.refused));
-    return *own.endpoint;
+    return std::any_of(this->queues.begin(), this->queues.end(),
+                       [](auto const& item) { return !item.second.waiters.empty(); });
 }
 
 problem admission_gate::refuse(admission_request const& request,
@@ -89,39 +81,46 @@
 void admission_gate::pump()
 {
     auto const view = this->context.control.view();
-    std::lock_guard const lock(this->mutex);
+    std::vector<decision> decisions;
     for (auto& [key, known] : this->queues)
+    {
         if (!known.waiters.empty())
-            this->pump(*view, key, known);
+            this->decide(*view, key, known, decisions);
+    }
+    for (auto const& made : decisions)
+        made.done(made.result);
 }
 
-void admission_gate::pump(control_view const& view, queue_key const& key, queue& known)
+void admission_gate::decide(control_view const& view, queue_key const& key, queue& known,
+                            std::vector<decision>& decisions)
 {
     auto const now = this->context.time.now();
     for (auto const& given_up : known.waiting.expire(now))
     {
-        auto* waiting = known.waiters.at(given_up.request_id);
-        waiting->refused = given_up;
-        waiting->decided.notify_one();
+        auto const node = known.waiters.extract(given_up.request_id);
+        auto& waiting = node.mapped();
+        decisions.push_back({std::move(waiting.done), this->refuse(waiting.request, given_up)});
     }
     while (known.waiting.size() > 0 && this->router.has_free_slot(view, key.first, key.second))
     {
         auto const next = known.waiting.take(now);
         if (!next)
             return;
-        auto* waiting = known.waiters.at(next->request_id);
-        waiting->endpoint = this->router.choose(view, waiting->request->query);
-        if (!waiting->endpoint)
-            waiting->refused = request::refused{next->request_id, seconds(1),
-                                                request::refusal_reason::predicted_wait};
-        waiting->decided.notify_one();
+        auto const node = known.waiters.extract(next->request_id);
+        auto& waiting = node.mapped();
+        if (auto const chosen = this->router.choose(view, waiting.request.query))
+            decisions.push_back({std::move(waiting.done), *chosen});
+        else
+            decisions.push_back(
+                {std::move(waiting.done),
+                 this->refuse(waiting.request, {next->request_id, seconds(1),
+                                                request::refusal_reason::predicted_wait})});
     }
 }
 
 void admission_gate::observe()
 {
     auto const now = this->context.time.now();
-    std::lock_guard const lock(this->mutex);
     for (auto& [key, known] : this->queues)
     {
         observability::metric_labels const labels{{"service", key.first.value()},
--- a/src/process/daemon/internal/admission_gate.hpp
+++ b/src/process/daemon/internal/admission_gate.hpp
@@ -1,9 +1,9 @@
 #ifndef LAGOONLADDER_DAEMON_ADMISSION_GATE_HPP
 #define LAGOONLADDER_DAEMON_ADMISSION_GATE_HPP
 
-#include <condition_variable>
+#include <functional>
 #include <map>
-#include <mutex>
+#include <variant>
 
 #include <traffic_problem.hpp>
 #include <traffic_router.hpp>
@@ -18,16 +18,25 @@
     endpoint_query query;
 };
 
-/// Lets completions pass while an engine has a free slot and queues the others.
-/// Safe to call from any thread.
+/// The endpoint on which an attempt is counted, or the refusal of a request that was not
+/// executed.
+using admission = std::variant<connection::endpoint_record, problem>;
+
+/// Lets completions pass while an engine has a free slot and queues the others. Used on
+/// the traffic thread.
 class admission_gate
 {
 public:
     admission_gate(traffic_context& shared, traffic_router& choice);
 
-    /// Waits for a free slot and returns the endpoint, on which an attempt is counted.
-    /// Throws refusal as soon as the request is given up; it was not executed then.
-    connection::endpoint_record enter(admission_request const& request);
+    using handler = std::function<void(admission const&)>;
+
+    /// `done` is called when a slot is free, at once if one is, or when the request is
+    /// given up.
+    void enter(admission_request const& request, handler done);
+
+    /// Whether requests wait.
+    bool has_waiters() const;
 
     /// Admits requests whose turn it is. Call when a slot became free and every 20 ms.
     void pump();
@@ -38,10 +47,15 @@
 private:
     struct waiter
     {
-        admission_request const* request = nullptr;
-        std::condition_variable decided;
-        std::optional<connection::endpoint_record> endpoint;
-        std::optional<request::refused> refused;
+        admission_request request;
+        handler done;
+    };
+
+    /// A decision whose handler is called when the queues are consistent again.
+    struct decision
+    {
+        handler done;
+        admission result;
     };
 
     /// Requests of one version of a service; its slots are its own.
@@ -52,20 +66,18 @@
         {
         }
         request::admission_queue waiting;
-        std::map<request_id, waiter*> waiters;
+        std::map<request_id, waiter> waiters;
     };
 
     using queue_key = std::pair<service_name, version_name>;
 
     queue& queue_for(control_view const& view, endpoint_query const& query);
-    void pump(control_view const& view, queue_key const& key, queue& known);
-    connection::endpoint_record wait(std::unique_lock<std::mutex>& lock, queue& known, waiter& own,
-                                     request::queued const& place);
+    void decide(control_view const& view, queue_key const& key, queue& known,
+                std::vector<decision>& decisions);
     problem refuse(admission_request const& request, request::refused const& given_up) const;
 
     traffic_context& context;
     traffic_router& router;
-    std::mutex mutex;
     std::map<queue_key, queue> queues;
 };
 
--- a/src/process/daemon/internal/companion_link.cpp
+++ b/src/process/daemon/internal/companion_link.cpp
@@ -79,6 +79,12 @@
     this->ended.wait(lock, [this] { return this->calls == 0; });
 }
 
+bool companion_link::is_busy() const
+{
+    std::lock_guard const lock(this->mutex);
+    return !this->requests.empty();
+}
+
 bool companion_link::begin_call()
 {
     if (this->stopping)
@@ -220,7 +226,7 @@
         auto& known = found->second;
         known.in_flight = true;
         known.last_sent = this->context.time.now();
-        auto batch = this->store.read(id, known.request.account, known.companion_next, duration(0));
+        auto batch = this->store.read(id, known.request.account, known.companion_next);
         call->request.set_id(id.value());
         call->request.set_offset(known.companion_next.value());
         for (auto& token : batch.tokens)
--- a/src/process/daemon/internal/companion_link.hpp
+++ b/src/process/daemon/internal/companion_link.hpp
@@ -37,6 +37,9 @@
     /// Sends what is due and replaces companions that are gone. Call every 50 ms.
     void tick();
 
+    /// Whether a companion lacks something or has not confirmed it.
+    bool is_busy() const;
+
     /// Waits for the calls in progress; none is started afterwards.
     void stop();
 
@@ -68,7 +71,7 @@
     completion_store& store;
     traffic_entries& entries;
     peer_channels peers;
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::condition_variable ended;
     std::map<request_id, tracked> requests;
     std::uint32_t calls = 0;
--- a/src/process/daemon/internal/completion_answer.cpp
+++ b/src/process/daemon/internal/completion_answer.cpp
@@ -10,6 +10,12 @@
 
 constexpr char const* event_stream = "text/event-stream";
 
+// A caller that reads slowly holds no more than this beside the socket's own buffer.
+constexpr std::size_t max_unsent_bytes = 64 * 1024;
+
+// A caller that reads nothing for this long is gone; the rest can be fetched later.
+constexpr duration stalled_timeout = seconds(10);
+
 void append_event(std::string& text, std::uint64_t offset, std::string_view data)
 {
     char number[24];
@@ -47,95 +53,192 @@
                                     : std::string();
 }
 
+std::string whole_text(answer_header const& header, std::string const& text, std::uint64_t tokens,
+                       std::string const& finish_reason)
+{
+    nlohmann::json choice{{"index", 0}, {"finish_reason", finish_reason}};
+    if (header.is_chat)
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
+    else
+        choice["text"] = text;
+    nlohmann::json const answer{{"id", header.id},
+                                {"object", header.is_chat ? "chat.completion" : "text_completion"},
+                                {"model", header.service},
+                                {"choices", nlohmann::json::array({choice})},
+                                {"usage", {{"completion_tokens", tokens}}}};
+    return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 /// Writes tokens as they arrive.
-class answer_writer
+class answer_stream : public std::enable_shared_from_this<answer_stream>
 {
 public:
-    answer_writer(std::shared_ptr<token_source> tokens, answer_header const& answer,
-                  request::fetched already_read, token_offset offset)
-        : source(std::move(tokens))
-        , header(answer)
-        , batch(std::move(already_read))
+    answer_stream(std::shared_ptr<api_exchange> answer, std::shared_ptr<token_source> tokens,
+                  answer_header what, token_offset offset, std::shared_ptr<open_request> open)
+        : exchange(std::move(answer))
+        , source(std::move(tokens))
+        , header(std::move(what))
         , next(offset)
+        , counted(std::move(open))
     {
     }
 
-    bool operator()(httplib::DataSink& sink)
+    void start(request::fetched const& first)
     {
+        this->exchange->set_header("Cache-Control", "no-store");
+        this->exchange->begin(event_stream);
+        this->exchange->on_closed(
+            [weak = this->weak_from_this()]
+            {
+                if (auto const self = weak.lock())
+                    self->end();
+            });
+        this->exchange->on_drained(
+            [self = this->shared_from_this()]
+            {
+                if (std::exchange(self->is_held_back, false))
+                    self->read_on();
+            });
+        this->take(first);
+    }
+
+private:
+    void take(request::fetched const& batch)
+    {
+        if (this->is_over)
+            return;
         std::string text;
-        for (auto const& token : this->batch.tokens)
+        for (auto const& token : batch.tokens)
         {
             append_event(text, this->next.value(), token);
             this->next = token_offset(this->next.value() + 1);
         }
-        bool const is_over =
-            this->batch.outcome || this->batch.status != request::fetch_status::found;
-        if (this->batch.outcome)
-            text += final_events(this->header, *this->batch.outcome);
-        else if (text.empty() && !is_over)
+        if (batch.outcome)
+            text += final_events(this->header, *batch.outcome);
+        bool const is_lost = batch.status != request::fetch_status::found;
+        if (text.empty() && !is_lost)
             text = ": keep-alive\n\n";
-        if (!text.empty() && !sink.write(text.data(), text.size()))
-            return false;
-        // Without an outcome the connection is broken off, so that the caller does
-        // not take the tokens for the whole answer.
-        if (is_over && !this->batch.outcome)
-            return false;
-        if (is_over)
-            sink.done();
+        if (!text.empty())
+            this->exchange->write(text);
+        if (!batch.outcome && !is_lost)
+            return this->read_on();
+        // Without an outcome the connection is broken off, so that the caller does not
+        // take the tokens for the whole answer.
+        if (batch.outcome)
+            this->exchange->finish();
         else
-            this->batch = this->source->read(this->next);
-        return true;
+            this->exchange->abort();
+        this->end();
     }
 
-private:
+    void read_on()
+    {
+        if (this->is_over)
+            return;
+        if (this->exchange->unsent_bytes() > max_unsent_bytes)
+            return this->hold_back();
+        this->source->read(this->next, [self = this->shared_from_this()](
+                                           request::fetched const& batch) { self->take(batch); });
+    }
+
+    /// Waits until the caller has read what was sent.
+    void hold_back()
+    {
+        this->is_held_back = true;
+        this->exchange->run_later(stalled_timeout,
+                                  [weak = this->weak_from_this(), count = ++this->held_back_count]
+                                  {
+                                      auto const self = weak.lock();
+                                      if (!self || !self->is_held_back ||
+                                          self->held_back_count != count)
+                                          return;
+                                      self->exchange->abort();
+                                      self->end();
+                                  });
+    }
+
+    void end()
+    {
+        this->is_over = true;
+        this->counted.reset();
+        // The source's handler keeps the stream.
+        this->source.reset();
+    }
+
+    std::shared_ptr<api_exchange> const exchange;
     std::shared_ptr<token_source> source;
-    answer_header header;
-    request::fetched batch;
+    answer_header const header;
     token_offset next;
+    std::shared_ptr<open_request> counted;
+    bool is_held_back = false;
+    std::uint64_t held_back_count = 0;
+    bool is_over = false;
+};
+
+/// Collects the tokens of an answer that is sent as a whole.
+class answer_collector : public std::enable_shared_from_this<answer_collector>
+{
+public:
+    answer_collector(std::shared_ptr<api_exchange> answer, std::shared_ptr<token_source> tokens,
+                     answer_header what, std::shared_ptr<open_request> open)
+        : exchange(std::move(answer))
+        , source(std::move(tokens))
+        , header(std::move(what))
+        , counted(std::move(open))
+    {
+    }
+
+    void take(request::fetched const& batch)
+    {
+        for (auto const& token : batch.tokens)
+            this->text += token_text(token, this->header.is_chat);
+        this->count += batch.tokens.size();
+        if (!batch.outcome && batch.status == request::fetch_status::found)
+            return this->source->read(token_offset(this->count),
+                                      [self = this->shared_from_this()](
+                                          request::fetched const& more) { self->take(more); });
+        if (!batch.outcome)
+            return this->exchange->refuse({500, "internal", "the request is no longer held",
+                                           execution::unknown, this->header.id.value()});
+        if (!batch.outcome->failure.empty())
+            return send_failure(*this->exchange, *batch.outcome);
+        this->exchange->respond_json(
+            200, whole_text(this->header, this->text, this->count, batch.outcome->finish_reason));
+    }
+
+private:
+    std::shared_ptr<api_exchange> const exchange;
+    std::shared_ptr<token_source> const source;
+    answer_header const header;
+    std::shared_ptr<open_request> const counted;
+    std::string text;
+    std::uint64_t count = 0;
 };
 
 } // namespace
 
-void stream_answer(httplib::Response& response, std::shared_ptr<token_source> source,
+void stream_answer(std::shared_ptr<api_exchange> exchange, std::shared_ptr<token_source> source,
                    answer_header const& header, request::fetched first, token_offset offset,
                    std::shared_ptr<open_request> counted)
 {
-    response.set_header("Cache-Control", "no-store");
-    auto const writer =
-        std::make_shared<answer_writer>(std::move(source), header, std::move(first), offset);
-    response.set_chunked_content_provider(
-        event_stream, [writer, counted = std::move(counted)](std::size_t, httplib::DataSink& sink)
-        { return (*writer)(sink); });
+    std::make_shared<answer_stream>(std::move(exchange), std::move(source), header, offset,
+                                    std::move(counted))
+        ->start(first);
 }
 
-std::string whole_answer(token_source& source, answer_header const& header, request::fetched first,
-                         request::request_outcome& outcome)
+void whole_answer(std::shared_ptr<api_exchange> exchange, std::shared_ptr<token_source> source,
+                  answer_header const& header, request::fetched first,
+                  std::shared_ptr<open_request> counted)
 {
-    std::string text;
-    std::uint64_t count = 0;
-    auto batch = std::move(first);
-    while (true)
-    {
-        for (auto const& token : batch.tokens)
-            text += token_text(token, header.is_chat);
-        count += batch.tokens.size();
-        if (batch.outcome || batch.status != request::fetch_status::found)
-            break;
-        batch = source.read(token_offset(count));
-    }
-    if (batch.outcome)
-        outcome = *batch.outcome;
-    nlohmann::json choice{{"index", 0}, {"finish_reason", outcome.finish_reason}};
-    if (header.is_chat)
-        choice["message"] = {{"role", "assistant"}, {"content", text}};
-    else
-        choice["text"] = text;
-    nlohmann::json const answer{{"id", header.id},
-                                {"object", header.is_chat ? "chat.completion" : "text_completion"},
-                                {"model", header.service},
-                                {"choices", nlohmann::json::array({choice})},
-                                {"usage", {{"completion_tokens", count}}}};
-    return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::make_shared<answer_collector>(std::move(exchange), std::move(source), header,
+                                       std::move(counted))
+        ->take(first);
+}
+
+void send_failure(api_exchange& exchange, request::request_outcome const& outcome)
+{
+    exchange.set_header("Retry-After", "1");
+    exchange.respond(outcome.failure_status, "application/problem+json", outcome.failure);
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/completion_answer.hpp
+++ b/src/process/daemon/internal/completion_answer.hpp
@@ -4,22 +4,12 @@
 #include <memory>
 #include <string>
 
-#include <httplib.h>
-
-#include <traffic_context.hpp>
+#include <api_exchange.hpp>
+#include <token_source.hpp>
 
 namespace lagoonladder::daemon
 {
 
-/// Where the tokens of one accepted completion are read from.
-class token_source
-{
-public:
-    virtual ~token_source() = default;
-    /// Tokens from `offset` on; waits a while for the first one or the outcome.
-    virtual request::fetched read(token_offset offset) = 0;
-};
-
 /// What the answer says about the request.
 struct answer_header
 {
@@ -28,15 +18,19 @@
     bool is_chat = false;
 };
 
-/// Sets the response to a stream of the tokens from `offset` on. `first` is what was
-/// read already; `counted` is released when the stream has ended.
-void stream_answer(httplib::Response& response, std::shared_ptr<token_source> source,
+/// Answers with a stream of the tokens from `offset` on. `first` is what was read already;
+/// `counted` is released when the stream has ended.
+void stream_answer(std::shared_ptr<api_exchange> exchange, std::shared_ptr<token_source> source,
                    answer_header const& header, request::fetched first, token_offset offset,
                    std::shared_ptr<open_request> counted);
 
-/// Reads the whole answer and returns its JSON text; `outcome` gets the final state.
-std::string whole_answer(token_source& source, answer_header const& header, request::fetched first,
-                         request::request_outcome& outcome);
+/// Reads the whole answer and sends its JSON text.
+void whole_answer(std::shared_ptr<api_exchange> exchange, std::shared_ptr<token_source> source,
+                  answer_header const& header, request::fetched first,
+                  std::shared_ptr<open_request> counted);
+
+/// Sends the outcome of a request that failed before its first token.
+void send_failure(api_exchange& exchange, request::request_outcome const& outcome);
 
 } // namespace lagoonladder::daemon
 
--- a/src/process/daemon/internal/completion_routes.cpp
+++ b/src/process/daemon/internal/completion_routes.cpp
@@ -1,6 +1,7 @@
 #include <completion_routes.hpp>
 
-#include <traffic_http.hpp>
+#include <local_token_source.hpp>
+#include <route_table.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -8,10 +9,6 @@
 namespace
 {
 
-// After this time without a token the caller gets a comment line, so that it can
-// tell a slow answer from a dead connection.
-constexpr duration read_wait = seconds(1);
-
 // Expected length of an answer whose request does not state a limit.
 constexpr double default_tokens = 128;
 
@@ -40,9 +37,9 @@
     return default_tokens;
 }
 
-request::request_priority priority_of(httplib::Request const& request)
+request::request_priority priority_of(api_exchange const& exchange)
 {
-    auto const text = request.get_header_value("X-Priority");
+    auto const text = exchange.header("X-Priority");
     if (text == "draft")
         return request::request_priority::draft;
     if (text.empty() || text == "interactive")
@@ -71,78 +68,72 @@
 
 } // namespace
 
-request::fetched local_token_source::read(token_offset offset)
-{
-    return this->store.read(this->id, this->account, offset, read_wait);
-}
-
-void send_failure(httplib::Response& response, request::request_outcome const& outcome)
+void completion_routes::register_routes(route_table& routes)
 {
-    response.status = static_cast<int>(outcome.failure_status);
-    response.set_header("Retry-After", "1");
-    response.set_content(outcome.failure, "application/problem+json");
+    routes.add("POST", "/v1/chat/completions",
+               [this](auto const& exchange) { this->serve(exchange, true); });
+    routes.add("POST", "/v1/completions",
+               [this](auto const& exchange) { this->serve(exchange, false); });
 }
 
-void completion_routes::register_routes(httplib::Server& server)
-{
-    auto& context = this->service.parts().context;
-    auto const bind = [&](bool is_chat)
-    {
-        return guarded(context,
-                       [this, is_chat](httplib::Request const& request, httplib::Response& response)
-                       { this->serve(request, response, is_chat); });
-    };
-    server.Post("/v1/chat/completions", bind(true));
-    server.Post("/v1/completions", bind(false));
-}
-
-void completion_routes::serve(httplib::Request const& request, httplib::Response& response,
-                              bool is_chat)
+void completion_routes::serve(std::shared_ptr<api_exchange> const& exchange, bool is_chat)
 {
     auto& context = this->service.parts().context;
     auto const view = ready_view(context, execution::no);
-    auto const& account = authenticate(*view, request);
-    auto const body = parse_json_body(request);
+    auto const& account = authenticate(*view, *exchange);
+    auto const body = parse_json_body(*exchange);
     auto const& config = model_service(*view, body);
     bool const is_streamed = flag(body, "stream");
-    auto const priority = priority_of(request);
-    auto const timeout = priority == lagoonladder::request::request_priority::draft
-                             ? config.draft_timeout
-                             : config.default_timeout;
+    auto const priority = priority_of(*exchange);
+    auto const timeout = priority == request::request_priority::draft ? config.draft_timeout
+                                                                      : config.default_timeout;
     new_completion const completion{account,
                                     config,
-                                    request.path,
-                                    request.body,
+                                    exchange->path(),
+                                    exchange->body(),
                                     priority,
-                                    request_timeout(request, timeout),
+                                    request_timeout(*exchange, timeout),
                                     expected_tokens(body)};
     auto const id = this->service.next_id(*view);
-    response.set_header("X-Request-Id", id.value());
+    exchange->set_header("X-Request-Id", id.value());
     context.metrics.add("requests_total", {{"service", config.name.value()}});
-    auto const started = context.time.now();
-    auto counted = this->service.start(id, completion);
-
-    auto source =
-        std::make_shared<local_token_source>(this->service.parts().store, id, account.name);
-    auto first = source->read(token_offset(0));
-    while (first.status == request::fetch_status::found && first.tokens.empty() && !first.outcome)
-        first = source->read(token_offset(0));
-    context.metrics.observe_seconds("first_token_seconds", {{"service", config.name.value()}},
-                                    to_seconds(context.time.now() - started));
-    if (first.status != request::fetch_status::found)
-        throw refusal(
-            {500, "internal", "the request is no longer held", execution::unknown, id.value()});
-    if (first.tokens.empty() && !first.outcome->failure.empty())
-        return send_failure(response, *first.outcome);
     answer_header const header{id, config.name, is_chat};
-    if (is_streamed)
-        return stream_answer(response, std::move(source), header, std::move(first), token_offset(0),
-                             std::move(counted));
-    request::request_outcome outcome;
-    auto const text = whole_answer(*source, header, std::move(first), outcome);
-    if (!outcome.failure.empty())
-        return send_failure(response, outcome);
-    response.set_content(text, "application/json");
+    this->service.start(id, completion,
+                        [this, exchange, header, account = account.name, is_streamed,
+                         started = context.time.now()](started_completion const& result)
+                        {
+                            if (auto const* refused = std::get_if<problem>(&result))
+                                return exchange->refuse(*refused);
+                            this->answer(exchange, header, account, is_streamed, started,
+                                         std::get<std::shared_ptr<open_request>>(result));
+                        });
+}
+
+void completion_routes::answer(std::shared_ptr<api_exchange> const& exchange,
+                               answer_header const& header, account_id const& account,
+                               bool is_streamed, time_point started,
+                               std::shared_ptr<open_request> counted)
+{
+    auto& parts = this->service.parts();
+    auto const source =
+        std::make_shared<local_token_source>(parts.context.loop, parts.store, header.id, account);
+    read_first(source, token_offset(0),
+               [&context = parts.context, exchange, header, source, is_streamed, started,
+                counted = std::move(counted)](request::fetched const& first)
+               {
+                   context.metrics.observe_seconds("first_token_seconds",
+                                                   {{"service", header.service.value()}},
+                                                   to_seconds(context.time.now() - started));
+                   if (first.status != request::fetch_status::found)
+                       return exchange->refuse({500, "internal", "the request is no longer held",
+                                                execution::unknown, header.id.value()});
+                   if (first.tokens.empty() && !first.outcome->failure.empty())
+                       return send_failure(*exchange, *first.outcome);
+                   if (is_streamed)
+                       return stream_answer(exchange, source, header, first, token_offset(0),
+                                            counted);
+                   whole_answer(exchange, source, header, first, counted);
+               });
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/completion_routes.hpp
+++ b/src/process/daemon/internal/completion_routes.hpp
@@ -17,35 +17,17 @@
     {
     }
 
-    void register_routes(httplib::Server& server) override;
+    void register_routes(route_table& routes) override;
 
 private:
-    void serve(httplib::Request const& request, httplib::Response& response, bool is_chat);
+    void serve(std::shared_ptr<api_exchange> const& exchange, bool is_chat);
+    void answer(std::shared_ptr<api_exchange> const& exchange, answer_header const& header,
+                account_id const& account, bool is_streamed, time_point started,
+                std::shared_ptr<open_request> counted);
 
     completion_service& service;
 };
 
-/// Tokens of a request that this entry holds.
-class local_token_source : public token_source
-{
-public:
-    local_token_source(completion_store& requests, request_id request, account_id owner)
-        : store(requests)
-        , id(std::move(request))
-        , account(std::move(owner))
-    {
-    }
-    request::fetched read(token_offset offset) override;
-
-private:
-    completion_store& store;
-    request_id const id;
-    account_id const account;
-};
-
-/// Sends the outcome of a request that failed before its first token.
-void send_failure(httplib::Response& response, request::request_outcome const& outcome);
-
 } // namespace lagoonladder::daemon
 
 #endif
--- a/src/process/daemon/internal/completion_runner.cpp
+++ b/src/process/daemon/internal/completion_runner.cpp
@@ -1,11 +1,9 @@
 #include <completion_runner.hpp>
 
 #include <algorithm>
-#include <thread>
 #include <utility>
 
 #include <admission_gate.hpp>
-#include <traffic_connection_threads.hpp>
 #include <traffic_problem.hpp>
 
 namespace lagoonladder::daemon
@@ -52,12 +50,14 @@
 } // namespace
 
 completion_runner::completion_runner(completion_parts const& shared,
-                                     request::accepted_request accepted, token_offset resume_at)
+                                     request::accepted_request accepted, token_offset resume_at,
+                                     std::shared_ptr<open_request> open)
     : parts(shared)
     , request(std::move(accepted))
     , body(nlohmann::json::parse(this->request.body))
     , assembly(resume_at)
     , version(this->request.version)
+    , counted(std::move(open))
 {
     auto const view = this->parts.context.control.view();
     if (auto const* known = view->shared->configuration.find_service(this->request.service))
@@ -71,24 +71,29 @@
     return this->parts.context.time.now() >= this->deadline;
 }
 
-void completion_runner::run(std::optional<connection::endpoint_record> first)
+void completion_runner::start(std::optional<connection::endpoint_record> const& first)
 {
-    while (true)
-    {
-        if (this->is_past_deadline())
-        {
-            if (first)
-                this->parts.router.attempt_ended(*first, std::nullopt);
-            return this->fail(504, "deadline",
-                              "the deadline passed before the answer was complete");
-        }
-        auto const endpoint = first ? first : this->next_endpoint();
-        first.reset();
-        if (!endpoint)
-            std::this_thread::sleep_for(no_endpoint_wait);
-        else if (!this->try_endpoint(*endpoint))
-            return;
-    }
+    if (!first)
+        return this->next_attempt();
+    if (!this->is_past_deadline())
+        return this->begin_attempt(*first, {});
+    this->parts.router.attempt_ended(*first, std::nullopt);
+    this->next_attempt();
+}
+
+void completion_runner::next_attempt()
+{
+    if (this->is_past_deadline())
+        return this->fail(504, "deadline", "the deadline passed before the answer was complete");
+    if (auto const endpoint = this->next_endpoint())
+        return this->move_cache(*endpoint);
+    this->run_later(no_endpoint_wait);
+}
+
+void completion_runner::run_later(duration delay)
+{
+    daemon::run_later(*this->parts.context.loop, delay,
+                      [runner = this->shared_from_this()] { runner->next_attempt(); });
 }
 
 std::optional<connection::endpoint_record> completion_runner::next_endpoint()
@@ -118,26 +123,27 @@
     return chosen;
 }
 
-kv_export completion_runner::move_cache(connection::endpoint_record const& to)
+void completion_runner::move_cache(connection::endpoint_record const& to)
 {
-    auto moved = std::exchange(this->exported, kv_export());
+    auto const moved = std::exchange(this->exported, kv_export());
     if (moved.handle.empty())
-        return moved;
-    if (!import_kv(to.address, moved, this->cache_source, kv_timeout))
-        moved = kv_export();
-    this->parts.context.metrics.add(
-        "kv_moves_total", {{"result", moved.handle.empty() ? "not_imported" : "imported"}});
-    return moved;
+        return this->begin_attempt(to, {});
+    import_kv(this->parts.calls, to.address, moved, this->cache_source, kv_timeout,
+              [runner = this->shared_from_this(), to, moved](bool is_imported)
+              {
+                  runner->parts.context.metrics.add(
+                      "kv_moves_total", {{"result", is_imported ? "imported" : "not_imported"}});
+                  runner->begin_attempt(to, is_imported ? moved : kv_export());
+              });
 }
 
-std::string completion_runner::attempt_body(attempt_state const& attempt,
-                                            kv_export const& imported) const
+std::string completion_runner::attempt_body(kv_export const& imported) const
 {
     auto extended = this->body;
     extended["stream"] = true;
     // Engines know the attempt and not the request, so that cancelling a superseded
     // attempt cannot end its successor on the same engine.
-    extended["request_id"] = attempt.id;
+    extended["request_id"] = this->current.id;
     extended["priority"] =
         this->request.priority == request::request_priority::draft ? "draft" : "interactive";
     if (this->assembly.next_offset().value() > 0)
@@ -147,7 +153,7 @@
     return extended.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void completion_runner::report_resume(attempt_state const& attempt, bool by_import)
+void completion_runner::report_resume(bool by_import)
 {
     auto const offset = this->assembly.next_offset().value();
     if (!by_import)
@@ -157,16 +163,17 @@
                                     {{"service", this->request.service.value()}});
     this->parts.context.events.emit(severity::info, "request.resumed",
                                     {{"request_id", this->request.id.value()},
-                                     {"endpoint", attempt.endpoint.id.value()},
+                                     {"endpoint", this->current.endpoint.id.value()},
                                      {"offset", std::to_string(offset)},
                                      {"method", by_import ? "kv_import" : "recompute"}});
 }
 
-bool completion_runner::try_endpoint(connection::endpoint_record const& endpoint)
+void completion_runner::begin_attempt(connection::endpoint_record const& endpoint,
+                                      kv_export const& imported)
 {
-    auto const imported = this->move_cache(endpoint);
     bool const by_import = !imported.handle.empty();
-    attempt_state attempt;
+    this->current = attempt_state();
+    auto& attempt = this->current;
     attempt.endpoint = endpoint;
     attempt.id = attempt_id(this->request.id.value() + "/" + this->parts.context.config.vm.value() +
                             "/" + std::to_string(++this->attempt_count));
@@ -174,34 +181,36 @@
         this->assembly.begin_attempt(attempt.id, by_import ? request::resume_method::kv_import
                                                            : request::resume_method::recompute);
     if (this->attempt_count > 1 || resume_at.value() > 0)
-        this->report_resume(attempt, by_import);
+        this->report_resume(by_import);
     attempt.started = attempt.last_token = attempt.last_check = this->parts.context.time.now();
-    attempt_request const posted{
-        endpoint.address, this->request.path, this->attempt_body(attempt, imported),
-        std::clamp<duration>(this->deadline - attempt.started, milliseconds(1),
-                             this->service.progress_timeout)};
-    auto const result = run_attempt(
-        this->parts.upstream, posted,
-        [&](engine_event const& event, std::string_view data)
-        { return this->take_token(attempt, event, data); },
-        [&] { return this->may_continue(attempt); });
-    this->end_attempt(attempt, result);
-    return this->judge(attempt, result);
+    attempt_request const posted{endpoint.address, this->request.path, this->attempt_body(imported),
+                                 std::clamp<duration>(this->deadline - attempt.started,
+                                                      milliseconds(1),
+                                                      this->service.progress_timeout)};
+    auto const started = std::make_shared<engine_attempt>(this->shared_from_this());
+    attempt.attempt = started;
+    started->start(this->parts.calls, posted);
+}
+
+void completion_runner::stop_attempt()
+{
+    if (auto const open = this->current.attempt.lock())
+        open->stop();
 }
 
-bool completion_runner::take_token(attempt_state& attempt, engine_event const& event,
-                                   std::string_view data)
+void completion_runner::on_token(engine_event const& event, std::string_view data)
 {
+    auto& attempt = this->current;
     auto const expected = this->assembly.next_offset();
     token_offset const offset(event.offset.value_or(expected.value()));
     auto const verdict = this->assembly.accept(attempt.id, offset);
     if (verdict == request::token_verdict::gap)
     {
         attempt.has_gap = true;
-        return false;
+        return this->stop_attempt();
     }
     if (verdict != request::token_verdict::forward)
-        return true;
+        return;
     auto const now = this->parts.context.time.now();
     auto& sample = attempt.sample;
     if (attempt.tokens++ == 0)
@@ -211,33 +220,54 @@
     attempt.last_token = now;
     this->failures = 0;
     if (!this->parts.store.append(this->request.id, offset, {std::string(data)}))
-        return false;
+        return this->stop_attempt();
     this->parts.companions.updated(this->request.id, this->assembly.next_offset(), false);
-    return true;
 }
 
-bool completion_runner::may_continue(attempt_state& attempt)
+void completion_runner::on_progress()
 {
+    auto& attempt = this->current;
     auto const now = this->parts.context.time.now();
-    if (now - attempt.last_check < leaving_check_interval)
-        return true;
+    if (attempt.is_leaving || now - attempt.last_check < leaving_check_interval)
+        return;
     attempt.last_check = now;
+    if (now >= this->deadline)
+        return this->stop_attempt();
     auto const view = this->parts.context.control.view();
     auto const* known = find_endpoint(*view, attempt.endpoint);
     attempt.is_leaving = known && known->state == connection::endpoint_state::leaving;
-    if (attempt.is_leaving && attempt.tokens > 0)
-    {
-        // Engines drop the cache of a request whose connection is closed.
-        this->exported = export_kv(attempt.endpoint.address, attempt.id, kv_timeout);
-        this->cache_source = attempt.endpoint.address;
-    }
-    return !attempt.is_leaving && now < this->deadline;
+    if (attempt.is_leaving)
+        this->leave_endpoint();
 }
 
-void completion_runner::end_attempt(attempt_state& attempt, attempt_result const& result)
+void completion_runner::leave_endpoint()
 {
-    auto const now = this->parts.context.time.now();
-    auto const elapsed = now - attempt.started;
+    auto const& attempt = this->current;
+    if (attempt.tokens == 0)
+        return this->stop_attempt();
+    // Engines drop the cache of a request whose connection is closed.
+    if (auto const open = attempt.attempt.lock())
+        open->pause();
+    export_kv(this->parts.calls, attempt.endpoint.address, attempt.id, kv_timeout,
+              [runner = this->shared_from_this()](kv_export const& cache)
+              {
+                  runner->exported = cache;
+                  runner->cache_source = runner->current.endpoint.address;
+                  runner->stop_attempt();
+              });
+}
+
+void completion_runner::on_attempt_end(attempt_result const& result)
+{
+    this->report_attempt_end(result);
+    if (auto const delay = this->judge(result))
+        this->run_later(*delay);
+}
+
+void completion_runner::report_attempt_end(attempt_result const& result)
+{
+    auto& attempt = this->current;
+    auto const elapsed = this->parts.context.time.now() - attempt.started;
     bool const is_fault = result.end == attempt_end::failed || attempt.has_gap;
     request::route_outcome outcome;
     outcome.ok = !is_fault && result.end != attempt_end::busy;
@@ -275,51 +305,48 @@
                                        : result.detail}});
 }
 
-bool completion_runner::judge(attempt_state const& attempt, attempt_result const& result)
+std::optional<duration> completion_runner::judge(attempt_result const& result)
 {
+    auto const& attempt = this->current;
     if (result.end == attempt_end::finished)
     {
         this->assembly.finish(attempt.id, this->assembly.next_offset());
         this->finish({result.finish_reason, "", 0});
-        return false;
+        return std::nullopt;
     }
     this->assembly.abandon();
     auto const state = this->parts.store.state_of(this->request.id);
     if (!state || *state == request::holder_state::handed_over ||
         *state == request::holder_state::finished)
-        return false;
+        return std::nullopt;
     if (result.end == attempt_end::rejected)
     {
         this->fail(result.status, "rejected-by-engine", result.detail);
-        return false;
+        return std::nullopt;
     }
     if (attempt.is_leaving)
-        return true;
+        return duration(0);
     this->excluded.push_back(attempt.endpoint.id);
     if (result.end != attempt_end::stopped || attempt.has_gap)
         ++this->failures;
     if (this->failures >= max_failures)
     {
         this->fail(502, "engine-failed", result.detail);
-        return false;
+        return std::nullopt;
     }
     // The engine may still work on an attempt that was silent or had a gap.
     if (result.status == 200)
-        this->parts.background.run([address = attempt.endpoint.address, id = attempt.id]
-                                   { cancel_on_engine(address, id); });
-    if (this->failures > 1)
-        this->back_off(this->failures);
-    return true;
+        cancel_on_engine(this->parts.calls, attempt.endpoint.address, attempt.id);
+    return this->failures > 1 ? this->back_off() : duration(0);
 }
 
-void completion_runner::back_off(std::uint32_t count)
+duration completion_runner::back_off()
 {
     auto const bound =
-        std::min(base_back_off * (1 << std::min<std::uint32_t>(count, 6)), max_back_off);
+        std::min(base_back_off * (1 << std::min<std::uint32_t>(this->failures, 6)), max_back_off);
     auto const delay = from_seconds(to_seconds(bound) * this->parts.router.random_unit());
     auto const left = this->deadline - this->parts.context.time.now();
-    if (left > duration(0))
-        std::this_thread::sleep_for(std::min(delay, left));
+    return std::clamp(delay, duration(0), std::max(left, duration(0)));
 }
 
 void completion_runner::finish(request::request_outcome outcome)
@@ -328,16 +355,17 @@
     this->parts.companions.updated(this->request.id, this->assembly.next_offset(), true);
 }
 
-void completion_runner::fail(int status, std::string const& type, std::string const& detail)
+void completion_runner::fail(unsigned status, std::string const& type, std::string const& detail)
 {
-    problem failed{status, type, detail, execution::no, this->request.id.value(), seconds(1)};
+    problem failed{static_cast<int>(status), type,      detail, execution::no,
+                   this->request.id.value(), seconds(1)};
     if (this->assembly.next_offset().value() > 0)
         failed.executed = execution::unknown;
     this->parts.context.events.emit(severity::warning, "request.failed",
                                     {{"request_id", this->request.id.value()},
                                      {"status", std::to_string(status)},
                                      {"detail", detail}});
-    this->finish({"", format_problem(failed), static_cast<std::uint32_t>(status)});
+    this->finish({"", format_problem(failed), status});
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/completion_service.cpp
+++ b/src/process/daemon/internal/completion_service.cpp
@@ -12,7 +12,6 @@
     , companion(companion_side)
     // Starts at the wall time, so that a restarted entry does not repeat ids.
     , sequence(shared.context.time.wall_now().time_since_epoch().count())
-    , workers(shared.context.config.max_stored_requests, 0)
 {
 }
 
@@ -25,8 +24,8 @@
     return request::make_request_id(self, other ? other->vm : self, number);
 }
 
-std::shared_ptr<open_request> completion_service::start(request_id const& id,
-                                                        new_completion const& completion)
+void completion_service::start(request_id const& id, new_completion const& completion,
+                               std::function<void(started_completion const&)> done)
 {
     auto& context = this->shared_parts.context;
     auto const view = context.control.view();
@@ -39,30 +38,43 @@
     accepted.body = completion.body;
     accepted.priority = completion.priority;
     accepted.owner = context.config.vm;
+    accepted.deadline = context.time.wall_now() + completion.timeout;
     if (auto const parsed = request::parse_request_id(id))
         accepted.companion = parsed->companion;
 
-    admission_request admission;
-    admission.queued.request_id = id;
-    admission.queued.account = completion.account.name;
-    admission.queued.weight = completion.account.share;
-    admission.queued.priority = completion.priority;
-    admission.queued.deadline = context.time.now() + completion.timeout;
-    admission.queued.expected_work = completion.expected_tokens;
-    admission.query = {completion.service.name, accepted.version, completion.body, {}};
     auto const arrived = context.time.now();
-    auto const endpoint = this->shared_parts.gate.enter(admission);
-    context.metrics.observe_seconds("queue_seconds", {{"service", completion.service.name.value()}},
-                                    to_seconds(context.time.now() - arrived));
-    accepted.deadline = context.time.wall_now() + (admission.queued.deadline - context.time.now());
-    if (!this->shared_parts.store.accept(accepted))
+    admission_request admitted;
+    admitted.queued.request_id = id;
+    admitted.queued.account = completion.account.name;
+    admitted.queued.weight = completion.account.share;
+    admitted.queued.priority = completion.priority;
+    admitted.queued.deadline = arrived + completion.timeout;
+    admitted.queued.expected_work = completion.expected_tokens;
+    admitted.query = {completion.service.name, accepted.version, completion.body, {}};
+    this->shared_parts.gate.enter(
+        admitted,
+        [this, accepted, arrived, done = std::move(done)](admission const& decided)
+        {
+            if (auto const* refused = std::get_if<problem>(&decided))
+                return done(*refused);
+            auto& plane = this->shared_parts.context;
+            plane.metrics.observe_seconds("queue_seconds", {{"service", accepted.service.value()}},
+                                          to_seconds(plane.time.now() - arrived));
+            done(this->accept(accepted, std::get<connection::endpoint_record>(decided)));
+        });
+}
+
+started_completion completion_service::accept(request::accepted_request const& request,
+                                              connection::endpoint_record const& endpoint)
+{
+    if (!this->shared_parts.store.accept(request))
     {
         this->shared_parts.router.attempt_ended(endpoint, std::nullopt);
-        throw refusal({503, "too-many-requests", "this entry holds too many requests",
-                       execution::no, id.value(), seconds(5)});
+        return problem{503,           "too-many-requests", "this entry holds too many requests",
+                       execution::no, request.id.value(),  seconds(5)};
     }
-    this->shared_parts.companions.track(accepted);
-    return this->run(accepted, token_offset(0), endpoint);
+    this->shared_parts.companions.track(request);
+    return this->run(request, token_offset(0), endpoint);
 }
 
 std::shared_ptr<open_request>
@@ -70,20 +82,8 @@
                         std::optional<connection::endpoint_record> const& first)
 {
     auto counted = std::make_shared<open_request>(this->shared_parts.context);
-    this->workers.run(
-        [this, request, resume_at, first, counted]
-        {
-            try
-            {
-                completion_runner(this->shared_parts, request, resume_at).run(first);
-            }
-            catch (std::exception const& failed)
-            {
-                problem internal{500, "internal", failed.what(), execution::unknown,
-                                 request.id.value()};
-                this->shared_parts.store.finish(request.id, {"", format_problem(internal), 500});
-            }
-        });
+    std::make_shared<completion_runner>(this->shared_parts, request, resume_at, counted)
+        ->start(first);
     return counted;
 }
 
--- a/src/process/daemon/internal/completion_service.hpp
+++ b/src/process/daemon/internal/completion_service.hpp
@@ -1,13 +1,12 @@
 #ifndef LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
 #define LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
 
-#include <atomic>
+#include <functional>
 #include <memory>
+#include <variant>
 
 #include <admission_gate.hpp>
 #include <completion_runner.hpp>
-#include <traffic_connection_threads.hpp>
-#include <traffic_upstream.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -27,8 +26,11 @@
     double expected_tokens = 1;
 };
 
-/// Accepts completions and runs them to their end, also those taken over from
-/// other entries. Safe to call from any thread.
+/// A completion that is worked on counts as open while this is kept, or it was refused.
+using started_completion = std::variant<std::shared_ptr<open_request>, problem>;
+
+/// Accepts completions and runs them to their end, also those taken over from other
+/// entries. Used on the traffic thread.
 class completion_service
 {
 public:
@@ -38,19 +40,18 @@
     /// An id that no other request has.
     request_id next_id(control_view const& view);
 
-    /// Admits the request and starts to work on it. It counts as open until its work
-    /// has ended and the result was released. Throws refusal.
-    std::shared_ptr<open_request> start(request_id const& id, new_completion const& completion);
+    /// Admits the request and starts to work on it.
+    void start(request_id const& id, new_completion const& completion,
+               std::function<void(started_completion const&)> done);
 
     /// Takes over the requests of entries that are gone.
     void take_over_lost();
 
-    /// Waits for the requests in progress.
-    void stop() { this->workers.stop(); }
-
     completion_parts const& parts() const { return this->shared_parts; }
 
 private:
+    started_completion accept(request::accepted_request const& request,
+                              connection::endpoint_record const& endpoint);
     std::shared_ptr<open_request> run(request::accepted_request const& request,
                                       token_offset resume_at,
                                       std::optional<connection::endpoint_record> const& first);
@@ -58,8 +59,7 @@
     completion_parts shared_parts;
     traffic_entries& entries;
     requests_service& companion;
-    std::atomic<std::uint64_t> sequence;
-    worker_threads workers;
+    std::uint64_t sequence;
 };
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/completion_store.cpp
+++ b/src/process/daemon/internal/completion_store.cpp
@@ -95,30 +95,21 @@
 }
 
 request::fetched completion_store::read(request_id const& id, account_id const& account,
-                                        token_offset offset, duration wait)
+                                        token_offset offset, change_handler changed)
 {
-    auto const until = std::chrono::steady_clock::now() + wait;
-    std::unique_lock lock(this->mutex);
-    std::shared_ptr<signal> changed;
-    while (true)
-    {
-        auto found = this->journal.fetch(id, account, offset);
-        bool const held_back = found.state == request::holder_state::storing;
-        if (held_back)
-            found.tokens.clear();
-        bool const complete = found.status != request::fetch_status::found ||
-                              !found.tokens.empty() || found.outcome.has_value();
-        if (complete || std::chrono::steady_clock::now() >= until)
-            return found;
-        if (!changed)
-        {
-            auto& known = this->signals[id];
-            if (!known)
-                known = std::make_shared<signal>();
-            changed = known;
-        }
-        changed->wait_until(lock, until);
-    }
+    std::lock_guard const lock(this->mutex);
+    auto found = this->journal.fetch(id, account, offset);
+    if (found.state == request::holder_state::storing)
+        found.tokens.clear();
+    if (changed && !is_worth_sending(found))
+        this->handlers[id].push_back(std::move(changed));
+    return found;
+}
+
+bool completion_store::is_worth_sending(request::fetched const& found)
+{
+    return found.status != request::fetch_status::found || !found.tokens.empty() ||
+           found.outcome.has_value();
 }
 
 std::optional<request::holder_state> completion_store::state_of(request_id const& id) const
@@ -137,8 +128,15 @@
 {
     std::lock_guard const lock(this->mutex);
     this->journal.expire(this->context.time.now());
-    for (auto known = this->signals.begin(); known != this->signals.end();)
-        known = known->second.use_count() == 1 ? this->signals.erase(known) : std::next(known);
+    // Readers of a request that was dropped learn so.
+    std::vector<request_id> dropped;
+    for (auto const& [id, waiting] : this->handlers)
+    {
+        if (!this->journal.state_of(id))
+            dropped.push_back(id);
+    }
+    for (auto const& id : dropped)
+        this->notify(id);
 }
 
 std::size_t completion_store::size() const
@@ -149,9 +147,13 @@
 
 void completion_store::notify(request_id const& id)
 {
-    auto const known = this->signals.find(id);
-    if (known != this->signals.end())
-        known->second->notify_all();
+    auto const known = this->handlers.find(id);
+    if (known == this->handlers.end())
+        return;
+    auto const due = std::move(known->second);
+    this->handlers.erase(known);
+    for (auto const& changed : due)
+        changed();
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/completion_store.hpp
+++ b/src/process/daemon/internal/completion_store.hpp
@@ -1,21 +1,24 @@
 #ifndef LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
 #define LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
 
-#include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 #include <traffic_context.hpp>
 
 namespace lagoonladder::daemon
 {
 
-/// Accepted completions of this entry, shared by the threads that produce tokens
-/// and those that read them. Safe to call from any thread.
+/// Accepted completions of this entry, shared by the traffic thread and the calls of
+/// other entries. Safe to call from any thread.
 class completion_store
 {
 public:
+    using change_handler = std::function<void()>;
+
     explicit completion_store(traffic_context& shared);
 
     /// Owner: false when the store is full.
@@ -35,10 +38,13 @@
     bool append(request_id const& id, token_offset offset, std::vector<std::string> const& tokens);
     void finish(request_id const& id, request::request_outcome outcome);
 
-    /// Tokens from `offset` on; waits up to `wait` for the first one or the outcome.
-    /// Tokens of a request that its companion does not hold yet are not shown.
+    /// Tokens from `offset` on. Tokens of a request that its companion does not hold yet
+    /// are not shown. When there is nothing to send, `changed` is called once, at the next
+    /// change of the request, on any thread; it must not call the store.
     request::fetched read(request_id const& id, account_id const& account, token_offset offset,
-                          duration wait);
+                          change_handler changed = {});
+    /// Whether a read is over: it has tokens or the outcome, or the request is not held.
+    static bool is_worth_sending(request::fetched const& found);
     std::optional<request::holder_state> state_of(request_id const& id) const;
     std::optional<token_offset> next_offset(request_id const& id) const;
 
@@ -47,15 +53,13 @@
     std::size_t size() const;
 
 private:
-    using signal = std::condition_variable;
-
     void notify(request_id const& id);
 
     traffic_context& context;
     mutable std::mutex mutex;
     request::request_journal journal;
-    /// One per request, so that a token wakes only the readers of its request.
-    std::map<request_id, std::shared_ptr<signal>> signals;
+    /// By request, so that a token wakes only the readers of its request.
+    std::map<request_id, std::vector<change_handler>> handlers;
 };
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/consensus_driver.hpp
+++ b/src/process/daemon/internal/consensus_driver.hpp
@@ -20,20 +20,6 @@
 namespace lagoonladder::daemon
 {
 
-enum class proposal_status
-{
-    committed,
-    /// Not proposed, or replaced by another entry: it never takes effect.
-    not_proposed,
-    unknown
-};
-
-struct proposal_outcome
-{
-    proposal_status status = proposal_status::unknown;
-    version::command_result result;
-};
-
 consensus::node_options make_node_options(settings const& config, consensus::voter_id self);
 
 /// Runs the consensus node of a VM with a data folder and the control state
@@ -42,7 +28,7 @@
 class consensus_driver
 {
 public:
-    using proposal_handler = std::function<void(proposal_outcome const&)>;
+    using proposal_handler = control_plane::proposal_handler;
     /// Called with true once the state reflects everything committed before the read began.
     using read_handler = std::function<void(bool)>;
 
--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/daemon/internal/control_loop.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint32_t reports_per_step = 2;
 /// Added to the wait of the calling thread, so that the control thread decides
 /// whether a command is unknown.
-constexpr duration caller_grace = seconds(1);
 
 } // namespace
 
@@ -131,32 +130,16 @@
     return this->published.load();
 }
 
-version::command_result control_loop::propose(version::command_body body, duration timeout)
+void control_loop::propose(version::command_body body, duration timeout, proposal_handler done)
 {
-    auto const answer = std::make_shared<std::promise<proposal_outcome>>();
-    auto future = answer->get_future();
-    this->post(
-        [this, answer, timeout, body = std::move(body)]
-        {
-            this->client.propose(body, this->time.now() + timeout,
-                                 [answer](proposal_outcome const& outcome)
-                                 { answer->set_value(outcome); });
-        });
-    if (future.wait_for(timeout + caller_grace) != std::future_status::ready)
-        throw outcome_unknown_error("the control thread did not answer in time");
-    auto const outcome = future.get();
-    if (outcome.status == proposal_status::not_proposed)
-        throw not_proposed_error("no leader took the command in time; nothing was changed");
-    if (outcome.status == proposal_status::unknown)
-        throw outcome_unknown_error("no quorum confirmed the command in time");
-    return outcome.result;
+    this->post([this, body = std::move(body), timeout, done = std::move(done)]
+               { this->client.propose(body, this->time.now() + timeout, done); });
 }
 
-void control_loop::propose_async(version::command_body body, duration timeout,
-                                 std::function<void(proposal_outcome const&)> done)
+void control_loop::find_once(request::once_key const& key, duration timeout, find_handler done)
 {
-    this->post([this, body = std::move(body), timeout, done = std::move(done)]
-               { this->client.propose(body, this->time.now() + timeout, done); });
+    this->post([this, key, timeout, done = std::move(done)]
+               { this->client.find_once(key, this->time.now() + timeout, done); });
 }
 
 std::shared_ptr<proxy::traffic_view const> control_loop::traffic() const
@@ -179,30 +162,6 @@
     this->post([this, target] { this->platform_duties.set_platform(target); });
 }
 
-std::optional<request::once_reply> control_loop::find_once(request::once_key const& key,
-                                                           duration timeout)
-{
-    using find_status = leader_client::find_status;
-    using answer_type = std::pair<find_status, std::optional<request::once_reply>>;
-    auto const answer = std::make_shared<std::promise<answer_type>>();
-    auto future = answer->get_future();
-    this->post(
-        [this, answer, key, timeout]
-        {
-            this->client.find_once(
-                key, this->time.now() + timeout,
-                [answer](find_status status, std::optional<request::once_reply> const& reply) {
-                    answer->set_value({status, reply});
-                });
-        });
-    if (future.wait_for(timeout + caller_grace) != std::future_status::ready)
-        throw outcome_unknown_error("the control thread did not answer in time");
-    auto const [status, reply] = future.get();
-    if (status == find_status::unavailable)
-        throw outcome_unknown_error("no quorum answered in time");
-    return reply;
-}
-
 void control_loop::announce(connection::endpoint_record record)
 {
     this->post([this, record = std::move(record)] { this->directories.announce(record); });
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/daemon/internal/control_loop.hpp
@@ -44,19 +44,14 @@
     void stop();
 
     std::shared_ptr<control_view const> view() const override;
-    version::command_result propose(version::command_body body, duration timeout) override;
-    std::optional<request::once_reply> find_once(request::once_key const& key,
-                                                 duration timeout) override;
+    void propose(version::command_body body, duration timeout, proposal_handler done) override;
+    void find_once(request::once_key const& key, duration timeout, find_handler done) override;
     void announce(connection::endpoint_record record) override;
     void remove_endpoint(endpoint_id const& id) override;
     void record_traffic(version::traffic_sample const& sample) override;
     void set_leaving(vm_id const& vm) override;
     void set_open_requests(std::uint32_t count) override;
 
-    /// Commits a command; `done` is called on the control thread.
-    void propose_async(version::command_body body, duration timeout,
-                       std::function<void(proposal_outcome const&)> done);
-
     /// Control state for pass-through calls.
     std::shared_ptr<proxy::traffic_view const> traffic() const;
     usage_counter& usage() { return this->usage_counts; }
--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/daemon/internal/control_services.cpp
@@ -223,7 +223,6 @@
         return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
     }
     auto const timeout = remaining(*context);
-    using find_status = leader_client::find_status;
     using answer_type = std::pair<find_status, std::optional<request::once_reply>>;
     auto const found = ask_control<answer_type>(
         this->control, timeout,
--- /dev/null
+++ b/src/process/daemon/internal/endpoint_calls.cpp
@@ -0,0 +1,244 @@
+#include <endpoint_calls.hpp>
+
+namespace lagoonladder::daemon
+{
+
+namespace
+{
+
+// Answers are held in memory, so their size is bounded.
+constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+
+// A connect takes one round trip; 1 s allows for one lost packet of the handshake.
+constexpr duration connect_timeout = milliseconds(1500);
+
+http::client_options make_options(std::size_t max_idle)
+{
+    http::client_options options;
+    options.connect_timeout = connect_timeout;
+    options.max_idle_for_address = max_idle;
+    return options;
+}
+
+/// Watches the progress of one call, and repeats it once on a new connection if allowed.
+class watched_call : public endpoint_call,
+                     public http::response_observer,
+                     public std::enable_shared_from_this<watched_call>
+{
+public:
+    watched_call(asio::io_context& loop, http::client& connections, network_address to,
+                 std::shared_ptr<std::string const> bytes, duration longest_silence,
+                 std::shared_ptr<response_receiver> target)
+        : client(connections)
+        , address(std::move(to))
+        , request(std::move(bytes))
+        , progress_timeout(longest_silence)
+        , receiver(std::move(target))
+        , timer(loop)
+    {
+    }
+
+    void start()
+    {
+        this->last_progress = std::chrono::steady_clock::now();
+        this->call = this->client.send(this->address, this->request, this->shared_from_this());
+        this->watch();
+    }
+
+    void cancel() override
+    {
+        this->receiver.reset();
+        this->timer.cancel();
+        if (auto const open = std::exchange(this->call, nullptr))
+            open->cancel();
+    }
+
+    void pause() override
+    {
+        this->timer.cancel();
+        if (this->call)
+            this->call->pause();
+    }
+
+    http::head_action on_head(http::response_head const& head) override
+    {
+        this->has_response = true;
+        this->note_progress();
+        if (auto const target = this->receiver)
+            target->on_head(head);
+        return http::head_action::accept;
+    }
+
+    void on_body(std::string_view bytes) override
+    {
+        this->note_progress();
+        if (auto const target = this->receiver)
+            target->on_bytes(bytes);
+    }
+
+    void on_end() override { this->end(call_result::complete); }
+
+    void on_failure(http::call_failure failure, std::string const&) override
+    {
+        if (failure == http::call_failure::not_sent)
+            return this->end(call_result::not_connected);
+        bool const was_closed =
+            this->call && this->call->is_on_kept_connection() && !this->has_response;
+        if (!was_closed || this->is_repeated)
+            return this->end(call_result::broken);
+        this->is_repeated = true;
+        // Other kept connections to the address are likely to be closed as well.
+        this->client.forget(this->address);
+        this->call = this->client.send(this->address, this->request, this->shared_from_this());
+    }
+
+private:
+    void note_progress() { this->last_progress = std::chrono::steady_clock::now(); }
+
+    void watch()
+    {
+        this->timer.expires_at(this->last_progress + this->progress_timeout);
+        this->timer.async_wait(
+            [weak = this->weak_from_this()](asio::error_code const& cancelled)
+            {
+                auto const self = weak.lock();
+                if (!cancelled && self && self->receiver)
+                    self->check_progress();
+            });
+    }
+
+    void check_progress()
+    {
+        auto const silence = std::chrono::steady_clock::now() - this->last_progress;
+        if (silence < this->progress_timeout)
+            return this->watch();
+        bool const was_sent = this->call && this->call->may_have_sent();
+        if (this->call)
+            this->call->cancel();
+        this->end(was_sent ? call_result::broken : call_result::not_connected);
+    }
+
+    void end(call_result result)
+    {
+        this->timer.cancel();
+        this->call.reset();
+        if (auto const target = std::exchange(this->receiver, nullptr))
+            target->on_call_end(result);
+    }
+
+    http::client& client;
+    network_address const address;
+    std::shared_ptr<std::string const> const request;
+    duration const progress_timeout;
+    std::shared_ptr<response_receiver> receiver;
+    std::shared_ptr<http::client_call> call;
+    asio::steady_timer timer;
+    std::chrono::steady_clock::time_point last_progress{};
+    bool has_response = false;
+    bool is_repeated = false;
+};
+
+/// Collects a response in memory.
+class whole_receiver : public response_receiver
+{
+public:
+    explicit whole_receiver(response_handler handler)
+        : done(std::move(handler))
+    {
+    }
+
+    void on_head(http::response_head const& head) override { this->response.head = head; }
+
+    void on_bytes(std::string_view bytes) override
+    {
+        this->is_too_large = this->response.body.size() + bytes.size() > max_answer_bytes;
+        if (!this->is_too_large)
+            this->response.body += bytes;
+        else if (auto const open = this->call.lock())
+        {
+            open->cancel();
+            this->finish(call_result::broken);
+        }
+    }
+
+    void on_call_end(call_result result) override { this->finish(result); }
+
+    /// Weak, since the call keeps its receiver.
+    std::weak_ptr<endpoint_call> call;
+
+private:
+    void finish(call_result result)
+    {
+        if (auto const handler = std::exchange(this->done, nullptr))
+            handler(result, this->response);
+    }
+
+    response_handler done;
+    whole_response response;
+    bool is_too_large = false;
+};
+
+std::shared_ptr<endpoint_call> start_call(asio::io_context& loop, http::client& client,
+                                          network_address const& address, http::request_head head,
+                                          std::string const& body, duration progress_timeout,
+                                          std::shared_ptr<response_receiver> receiver)
+{
+    head.headers.set("Host", address.value());
+    auto const bytes = std::make_shared<std::string const>(http::format_request(head, body));
+    auto const call = std::make_shared<watched_call>(loop, client, address, bytes, progress_timeout,
+                                                     std::move(receiver));
+    call->start();
+    return call;
+}
+
+} // namespace
+
+endpoint_calls::endpoint_calls(traffic_context& shared)
+    : context(shared)
+    , kept_connections(*shared.loop, make_options(http::client_options().max_idle_for_address),
+                       shared.time)
+    , single_connections(*shared.loop, make_options(0), shared.time)
+{
+}
+
+std::shared_ptr<endpoint_call> endpoint_calls::start(network_address const& address,
+                                                     http::request_head head,
+                                                     std::string const& body,
+                                                     duration progress_timeout,
+                                                     std::shared_ptr<response_receiver> receiver)
+{
+    return start_call(*this->context.loop, this->kept_connections, address, std::move(head), body,
+                      progress_timeout, std::move(receiver));
+}
+
+std::shared_ptr<endpoint_call>
+endpoint_calls::start_once(network_address const& address, http::request_head head,
+                           std::string const& body, duration progress_timeout,
+                           std::shared_ptr<response_receiver> receiver)
+{
+    head.headers.set("Connection", "close");
+    return start_call(*this->context.loop, this->single_connections, address, std::move(head), body,
+                      progress_timeout, std::move(receiver));
+}
+
+std::shared_ptr<endpoint_call> endpoint_calls::fetch(network_address const& address,
+                                                     http::request_head head,
+                                                     std::string const& body,
+                                                     duration progress_timeout, bool once,
+                                                     response_handler done)
+{
+    auto const receiver = std::make_shared<whole_receiver>(std::move(done));
+    auto const call =
+        once ? this->start_once(address, std::move(head), body, progress_timeout, receiver)
+             : this->start(address, std::move(head), body, progress_timeout, receiver);
+    receiver->call = call;
+    return call;
+}
+
+void endpoint_calls::stop()
+{
+    this->kept_connections.stop();
+    this->single_connections.stop();
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/engine_attempt.cpp
+++ b/src/process/daemon/internal/engine_attempt.cpp
@@ -1,7 +1,5 @@
 #include <engine_attempt.hpp>
 
-#include <traffic_upstream.hpp>
-
 namespace lagoonladder::daemon
 {
 
@@ -13,113 +11,167 @@
 // Bytes of an engine's error answer that go into the detail of the refusal.
 constexpr std::size_t max_detail = 500;
 
-attempt_result judge_status(int status, std::string const& body)
-{
-    attempt_result result;
-    result.status = status;
-    result.detail =
-        "the engine answered status " + std::to_string(status) + ": " + body.substr(0, max_detail);
-    if (status == 429 || status == 503)
-        result.end = attempt_end::busy;
-    else if (status >= 400 && status < 500 && status != 408)
-        result.end = attempt_end::rejected;
-    return result;
+using json_handler = std::function<void(std::optional<nlohmann::json> const&)>;
+
+http::request_head post_head(std::string const& path)
+{
+    http::request_head head{"POST", path, {}};
+    head.headers.add("Content-Type", "application/json");
+    return head;
 }
 
-/// Answer of status 200, or no value.
-std::optional<nlohmann::json> post_json(network_address const& address, std::string const& path,
-                                        nlohmann::json const& body, duration timeout)
-{
-    httplib::Request request;
-    request.method = "POST";
-    request.path = path;
-    request.headers.emplace("Content-Type", "application/json");
-    request.body = body.dump();
-    httplib::Response response;
-    auto const result =
-        upstream_connections::call_once(address, timeout, timeout, request, response);
-    if (result != upstream_result::complete || response.status != 200)
-        return std::nullopt;
-    return nlohmann::json::parse(response.body, nullptr, false);
+/// `done` gets the answer of status 200, or no value.
+void post_json(endpoint_calls& calls, network_address const& address, std::string const& path,
+               nlohmann::json const& body, duration timeout, json_handler done)
+{
+    calls.fetch(address, post_head(path), body.dump(), timeout, true,
+                [done = std::move(done)](call_result result, whole_response const& response)
+                {
+                    if (result != call_result::complete || response.head.status != 200)
+                        return done(std::nullopt);
+                    done(nlohmann::json::parse(response.body, nullptr, false));
+                });
+}
+
+kv_export read_export(std::optional<nlohmann::json> const& answer)
+{
+    kv_export exported;
+    if (!answer || !answer->is_object())
+        return exported;
+    auto const handle = answer->find("handle");
+    auto const tokens = answer->find("tokens");
+    if (handle == answer->end() || !handle->is_string())
+        return exported;
+    exported.handle = handle->get<std::string>();
+    if (tokens != answer->end() && tokens->is_number_unsigned())
+        exported.tokens = tokens->get<std::uint64_t>();
+    return exported;
 }
 
 } // namespace
 
-attempt_result run_attempt(upstream_connections& upstream, attempt_request const& attempt,
-                           token_handler const& on_token, continue_check const& may_continue)
+void engine_attempt::start(endpoint_calls& calls, attempt_request const& request)
+{
+    this->call = calls.start(request.address, post_head(request.path), request.body,
+                             request.progress_timeout, this->shared_from_this());
+}
+
+void engine_attempt::stop()
+{
+    if (auto const open = this->call.lock())
+        open->cancel();
+    this->end({attempt_end::stopped, this->status, "the attempt was ended", ""});
+}
+
+void engine_attempt::pause()
+{
+    if (auto const open = this->call.lock())
+        open->pause();
+}
+
+void engine_attempt::on_head(http::response_head const& head)
+{
+    this->status = head.status;
+}
+
+bool engine_attempt::take_event(std::string_view data)
+{
+    auto const event = read_engine_event(data);
+    this->has_end_event = this->has_end_event || event.is_end;
+    this->has_error_event = event.is_error;
+    if (!event.finish_reason.empty())
+        this->finish_reason = event.finish_reason;
+    if (this->has_error_event)
+        return false;
+    auto const target = this->receiver;
+    if (event.is_token && target)
+        target->on_token(event, data);
+    return !this->is_over;
+}
+
+void engine_attempt::on_bytes(std::string_view bytes)
 {
-    event_stream_parser parser;
-    std::string refused_body;
-    std::string finish_reason;
-    bool ended = false;
-    bool engine_failed = false;
-    int status = 0;
-    auto const on_event = [&](std::string_view data)
+    if (this->is_over)
+        return;
+    if (this->status != 200)
     {
-        auto const event = read_engine_event(data);
-        ended = ended || event.is_end;
-        engine_failed = event.is_error;
-        if (!event.finish_reason.empty())
-            finish_reason = event.finish_reason;
-        return !engine_failed && (!event.is_token || on_token(event, data));
-    };
-    httplib::Request request;
-    request.method = "POST";
-    request.path = attempt.path;
-    request.headers.emplace("Content-Type", "application/json");
-    request.body = attempt.body;
-    request.response_handler = [&](httplib::Response const& response)
+        this->refused_body.append(bytes.substr(0, max_detail - this->refused_body.size()));
+        return;
+    }
+    bool const is_readable =
+        this->parser.feed(bytes, [this](std::string_view data) { return this->take_event(data); });
+    if (this->is_over)
+        return;
+    if (!is_readable)
     {
-        status = response.status;
-        return true;
-    };
-    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+        if (auto const open = this->call.lock())
+            open->cancel();
+        return this->on_call_end(call_result::broken);
+    }
+    if (auto const target = this->receiver)
+        target->on_progress();
+}
+
+void engine_attempt::on_call_end(call_result result)
+{
+    this->end(this->judge(result));
+}
+
+attempt_result engine_attempt::judge(call_result result) const
+{
+    if (this->status != 0 && this->status != 200)
     {
-        if (status != 200)
-        {
-            refused_body.append(data, std::min(size, max_detail));
-            return refused_body.size() < event_stream_parser::max_event;
-        }
-        return parser.feed({data, size}, on_event) && may_continue();
-    };
-    httplib::Response response;
-    auto const sent = upstream.call(attempt.address, attempt.progress_timeout, request, response);
-    if (status != 0 && status != 200)
-        return judge_status(status, refused_body);
-    if (!finish_reason.empty() || ended)
-        return {attempt_end::finished, 200, "", finish_reason.empty() ? "stop" : finish_reason};
-    if (engine_failed)
-        return {attempt_end::failed, status, "the engine reported an error in the stream", ""};
-    if (sent == upstream_result::stopped)
-        return {attempt_end::stopped, status, "the attempt was ended", ""};
-    if (sent == upstream_result::not_connected)
+        auto end = attempt_end::failed;
+        if (this->status == 429 || this->status == 503)
+            end = attempt_end::busy;
+        else if (this->status >= 400 && this->status < 500 && this->status != 408)
+            end = attempt_end::rejected;
+        return {end, this->status,
+                "the engine answered status " + std::to_string(this->status) + ": " +
+                    this->refused_body,
+                ""};
+    }
+    if (!this->finish_reason.empty() || this->has_end_event)
+        return {attempt_end::finished, 200, "",
+                this->finish_reason.empty() ? "stop" : this->finish_reason};
+    if (this->has_error_event)
+        return {attempt_end::failed, this->status, "the engine reported an error in the stream",
+                ""};
+    if (result == call_result::not_connected)
         return {attempt_end::failed, 0, "the engine cannot be reached", ""};
-    return {attempt_end::failed, status, "the stream broke or was silent", ""};
+    return {attempt_end::failed, this->status, "the stream broke or was silent", ""};
 }
 
-void cancel_on_engine(network_address const& address, attempt_id const& id)
+void engine_attempt::end(attempt_result const& result)
 {
-    post_json(address, "/v1/cancel", {{"request_id", id}}, cancel_timeout);
+    if (std::exchange(this->is_over, true))
+        return;
+    auto const self = this->shared_from_this();
+    if (auto const target = std::exchange(this->receiver, nullptr))
+        target->on_attempt_end(result);
 }
 
-kv_export export_kv(network_address const& address, attempt_id const& id, duration timeout)
+void cancel_on_engine(endpoint_calls& calls, network_address const& address, attempt_id const& id)
 {
-    auto const answer = post_json(address, "/v1/kv/export", {{"request_id", id}}, timeout);
-    kv_export exported;
-    if (!answer || !answer->is_object() || !answer->contains("handle") ||
-        !(*answer)["handle"].is_string())
-        return exported;
-    exported.handle = (*answer)["handle"];
-    exported.tokens = answer->value("tokens", std::uint64_t(0));
-    return exported;
+    post_json(calls, address, "/v1/cancel", {{"request_id", id}}, cancel_timeout,
+              [](std::optional<nlohmann::json> const&) {});
+}
+
+void export_kv(endpoint_calls& calls, network_address const& address, attempt_id const& id,
+               duration timeout, std::function<void(kv_export const&)> done)
+{
+    post_json(calls, address, "/v1/kv/export", {{"request_id", id}}, timeout,
+              [done = std::move(done)](std::optional<nlohmann::json> const& answer)
+              { done(read_export(answer)); });
 }
 
-bool import_kv(network_address const& address, kv_export const& exported,
-               network_address const& source, duration timeout)
+void import_kv(endpoint_calls& calls, network_address const& address, kv_export const& exported,
+               network_address const& source, duration timeout, std::function<void(bool)> done)
 {
-    auto const answer = post_json(address, "/v1/kv/import",
-                                  {{"handle", exported.handle}, {"source", source}}, timeout);
-    return answer.has_value();
+    post_json(calls, address, "/v1/kv/import", {{"handle", exported.handle}, {"source", source}},
+              timeout,
+              [done = std::move(done)](std::optional<nlohmann::json> const& answer)
+              { done(answer.has_value()); });
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/leader_client.hpp
+++ b/src/process/daemon/internal/leader_client.hpp
@@ -18,14 +18,7 @@
 public:
     using proposal_handler = consensus_driver::proposal_handler;
 
-    enum class find_status
-    {
-        found,
-        not_found,
-        unavailable
-    };
-    using find_handler =
-        std::function<void(find_status, std::optional<request::once_reply> const&)>;
+    using find_handler = control_plane::find_handler;
 
     /// `own_node` is null on a VM without a log.
     leader_client(std::shared_ptr<asio::io_context> io, settings const& config,
--- /dev/null
+++ b/src/process/daemon/internal/local_token_source.hpp
@@ -0,0 +1,39 @@
+#ifndef LAGOONLADDER_DAEMON_LOCAL_TOKEN_SOURCE_HPP
+#define LAGOONLADDER_DAEMON_LOCAL_TOKEN_SOURCE_HPP
+
+#include <memory>
+
+#include <completion_store.hpp>
+#include <token_source.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Tokens of a request that this entry holds.
+class local_token_source : public token_source,
+                           public std::enable_shared_from_this<local_token_source>
+{
+public:
+    local_token_source(std::shared_ptr<asio::io_context> const& io, completion_store& requests,
+                       request_id request, account_id owner);
+
+    void read(token_offset offset, handler done) override;
+
+private:
+    void look();
+    void finish(request::fetched found);
+
+    std::weak_ptr<asio::io_context> loop;
+    completion_store& store;
+    request_id const id;
+    account_id const account;
+    asio::steady_timer timer;
+    token_offset next;
+    handler waiting;
+    /// The store tells of the next change.
+    bool is_listening = false;
+};
+
+} // namespace lagoonladder::daemon
+
+#endif
--- a/src/process/daemon/internal/once_status.cpp
+++ b/src/process/daemon/internal/once_status.cpp
@@ -10,24 +10,6 @@
 namespace
 {
 
-std::string percent_encoded(std::string const& text)
-{
-    static constexpr char digits[] = "0123456789ABCDEF";
-    std::string encoded;
-    for (unsigned char const c : text)
-    {
-        if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '~')
-        {
-            encoded += static_cast<char>(c);
-            continue;
-        }
-        encoded += '%';
-        encoded += digits[c >> 4];
-        encoded += digits[c & 15];
-    }
-    return encoded;
-}
-
 std::pair<char const*, execution> state_of(request::once_verdict verdict)
 {
     switch (verdict)
@@ -48,6 +30,24 @@
 
 } // namespace
 
+std::string percent_encoded(std::string const& text)
+{
+    static constexpr char digits[] = "0123456789ABCDEF";
+    std::string encoded;
+    for (unsigned char const c : text)
+    {
+        if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '~')
+        {
+            encoded += static_cast<char>(c);
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[c >> 4];
+        encoded += digits[c & 15];
+    }
+    return encoded;
+}
+
 std::string once_location(request_id const& id, request::once_key const& key)
 {
     return "/v1/requests/" + percent_encoded(id.value()) +
--- a/src/process/daemon/internal/operator_api.cpp
+++ b/src/process/daemon/internal/operator_api.cpp
@@ -2,12 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
-#include <future>
-
-#include <control.grpc.pb.h>
-#include <httplib.h>
 
 #include "event_collector.hpp"
+#include "route_table.hpp"
 #include "traffic_problem.hpp"
 #include "traffic_secret.hpp"
 
@@ -17,34 +14,22 @@
 namespace
 {
 
-constexpr char const* json_type = "application/json";
 constexpr duration apply_timeout = seconds(5);
 constexpr std::size_t default_event_limit = 200;
 constexpr std::size_t max_event_limit = 10'000;
-
-void send_problem(httplib::Response& response, problem const& value)
-{
-    response.status = value.status;
-    response.set_content(format_problem(value), "application/problem+json");
-}
-
-void send_json(httplib::Response& response, int status, nlohmann::json const& body)
-{
-    response.status = status;
-    response.set_content(body.dump(), json_type);
-}
+constexpr std::size_t collector_threads = 1;
 
 problem bad_request(std::string detail)
 {
     return {400, "bad-request", std::move(detail), execution::no, {}, seconds(1), {}};
 }
 
-std::uint64_t number_parameter(httplib::Request const& request, char const* name,
+std::uint64_t number_parameter(api_exchange const& exchange, char const* name,
                                std::uint64_t fallback)
 {
-    if (!request.has_param(name))
+    if (!exchange.has_parameter(name))
         return fallback;
-    auto const text = request.get_param_value(name);
+    auto const text = exchange.parameter(name);
     std::uint64_t value = 0;
     auto const parsed = std::from_chars(text.data(), text.data() + text.size(), value);
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
@@ -106,13 +91,34 @@
     return state == move_state::finished ? "finished" : "reversed";
 }
 
-int status_of(version::apply_outcome outcome)
+unsigned status_of(version::apply_outcome outcome)
 {
     if (outcome == version::apply_outcome::conflict)
         return 409;
     return outcome == version::apply_outcome::invalid ? 400 : 200;
 }
 
+nlohmann::json describe(collected_events const& collected)
+{
+    nlohmann::json out;
+    out["unreachable"] = collected.unreachable;
+    out["events"] = nlohmann::json::array();
+    for (auto const& entry : collected.events)
+    {
+        nlohmann::json fields = nlohmann::json::object();
+        for (auto const& field : entry.fields)
+            fields[field.key] = field.value;
+        out["events"].push_back({{"when_us", entry.when.wall.time_since_epoch().count()},
+                                 {"counter", entry.when.counter},
+                                 {"when", format_wall_time(entry.when.wall)},
+                                 {"vm", entry.vm},
+                                 {"level", observability::to_string(entry.level)},
+                                 {"name", entry.name},
+                                 {"fields", fields}});
+    }
+    return out;
+}
+
 } // namespace
 
 operator_api::operator_api(settings const& config, control_plane& plane,
@@ -121,62 +127,54 @@
     , control(plane)
     , events(log)
     , peers(channels)
+    , collectors(collector_threads)
+{
+}
+
+operator_api::~operator_api()
 {
+    this->collectors.join();
 }
 
-void operator_api::register_routes(httplib::Server& server)
+void operator_api::register_routes(route_table& routes)
 {
-    auto const guarded = [this](auto action)
+    auto const authorised = [this](auto action)
     {
-        return [this, action](httplib::Request const& request, httplib::Response& response)
+        return [this, action](exchange_pointer const& exchange)
         {
-            if (!this->authorise(request, response))
-                return;
-            try
-            {
-                action(request, response);
-            }
-            catch (refusal const& refused)
-            {
-                send_problem(response, refused.details);
-            }
+            this->authorise(*exchange);
+            action(exchange);
         };
     };
-    server.Get("/v1/operator/status",
-               guarded([this](auto const&, auto& response) { this->status(response); }));
-    server.Get("/v1/operator/moves",
-               guarded([this](auto const&, auto& response) { this->moves(response); }));
-    server.Get("/v1/operator/events", guarded([this](auto const& request, auto& response)
-                                              { this->list_events(request, response); }));
-    server.Get("/v1/operator/configuration", guarded([this](auto const&, auto& response)
-                                                     { this->read_configuration(response); }));
-    server.Put("/v1/operator/configuration",
-               guarded([this](auto const& request, auto& response)
-                       { this->apply_configuration(request, response); }));
-    server.Post("/v1/operator/drain", guarded([this](auto const& request, auto& response)
-                                              { this->drain(request, response); }));
+    routes.add("GET", "/v1/operator/status",
+               authorised([this](auto const& exchange) { this->status(*exchange); }));
+    routes.add("GET", "/v1/operator/moves",
+               authorised([this](auto const& exchange) { this->moves(*exchange); }));
+    routes.add("GET", "/v1/operator/events",
+               authorised([this](auto const& exchange) { this->list_events(exchange); }));
+    routes.add("GET", "/v1/operator/configuration",
+               authorised([this](auto const& exchange) { this->read_configuration(*exchange); }));
+    routes.add("PUT", "/v1/operator/configuration",
+               authorised([this](auto const& exchange) { this->apply_configuration(exchange); }));
+    routes.add("POST", "/v1/operator/drain",
+               authorised([this](auto const& exchange) { this->drain(*exchange); }));
 }
 
-bool operator_api::authorise(httplib::Request const& request, httplib::Response& response)
+void operator_api::authorise(api_exchange const& exchange)
 {
-    auto const given = request.get_header_value("Authorization");
+    auto const given = exchange.header("Authorization");
     if (secret_equals(given, "Bearer " + this->options.operator_token))
-        return true;
+        return;
     this->events.emit(severity::warning, "operator.refused",
-                      {{"path", request.path},
-                       {"remote", request.remote_addr},
+                      {{"path", exchange.path()},
+                       {"remote", exchange.caller()},
                        {"reason", given.empty() ? "no token" : "wrong token"}});
-    send_problem(response, {401,
-                            "unauthorised",
-                            "operator calls need \"Authorization: Bearer\" with the operator token",
-                            execution::no,
-                            {},
-                            seconds(1),
-                            {}});
-    return false;
+    throw refusal({401, "unauthorised",
+                   "operator calls need \"Authorization: Bearer\" with the operator token",
+                   execution::no});
 }
 
-void operator_api::status(httplib::Response& response) const
+void operator_api::status(api_exchange& exchange) const
 {
     auto const view = this->control.view();
     nlohmann::json out;
@@ -204,10 +202,10 @@
         out["warnings"].push_back(
             "no quorum was heard lately: this view may be old, and calls that "
             "need the quorum get the answer \"unknown\"");
-    send_json(response, 200, out);
+    exchange.respond_json(200, out.dump());
 }
 
-void operator_api::moves(httplib::Response& response) const
+void operator_api::moves(api_exchange& exchange) const
 {
     auto const view = this->control.view();
     nlohmann::json out;
@@ -219,92 +217,86 @@
             row["state"] = name_of(move.state);
             out["moves"].push_back(std::move(row));
         }
-    send_json(response, 200, out);
+    exchange.respond_json(200, out.dump());
 }
 
-void operator_api::list_events(httplib::Request const& request, httplib::Response& response)
+void operator_api::list_events(exchange_pointer const& exchange)
 {
     hybrid_timestamp const since{
-        wall_time(duration(number_parameter(request, "since_us", 0))),
-        static_cast<std::uint32_t>(number_parameter(request, "since_counter", 0))};
+        wall_time(duration(number_parameter(*exchange, "since_us", 0))),
+        static_cast<std::uint32_t>(number_parameter(*exchange, "since_counter", 0))};
     auto const limit = std::min<std::size_t>(
-        number_parameter(request, "limit", default_event_limit), max_event_limit);
-    auto const view = this->control.view();
-    auto const collected =
-        collect_events(this->options, this->events, this->peers, view->entries, since, limit);
-    nlohmann::json out;
-    out["unreachable"] = collected.unreachable;
-    out["events"] = nlohmann::json::array();
-    for (auto const& entry : collected.events)
-    {
-        nlohmann::json fields = nlohmann::json::object();
-        for (auto const& field : entry.fields)
-            fields[field.key] = field.value;
-        out["events"].push_back({{"when_us", entry.when.wall.time_since_epoch().count()},
-                                 {"counter", entry.when.counter},
-                                 {"when", format_wall_time(entry.when.wall)},
-                                 {"vm", entry.vm},
-                                 {"level", observability::to_string(entry.level)},
-                                 {"name", entry.name},
-                                 {"fields", fields}});
-    }
-    send_json(response, 200, out);
+        number_parameter(*exchange, "limit", default_event_limit), max_event_limit);
+    std::function<void(std::string const&)> const respond = [exchange](std::string const& text)
+    { exchange->respond_json(200, text); };
+    asio::post(this->collectors,
+               [this, since, limit, entries = this->control.view()->entries,
+                done = on_loop(exchange->loop(), respond)]
+               {
+                   done(describe(collect_events(this->options, this->events, this->peers, entries,
+                                                since, limit))
+                            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+               });
 }
 
-void operator_api::read_configuration(httplib::Response& response) const
+void operator_api::read_configuration(api_exchange& exchange) const
 {
     auto const view = this->control.view();
     if (!view->ready)
-        throw refusal({503,
-                       "not-ready",
-                       "the control state was not yet read through a quorum",
-                       execution::no,
-                       {},
-                       seconds(1),
-                       {}});
-    send_json(response, 200,
-              {{"generation", view->shared->generation},
-               {"file", view->shared->file},
-               {"text", view->shared->text}});
+        throw refusal({503, "not-ready", "the control state was not yet read through a quorum",
+                       execution::no});
+    nlohmann::json const out{{"generation", view->shared->generation},
+                             {"file", view->shared->file},
+                             {"text", view->shared->text}};
+    exchange.respond_json(200, out.dump());
 }
 
-void operator_api::apply_configuration(httplib::Request const& request, httplib::Response& response)
+void operator_api::apply_configuration(exchange_pointer const& exchange)
 {
-    auto const command = parse_apply(request.body);
+    auto const command = parse_apply(exchange->body());
     try
     {
         version::parse_configuration(command.file, command.text);
-        auto const result =
-            std::get<version::apply_result>(this->control.propose(command, apply_timeout));
-        auto const body = describe(result);
-        this->events.emit(severity::info, "configuration.applied",
-                          {{"outcome", body["outcome"].get<std::string>()},
-                           {"generation", std::to_string(result.generation.value())},
-                           {"operation", command.operation.value()}});
-        send_json(response, status_of(result.outcome), body);
     }
-    catch (version::configuration_error const& problem)
+    catch (version::configuration_error const& invalid)
     {
-        send_json(response, 400, {{"outcome", "invalid"}, {"detail", problem.what()}});
+        nlohmann::json const out{{"outcome", "invalid"}, {"detail", invalid.what()}};
+        return exchange->respond_json(400, out.dump());
     }
-    catch (not_proposed_error const& problem)
-    {
-        response.set_header("Retry-After", "1");
-        send_json(response, 503, {{"outcome", "not_proposed"}, {"detail", problem.what()}});
-    }
-    catch (outcome_unknown_error const& problem)
+    control_plane::proposal_handler const done =
+        [this, exchange, operation = command.operation](proposal_outcome const& outcome)
+    { this->report_applied(*exchange, operation, outcome); };
+    this->control.propose(command, apply_timeout, on_loop(exchange->loop(), done));
+}
+
+void operator_api::report_applied(api_exchange& exchange, operation_id const& operation,
+                                  proposal_outcome const& outcome)
+{
+    auto const* result = std::get_if<version::apply_result>(&outcome.result);
+    if (outcome.status == proposal_status::committed && result != nullptr)
     {
-        response.set_header("Retry-After", "1");
-        send_json(response, 504, {{"outcome", "unknown"}, {"detail", problem.what()}});
+        auto const body = describe(*result);
+        this->events.emit(severity::info, "configuration.applied",
+                          {{"outcome", body["outcome"].get<std::string>()},
+                           {"generation", std::to_string(result->generation.value())},
+                           {"operation", operation.value()}});
+        return exchange.respond_json(status_of(result->outcome), body.dump());
     }
+    bool const is_unchanged = outcome.status == proposal_status::not_proposed;
+    nlohmann::json const body{
+        {"outcome", is_unchanged ? "not_proposed" : "unknown"},
+        {"detail", is_unchanged ? "no leader took the command in time; nothing was changed"
+                                : "no quorum confirmed the command in time"}};
+    exchange.set_header("Retry-After", "1");
+    exchange.respond_json(is_unchanged ? 503 : 504, body.dump());
 }
 
-void operator_api::drain(httplib::Request const& request, httplib::Response& response)
+void operator_api::drain(api_exchange& exchange)
 {
     vm_id vm;
     try
     {
-        nlohmann::json::parse(request.body).at("vm").get_to(vm);
+        nlohmann::json::parse(exchange.body()).at("vm").get_to(vm);
     }
     catch (nlohmann::json::exception const& problem)
     {
@@ -326,7 +318,7 @@
                        {}});
     this->control.set_leaving(vm);
     this->events.emit(severity::info, "operator.drain", {{"target", vm.value()}});
-    send_json(response, 202, {{"vm", vm}});
+    exchange.respond_json(202, nlohmann::json{{"vm", vm}}.dump());
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -290,14 +290,14 @@
 template <class Result>
 void pass_through_plane::propose(version::command_body body, handler<Result> done)
 {
-    this->control.propose_async(std::move(body), command_timeout,
-                                [this, done = std::move(done)](proposal_outcome const& outcome)
-                                {
-                                    std::optional<Result> result;
-                                    if (outcome.status == proposal_status::committed)
-                                        result = std::get<Result>(outcome.result);
-                                    asio::post(*this->context, [done, result] { done(result); });
-                                });
+    this->control.propose(std::move(body), command_timeout,
+                          [this, done = std::move(done)](proposal_outcome const& outcome)
+                          {
+                              std::optional<Result> result;
+                              if (outcome.status == proposal_status::committed)
+                                  result = std::get<Result>(outcome.result);
+                              asio::post(*this->context, [done, result] { done(result); });
+                          });
 }
 
 void pass_through_plane::apply(version::apply_service_map order,
--- a/src/process/daemon/internal/plain_call.cpp
+++ b/src/process/daemon/internal/plain_call.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <thread>
 
 namespace lagoonladder::daemon
 {
@@ -10,29 +9,52 @@
 namespace
 {
 
-// Answers are held in memory, so their size is bounded.
-constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+bool is_own_field(std::string const& name)
+{
+    static constexpr std::array<std::string_view, 5> names{
+        "Host", "Content-Length", "Transfer-Encoding", "Authorization", "Expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [&name](std::string_view known) { return http::equal_names(name, known); });
+}
+
+/// Fields without those that concern one connection or the caller's credentials.
+http::header_list fields_to_pass_on(http::header_list const& fields)
+{
+    auto without_connection = fields;
+    http::remove_connection_fields(without_connection);
+    http::header_list passed;
+    for (auto const& field : without_connection.fields())
+    {
+        if (!is_own_field(field.name))
+            passed.add(field.name, field.value);
+    }
+    return passed;
+}
 
-constexpr duration connect_timeout = milliseconds(1500);
+http::request_head endpoint_head(plain_call const& call)
+{
+    http::request_head head{call.exchange->method(), call.target,
+                            fields_to_pass_on(call.exchange->headers())};
+    head.headers.set("X-Request-Id", call.id.value());
+    head.headers.set("X-Account", call.account.name.value());
+    head.headers.set("Idempotency-Key", call.key.empty() ? call.id.value() : call.key);
+    return head;
+}
 
-bool belongs_to_connection(std::string const& name)
+std::string fault_reason(plain_attempt const& attempt)
 {
-    static constexpr std::array<char const*, 15> names{
-        "Connection",       "Keep-Alive",  "Transfer-Encoding",
-        "Content-Length",   "Host",        "Authorization",
-        "Upgrade",          "TE",          "Trailer",
-        "Proxy-Connection", "REMOTE_ADDR", "REMOTE_PORT",
-        "LOCAL_ADDR",       "LOCAL_PORT",  "Expect"};
-    return std::any_of(names.begin(), names.end(),
-                       [&name](char const* known) { return strcasecmp(name.c_str(), known) == 0; });
+    if (attempt.result == call_result::complete)
+        return "status " + std::to_string(attempt.response.head.status);
+    return attempt.result == call_result::not_connected ? "no connection"
+                                                        : "the connection broke or was silent";
 }
 
 void count_attempt(plain_parts const& parts, plain_call const& call,
                    connection::endpoint_record const& endpoint, plain_attempt const& attempt,
                    duration elapsed)
 {
-    bool const answered = attempt.result == upstream_result::complete;
-    bool const is_fault = !answered || attempt.response.status >= 500;
+    bool const answered = attempt.result == call_result::complete;
+    bool const is_fault = !answered || attempt.response.head.status >= 500;
     request::route_outcome outcome;
     outcome.ok = !is_fault;
     outcome.first_byte = answered ? elapsed : duration(0);
@@ -51,114 +73,45 @@
         return;
     parts.context.metrics.add("failed_attempts_total", {{"service", sample.service.value()},
                                                         {"version", sample.version.value()}});
-    parts.context.events.emit(
-        severity::warning, "attempt.failed",
-        {{"request_id", call.id.value()},
-         {"endpoint", endpoint.id.value()},
-         {"version", endpoint.version.value()},
-         {"reason", answered ? "status " + std::to_string(attempt.response.status)
-                    : attempt.result == upstream_result::not_connected
-                        ? "no connection"
-                        : "the connection broke or was silent"}});
+    parts.context.events.emit(severity::warning, "attempt.failed",
+                              {{"request_id", call.id.value()},
+                               {"endpoint", endpoint.id.value()},
+                               {"version", endpoint.version.value()},
+                               {"reason", fault_reason(attempt)}});
 }
 
 } // namespace
 
-httplib::Request endpoint_request(plain_call const& call)
+std::shared_ptr<endpoint_call> start_plain_attempt(plain_parts const& parts, plain_call const& call,
+                                                   connection::endpoint_record const& endpoint,
+                                                   bool once,
+                                                   std::function<void(plain_attempt const&)> done)
 {
-    httplib::Request request;
-    request.method = call.request->method;
-    request.path = call.target;
-    request.body = call.request->body;
-    for (auto const& [name, value] : call.request->headers)
-    {
-        // The server has already decoded the body.
-        bool const is_decoded = strcasecmp(name.c_str(), "Content-Encoding") == 0;
-        if (!belongs_to_connection(name) && !is_decoded)
-            request.headers.emplace(name, value);
-    }
-    request.headers.erase("X-Request-Id");
-    request.headers.erase("X-Account");
-    request.headers.erase("Idempotency-Key");
-    request.headers.emplace("X-Request-Id", call.id.value());
-    request.headers.emplace("X-Account", call.account.name.value());
-    request.headers.emplace("Idempotency-Key", call.key.empty() ? call.id.value() : call.key);
-    return request;
-}
-
-void copy_answer(httplib::Response const& from, httplib::Response& to)
-{
-    to.status = from.status;
-    for (auto const& [name, value] : from.headers)
-        if (!belongs_to_connection(name) && strcasecmp(name.c_str(), "X-Request-Id") != 0)
-            to.headers.emplace(name, value);
-    to.body = from.body;
-}
-
-plain_attempt run_plain_attempt(plain_parts const& parts, plain_call const& call,
-                                connection::endpoint_record const& endpoint, bool once)
-{
-    plain_attempt attempt;
-    auto request = endpoint_request(call);
-    std::string body;
-    request.content_receiver =
-        [&body](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
-    {
-        body.append(data, size);
-        return body.size() <= max_answer_bytes;
-    };
     auto const started = parts.context.time.now();
     auto const left = std::max<duration>(call.deadline - started, milliseconds(1));
     auto const progress = std::min(call.service.progress_timeout, left);
-    attempt.result =
-        once ? upstream_connections::call_once(endpoint.address, std::min(connect_timeout, left),
-                                               progress, request, attempt.response)
-             : parts.upstream.call(endpoint.address, progress, request, attempt.response);
-    attempt.response.body = std::move(body);
-    count_attempt(parts, call, endpoint, attempt, parts.context.time.now() - started);
-    return attempt;
+    return parts.calls.fetch(
+        endpoint.address, endpoint_head(call), call.exchange->body(), progress, once,
+        [parts, call, endpoint, started, done = std::move(done)](call_result result,
+                                                                 whole_response const& response)
+        {
+            plain_attempt const attempt{result, response};
+            count_attempt(parts, call, endpoint, attempt, parts.context.time.now() - started);
+            done(attempt);
+        });
 }
 
-void serve_idempotent(plain_parts const& parts, plain_call const& call, httplib::Response& response)
+void send_answer(plain_parts const& parts, plain_call const& call, whole_response const& answer)
 {
-    endpoint_query query{call.service.name, call.version, call.target, {}};
-    parts.router.first_attempt(call.service);
-    plain_attempt attempt;
-    for (std::uint32_t attempts = 1;; ++attempts)
+    parts.context.metrics.observe_seconds("call_seconds", {{"service", call.service.name.value()}},
+                                          to_seconds(parts.context.time.now() - call.arrived));
+    auto const passed = fields_to_pass_on(answer.head.headers);
+    for (auto const& field : passed.fields())
     {
-        auto const view = parts.context.control.view();
-        auto endpoint = parts.router.choose(*view, query);
-        if (!endpoint && !query.excluded.empty())
-        {
-            query.excluded.clear();
-            endpoint = parts.router.choose(*view, query);
-        }
-        if (!endpoint)
-            throw refusal({503, "no-endpoint", "no endpoint of the service is serving",
-                           execution::no, call.id.value(), seconds(2)});
-        attempt = run_plain_attempt(parts, call, *endpoint, false);
-        bool const answered = attempt.result == upstream_result::complete;
-        if (answered && attempt.response.status < 500)
-            break;
-        query.excluded.push_back(endpoint->id);
-        request::retry_query retry;
-        retry.attempts = attempts;
-        retry.deadline = call.deadline;
-        retry.idempotent = true;
-        auto const decision = parts.router.retry(call.service, retry);
-        if (decision.delay)
-        {
-            std::this_thread::sleep_for(*decision.delay);
-            continue;
-        }
-        if (answered)
-            break;
-        throw refusal({502, "endpoint-failed",
-                       "the endpoint did not answer and no retry is allowed: " +
-                           std::string(request::to_string(decision.refusal)),
-                       execution::unknown, call.id.value()});
+        if (!http::equal_names(field.name, "X-Request-Id"))
+            call.exchange->add_header(field.name, field.value);
     }
-    copy_answer(attempt.response, response);
+    call.exchange->respond(answer.head.status, {}, answer.body);
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/plain_call.hpp
+++ b/src/process/daemon/internal/plain_call.hpp
@@ -1,30 +1,25 @@
 #ifndef LAGOONLADDER_DAEMON_PLAIN_CALL_HPP
 #define LAGOONLADDER_DAEMON_PLAIN_CALL_HPP
 
-#include <httplib.h>
-
-#include <traffic_problem.hpp>
+#include <api_exchange.hpp>
+#include <endpoint_calls.hpp>
 #include <traffic_router.hpp>
-#include <traffic_upstream.hpp>
 
 namespace lagoonladder::daemon
 {
 
 /// The parts that calls of plain services use.
-class worker_threads;
-
 struct plain_parts
 {
     traffic_context& context;
     traffic_router& router;
-    upstream_connections& upstream;
-    /// For commits that no caller waits for.
-    worker_threads& background;
+    endpoint_calls& calls;
 };
 
 /// A call of a plain service after its checks.
 struct plain_call
 {
+    std::shared_ptr<api_exchange> exchange;
     request_id id;
     version::account_config account;
     version::service_config service;
@@ -32,37 +27,35 @@
     version_name version;
     /// Path and query as the service gets them.
     std::string target;
-    httplib::Request const* request = nullptr;
+    time_point arrived{};
     time_point deadline{};
     /// Idempotency-Key; empty when the caller gave none.
     std::string key;
+    std::shared_ptr<open_request> counted;
 };
 
-/// One attempt of a call on one endpoint.
+/// How one attempt of a call on one endpoint ended.
 struct plain_attempt
 {
-    upstream_result result = upstream_result::broken;
-    httplib::Response response;
+    call_result result = call_result::broken;
+    whole_response response;
 };
 
-/// The request for the endpoint: without the caller's credentials and without
-/// headers that belong to one connection.
-httplib::Request endpoint_request(plain_call const& call);
-
-/// Copies the endpoint's answer to the caller's response.
-void copy_answer(httplib::Response const& from, httplib::Response& to);
+/// Runs an attempt and counts it for the endpoint, the version and the route. `once` takes
+/// a connection of its own, and the attempt is never repeated.
+std::shared_ptr<endpoint_call> start_plain_attempt(plain_parts const& parts, plain_call const& call,
+                                                   connection::endpoint_record const& endpoint,
+                                                   bool once,
+                                                   std::function<void(plain_attempt const&)> done);
 
-/// Runs an attempt and counts it for the endpoint, the version and the route. `once`
-/// takes a connection of its own, and the attempt is never repeated.
-plain_attempt run_plain_attempt(plain_parts const& parts, plain_call const& call,
-                                connection::endpoint_record const& endpoint, bool once);
+/// Sends the endpoint's answer to the caller and counts the call's time.
+void send_answer(plain_parts const& parts, plain_call const& call, whole_response const& answer);
 
-/// Answers an idempotent call; retries within budget and deadline. Throws refusal.
-void serve_idempotent(plain_parts const& parts, plain_call const& call,
-                      httplib::Response& response);
+/// Answers an idempotent call; retries within budget and deadline.
+void serve_idempotent(plain_parts const& parts, plain_call call);
 
-/// Answers a non-idempotent call, which runs at most once. Throws refusal.
-void serve_once(plain_parts const& parts, plain_call const& call, httplib::Response& response);
+/// Answers a non-idempotent call, which runs at most once.
+void serve_once(plain_parts const& parts, plain_call call);
 
 } // namespace lagoonladder::daemon
 
--- a/src/process/daemon/internal/plain_routes.cpp
+++ b/src/process/daemon/internal/plain_routes.cpp
@@ -1,7 +1,7 @@
 #include <plain_routes.hpp>
 
 #include <completion_service.hpp>
-#include <traffic_http.hpp>
+#include <route_table.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -28,58 +28,57 @@
 
 /// What a refusal without a commit may say: with a caller's key an earlier attempt
 /// may have run.
-execution uncommitted(httplib::Request const& request)
+execution uncommitted(api_exchange const& exchange)
 {
-    return request.has_header("Idempotency-Key") ? execution::unknown : execution::no;
+    return exchange.has_header("Idempotency-Key") ? execution::unknown : execution::no;
+}
+
+bool is_multipart(api_exchange const& exchange)
+{
+    return exchange.header("Content-Type").starts_with("multipart/form-data");
 }
 
 } // namespace
 
-void plain_routes::register_routes(httplib::Server& server)
+void plain_routes::register_routes(route_table& routes)
 {
-    auto const handler = guarded(
-        this->parts.context, [this](httplib::Request const& request, httplib::Response& response)
-        { this->serve(request, response); });
-    std::string const pattern = "/services/.+";
-    server.Get(pattern, handler);
-    server.Post(pattern, handler);
-    server.Put(pattern, handler);
-    server.Patch(pattern, handler);
-    server.Delete(pattern, handler);
-    server.Options(pattern, handler);
+    for (char const* method : {"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+        routes.add_prefix(method, path_prefix, true,
+                          [this](auto const& exchange) { this->serve(exchange); });
 }
 
-plain_call plain_routes::describe(control_view const& view, httplib::Request const& request)
+plain_call plain_routes::describe(control_view const& view,
+                                  std::shared_ptr<api_exchange> const& exchange)
 {
     plain_call call;
-    call.account = authenticate(view, request);
-    auto [service, target] = split_target(request.target);
+    call.exchange = exchange;
+    call.arrived = this->parts.context.time.now();
+    call.account = authenticate(view, *exchange);
+    auto [service, target] = split_target(exchange->target());
     auto const& configuration = view.shared->configuration;
     auto const* known = configuration.find_service(service);
     if (!known || known->kind != version::service_kind::plain)
         throw refusal(
             {404, "unknown-service", "no plain service \"" + service.value() + "\" is configured"});
-    if (request.is_multipart_form_data())
+    if (is_multipart(*exchange))
         throw refusal({415, "unsupported-media-type", "multipart/form-data is not supported"});
     call.service = *known;
     call.target = std::move(target);
-    call.request = &request;
-    call.key = request.get_header_value("Idempotency-Key");
+    call.key = exchange->header("Idempotency-Key");
     if (call.key.size() > max_key_bytes)
         throw refusal({400, "bad-header", "Idempotency-Key is longer than 256 bytes"});
-    call.deadline =
-        this->parts.context.time.now() + request_timeout(request, known->default_timeout);
+    call.deadline = call.arrived + request_timeout(*exchange, known->default_timeout);
     call.id = this->ids.next_id(view);
     call.version = traffic_router::version_for(view, service, call.id);
     auto const path = call.target.substr(0, call.target.find('?'));
-    auto const* route = configuration.find_route(service, request.method, path);
+    auto const* route = configuration.find_route(service, exchange->method(), path);
     call.route = route ? route->name : route_name("default");
     return call;
 }
 
 void plain_routes::check_age(plain_call const& call) const
 {
-    auto const text = call.request->get_header_value("X-Request-Created");
+    auto const text = call.exchange->header("X-Request-Created");
     if (text.empty())
         return;
     wall_time created{};
@@ -95,28 +94,22 @@
     // Records of keys that old are deleted, so an earlier execution would not be seen.
     if (this->parts.context.time.wall_now() - created > request::once_table::retention)
         throw refusal({422, "request-too-old", "X-Request-Created is older than 24 h",
-                       uncommitted(*call.request), call.id.value()});
+                       uncommitted(*call.exchange), call.id.value()});
 }
 
-void plain_routes::serve(httplib::Request const& request, httplib::Response& response)
+void plain_routes::serve(std::shared_ptr<api_exchange> const& exchange)
 {
     auto& context = this->parts.context;
-    auto const view = ready_view(context, uncommitted(request));
-    auto const call = this->describe(*view, request);
-    open_request const counted(context);
-    response.set_header("X-Request-Id", call.id.value());
+    auto const view = ready_view(context, uncommitted(*exchange));
+    auto call = this->describe(*view, exchange);
+    call.counted = std::make_shared<open_request>(context);
+    exchange->set_header("X-Request-Id", call.id.value());
     context.metrics.add("requests_total", {{"service", call.service.name.value()}});
-    auto const started = context.time.now();
     auto const path = call.target.substr(0, call.target.find('?'));
-    if (view->shared->configuration.is_idempotent(call.service.name, request.method, path))
-        serve_idempotent(this->parts, call, response);
-    else
-    {
-        this->check_age(call);
-        serve_once(this->parts, call, response);
-    }
-    context.metrics.observe_seconds("call_seconds", {{"service", call.service.name.value()}},
-                                    to_seconds(context.time.now() - started));
+    if (view->shared->configuration.is_idempotent(call.service.name, exchange->method(), path))
+        return serve_idempotent(this->parts, std::move(call));
+    this->check_age(call);
+    serve_once(this->parts, std::move(call));
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/plain_routes.hpp
+++ b/src/process/daemon/internal/plain_routes.hpp
@@ -19,11 +19,11 @@
     {
     }
 
-    void register_routes(httplib::Server& server) override;
+    void register_routes(route_table& routes) override;
 
 private:
-    void serve(httplib::Request const& request, httplib::Response& response);
-    plain_call describe(control_view const& view, httplib::Request const& request);
+    void serve(std::shared_ptr<api_exchange> const& exchange);
+    plain_call describe(control_view const& view, std::shared_ptr<api_exchange> const& exchange);
     void check_age(plain_call const& call) const;
 
     plain_parts parts;
--- a/src/process/daemon/internal/remote_token_source.cpp
+++ b/src/process/daemon/internal/remote_token_source.cpp
@@ -1,7 +1,6 @@
 #include <remote_token_source.hpp>
 
 #include <algorithm>
-#include <thread>
 
 #include <requests.grpc.pb.h>
 #include <traffic_entries.hpp>
@@ -23,6 +22,22 @@
 // Entries that are asked in one round.
 constexpr std::size_t max_candidates = 16;
 
+request::fetched to_fetched(protocol::FetchReply const& reply)
+{
+    request::fetched found;
+    if (reply.status() == protocol::FetchReply::FORBIDDEN)
+        found.status = request::fetch_status::forbidden;
+    if (reply.status() != protocol::FetchReply::FOUND)
+        return found;
+    found.status = request::fetch_status::found;
+    found.offset = token_offset(reply.offset());
+    found.tokens.assign(reply.tokens().begin(), reply.tokens().end());
+    if (reply.finished())
+        found.outcome = request::request_outcome{reply.finish_reason(), reply.failure(),
+                                                 reply.failure_status()};
+    return found;
+}
+
 void add_once(std::vector<vm_id>& list, vm_id const& vm)
 {
     bool const is_known = std::find(list.begin(), list.end(), vm) != list.end();
@@ -58,64 +73,77 @@
     return list;
 }
 
-request::fetched remote_token_source::fetch(vm_id const& vm, token_offset offset, duration wait)
+void remote_token_source::read(token_offset offset, handler done)
+{
+    this->next = offset;
+    this->waiting = std::move(done);
+    this->was_found = !this->current.value().empty();
+    this->begin_round();
+}
+
+void remote_token_source::begin_round()
+{
+    this->round = this->candidates(*this->context.control.view());
+    std::reverse(this->round.begin(), this->round.end());
+    this->ask_next();
+}
+
+void remote_token_source::ask_next()
+{
+    if (!this->round.empty())
+    {
+        auto const vm = this->round.back();
+        this->round.pop_back();
+        return this->ask(vm);
+    }
+    this->current = vm_id();
+    // An id that nobody knows is reported at once; one that was known may be known
+    // again after a take-over.
+    if (!this->was_found || this->context.time.now() - this->last_found > patience)
+        return std::exchange(this->waiting, nullptr)({});
+    run_later(*this->context.loop, pause_between_rounds,
+              [self = this->shared_from_this()] { self->begin_round(); });
+}
+
+void remote_token_source::ask(vm_id const& vm)
 {
     if (vm == this->context.config.vm)
-        return this->store.read(this->id, this->account, offset, wait);
-    request::fetched found;
+        return this->take(vm, this->store.read(this->id, this->account, this->next));
     auto const view = this->context.control.view();
     auto const* entry = traffic_entries::find(*view, vm);
     if (!entry)
-        return found;
+        return this->ask_next();
     protocol::FetchRequest message;
     message.set_id(this->id.value());
     message.set_account(this->account.value());
-    message.set_offset(offset.value());
-    message.set_wait_ms(std::chrono::duration_cast<milliseconds>(wait).count());
-    protocol::FetchReply reply;
-    grpc::ClientContext call;
-    this->peers.prepare(call, wait + call_allowance);
-    auto const stub = protocol::Requests::NewStub(this->peers.channel(entry->control));
-    if (!stub->Fetch(&call, message, &reply).ok())
-        return found;
-    if (reply.status() == protocol::FetchReply::FORBIDDEN)
-        found.status = request::fetch_status::forbidden;
-    if (reply.status() != protocol::FetchReply::FOUND)
-        return found;
-    found.status = request::fetch_status::found;
-    found.offset = token_offset(reply.offset());
-    found.tokens.assign(reply.tokens().begin(), reply.tokens().end());
-    if (reply.finished())
-        found.outcome = request::request_outcome{reply.finish_reason(), reply.failure(),
-                                                 reply.failure_status()};
-    return found;
+    message.set_offset(this->next.value());
+    message.set_wait_ms(std::chrono::duration_cast<milliseconds>(fetch_wait).count());
+    std::shared_ptr stub = protocol::Requests::NewStub(this->peers.channel(entry->control));
+    call_async<protocol::FetchReply>(
+        this->context.loop, this->peers, fetch_wait + call_allowance, message,
+        [stub](auto* call, auto const* sent, auto* reply, auto finished)
+        { stub->async()->Fetch(call, sent, reply, std::move(finished)); },
+        [stub, self = this->shared_from_this(), vm](grpc::Status const& status,
+                                                    protocol::FetchReply const& reply)
+        { self->take(vm, status.ok() ? to_fetched(reply) : request::fetched()); });
 }
 
-request::fetched remote_token_source::read(token_offset offset)
+void remote_token_source::take(vm_id const& vm, request::fetched found)
 {
-    bool was_found = !this->current.value().empty();
-    while (true)
+    if (found.status == request::fetch_status::not_found)
+        return this->ask_next();
+    if (found.status == request::fetch_status::found)
     {
-        auto const view = this->context.control.view();
-        for (auto const& vm : this->candidates(*view))
-        {
-            auto found = this->fetch(vm, offset, fetch_wait);
-            if (found.status == request::fetch_status::forbidden)
-                return found;
-            if (found.status != request::fetch_status::found)
-                continue;
-            was_found = true;
-            this->current = vm;
-            this->last_found = this->context.time.now();
-            return found;
-        }
-        this->current = vm_id();
-        // An id that nobody knows is reported at once; one that was known may be
-        // known again after a take-over.
-        if (!was_found || this->context.time.now() - this->last_found > patience)
-            return {};
-        std::this_thread::sleep_for(pause_between_rounds);
+        this->was_found = true;
+        this->current = vm;
+        this->last_found = this->context.time.now();
     }
+    auto const done = std::exchange(this->waiting, nullptr);
+    // This entry answers at once; a reader that reads on must not spin.
+    bool const is_empty = !completion_store::is_worth_sending(found);
+    auto const pause = vm == this->context.config.vm && is_empty ? fetch_wait : duration(0);
+    run_later(*this->context.loop, pause,
+              [done, found = std::move(found)]() mutable { done(std::move(found)); });
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/remote_token_source.hpp
+++ b/src/process/daemon/internal/remote_token_source.hpp
@@ -1,26 +1,33 @@
 #ifndef LAGOONLADDER_DAEMON_REMOTE_TOKEN_SOURCE_HPP
 #define LAGOONLADDER_DAEMON_REMOTE_TOKEN_SOURCE_HPP
 
-#include <completion_answer.hpp>
+#include <memory>
+#include <vector>
+
 #include <completion_store.hpp>
 #include <peer_channels.hpp>
+#include <token_source.hpp>
 
 namespace lagoonladder::daemon
 {
 
 /// Tokens of a request that other entries hold: its owner, its companion or, after
 /// take-overs, any entry. An entry that stops answering is replaced by another one.
-class remote_token_source : public token_source
+class remote_token_source : public token_source,
+                            public std::enable_shared_from_this<remote_token_source>
 {
 public:
     remote_token_source(traffic_context& shared, completion_store& requests,
                         peer_channels& channels, request_id request, account_id caller);
 
-    request::fetched read(token_offset offset) override;
+    void read(token_offset offset, handler done) override;
 
 private:
     std::vector<vm_id> candidates(control_view const& view) const;
-    request::fetched fetch(vm_id const& vm, token_offset offset, duration wait);
+    void begin_round();
+    void ask_next();
+    void ask(vm_id const& vm);
+    void take(vm_id const& vm, request::fetched found);
 
     traffic_context& context;
     completion_store& store;
@@ -30,6 +37,11 @@
     /// The entry that answered last.
     vm_id current;
     time_point last_found{};
+    bool was_found = false;
+    token_offset next;
+    handler waiting;
+    /// Entries that are still to be asked in this round, the next one last.
+    std::vector<vm_id> round;
 };
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/request_routes.cpp
+++ b/src/process/daemon/internal/request_routes.cpp
@@ -2,10 +2,10 @@
 
 #include <charconv>
 
-#include <completion_routes.hpp>
+#include <local_token_source.hpp>
 #include <once_status.hpp>
 #include <remote_token_source.hpp>
-#include <traffic_http.hpp>
+#include <route_table.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -15,13 +15,13 @@
 
 constexpr duration lookup_timeout = seconds(2);
 
-std::uint64_t offset_parameter(httplib::Request const& request)
+std::uint64_t offset_parameter(api_exchange const& exchange)
 {
-    auto const text = request.get_param_value("offset");
+    auto const text = exchange.parameter("offset");
     std::uint64_t offset = 0;
     auto const* end = text.data() + text.size();
     auto const parsed = std::from_chars(text.data(), end, offset);
-    if (request.has_param("offset") && (parsed.ec != std::errc() || parsed.ptr != end))
+    if (exchange.has_parameter("offset") && (parsed.ec != std::errc() || parsed.ptr != end))
         throw refusal({400, "bad-parameter", "offset must be a whole number"});
     return offset;
 }
@@ -33,96 +33,130 @@
            *state != request::holder_state::handed_over;
 }
 
+/// Looks for the record of a non-idempotent call, one service after the other.
+class once_lookup : public std::enable_shared_from_this<once_lookup>
+{
+public:
+    once_lookup(traffic_context& shared, std::shared_ptr<api_exchange> answer, request_id request,
+                std::vector<request::once_key> records)
+        : context(shared)
+        , exchange(std::move(answer))
+        , id(std::move(request))
+        , keys(std::move(records))
+    {
+    }
+
+    void next()
+    {
+        if (this->keys.empty())
+            return this->exchange->refuse({404, "unknown-request", "no such request is known",
+                                           execution::unknown, this->id.value()});
+        auto const key = this->keys.back();
+        this->keys.pop_back();
+        control_plane::find_handler const handler =
+            [self = this->shared_from_this(), key](find_status status, auto const& found)
+        { self->take(key, status, found); };
+        this->context.control.find_once(key, lookup_timeout, on_loop(this->context.loop, handler));
+    }
+
+private:
+    void take(request::once_key const& key, find_status status,
+              std::optional<request::once_reply> const& found)
+    {
+        if (status == find_status::unavailable)
+            return this->exchange->refuse({503, "no-quorum", "no quorum answered in time",
+                                           execution::unknown, this->id.value()});
+        if (!found)
+            return this->next();
+        this->exchange->respond_json(200, format_once_status(key, *found));
+    }
+
+    traffic_context& context;
+    std::shared_ptr<api_exchange> const exchange;
+    request_id const id;
+    std::vector<request::once_key> keys;
+};
+
 } // namespace
 
-void request_routes::register_routes(httplib::Server& server)
+void request_routes::register_routes(route_table& routes)
 {
-    auto& context = this->service.parts().context;
-    server.Get("/v1/requests",
-               guarded(context, [this](httplib::Request const& request, httplib::Response& response)
-                       { this->serve(request, response, request_id()); }));
-    server.Get("/v1/requests/([^/]+)",
-               guarded(context, [this](httplib::Request const& request, httplib::Response& response)
-                       { this->serve(request, response, request_id(request.matches[1])); }));
+    routes.add("GET", "/v1/requests",
+               [this](auto const& exchange) { this->serve(exchange, request_id()); });
+    routes.add_prefix("GET", "/v1/requests/", false,
+                      [this](auto const& exchange)
+                      { this->serve(exchange, request_id(exchange->argument())); });
 }
 
-void request_routes::serve(httplib::Request const& request, httplib::Response& response,
-                           request_id const& id)
+void request_routes::serve(std::shared_ptr<api_exchange> const& exchange, request_id const& id)
 {
-    auto& context = this->service.parts().context;
-    auto const view = ready_view(context, execution::unknown);
-    auto const account = authenticate(*view, request).name;
+    auto const view = ready_view(this->service.parts().context, execution::unknown);
+    auto const account = authenticate(*view, *exchange).name;
     if (!id.value().empty())
-        response.set_header("X-Request-Id", id.value());
-    if (request.has_param("service") || id.value().empty())
-        return this->serve_once_state(request, response, id, *view, account);
-    if (!this->serve_completion(request, response, id, *view, account))
-        this->serve_once_state(request, response, id, *view, account);
+        exchange->set_header("X-Request-Id", id.value());
+    if (exchange->has_parameter("service") || id.value().empty())
+        return this->serve_once_state(exchange, id, account);
+    this->serve_completion(exchange, id, account);
 }
 
-bool request_routes::serve_completion(httplib::Request const& request, httplib::Response& response,
-                                      request_id const& id, control_view const&,
-                                      account_id const& account)
+void request_routes::serve_completion(std::shared_ptr<api_exchange> const& exchange,
+                                      request_id const& id, account_id const& account)
 {
     auto const& parts = this->service.parts();
-    token_offset const offset(offset_parameter(request));
+    token_offset const offset(offset_parameter(*exchange));
     std::shared_ptr<token_source> source;
     if (is_held_here(parts.store.state_of(id)))
-        source = std::make_shared<local_token_source>(parts.store, id, account);
+        source = std::make_shared<local_token_source>(parts.context.loop, parts.store, id, account);
     else
         source = std::make_shared<remote_token_source>(parts.context, parts.store, this->peers, id,
                                                        account);
-    auto first = source->read(offset);
+    source->read(offset,
+                 [this, exchange, id, account, source, offset](request::fetched const& first)
+                 {
+                     if (first.status == request::fetch_status::not_found)
+                         return exchange->guard([&]
+                                                { this->serve_once_state(exchange, id, account); });
+                     this->send_completion(exchange, id, source, first, offset);
+                 });
+}
+
+void request_routes::send_completion(std::shared_ptr<api_exchange> const& exchange,
+                                     request_id const& id,
+                                     std::shared_ptr<token_source> const& source,
+                                     request::fetched const& first, token_offset offset)
+{
     if (first.status == request::fetch_status::forbidden)
-        throw refusal({403, "forbidden", "the request belongs to another account",
-                       execution::unknown, id.value()});
-    if (first.status != request::fetch_status::found)
-        return false;
+        return exchange->refuse({403, "forbidden", "the request belongs to another account",
+                                 execution::unknown, id.value()});
     if (first.outcome && !first.outcome->failure.empty() && first.tokens.empty())
-    {
-        send_failure(response, *first.outcome);
-        return true;
-    }
+        return send_failure(*exchange, *first.outcome);
     answer_header const header{id, service_name(), true};
-    stream_answer(response, std::move(source), header, std::move(first), offset,
-                  std::make_shared<open_request>(parts.context));
-    return true;
+    stream_answer(exchange, source, header, first, offset,
+                  std::make_shared<open_request>(this->service.parts().context));
 }
 
-void request_routes::serve_once_state(httplib::Request const& request, httplib::Response& response,
-                                      request_id const& id, control_view const& view,
-                                      account_id const& account)
+void request_routes::serve_once_state(std::shared_ptr<api_exchange> const& exchange,
+                                      request_id const& id, account_id const& account)
 {
     auto& context = this->service.parts().context;
-    std::vector<service_name> services;
-    if (request.has_param("service"))
-        services.emplace_back(request.get_param_value("service"));
-    else
-        for (auto const& [name, config] : view.shared->configuration.services)
-            if (config.kind == version::service_kind::plain)
-                services.push_back(name);
+    auto const view = ready_view(context, execution::unknown);
     // A call without a key is recorded under its request id.
-    auto const key = request.has_param("key") ? request.get_param_value("key") : id.value();
+    auto const key = exchange->has_parameter("key") ? exchange->parameter("key") : id.value();
     if (key.empty())
         throw refusal({400, "bad-parameter", "service and key are required", execution::unknown});
-    try
+    std::vector<request::once_key> records;
+    if (exchange->has_parameter("service"))
+        records.push_back(
+            {account, service_name(exchange->parameter("service")), idempotency_key(key)});
+    else
     {
-        for (auto const& name : services)
+        for (auto const& [name, config] : view->shared->configuration.services)
         {
-            request::once_key const record{account, name, idempotency_key(key)};
-            auto const found = context.control.find_once(record, lookup_timeout);
-            if (!found)
-                continue;
-            response.set_content(format_once_status(record, *found), "application/json");
-            return;
+            if (config.kind == version::service_kind::plain)
+                records.push_back({account, name, idempotency_key(key)});
         }
     }
-    catch (outcome_unknown_error const& failed)
-    {
-        throw refusal({503, "no-quorum", failed.what(), execution::unknown, id.value()});
-    }
-    throw refusal(
-        {404, "unknown-request", "no such request is known", execution::unknown, id.value()});
+    std::make_shared<once_lookup>(context, exchange, id, std::move(records))->next();
 }
 
 } // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/request_routes.hpp
+++ b/src/process/daemon/internal/request_routes.hpp
@@ -19,15 +19,16 @@
     {
     }
 
-    void register_routes(httplib::Server& server) override;
+    void register_routes(route_table& routes) override;
 
 private:
-    void serve(httplib::Request const& request, httplib::Response& response, request_id const& id);
-    bool serve_completion(httplib::Request const& request, httplib::Response& response,
-                          request_id const& id, control_view const& view,
+    void serve(std::shared_ptr<api_exchange> const& exchange, request_id const& id);
+    void serve_completion(std::shared_ptr<api_exchange> const& exchange, request_id const& id,
                           account_id const& account);
-    void serve_once_state(httplib::Request const& request, httplib::Response& response,
-                          request_id const& id, control_view const& view,
+    void send_completion(std::shared_ptr<api_exchange> const& exchange, request_id const& id,
+                         std::shared_ptr<token_source> const& source, request::fetched const& first,
+                         token_offset offset);
+    void serve_once_state(std::shared_ptr<api_exchange> const& exchange, request_id const& id,
                           account_id const& account);
 
     completion_service& service;
--- a/src/process/daemon/internal/requests_service.cpp
+++ b/src/process/daemon/internal/requests_service.cpp
@@ -1,6 +1,7 @@
 #include <requests_service.hpp>
 
 #include <algorithm>
+#include <condition_variable>
 
 #include <cluster_token.hpp>
 #include <companion_link.hpp>
@@ -23,6 +24,43 @@
     return {grpc::StatusCode::UNAUTHENTICATED, "the cluster token is missing or wrong"};
 }
 
+bool is_entry(control_view const& view, vm_id const& vm)
+{
+    return std::any_of(view.entries.begin(), view.entries.end(),
+                       [&vm](auto const& entry) { return entry.vm == vm; });
+}
+
+/// Tells a waiting thread that a request has changed.
+struct change_signal
+{
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool is_set = false;
+};
+
+/// Reads again at each change until there is something to send or the time has passed.
+request::fetched wait_for_tokens(completion_store& store, request_id const& id,
+                                 account_id const& account, token_offset offset, duration wait)
+{
+    auto const until = std::chrono::steady_clock::now() + wait;
+    while (true)
+    {
+        auto const signal = std::make_shared<change_signal>();
+        auto found = store.read(id, account, offset,
+                                [signal]
+                                {
+                                    std::lock_guard const lock(signal->mutex);
+                                    signal->is_set = true;
+                                    signal->condition.notify_one();
+                                });
+        if (completion_store::is_worth_sending(found))
+            return found;
+        std::unique_lock lock(signal->mutex);
+        if (!signal->condition.wait_until(lock, until, [&] { return signal->is_set; }))
+            return found;
+    }
+}
+
 } // namespace
 
 bool requests_service::is_allowed(grpc::ServerContext const& call) const
@@ -41,8 +79,11 @@
         return {grpc::StatusCode::INVALID_ARGUMENT, "the owner must be another entry"};
     accepted.companion = this->context.config.vm;
     {
+        bool const is_listed = is_entry(*this->context.control.view(), accepted.owner);
         std::lock_guard const lock(this->mutex);
-        this->owners[accepted.owner].last = this->context.time.now();
+        auto& owner = this->owners[accepted.owner];
+        owner.last = this->context.time.now();
+        owner.was_listed = owner.was_listed || is_listed;
     }
     auto const result = this->store.hold(std::move(accepted));
     reply->set_held(result == request::journal_result::stored ||
@@ -78,8 +119,9 @@
     if (!this->is_allowed(*call))
         return denied();
     auto const wait = std::min<duration>(milliseconds(request->wait_ms()), max_fetch_wait);
-    auto found = this->store.read(request_id(request->id()), account_id(request->account()),
-                                  token_offset(request->offset()), wait);
+    auto found =
+        wait_for_tokens(this->store, request_id(request->id()), account_id(request->account()),
+                        token_offset(request->offset()), wait);
     switch (found.status)
     {
     case request::fetch_status::not_found:
@@ -112,9 +154,7 @@
     std::lock_guard const lock(this->mutex);
     for (auto known = this->owners.begin(); known != this->owners.end();)
     {
-        bool const is_listed =
-            std::any_of(view.entries.begin(), view.entries.end(),
-                        [&](auto const& entry) { return entry.vm == known->first; });
+        bool const is_listed = is_entry(view, known->first);
         known->second.was_listed = known->second.was_listed || is_listed;
         bool const is_lost = !is_listed && (known->second.was_listed ||
                                             now - known->second.last >= unlisted_owner_timeout);
--- /dev/null
+++ b/src/process/daemon/internal/token_source.cpp
@@ -0,0 +1,20 @@
+#include <token_source.hpp>
+
+#include <completion_store.hpp>
+
+namespace lagoonladder::daemon
+{
+
+void read_first(std::shared_ptr<token_source> const& source, token_offset offset,
+                token_source::handler done)
+{
+    source->read(offset,
+                 [source, offset, done = std::move(done)](request::fetched found)
+                 {
+                     if (completion_store::is_worth_sending(found))
+                         return done(std::move(found));
+                     read_first(source, offset, done);
+                 });
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/traffic_context.hpp
+++ b/src/process/daemon/internal/traffic_context.hpp
@@ -2,6 +2,11 @@
 #define LAGOONLADDER_DAEMON_TRAFFIC_CONTEXT_HPP
 
 #include <atomic>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <asio.hpp>
 
 #include <lagoonladder/daemon.hpp>
 #include <lagoonladder/observability.hpp>
@@ -9,6 +14,8 @@
 namespace lagoonladder::daemon
 {
 
+using open_request_count = std::atomic<std::uint32_t>;
+
 /// What all parts of the traffic plane use. The referenced objects outlive them.
 struct traffic_context
 {
@@ -17,27 +24,53 @@
     event_sink& events;
     observability::metrics& metrics;
     clock const& time;
-    /// Requests in progress.
-    std::atomic<std::uint32_t> open_requests = 0;
+    /// Event loop of the traffic thread.
+    std::shared_ptr<asio::io_context> loop;
+    /// Requests in progress. Shared, since a request may end after the plane was stopped.
+    std::shared_ptr<open_request_count> open_requests = std::make_shared<open_request_count>(0);
 };
 
 /// Counts a request as open while it exists.
 class open_request
 {
 public:
-    explicit open_request(traffic_context& owner)
-        : context(owner)
+    explicit open_request(traffic_context const& context)
+        : count(context.open_requests)
     {
-        ++this->context.open_requests;
+        ++*this->count;
     }
-    ~open_request() { --this->context.open_requests; }
+    ~open_request() { --*this->count; }
     open_request(open_request const&) = delete;
     open_request& operator=(open_request const&) = delete;
 
 private:
-    traffic_context& context;
+    std::shared_ptr<open_request_count> count;
 };
 
+/// Runs `action` on the loop after the delay.
+void run_later(asio::io_context& loop, duration delay, std::function<void()> action);
+
+/// Wraps a handler so that it runs on the loop, whatever thread calls the result. The
+/// result keeps the loop alive, and drops the handler before the loop.
+template <class... Arguments>
+std::function<void(Arguments...)> on_loop(std::shared_ptr<asio::io_context> loop,
+                                          std::function<void(Arguments...)> handler)
+{
+    struct loop_handler
+    {
+        std::shared_ptr<asio::io_context> loop;
+        std::function<void(Arguments...)> handler;
+
+        void operator()(Arguments... arguments) const
+        {
+            asio::post(*this->loop,
+                       [action = this->handler, ... values = std::decay_t<Arguments>(arguments)]
+                       { action(values...); });
+        }
+    };
+    return loop_handler{std::move(loop), std::move(handler)};
+}
+
 } // namespace lagoonladder::daemon
 
 #endif
--- a/src/process/daemon/internal/traffic_directory_routes.cpp
+++ b/src/process/daemon/internal/traffic_directory_routes.cpp
@@ -1,6 +1,6 @@
 #include <traffic_directory_routes.hpp>
 
-#include <traffic_http.hpp>
+#include <route_table.hpp>
 #include <traffic_secret.hpp>
 
 namespace lagoonladder::daemon
@@ -9,28 +9,26 @@
 namespace
 {
 
-void require_endpoint_token(traffic_context& context, httplib::Request const& request)
+void require_endpoint_token(traffic_context& context, api_exchange const& exchange)
 {
-    if (!secret_equals(bearer_token(request), context.config.endpoint_token))
+    if (!secret_equals(bearer_token(exchange), context.config.endpoint_token))
         throw refusal({401, "unauthorized", "the endpoint token is missing or wrong"});
 }
 
-void list_entries(traffic_context& context, traffic_entries& known, httplib::Request const& request,
-                  httplib::Response& response)
+void list_entries(traffic_context& context, traffic_entries& known, api_exchange& exchange)
 {
     auto const view = ready_view(context, execution::no);
     auto const caller =
-        request.has_param("caller") ? request.get_param_value("caller") : request.remote_addr;
+        exchange.has_parameter("caller") ? exchange.parameter("caller") : exchange.caller();
     auto entries = nlohmann::json::array();
     for (auto const& entry : known.list_for(*view, caller))
         entries.push_back(
             {{"vm", entry.vm}, {"address", entry.http}, {"data_centre", entry.data_centre}});
     auto const max_age =
         std::chrono::duration_cast<seconds>(context.config.entry_list_max_age).count();
-    response.set_header("Cache-Control", "max-age=" + std::to_string(max_age));
+    exchange.set_header("Cache-Control", "max-age=" + std::to_string(max_age));
     nlohmann::json const body{{"entries", std::move(entries)}, {"max_age_s", max_age}};
-    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-                         "application/json");
+    exchange.respond_json(200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void check_service(control_view const& view, connection::endpoint_record const& record)
@@ -43,12 +41,11 @@
         throw refusal({422, "bad-field", "field \"version\" must not be empty"});
 }
 
-void announce_endpoint(traffic_context& context, httplib::Request const& request,
-                       httplib::Response& response)
+void announce_endpoint(traffic_context& context, api_exchange& exchange)
 {
-    require_endpoint_token(context, request);
+    require_endpoint_token(context, exchange);
     auto const view = ready_view(context, execution::no);
-    auto const body = parse_json_body(request);
+    auto const body = parse_json_body(exchange);
     connection::endpoint_record record;
     try
     {
@@ -58,60 +55,54 @@
     {
         throw refusal({400, "bad-field", bad.what()});
     }
-    if (record.id.value() != request.matches[1])
+    if (record.id.value() != exchange.argument())
         throw refusal({400, "bad-field", "field \"id\" differs from the id in the path"});
     check_service(*view, record);
     context.control.announce(std::move(record));
     nlohmann::json const accepted{{"lease_us", context.config.endpoint_lease}};
-    response.set_content(accepted.dump(), "application/json");
+    exchange.respond_json(200, accepted.dump());
 }
 
-void remove_endpoint(traffic_context& context, httplib::Request const& request,
-                     httplib::Response& response)
+void remove_endpoint(traffic_context& context, api_exchange& exchange)
 {
-    require_endpoint_token(context, request);
-    context.control.remove_endpoint(endpoint_id(request.matches[1]));
-    response.status = 204;
+    require_endpoint_token(context, exchange);
+    context.control.remove_endpoint(endpoint_id(exchange.argument()));
+    exchange.respond(204, {}, {});
 }
 
 } // namespace
 
-void directory_routes::register_routes(httplib::Server& server)
+void directory_routes::register_routes(route_table& routes)
 {
     auto& shared = this->context;
-    auto const bind = [&shared](auto handler)
-    {
-        return guarded(
-            shared, [&shared, handler](httplib::Request const& request, httplib::Response& response)
-            { handler(shared, request, response); });
-    };
-    auto& known = this->entries;
-    server.Get("/v1/entries",
-               bind([&known](traffic_context& plane, auto const& request, auto& response)
-                    { list_entries(plane, known, request, response); }));
-    server.Put("/v1/endpoints/([^/]+)", bind(announce_endpoint));
-    server.Delete("/v1/endpoints/([^/]+)", bind(remove_endpoint));
-    this->register_health(server);
+    routes.add("GET", "/v1/entries",
+               [this](auto const& exchange)
+               { list_entries(this->context, this->entries, *exchange); });
+    routes.add_prefix("PUT", "/v1/endpoints/", false,
+                      [&shared](auto const& exchange) { announce_endpoint(shared, *exchange); });
+    routes.add_prefix("DELETE", "/v1/endpoints/", false,
+                      [&shared](auto const& exchange) { remove_endpoint(shared, *exchange); });
+    this->register_health(routes);
 }
 
-void directory_routes::register_health(httplib::Server& server)
+void directory_routes::register_health(route_table& routes)
 {
     auto& shared = this->context;
-    server.Get("/healthz", [](httplib::Request const&, httplib::Response& response)
-               { response.set_content("ok\n", "text/plain"); });
-    server.Get("/readyz",
-               [&shared](httplib::Request const&, httplib::Response& response)
+    routes.add("GET", "/healthz",
+               [](auto const& exchange) { exchange->respond(200, "text/plain", "ok\n"); });
+    routes.add("GET", "/readyz",
+               [&shared](auto const& exchange)
                {
                    auto const view = shared.control.view();
                    bool const serving = view && view->ready && !view->leaving;
-                   response.status = serving ? 200 : 503;
-                   response.set_content(serving ? "ready\n" : "not ready\n", "text/plain");
+                   exchange->respond(serving ? 200 : 503, "text/plain",
+                                     serving ? "ready\n" : "not ready\n");
                });
-    server.Get("/metrics",
-               [&shared](httplib::Request const&, httplib::Response& response)
+    routes.add("GET", "/metrics",
+               [&shared](auto const& exchange)
                {
-                   shared.metrics.set("open_requests", {}, shared.open_requests.load());
-                   response.set_content(shared.metrics.expose(), "text/plain; version=0.0.4");
+                   shared.metrics.set("open_requests", {}, shared.open_requests->load());
+                   exchange->respond(200, "text/plain; version=0.0.4", shared.metrics.expose());
                });
 }
 
--- a/src/process/daemon/internal/traffic_directory_routes.hpp
+++ b/src/process/daemon/internal/traffic_directory_routes.hpp
@@ -17,10 +17,10 @@
     {
     }
 
-    void register_routes(httplib::Server& server) override;
+    void register_routes(route_table& routes) override;
 
 private:
-    void register_health(httplib::Server& server);
+    void register_health(route_table& routes);
 
     traffic_context& context;
     traffic_entries& entries;
--- a/src/process/daemon/internal/traffic_router.cpp
+++ b/src/process/daemon/internal/traffic_router.cpp
@@ -71,7 +71,6 @@
 {
     auto const& endpoints = endpoints_of(view, query.service);
     auto const now = this->context.time.now();
-    std::lock_guard const lock(this->mutex);
     this->take_reports(endpoints);
     auto& service = this->services[query.service];
     auto const blocks = request::prefix_blocks(query.prefix);
@@ -104,7 +103,6 @@
                                    std::optional<request::route_outcome> const& outcome)
 {
     auto const now = this->context.time.now();
-    std::lock_guard const lock(this->mutex);
     this->load.completed(now, endpoint.id);
     if (outcome)
         this->services[endpoint.service].policy.record(now, endpoint.id, *outcome);
@@ -115,7 +113,6 @@
 {
     auto const& endpoints = endpoints_of(view, service);
     auto const now = this->context.time.now();
-    std::lock_guard const lock(this->mutex);
     this->take_reports(endpoints);
     return std::any_of(endpoints.begin(), endpoints.end(),
                        [&](auto const& endpoint)
@@ -144,20 +141,17 @@
 
 void traffic_router::first_attempt(version::service_config const& service)
 {
-    std::lock_guard const lock(this->mutex);
     this->budget_of(service).first_attempt();
 }
 
 request::retry_decision traffic_router::retry(version::service_config const& service,
                                               request::retry_query const& query)
 {
-    std::lock_guard const lock(this->mutex);
     return this->budget_of(service).retry(this->context.time.now(), query, this->random);
 }
 
 double traffic_router::random_unit()
 {
-    std::lock_guard const lock(this->mutex);
     return this->random.unit();
 }
 
--- a/src/process/daemon/internal/traffic_router.hpp
+++ b/src/process/daemon/internal/traffic_router.hpp
@@ -2,7 +2,6 @@
 #define LAGOONLADDER_DAEMON_TRAFFIC_ROUTER_HPP
 
 #include <map>
-#include <mutex>
 #include <optional>
 
 #include <traffic_context.hpp>
@@ -21,8 +20,8 @@
     std::vector<endpoint_id> excluded;
 };
 
-/// Chooses endpoints by load and affinity, and versions by share. Safe to call
-/// from any thread.
+/// Chooses endpoints by load and affinity, and versions by share. Used on the traffic
+/// thread.
 class traffic_router
 {
 public:
@@ -68,7 +67,6 @@
     request::retry_budget& budget_of(version::service_config const& service);
 
     traffic_context& context;
-    std::mutex mutex;
     seeded_random random;
     request::load_estimate load;
     std::map<service_name, service_state> services;
--- a/src/process/daemon/internal/traffic_server.cpp
+++ b/src/process/daemon/internal/traffic_server.cpp
@@ -1,11 +1,13 @@
 #include <traffic_server.hpp>
 
+#include <thread>
+
 #include <completion_routes.hpp>
 #include <plain_routes.hpp>
 #include <request_routes.hpp>
 #include <requests_service.hpp>
+#include <route_table.hpp>
 #include <traffic_directory_routes.hpp>
-#include <traffic_listener.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -15,12 +17,26 @@
 
 // Queued requests learn of slots that other entries' requests freed within this
 // time; it is short against the 31 ms between tokens.
-constexpr duration tick_interval = milliseconds(20);
-constexpr std::uint64_t ticks_per_second = 50;
-constexpr std::uint64_t ticks_per_flush = 3;
+constexpr duration busy_tick = milliseconds(20);
+// Without requests only the loss of owners is looked for.
+constexpr duration idle_tick = milliseconds(500);
+constexpr duration flush_interval = milliseconds(60);
+constexpr duration observe_interval = seconds(1);
+
+// Connections beyond the limit that are told so; each takes a few kilobytes.
+constexpr std::size_t refused_connections = 64;
+
+http::server_options make_server_options(settings const& config)
+{
+    return {config.http, config.max_connections, "http", refused_connections};
+}
 
-// For calls and commits that nobody waits for.
-constexpr std::size_t max_background_threads = 16;
+http::connection_limits make_limits(settings const& config)
+{
+    http::connection_limits limits;
+    limits.max_body_bytes = config.max_body_bytes;
+    return limits;
+}
 
 } // namespace
 
@@ -28,69 +44,97 @@
 {
     implementation(settings const& config, control_plane& control, event_sink& events,
                    observability::metrics& metrics, clock const& time, std::uint64_t seed)
-        : context{config, control, events, metrics, time}
+        : context{config, control, events, metrics, time, std::make_shared<asio::io_context>(1)}
+        , work(asio::make_work_guard(*this->context.loop))
         , entries(context)
         , store(context)
         , companions(context, store, entries)
         , router(context, seed)
         , gate(context, router)
-        , upstream(time)
+        , calls(context)
         , companion_side(context, store)
-        , background(max_background_threads, 0)
-        , completions({context, store, companions, router, gate, upstream, background}, entries,
-                      companion_side)
+        , completions({context, store, companions, router, gate, calls}, entries, companion_side)
         , directory(context, entries)
         , completion(completions)
         , lookup(completions)
-        , plain({context, router, upstream, background}, completions)
-        , listener(context)
+        , plain({context, router, calls}, completions)
+        , routes(context)
+        , server(
+              *context.loop, make_server_options(config), routes,
+              [&config] { return make_limits(config); }, events, time)
+        , timer(*context.loop)
     {
     }
 
-    void tick(std::uint64_t count);
-    void run_ticks();
+    void tick();
+    void schedule_tick();
+    void run();
 
     traffic_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
     traffic_entries entries;
     completion_store store;
     companion_link companions;
     traffic_router router;
     admission_gate gate;
-    upstream_connections upstream;
+    endpoint_calls calls;
     daemon::requests_service companion_side;
-    worker_threads background;
     completion_service completions;
     directory_routes directory;
     completion_routes completion;
     request_routes lookup;
     plain_routes plain;
-    traffic_listener listener;
-    std::thread ticker;
-    std::atomic<bool> stopping = false;
+    route_table routes;
+    http::server server;
+    asio::steady_timer timer;
+    time_point next_flush{};
+    time_point next_observation{};
+    std::thread thread;
 };
 
-void traffic_server::implementation::tick(std::uint64_t count)
+void traffic_server::implementation::tick()
 {
     this->gate.pump();
-    if (count % ticks_per_flush == 0)
+    auto const now = this->context.time.now();
+    if (now >= this->next_flush)
     {
+        this->next_flush = now + flush_interval;
         this->companions.tick();
         this->completions.take_over_lost();
     }
-    if (count % ticks_per_second != 0)
-        return;
-    this->gate.observe();
-    this->upstream.close_idle();
-    this->store.expire();
-    this->context.control.set_open_requests(this->context.open_requests);
+    if (now >= this->next_observation)
+    {
+        this->next_observation = now + observe_interval;
+        this->gate.observe();
+        this->store.expire();
+        this->context.control.set_open_requests(*this->context.open_requests);
+    }
+    this->schedule_tick();
+}
+
+void traffic_server::implementation::schedule_tick()
+{
+    bool const is_busy =
+        *this->context.open_requests > 0 || this->gate.has_waiters() || this->companions.is_busy();
+    this->timer.expires_after(is_busy ? busy_tick : idle_tick);
+    this->timer.async_wait(
+        [this](asio::error_code const& cancelled)
+        {
+            if (!cancelled)
+                this->tick();
+        });
 }
 
-void traffic_server::implementation::run_ticks()
+void traffic_server::implementation::run()
 {
-    for (std::uint64_t count = 1; !this->stopping; ++count)
+    try
+    {
+        this->context.loop->run();
+    }
+    catch (std::exception const& problem)
     {
-        std::this_thread::sleep_for(tick_interval);
-        this->tick(count);
+        this->context.events.emit(severity::error, "traffic.failed", {{"reason", problem.what()}});
+        invariant_violated(std::string("completion thread: ") + problem.what());
     }
 }
 
@@ -99,12 +143,12 @@
                                std::uint64_t seed, std::vector<route_module*> modules)
     : state(std::make_unique<implementation>(config, control, events, metrics, time, seed))
 {
-    this->state->listener.add(this->state->directory);
-    this->state->listener.add(this->state->completion);
-    this->state->listener.add(this->state->lookup);
-    this->state->listener.add(this->state->plain);
+    this->state->directory.register_routes(this->state->routes);
+    this->state->completion.register_routes(this->state->routes);
+    this->state->lookup.register_routes(this->state->routes);
+    this->state->plain.register_routes(this->state->routes);
     for (auto* module : modules)
-        this->state->listener.add(*module);
+        module->register_routes(this->state->routes);
 }
 
 traffic_server::~traffic_server()
@@ -114,13 +158,14 @@
 
 void traffic_server::start()
 {
-    this->state->listener.start();
-    this->state->ticker = std::thread([this] { this->state->run_ticks(); });
+    this->state->server.start();
+    this->state->schedule_tick();
+    this->state->thread = std::thread([this] { this->state->run(); });
 }
 
 network_address traffic_server::address() const
 {
-    return this->state->listener.address();
+    return this->state->server.address();
 }
 
 void traffic_server::drain()
@@ -130,7 +175,7 @@
 
 std::uint32_t traffic_server::open_requests() const
 {
-    return this->state->context.open_requests;
+    return *this->state->context.open_requests;
 }
 
 bool traffic_server::wait_until_idle(duration timeout) const
@@ -143,13 +188,18 @@
 
 void traffic_server::stop()
 {
-    this->state->listener.stop();
-    this->state->completions.stop();
-    this->state->stopping = true;
-    if (this->state->ticker.joinable())
-        this->state->ticker.join();
+    if (!this->state->thread.joinable())
+        return;
+    asio::post(*this->state->context.loop,
+               [this]
+               {
+                   this->state->timer.cancel();
+                   this->state->server.stop();
+                   this->state->calls.stop();
+                   this->state->context.loop->stop();
+               });
+    this->state->thread.join();
     this->state->companions.stop();
-    this->state->background.stop();
 }
 
 grpc::Service& traffic_server::requests_service()
--- a/src/process/daemon/internal/traffic_server.hpp
+++ b/src/process/daemon/internal/traffic_server.hpp
@@ -16,8 +16,8 @@
 namespace lagoonladder::daemon
 {
 
-/// The traffic plane of a daemon: HTTP server for callers and endpoints, and the
-/// accepted completions. The referenced objects outlive it.
+/// The completion plane of a daemon: HTTP interface for callers and endpoints, and the
+/// accepted completions, on an event loop with one thread. The referenced objects outlive it.
 class traffic_server
 {
 public:
@@ -30,7 +30,7 @@
     traffic_server& operator=(traffic_server const&) = delete;
 
     /// Binds the address of the settings (port 0: the kernel picks one) and serves.
-    /// Throws daemon_error when the address cannot be bound.
+    /// Throws http_error when the address cannot be bound.
     void start();
 
     /// Address that is served; valid after start().
@@ -45,7 +45,7 @@
     /// Waits until no request is in progress. False when the timeout passed first.
     bool wait_until_idle(duration timeout) const;
 
-    /// Closes the listening socket, then waits for the requests in progress.
+    /// Ends all connections and the work on requests. Companions take over what is unfinished.
     void stop();
 
     /// gRPC service `Requests`, to be registered with the daemon's gRPC server. The
--- /dev/null
+++ b/src/process/daemon/tests/blocking_calls.hpp
@@ -0,0 +1,59 @@
+#ifndef LAGOONLADDER_DAEMON_TESTS_BLOCKING_CALLS_HPP
+#define LAGOONLADDER_DAEMON_TESTS_BLOCKING_CALLS_HPP
+
+#include <future>
+
+#include <lagoonladder/daemon/control_plane.hpp>
+
+namespace lagoonladder::daemon
+{
+
+/// Time beyond a call's own timeout after which the test gives up on its handler.
+inline constexpr std::chrono::seconds handler_allowance{5};
+
+/// Commits a command and waits for the outcome.
+inline proposal_outcome propose_and_wait(control_plane& plane, version::command_body body,
+                                         duration timeout)
+{
+    auto const answer = std::make_shared<std::promise<proposal_outcome>>();
+    auto future = answer->get_future();
+    plane.propose(std::move(body), timeout,
+                  [answer](proposal_outcome const& outcome) { answer->set_value(outcome); });
+    if (future.wait_for(timeout + handler_allowance) != std::future_status::ready)
+        throw std::runtime_error("the handler of a proposal was not called");
+    return future.get();
+}
+
+/// Result of a command that a quorum has to commit.
+inline version::command_result commit_and_wait(control_plane& plane, version::command_body body,
+                                               duration timeout)
+{
+    auto const outcome = propose_and_wait(plane, std::move(body), timeout);
+    if (outcome.status != proposal_status::committed)
+        throw std::runtime_error("the command was not committed");
+    return outcome.result;
+}
+
+struct found_record
+{
+    find_status status = find_status::unavailable;
+    std::optional<request::once_reply> reply;
+};
+
+inline found_record find_and_wait(control_plane& plane, request::once_key const& key,
+                                  duration timeout)
+{
+    auto const answer = std::make_shared<std::promise<found_record>>();
+    auto future = answer->get_future();
+    plane.find_once(key, timeout,
+                    [answer](find_status status, auto const& reply) {
+                        answer->set_value({status, reply});
+                    });
+    if (future.wait_for(timeout + handler_allowance) != std::future_status::ready)
+        throw std::runtime_error("the handler of a look-up was not called");
+    return future.get();
+}
+
+} // namespace lagoonladder::daemon
+
+#endif
--- a/src/process/daemon/tests/control_fixture.hpp
+++ b/src/process/daemon/tests/control_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include "blocking_calls.hpp"
 #include "control_loop.hpp"
 #include "control_services.hpp"
 #include "free_port.hpp"
@@ -148,7 +149,8 @@
     {
         version::apply_configuration const command{generation(base), "test.ini", text,
                                                    operation_id(operation)};
-        return std::get<version::apply_result>(this->loop(index).propose(command, seconds(10)));
+        return std::get<version::apply_result>(
+            commit_and_wait(this->loop(index), command, seconds(10)));
     }
 
     duration const state_poll_interval;
--- a/src/process/daemon/tests/control_loop_test.cpp
+++ b/src/process/daemon/tests/control_loop_test.cpp
@@ -59,10 +59,10 @@
     system.stop(0);
     system.stop(1);
     auto const now = system_clock().wall_now();
-    CHECK_THROWS_AS(system.loop(2).propose(begin_booking("a-1", now), milliseconds(1500)),
-                    daemon_error);
-    CHECK_THROWS_AS(system.loop(3).find_once(begin_booking("a-1", now).key, milliseconds(1500)),
-                    outcome_unknown_error);
+    CHECK(propose_and_wait(system.loop(2), begin_booking("a-1", now), milliseconds(1500)).status !=
+          proposal_status::committed);
+    CHECK(find_and_wait(system.loop(3), begin_booking("a-1", now).key, milliseconds(1500)).status ==
+          find_status::unavailable);
     CHECK(eventually([&] { return !system.loop(2).view()->quorum_recent; }));
     CHECK(eventually([&] { return !system.loop(3).view()->quorum_recent; }));
     CHECK(system.loop(3).view()->shared->generation.value() > 0);
@@ -128,18 +128,19 @@
     auto const now = system_clock().wall_now();
     std::vector<std::future<request::once_reply>> replies;
     for (std::size_t i = 0; i < 4; ++i)
-        replies.push_back(
-            std::async(std::launch::async,
-                       [&system, i, now]
-                       {
-                           return std::get<request::once_reply>(system.loop(i).propose(
-                               begin_booking("a-" + std::to_string(i), now), seconds(10)));
-                       }));
+        replies.push_back(std::async(
+            std::launch::async,
+            [&system, i, now]
+            {
+                return std::get<request::once_reply>(commit_and_wait(
+                    system.loop(i), begin_booking("a-" + std::to_string(i), now), seconds(10)));
+            }));
     int granted = 0;
     for (auto& reply : replies)
         granted += reply.get().verdict == request::once_verdict::granted ? 1 : 0;
     CHECK(granted == 1);
-    auto const found = system.loop(3).find_once(begin_booking("a-0", now).key, seconds(5));
+    auto const found =
+        find_and_wait(system.loop(3), begin_booking("a-0", now).key, seconds(5)).reply;
     REQUIRE(found);
     CHECK(found->verdict == request::once_verdict::in_progress);
 }
--- a/src/process/daemon/tests/control_pass_through_test.cpp
+++ b/src/process/daemon/tests/control_pass_through_test.cpp
@@ -25,8 +25,9 @@
 version::move_state outcome_of_move(double failures_of_new)
 {
     small_system system;
-    system.loop(3).propose(make_pass_through(1), seconds(10));
-    system.loop(3).propose(
+    commit_and_wait(system.loop(3), make_pass_through(1), seconds(10));
+    commit_and_wait(
+        system.loop(3),
         version::start_service_move{service_name("model"), version_name("v2"), seconds(8)},
         seconds(10));
     seeded_random random(7);
@@ -74,16 +75,16 @@
 {
     // Guards against an acknowledged configuration that is lost or reverts.
     small_system system;
-    system.loop(3).propose(make_pass_through(7), seconds(10));
+    commit_and_wait(system.loop(3), make_pass_through(7), seconds(10));
     system.stop(0);
     auto const read = [&]
     {
         return std::get<version::pass_state_result>(
-            system.loop(3).propose(version::read_pass_state{true}, seconds(10)));
+            commit_and_wait(system.loop(3), version::read_pass_state{true}, seconds(10)));
     };
     CHECK(read().document == "document 7");
     auto const older = std::get<version::apply_map_result>(
-        system.loop(3).propose(make_pass_through(5), seconds(10)));
+        commit_and_wait(system.loop(3), make_pass_through(5), seconds(10)));
     CHECK_FALSE(older.stored);
     CHECK(read().number == 7);
 }
--- a/src/process/daemon/tests/traffic_harness.cpp
+++ b/src/process/daemon/tests/traffic_harness.cpp
@@ -103,23 +103,24 @@
     return view;
 }
 
-version::command_result memory_control_plane::propose(version::command_body body, duration)
+void memory_control_plane::propose(version::command_body body, duration, proposal_handler done)
 {
     if (!this->cluster.has_quorum)
-        throw outcome_unknown_error("no quorum");
+        return done({});
     auto result = this->cluster.commit(std::move(body));
     if (this->cluster.loses_next_reply.exchange(false))
-        throw outcome_unknown_error("the reply was lost");
-    return result;
+        return done({});
+    done({proposal_status::committed, std::move(result)});
 }
 
-std::optional<request::once_reply> memory_control_plane::find_once(request::once_key const& key,
-                                                                   duration)
+void memory_control_plane::find_once(request::once_key const& key, duration, find_handler done)
 {
     if (!this->cluster.has_quorum)
-        throw outcome_unknown_error("no quorum");
-    std::lock_guard const lock(this->cluster.mutex);
-    return this->cluster.state.once_records().find(key);
+        return done(find_status::unavailable, std::nullopt);
+    std::unique_lock lock(this->cluster.mutex);
+    auto const found = this->cluster.state.once_records().find(key);
+    lock.unlock();
+    done(found ? find_status::found : find_status::not_found, found);
 }
 
 void memory_control_plane::remove_endpoint(endpoint_id const& id)
--- a/src/process/daemon/tests/traffic_harness.hpp
+++ b/src/process/daemon/tests/traffic_harness.hpp
@@ -13,6 +13,7 @@
 #include <event_stream_parser.hpp>
 #include <traffic_server.hpp>
 
+#include "blocking_calls.hpp"
 #include "memory_cluster.hpp"
 #include "test_engine.hpp"
 
@@ -42,8 +43,8 @@
     {
     }
     std::shared_ptr<control_view const> view() const override;
-    version::command_result propose(version::command_body body, duration) override;
-    std::optional<request::once_reply> find_once(request::once_key const& key, duration) override;
+    void propose(version::command_body body, duration, proposal_handler done) override;
+    void find_once(request::once_key const& key, duration, find_handler done) override;
     void announce(connection::endpoint_record record) override { this->cluster.add(record); }
     void remove_endpoint(endpoint_id const& id) override;
     void record_traffic(version::traffic_sample const& sample) override;
--- a/src/process/daemon/tests/traffic_http_test.cpp
+++ b/src/process/daemon/tests/traffic_http_test.cpp
@@ -194,6 +194,41 @@
     CHECK(stub->Fetch(&call, {}, &reply).error_code() == grpc::StatusCode::UNAUTHENTICATED);
 }
 
+// Guards against a coded body that is taken for malformed JSON.
+TEST_CASE("a coded body is refused with its reason")
+{
+    one_entry one;
+    auto headers = key_header();
+    headers.emplace("Content-Encoding", "zstd");
+    auto const refused = one.post(chat_body().dump(), headers);
+    CHECK(problem_of(refused)["executed"] == "no");
+    CHECK(refused->status == 415);
+}
+
+// Guards against a stop that lasts as long as the requests in progress.
+TEST_CASE("a stop ends the requests in progress and the companion finishes them")
+{
+    memory_cluster cluster;
+    recorded_events events;
+    auto first = std::make_unique<test_entry>(cluster, events, "entry-1", "dc-1");
+    test_entry second(cluster, events, "entry-2", "dc-2");
+    test_engine engine(cluster, "engine-1");
+    engine.token_delay_us = 100'000;
+    seen_stream cut;
+    std::thread caller([&] { cut = read_completion(*first, chat_body()); });
+    REQUIRE(eventually([&] { return engine.attempts == 1; }));
+    std::this_thread::sleep_for(milliseconds(400));
+    auto const begun = std::chrono::steady_clock::now();
+    first->server->stop();
+    CHECK(std::chrono::steady_clock::now() - begun < seconds(1));
+    caller.join();
+    CHECK(!cut.is_done);
+    first->die();
+    auto const seen = read_request(second, cut.request_id, 0);
+    CHECK(seen.text == expected_text(0, 20));
+    CHECK(seen.is_done);
+}
+
 // Guards against bytes that are not HTTP and against callers that go away.
 TEST_CASE("garbage and closed connections do not stop the server")
 {
--- a/src/process/daemon/tests/traffic_plain_test.cpp
+++ b/src/process/daemon/tests/traffic_plain_test.cpp
@@ -46,6 +46,7 @@
     void status(httplib::Response& response)
     {
         ++this->looked_up;
+        std::this_thread::sleep_for(milliseconds(this->delay_ms));
         response.status = this->fails ? 503 : 200;
         response.set_content("status", "text/plain");
     }
@@ -213,11 +214,11 @@
     REQUIRE(refused);
     CHECK(refused->status == 503);
     CHECK(executed(refused) == "no");
-    CHECK(two.first.control
-              .find_once(
-                  {account_id("council"), service_name("booking"), idempotency_key("permit-20")},
-                  seconds(1))
-              ->verdict == request::once_verdict::refused);
+    CHECK(find_and_wait(
+              two.first.control,
+              {account_id("council"), service_name("booking"), idempotency_key("permit-20")},
+              seconds(1))
+              .reply->verdict == request::once_verdict::refused);
     booking_endpoint one(two.cluster, "booking-1");
     CHECK(executed(book(two.second, "permit-20")) == "no");
     CHECK(one.booked == 0);
@@ -310,3 +311,17 @@
     CHECK(bad.looked_up <= 60 + 30 + 10);
     CHECK(bad.looked_up > 60);
 }
+
+// Guards against work for a caller who has gone.
+TEST_CASE("an idempotent call ends when its caller has gone")
+{
+    cluster_of_two two;
+    booking_endpoint one(two.cluster, "booking-1");
+    one.delay_ms = 450;
+    auto client = two.first.client();
+    client.set_read_timeout(std::chrono::milliseconds(50));
+    CHECK(!client.Get("/services/booking/status", key_header()));
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(two.first.server->open_requests() == 0);
+    CHECK(one.looked_up == 1);
+}
--- a/src/process/http/include/lagoonladder/http/client.hpp
+++ b/src/process/http/include/lagoonladder/http/client.hpp
@@ -58,6 +58,8 @@
     virtual void resume() = 0;
     /// Whether a byte of the request may have reached the server.
     virtual bool may_have_sent() const = 0;
+    /// Whether the connection had carried a call before.
+    virtual bool is_on_kept_connection() const = 0;
 };
 
 struct client_options
--- a/src/process/http/include/lagoonladder/http/server.hpp
+++ b/src/process/http/include/lagoonladder/http/server.hpp
@@ -24,6 +24,8 @@
     virtual std::string const& body() const = 0;
     /// When the first byte of the request was read.
     virtual time_point arrived() const = 0;
+    /// Address of the caller's end of the connection.
+    virtual std::string const& remote_address() const = 0;
 
     /// The whole answer.
     virtual void respond(response_head head, std::string_view body) = 0;
@@ -49,6 +51,13 @@
 
     /// A request has arrived whole.
     virtual void handle(std::shared_ptr<server_exchange> const& exchange) = 0;
+
+    /// Body of the answer to a request that is not handled; may add fields to its head.
+    virtual std::string rejection_body(response_head& head, std::string const& reason)
+    {
+        static_cast<void>(head);
+        return reason;
+    }
 };
 
 /// Bounds on what a caller may send.
@@ -68,6 +77,9 @@
     std::size_t max_connections = 2000;
     /// Name in the log.
     std::string name;
+    /// Connections beyond the maximum whose first request is answered with 503; further
+    /// ones are closed.
+    std::size_t refused_connections = 0;
 };
 
 /// Accepts connections at one address and reads requests from them.
@@ -82,6 +94,9 @@
     /// Throws http_error when the address cannot be listened on.
     void start();
 
+    /// The address with the port that the kernel chose for port 0; valid after start().
+    network_address address() const;
+
     /// Connections end after their next answer; new ones are still accepted.
     void close_after_answers();
 
--- a/src/process/http/internal/client.cpp
+++ b/src/process/http/internal/client.cpp
@@ -28,8 +28,9 @@
 class connection_call : public client_call
 {
 public:
-    explicit connection_call(std::shared_ptr<client_connection> used)
+    connection_call(std::shared_ptr<client_connection> used, bool is_kept_one)
         : connection(std::move(used))
+        , is_kept(is_kept_one)
     {
     }
 
@@ -37,9 +38,11 @@
     void pause() override { this->connection->pause(); }
     void resume() override { this->connection->resume(); }
     bool may_have_sent() const override { return this->connection->may_have_sent(); }
+    bool is_on_kept_connection() const override { return this->is_kept; }
 
 private:
     std::shared_ptr<client_connection> connection;
+    bool const is_kept;
 };
 
 /// A call that was refused before a connection was used.
@@ -50,6 +53,7 @@
     void pause() override {}
     void resume() override {}
     bool may_have_sent() const override { return false; }
+    bool is_on_kept_connection() const override { return false; }
 
     bool is_cancelled = false;
 };
@@ -78,7 +82,7 @@
         {
             kept->start(std::move(request), std::move(observer));
             kept->send_request();
-            return std::make_shared<connection_call>(kept);
+            return std::make_shared<connection_call>(kept, true);
         }
         if (max_connections > 0 && known.open >= max_connections)
             return this->refuse(observer);
@@ -88,7 +92,7 @@
         ++this->opened_connections;
         connection->start(std::move(request), std::move(observer));
         connection->connect();
-        return std::make_shared<connection_call>(connection);
+        return std::make_shared<connection_call>(connection, false);
     }
 
     void keep(std::shared_ptr<client_connection> const& connection) override
--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -34,6 +34,7 @@
     this->is_sent = false;
     this->is_paused = false;
     this->has_response = false;
+    this->is_head_request = this->request->starts_with("HEAD ");
     this->begin_response();
 }
 
@@ -125,7 +126,8 @@
             auto const receiver = this->observer;
             if (!this->skips && receiver)
                 receiver->on_body(bytes);
-        });
+        },
+        this->is_head_request);
 }
 
 duration client_connection::idle_time(response_head const& head) const
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -79,6 +79,7 @@
     std::string input;
     time_point reuse_until{};
     duration stated_idle_time{};
+    bool is_head_request = false;
     bool is_connected = false;
     bool is_sending = false;
     bool is_sent = false;
--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -198,12 +198,13 @@
 };
 
 response_parser::response_parser(std::function<void(response_head const&)> on_head,
-                                 std::function<void(std::string_view)> on_body)
+                                 std::function<void(std::string_view)> on_body, bool without_body)
     : state(std::make_unique<implementation>())
 {
     this->state->on_head = std::move(on_head);
     this->state->on_body = std::move(on_body);
     this->state->eager(true);
+    this->state->skip(without_body);
     this->state->header_limit(max_response_head_bytes);
     // Boost 1.74 takes "no limit" for a limit that every stated length exceeds.
     this->state->body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/src/process/http/internal/message_parser.hpp
+++ b/src/process/http/internal/message_parser.hpp
@@ -48,8 +48,9 @@
 class response_parser
 {
 public:
+    /// `without_body`: the response to a HEAD request ends with its head.
     response_parser(std::function<void(response_head const&)> on_head,
-                    std::function<void(std::string_view)> on_body);
+                    std::function<void(std::string_view)> on_body, bool without_body = false);
     ~response_parser();
 
     std::size_t put(std::string_view data, std::optional<parse_problem>& problem);
--- a/src/process/http/internal/server.cpp
+++ b/src/process/http/internal/server.cpp
@@ -56,6 +56,12 @@
         }
     }
 
+    network_address address() const
+    {
+        auto const local = this->acceptor.local_endpoint();
+        return network_address(local.address().to_string() + ":" + std::to_string(local.port()));
+    }
+
     std::shared_ptr<server_context> shared;
 
 private:
@@ -91,7 +97,9 @@
 
     void add(asio::ip::tcp::socket socket)
     {
-        if (this->shared->open_connections >= this->shared->options.max_connections)
+        auto const& options = this->shared->options;
+        bool const is_over_limit = this->shared->open_connections >= options.max_connections;
+        if (this->shared->open_connections >= options.max_connections + options.refused_connections)
         {
             this->shared->events.emit(
                 severity::warning, "http.connection_refused",
@@ -99,7 +107,7 @@
             return;
         }
         auto const connection =
-            std::make_shared<server_connection>(std::move(socket), this->shared);
+            std::make_shared<server_connection>(std::move(socket), this->shared, is_over_limit);
         if (this->connections.size() >= this->prune_at)
         {
             this->connections.remove_if([](auto const& known) { return known.expired(); });
@@ -133,6 +141,11 @@
     this->state->start();
 }
 
+network_address server::address() const
+{
+    return this->state->address();
+}
+
 void server::close_after_answers()
 {
     this->state->shared->closes_after_answers = true;
