--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -25,12 +25,14 @@
         , request(connection->head())
         , content(connection->body())
         , began(connection->arrived())
+        , remote(connection->remote_address())
     {
     }
 
     request_head const& head() const override { return this->request; }
     std::string const& body() const override { return this->content; }
     time_point arrived() const override { return this->began; }
+    std::string const& remote_address() const override { return this->remote; }
 
     void respond(response_head answer, std::string_view bytes) override
     {
@@ -94,15 +96,17 @@
     request_head const request;
     std::string const content;
     time_point const began;
+    std::string const remote;
 };
 
 } // namespace
 
 server_connection::server_connection(asio::ip::tcp::socket accepted,
-                                     std::shared_ptr<server_context> shared)
+                                     std::shared_ptr<server_context> shared, bool over_limit)
     : socket(std::move(accepted))
     , timer(socket.get_executor())
     , context(std::move(shared))
+    , is_over_limit(over_limit)
 {
     ++this->context->open_connections;
 }
@@ -115,6 +119,10 @@
 void server_connection::start()
 {
     configure_socket(this->socket, unacknowledged_timeout);
+    asio::error_code is_gone;
+    auto const peer = this->socket.remote_endpoint(is_gone);
+    if (!is_gone)
+        this->remote = peer.address().to_string();
     this->set_timer(this->context->limits().idle_timeout + idle_allowance);
     this->read();
 }
@@ -215,9 +223,12 @@
 
 void server_connection::dispatch()
 {
+    if (this->is_over_limit)
+        return this->reject({503, "this entry has no free connection"});
     this->timer.cancel();
     this->state = phase::handling;
     this->closes = !this->parser->keeps_alive();
+    this->has_no_body = this->parser->head().method == "HEAD";
     auto const current = std::make_shared<connection_exchange>(this->shared_from_this());
     this->parser.reset();
     this->context->handler.handle(current);
@@ -231,7 +242,9 @@
                                 {"reason", problem.reason}});
     this->closes = true;
     this->state = phase::handling;
-    this->respond({problem.status, {}, {}}, problem.reason);
+    response_head head{problem.status, {}, {}};
+    auto const content = this->context->handler.rejection_body(head, problem.reason);
+    this->respond(std::move(head), content);
 }
 
 void server_connection::add_connection_field(response_head& head)
@@ -249,7 +262,8 @@
     this->add_connection_field(head);
     head.headers.set("Content-Length", std::to_string(content.size()));
     this->pending += format_head(head);
-    this->pending += content;
+    if (!this->has_no_body)
+        this->pending += content;
     this->answer_complete();
 }
 
@@ -269,7 +283,7 @@
 
 void server_connection::write(std::string_view bytes)
 {
-    if (this->state != phase::handling)
+    if (this->state != phase::handling || this->has_no_body)
         return;
     if (this->is_chunked)
         append_chunk(this->pending, bytes);
@@ -282,7 +296,7 @@
 {
     if (this->state != phase::handling)
         return;
-    if (this->is_chunked)
+    if (this->is_chunked && !this->has_no_body)
         this->pending += last_chunk;
     this->answer_complete();
 }
@@ -291,6 +305,7 @@
 {
     this->state = phase::finishing;
     this->is_chunked = false;
+    this->has_no_body = false;
     this->flush();
 }
 
--- a/src/process/http/internal/server_connection.hpp
+++ b/src/process/http/internal/server_connection.hpp
@@ -32,7 +32,9 @@
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
-    server_connection(asio::ip::tcp::socket accepted, std::shared_ptr<server_context> shared);
+    /// `over_limit`: the first request is refused, since too many connections are open.
+    server_connection(asio::ip::tcp::socket accepted, std::shared_ptr<server_context> shared,
+                      bool over_limit);
     ~server_connection();
 
     server_connection(server_connection const&) = delete;
@@ -45,6 +47,7 @@
     request_head const& head();
     std::string const& body();
     time_point arrived() const { return this->request_began; }
+    std::string const& remote_address() const { return this->remote; }
     void respond(response_head head, std::string_view content);
     void begin(response_head head, std::optional<std::uint64_t> length);
     void write(std::string_view bytes);
@@ -93,6 +96,10 @@
     std::string pending;
     std::string writing;
     time_point request_began{};
+    std::string remote;
+    bool const is_over_limit;
+    /// The answer to a HEAD request has no body, whatever its length field says.
+    bool has_no_body = false;
     bool reads = false;
     bool is_chunked = false;
     bool closes = false;
--- a/src/process/http/tests/server_client_test.cpp
+++ b/src/process/http/tests/server_client_test.cpp
@@ -358,3 +358,48 @@
     CHECK(outcome("garbage\r\n\r\n").failure == http::call_failure::no_response);
     CHECK(outcome("").failure == http::call_failure::no_response);
 }
+
+TEST_CASE("the response to a HEAD request ends with its head")
+{
+    // Guards against a client that waits for a body which never comes.
+    loop_fixture f;
+    f.handler.on_request = [](http::server_exchange& exchange) {
+        exchange.respond({200, {}, {}}, "four");
+    };
+    http::request_head head{"HEAD", "/a", {}};
+    head.headers.add("Host", "h");
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const observer = std::make_shared<recording_observer>();
+        f.client.send(f.address,
+                      std::make_shared<std::string const>(http::format_request(head, "")),
+                      observer);
+        f.run_until([&] { return observer->is_over(); });
+        CHECK(observer->ended);
+        CHECK(observer->body.empty());
+        REQUIRE(observer->heads.size() == 1);
+        CHECK(*observer->heads[0].headers.find("Content-Length") == "4");
+    }
+    CHECK(f.client.opened() == 1);
+}
+
+TEST_CASE("connections beyond the limit are refused with a status")
+{
+    // Guards against callers who see only a closed connection when an entry is full.
+    loop_fixture f;
+    auto const address = free_address();
+    http::server small(
+        f.context, {address, 0, "small", 1}, f.handler, [&f] { return f.limits; }, f.events,
+        f.time);
+    small.start();
+    f.address = address;
+    auto const answer = f.exchange_raw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(f.handler.exchanges.empty());
+    http::server closed(
+        f.context, {free_address(), 0, "closed"}, f.handler, [&f] { return f.limits; }, f.events,
+        f.time);
+    closed.start();
+    f.address = closed.address();
+    CHECK(f.exchange_raw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").empty());
+}
