--- a/cmake/lagoonladder.cmake
+++ b/cmake/lagoonladder.cmake
@@ -31,7 +31,7 @@
     return()
   endif()
   add_executable(${name}_test ${sources} ${PROJECT_SOURCE_DIR}/cmake/catch_main.cpp)
-  target_include_directories(${name}_test PRIVATE internal tests)
+  target_include_directories(${name}_test PRIVATE internal tests ${PROJECT_SOURCE_DIR}/tests/support)
   target_link_libraries(${name}_test PRIVATE lagoonladder_${name} ${ARG_DEPENDS}
     Catch2::Catch2 ${RAPIDCHECK} lagoonladder_warnings)
   # RapidCheck otherwise picks a new seed on each run and CI could change its verdict.
--- a/src/base/include/lagoonladder/base.hpp
+++ b/src/base/include/lagoonladder/base.hpp
@@ -11,6 +11,7 @@
 #include <lagoonladder/base/ini_section_reader.hpp>
 #include <lagoonladder/base/invariant.hpp>
 #include <lagoonladder/base/random.hpp>
+#include <lagoonladder/base/secret.hpp>
 #include <lagoonladder/base/strong_type.hpp>
 #include <lagoonladder/base/units.hpp>
 
--- a/src/process/daemon/internal/traffic_secret.hpp
+++ b/src/base/include/lagoonladder/base/secret.hpp
@@ -1,9 +1,9 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_SECRET_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_SECRET_HPP
+#ifndef LAGOONLADDER_BASE_SECRET_HPP
+#define LAGOONLADDER_BASE_SECRET_HPP
 
 #include <string_view>
 
-namespace lagoonladder::daemon
+namespace lagoonladder
 {
 
 /// Compares in a time that does not depend on where the texts differ.
@@ -18,6 +18,6 @@
     return difference == 0;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder
 
 #endif
--- a/src/process/cli/internal/input_file.cpp
+++ b/src/process/cli/internal/input_file.cpp
@@ -1,6 +1,7 @@
 #include "input_file.hpp"
 
-#include <lagoonladder/daemon.hpp>
+#include <lagoonladder/config.hpp>
+#include <lagoonladder/version.hpp>
 
 #include "cli_error.hpp"
 
@@ -25,7 +26,7 @@
     try
     {
         if (kind == file_kind::settings)
-            daemon::parse_settings(path, text);
+            config::parse_settings(path, text);
         else
             version::parse_configuration(path, text);
     }
--- a/src/process/cli/internal/serve_command.cpp
+++ b/src/process/cli/internal/serve_command.cpp
@@ -1,5 +1,6 @@
 #include "serve_command.hpp"
 
+#include <lagoonladder/config.hpp>
 #include <lagoonladder/daemon.hpp>
 #include <lagoonladder/daemon/run.hpp>
 
@@ -28,7 +29,7 @@
     {
         return daemon::run_daemon(path.getValue()) == 0 ? exit_code::done : exit_code::failed;
     }
-    catch (daemon::settings_error const& problem)
+    catch (config::settings_error const& problem)
     {
         throw cli_error(exit_code::bad_input, problem.what());
     }
--- /dev/null
+++ b/src/process/completion/include/lagoonladder/completion.hpp
@@ -0,0 +1,12 @@
+#ifndef LAGOONLADDER_COMPLETION_HPP
+#define LAGOONLADDER_COMPLETION_HPP
+
+/// Public header of the completion library: the HTTP interface for accepted completions and
+/// calls of plain services.
+
+#include <lagoonladder/completion/api_exchange.hpp>
+#include <lagoonladder/completion/route_module.hpp>
+#include <lagoonladder/completion/route_table.hpp>
+#include <lagoonladder/completion/traffic_server.hpp>
+
+#endif
--- a/src/process/daemon/internal/api_exchange.hpp
+++ b/src/process/completion/include/lagoonladder/completion/api_exchange.hpp
@@ -1,16 +1,16 @@
-#ifndef LAGOONLADDER_DAEMON_API_EXCHANGE_HPP
-#define LAGOONLADDER_DAEMON_API_EXCHANGE_HPP
+#ifndef LAGOONLADDER_COMPLETION_API_EXCHANGE_HPP
+#define LAGOONLADDER_COMPLETION_API_EXCHANGE_HPP
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include <lagoonladder/completion/traffic_context.hpp>
+#include <lagoonladder/completion/traffic_problem.hpp>
 #include <lagoonladder/http.hpp>
-#include <traffic_context.hpp>
-#include <traffic_problem.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// One request to the HTTP interface and its answer. Used on the traffic thread.
@@ -89,6 +89,6 @@
 /// Parses a JSON body. Throws refusal (400).
 nlohmann::json parse_json_body(api_exchange const& exchange);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/route_module.hpp
+++ b/src/process/completion/include/lagoonladder/completion/route_module.hpp
@@ -1,7 +1,7 @@
-#ifndef LAGOONLADDER_DAEMON_ROUTE_MODULE_HPP
-#define LAGOONLADDER_DAEMON_ROUTE_MODULE_HPP
+#ifndef LAGOONLADDER_COMPLETION_ROUTE_MODULE_HPP
+#define LAGOONLADDER_COMPLETION_ROUTE_MODULE_HPP
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 class route_table;
@@ -14,6 +14,6 @@
     virtual void register_routes(route_table& routes) = 0;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/route_table.hpp
+++ b/src/process/completion/include/lagoonladder/completion/route_table.hpp
@@ -1,14 +1,14 @@
-#ifndef LAGOONLADDER_DAEMON_ROUTE_TABLE_HPP
-#define LAGOONLADDER_DAEMON_ROUTE_TABLE_HPP
+#ifndef LAGOONLADDER_COMPLETION_ROUTE_TABLE_HPP
+#define LAGOONLADDER_COMPLETION_ROUTE_TABLE_HPP
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include <api_exchange.hpp>
+#include <lagoonladder/completion/api_exchange.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Hands requests to the handlers of their routes and answers what no route takes.
@@ -48,6 +48,6 @@
     std::vector<route> routes;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_context.hpp
+++ b/src/process/completion/include/lagoonladder/completion/traffic_context.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_CONTEXT_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_CONTEXT_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_CONTEXT_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_CONTEXT_HPP
 
 #include <atomic>
 #include <functional>
@@ -8,12 +8,20 @@
 
 #include <asio.hpp>
 
-#include <lagoonladder/daemon.hpp>
+#include <lagoonladder/control.hpp>
 #include <lagoonladder/observability.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
+using config::settings;
+using control::control_plane;
+using control::control_view;
+using control::find_status;
+using control::peer_channels;
+using control::proposal_outcome;
+using control::proposal_status;
+
 using open_request_count = std::atomic<std::uint32_t>;
 
 /// What all parts of the traffic plane use. The referenced objects outlive them.
@@ -71,6 +79,6 @@
     return loop_handler{std::move(loop), std::move(handler)};
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_problem.hpp
+++ b/src/process/completion/include/lagoonladder/completion/traffic_problem.hpp
@@ -1,13 +1,20 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_PROBLEM_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_PROBLEM_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_PROBLEM_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_PROBLEM_HPP
 
 #include <string>
 
-#include <lagoonladder/daemon/control_plane.hpp>
+#include <lagoonladder/control.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
+/// Errors of the completion layer.
+class completion_error : public error
+{
+public:
+    using error::error;
+};
+
 /// Whether the work of a refused request was done.
 enum class execution
 {
@@ -40,11 +47,11 @@
 std::string format_retry_after(duration value);
 
 /// Ends the handling of a request with a refusal.
-class refusal : public daemon_error
+class refusal : public completion_error
 {
 public:
     explicit refusal(problem value)
-        : daemon_error(value.detail)
+        : completion_error(value.detail)
         , details(std::move(value))
     {
     }
@@ -52,6 +59,6 @@
     problem details;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_server.hpp
+++ b/src/process/completion/include/lagoonladder/completion/traffic_server.hpp
@@ -1,19 +1,19 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_SERVER_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_SERVER_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_SERVER_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_SERVER_HPP
 
 #include <memory>
 #include <vector>
 
-#include <lagoonladder/daemon.hpp>
+#include <lagoonladder/completion/route_module.hpp>
+#include <lagoonladder/control.hpp>
 #include <lagoonladder/observability.hpp>
-#include <route_module.hpp>
 
 namespace grpc
 {
 class Service;
 }
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// The completion plane of a daemon: HTTP interface for callers and endpoints, and the
@@ -22,9 +22,9 @@
 {
 public:
     /// `modules` add further routes; they outlive the server.
-    traffic_server(settings const& config, control_plane& control, event_sink& events,
-                   observability::metrics& metrics, clock const& time, std::uint64_t seed,
-                   std::vector<route_module*> modules = {});
+    traffic_server(config::settings const& config, control::control_plane& control,
+                   event_sink& events, observability::metrics& metrics, clock const& time,
+                   std::uint64_t seed, std::vector<route_module*> modules = {});
     ~traffic_server();
     traffic_server(traffic_server const&) = delete;
     traffic_server& operator=(traffic_server const&) = delete;
@@ -57,6 +57,6 @@
     std::unique_ptr<implementation> state;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/admission_gate.cpp
+++ b/src/process/completion/internal/admission_gate.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -142,4 +142,4 @@
     }
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/admission_gate.hpp
+++ b/src/process/completion/internal/admission_gate.hpp
@@ -1,14 +1,14 @@
-#ifndef LAGOONLADDER_DAEMON_ADMISSION_GATE_HPP
-#define LAGOONLADDER_DAEMON_ADMISSION_GATE_HPP
+#ifndef LAGOONLADDER_COMPLETION_ADMISSION_GATE_HPP
+#define LAGOONLADDER_COMPLETION_ADMISSION_GATE_HPP
 
 #include <functional>
 #include <map>
 #include <variant>
 
-#include <traffic_problem.hpp>
+#include <lagoonladder/completion/traffic_problem.hpp>
 #include <traffic_router.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// A completion that asks to be admitted.
@@ -81,6 +81,6 @@
     std::map<queue_key, queue> queues;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/api_exchange.cpp
+++ b/src/process/completion/internal/api_exchange.cpp
@@ -1,10 +1,10 @@
-#include <api_exchange.hpp>
+#include <lagoonladder/completion/api_exchange.hpp>
 
 #include <charconv>
 
 #include <httplib.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -138,7 +138,7 @@
 
 void api_exchange::run_later(duration delay, std::function<void()> action)
 {
-    daemon::run_later(*this->context.loop, delay, std::move(action));
+    completion::run_later(*this->context.loop, delay, std::move(action));
 }
 
 std::string bearer_token(api_exchange const& exchange)
@@ -198,4 +198,4 @@
     }
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/companion_link.cpp
+++ b/src/process/completion/internal/companion_link.cpp
@@ -2,7 +2,7 @@
 
 #include <requests.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -294,4 +294,4 @@
         this->send_store(id);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/companion_link.hpp
+++ b/src/process/completion/internal/companion_link.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_COMPANION_LINK_HPP
-#define LAGOONLADDER_DAEMON_COMPANION_LINK_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPANION_LINK_HPP
+#define LAGOONLADDER_COMPLETION_COMPANION_LINK_HPP
 
 #include <condition_variable>
 #include <map>
 #include <mutex>
 
 #include <completion_store.hpp>
-#include <peer_channels.hpp>
+#include <lagoonladder/control.hpp>
 #include <traffic_entries.hpp>
 
 namespace lagoonladder::protocol
@@ -14,7 +14,7 @@
 class StoreRequest;
 }
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Keeps the companions of the requests that this entry works on up to date.
@@ -82,6 +82,6 @@
 protocol::StoreRequest to_message(request::accepted_request const& request);
 request::accepted_request from_message(protocol::StoreRequest const& message);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/completion_answer.cpp
+++ b/src/process/completion/internal/completion_answer.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -241,4 +241,4 @@
     exchange.respond(outcome.failure_status, "application/problem+json", outcome.failure);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/completion_answer.hpp
+++ b/src/process/completion/internal/completion_answer.hpp
@@ -1,13 +1,13 @@
-#ifndef LAGOONLADDER_DAEMON_COMPLETION_ANSWER_HPP
-#define LAGOONLADDER_DAEMON_COMPLETION_ANSWER_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPLETION_ANSWER_HPP
+#define LAGOONLADDER_COMPLETION_COMPLETION_ANSWER_HPP
 
 #include <memory>
 #include <string>
 
-#include <api_exchange.hpp>
+#include <lagoonladder/completion/api_exchange.hpp>
 #include <token_source.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// What the answer says about the request.
@@ -32,6 +32,6 @@
 /// Sends the outcome of a request that failed before its first token.
 void send_failure(api_exchange& exchange, request::request_outcome const& outcome);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/completion_routes.cpp
+++ b/src/process/completion/internal/completion_routes.cpp
@@ -1,9 +1,9 @@
 #include <completion_routes.hpp>
 
+#include <lagoonladder/completion/route_table.hpp>
 #include <local_token_source.hpp>
-#include <route_table.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -136,4 +136,4 @@
                });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/completion_routes.hpp
+++ b/src/process/completion/internal/completion_routes.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_COMPLETION_ROUTES_HPP
-#define LAGOONLADDER_DAEMON_COMPLETION_ROUTES_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPLETION_ROUTES_HPP
+#define LAGOONLADDER_COMPLETION_COMPLETION_ROUTES_HPP
 
 #include <completion_answer.hpp>
 #include <completion_service.hpp>
-#include <route_module.hpp>
+#include <lagoonladder/completion/route_module.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// POST /v1/chat/completions and /v1/completions.
@@ -28,6 +28,6 @@
     completion_service& service;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/completion_runner.cpp
+++ b/src/process/completion/internal/completion_runner.cpp
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include <admission_gate.hpp>
-#include <traffic_problem.hpp>
+#include <lagoonladder/completion/traffic_problem.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -92,8 +92,8 @@
 
 void completion_runner::run_later(duration delay)
 {
-    daemon::run_later(*this->parts.context.loop, delay,
-                      [runner = this->shared_from_this()] { runner->next_attempt(); });
+    completion::run_later(*this->parts.context.loop, delay,
+                          [runner = this->shared_from_this()] { runner->next_attempt(); });
 }
 
 std::optional<connection::endpoint_record> completion_runner::next_endpoint()
@@ -368,4 +368,4 @@
     this->finish({"", format_problem(failed), status});
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/completion_runner.hpp
+++ b/src/process/completion/internal/completion_runner.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_COMPLETION_RUNNER_HPP
-#define LAGOONLADDER_DAEMON_COMPLETION_RUNNER_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPLETION_RUNNER_HPP
+#define LAGOONLADDER_COMPLETION_COMPLETION_RUNNER_HPP
 
 #include <companion_link.hpp>
 #include <engine_attempt.hpp>
 #include <traffic_router.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 class admission_gate;
@@ -91,6 +91,6 @@
     network_address cache_source;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/completion_service.cpp
+++ b/src/process/completion/internal/completion_service.cpp
@@ -2,7 +2,7 @@
 
 #include <requests_service.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 completion_service::completion_service(completion_parts const& shared, traffic_entries& known,
@@ -109,4 +109,4 @@
     }
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/completion_service.hpp
+++ b/src/process/completion/internal/completion_service.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
-#define LAGOONLADDER_DAEMON_COMPLETION_SERVICE_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPLETION_SERVICE_HPP
+#define LAGOONLADDER_COMPLETION_COMPLETION_SERVICE_HPP
 
 #include <functional>
 #include <memory>
@@ -8,7 +8,7 @@
 #include <admission_gate.hpp>
 #include <completion_runner.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 class requests_service;
@@ -62,6 +62,6 @@
     std::uint64_t sequence;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/completion_store.cpp
+++ b/src/process/completion/internal/completion_store.cpp
@@ -1,6 +1,6 @@
 #include <completion_store.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -156,4 +156,4 @@
         changed();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/completion_store.hpp
+++ b/src/process/completion/internal/completion_store.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
-#define LAGOONLADDER_DAEMON_COMPLETION_STORE_HPP
+#ifndef LAGOONLADDER_COMPLETION_COMPLETION_STORE_HPP
+#define LAGOONLADDER_COMPLETION_COMPLETION_STORE_HPP
 
 #include <functional>
 #include <map>
@@ -7,9 +7,9 @@
 #include <mutex>
 #include <vector>
 
-#include <traffic_context.hpp>
+#include <lagoonladder/completion/traffic_context.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Accepted completions of this entry, shared by the traffic thread and the calls of
@@ -62,6 +62,6 @@
     std::map<request_id, std::vector<change_handler>> handlers;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/endpoint_calls.cpp
+++ b/src/process/completion/internal/endpoint_calls.cpp
@@ -1,6 +1,6 @@
 #include <endpoint_calls.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -241,4 +241,4 @@
     this->single_connections.stop();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/endpoint_calls.hpp
+++ b/src/process/completion/internal/endpoint_calls.hpp
@@ -1,14 +1,14 @@
-#ifndef LAGOONLADDER_DAEMON_ENDPOINT_CALLS_HPP
-#define LAGOONLADDER_DAEMON_ENDPOINT_CALLS_HPP
+#ifndef LAGOONLADDER_COMPLETION_ENDPOINT_CALLS_HPP
+#define LAGOONLADDER_COMPLETION_ENDPOINT_CALLS_HPP
 
 #include <functional>
 #include <memory>
 #include <string>
 
+#include <lagoonladder/completion/traffic_context.hpp>
 #include <lagoonladder/http.hpp>
-#include <traffic_context.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// How a call to an endpoint ended on the connection.
@@ -88,6 +88,6 @@
     http::client single_connections;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/engine_attempt.cpp
+++ b/src/process/completion/internal/engine_attempt.cpp
@@ -1,6 +1,6 @@
 #include <engine_attempt.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -174,4 +174,4 @@
               { done(answer.has_value()); });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/engine_attempt.hpp
+++ b/src/process/completion/internal/engine_attempt.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_ENGINE_ATTEMPT_HPP
-#define LAGOONLADDER_DAEMON_ENGINE_ATTEMPT_HPP
+#ifndef LAGOONLADDER_COMPLETION_ENGINE_ATTEMPT_HPP
+#define LAGOONLADDER_COMPLETION_ENGINE_ATTEMPT_HPP
 
 #include <memory>
 #include <string>
@@ -8,7 +8,7 @@
 #include <endpoint_calls.hpp>
 #include <event_stream_parser.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// How an attempt on a model engine ended.
@@ -109,6 +109,6 @@
 void import_kv(endpoint_calls& calls, network_address const& address, kv_export const& exported,
                network_address const& source, duration timeout, std::function<void(bool)> done);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/event_stream_parser.cpp
+++ b/src/process/completion/internal/event_stream_parser.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -120,4 +120,4 @@
     return event;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/event_stream_parser.hpp
+++ b/src/process/completion/internal/event_stream_parser.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_EVENT_STREAM_PARSER_HPP
-#define LAGOONLADDER_DAEMON_EVENT_STREAM_PARSER_HPP
+#ifndef LAGOONLADDER_COMPLETION_EVENT_STREAM_PARSER_HPP
+#define LAGOONLADDER_COMPLETION_EVENT_STREAM_PARSER_HPP
 
 #include <cstdint>
 #include <functional>
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Splits a stream of server-sent events into the data of each event. Comments
@@ -49,6 +49,6 @@
 /// be found inside a JSON string, because the quotes are escaped there.
 engine_event read_engine_event(std::string_view data);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/idempotent_call.cpp
+++ b/src/process/completion/internal/idempotent_call.cpp
@@ -1,6 +1,6 @@
 #include <plain_call.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -108,4 +108,4 @@
     std::make_shared<idempotent_call>(parts, std::move(call))->start();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/local_token_source.cpp
+++ b/src/process/completion/internal/local_token_source.cpp
@@ -1,6 +1,6 @@
 #include <local_token_source.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -76,4 +76,4 @@
         asio::post(*io, [done, found = std::move(found)]() mutable { done(std::move(found)); });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/local_token_source.hpp
+++ b/src/process/completion/internal/local_token_source.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_LOCAL_TOKEN_SOURCE_HPP
-#define LAGOONLADDER_DAEMON_LOCAL_TOKEN_SOURCE_HPP
+#ifndef LAGOONLADDER_COMPLETION_LOCAL_TOKEN_SOURCE_HPP
+#define LAGOONLADDER_COMPLETION_LOCAL_TOKEN_SOURCE_HPP
 
 #include <memory>
 
 #include <completion_store.hpp>
 #include <token_source.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Tokens of a request that this entry holds.
@@ -34,6 +34,6 @@
     bool is_listening = false;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/once_call.cpp
+++ b/src/process/completion/internal/once_call.cpp
@@ -4,7 +4,7 @@
 
 #include <once_status.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -344,4 +344,4 @@
     std::make_shared<once_call>(parts, std::move(call))->start();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/once_status.cpp
+++ b/src/process/completion/internal/once_status.cpp
@@ -2,9 +2,9 @@
 
 #include <cctype>
 
-#include <traffic_problem.hpp>
+#include <lagoonladder/completion/traffic_problem.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -70,4 +70,4 @@
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/once_status.hpp
+++ b/src/process/completion/internal/once_status.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_ONCE_STATUS_HPP
-#define LAGOONLADDER_DAEMON_ONCE_STATUS_HPP
+#ifndef LAGOONLADDER_COMPLETION_ONCE_STATUS_HPP
+#define LAGOONLADDER_COMPLETION_ONCE_STATUS_HPP
 
 #include <string>
 
 #include <lagoonladder/request.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Path under which the state of a non-idempotent request can be looked up.
@@ -17,6 +17,6 @@
 /// JSON text of the state of a non-idempotent request.
 std::string format_once_status(request::once_key const& key, request::once_reply const& reply);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/plain_call.cpp
+++ b/src/process/completion/internal/plain_call.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -114,4 +114,4 @@
     call.exchange->respond(answer.head.status, {}, answer.body);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/plain_call.hpp
+++ b/src/process/completion/internal/plain_call.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_PLAIN_CALL_HPP
-#define LAGOONLADDER_DAEMON_PLAIN_CALL_HPP
+#ifndef LAGOONLADDER_COMPLETION_PLAIN_CALL_HPP
+#define LAGOONLADDER_COMPLETION_PLAIN_CALL_HPP
 
-#include <api_exchange.hpp>
 #include <endpoint_calls.hpp>
+#include <lagoonladder/completion/api_exchange.hpp>
 #include <traffic_router.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// The parts that calls of plain services use.
@@ -57,6 +57,6 @@
 /// Answers a non-idempotent call, which runs at most once.
 void serve_once(plain_parts const& parts, plain_call call);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/plain_routes.cpp
+++ b/src/process/completion/internal/plain_routes.cpp
@@ -1,9 +1,9 @@
 #include <plain_routes.hpp>
 
 #include <completion_service.hpp>
-#include <route_table.hpp>
+#include <lagoonladder/completion/route_table.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -112,4 +112,4 @@
     serve_once(this->parts, std::move(call));
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/plain_routes.hpp
+++ b/src/process/completion/internal/plain_routes.hpp
@@ -1,10 +1,10 @@
-#ifndef LAGOONLADDER_DAEMON_PLAIN_ROUTES_HPP
-#define LAGOONLADDER_DAEMON_PLAIN_ROUTES_HPP
+#ifndef LAGOONLADDER_COMPLETION_PLAIN_ROUTES_HPP
+#define LAGOONLADDER_COMPLETION_PLAIN_ROUTES_HPP
 
+#include <lagoonladder/completion/route_module.hpp>
 #include <plain_call.hpp>
-#include <route_module.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 class completion_service;
@@ -30,6 +30,6 @@
     completion_service& ids;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/remote_token_source.cpp
+++ b/src/process/completion/internal/remote_token_source.cpp
@@ -5,7 +5,7 @@
 #include <requests.grpc.pb.h>
 #include <traffic_entries.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -146,4 +146,4 @@
               [done, found = std::move(found)]() mutable { done(std::move(found)); });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/remote_token_source.hpp
+++ b/src/process/completion/internal/remote_token_source.hpp
@@ -1,14 +1,14 @@
-#ifndef LAGOONLADDER_DAEMON_REMOTE_TOKEN_SOURCE_HPP
-#define LAGOONLADDER_DAEMON_REMOTE_TOKEN_SOURCE_HPP
+#ifndef LAGOONLADDER_COMPLETION_REMOTE_TOKEN_SOURCE_HPP
+#define LAGOONLADDER_COMPLETION_REMOTE_TOKEN_SOURCE_HPP
 
 #include <memory>
 #include <vector>
 
 #include <completion_store.hpp>
-#include <peer_channels.hpp>
+#include <lagoonladder/control.hpp>
 #include <token_source.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Tokens of a request that other entries hold: its owner, its companion or, after
@@ -44,6 +44,6 @@
     std::vector<vm_id> round;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/request_routes.cpp
+++ b/src/process/completion/internal/request_routes.cpp
@@ -2,12 +2,12 @@
 
 #include <charconv>
 
+#include <lagoonladder/completion/route_table.hpp>
 #include <local_token_source.hpp>
 #include <once_status.hpp>
 #include <remote_token_source.hpp>
-#include <route_table.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -159,4 +159,4 @@
     std::make_shared<once_lookup>(context, exchange, id, std::move(records))->next();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/request_routes.hpp
+++ b/src/process/completion/internal/request_routes.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_REQUEST_ROUTES_HPP
-#define LAGOONLADDER_DAEMON_REQUEST_ROUTES_HPP
+#ifndef LAGOONLADDER_COMPLETION_REQUEST_ROUTES_HPP
+#define LAGOONLADDER_COMPLETION_REQUEST_ROUTES_HPP
 
 #include <completion_answer.hpp>
 #include <completion_service.hpp>
-#include <peer_channels.hpp>
-#include <route_module.hpp>
+#include <lagoonladder/completion/route_module.hpp>
+#include <lagoonladder/control.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// GET /v1/requests: the rest of a completion, or the state of a non-idempotent call.
@@ -35,6 +35,6 @@
     peer_channels peers;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/requests_service.cpp
+++ b/src/process/completion/internal/requests_service.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <condition_variable>
 
-#include <cluster_token.hpp>
 #include <companion_link.hpp>
+#include <lagoonladder/control.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -65,7 +65,7 @@
 
 bool requests_service::is_allowed(grpc::ServerContext const& call) const
 {
-    return has_cluster_token(call, this->context.config.cluster_token);
+    return control::has_cluster_token(call, this->context.config.cluster_token);
 }
 
 grpc::Status requests_service::Store(grpc::ServerContext* call,
@@ -169,4 +169,4 @@
     return lost;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/requests_service.hpp
+++ b/src/process/completion/internal/requests_service.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_REQUESTS_SERVICE_HPP
-#define LAGOONLADDER_DAEMON_REQUESTS_SERVICE_HPP
+#ifndef LAGOONLADDER_COMPLETION_REQUESTS_SERVICE_HPP
+#define LAGOONLADDER_COMPLETION_REQUESTS_SERVICE_HPP
 
 #include <map>
 #include <mutex>
@@ -8,7 +8,7 @@
 #include <completion_store.hpp>
 #include <requests.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Companion's side of accepted completions.
@@ -47,6 +47,6 @@
     std::map<vm_id, owner_contact> owners;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/route_table.cpp
+++ b/src/process/completion/internal/route_table.cpp
@@ -1,6 +1,6 @@
-#include <route_table.hpp>
+#include <lagoonladder/completion/route_table.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -75,4 +75,4 @@
     return format_problem(refused);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/token_source.cpp
+++ b/src/process/completion/internal/token_source.cpp
@@ -2,7 +2,7 @@
 
 #include <completion_store.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 void read_first(std::shared_ptr<token_source> const& source, token_offset offset,
@@ -17,4 +17,4 @@
                  });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/token_source.hpp
+++ b/src/process/completion/internal/token_source.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_TOKEN_SOURCE_HPP
-#define LAGOONLADDER_DAEMON_TOKEN_SOURCE_HPP
+#ifndef LAGOONLADDER_COMPLETION_TOKEN_SOURCE_HPP
+#define LAGOONLADDER_COMPLETION_TOKEN_SOURCE_HPP
 
 #include <functional>
 #include <memory>
 
 #include <lagoonladder/request.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Where the tokens of one accepted completion are read from, on the traffic thread.
@@ -26,6 +26,6 @@
 void read_first(std::shared_ptr<token_source> const& source, token_offset offset,
                 token_source::handler done);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_context.cpp
+++ b/src/process/completion/internal/traffic_context.cpp
@@ -1,6 +1,6 @@
-#include <traffic_context.hpp>
+#include <lagoonladder/completion/traffic_context.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 void run_later(asio::io_context& loop, duration delay, std::function<void()> action)
@@ -14,4 +14,4 @@
         });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/traffic_directory_routes.cpp
+++ b/src/process/completion/internal/traffic_directory_routes.cpp
@@ -1,9 +1,8 @@
 #include <traffic_directory_routes.hpp>
 
-#include <route_table.hpp>
-#include <traffic_secret.hpp>
+#include <lagoonladder/completion/route_table.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -106,4 +105,4 @@
                });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/traffic_directory_routes.hpp
+++ b/src/process/completion/internal/traffic_directory_routes.hpp
@@ -1,10 +1,10 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_DIRECTORY_ROUTES_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_DIRECTORY_ROUTES_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_DIRECTORY_ROUTES_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_DIRECTORY_ROUTES_HPP
 
-#include <route_module.hpp>
+#include <lagoonladder/completion/route_module.hpp>
 #include <traffic_entries.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Entry list for callers, announcements of endpoints, health and metrics.
@@ -26,6 +26,6 @@
     traffic_entries& entries;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_entries.cpp
+++ b/src/process/completion/internal/traffic_entries.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -64,4 +64,4 @@
     return this->update(view).companion_for(this->context.time.now(), key);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/traffic_entries.hpp
+++ b/src/process/completion/internal/traffic_entries.hpp
@@ -1,13 +1,13 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_ENTRIES_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_ENTRIES_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_ENTRIES_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_ENTRIES_HPP
 
 #include <memory>
 #include <mutex>
 #include <optional>
 
-#include <traffic_context.hpp>
+#include <lagoonladder/completion/traffic_context.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// The entries as callers and requests need them. It judges the health of an
@@ -40,6 +40,6 @@
     std::optional<time_point> updated;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_problem.cpp
+++ b/src/process/completion/internal/traffic_problem.cpp
@@ -1,10 +1,10 @@
-#include <traffic_problem.hpp>
+#include <lagoonladder/completion/traffic_problem.hpp>
 
 #include <algorithm>
 
 #include <lagoonladder/http.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 char const* to_string(execution value)
@@ -41,4 +41,4 @@
     return std::to_string(std::max<std::int64_t>(whole, 1));
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/traffic_router.cpp
+++ b/src/process/completion/internal/traffic_router.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -155,4 +155,4 @@
     return this->random.unit();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/internal/traffic_router.hpp
+++ b/src/process/completion/internal/traffic_router.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_ROUTER_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_ROUTER_HPP
+#ifndef LAGOONLADDER_COMPLETION_TRAFFIC_ROUTER_HPP
+#define LAGOONLADDER_COMPLETION_TRAFFIC_ROUTER_HPP
 
 #include <map>
 #include <optional>
 
-#include <traffic_context.hpp>
+#include <lagoonladder/completion/traffic_context.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// What the choice of an endpoint depends on.
@@ -73,6 +73,6 @@
     std::map<endpoint_id, incarnation> incarnations;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/internal/traffic_server.cpp
+++ b/src/process/completion/internal/traffic_server.cpp
@@ -1,15 +1,15 @@
-#include <traffic_server.hpp>
+#include <lagoonladder/completion/traffic_server.hpp>
 
 #include <thread>
 
 #include <completion_routes.hpp>
+#include <lagoonladder/completion/route_table.hpp>
 #include <plain_routes.hpp>
 #include <request_routes.hpp>
 #include <requests_service.hpp>
-#include <route_table.hpp>
 #include <traffic_directory_routes.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 namespace
@@ -42,8 +42,9 @@
 
 struct traffic_server::implementation
 {
-    implementation(settings const& config, control_plane& control, event_sink& events,
-                   observability::metrics& metrics, clock const& time, std::uint64_t seed)
+    implementation(config::settings const& config, control::control_plane& control,
+                   event_sink& events, observability::metrics& metrics, clock const& time,
+                   std::uint64_t seed)
         : context{config, control, events, metrics, time, std::make_shared<asio::io_context>(1)}
         , work(asio::make_work_guard(*this->context.loop))
         , entries(context)
@@ -78,7 +79,7 @@
     traffic_router router;
     admission_gate gate;
     endpoint_calls calls;
-    daemon::requests_service companion_side;
+    completion::requests_service companion_side;
     completion_service completions;
     directory_routes directory;
     completion_routes completion;
@@ -138,9 +139,10 @@
     }
 }
 
-traffic_server::traffic_server(settings const& config, control_plane& control, event_sink& events,
-                               observability::metrics& metrics, clock const& time,
-                               std::uint64_t seed, std::vector<route_module*> modules)
+traffic_server::traffic_server(config::settings const& config, control::control_plane& control,
+                               event_sink& events, observability::metrics& metrics,
+                               clock const& time, std::uint64_t seed,
+                               std::vector<route_module*> modules)
     : state(std::make_unique<implementation>(config, control, events, metrics, time, seed))
 {
     this->state->directory.register_routes(this->state->routes);
@@ -207,4 +209,4 @@
     return this->state->companion_side;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/tests/memory_cluster.hpp
+++ b/src/process/completion/tests/memory_cluster.hpp
@@ -1,13 +1,13 @@
-#ifndef LAGOONLADDER_DAEMON_TESTS_MEMORY_CLUSTER_HPP
-#define LAGOONLADDER_DAEMON_TESTS_MEMORY_CLUSTER_HPP
+#ifndef LAGOONLADDER_COMPLETION_TESTS_MEMORY_CLUSTER_HPP
+#define LAGOONLADDER_COMPLETION_TESTS_MEMORY_CLUSTER_HPP
 
 #include <atomic>
 #include <mutex>
 #include <set>
 
-#include <traffic_server.hpp>
+#include <lagoonladder/completion/traffic_server.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// Control state and directories that all entries of a test share.
@@ -18,6 +18,7 @@
     void add(connection::endpoint_record const& record);
     void set_leaving(endpoint_id const& id);
     version::command_result commit(version::command_body body);
+    std::optional<request::once_reply> record_of(request::once_key const& key);
 
     std::mutex mutex;
     version::control_state state;
@@ -32,6 +33,6 @@
     system_clock time;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/tests/test_engine.cpp
+++ b/src/process/completion/tests/test_engine.cpp
@@ -1,6 +1,6 @@
 #include "test_engine.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 test_endpoint::test_endpoint(memory_cluster& cluster, std::string const& id,
@@ -136,4 +136,4 @@
         });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
--- a/src/process/daemon/tests/test_engine.hpp
+++ b/src/process/completion/tests/test_engine.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_TESTS_TEST_ENGINE_HPP
-#define LAGOONLADDER_DAEMON_TESTS_TEST_ENGINE_HPP
+#ifndef LAGOONLADDER_COMPLETION_TESTS_TEST_ENGINE_HPP
+#define LAGOONLADDER_COMPLETION_TESTS_TEST_ENGINE_HPP
 
 #include <thread>
 
@@ -7,7 +7,7 @@
 
 #include "memory_cluster.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::completion
 {
 
 /// HTTP server of an endpoint.
@@ -60,6 +60,6 @@
     std::vector<nlohmann::json> received;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::completion
 
 #endif
--- a/src/process/daemon/include/lagoonladder/daemon/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_SETTINGS_HPP
-#define LAGOONLADDER_DAEMON_SETTINGS_HPP
+#ifndef LAGOONLADDER_CONFIG_SETTINGS_HPP
+#define LAGOONLADDER_CONFIG_SETTINGS_HPP
 
 #include <cstdint>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include <lagoonladder/base.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::config
 {
 
 /// A settings file that is not valid; the text names file and line.
@@ -114,6 +114,6 @@
 settings parse_settings(std::string const& file, std::string const& text);
 settings load_settings(std::string const& path);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::config
 
 #endif
--- a/src/process/daemon/internal/settings_watcher.hpp
+++ b/src/process/config/include/lagoonladder/config/settings_watcher.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_SETTINGS_WATCHER_HPP
-#define LAGOONLADDER_DAEMON_SETTINGS_WATCHER_HPP
+#ifndef LAGOONLADDER_CONFIG_SETTINGS_WATCHER_HPP
+#define LAGOONLADDER_CONFIG_SETTINGS_WATCHER_HPP
 
 #include <optional>
 #include <string>
 
-#include <lagoonladder/daemon/settings.hpp>
+#include <lagoonladder/config.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::config
 {
 
 /// Notices changes of the settings file. A file that is not valid is logged once and
@@ -28,6 +28,6 @@
     event_sink& events;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::config
 
 #endif
--- a/src/process/daemon/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -1,4 +1,4 @@
-#include <lagoonladder/daemon/settings.hpp>
+#include <lagoonladder/config.hpp>
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::config
 {
 
 namespace
@@ -236,4 +236,4 @@
     return parse_settings(path, text.str());
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::config
--- a/src/process/daemon/internal/settings_watcher.cpp
+++ b/src/process/config/internal/settings_watcher.cpp
@@ -1,9 +1,9 @@
-#include "settings_watcher.hpp"
+#include <lagoonladder/config/settings_watcher.hpp>
 
 #include <fstream>
 #include <sstream>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::config
 {
 
 namespace
@@ -61,4 +61,4 @@
     return this->latest;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::config
--- /dev/null
+++ b/src/process/control/include/lagoonladder/control.hpp
@@ -0,0 +1,13 @@
+#ifndef LAGOONLADDER_CONTROL_HPP
+#define LAGOONLADDER_CONTROL_HPP
+
+/// Public header of the control library: the control thread of one daemon, its replicated
+/// state and the directories.
+
+#include <lagoonladder/control/cluster_token.hpp>
+#include <lagoonladder/control/control_loop.hpp>
+#include <lagoonladder/control/control_plane.hpp>
+#include <lagoonladder/control/event_collector.hpp>
+#include <lagoonladder/control/peer_channels.hpp>
+
+#endif
--- a/src/process/daemon/include/lagoonladder/daemon/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_CONTROL_PLANE_HPP
-#define LAGOONLADDER_DAEMON_CONTROL_PLANE_HPP
+#ifndef LAGOONLADDER_CONTROL_CONTROL_PLANE_HPP
+#define LAGOONLADDER_CONTROL_CONTROL_PLANE_HPP
 
 #include <functional>
 #include <map>
@@ -11,11 +11,11 @@
 #include <lagoonladder/connection.hpp>
 #include <lagoonladder/version.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
-/// Errors of the daemon layer.
-class daemon_error : public error
+/// Errors of the control layer.
+class control_error : public error
 {
 public:
     using error::error;
@@ -103,6 +103,6 @@
     virtual void set_open_requests(std::uint32_t count) = 0;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/event_collector.hpp
+++ b/src/process/control/include/lagoonladder/control/event_collector.hpp
@@ -1,15 +1,15 @@
-#ifndef LAGOONLADDER_DAEMON_EVENT_COLLECTOR_HPP
-#define LAGOONLADDER_DAEMON_EVENT_COLLECTOR_HPP
+#ifndef LAGOONLADDER_CONTROL_EVENT_COLLECTOR_HPP
+#define LAGOONLADDER_CONTROL_EVENT_COLLECTOR_HPP
 
 #include <vector>
 
+#include <lagoonladder/config.hpp>
 #include <lagoonladder/connection.hpp>
-#include <lagoonladder/daemon/settings.hpp>
 #include <lagoonladder/observability.hpp>
 
-#include "peer_channels.hpp"
+#include <lagoonladder/control/peer_channels.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 struct collected_events
@@ -22,11 +22,11 @@
 
 /// Asks all entries for their events later than `since` at the same time and
 /// merges the answers. Blocks for at most two seconds.
-collected_events collect_events(settings const& config, observability::event_timeline const& own,
-                                peer_channels& peers,
+collected_events collect_events(config::settings const& config,
+                                observability::event_timeline const& own, peer_channels& peers,
                                 std::vector<connection::entry_record> const& entries,
                                 hybrid_timestamp since, std::size_t limit);
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/peer_channels.hpp
+++ b/src/process/control/include/lagoonladder/control/peer_channels.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_PEER_CHANNELS_HPP
-#define LAGOONLADDER_DAEMON_PEER_CHANNELS_HPP
+#ifndef LAGOONLADDER_CONTROL_PEER_CHANNELS_HPP
+#define LAGOONLADDER_CONTROL_PEER_CHANNELS_HPP
 
 #include <condition_variable>
 #include <cstdint>
@@ -14,7 +14,7 @@
 
 #include <lagoonladder/base.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Keeps gRPC initialized, so that its last use does not end on one of its own
@@ -94,6 +94,6 @@
               }));
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -148,4 +148,4 @@
         });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_CAPACITY_DRIVER_HPP
-#define LAGOONLADDER_DAEMON_CAPACITY_DRIVER_HPP
+#ifndef LAGOONLADDER_CONTROL_CAPACITY_DRIVER_HPP
+#define LAGOONLADDER_CONTROL_CAPACITY_DRIVER_HPP
 
 #include <deque>
 
-#include <lagoonladder/daemon/control_plane.hpp>
+#include <lagoonladder/control.hpp>
 #include <lagoonladder/proxy.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Orders replicas for the services whose capacity may be ordered. Lives on the control
@@ -57,6 +57,6 @@
     std::uint64_t epoch = 0;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -35,7 +35,7 @@
 
 } // namespace
 
-consensus::node_options make_node_options(settings const& config, consensus::voter_id self)
+consensus::node_options make_node_options(config::settings const& config, consensus::voter_id self)
 {
     consensus::node_options options;
     options.self = std::move(self);
@@ -46,10 +46,11 @@
     return options;
 }
 
-consensus_driver::consensus_driver(std::shared_ptr<asio::io_context> io, settings const& config,
-                                   consensus::voter_id self, storage::log_store& store,
-                                   peer_channels& channels, event_sink& log,
-                                   clock const& time_source, random_source& random_numbers)
+consensus_driver::consensus_driver(std::shared_ptr<asio::io_context> io,
+                                   config::settings const& config, consensus::voter_id self,
+                                   storage::log_store& store, peer_channels& channels,
+                                   event_sink& log, clock const& time_source,
+                                   random_source& random_numbers)
     : context(io)
     , options(config)
     , log_store(store)
@@ -337,4 +338,4 @@
         this->propose(version::expire_records{}, now + expiry_interval, [](auto const&) {});
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_CONSENSUS_DRIVER_HPP
-#define LAGOONLADDER_DAEMON_CONSENSUS_DRIVER_HPP
+#ifndef LAGOONLADDER_CONTROL_CONSENSUS_DRIVER_HPP
+#define LAGOONLADDER_CONTROL_CONSENSUS_DRIVER_HPP
 
 #include <deque>
 #include <functional>
@@ -9,18 +9,18 @@
 #include <string>
 #include <vector>
 
+#include <lagoonladder/config.hpp>
 #include <lagoonladder/consensus.hpp>
-#include <lagoonladder/daemon/control_plane.hpp>
-#include <lagoonladder/daemon/settings.hpp>
+#include <lagoonladder/control.hpp>
 #include <lagoonladder/storage.hpp>
 
-#include "peer_channels.hpp"
 #include "step_sender.hpp"
+#include <lagoonladder/control/peer_channels.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
-consensus::node_options make_node_options(settings const& config, consensus::voter_id self);
+consensus::node_options make_node_options(config::settings const& config, consensus::voter_id self);
 
 /// Runs the consensus node of a VM with a data folder and the control state
 /// that its log builds. Lives on the control thread; only the constructor may
@@ -33,7 +33,7 @@
     using read_handler = std::function<void(bool)>;
 
     /// Loads the stored log. Throws storage_error or parse_error when it is damaged.
-    consensus_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+    consensus_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
                      consensus::voter_id self, storage::log_store& store, peer_channels& channels,
                      event_sink& log, clock const& time_source, random_source& random);
 
@@ -120,12 +120,12 @@
     bool propose_removal(consensus::voter_id const& id, char const* reason);
     bool lacks_leader();
     void request_join();
-    bool is_self(initial_voter const& voter) const;
+    bool is_self(config::initial_voter const& voter) const;
     void identify_initial_voters();
     void found_group();
 
     std::shared_ptr<asio::io_context> context;
-    settings const& options;
+    config::settings const& options;
     storage::log_store& log_store;
     peer_channels& peers;
     event_sink& events;
@@ -166,6 +166,6 @@
     std::uint64_t bytes_since_snapshot = 0;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/consensus_membership.cpp
+++ b/src/process/control/internal/consensus_membership.cpp
@@ -4,7 +4,7 @@
 
 #include "consensus_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -244,7 +244,7 @@
     }
 }
 
-bool consensus_driver::is_self(initial_voter const& voter) const
+bool consensus_driver::is_self(config::initial_voter const& voter) const
 {
     if (voter.vm.value().empty())
         return voter.control == this->options.control;
@@ -276,4 +276,4 @@
     this->schedule_flush();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/consensus_requests.cpp
+++ b/src/process/control/internal/consensus_requests.cpp
@@ -2,7 +2,7 @@
 
 #include "consensus_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -111,4 +111,4 @@
         pending.done(false);
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/control_services.cpp
+++ b/src/process/control/internal/control_services.cpp
@@ -3,21 +3,14 @@
 #include <algorithm>
 #include <future>
 
-#include "cluster_token.hpp"
+#include <lagoonladder/control/cluster_token.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
 {
 
-constexpr duration max_wait = seconds(10);
-
-grpc::Status missing_token()
-{
-    return {grpc::StatusCode::UNAUTHENTICATED, "the call carries no valid cluster token"};
-}
-
 grpc::Status no_log()
 {
     return {grpc::StatusCode::FAILED_PRECONDITION, "this VM has no log"};
@@ -37,18 +30,10 @@
     bool quorum_recent = false;
 };
 
-/// Time left for a call, without the part that the answer needs.
-duration remaining(grpc::ServerContext const& context)
-{
-    auto const left =
-        std::chrono::duration_cast<duration>(context.deadline() - std::chrono::system_clock::now());
-    return std::clamp(left - left / 10, duration(0), max_wait);
-}
-
 /// Runs `action` on the control thread and waits. `action` gets a function
 /// that ends the wait; it may call it later. Returns false on a timeout.
 template <class Result>
-std::optional<Result> ask_control(control_loop& control, duration timeout,
+std::optional<Result> ask_control(control_thread& control, duration timeout,
                                   std::function<void(std::function<void(Result)>)> const& action)
 {
     auto const answer = std::make_shared<std::promise<Result>>();
@@ -62,7 +47,7 @@
 
 } // namespace
 
-consensus_service::consensus_service(control_loop& loop, settings const& config)
+consensus_service::consensus_service(control_thread& loop, config::settings const& config)
     : control(loop)
     , options(config)
 {
@@ -72,7 +57,7 @@
                                      protocol::StepRequest const* request, protocol::StepReply*)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     std::vector<std::string> messages(request->messages().begin(), request->messages().end());
@@ -87,11 +72,11 @@
                                          protocol::IdentifyReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     auto const has_state =
-        ask_control<bool>(this->control, remaining(*context),
+        ask_control<bool>(this->control, remaining_time(*context),
                           [this](auto const& done) { done(this->control.node()->has_log()); });
     if (!has_state)
         return busy();
@@ -106,11 +91,11 @@
                                      protocol::JoinReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     auto const result = ask_control<consensus_driver::join_result>(
-        this->control, remaining(*context),
+        this->control, remaining_time(*context),
         [this, voter = consensus::voter_id(request->voter()),
          address = network_address(request->address())](auto const& done)
         { done(this->control.node()->join(voter, address)); });
@@ -122,7 +107,7 @@
     return grpc::Status::OK;
 }
 
-control_service::control_service(control_loop& loop, settings const& config,
+control_service::control_service(control_thread& loop, config::settings const& config,
                                  clock const& time_source)
     : control(loop)
     , options(config)
@@ -135,7 +120,7 @@
                                       protocol::ProposeReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     version::command command;
@@ -147,7 +132,7 @@
     {
         return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
     }
-    auto const timeout = remaining(*context);
+    auto const timeout = remaining_time(*context);
     auto const outcome = ask_control<proposal_outcome>(
         this->control, timeout,
         [this, command, timeout](auto const& done)
@@ -170,12 +155,12 @@
                                         protocol::ReadStateReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     if (request->through_quorum())
     {
-        auto const timeout = remaining(*context);
+        auto const timeout = remaining_time(*context);
         auto const confirmed =
             ask_control<bool>(this->control, timeout,
                               [this, timeout](auto const& done)
@@ -184,7 +169,7 @@
             return grpc::Status::OK;
     }
     auto const answer =
-        ask_control<node_state>(this->control, remaining(*context),
+        ask_control<node_state>(this->control, remaining_time(*context),
                                 [this](auto const& done)
                                 {
                                     auto const& node = *this->control.node();
@@ -210,7 +195,7 @@
                                        protocol::FindOnceReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     if (!this->control.node())
         return no_log();
     lagoonladder::request::once_key key;
@@ -222,7 +207,7 @@
     {
         return {grpc::StatusCode::INVALID_ARGUMENT, problem.what()};
     }
-    auto const timeout = remaining(*context);
+    auto const timeout = remaining_time(*context);
     using answer_type = std::pair<find_status, std::optional<request::once_reply>>;
     auto const found = ask_control<answer_type>(
         this->control, timeout,
@@ -249,7 +234,7 @@
                                      protocol::ReportReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     try
     {
         auto const samples = nlohmann::json::from_msgpack(request->samples())
@@ -277,7 +262,7 @@
     }
 }
 
-directory_service::directory_service(control_loop& loop, settings const& config)
+directory_service::directory_service(control_thread& loop, config::settings const& config)
     : control(loop)
     , options(config)
 {
@@ -287,8 +272,8 @@
                                          protocol::Digest const* request, protocol::Digest* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
-    auto digest = ask_control<protocol::Digest>(this->control, remaining(*context),
+        return missing_cluster_token();
+    auto digest = ask_control<protocol::Digest>(this->control, remaining_time(*context),
                                                 [this, received = *request](auto const& done) {
                                                     done(this->control.gossip().exchange(received));
                                                 });
@@ -298,30 +283,7 @@
     return grpc::Status::OK;
 }
 
-quota_service::quota_service(pass_through_plane* traffic, settings const& config)
-    : plane(traffic)
-    , options(config)
-{
-}
-
-grpc::Status quota_service::Lend(grpc::ServerContext* context, protocol::LendRequest const* request,
-                                 protocol::LendReply* reply)
-{
-    if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
-    if (this->plane == nullptr)
-        return grpc::Status::OK;
-    auto const answer = std::make_shared<std::promise<double>>();
-    auto lent = answer->get_future();
-    this->plane->lend_tokens(account_id(request->account()), request->tokens(),
-                             [answer](double tokens) { answer->set_value(tokens); });
-    if (lent.wait_for(remaining(*context)) != std::future_status::ready)
-        return busy();
-    reply->set_tokens(lent.get());
-    return grpc::Status::OK;
-}
-
-events_service::events_service(observability::event_timeline& log, settings const& config)
+events_service::events_service(observability::event_timeline& log, config::settings const& config)
     : events(log)
     , options(config)
 {
@@ -332,7 +294,7 @@
                                   protocol::ListEventsReply* reply)
 {
     if (!has_cluster_token(*context, this->options.cluster_token))
-        return missing_token();
+        return missing_cluster_token();
     hybrid_timestamp const since{wall_time(duration(request->since().wall_us())),
                                  request->since().counter()};
     for (auto const& entry : this->events.list(since, request->limit()))
@@ -353,4 +315,4 @@
     return grpc::Status::OK;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/control_services.hpp
+++ b/src/process/control/internal/control_services.hpp
@@ -1,19 +1,19 @@
-#ifndef LAGOONLADDER_DAEMON_CONTROL_SERVICES_HPP
-#define LAGOONLADDER_DAEMON_CONTROL_SERVICES_HPP
+#ifndef LAGOONLADDER_CONTROL_CONTROL_SERVICES_HPP
+#define LAGOONLADDER_CONTROL_CONTROL_SERVICES_HPP
 
 #include <consensus.grpc.pb.h>
 #include <control.grpc.pb.h>
 
-#include "pass_through_plane.hpp"
+#include "control_thread.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// gRPC service for the messages of the replicated log.
 class consensus_service : public protocol::Consensus::Service
 {
 public:
-    consensus_service(control_loop& loop, settings const& config);
+    consensus_service(control_thread& loop, config::settings const& config);
 
     grpc::Status Step(grpc::ServerContext* context, protocol::StepRequest const* request,
                       protocol::StepReply* reply) override;
@@ -23,15 +23,15 @@
                       protocol::JoinReply* reply) override;
 
 private:
-    control_loop& control;
-    settings const& options;
+    control_thread& control;
+    config::settings const& options;
 };
 
 /// gRPC service for proposals, reads of the control state and traffic counts.
 class control_service : public protocol::Control::Service
 {
 public:
-    control_service(control_loop& loop, settings const& config, clock const& time_source);
+    control_service(control_thread& loop, config::settings const& config, clock const& time_source);
 
     grpc::Status Propose(grpc::ServerContext* context, protocol::ProposeRequest const* request,
                          protocol::ProposeReply* reply) override;
@@ -43,8 +43,8 @@
                         protocol::ReportReply* reply) override;
 
 private:
-    control_loop& control;
-    settings const& options;
+    control_thread& control;
+    config::settings const& options;
     clock const& time;
 };
 
@@ -52,45 +52,30 @@
 class directory_service : public protocol::Directory::Service
 {
 public:
-    directory_service(control_loop& loop, settings const& config);
+    directory_service(control_thread& loop, config::settings const& config);
 
     grpc::Status Exchange(grpc::ServerContext* context, protocol::Digest const* request,
                           protocol::Digest* reply) override;
 
 private:
-    control_loop& control;
-    settings const& options;
-};
-
-/// gRPC service that gives this entry's quota tokens to other entries.
-class quota_service : public protocol::Quotas::Service
-{
-public:
-    /// `traffic` is null on a daemon without pass-through calls.
-    quota_service(pass_through_plane* traffic, settings const& config);
-
-    grpc::Status Lend(grpc::ServerContext* context, protocol::LendRequest const* request,
-                      protocol::LendReply* reply) override;
-
-private:
-    pass_through_plane* const plane;
-    settings const& options;
+    control_thread& control;
+    config::settings const& options;
 };
 
 /// gRPC service for the daemon's part of the event timeline.
 class events_service : public protocol::Events::Service
 {
 public:
-    events_service(observability::event_timeline& log, settings const& config);
+    events_service(observability::event_timeline& log, config::settings const& config);
 
     grpc::Status List(grpc::ServerContext* context, protocol::ListEventsRequest const* request,
                       protocol::ListEventsReply* reply) override;
 
 private:
     observability::event_timeline& events;
-    settings const& options;
+    config::settings const& options;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/control_loop.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -1,10 +1,11 @@
-#include "control_loop.hpp"
+#include "control_thread.hpp"
 
 #include <future>
 
+#include "control_services.hpp"
 #include "pass_through_view.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -17,13 +18,11 @@
 constexpr duration report_interval = milliseconds(500);
 /// Traffic counts and moves need no shorter intervals than a second.
 constexpr std::uint32_t reports_per_step = 2;
-/// Added to the wait of the calling thread, so that the control thread decides
-/// whether a command is unknown.
 
 } // namespace
 
-control_loop::control_loop(control_dependencies const& dependencies)
-    : options(dependencies.config)
+control_thread::control_thread(control_dependencies const& dependencies)
+    : options(dependencies.options)
     , events(dependencies.events)
     , gauges(dependencies.metrics)
     , time(dependencies.time)
@@ -62,12 +61,12 @@
     this->driver->set_voter_source([this] { return this->client.voters(); });
 }
 
-control_loop::~control_loop()
+control_thread::~control_thread()
 {
     this->stop();
 }
 
-void control_loop::start()
+void control_thread::start()
 {
     this->post(
         [this]
@@ -84,7 +83,7 @@
         this->reclaims.start();
 }
 
-void control_loop::run()
+void control_thread::run()
 {
     try
     {
@@ -99,7 +98,7 @@
     }
 }
 
-void control_loop::stop()
+void control_thread::stop()
 {
     if (!this->thread.joinable())
         return;
@@ -120,74 +119,89 @@
     this->peers.cancel_calls();
 }
 
-void control_loop::post(std::function<void()> action)
+void control_thread::post(std::function<void()> action)
 {
     asio::post(*this->context, std::move(action));
 }
 
-std::shared_ptr<control_view const> control_loop::view() const
+std::shared_ptr<control_view const> control_thread::view() const
 {
     return this->published.load();
 }
 
-void control_loop::propose(version::command_body body, duration timeout, proposal_handler done)
+void control_thread::propose(version::command_body body, duration timeout, proposal_handler done)
 {
     this->post([this, body = std::move(body), timeout, done = std::move(done)]
                { this->client.propose(body, this->time.now() + timeout, done); });
 }
 
-void control_loop::find_once(request::once_key const& key, duration timeout, find_handler done)
+void control_thread::find_once(request::once_key const& key, duration timeout, find_handler done)
 {
     this->post([this, key, timeout, done = std::move(done)]
                { this->client.find_once(key, this->time.now() + timeout, done); });
 }
 
-std::shared_ptr<proxy::traffic_view const> control_loop::traffic() const
+std::shared_ptr<proxy::traffic_view const> control_thread::traffic() const
 {
     return this->published_traffic.load();
 }
 
-void control_loop::set_demand(std::map<account_id, double> demand)
+void control_thread::count_usage(account_id const& account)
+{
+    this->usage_counts.add(account);
+}
+
+std::vector<std::unique_ptr<grpc::Service>> control_thread::make_services()
+{
+    std::vector<std::unique_ptr<grpc::Service>> services;
+    services.push_back(std::make_unique<consensus_service>(*this, this->options));
+    services.push_back(std::make_unique<control_service>(*this, this->options, this->time));
+    services.push_back(std::make_unique<directory_service>(*this, this->options));
+    services.push_back(std::make_unique<events_service>(this->events, this->options));
+    return services;
+}
+
+void control_thread::set_demand(std::map<account_id, double> demand)
 {
     this->post([this, demand = std::move(demand)] { this->account_demand = demand; });
 }
 
-void control_loop::set_seeds(std::vector<network_address> seeds)
+void control_thread::set_seeds(std::vector<network_address> seeds)
 {
     this->post([this, seeds = std::move(seeds)] { this->directories.set_seeds(seeds); });
 }
 
-void control_loop::set_platform_duties(proxy::platform_duties* target)
+void control_thread::set_platform_duties(proxy::platform_duties* target)
 {
     this->post([this, target] { this->platform_duties.set_platform(target); });
 }
 
-void control_loop::announce(connection::endpoint_record record)
+void control_thread::announce(connection::endpoint_record record)
 {
     this->post([this, record = std::move(record)] { this->directories.announce(record); });
 }
 
-void control_loop::remove_endpoint(endpoint_id const& id)
+void control_thread::remove_endpoint(endpoint_id const& id)
 {
     this->post([this, id] { this->directories.remove(id); });
 }
 
-void control_loop::record_traffic(version::traffic_sample const& sample)
+void control_thread::record_traffic(version::traffic_sample const& sample)
 {
     this->traffic_counts.add(sample);
 }
 
-void control_loop::set_leaving(vm_id const& vm)
+void control_thread::set_leaving(vm_id const& vm)
 {
     this->post([this, vm] { this->directories.set_leaving(vm); });
 }
 
-void control_loop::set_open_requests(std::uint32_t count)
+void control_thread::set_open_requests(std::uint32_t count)
 {
     this->open_requests = count;
 }
 
-void control_loop::schedule_publish()
+void control_thread::schedule_publish()
 {
     if (this->publish_scheduled)
         return;
@@ -202,7 +216,7 @@
         });
 }
 
-void control_loop::publish()
+void control_thread::publish()
 {
     auto const now = this->time.now();
     auto next = std::make_shared<control_view>();
@@ -232,7 +246,7 @@
     this->published.store(std::move(next));
 }
 
-void control_loop::update_metrics(control_view const& current)
+void control_thread::update_metrics(control_view const& current)
 {
     this->gauges.set("ready", {}, current.ready ? 1 : 0);
     this->gauges.set("quorum_recent", {}, current.quorum_recent ? 1 : 0);
@@ -248,7 +262,7 @@
     this->gauges.set("gossip_sent_bytes", {}, static_cast<double>(this->directories.sent_bytes()));
 }
 
-void control_loop::schedule_report()
+void control_thread::schedule_report()
 {
     this->report_timer.expires_after(report_interval);
     this->report_timer.async_wait(
@@ -261,7 +275,7 @@
         });
 }
 
-void control_loop::report()
+void control_thread::report()
 {
     bool const is_step = ++this->report_count % reports_per_step == 0;
     auto const samples =
@@ -281,4 +295,9 @@
     this->platform_duties.step(*this->view());
 }
 
-} // namespace lagoonladder::daemon
+std::unique_ptr<control_loop> make_control_loop(control_dependencies const& dependencies)
+{
+    return std::make_unique<control_thread>(dependencies);
+}
+
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/control_loop.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -1,10 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_CONTROL_LOOP_HPP
-#define LAGOONLADDER_DAEMON_CONTROL_LOOP_HPP
+#ifndef LAGOONLADDER_CONTROL_CONTROL_THREAD_HPP
+#define LAGOONLADDER_CONTROL_CONTROL_THREAD_HPP
 
 #include <atomic>
 #include <memory>
 #include <thread>
 
+#include <lagoonladder/control/control_loop.hpp>
+
 #include "consensus_driver.hpp"
 #include "duty_driver.hpp"
 #include "gossip_driver.hpp"
@@ -15,33 +17,19 @@
 #include "traffic_counter.hpp"
 #include "usage_counter.hpp"
 
-namespace lagoonladder::daemon
-{
-
-struct control_dependencies
+namespace lagoonladder::control
 {
-    settings const& config;
-    observability::event_timeline& events;
-    observability::metrics& metrics;
-    clock const& time;
-    peer_channels& peers;
-    /// Null on a VM without a data folder.
-    storage::log_store* store = nullptr;
-    consensus::voter_id voter;
-    std::uint64_t seed = 0;
-};
 
-/// The control thread: owns all control state and publishes it to the traffic
-/// threads.
-class control_loop : public control_plane
+/// Implements the control loop by one thread with an event loop.
+class control_thread : public control_loop
 {
 public:
     /// Loads the stored log. Throws storage_error when it is damaged.
-    explicit control_loop(control_dependencies const& dependencies);
-    ~control_loop() override;
+    explicit control_thread(control_dependencies const& dependencies);
+    ~control_thread() override;
 
-    void start();
-    void stop();
+    void start() override;
+    void stop() override;
 
     std::shared_ptr<control_view const> view() const override;
     void propose(version::command_body body, duration timeout, proposal_handler done) override;
@@ -52,15 +40,13 @@
     void set_leaving(vm_id const& vm) override;
     void set_open_requests(std::uint32_t count) override;
 
-    /// Control state for pass-through calls.
-    std::shared_ptr<proxy::traffic_view const> traffic() const;
-    usage_counter& usage() { return this->usage_counts; }
-    void set_demand(std::map<account_id, double> demand);
-    void set_seeds(std::vector<network_address> seeds);
-    void set_platform_duties(proxy::platform_duties* target);
-
-    /// Runs `action` on the control thread.
-    void post(std::function<void()> action);
+    std::shared_ptr<proxy::traffic_view const> traffic() const override;
+    void count_usage(account_id const& account) override;
+    void set_demand(std::map<account_id, double> demand) override;
+    void set_seeds(std::vector<network_address> seeds) override;
+    void set_platform_duties(proxy::platform_duties* target) override;
+    void post(std::function<void()> action) override;
+    std::vector<std::unique_ptr<grpc::Service>> make_services() override;
 
     // For handlers on the control thread.
     consensus_driver* node() { return this->driver.get(); }
@@ -78,7 +64,7 @@
     void report();
     void update_metrics(control_view const& current);
 
-    settings const& options;
+    config::settings const& options;
     observability::event_timeline& events;
     observability::metrics& gauges;
     clock const& time;
@@ -107,6 +93,6 @@
     std::thread thread;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/duty_driver.cpp
+++ b/src/process/control/internal/duty_driver.cpp
@@ -1,6 +1,6 @@
 #include "duty_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -14,8 +14,8 @@
 
 } // namespace
 
-duty_driver::duty_driver(consensus_driver* own_node, settings const& config, event_sink& log,
-                         clock const& time_source)
+duty_driver::duty_driver(consensus_driver* own_node, config::settings const& config,
+                         event_sink& log, clock const& time_source)
     : node(own_node)
     , options(config)
     , events(log)
@@ -166,4 +166,4 @@
                         });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/duty_driver.hpp
+++ b/src/process/control/internal/duty_driver.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_DUTY_DRIVER_HPP
-#define LAGOONLADDER_DAEMON_DUTY_DRIVER_HPP
+#ifndef LAGOONLADDER_CONTROL_DUTY_DRIVER_HPP
+#define LAGOONLADDER_CONTROL_DUTY_DRIVER_HPP
 
 #include <lagoonladder/proxy.hpp>
 
 #include "capacity_driver.hpp"
 #include "consensus_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Carries out the calls to the platform that one daemon at a time makes: the leader,
@@ -15,7 +15,7 @@
 {
 public:
     /// `own_node` and `platform` are null on a VM without a log or without a platform.
-    duty_driver(consensus_driver* own_node, settings const& config, event_sink& log,
+    duty_driver(consensus_driver* own_node, config::settings const& config, event_sink& log,
                 clock const& time_source);
 
     void set_platform(proxy::platform_duties* target) { this->platform = target; }
@@ -36,7 +36,7 @@
     proxy::platform_duties::holder self() const;
 
     consensus_driver* const node;
-    settings const& options;
+    config::settings const& options;
     event_sink& events;
     clock const& time;
     proxy::platform_duties* platform = nullptr;
@@ -52,6 +52,6 @@
     bool is_reporting = false;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/event_collector.cpp
+++ b/src/process/control/internal/event_collector.cpp
@@ -1,11 +1,11 @@
-#include "event_collector.hpp"
+#include <lagoonladder/control/event_collector.hpp>
 
 #include <future>
 #include <optional>
 
 #include <control.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -52,8 +52,8 @@
 
 } // namespace
 
-collected_events collect_events(settings const& config, observability::event_timeline const& own,
-                                peer_channels& peers,
+collected_events collect_events(config::settings const& config,
+                                observability::event_timeline const& own, peer_channels& peers,
                                 std::vector<connection::entry_record> const& entries,
                                 hybrid_timestamp since, std::size_t limit)
 {
@@ -88,4 +88,4 @@
     return result;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -2,7 +2,7 @@
 
 #include <control.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -54,7 +54,7 @@
     return std::tuple(row.incarnation, row.sequence, row.state);
 }
 
-connection::entry_record make_own_row(settings const& config, clock const& time_source)
+connection::entry_record make_own_row(config::settings const& config, clock const& time_source)
 {
     connection::entry_record row;
     row.vm = config.vm;
@@ -68,7 +68,7 @@
     return row;
 }
 
-connection::endpoint_directory_options make_endpoint_options(settings const& config)
+connection::endpoint_directory_options make_endpoint_options(config::settings const& config)
 {
     connection::endpoint_directory_options options;
     options.lease = config.endpoint_lease;
@@ -77,7 +77,7 @@
 
 } // namespace
 
-gossip_driver::gossip_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+gossip_driver::gossip_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
                              peer_channels& channels, observability::event_timeline& log,
                              clock const& time_source, random_source& random_numbers)
     : context(io)
@@ -365,4 +365,4 @@
         this->send_news();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_GOSSIP_DRIVER_HPP
-#define LAGOONLADDER_DAEMON_GOSSIP_DRIVER_HPP
+#ifndef LAGOONLADDER_CONTROL_GOSSIP_DRIVER_HPP
+#define LAGOONLADDER_CONTROL_GOSSIP_DRIVER_HPP
 
 #include <functional>
 #include <map>
@@ -9,14 +9,14 @@
 
 #include <control.pb.h>
 
+#include <lagoonladder/config.hpp>
 #include <lagoonladder/connection.hpp>
-#include <lagoonladder/daemon/settings.hpp>
 #include <lagoonladder/observability.hpp>
 
-#include "peer_channels.hpp"
 #include "reclaim_poller.hpp"
+#include <lagoonladder/control/peer_channels.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Keeps the endpoint and entry directories in step with other daemons. Lives
@@ -24,7 +24,7 @@
 class gossip_driver
 {
 public:
-    gossip_driver(std::shared_ptr<asio::io_context> io, settings const& config,
+    gossip_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
                   peer_channels& channels, observability::event_timeline& log,
                   clock const& time_source, random_source& random_numbers);
 
@@ -79,7 +79,7 @@
     void report_expired();
 
     std::shared_ptr<asio::io_context> context;
-    settings const& options;
+    config::settings const& options;
     peer_channels& peers;
     observability::event_timeline& events;
     clock const& time;
@@ -97,6 +97,6 @@
     bool stopped = false;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/leader_client.cpp
+++ b/src/process/control/internal/leader_client.cpp
@@ -4,7 +4,7 @@
 
 #include <control.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -33,7 +33,7 @@
     bool maybe_proposed = false;
 };
 
-leader_client::leader_client(std::shared_ptr<asio::io_context> io, settings const& config,
+leader_client::leader_client(std::shared_ptr<asio::io_context> io, config::settings const& config,
                              peer_channels& channels, gossip_driver const& directories,
                              clock const& time_source, consensus_driver* own_node)
     : context(std::move(io))
@@ -230,4 +230,4 @@
         [stub](grpc::Status const&, protocol::ReportReply&) {});
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/leader_client.hpp
+++ b/src/process/control/internal/leader_client.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_LEADER_CLIENT_HPP
-#define LAGOONLADDER_DAEMON_LEADER_CLIENT_HPP
+#ifndef LAGOONLADDER_CONTROL_LEADER_CLIENT_HPP
+#define LAGOONLADDER_CONTROL_LEADER_CLIENT_HPP
 
 #include <functional>
 #include <memory>
@@ -8,7 +8,7 @@
 #include "consensus_driver.hpp"
 #include "gossip_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Reaches the consensus group for this daemon: through the own node on a VM
@@ -21,7 +21,7 @@
     using find_handler = control_plane::find_handler;
 
     /// `own_node` is null on a VM without a log.
-    leader_client(std::shared_ptr<asio::io_context> io, settings const& config,
+    leader_client(std::shared_ptr<asio::io_context> io, config::settings const& config,
                   peer_channels& channels, gossip_driver const& directories,
                   clock const& time_source, consensus_driver* own_node);
 
@@ -55,7 +55,7 @@
     void retry_later(std::function<void()> action);
 
     std::shared_ptr<asio::io_context> context;
-    settings const& options;
+    config::settings const& options;
     peer_channels& peers;
     gossip_driver const& gossip;
     clock const& time;
@@ -65,6 +65,6 @@
     bool stopped = false;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/move_driver.cpp
+++ b/src/process/control/internal/move_driver.cpp
@@ -1,6 +1,6 @@
 #include "move_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -173,4 +173,4 @@
     }
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/move_driver.hpp
+++ b/src/process/control/internal/move_driver.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_MOVE_DRIVER_HPP
-#define LAGOONLADDER_DAEMON_MOVE_DRIVER_HPP
+#ifndef LAGOONLADDER_CONTROL_MOVE_DRIVER_HPP
+#define LAGOONLADDER_CONTROL_MOVE_DRIVER_HPP
 
 #include <map>
 #include <vector>
 
 #include "consensus_driver.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Runs the controllers of version moves while this daemon is the leader, and
@@ -43,6 +43,6 @@
     std::uint64_t controlled_term = 0;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -1,6 +1,6 @@
 #include "pass_through_view.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -24,7 +24,7 @@
 } // namespace
 
 std::shared_ptr<proxy::traffic_view const> make_traffic_view(control_view const& control,
-                                                             settings const& config)
+                                                             config::settings const& config)
 {
     auto view = std::make_shared<proxy::traffic_view>();
     view->is_ready = control.ready;
@@ -51,4 +51,4 @@
     return view;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/peer_channels.cpp
+++ b/src/process/control/internal/peer_channels.cpp
@@ -1,10 +1,10 @@
-#include "peer_channels.hpp"
+#include <lagoonladder/control/peer_channels.hpp>
 
 #include <vector>
 
 #include <grpc/grpc.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 grpc_session::grpc_session()
@@ -86,4 +86,4 @@
     this->call_ended.wait(lock, [this] { return this->open_calls.empty(); });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/reclaim_poller.cpp
+++ b/src/process/control/internal/reclaim_poller.cpp
@@ -3,9 +3,9 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <lagoonladder/daemon/control_plane.hpp>
+#include <lagoonladder/control.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -32,8 +32,8 @@
     client.set_read_timeout(read_timeout_s);
     auto const answer = client.Get("/v1/notices");
     if (!answer || answer->status != 200)
-        throw daemon_error("the cloud API at " + this->address.value() +
-                           " did not answer GET /v1/notices");
+        throw control_error("the cloud API at " + this->address.value() +
+                            " did not answer GET /v1/notices");
     try
     {
         auto const body = nlohmann::json::parse(answer->body);
@@ -44,8 +44,8 @@
     }
     catch (nlohmann::json::exception const& problem)
     {
-        throw daemon_error("the cloud API at " + this->address.value() +
-                           " sent an unreadable list of notices: " + problem.what());
+        throw control_error("the cloud API at " + this->address.value() +
+                            " sent an unreadable list of notices: " + problem.what());
     }
 }
 
@@ -110,4 +110,4 @@
     }
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/reclaim_poller.hpp
+++ b/src/process/control/internal/reclaim_poller.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_RECLAIM_POLLER_HPP
-#define LAGOONLADDER_DAEMON_RECLAIM_POLLER_HPP
+#ifndef LAGOONLADDER_CONTROL_RECLAIM_POLLER_HPP
+#define LAGOONLADDER_CONTROL_RECLAIM_POLLER_HPP
 
 #include <atomic>
 #include <condition_variable>
@@ -10,7 +10,7 @@
 
 #include <lagoonladder/base.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// The cloud API's announcement that a VM, or all VMs of a zone, are taken away.
@@ -28,7 +28,7 @@
 {
 public:
     virtual ~cloud_platform() = default;
-    /// All notices in force. Throws daemon_error when the platform does not answer.
+    /// All notices in force. Throws control_error when the platform does not answer.
     virtual std::vector<platform_notice> notices() = 0;
 };
 
@@ -79,6 +79,6 @@
     std::thread thread;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -4,7 +4,7 @@
 
 #include <control.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 namespace
@@ -17,7 +17,7 @@
 
 } // namespace
 
-state_follower::state_follower(std::shared_ptr<asio::io_context> io, settings const& config,
+state_follower::state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
                                peer_channels& channels, leader_client& client, event_sink& log,
                                clock const& time_source, consensus_driver* own_node)
     : context(io)
@@ -171,4 +171,4 @@
         this->on_change();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -1,12 +1,12 @@
-#ifndef LAGOONLADDER_DAEMON_STATE_FOLLOWER_HPP
-#define LAGOONLADDER_DAEMON_STATE_FOLLOWER_HPP
+#ifndef LAGOONLADDER_CONTROL_STATE_FOLLOWER_HPP
+#define LAGOONLADDER_CONTROL_STATE_FOLLOWER_HPP
 
 #include <functional>
 #include <memory>
 
 #include "leader_client.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Keeps the newest shared control state that this daemon has seen, and decides
@@ -14,7 +14,7 @@
 class state_follower
 {
 public:
-    state_follower(std::shared_ptr<asio::io_context> io, settings const& config,
+    state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
                    peer_channels& channels, leader_client& client, event_sink& log,
                    clock const& time_source, consensus_driver* own_node);
 
@@ -41,7 +41,7 @@
     void become_ready();
 
     std::shared_ptr<asio::io_context> context;
-    settings const& options;
+    config::settings const& options;
     peer_channels& peers;
     leader_client& leaders;
     event_sink& events;
@@ -59,6 +59,6 @@
     time_point quorum_heard{};
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/step_sender.cpp
+++ b/src/process/control/internal/step_sender.cpp
@@ -2,7 +2,7 @@
 
 #include <consensus.grpc.pb.h>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 step_sender::step_sender(std::shared_ptr<asio::io_context> io, peer_channels& channels,
@@ -53,4 +53,4 @@
         });
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/step_sender.hpp
+++ b/src/process/control/internal/step_sender.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_STEP_SENDER_HPP
-#define LAGOONLADDER_DAEMON_STEP_SENDER_HPP
+#ifndef LAGOONLADDER_CONTROL_STEP_SENDER_HPP
+#define LAGOONLADDER_CONTROL_STEP_SENDER_HPP
 
 #include <deque>
 #include <map>
@@ -8,9 +8,9 @@
 
 #include <lagoonladder/consensus.hpp>
 
-#include "peer_channels.hpp"
+#include <lagoonladder/control/peer_channels.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Sends consensus messages to other voters, one call at a time for each.
@@ -51,6 +51,6 @@
     bool stopped = false;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/traffic_counter.cpp
+++ b/src/process/control/internal/traffic_counter.cpp
@@ -1,6 +1,6 @@
 #include "traffic_counter.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 void traffic_counter::add(version::traffic_sample const& sample)
@@ -28,4 +28,4 @@
     return taken;
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/traffic_counter.hpp
+++ b/src/process/control/internal/traffic_counter.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_TRAFFIC_COUNTER_HPP
-#define LAGOONLADDER_DAEMON_TRAFFIC_COUNTER_HPP
+#ifndef LAGOONLADDER_CONTROL_TRAFFIC_COUNTER_HPP
+#define LAGOONLADDER_CONTROL_TRAFFIC_COUNTER_HPP
 
 #include <map>
 #include <mutex>
@@ -8,7 +8,7 @@
 
 #include <lagoonladder/version.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Sums the traffic of an interval per service, version and route. Safe to
@@ -28,6 +28,6 @@
     std::map<traffic_key, version::traffic_sample> sums;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/internal/usage_counter.cpp
+++ b/src/process/control/internal/usage_counter.cpp
@@ -1,6 +1,6 @@
 #include "usage_counter.hpp"
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 usage_counter::usage_counter(vm_id self, clock const& time_source, duration window)
@@ -31,4 +31,4 @@
     return {this->vm, this->started, this->windows};
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
--- a/src/process/daemon/internal/usage_counter.hpp
+++ b/src/process/control/internal/usage_counter.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_USAGE_COUNTER_HPP
-#define LAGOONLADDER_DAEMON_USAGE_COUNTER_HPP
+#ifndef LAGOONLADDER_CONTROL_USAGE_COUNTER_HPP
+#define LAGOONLADDER_CONTROL_USAGE_COUNTER_HPP
 
 #include <mutex>
 
 #include <lagoonladder/version.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Counts the requests of accounts that begin to run at this entry, by window. Safe to
@@ -34,6 +34,6 @@
     std::map<std::uint64_t, version::account_counts> windows;
 };
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/tests/blocking_calls.hpp
+++ b/src/process/control/tests/blocking_calls.hpp
@@ -1,11 +1,11 @@
-#ifndef LAGOONLADDER_DAEMON_TESTS_BLOCKING_CALLS_HPP
-#define LAGOONLADDER_DAEMON_TESTS_BLOCKING_CALLS_HPP
+#ifndef LAGOONLADDER_CONTROL_TESTS_BLOCKING_CALLS_HPP
+#define LAGOONLADDER_CONTROL_TESTS_BLOCKING_CALLS_HPP
 
 #include <future>
 
-#include <lagoonladder/daemon/control_plane.hpp>
+#include <lagoonladder/control.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder::control
 {
 
 /// Time beyond a call's own timeout after which the test gives up on its handler.
@@ -54,6 +54,6 @@
     return future.get();
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder::control
 
 #endif
--- a/src/process/daemon/include/lagoonladder/daemon.hpp
+++ b/src/process/daemon/include/lagoonladder/daemon.hpp
@@ -3,8 +3,6 @@
 
 /// Public header of the daemon library.
 
-#include <lagoonladder/daemon/control_plane.hpp>
 #include <lagoonladder/daemon/run.hpp>
-#include <lagoonladder/daemon/settings.hpp>
 
 #endif
--- a/src/process/daemon/internal/operator_api.cpp
+++ b/src/process/daemon/internal/operator_api.cpp
@@ -3,11 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "event_collector.hpp"
-#include "route_table.hpp"
-#include "traffic_problem.hpp"
-#include "traffic_secret.hpp"
-
 namespace lagoonladder::daemon
 {
 
@@ -19,12 +14,12 @@
 constexpr std::size_t max_event_limit = 10'000;
 constexpr std::size_t collector_threads = 1;
 
-problem bad_request(std::string detail)
+completion::problem bad_request(std::string detail)
 {
-    return {400, "bad-request", std::move(detail), execution::no, {}, seconds(1), {}};
+    return {400, "bad-request", std::move(detail), completion::execution::no, {}, seconds(1), {}};
 }
 
-std::uint64_t number_parameter(api_exchange const& exchange, char const* name,
+std::uint64_t number_parameter(completion::api_exchange const& exchange, char const* name,
                                std::uint64_t fallback)
 {
     if (!exchange.has_parameter(name))
@@ -33,7 +28,8 @@
     std::uint64_t value = 0;
     auto const parsed = std::from_chars(text.data(), text.data() + text.size(), value);
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-        throw refusal(bad_request("parameter \"" + std::string(name) + "\" is not a whole number"));
+        throw completion::refusal(
+            bad_request("parameter \"" + std::string(name) + "\" is not a whole number"));
     return value;
 }
 
@@ -48,12 +44,12 @@
         in.at("text").get_to(command.text);
         in.at("operation").get_to(command.operation);
         if (command.operation.value().empty())
-            throw refusal(bad_request("field \"operation\" is empty"));
+            throw completion::refusal(bad_request("field \"operation\" is empty"));
         return command;
     }
-    catch (nlohmann::json::exception const& problem)
+    catch (nlohmann::json::exception const& malformed)
     {
-        throw refusal(bad_request(problem.what()));
+        throw completion::refusal(bad_request(malformed.what()));
     }
 }
 
@@ -98,7 +94,7 @@
     return outcome == version::apply_outcome::invalid ? 400 : 200;
 }
 
-nlohmann::json describe(collected_events const& collected)
+nlohmann::json describe(control::collected_events const& collected)
 {
     nlohmann::json out;
     out["unreachable"] = collected.unreachable;
@@ -121,8 +117,8 @@
 
 } // namespace
 
-operator_api::operator_api(settings const& config, control_plane& plane,
-                           observability::event_timeline& log, peer_channels& channels)
+operator_api::operator_api(config::settings const& config, control::control_plane& plane,
+                           observability::event_timeline& log, control::peer_channels& channels)
     : options(config)
     , control(plane)
     , events(log)
@@ -136,7 +132,7 @@
     this->collectors.join();
 }
 
-void operator_api::register_routes(route_table& routes)
+void operator_api::register_routes(completion::route_table& routes)
 {
     auto const authorised = [this](auto action)
     {
@@ -160,7 +156,7 @@
                authorised([this](auto const& exchange) { this->drain(*exchange); }));
 }
 
-void operator_api::authorise(api_exchange const& exchange)
+void operator_api::authorise(completion::api_exchange const& exchange)
 {
     auto const given = exchange.header("Authorization");
     if (secret_equals(given, "Bearer " + this->options.operator_token))
@@ -169,12 +165,13 @@
                       {{"path", exchange.path()},
                        {"remote", exchange.caller()},
                        {"reason", given.empty() ? "no token" : "wrong token"}});
-    throw refusal({401, "unauthorised",
-                   "operator calls need \"Authorization: Bearer\" with the operator token",
-                   execution::no});
+    throw completion::refusal(
+        {401, "unauthorised",
+         "operator calls need \"Authorization: Bearer\" with the operator token",
+         completion::execution::no});
 }
 
-void operator_api::status(api_exchange& exchange) const
+void operator_api::status(completion::api_exchange& exchange) const
 {
     auto const view = this->control.view();
     nlohmann::json out;
@@ -205,7 +202,7 @@
     exchange.respond_json(200, out.dump());
 }
 
-void operator_api::moves(api_exchange& exchange) const
+void operator_api::moves(completion::api_exchange& exchange) const
 {
     auto const view = this->control.view();
     nlohmann::json out;
@@ -231,20 +228,21 @@
     { exchange->respond_json(200, text); };
     asio::post(this->collectors,
                [this, since, limit, entries = this->control.view()->entries,
-                done = on_loop(exchange->loop(), respond)]
+                done = completion::on_loop(exchange->loop(), respond)]
                {
-                   done(describe(collect_events(this->options, this->events, this->peers, entries,
-                                                since, limit))
+                   done(describe(control::collect_events(this->options, this->events, this->peers,
+                                                         entries, since, limit))
                             .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
                });
 }
 
-void operator_api::read_configuration(api_exchange& exchange) const
+void operator_api::read_configuration(completion::api_exchange& exchange) const
 {
     auto const view = this->control.view();
     if (!view->ready)
-        throw refusal({503, "not-ready", "the control state was not yet read through a quorum",
-                       execution::no});
+        throw completion::refusal({503, "not-ready",
+                                   "the control state was not yet read through a quorum",
+                                   completion::execution::no});
     nlohmann::json const out{{"generation", view->shared->generation},
                              {"file", view->shared->file},
                              {"text", view->shared->text}};
@@ -263,17 +261,17 @@
         nlohmann::json const out{{"outcome", "invalid"}, {"detail", invalid.what()}};
         return exchange->respond_json(400, out.dump());
     }
-    control_plane::proposal_handler const done =
-        [this, exchange, operation = command.operation](proposal_outcome const& outcome)
+    control::control_plane::proposal_handler const done =
+        [this, exchange, operation = command.operation](control::proposal_outcome const& outcome)
     { this->report_applied(*exchange, operation, outcome); };
-    this->control.propose(command, apply_timeout, on_loop(exchange->loop(), done));
+    this->control.propose(command, apply_timeout, completion::on_loop(exchange->loop(), done));
 }
 
-void operator_api::report_applied(api_exchange& exchange, operation_id const& operation,
-                                  proposal_outcome const& outcome)
+void operator_api::report_applied(completion::api_exchange& exchange, operation_id const& operation,
+                                  control::proposal_outcome const& outcome)
 {
     auto const* result = std::get_if<version::apply_result>(&outcome.result);
-    if (outcome.status == proposal_status::committed && result != nullptr)
+    if (outcome.status == control::proposal_status::committed && result != nullptr)
     {
         auto const body = describe(*result);
         this->events.emit(severity::info, "configuration.applied",
@@ -282,7 +280,7 @@
                            {"operation", operation.value()}});
         return exchange.respond_json(status_of(result->outcome), body.dump());
     }
-    bool const is_unchanged = outcome.status == proposal_status::not_proposed;
+    bool const is_unchanged = outcome.status == control::proposal_status::not_proposed;
     nlohmann::json const body{
         {"outcome", is_unchanged ? "not_proposed" : "unknown"},
         {"detail", is_unchanged ? "no leader took the command in time; nothing was changed"
@@ -291,16 +289,16 @@
     exchange.respond_json(is_unchanged ? 503 : 504, body.dump());
 }
 
-void operator_api::drain(api_exchange& exchange)
+void operator_api::drain(completion::api_exchange& exchange)
 {
     vm_id vm;
     try
     {
         nlohmann::json::parse(exchange.body()).at("vm").get_to(vm);
     }
-    catch (nlohmann::json::exception const& problem)
+    catch (nlohmann::json::exception const& malformed)
     {
-        throw refusal(bad_request(problem.what()));
+        throw completion::refusal(bad_request(malformed.what()));
     }
     auto const view = this->control.view();
     bool known = std::any_of(view->entries.begin(), view->entries.end(),
@@ -309,13 +307,13 @@
         known = known || std::any_of(rows.begin(), rows.end(),
                                      [&](auto const& row) { return row.vm == vm; });
     if (!known)
-        throw refusal({404,
-                       "unknown-vm",
-                       "no entry and no endpoint runs on VM \"" + vm.value() + "\"",
-                       execution::no,
-                       {},
-                       seconds(1),
-                       {}});
+        throw completion::refusal({404,
+                                   "unknown-vm",
+                                   "no entry and no endpoint runs on VM \"" + vm.value() + "\"",
+                                   completion::execution::no,
+                                   {},
+                                   seconds(1),
+                                   {}});
     this->control.set_leaving(vm);
     this->events.emit(severity::info, "operator.drain", {{"target", vm.value()}});
     exchange.respond_json(202, nlohmann::json{{"vm", vm}}.dump());
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -22,7 +22,7 @@
     return {address, connections, name};
 }
 
-proxy::proxy_options make_proxy_options(pass_through_settings const& config)
+proxy::proxy_options make_proxy_options(config::pass_through_settings const& config)
 {
     proxy::proxy_options options;
     options.retry_share = config.retry_share;
@@ -74,8 +74,8 @@
     exchange->respond(std::move(head), this->values.expose());
 }
 
-pass_through_plane::pass_through_plane(settings const& config, control_loop& loop,
-                                       peer_channels& channels, event_sink& sink,
+pass_through_plane::pass_through_plane(config::settings const& config, control::control_loop& loop,
+                                       control::peer_channels& channels, event_sink& sink,
                                        observability::metrics& metrics, clock const& time,
                                        std::uint64_t seed)
     : options(config)
@@ -217,7 +217,7 @@
 
 void pass_through_plane::count_usage(account_id const& account)
 {
-    this->control.usage().add(account);
+    this->control.count_usage(account);
 }
 
 void pass_through_plane::set_demand(std::map<account_id, double> demand)
@@ -241,7 +241,7 @@
     for (auto const& lender : lenders)
     {
         std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
-        call_async<protocol::LendReply>(
+        control::call_async<protocol::LendReply>(
             this->context, this->peers, lend_timeout, request,
             [stub](auto* call, auto const* sent, auto* reply, auto finished)
             { stub->async()->Lend(call, sent, reply, std::move(finished)); },
@@ -291,10 +291,10 @@
 void pass_through_plane::propose(version::command_body body, handler<Result> done)
 {
     this->control.propose(std::move(body), command_timeout,
-                          [this, done = std::move(done)](proposal_outcome const& outcome)
+                          [this, done = std::move(done)](control::proposal_outcome const& outcome)
                           {
                               std::optional<Result> result;
-                              if (outcome.status == proposal_status::committed)
+                              if (outcome.status == control::proposal_status::committed)
                                   result = std::get<Result>(outcome.result);
                               asio::post(*this->context, [done, result] { done(result); });
                           });
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -5,8 +5,8 @@
 
 #include <lagoonladder/platform.hpp>
 
-#include "control_loop.hpp"
 #include "prompt_exchange.hpp"
+#include <lagoonladder/control.hpp>
 
 namespace lagoonladder::daemon
 {
@@ -32,9 +32,9 @@
                            public proxy::platform_duties
 {
 public:
-    pass_through_plane(settings const& config, control_loop& loop, peer_channels& channels,
-                       event_sink& events, observability::metrics& metrics, clock const& time,
-                       std::uint64_t seed);
+    pass_through_plane(config::settings const& config, control::control_loop& loop,
+                       control::peer_channels& channels, event_sink& events,
+                       observability::metrics& metrics, clock const& time, std::uint64_t seed);
     ~pass_through_plane() override;
 
     /// Throws http_error when an address cannot be listened on.
@@ -83,10 +83,10 @@
     std::vector<network_address> other_entries() const;
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
 
-    settings const& options;
-    control_loop& control;
+    config::settings const& options;
+    control::control_loop& control;
     event_sink& events;
-    peer_channels& peers;
+    control::peer_channels& peers;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     http::client client;
--- /dev/null
+++ b/src/process/daemon/internal/quota_service.cpp
@@ -0,0 +1,31 @@
+#include "quota_service.hpp"
+
+#include <future>
+
+namespace lagoonladder::daemon
+{
+
+quota_service::quota_service(pass_through_plane* traffic, config::settings const& config)
+    : plane(traffic)
+    , options(config)
+{
+}
+
+grpc::Status quota_service::Lend(grpc::ServerContext* context, protocol::LendRequest const* request,
+                                 protocol::LendReply* reply)
+{
+    if (!control::has_cluster_token(*context, this->options.cluster_token))
+        return control::missing_cluster_token();
+    if (this->plane == nullptr)
+        return grpc::Status::OK;
+    auto const answer = std::make_shared<std::promise<double>>();
+    auto lent = answer->get_future();
+    this->plane->lend_tokens(account_id(request->account()), request->tokens(),
+                             [answer](double tokens) { answer->set_value(tokens); });
+    if (lent.wait_for(control::remaining_time(*context)) != std::future_status::ready)
+        return {grpc::StatusCode::DEADLINE_EXCEEDED, "the traffic thread did not answer in time"};
+    reply->set_tokens(lent.get());
+    return grpc::Status::OK;
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -6,11 +6,13 @@
 
 #include <grpcpp/grpcpp.h>
 
-#include "control_services.hpp"
+#include <lagoonladder/completion.hpp>
+#include <lagoonladder/config.hpp>
+#include <lagoonladder/control.hpp>
+
 #include "operator_api.hpp"
 #include "pass_through_plane.hpp"
-#include "settings_watcher.hpp"
-#include "traffic_server.hpp"
+#include "quota_service.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -82,7 +84,7 @@
 class daemon_process
 {
 public:
-    daemon_process(std::string const& settings_path, settings const& config)
+    daemon_process(std::string const& settings_path, config::settings const& config)
         : options(config)
         , timeline(config.vm, this->time, config.log_level)
         , watcher(settings_path, config, this->timeline)
@@ -91,20 +93,17 @@
         , store(config.data_folder.empty()
                     ? nullptr
                     : std::make_unique<storage::file_log_store>(config.data_folder))
-        , control(this->make_dependencies())
-        , operators(config, this->control, this->timeline, this->peers)
-        , traffic(config, this->control, this->timeline, this->metrics, this->time,
+        , control(control::make_control_loop(this->make_dependencies()))
+        , operators(config, *this->control, this->timeline, this->peers)
+        , traffic(config, *this->control, this->timeline, this->metrics, this->time,
                   this->random.next(), {&this->operators})
         , pass_through(config.pass_through.callers.value().empty()
                            ? nullptr
                            : std::make_unique<pass_through_plane>(
-                                 config, this->control, this->peers, this->timeline, this->metrics,
+                                 config, *this->control, this->peers, this->timeline, this->metrics,
                                  this->time, this->random.next()))
-        , consensus_calls(this->control, config)
-        , control_calls(this->control, config, this->time)
-        , directory_calls(this->control, config)
+        , control_calls(this->control->make_services())
         , quota_calls(this->pass_through.get(), config)
-        , event_calls(this->timeline, config)
     {
         set_invariant_handler(
             [this](std::string const& message) {
@@ -120,7 +119,7 @@
     void start()
     {
         this->start_grpc();
-        this->control.start();
+        this->control->start();
         this->traffic.start();
         if (this->pass_through)
             this->pass_through->start();
@@ -141,7 +140,7 @@
                 next_check = this->time.now() + settings_check_interval;
                 this->reload(is_requested);
             }
-            this->control.set_open_requests(this->open_requests());
+            this->control->set_open_requests(this->open_requests());
         }
         return this->drain(signals);
     }
@@ -152,12 +151,12 @@
             this->pass_through->stop();
         this->traffic.stop();
         this->grpc_server->Shutdown(std::chrono::system_clock::now() + seconds(1));
-        this->control.stop();
+        this->control->stop();
         this->timeline.emit(severity::info, "daemon.stopped", {});
     }
 
 private:
-    control_dependencies make_dependencies()
+    control::control_dependencies make_dependencies()
     {
         consensus::voter_id voter;
         if (this->store)
@@ -176,13 +175,10 @@
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
         builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1000);
         builder.SetMaxReceiveMessageSize(max_grpc_message_bytes);
-        for (grpc::Service* service :
-             {static_cast<grpc::Service*>(&this->consensus_calls),
-              static_cast<grpc::Service*>(&this->control_calls),
-              static_cast<grpc::Service*>(&this->directory_calls),
-              static_cast<grpc::Service*>(&this->quota_calls),
-              static_cast<grpc::Service*>(&this->event_calls), &this->traffic.requests_service()})
-            builder.RegisterService(service);
+        for (auto const& service : this->control_calls)
+            builder.RegisterService(service.get());
+        builder.RegisterService(&this->quota_calls);
+        builder.RegisterService(&this->traffic.requests_service());
         this->grpc_server = builder.BuildAndStart();
         if (!this->grpc_server || port == 0)
             throw daemon_error("cannot listen on " + this->options.control.value() +
@@ -193,7 +189,7 @@
     void reload(bool is_requested)
     {
         if (auto const changed = this->watcher.poll(is_requested))
-            this->control.set_seeds(changed->seeds);
+            this->control->set_seeds(changed->seeds);
     }
 
     int drain(process_signals& signals)
@@ -213,7 +209,7 @@
                 return 0;
             if (signals.wait(drain_check_interval) == daemon_signal::stop)
                 break;
-            this->control.set_open_requests(this->open_requests());
+            this->control->set_open_requests(this->open_requests());
         }
         auto const open = this->open_requests();
         if (open == 0)
@@ -229,23 +225,20 @@
         return this->traffic.open_requests() + static_cast<std::uint32_t>(passed);
     }
 
-    settings const& options;
+    config::settings const& options;
     system_clock time;
     observability::event_timeline timeline;
     observability::metrics metrics;
-    settings_watcher watcher;
+    config::settings_watcher watcher;
     seeded_random random;
-    peer_channels peers;
+    control::peer_channels peers;
     std::unique_ptr<storage::file_log_store> store;
-    control_loop control;
+    std::unique_ptr<control::control_loop> control;
     operator_api operators;
-    traffic_server traffic;
+    completion::traffic_server traffic;
     std::unique_ptr<pass_through_plane> pass_through;
-    consensus_service consensus_calls;
-    control_service control_calls;
-    directory_service directory_calls;
+    std::vector<std::unique_ptr<grpc::Service>> control_calls;
     quota_service quota_calls;
-    events_service event_calls;
     std::unique_ptr<grpc::Server> grpc_server;
 };
 
@@ -254,7 +247,7 @@
 int run_daemon(std::string const& settings_path)
 {
     process_signals signals;
-    auto const config = load_settings(settings_path);
+    auto const config = config::load_settings(settings_path);
     log_session const log;
     daemon_process process(settings_path, config);
     process.start();
--- a/src/process/daemon/tests/free_port.hpp
+++ b/tests/support/free_port.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONLADDER_DAEMON_TESTS_FREE_PORT_HPP
-#define LAGOONLADDER_DAEMON_TESTS_FREE_PORT_HPP
+#ifndef LAGOONLADDER_TESTS_SUPPORT_FREE_PORT_HPP
+#define LAGOONLADDER_TESTS_SUPPORT_FREE_PORT_HPP
 
 #include <string>
 
@@ -7,7 +7,7 @@
 
 #include <lagoonladder/base.hpp>
 
-namespace lagoonladder::daemon
+namespace lagoonladder
 {
 
 /// An address on loopback whose port the kernel had free a moment ago.
@@ -19,6 +19,6 @@
     return network_address("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
 }
 
-} // namespace lagoonladder::daemon
+} // namespace lagoonladder
 
 #endif
