Include own headers directly in config and control

Cause: after the split some headers included the public header of their own library, which includes them.

Change: they include the header they need.

Conclusion: no change of behaviour.

--- a/src/process/config/include/lagoonladder/config/settings_watcher.hpp
+++ b/src/process/config/include/lagoonladder/config/settings_watcher.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include <lagoonladder/config.hpp>
+#include <lagoonladder/config/settings.hpp>
 
 namespace lagoonladder::config
 {
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -1,4 +1,4 @@
-#include <lagoonladder/config.hpp>
+#include <lagoonladder/config/settings.hpp>
 
 #include <algorithm>
 #include <array>
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -3,7 +3,7 @@
 
 #include <deque>
 
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/proxy.hpp>
 
 namespace lagoonladder::control
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -11,7 +11,7 @@
 
 #include <lagoonladder/config.hpp>
 #include <lagoonladder/consensus.hpp>
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/storage.hpp>
 
 #include "step_sender.hpp"
--- a/src/process/control/internal/pass_through_view.hpp
+++ b/src/process/control/internal/pass_through_view.hpp
@@ -2,7 +2,7 @@
 #define LAGOONLADDER_CONTROL_PASS_THROUGH_VIEW_HPP
 
 #include <lagoonladder/config.hpp>
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/proxy.hpp>
 
 namespace lagoonladder::control
--- a/src/process/control/internal/reclaim_poller.cpp
+++ b/src/process/control/internal/reclaim_poller.cpp
@@ -3,7 +3,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 
 namespace lagoonladder::control
 {
--- a/src/process/control/tests/blocking_calls.hpp
+++ b/src/process/control/tests/blocking_calls.hpp
@@ -3,7 +3,7 @@
 
 #include <future>
 
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 
 namespace lagoonladder::control
 {
--- a/src/process/control/tests/reclaim_poller_test.cpp
+++ b/src/process/control/tests/reclaim_poller_test.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <httplib.h>
 
-#include <lagoonladder/control.hpp>
+#include <lagoonladder/control/control_plane.hpp>
 
 #include "reclaim_poller.hpp"
 
