Do not count a call as open while its lost grant is withdrawn

Cause: since the completion interface runs on an event loop, the withdrawal of a grant whose reply was lost kept its call, which counted as open for up to 20 s without a quorum. A planned stop waited for it, though the caller had its answer.

Change: the withdrawal keeps the attempt's id only.

Before: `completion:a call whose grant was lost is not open after its answer` failed (1 call open).

Conclusion: a drain no longer waits for a quorum on behalf of answered calls.

--- a/src/process/completion/internal/once_call.cpp
+++ b/src/process/completion/internal/once_call.cpp
@@ -151,13 +151,15 @@
 void once_call::withdraw_later()
 {
     request::once_refuse const command{this->key, this->digest, this->attempt, refused_retry_after};
+    // Without the call, which has its answer and must not count as open any more.
     this->commit(command, late_commit_timeout,
-                 [self = this->shared_from_this()](proposal_status status, auto const& reply)
+                 [&events = this->parts.context.events, id = this->attempt](proposal_status status,
+                                                                            auto const& reply)
                  {
                      if (!reply)
-                         self->parts.context.events.emit(severity::warning, "once.not_withdrawn",
-                                                         {{"attempt", self->attempt.value()},
-                                                          {"reason", describe_status(status)}});
+                         events.emit(
+                             severity::warning, "once.not_withdrawn",
+                             {{"attempt", id.value()}, {"reason", describe_status(status)}});
                  });
 }
 
--- a/src/process/completion/tests/memory_cluster.hpp
+++ b/src/process/completion/tests/memory_cluster.hpp
@@ -29,6 +29,9 @@
     std::atomic<bool> has_quorum = true;
     /// The next command is committed and its reply lost.
     std::atomic<bool> loses_next_reply = false;
+    /// Commands after a lost reply are not answered at all.
+    std::atomic<bool> is_silent_after_loss = false;
+    std::atomic<bool> is_silent = false;
     std::atomic<bool> is_ready = true;
     system_clock time;
 };
--- a/src/process/completion/tests/traffic_harness.cpp
+++ b/src/process/completion/tests/traffic_harness.cpp
@@ -113,9 +113,18 @@
 {
     if (!this->cluster.has_quorum)
         return done({});
+    if (this->cluster.is_silent)
+    {
+        std::lock_guard const lock(this->mutex);
+        this->unanswered.push_back(std::move(done));
+        return;
+    }
     auto result = this->cluster.commit(std::move(body));
     if (this->cluster.loses_next_reply.exchange(false))
+    {
+        this->cluster.is_silent = this->cluster.is_silent_after_loss.load();
         return done({});
+    }
     done({proposal_status::committed, std::move(result)});
 }
 
--- a/src/process/completion/tests/traffic_harness.hpp
+++ b/src/process/completion/tests/traffic_harness.hpp
@@ -58,6 +58,8 @@
     vm_id const self;
     mutable std::mutex mutex;
     std::vector<version::traffic_sample> recorded;
+    /// Handlers of commands that nobody answers.
+    std::vector<proposal_handler> unanswered;
 };
 
 /// One entry: traffic server and gRPC server on ports of the kernel's choice.
--- a/src/process/completion/tests/traffic_plain_test.cpp
+++ b/src/process/completion/tests/traffic_plain_test.cpp
@@ -206,6 +206,20 @@
     CHECK(one.booked == 1);
 }
 
+// Guards against a planned stop that waits for a quorum on behalf of an answered call.
+TEST_CASE("a call whose grant was lost is not open after its answer")
+{
+    cluster_of_two two;
+    booking_endpoint one(two.cluster, "booking-1");
+    two.cluster.is_silent_after_loss = true;
+    two.cluster.loses_next_reply = true;
+    auto const lost = book(two.first, "permit-33");
+    REQUIRE(lost);
+    CHECK(executed(lost) == "unknown");
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(two.first.server->open_requests() == 0);
+}
+
 // Guards against "not executed" while a delayed attempt may still be dispatched.
 TEST_CASE("a booking without an endpoint is refused by a commit")
 {
--- /dev/null
+++ b/src/process/http/tests/server_test.cpp
@@ -0,0 +1,116 @@
+#include "loop_fixture.hpp"
+
+using namespace lagoonladder;
+
+TEST_CASE("a request and its answer pass through server and client")
+{
+    loop_fixture loop;
+    loop.handler.on_request = [](http::server_exchange& exchange) {
+        exchange.respond({200, {}, {}}, "echo:" + exchange.body());
+    };
+    auto const first = std::make_shared<recording_observer>();
+    loop.client.send(loop.address, loop.request("x"), first);
+    loop.run_until([&] { return first->is_over(); });
+    CHECK(first->ended);
+    CHECK(first->body == "echo:x");
+
+    // The second call uses the kept connection.
+    auto const second = std::make_shared<recording_observer>();
+    loop.client.send(loop.address, loop.request("y"), second);
+    loop.run_until([&] { return second->is_over(); });
+    CHECK(second->body == "echo:y");
+    CHECK(loop.client.opened() == 1);
+}
+
+TEST_CASE("parts of a stream arrive as they are written")
+{
+    loop_fixture loop;
+    auto const observer = std::make_shared<recording_observer>();
+    loop.client.send(loop.address, loop.request(), observer);
+    loop.run_until([&] { return !loop.handler.exchanges.empty(); });
+    auto const exchange = loop.handler.exchanges.front();
+    exchange->begin({200, {}, {}}, std::nullopt);
+    exchange->write("one");
+    loop.run_until([&] { return observer->body == "one"; });
+    CHECK_FALSE(observer->is_over());
+    exchange->write("two");
+    exchange->finish();
+    loop.run_until([&] { return observer->is_over(); });
+    CHECK(observer->ended);
+    CHECK(observer->body == "onetwo");
+}
+
+TEST_CASE("an answer that ends early is seen as incomplete")
+{
+    // Guards against a truncated answer that looks complete to the caller.
+    loop_fixture loop;
+    auto const observer = std::make_shared<recording_observer>();
+    loop.client.send(loop.address, loop.request(), observer);
+    loop.run_until([&] { return !loop.handler.exchanges.empty(); });
+    loop.handler.exchanges.front()->begin({200, {}, {}}, std::nullopt);
+    loop.handler.exchanges.front()->write("part");
+    loop.handler.exchanges.front()->abort();
+    loop.run_until([&] { return observer->is_over(); });
+    CHECK(observer->failure == http::call_failure::broken_response);
+}
+
+TEST_CASE("a handler learns that its caller has gone")
+{
+    // Guards against work at an endpoint that nobody waits for any more.
+    loop_fixture loop;
+    bool closed = false;
+    loop.handler.on_request = [&](http::server_exchange& exchange)
+    { exchange.on_closed([&] { closed = true; }); };
+    auto const call =
+        loop.client.send(loop.address, loop.request(), std::make_shared<recording_observer>());
+    loop.run_until([&] { return !loop.handler.exchanges.empty(); });
+    call->cancel();
+    loop.run_until([&] { return closed; });
+}
+
+TEST_CASE("ambiguous and oversized requests are rejected")
+{
+    // Guards against request smuggling and unbounded memory.
+    loop_fixture loop;
+    loop.limits.max_header_bytes = 256;
+    loop.limits.max_body_bytes = 8;
+    loop.limits.header_timeout = milliseconds(100);
+    auto const status = [&](std::string const& bytes)
+    {
+        auto const answer = loop.exchange_raw(bytes);
+        return answer.size() < 12 ? std::string() : answer.substr(9, 3);
+    };
+    CHECK(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == "400");
+    CHECK(status(
+              "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") ==
+          "400");
+    CHECK(status("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n") == "400");
+    CHECK(status("POST / HTTP/1.1\r\nHost : h\r\n\r\n") == "400");
+    CHECK(status("nonsense\r\n\r\n") == "400");
+    CHECK(status("GET /" + std::string(300, 'x') + " HTTP/1.1\r\nHost: h\r\n\r\n") == "431");
+    CHECK(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789") == "413");
+    CHECK(status("GET / HTTP/1.1\r\nHost:") == "408");
+    CHECK(loop.handler.exchanges.empty());
+}
+
+TEST_CASE("connections beyond the limit are refused with a status")
+{
+    // Guards against callers who see only a closed connection when an entry is full.
+    loop_fixture loop;
+    auto const address = free_address();
+    http::server small(
+        loop.context, {address, 0, "small", 1}, loop.handler, [&loop] { return loop.limits; },
+        loop.events, loop.time);
+    small.start();
+    loop.address = address;
+    auto const answer = loop.exchange_raw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(loop.handler.exchanges.empty());
+    http::server closed(
+        loop.context, {free_address(), 0, "closed"}, loop.handler, [&loop] { return loop.limits; },
+        loop.events, loop.time);
+    closed.start();
+    loop.address = closed.address();
+    CHECK(loop.exchange_raw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").empty());
+}
