List every package that the build uses, and check the list

What callers saw: no service at all.

Cause: three packages were not listed. libprotobuf-dev came to our machines because protobuf-compiler recommends it, make because CMake recommends it, and libxxhash-dev because the install script of the tests had a list of its own. The users' machines install no recommended packages.

With libprotobuf-dev the compilation ends at "xxhash.h: No such file or directory". Without make on PATH the configuration ends at 'unable to find a build program corresponding to "Unix Makefiles"'. apt's plan for an empty machine has none of the three.

A compiler cache cannot hide anything: the product's build starts in an empty folder with an empty home.

Ruled out: dropping protobuf-compiler and protobuf-compiler-grpc. gRPC's CMake files require /usr/bin/grpc_cpp_plugin to exist; they stay listed. Packages that listed ones require (zlib1g-dev, libbrotli-dev, libabsl-dev, libre2-dev) are in apt's plan and need no entry. libLLVM and what it loads are read only because binutils loads each plugin below /usr/lib/bfd-plugins; without them it links the same, so they are passed over.

--- /dev/null
+++ b/scripts/build_packages.py
@@ -0,0 +1,145 @@
+"""Which Debian packages a traced build uses, and which of them are not listed.
+
+A trace is the output of strace with successful calls only. Paths are judged
+below /usr only: files in /etc, /proc and the like configure the machine and
+hold no header, library or tool.
+"""
+
+import os
+import re
+import subprocess
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+CALL = re.compile(r'^\d+\s+(?P<call>\w+)\((?:AT_FDCWD, |\d+, )?"(?P<path>[^"]+)"(?P<rest>.*)')
+CONNECT = re.compile(r'^\d+\s+connect\(.*sa_family=(AF_INET6?)\b')
+WRITE_FLAGS = re.compile(r"\bO_(WRONLY|RDWR|CREAT)\b")
+CHANGING_CALLS = {"mkdir", "mkdirat", "rename", "renameat", "renameat2", "symlink", "symlinkat", "link", "linkat"}
+
+SYSTEM_PREFIX = "/usr/"
+# Translations and locale data are looked for by every program and change no output.
+IGNORED_FOLDERS = ("/usr/share/locale/", "/usr/lib/locale/", "/usr/share/zoneinfo/")
+# binutils loads whatever plugins other compilers left here; without them it links the same.
+LINKER_PLUGINS = "/usr/lib/bfd-plugins"
+
+
+@dataclass
+class Trace:
+    """What a build did: absolute paths that it found, and what it must not do."""
+
+    used: set[str] = field(default_factory=set)
+    written: set[str] = field(default_factory=set)
+    connections: int = 0
+
+
+@dataclass
+class Usage:
+    """Used files by the package that they come from; files of no package apart."""
+
+    files: dict[str, set[str]] = field(default_factory=dict)
+    without_package: set[str] = field(default_factory=set)
+
+
+def parse_trace(lines: Iterable[str]) -> Trace:
+    """Reads the lines of a trace. Relative paths lie in the checkout and are passed over."""
+    trace = Trace()
+    for line in lines:
+        if CONNECT.match(line):
+            trace.connections += 1
+        match = CALL.match(line)
+        if not match or not match["path"].startswith("/"):
+            continue
+        path = match["path"]
+        trace.used.add(path)
+        opened_for_writing = match["call"] in ("open", "openat") and WRITE_FLAGS.search(match["rest"])
+        if opened_for_writing or match["call"] in CHANGING_CALLS:
+            trace.written.add(os.path.normpath(path))
+    return trace
+
+
+def names_of(path: str) -> set[str]:
+    """The file and the name that led to it: a link such as libz.so has a package of its own."""
+    link = os.path.join(os.path.realpath(os.path.dirname(path)), os.path.basename(path))
+    return {link, os.path.realpath(path)}
+
+
+def linker_plugin_files(folder: str = LINKER_PLUGINS) -> set[str]:
+    """The linker's plugins and the libraries that they load."""
+    files: set[str] = set()
+    if not os.path.isdir(folder):
+        return files
+    for plugin in os.listdir(folder):
+        path = os.path.join(folder, plugin)
+        files |= names_of(path)
+        listing = subprocess.run(["ldd", path], capture_output=True, text=True, check=False).stdout
+        for library in re.findall(r"=> (/\S+)", listing):
+            files |= names_of(library)
+    return files
+
+
+def system_files(used: Iterable[str], ignored: set[str]) -> set[str]:
+    """The regular files and links below /usr among the used paths."""
+    files: set[str] = set()
+    for path in used:
+        for name in names_of(path):
+            if name in ignored or not name.startswith(SYSTEM_PREFIX) or name.startswith(IGNORED_FOLDERS):
+                continue
+            if os.path.isfile(name):
+                files.add(name)
+    return files
+
+
+def query_packages(files: Iterable[str]) -> dict[str, str]:
+    """The package of each file, as dpkg knows it. Debian records some files without /usr."""
+    owners: dict[str, str] = {}
+    ordered = sorted(files)
+    spellings = ordered + [name.removeprefix("/usr") for name in ordered]
+    # A command line holds a few thousand names at most.
+    for start in range(0, len(spellings), 1000):
+        chunk = spellings[start : start + 1000]
+        output = subprocess.run(["dpkg-query", "--search", *chunk], capture_output=True, text=True, check=False).stdout
+        for line in output.splitlines():
+            if line.startswith("diversion by"):
+                continue
+            packages, _, name = line.rpartition(": ")
+            name = name if name.startswith(SYSTEM_PREFIX) else "/usr" + name
+            owners[name] = packages.split(",")[0].split(":")[0]
+    return owners
+
+
+def usage_of(files: Iterable[str], owners: dict[str, str]) -> Usage:
+    """Sorts files by package. A link of no package counts by the file it leads to."""
+    usage = Usage()
+    for name in files:
+        package = owners.get(name)
+        if package:
+            usage.files.setdefault(package, set()).add(name)
+        elif os.path.realpath(name) not in owners:
+            usage.without_package.add(name)
+    return usage
+
+
+def installed_closure(listed: Iterable[str]) -> set[str]:
+    """What an empty machine holds once the listed packages are installed without recommended ones.
+
+    Raises RuntimeError when apt cannot resolve the packages."""
+    essential = subprocess.run(
+        ["dpkg-query", "--show", "--showformat=${Essential} ${Package}\n"], capture_output=True, text=True, check=True
+    ).stdout
+    base = [line.split()[1] for line in essential.splitlines() if line.startswith("yes ")]
+    command = ["apt-get", "install", "--simulate", "--no-install-recommends", "-o", "Dir::State::status=/dev/null"]
+    result = subprocess.run([*command, *base, *listed], capture_output=True, text=True, check=False)
+    if result.returncode != 0:
+        raise RuntimeError(f"apt cannot resolve the listed packages (apt-get update may be due): {result.stderr.strip()}")
+    return {line.split()[1] for line in result.stdout.splitlines() if line.startswith("Inst ")}
+
+
+def unlisted(usage: Usage, available: set[str]) -> dict[str, set[str]]:
+    """The used packages that an empty machine would not hold."""
+    return {package: files for package, files in usage.files.items() if package not in available}
+
+
+def foreign_writes(written: Iterable[str], allowed: Iterable[str]) -> set[str]:
+    """The paths that the build wrote outside the allowed folders."""
+    prefixes = tuple(os.path.join(folder, "") for folder in allowed)
+    return {path for path in written if not path.startswith(prefixes)}
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -1,14 +1,19 @@
 #!/bin/bash
-# Installs the Debian packages that the build and the tests need.
+# Installs the Debian packages of the build (deploy/system.toml) and of the tests.
+# Recommended packages stay out: the users' machines do not have them either.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libasio-dev libgrpc++-dev
-  protobuf-compiler-grpc protobuf-compiler prometheus-cpp-dev libcpp-httplib-dev libtclap-dev
-  libboost-log-dev catch2 librapidcheck-dev libinih-dev nlohmann-json3-dev libssl-dev libxxhash-dev curl)
+cd "$(dirname "$0")/.."
+mapfile -t packages < <(sed -n '/^packages = \[/,/\]/p' deploy/system.toml | grep -o '"[^"]*"' | tr -d '"')
+# Tests, formatter, linter, the check of the build, and a cache for repeated builds.
+packages+=(ninja-build ccache clang-format clang-tidy catch2 librapidcheck-dev curl git python3 strace)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
 done
-if [ "${#missing[@]}" -gt 0 ]; then
+# The check of the build asks apt what an empty machine would hold, so the lists are needed in any case.
+if [ "${#missing[@]}" -gt 0 ] || ! apt-cache show make >/dev/null 2>&1; then
   apt-get update -qq
-  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >/dev/null
+fi
+if [ "${#missing[@]}" -gt 0 ]; then
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
 fi
