Let a few keepers hold a quota in systems of many entries

Cause: each entry held a part of every quota. With 86 entries a part is smaller than one large request, so nearly every prompt was refused first and then asked all 85 other entries for tokens, each of which had little to give. The messages took processor time from the calls themselves.

Other entries ask one keeper for all that a request needs, and a second one when it has too little. A new keeper starts half full, since the one before it may have spent the rest.

Ruled out: smaller groups of lenders with the old parts. A part of 1/86 of an account's burst is about a fifth of a large request, so a group must be large.

--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -29,6 +29,7 @@
     auto view = std::make_shared<proxy::traffic_view>();
     view->is_ready = control.ready;
     view->is_leaving = control.leaving;
+    view->vm = config.vm;
     view->data_centre = config.data_centre;
     if (!control.shared)
         return view;
@@ -36,18 +37,17 @@
     view->splits = control.shared->splits;
     view->reversed = reversed_versions(control.shared->moves);
     view->endpoints = control.endpoints;
-    std::uint32_t entries = 0;
     for (auto const& entry : control.entries)
     {
         if (!entry.pass_through.value().empty() && entry.state == connection::entry_state::serving)
-            ++entries;
+            view->serving.push_back({entry.vm, entry.control});
         for (auto const& [account, rate] : entry.demand)
         {
             auto& known = view->demand[account];
             (entry.vm == config.vm ? known.own : known.others) += rate;
         }
     }
-    view->entries = std::max(entries, 1U);
+    view->entries = std::max(static_cast<std::uint32_t>(view->serving.size()), 1U);
     return view;
 }
 
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -1,5 +1,8 @@
 #include "pass_through_plane.hpp"
 
+#include <algorithm>
+#include <random>
+
 #include <control.grpc.pb.h>
 
 namespace lagoonladder::daemon
@@ -228,7 +231,37 @@
 void pass_through_plane::borrow_tokens(account_id const& account, double missing,
                                        std::function<void(double)> done)
 {
+    std::vector<network_address> keepers;
+    for (auto const& keeper : proxy::quota_keepers(*this->view(), account))
+    {
+        if (keeper.vm != this->options.vm)
+            keepers.push_back(keeper.control);
+    }
+    if (!keepers.empty())
+        return this->ask_keepers(account, std::move(keepers), missing, std::move(done));
     auto const lenders = this->other_entries();
+    auto const part = request::account_quota::part_to_ask(missing, lenders.size());
+    this->ask_lenders(account, lenders, missing, part, std::move(done));
+}
+
+void pass_through_plane::ask_keepers(account_id const& account,
+                                     std::vector<network_address> keepers, double missing,
+                                     std::function<void(double)> done)
+{
+    std::shuffle(keepers.begin(), keepers.end(), std::mt19937_64(this->random.next()));
+    this->ask_lenders(account, {keepers.front()}, missing, missing,
+                      [this, account, keepers, missing, done = std::move(done)](double lent)
+                      {
+                          if (lent >= missing || keepers.size() < 2)
+                              return done(lent);
+                          this->ask_lenders(account, {keepers[1]}, missing, missing, done);
+                      });
+}
+
+void pass_through_plane::ask_lenders(account_id const& account,
+                                     std::vector<network_address> const& lenders, double missing,
+                                     double part, std::function<void(double)> done)
+{
     auto const round = std::make_shared<lending_round>();
     round->missing = missing;
     round->open = lenders.size();
@@ -237,7 +270,7 @@
         return asio::post(*this->context, [round] { round->done(0); });
     protocol::LendRequest request;
     request.set_account(account.value());
-    request.set_tokens(request::account_quota::part_to_ask(missing, lenders.size()));
+    request.set_tokens(part);
     for (auto const& lender : lenders)
     {
         std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -79,6 +79,13 @@
     void run();
     void count_open_calls();
     http::connection_limits limits() const;
+    /// Asks each lender for `part` tokens at once. `done` gets what came until it was enough
+    /// for `missing` or all have answered.
+    void ask_lenders(account_id const& account, std::vector<network_address> const& lenders,
+                     double missing, double part, std::function<void(double)> done);
+    /// Asks one keeper for all that is missing, and a second one if it has too little.
+    void ask_keepers(account_id const& account, std::vector<network_address> keepers,
+                     double missing, std::function<void(double)> done);
     /// Control addresses of the other entries that take calls.
     std::vector<network_address> other_entries() const;
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -14,6 +14,13 @@
 namespace lagoonladder::proxy
 {
 
+/// An entry that takes calls, as other entries reach it.
+struct serving_entry
+{
+    vm_id vm;
+    network_address control;
+};
+
 /// Control state as the traffic plane uses it. Immutable.
 struct traffic_view
 {
@@ -30,9 +37,17 @@
     std::map<account_id, request::peer_demand> demand;
     /// Serving entries, this one included.
     std::uint32_t entries = 1;
+    /// The same entries by name.
+    std::vector<serving_entry> serving;
+    /// This entry.
+    vm_id vm;
     data_centre_id data_centre;
 };
 
+/// Entries that hold the tokens of an account, the first choice first. Empty in a system of
+/// so few entries that each holds a part.
+std::vector<serving_entry> quota_keepers(traffic_view const& view, account_id const& account);
+
 /// A prompt was sent to an engine.
 struct prompt_news
 {
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -86,6 +86,10 @@
     if (told != view.demand.end())
         situation.peers = told->second;
     situation.peers.entries = view.entries;
+    auto const keepers = quota_keepers(view, account.name);
+    situation.peers.keepers = static_cast<std::uint32_t>(keepers.size());
+    situation.peers.is_keeper = std::any_of(
+        keepers.begin(), keepers.end(), [&](auto const& keeper) { return keeper.vm == view.vm; });
     return situation;
 }
 
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -29,6 +29,11 @@
     /// Tokens a second that all other entries together were asked for.
     double others = 0;
     std::uint32_t entries = 1;
+    /// Entries that hold the account's tokens and lend them to the others; 0 while each
+    /// entry holds a part.
+    std::uint32_t keepers = 0;
+    /// This entry is one of the keepers.
+    bool is_keeper = false;
 };
 
 struct quota_decision
@@ -44,7 +49,9 @@
 /// demand at each entry, as the entries tell it to each other, so that their sum
 /// stays at the limit. A request that is larger than the entry's part can be served
 /// with tokens that other entries lend: these are taken from the lender's part, so
-/// that no lost or repeated message makes the sum larger. Not safe for concurrent calls.
+/// that no lost or repeated message makes the sum larger. In a system of many entries the
+/// parts would be smaller than a request, so a few keepers hold the tokens of an account,
+/// and the others borrow for each request. Not safe for concurrent calls.
 class account_quota
 {
 public:
@@ -60,7 +67,8 @@
     /// Tokens to ask each of the other entries for, so that enough have some to spare.
     static double part_to_ask(double missing, std::size_t lenders);
 
-    /// Gives away up to `wanted` tokens that this entry does not need at once.
+    /// Gives away up to `wanted` tokens that this entry does not need at once; a keeper gives
+    /// all of them or none.
     double lend(time_point now, account_id const& account, account_limit const& limit,
                 peer_demand const& peers, double wanted);
 
@@ -81,13 +89,17 @@
         double asked = 0;
         time_point updated{};
         bool is_new = true;
+        bool was_keeper = false;
     };
 
     static void decay(bucket& known, time_point now);
-    /// Adds what has come since the last update. Returns the most that the bucket holds.
+    /// The most that this entry's bucket holds.
+    static double capacity_of(account_limit const& limit, peer_demand const& peers);
+    /// Adds what has come since the last update. Returns the capacity.
     static double refill(bucket& known, time_point now, account_limit const& limit,
                          peer_demand const& peers);
-    static quota_decision grant(bucket& known, double most, double rate, double tokens);
+    static quota_decision grant(bucket& known, account_limit const& limit,
+                                peer_demand const& peers, double tokens);
 
     std::map<account_id, bucket> buckets;
 };
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -21,11 +21,26 @@
 constexpr double lending_reserve = 6;
 /// Part of its bucket that an entry keeps for its own next requests when it lends.
 constexpr double kept_part = 0.25;
+/// Part of its capacity that a new keeper starts with: the one before it may have spent
+/// the rest.
+constexpr double taken_over_part = 0.5;
+
+bool is_borrower(peer_demand const& peers)
+{
+    return peers.keepers > 0 && !peers.is_keeper;
+}
+
+double burst_of(account_limit const& limit)
+{
+    return std::max(limit.burst, limit.tokens_per_second * least_burst_seconds);
+}
 
 } // namespace
 
 double account_quota::share_of(peer_demand const& peers)
 {
+    if (peers.keepers > 0)
+        return peers.is_keeper ? 1.0 / peers.keepers : 0;
     auto const equal = 1.0 / std::max(peers.entries, 1U);
     auto const total = peers.own + peers.others;
     auto const by_demand = total > 0 ? peers.own / total : equal;
@@ -39,32 +54,56 @@
     known.asked *= std::exp(-age / to_seconds(demand_memory));
 }
 
+double account_quota::capacity_of(account_limit const& limit, peer_demand const& peers)
+{
+    // What a borrower got beyond its request serves its next one.
+    if (is_borrower(peers))
+        return burst_of(limit) / std::max(peers.entries, 1U);
+    auto const holders = peers.keepers > 0 ? peers.keepers : std::max(peers.entries, 1U);
+    return burst_of(limit) * share_of(peers) + limit.allowance / holders;
+}
+
 double account_quota::refill(bucket& known, time_point now, account_limit const& limit,
                              peer_demand const& peers)
 {
-    auto const elapsed = known.is_new ? 0 : to_seconds(std::max(duration(0), now - known.updated));
+    auto const most = capacity_of(limit, peers);
     if (!known.is_new)
         decay(known, now);
-    auto const share = share_of(peers);
-    auto const burst = std::max(limit.burst, limit.tokens_per_second * least_burst_seconds);
-    auto const most = burst * share + limit.allowance / std::max(peers.entries, 1U);
-    auto const refilled = known.available + limit.tokens_per_second * share * elapsed;
-    known.available = known.is_new ? most : std::min(most, refilled);
+    if (known.is_new || known.was_keeper != peers.is_keeper)
+    {
+        auto const first = peers.is_keeper ? taken_over_part * most : most;
+        known.available = is_borrower(peers) ? 0 : first;
+    }
+    else
+    {
+        auto const elapsed = to_seconds(std::max(duration(0), now - known.updated));
+        auto const refilled = known.available + limit.tokens_per_second * share_of(peers) * elapsed;
+        known.available = std::min(most, refilled);
+    }
     known.is_new = false;
+    known.was_keeper = peers.is_keeper;
     known.updated = now;
     return most;
 }
 
-quota_decision account_quota::grant(bucket& known, double most, double rate, double tokens)
+quota_decision account_quota::grant(bucket& known, account_limit const& limit,
+                                    peer_demand const& peers, double tokens)
 {
     // A request larger than the allowance goes through when the allowance is full.
+    auto const most =
+        is_borrower(peers) ? burst_of(limit) + limit.allowance : capacity_of(limit, peers);
     auto const needed = std::min(tokens, most);
     if (known.available >= needed)
     {
         known.available -= tokens;
+        // Nothing flows in at a borrower that would pay back a debt.
+        if (is_borrower(peers))
+            known.available = std::max(known.available, 0.0);
         return {};
     }
     auto const missing = needed - known.available;
+    auto const share = is_borrower(peers) ? 1.0 / std::max(peers.entries, 1U) : share_of(peers);
+    auto const rate = limit.tokens_per_second * share;
     auto const wait = rate > 0 ? from_seconds(missing / rate) : longest_retry_after;
     return {false, std::min<duration>(wait, longest_retry_after), missing};
 }
@@ -74,9 +113,9 @@
                                    double tokens)
 {
     auto& known = this->buckets[account];
-    auto const most = refill(known, now, limit, peers);
+    refill(known, now, limit, peers);
     known.asked += tokens / to_seconds(demand_memory);
-    return grant(known, most, limit.tokens_per_second * share_of(peers), tokens);
+    return grant(known, limit, peers, tokens);
 }
 
 quota_decision account_quota::take_again(time_point now, account_id const& account,
@@ -84,9 +123,9 @@
                                          double tokens, double lent)
 {
     auto& known = this->buckets[account];
-    auto const most = refill(known, now, limit, peers);
+    refill(known, now, limit, peers);
     known.available += lent;
-    return grant(known, most, limit.tokens_per_second * share_of(peers), tokens);
+    return grant(known, limit, peers, tokens);
 }
 
 double account_quota::part_to_ask(double missing, std::size_t lenders)
@@ -99,6 +138,12 @@
 {
     auto& known = this->buckets[account];
     auto const most = refill(known, now, limit, peers);
+    if (peers.keepers > 0)
+    {
+        // Part of a request serves nobody, and the tokens would be lost to the others.
+        auto const gives = peers.is_keeper && wanted > 0;
+        return gives && grant(known, limit, peers, wanted).granted ? wanted : 0;
+    }
     auto const spare = known.available - kept_part * most;
     auto const given = std::clamp(spare, 0.0, std::max(wanted, 0.0));
     known.available -= given;
--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -219,3 +219,130 @@
         granted += 50;
     CHECK(granted <= limit.burst);
 }
+
+namespace
+{
+
+/// Many entries of which a few keep the tokens of the account and lend them.
+class kept_quota
+{
+public:
+    static constexpr std::size_t keepers = 4;
+
+    kept_quota(std::size_t count, account_limit const& allowed)
+        : entries(count)
+        , limit(allowed)
+    {
+    }
+
+    bool take(time_point now, std::size_t at, double tokens, random_source& random)
+    {
+        auto const first =
+            this->entries[at].take(now, account, this->limit, this->peers_of(at), tokens);
+        if (first.granted)
+            return true;
+        auto const asked = random.below(keepers);
+        auto lent = this->ask(now, at, asked, first.missing);
+        if (lent < first.missing)
+            lent = this->ask(now, at, (asked + 1) % keepers, first.missing);
+        return this->entries[at]
+            .take_again(now, account, this->limit, this->peers_of(at), tokens, lent)
+            .granted;
+    }
+
+    std::size_t messages = 0;
+
+private:
+    double ask(time_point now, std::size_t at, std::size_t keeper, double wanted)
+    {
+        if (keeper == at)
+            return 0;
+        ++this->messages;
+        return this->entries[keeper].lend(now, account, this->limit, this->peers_of(keeper),
+                                          wanted);
+    }
+
+    request::peer_demand peers_of(std::size_t at) const
+    {
+        request::peer_demand peers;
+        peers.entries = static_cast<std::uint32_t>(this->entries.size());
+        peers.keepers = keepers;
+        peers.is_keeper = at < keepers;
+        return peers;
+    }
+
+    std::vector<account_quota> entries;
+    account_limit limit;
+};
+
+struct kept_result
+{
+    std::size_t requests = 0;
+    std::size_t messages = 0;
+    double asked = 0;
+    double granted = 0;
+};
+
+/// Large requests at random ones of 86 entries for a minute.
+kept_result ask_keepers(std::uint64_t seed, account_limit const& limit, double part_of_limit)
+{
+    constexpr double mean_tokens = 15'000;
+    kept_quota system(86, limit);
+    seeded_random random(seed);
+    auto const rate = part_of_limit * limit.tokens_per_second / mean_tokens;
+    auto const step = milliseconds(2);
+    kept_result result;
+    for (time_point now{}; now < time_point(seconds(60)); now += step)
+    {
+        if (random.unit() >= rate * to_seconds(step))
+            continue;
+        auto const tokens = 2 * mean_tokens * random.unit();
+        ++result.requests;
+        result.asked += tokens;
+        result.granted += system.take(now, random.below(86), tokens, random) ? tokens : 0;
+    }
+    result.messages = system.messages;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("many entries serve requests within the quota with few messages")
+{
+    // Guards against 86 parts that are each smaller than a request: every request asked 85
+    // other entries, and a third of the requests on a quiet day were refused below the quota.
+    account_limit const limit{300'000, 300'000, 300'000};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        auto const result = ask_keepers(seed, limit, 0.55);
+        CHECK(result.granted >= 0.98 * result.asked);
+        CHECK(result.messages <= 2 * result.requests);
+    }
+}
+
+TEST_CASE("many entries stay within the quota together")
+{
+    account_limit const limit{300'000, 300'000, 300'000};
+    auto const most = 60 * limit.tokens_per_second + limit.burst + limit.allowance;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        auto const result = ask_keepers(seed, limit, 4);
+        CHECK(result.granted <= 1.05 * most);
+        CHECK(result.granted >= 0.8 * 60 * limit.tokens_per_second);
+    }
+}
+
+TEST_CASE("a new keeper does not start with tokens that the one before it may have spent")
+{
+    account_limit const limit{1'000, 1'000};
+    request::peer_demand borrower;
+    borrower.entries = 86;
+    borrower.keepers = 4;
+    auto keeper = borrower;
+    keeper.is_keeper = true;
+    account_quota quota;
+    CHECK_FALSE(quota.take(time_point(seconds(1)), account, limit, borrower, 100).granted);
+    CHECK(quota.lend(time_point(seconds(1)), account, limit, borrower, 100) == 0);
+    CHECK(quota.lend(time_point(seconds(60)), account, limit, keeper, 126) == 0);
+    CHECK(quota.lend(time_point(seconds(60)), account, limit, keeper, 125) == 125);
+}
