Take the first demand from the replicas at the start

Cause: before callers come, capacity orders assumed a demand of 180,000 tokens a second, a figure of the sites with 9 engines. With 90 engines the holder of the duty released all but a few in the 14 s before traffic, and ordered 229 when the callers came.

Change: until callers come, two thirds of the replicas that run before the first order are kept, which is the same figure for 9 engines. A new holder orders nothing for 3 s while it hears of the endpoints and no callers have come; what it ordered itself does not count.

Ruled out: placement. The busiest engine had 1.1 times the mean of arrivals.

Tests: "most replicas of a large system stay until callers come" (4 replicas ordered instead of 60 or more on the old code), "endpoints that become known late are not released unseen" (13 instead of 60 or more), both seen failing; "replicas that were ordered do not make the first demand larger" and "replicas follow the demand once callers have come" bound the change from above.

--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -10,8 +10,11 @@
 
 /// Replicas are kept for the largest demand within this time, since starts take seconds.
 constexpr duration demand_memory = seconds(10);
-/// Assumed before callers have come, in tokens a second.
-constexpr double initial_demand = 180'000;
+/// Part of the replicas at the start that is kept until callers come: how many they will
+/// need is not known, and a start takes seconds.
+constexpr double initial_part = 2.0 / 3;
+/// A new holder hears of the endpoints of a large system within this time.
+constexpr duration settling_time = seconds(3);
 /// An order is repeated while the number of replicas differs from it.
 constexpr duration repeat_interval = seconds(8);
 /// A replica that was started is kept at least this long, so that short changes of the
@@ -36,6 +39,32 @@
     return serving;
 }
 
+/// Tokens a second that callers ask for at all entries.
+double asked_for(control_view const& view)
+{
+    double demand = 0;
+    for (auto const& entry : view.entries)
+    {
+        for (auto const& [account, rate] : entry.demand)
+            demand += rate;
+    }
+    return demand;
+}
+
+/// Tokens a second that the present engines serve in time.
+double served_by_engines(control_view const& view)
+{
+    std::uint32_t engines = 0;
+    for (auto const& service : view.shared->services->map().services)
+    {
+        if (!service.scaling || !service.is_engine)
+            continue;
+        for (auto const& [data_centre, counts] : serving_replicas(view, service.name))
+            engines += counts.on_demand + counts.reclaimable;
+    }
+    return engines * version::capacity_options().tokens_per_engine;
+}
+
 } // namespace
 
 capacity_driver::capacity_driver(event_sink& log, clock const& time_source)
@@ -48,22 +77,33 @@
 {
     this->orders.clear();
     this->demands.clear();
+    this->held_since.reset();
+    this->initial_demand = 0;
+    this->callers_came = false;
     ++this->epoch;
 }
 
+bool capacity_driver::settle(control_view const& view)
+{
+    auto const now = this->time.now();
+    if (!this->held_since)
+        this->held_since = now;
+    this->callers_came = this->callers_came || asked_for(view) >= 1;
+    bool const is_settling = now - *this->held_since < settling_time;
+    // Own orders change the replicas, so only those from before the first order count.
+    if (is_settling || this->initial_demand == 0)
+        this->initial_demand =
+            std::max(this->initial_demand, initial_part * served_by_engines(view));
+    return this->callers_came || !is_settling;
+}
+
 double capacity_driver::peak_demand(control_view const& view)
 {
     auto const now = this->time.now();
-    double demand = 0;
-    for (auto const& entry : view.entries)
-    {
-        for (auto const& [account, rate] : entry.demand)
-            demand += rate;
-    }
     // What was asked for before this daemon held the duty is not known.
-    if (this->demands.empty())
-        this->demands.emplace_back(now, initial_demand);
-    this->demands.emplace_back(now, demand);
+    if (this->demands.empty() || !this->callers_came)
+        this->demands.emplace_back(now, this->initial_demand);
+    this->demands.emplace_back(now, asked_for(view));
     while (now - this->demands.front().first > demand_memory)
         this->demands.pop_front();
     double peak = 0;
@@ -75,7 +115,7 @@
 void capacity_driver::step(control_view const& view, proxy::platform_duties& platform,
                            proxy::platform_duties::holder const& self)
 {
-    if (!view.shared || !view.shared->services)
+    if (!view.shared || !view.shared->services || !this->settle(view))
         return;
     auto const demand = this->peak_demand(view);
     for (auto const& service : view.shared->services->map().services)
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -42,6 +42,8 @@
         bool in_flight = false;
     };
 
+    /// Learns what runs before the first order. Returns whether orders may be made.
+    bool settle(control_view const& view);
     double peak_demand(control_view const& view);
     /// The number to order: a lower one only after the plan has asked for it for a while.
     std::uint32_t hold_down(order_state& state, std::uint32_t replicas) const;
@@ -53,6 +55,10 @@
     std::map<order_key, order_state> orders;
     /// Demand of the last seconds, for its maximum.
     std::deque<std::pair<time_point, double>> demands;
+    std::optional<time_point> held_since;
+    /// Assumed until callers come, in tokens a second.
+    double initial_demand = 0;
+    bool callers_came = false;
     /// Answers to orders from before a reset are ignored.
     std::uint64_t epoch = 0;
 };
--- /dev/null
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -0,0 +1,126 @@
+#include <catch2/catch.hpp>
+
+#include "capacity_driver.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::control;
+
+namespace
+{
+
+service_name const engines("llm");
+
+/// Keeps the last order of each kind and data centre.
+class order_book : public proxy::platform_duties
+{
+public:
+    void report_usage(holder const&, std::uint64_t, std::map<account_id, std::uint64_t> const&,
+                      std::function<void(bool)> done) override
+    {
+        done(true);
+    }
+
+    void order_capacity(holder const&, capacity_order const& order,
+                        std::function<void(bool)> done) override
+    {
+        this->orders[{order.data_centre, order.reclaimable}] = order.replicas;
+        done(true);
+    }
+
+    std::uint32_t total() const
+    {
+        std::uint32_t sum = 0;
+        for (auto const& [key, replicas] : this->orders)
+            sum += replicas;
+        return sum;
+    }
+
+    std::map<std::pair<data_centre_id, bool>, std::uint32_t> orders;
+};
+
+control_view view_of(std::size_t replicas, double demand = 0)
+{
+    version::service_map map;
+    version::pass_service service;
+    service.name = engines;
+    service.is_engine = true;
+    service.scaling.emplace();
+    service.scaling->least = 1;
+    service.scaling->most = 60;
+    service.scaling->reclaimable_price = 0.2;
+    control_view view;
+    for (auto const* name : {"a", "b", "c", "d"})
+        service.scaling->prices[data_centre_id(name)] = 1;
+    map.services.push_back(service);
+    auto shared = std::make_shared<version::shared_state>();
+    shared->services = std::make_shared<version::service_index const>(map);
+    view.shared = shared;
+    for (std::size_t i = 0; i < replicas; ++i)
+    {
+        connection::endpoint_record row;
+        row.id = endpoint_id(std::to_string(i));
+        row.service = engines;
+        row.data_centre = data_centre_id(std::string(1, static_cast<char>('a' + i % 4)));
+        view.endpoints[engines].push_back(row);
+    }
+    connection::entry_record entry;
+    if (demand > 0)
+        entry.demand[account_id("t")] = demand;
+    view.entries.push_back(entry);
+    return view;
+}
+
+struct held_duty
+{
+    /// One step a second.
+    void step_for(int steps, control_view const& view)
+    {
+        for (int i = 0; i < steps; ++i)
+        {
+            this->driver.step(view, this->platform, {vm_id("v"), 1});
+            this->time.advance(seconds(1));
+        }
+    }
+
+    null_event_sink events;
+    manual_clock time;
+    order_book platform;
+    capacity_driver driver{this->events, this->time};
+};
+
+} // namespace
+
+TEST_CASE("most replicas of a large system stay until callers come")
+{
+    // Guards against a fixed first demand: 90 engines were released down to 9 before the
+    // first callers came, who then found no capacity for ten seconds.
+    held_duty duty;
+    duty.step_for(20, view_of(90));
+    CHECK(duty.platform.total() >= 60);
+}
+
+TEST_CASE("replicas that were ordered do not make the first demand larger")
+{
+    held_duty duty;
+    duty.step_for(5, view_of(90));
+    auto const first = duty.platform.total();
+    duty.step_for(10, view_of(150));
+    CHECK(duty.platform.total() <= first);
+}
+
+TEST_CASE("endpoints that become known late are not released unseen")
+{
+    held_duty duty;
+    duty.step_for(1, view_of(5));
+    duty.step_for(1, view_of(40));
+    duty.step_for(10, view_of(90));
+    CHECK(duty.platform.total() >= 60);
+}
+
+TEST_CASE("replicas follow the demand once callers have come")
+{
+    held_duty duty;
+    duty.step_for(5, view_of(90));
+    duty.step_for(30, view_of(90, 300'000));
+    CHECK(duty.platform.total() <= 20);
+}
