--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -136,35 +136,47 @@
     account_limit limit;
 };
 
+constexpr double mean_tokens = 15'000;
+
 struct lending_result
 {
+    std::size_t requests = 0;
     double asked = 0;
     double granted = 0;
 };
 
-/// Large requests at random entries for a minute, asking `part_of_limit` of the quota.
-lending_result ask_for_large_requests(std::uint64_t seed, account_limit const& limit,
-                                      double part_of_limit)
+/// Large requests at random entries for a minute.
+template <class System, class Take>
+lending_result ask_for_a_minute(System& system, std::uint64_t seed, double requests_per_second,
+                                duration step, Take take)
 {
-    constexpr double mean_tokens = 15'000;
-    lending_entries system(11, limit);
     seeded_random random(seed);
-    auto const rate = part_of_limit * limit.tokens_per_second / mean_tokens;
-    auto const step = milliseconds(10);
     lending_result result;
     for (time_point now{}; now < time_point(seconds(60)); now += step)
     {
         if (now.time_since_epoch() % milliseconds(500) == duration(0))
             system.tell_demand(now);
-        if (random.unit() >= rate * to_seconds(step))
+        if (random.unit() >= requests_per_second * to_seconds(step))
             continue;
         auto const tokens = 2 * mean_tokens * random.unit();
+        ++result.requests;
         result.asked += tokens;
-        result.granted += system.take(now, random.below(system.size()), tokens) ? tokens : 0;
+        result.granted += take(now, random, tokens) ? tokens : 0;
     }
     return result;
 }
 
+/// Eleven entries are asked for `part_of_limit` of the quota.
+lending_result ask_for_large_requests(std::uint64_t seed, account_limit const& limit,
+                                      double part_of_limit)
+{
+    lending_entries system(11, limit);
+    auto const rate = part_of_limit * limit.tokens_per_second / mean_tokens;
+    return ask_for_a_minute(system, seed, rate, milliseconds(10),
+                            [&](time_point now, random_source& random, double tokens)
+                            { return system.take(now, random.below(system.size()), tokens); });
+}
+
 } // namespace
 
 TEST_CASE("large requests within the quota are served with tokens of other entries")
@@ -250,6 +262,9 @@
             .granted;
     }
 
+    /// Keepers need not hear of the demand.
+    void tell_demand(time_point) {}
+
     std::size_t messages = 0;
 
 private:
@@ -275,34 +290,21 @@
     account_limit limit;
 };
 
-struct kept_result
+struct kept_result : lending_result
 {
-    std::size_t requests = 0;
     std::size_t messages = 0;
-    double asked = 0;
-    double granted = 0;
 };
 
-/// Large requests at random ones of 86 entries for a minute.
+/// 86 entries are asked for `part_of_limit` of the quota.
 kept_result ask_keepers(std::uint64_t seed, account_limit const& limit, double part_of_limit)
 {
-    constexpr double mean_tokens = 15'000;
     kept_quota system(86, limit);
-    seeded_random random(seed);
     auto const rate = part_of_limit * limit.tokens_per_second / mean_tokens;
-    auto const step = milliseconds(2);
-    kept_result result;
-    for (time_point now{}; now < time_point(seconds(60)); now += step)
-    {
-        if (random.unit() >= rate * to_seconds(step))
-            continue;
-        auto const tokens = 2 * mean_tokens * random.unit();
-        ++result.requests;
-        result.asked += tokens;
-        result.granted += system.take(now, random.below(86), tokens, random) ? tokens : 0;
-    }
-    result.messages = system.messages;
-    return result;
+    auto const result =
+        ask_for_a_minute(system, seed, rate, milliseconds(2),
+                         [&](time_point now, random_source& random, double tokens)
+                         { return system.take(now, random.below(86), tokens, random); });
+    return {result, system.messages};
 }
 
 } // namespace
