Let the check of the build see files outside /usr

What callers saw: nothing. Read again, the check passed over everything that does not lie below /usr, so a library left below /opt or in a home folder would not have been noticed.

Change: all files count but those of the machine's own folders (/etc, /proc and the like) and of the build itself.

Nothing was ruled out.

Test: "files outside usr count but not the build's own"; it calls the new signature and cannot run before it.

--- a/scripts/build_packages.py
+++ b/scripts/build_packages.py
@@ -1,8 +1,8 @@
 """Which Debian packages a traced build uses, and which of them are not listed.
 
-A trace is the output of strace with successful calls only. Paths are judged
-below /usr only: files in /etc, /proc and the like configure the machine and
-hold no header, library or tool.
+A trace is the output of strace with successful calls only. Files in /etc, /proc
+and the like are passed over: they configure the machine and are no header,
+library or tool.
 """
 
 import os
@@ -16,9 +16,9 @@
 WRITE_FLAGS = re.compile(r"\bO_(WRONLY|RDWR|CREAT)\b")
 CHANGING_CALLS = {"mkdir", "mkdirat", "rename", "renameat", "renameat2", "symlink", "symlinkat", "link", "linkat"}
 
-SYSTEM_PREFIX = "/usr/"
+MACHINE_FOLDERS = ("/dev/", "/etc/", "/proc/", "/run/", "/sys/", "/var/")
 # Translations and locale data are looked for by every program and change no output.
-IGNORED_FOLDERS = ("/usr/share/locale/", "/usr/lib/locale/", "/usr/share/zoneinfo/")
+LOCALE_FOLDERS = ("/usr/share/locale/", "/usr/lib/locale/", "/usr/share/zoneinfo/")
 # binutils loads whatever plugins other compilers left here; without them it links the same.
 LINKER_PLUGINS = "/usr/lib/bfd-plugins"
 
@@ -77,12 +77,13 @@
     return files
 
 
-def system_files(used: Iterable[str], ignored: set[str]) -> set[str]:
-    """The regular files and links below /usr among the used paths."""
+def system_files(used: Iterable[str], ignored: set[str], own_folder: str) -> set[str]:
+    """The regular files and links among the used paths that lie outside the build's own folder."""
+    passed_over = (*MACHINE_FOLDERS, *LOCALE_FOLDERS, os.path.join(own_folder, ""))
     files: set[str] = set()
     for path in used:
         for name in names_of(path):
-            if name in ignored or not name.startswith(SYSTEM_PREFIX) or name.startswith(IGNORED_FOLDERS):
+            if name in ignored or name.startswith(passed_over):
                 continue
             if os.path.isfile(name):
                 files.add(name)
@@ -102,8 +103,9 @@
             if line.startswith("diversion by"):
                 continue
             packages, _, name = line.rpartition(": ")
-            name = name if name.startswith(SYSTEM_PREFIX) else "/usr" + name
-            owners[name] = packages.split(",")[0].split(":")[0]
+            package = packages.split(",")[0].split(":")[0]
+            owners[name] = package
+            owners["/usr" + name] = package
     return owners
 
 
--- a/scripts/check_build.py
+++ b/scripts/check_build.py
@@ -88,7 +88,7 @@
         trace = traced_build(deploy["build"], checkout, scratch)
         left = unexpected_entries(checkout, before)
         # Paths of the checkout no longer exist once its folder is removed.
-        files = build_packages.system_files(trace.used, build_packages.linker_plugin_files())
+        files = build_packages.system_files(trace.used, build_packages.linker_plugin_files(), str(scratch))
         written = build_packages.foreign_writes(trace.written, [str(scratch), "/dev"])
 
     usage = build_packages.usage_of(files, build_packages.query_packages(files))
--- a/tests/scripts/build_packages_test.py
+++ b/tests/scripts/build_packages_test.py
@@ -73,6 +73,18 @@
         usage = build_packages.usage_of(["/usr/local/include/leftover.h"], {})
         self.assertEqual({"/usr/local/include/leftover.h"}, usage.without_package)
 
+    def test_files_outside_usr_count_but_not_the_build_s_own(self):
+        # Guards against libraries that were installed by hand, for example below /opt.
+        with tempfile.TemporaryDirectory() as left_over, tempfile.TemporaryDirectory() as own:
+            header = Path(left_over) / "leftover.h"
+            header.touch()
+            object_file = Path(own) / "a.o"
+            object_file.touch()
+            used = [str(header), str(object_file), "/etc/hostname", "/proc/self/status"]
+            files = build_packages.system_files(used, set(), own)
+            self.assertEqual({str(header)}, files)
+            self.assertEqual({str(header)}, build_packages.usage_of(files, {}).without_package)
+
     def test_dpkg_knows_the_files_of_this_machine(self):
         names = build_packages.names_of("/bin/sh")
         owners = build_packages.query_packages(names)
