--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -98,8 +98,8 @@
     /// Adds what has come since the last update. Returns the capacity.
     static double refill(bucket& known, time_point now, account_limit const& limit,
                          peer_demand const& peers);
-    static quota_decision grant(bucket& known, account_limit const& limit,
-                                peer_demand const& peers, double tokens);
+    static quota_decision grant(bucket& known, account_limit const& limit, peer_demand const& peers,
+                                double tokens);
 
     std::map<account_id, bucket> buckets;
 };
