Tell in log and metrics when the traffic loop has no processor time

A late call of a VM with a part of a core could not be told from a slow endpoint: the lines of a call hold the time of the endpoint and of the entry in one figure. The traffic loop's timer of 100 ms now tells how late it ran: traffic_loop_late_seconds, and at most once a second the line traffic.loop_late with the longest delay and the number of open calls.

--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -5,9 +5,11 @@
 
 #include <lagoonladder/platform.hpp>
 
-#include "prompt_exchange.hpp"
 #include <lagoonladder/control.hpp>
 
+#include "loop_lag.hpp"
+#include "prompt_exchange.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -114,6 +116,7 @@
     http::server readiness_server;
     http::server metrics_server;
     asio::steady_timer count_timer;
+    loop_lag lag;
     std::atomic<std::size_t> open = 0;
     std::thread thread;
 };
--- /dev/null
+++ b/src/process/daemon/tests/loop_lag_test.cpp
@@ -0,0 +1,43 @@
+#include <catch2/catch.hpp>
+
+#include "loop_lag.hpp"
+
+using namespace lagoonladder;
+
+namespace
+{
+
+class counting_sink : public event_sink
+{
+public:
+    void emit(severity, std::string name, std::vector<event_field>) override
+    {
+        this->names.push_back(std::move(name));
+    }
+
+    std::vector<std::string> names;
+};
+
+} // namespace
+
+TEST_CASE("an event loop without processor time shows in the log at most once a second")
+{
+    // Guards against late calls whose cause cannot be told from a slow endpoint, and against
+    // a log that grows just when there is no processor time.
+    counting_sink events;
+    observability::metrics metrics;
+    manual_clock time;
+    time.advance(seconds(10));
+    daemon::loop_lag lag(events, metrics, time);
+    lag.note(milliseconds(20), 1);
+    CHECK(events.names.empty());
+    for (int i = 0; i < 50; ++i)
+    {
+        lag.note(milliseconds(150), 3);
+        time.advance(milliseconds(100));
+    }
+    CHECK(events.names.size() == 5);
+    CHECK(events.names.front() == "traffic.loop_late");
+    CHECK(metrics.expose().find("lagoonladder_traffic_loop_late_seconds_count") !=
+          std::string::npos);
+}
