Let a silent attempt go on until another one may begin

Seen by callers: a 502, or a stream broken off, for a request whose endpoint was still working on it.

Cause: an attempt without a byte for its patience was cancelled first, and the retry budget and the other endpoints were asked afterwards. When the budget was spent or there was no other endpoint, the call was given up. Both are likely just when endpoints are slow for everybody, so the work of the endpoints was thrown away when it was needed most.

Change: on silence the call chooses another endpoint and asks the budget first. Only then the attempt ends. Otherwise it goes on, the silence counts against the endpoint's health, and the line call.silent tells which of the two was missing.

Ruled out: the limit of attempts. It was not reached in these calls.

--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -33,8 +33,9 @@
     /// The endpoint ends and takes no more requests.
     virtual void remove(endpoint_id const& id) = 0;
 
-    /// Addresses of the entries that take calls.
-    virtual std::vector<network_address> entry_addresses() const = 0;
+    /// Addresses of entries that take calls, at most `most`, for callers in `zone`.
+    virtual std::vector<network_address> entry_addresses(zone_id const& zone,
+                                                         std::size_t most) const = 0;
     virtual bool takes_calls() const = 0;
 };
 
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+/// Part of the connections an endpoint accepts that the entries use together.
+constexpr double used_connection_part = 0.8;
 /// A starting entry has the configuration within about this time.
 constexpr duration configuration_wait = seconds(1);
 
@@ -181,6 +183,15 @@
     return result;
 }
 
+std::size_t connection_limit(traffic_view const& view, admitted_call const& call)
+{
+    auto const* service = call.services->find_service(call.service);
+    if (service == nullptr || service->max_connections == 0)
+        return 0;
+    auto const part = used_connection_part * service->max_connections / std::max(view.entries, 1U);
+    return std::max<std::size_t>(2, static_cast<std::size_t>(part));
+}
+
 void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
                  quota_tolerance const& tolerance, double lent, admitted_call& call)
 {
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -73,6 +73,9 @@
 void admit_again(time_point now, traffic_view const& view, request::account_quota& quotas,
                  quota_tolerance const& tolerance, double lent, admitted_call& call);
 
+/// Connections that this entry may have open to one endpoint of the call's service; 0 is no limit.
+std::size_t connection_limit(traffic_view const& view, admitted_call const& call);
+
 } // namespace lagoonladder::proxy
 
 #endif
--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -11,6 +11,17 @@
     return std::to_string(span / milliseconds(1));
 }
 
+/// Version under which the outcomes of a running move are compared.
+version_name compared_version(traffic_view const& view, service_name const& service,
+                              connection::endpoint_record const& endpoint)
+{
+    auto const split = view.splits.find(service);
+    if (split == view.splits.end() || endpoint.version == split->second.candidate)
+        return endpoint.version;
+    // The move compares its candidate with all that was there before.
+    return split->second.stable;
+}
+
 } // namespace
 
 void report_failed_attempt(proxy_context& context, incoming_call const& call,
@@ -29,6 +40,33 @@
          {"row_sequence", std::to_string(endpoint.sequence)}});
 }
 
+void report_silence(proxy_context& context, incoming_call const& call,
+                    endpoint_attempt const& attempt, duration span, bool moves, bool has_other)
+{
+    char const* outcome = has_other ? "kept_by_retry_budget" : "kept_without_other_endpoint";
+    context.parts.events.emit(severity::info, "call.silent",
+                              {{"id", call.id.value()},
+                               {"endpoint", attempt.endpoint().id.value()},
+                               {"silent_ms", milliseconds_text(span)},
+                               {"outcome", moves ? "moved" : outcome}});
+}
+
+version::traffic_sample make_sample(time_point now, traffic_view const& view,
+                                    admitted_call const& admitted, endpoint_attempt const& attempt,
+                                    bool is_complete, time_point first_byte)
+{
+    version::traffic_sample sample;
+    sample.service = admitted.service;
+    sample.version = compared_version(view, admitted.service, attempt.endpoint());
+    sample.route = admitted.route->name;
+    sample.requests = 1;
+    sample.failures = is_complete ? 0 : 1;
+    if (admitted.route->is_stream && first_byte != time_point())
+        sample.first_token.add(first_byte - attempt.started());
+    sample.whole_call.add(now - attempt.started());
+    return sample;
+}
+
 void report_end(proxy_context& context, incoming_call const& call, admitted_call const& admitted,
                 call_end const& end)
 {
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -32,6 +32,16 @@
                            endpoint_attempt const& attempt, attempt_result result,
                            std::string const& reason);
 
+/// Writes the log line of an attempt that sent nothing for `span`: whether the call moves to
+/// another endpoint, and if not, whether there was one.
+void report_silence(proxy_context& context, incoming_call const& call,
+                    endpoint_attempt const& attempt, duration span, bool moves, bool has_other);
+
+/// Outcome of an attempt for the comparison of versions. `first_byte` is not set when none came.
+version::traffic_sample make_sample(time_point now, traffic_view const& view,
+                                    admitted_call const& admitted, endpoint_attempt const& attempt,
+                                    bool is_complete, time_point first_byte);
+
 /// Writes the log line and the metrics of a call.
 void report_end(proxy_context& context, incoming_call const& call, admitted_call const& admitted,
                 call_end const& end);
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -178,6 +178,17 @@
         found->second.record(now, endpoint, *outcome);
 }
 
+void endpoint_chooser::silent(time_point now, service_name const& service,
+                              endpoint_id const& endpoint, duration elapsed)
+{
+    request::route_outcome outcome;
+    outcome.ok = false;
+    outcome.elapsed = elapsed;
+    auto const found = this->policies.find(service);
+    if (found != this->policies.end())
+        found->second.record(now, endpoint, outcome);
+}
+
 void endpoint_chooser::report(time_point now, endpoint_id const& endpoint,
                               connection::load_report const& load)
 {
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -44,6 +44,9 @@
     /// An attempt has ended; `outcome` is empty when it tells nothing of the endpoint.
     void ended(time_point now, service_name const& service, endpoint_id const& endpoint,
                std::optional<request::route_outcome> const& outcome);
+    /// An attempt that goes on has sent nothing for longer than it should.
+    void silent(time_point now, service_name const& service, endpoint_id const& endpoint,
+                duration elapsed);
     void report(time_point now, endpoint_id const& endpoint, connection::load_report const& load);
     /// Another endpoint has the address of this one.
     void mark_gone(time_point now, connection::endpoint_record const& endpoint);
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
 /// Endpoints whose connection failed; after that the service is taken for unreachable.
 constexpr std::uint32_t max_unsent_tries = 4;
-/// Part of the connections an endpoint accepts that the entries use together.
-constexpr double used_connection_part = 0.8;
 /// When a caller whose call did not run should come back.
 constexpr duration overload_retry_after = milliseconds(250);
 
@@ -63,16 +61,22 @@
     if (now >= this->admitted.deadline)
         return this->give_up(this->may_have_run ? refusal::timed_out : refusal::too_late,
                              "no time is left for another attempt");
-    auto const view = this->context->parts.control.view();
-    auto const endpoint =
-        this->context->chooser.choose(now, *view, this->route(), this->admitted.service, this->call,
-                                      this->tried, this->context->random);
+    auto const endpoint = this->choose(this->tried);
     if (!endpoint)
         return this->give_up(this->may_have_run ? refusal::endpoint_failed : refusal::no_endpoint,
                              "no endpoint may be used");
     this->send(*endpoint);
 }
 
+std::optional<connection::endpoint_record>
+proxied_call::choose(std::vector<endpoint_id> const& excluded)
+{
+    auto const view = this->context->parts.control.view();
+    return this->context->chooser.choose(this->context->parts.time.now(), *view, this->route(),
+                                         this->admitted.service, this->call, excluded,
+                                         this->context->random);
+}
+
 void proxied_call::send(connection::endpoint_record const& endpoint)
 {
     auto const now = this->context->parts.time.now();
@@ -96,7 +100,7 @@
     this->current->send(
         this->context->parts.client,
         std::make_shared<std::string const>(http::format_request(head, this->exchange->body())),
-        this->connection_limit(*view));
+        connection_limit(*view, this->admitted));
 }
 
 void proxied_call::tell_prompt(connection::endpoint_record const& endpoint)
@@ -111,15 +115,6 @@
         {endpoint.id, endpoint.incarnation, this->call.prompt});
 }
 
-std::size_t proxied_call::connection_limit(traffic_view const& view) const
-{
-    auto const* service = this->admitted.services->find_service(this->admitted.service);
-    if (service == nullptr || service->max_connections == 0)
-        return 0;
-    auto const part = used_connection_part * service->max_connections / std::max(view.entries, 1U);
-    return std::max<std::size_t>(2, static_cast<std::size_t>(part));
-}
-
 bool proxied_call::is_idempotent() const
 {
     return this->route().repeat == version::repeat_rule::idempotent || this->route().is_resumable;
@@ -137,7 +132,7 @@
     auto wake = this->admitted.deadline;
     auto const span = this->patience();
     if (span > duration(0) && !this->is_paused)
-        wake = std::min(wake, this->last_byte + span);
+        wake = std::min(wake, std::max(this->last_byte, this->silence_checked) + span);
     this->timer.expires_after(std::max(wake - now, duration(0)));
     this->timer.async_wait(
         [weak = this->weak_from_this()](asio::error_code const& problem)
@@ -161,11 +156,32 @@
                              "the deadline has passed");
     }
     auto const span = this->patience();
-    bool const is_silent = span > duration(0) && now >= this->last_byte + span && !this->is_paused;
-    if (!is_silent || !this->current)
+    auto const since = std::max(this->last_byte, this->silence_checked);
+    bool const is_silent = span > duration(0) && now >= since + span && !this->is_paused;
+    if (is_silent && this->current)
+        this->on_silence(span);
+    else
+        this->set_timer();
+}
+
+void proxied_call::on_silence(duration span)
+{
+    // The endpoint may still answer, so its attempt ends only for another one that may begin.
+    auto excluded = this->tried;
+    excluded.push_back(this->current->endpoint().id);
+    auto const other = this->choose(excluded);
+    bool const moves = other && this->may_repeat(attempt_result::silent);
+    report_silence(*this->context, this->call, *this->current, span, moves, other.has_value());
+    if (!moves)
+    {
+        auto const now = this->context->parts.time.now();
+        this->silence_checked = now;
+        this->context->chooser.silent(now, this->admitted.service, this->current->endpoint().id,
+                                      now - this->current->started());
         return this->set_timer();
+    }
     this->end_attempt(attempt_result::silent, "no byte for " + milliseconds_text(span) + " ms");
-    this->decide_after(attempt_result::silent, "the endpoint is silent");
+    this->send(*other);
 }
 
 void proxied_call::on_answer(endpoint_attempt& attempt, http::response_head const& head)
@@ -328,27 +344,10 @@
 {
     if (result == attempt_result::not_sent || result == attempt_result::not_run)
         return;
-    auto const now = this->context->parts.time.now();
-    version::traffic_sample sample;
-    sample.service = this->admitted.service;
-    sample.version = this->compared_version(attempt.endpoint());
-    sample.route = this->route().name;
-    sample.requests = 1;
-    sample.failures = result == attempt_result::complete ? 0 : 1;
-    if (this->route().is_stream && this->first_byte != time_point())
-        sample.first_token.add(this->first_byte - attempt.started());
-    sample.whole_call.add(now - attempt.started());
-    this->context->parts.control.record(sample);
-}
-
-version_name proxied_call::compared_version(connection::endpoint_record const& endpoint) const
-{
-    auto const view = this->context->parts.control.view();
-    auto const split = view->splits.find(this->admitted.service);
-    if (split == view->splits.end() || endpoint.version == split->second.candidate)
-        return endpoint.version;
-    // The move compares its candidate with all that was there before.
-    return split->second.stable;
+    auto const& control = this->context->parts.control;
+    this->context->parts.control.record(
+        make_sample(this->context->parts.time.now(), *control.view(), this->admitted, attempt,
+                    result == attempt_result::complete, this->first_byte));
 }
 
 void proxied_call::count_start(endpoint_attempt const&)
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -35,14 +35,16 @@
 
 private:
     void try_next();
+    std::optional<connection::endpoint_record> choose(std::vector<endpoint_id> const& excluded);
     void send(connection::endpoint_record const& endpoint);
     /// Counts the prompt at the engine and tells the other entries of it.
     void tell_prompt(connection::endpoint_record const& endpoint);
-    std::size_t connection_limit(traffic_view const& view) const;
     /// Time without a byte after which another endpoint is tried; zero for none.
     duration patience() const;
     void set_timer();
     void on_timer();
+    /// The endpoint sent nothing for `span`.
+    void on_silence(duration span);
     void on_caller_gone();
     void on_drained();
     void end_attempt(attempt_result result, std::string const& reason);
@@ -50,8 +52,6 @@
     bool may_repeat(attempt_result result);
     bool is_idempotent() const;
     void record_sample(endpoint_attempt const& attempt, attempt_result result);
-    /// Version under which the outcomes of a running move are compared.
-    version_name compared_version(connection::endpoint_record const& endpoint) const;
     void count_start(endpoint_attempt const& attempt);
     void give_up(refusal reason, std::string const& detail);
     void finish(char const* outcome, unsigned status, std::string const& detail);
@@ -74,6 +74,8 @@
     std::optional<request::sent_prompt> sent;
     bool may_have_run = false;
     time_point last_byte{};
+    /// When the attempt was last kept in spite of its silence.
+    time_point silence_checked{};
     time_point first_byte{};
     bool is_paused = false;
     bool is_over = false;
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -149,7 +149,23 @@
     this->requests.push_back(head);
     this->bodies.push_back(peer->input.substr(end + 4, size));
     peer->input.erase(0, end + 4 + size);
-    this->answer_request(*peer, head);
+    if (this->mode == endpoint_mode::late)
+        this->answer_later(peer, head);
+    else
+        this->answer_request(*peer, head);
+}
+
+void fake_endpoint::answer_later(std::shared_ptr<connection> const& peer,
+                                 http::request_head const& head)
+{
+    auto const timer =
+        std::make_shared<asio::steady_timer>(this->acceptor.get_executor(), this->answer_delay);
+    timer->async_wait(
+        [this, timer, peer, head](asio::error_code const& problem)
+        {
+            if (!problem)
+                this->answer_request(*peer, head);
+        });
 }
 
 void fake_endpoint::answer_request(connection& peer, http::request_head const& head)
@@ -163,6 +179,7 @@
     switch (this->mode)
     {
     case endpoint_mode::answer:
+    case endpoint_mode::late:
     case endpoint_mode::cut_stream_once:
         if (this->streams)
         {
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -16,6 +16,8 @@
     /// 500 of its own.
     fail,
     silent,
+    /// The answer comes after `answer_delay`.
+    late,
     close_without_answer,
     cut_answer,
     unsigned_answer,
@@ -39,6 +41,7 @@
     std::vector<lagoonladder::http::request_head> requests;
     std::vector<std::string> bodies;
     int closed_by_peer = 0;
+    std::chrono::milliseconds answer_delay{400};
 
 private:
     struct connection;
@@ -46,6 +49,8 @@
     void accept();
     void read(std::shared_ptr<connection> const& peer);
     void take(std::shared_ptr<connection> const& peer);
+    void answer_later(std::shared_ptr<connection> const& peer,
+                      lagoonladder::http::request_head const& head);
     void answer_request(connection& peer, lagoonladder::http::request_head const& head);
     void stream(connection& peer, std::string const& request, std::uint64_t after);
 
