Give callers of each zone a list of entries that fits

Cause: the answer of the directory named all 86 entries in the order of their names, but callers read at most 64 addresses. The entries of the last data centre were behind the 64th.

Change: connection::entries_for_callers chooses at most 64 entries for a zone. Those of the zone come first; each other entry ranks the other zones by hash and is in the lists of equally many, so that none is left out. All daemons give the same list.

--- a/src/connection/include/lagoonladder/connection.hpp
+++ b/src/connection/include/lagoonladder/connection.hpp
@@ -4,6 +4,7 @@
 /// Public header of the connection library: endpoints, entries and the
 /// connections to them.
 
+#include <lagoonladder/connection/caller_entries.hpp>
 #include <lagoonladder/connection/endpoint_directory.hpp>
 #include <lagoonladder/connection/endpoint_record.hpp>
 #include <lagoonladder/connection/entry_directory.hpp>
--- /dev/null
+++ b/src/connection/internal/caller_entries.cpp
@@ -0,0 +1,58 @@
+#include <lagoonladder/connection/caller_entries.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <rendezvous.hpp>
+
+namespace lagoonladder::connection
+{
+
+namespace
+{
+
+/// Position of the zone among the zones other than the entry's own, in an order that differs
+/// from entry to entry.
+std::size_t rank_of_zone(entry_record const& entry, zone_id const& zone,
+                         std::set<zone_id> const& zones)
+{
+    auto const seed = stable_hash(entry.vm.value());
+    auto const score = stable_hash(zone.value(), seed);
+    return static_cast<std::size_t>(
+        std::count_if(zones.begin(), zones.end(),
+                      [&](zone_id const& other)
+                      { return other != entry.zone && stable_hash(other.value(), seed) > score; }));
+}
+
+} // namespace
+
+std::vector<entry_record> entries_for_callers(std::vector<entry_record> const& entries,
+                                              zone_id const& zone, std::size_t most)
+{
+    if (entries.size() <= most)
+        return entries;
+    std::set<zone_id> zones{zone};
+    for (auto const& entry : entries)
+        zones.insert(entry.zone);
+    std::vector<entry_record> chosen;
+    std::vector<std::vector<entry_record>> by_rank(zones.size());
+    for (auto const& entry : entries)
+    {
+        if (entry.zone == zone)
+            chosen.push_back(entry);
+        else
+            by_rank[rank_of_zone(entry, zone, zones)].push_back(entry);
+    }
+    chosen = rendezvous_order(std::move(chosen), zone.value());
+    for (auto& rank : by_rank)
+    {
+        if (chosen.size() >= most)
+            break;
+        for (auto& entry : rendezvous_order(std::move(rank), zone.value()))
+            chosen.push_back(std::move(entry));
+    }
+    chosen.resize(std::min(chosen.size(), most));
+    return chosen;
+}
+
+} // namespace lagoonladder::connection
--- /dev/null
+++ b/src/connection/tests/caller_entries_test.cpp
@@ -0,0 +1,96 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "rows.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::connection;
+
+namespace
+{
+
+std::vector<entry_record> make_entries(std::map<std::string, int> const& counts)
+{
+    std::vector<entry_record> entries;
+    for (auto const& [zone, count] : counts)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            entries.push_back(make_entry("vm-" + zone + "-" + std::to_string(i), zone));
+            entries.back().zone = zone_id(zone);
+        }
+    }
+    return entries;
+}
+
+std::map<vm_id, double> load_of(std::vector<entry_record> const& entries,
+                                std::map<std::string, int> const& zones, std::size_t most)
+{
+    std::map<vm_id, double> load;
+    for (auto const& [zone, count] : zones)
+    {
+        auto const list = entries_for_callers(entries, zone_id(zone), most);
+        for (auto const& entry : list)
+            load[entry.vm] += 1.0 / static_cast<double>(list.size());
+    }
+    return load;
+}
+
+} // namespace
+
+TEST_CASE("no entry of a large system is left without callers")
+{
+    // Guards against callers that use the first entries of a long list only, and leave the
+    // others idle while these run out of processor time.
+    for (auto const& zones : std::vector<std::map<std::string, int>>{
+             {{"a", 19}, {"b", 22}, {"c", 24}, {"d", 21}},
+             {{"a", 19}, {"b", 18}, {"c", 18}, {"d", 18}, {"e", 18}},
+             {{"a", 30}, {"b", 30}, {"c", 30}, {"d", 30}, {"e", 30}, {"f", 30}, {"g", 30}}})
+    {
+        auto const entries = make_entries(zones);
+        auto const load = load_of(entries, zones, 64);
+        CHECK(load.size() == entries.size());
+        auto const mean = static_cast<double>(zones.size()) / static_cast<double>(entries.size());
+        for (auto const& [vm, part] : load)
+        {
+            INFO(vm.value());
+            CHECK(part > 0.5 * mean);
+            CHECK(part < 1.6 * mean);
+        }
+    }
+}
+
+TEST_CASE("callers get the entries of their own zone first")
+{
+    auto const entries = make_entries({{"a", 40}, {"b", 40}, {"c", 40}});
+    auto const list = entries_for_callers(entries, zone_id("b"), 64);
+    REQUIRE(list.size() == 64);
+    for (std::size_t i = 0; i < 40; ++i)
+        CHECK(list[i].zone == zone_id("b"));
+    CHECK(entries_for_callers(entries, zone_id("b"), 10).size() == 10);
+}
+
+TEST_CASE("one entry more changes few addresses of a list")
+{
+    // Guards against callers that leave their connections when any entry comes or goes.
+    auto entries = make_entries({{"a", 30}, {"b", 30}, {"c", 30}});
+    auto const before = entries_for_callers(entries, zone_id("a"), 64);
+    entries.erase(entries.begin() + 45);
+    auto const after = entries_for_callers(entries, zone_id("a"), 64);
+    std::size_t kept = 0;
+    for (auto const& entry : before)
+    {
+        for (auto const& other : after)
+            kept += entry.vm == other.vm ? 1 : 0;
+    }
+    CHECK(kept >= 62);
+}
+
+TEST_CASE("all entries of a small system are listed, also for callers of an unknown zone")
+{
+    auto const entries = make_entries({{"a", 5}, {"b", 5}});
+    CHECK(entries_for_callers(entries, zone_id("a"), 64).size() == 10);
+    CHECK(entries_for_callers(entries, zone_id("elsewhere"), 64).size() == 10);
+    CHECK(entries_for_callers(make_entries({{"a", 50}, {"b", 50}}), zone_id("x"), 64).size() == 64);
+}
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -365,14 +365,18 @@
     this->control.remove_endpoint(id);
 }
 
-std::vector<network_address> pass_through_plane::entry_addresses() const
-{
+std::vector<network_address> pass_through_plane::entry_addresses(zone_id const& zone,
+                                                                 std::size_t most) const
+{
+    auto serving = this->control.view()->entries;
+    std::erase_if(serving,
+                  [](connection::entry_record const& entry) {
+                      return entry.pass_through.value().empty() ||
+                             entry.state != connection::entry_state::serving;
+                  });
     std::vector<network_address> addresses;
-    for (auto const& entry : this->control.view()->entries)
-    {
-        if (!entry.pass_through.value().empty() && entry.state == connection::entry_state::serving)
-            addresses.push_back(entry.pass_through);
-    }
+    for (auto const& entry : connection::entries_for_callers(serving, zone, most))
+        addresses.push_back(entry.pass_through);
     return addresses;
 }
 
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -65,7 +65,8 @@
                     handler<version::start_move_result> done) override;
     void announce(connection::endpoint_record row) override;
     void remove(endpoint_id const& id) override;
-    std::vector<network_address> entry_addresses() const override;
+    std::vector<network_address> entry_addresses(zone_id const& zone,
+                                                 std::size_t most) const override;
     bool takes_calls() const override;
 
     // platform_duties, called on the control thread
