Keep engines until demand is known, and replace those that are lost

Causes: two thirds of the engines were kept until callers came; on-demand engines filled what reclaimable ones do not serve to 0.7 of the demand only; and crashed engines counted as serving until their lease of 12 s ran out.

Change: all engines stay until the demand is known; an endpoint that did not announce itself for 5 s is not counted; on-demand engines cover the whole demand while reclaimable ones are not to be had. capacity.ordered tells the demand.

The plan's two older tests state the part of 0.7 that they were written for.

--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -1,6 +1,7 @@
 #include "capacity_driver.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonladder::control
 {
@@ -10,9 +11,9 @@
 
 /// Replicas are kept for the largest demand within this time, since starts take seconds.
 constexpr duration demand_memory = seconds(10);
-/// Part of the replicas at the start that is kept until callers come: how many they will
-/// need is not known, and a start takes seconds.
-constexpr double initial_part = 2.0 / 3;
+/// An endpoint that did not announce itself for this long is replaced; it has missed several
+/// heartbeats. Its lease is longer, since calls may still reach it.
+constexpr duration announcement_age = seconds(5);
 /// A new holder hears of the endpoints of a large system within this time.
 constexpr duration settling_time = seconds(3);
 /// An order is repeated while the number of replicas differs from it.
@@ -22,23 +23,6 @@
 constexpr duration lowering_delay = seconds(6);
 constexpr duration refused_interval = seconds(3);
 
-version::capacity_by_data_centre serving_replicas(control_view const& view,
-                                                  service_name const& service)
-{
-    version::capacity_by_data_centre serving;
-    auto const found = view.endpoints.find(service);
-    if (found == view.endpoints.end())
-        return serving;
-    for (auto const& row : found->second)
-    {
-        if (row.state != connection::endpoint_state::serving)
-            continue;
-        auto& counts = serving[row.data_centre];
-        ++(row.reclaimable ? counts.reclaimable : counts.on_demand);
-    }
-    return serving;
-}
-
 /// Tokens a second that callers ask for at all entries.
 double asked_for(control_view const& view)
 {
@@ -51,20 +35,6 @@
     return demand;
 }
 
-/// Tokens a second that the present engines serve in time.
-double served_by_engines(control_view const& view)
-{
-    std::uint32_t engines = 0;
-    for (auto const& service : view.shared->services->map().services)
-    {
-        if (!service.scaling || !service.is_engine)
-            continue;
-        for (auto const& [data_centre, counts] : serving_replicas(view, service.name))
-            engines += counts.on_demand + counts.reclaimable;
-    }
-    return engines * version::capacity_options().tokens_per_engine;
-}
-
 } // namespace
 
 capacity_driver::capacity_driver(event_sink& log, clock const& time_source)
@@ -76,6 +46,7 @@
 void capacity_driver::reset()
 {
     this->orders.clear();
+    this->announcements.clear();
     this->demands.clear();
     this->held_since.reset();
     this->initial_demand = 0;
@@ -83,6 +54,57 @@
     ++this->epoch;
 }
 
+void capacity_driver::watch(control_view const& view)
+{
+    auto const now = this->time.now();
+    std::map<endpoint_id, announcement> present;
+    for (auto const& [service, rows] : view.endpoints)
+    {
+        for (auto const& row : rows)
+        {
+            auto const known = this->announcements.find(row.id);
+            bool const is_new = known == this->announcements.end() ||
+                                known->second.start != row.incarnation ||
+                                known->second.sequence != row.sequence;
+            present[row.id] =
+                is_new ? announcement{row.incarnation, row.sequence, now} : known->second;
+        }
+    }
+    this->announcements = std::move(present);
+}
+
+version::capacity_by_data_centre
+capacity_driver::serving_replicas(control_view const& view, service_name const& service) const
+{
+    version::capacity_by_data_centre serving;
+    auto const found = view.endpoints.find(service);
+    if (found == view.endpoints.end())
+        return serving;
+    auto const now = this->time.now();
+    for (auto const& row : found->second)
+    {
+        bool const is_silent = now - this->announcements.at(row.id).seen >= announcement_age;
+        if (row.state != connection::endpoint_state::serving || is_silent)
+            continue;
+        auto& counts = serving[row.data_centre];
+        ++(row.reclaimable ? counts.reclaimable : counts.on_demand);
+    }
+    return serving;
+}
+
+double capacity_driver::served_by_engines(control_view const& view) const
+{
+    std::uint32_t engines = 0;
+    for (auto const& service : view.shared->services->map().services)
+    {
+        if (!service.scaling || !service.is_engine)
+            continue;
+        for (auto const& [data_centre, counts] : this->serving_replicas(view, service.name))
+            engines += counts.on_demand + counts.reclaimable;
+    }
+    return engines * version::capacity_options().tokens_per_engine;
+}
+
 bool capacity_driver::settle(control_view const& view)
 {
     auto const now = this->time.now();
@@ -92,8 +114,7 @@
     bool const is_settling = now - *this->held_since < settling_time;
     // Own orders change the replicas, so only those from before the first order count.
     if (is_settling || this->initial_demand == 0)
-        this->initial_demand =
-            std::max(this->initial_demand, initial_part * served_by_engines(view));
+        this->initial_demand = std::max(this->initial_demand, this->served_by_engines(view));
     return this->callers_came || !is_settling;
 }
 
@@ -115,7 +136,10 @@
 void capacity_driver::step(control_view const& view, proxy::platform_duties& platform,
                            proxy::platform_duties::holder const& self)
 {
-    if (!view.shared || !view.shared->services || !this->settle(view))
+    if (!view.shared || !view.shared->services)
+        return;
+    this->watch(view);
+    if (!this->settle(view))
         return;
     auto const demand = this->peak_demand(view);
     for (auto const& service : view.shared->services->map().services)
@@ -124,15 +148,15 @@
             continue;
         version::capacity_situation now;
         now.limits = *service.scaling;
-        now.serving = serving_replicas(view, service.name);
+        now.serving = this->serving_replicas(view, service.name);
         now.demand = demand;
         for (auto const& [data_centre, counts] : version::plan_capacity(now))
         {
             auto const serving = now.serving[data_centre];
             this->order({service.name, data_centre, true}, counts.reclaimable, serving.reclaimable,
-                        platform, self);
+                        demand, platform, self);
             this->order({service.name, data_centre, false}, counts.on_demand, serving.on_demand,
-                        platform, self);
+                        demand, platform, self);
         }
     }
 }
@@ -151,7 +175,7 @@
 }
 
 void capacity_driver::order(order_key const& key, std::uint32_t replicas, std::uint32_t serving,
-                            proxy::platform_duties& platform,
+                            double demand, proxy::platform_duties& platform,
                             proxy::platform_duties::holder const& self)
 {
     auto const now = this->time.now();
@@ -168,7 +192,8 @@
                        {"data_centre", key.data_centre.value()},
                        {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
                        {"replicas", std::to_string(replicas)},
-                       {"serving", std::to_string(serving)}});
+                       {"serving", std::to_string(serving)},
+                       {"demand", std::to_string(std::llround(demand))}});
     platform.order_capacity(
         self, {key.service, key.data_centre, replicas, key.reclaimable},
         [this, key, replicas, began = this->epoch](bool accepted)
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -42,17 +42,33 @@
         bool in_flight = false;
     };
 
+    /// What is known of one endpoint's announcements.
+    struct announcement
+    {
+        incarnation start;
+        std::uint64_t sequence = 0;
+        time_point seen{};
+    };
+
+    /// Notes which endpoints announced themselves again since the last step.
+    void watch(control_view const& view);
+    /// Serving endpoints of the service that still announce themselves.
+    version::capacity_by_data_centre serving_replicas(control_view const& view,
+                                                      service_name const& service) const;
+    /// Tokens a second that the present engines serve in time.
+    double served_by_engines(control_view const& view) const;
     /// Learns what runs before the first order. Returns whether orders may be made.
     bool settle(control_view const& view);
     double peak_demand(control_view const& view);
     /// The number to order: a lower one only after the plan has asked for it for a while.
     std::uint32_t hold_down(order_state& state, std::uint32_t replicas) const;
-    void order(order_key const& key, std::uint32_t replicas, std::uint32_t serving,
+    void order(order_key const& key, std::uint32_t replicas, std::uint32_t serving, double demand,
                proxy::platform_duties& platform, proxy::platform_duties::holder const& self);
 
     event_sink& events;
     clock const& time;
     std::map<order_key, order_state> orders;
+    std::map<endpoint_id, announcement> announcements;
     /// Demand of the last seconds, for its maximum.
     std::deque<std::pair<time_point, double>> demands;
     std::optional<time_point> held_since;
--- a/src/version/include/lagoonladder/version/capacity_plan.hpp
+++ b/src/version/include/lagoonladder/version/capacity_plan.hpp
@@ -29,7 +29,7 @@
     double on_demand_part = 0.2;
     /// Part of the demand for which on-demand replicas are started while reclaimable ones
     /// are not to be had.
-    double least_served_part = 0.7;
+    double least_served_part = 1.0;
 };
 
 /// What the plan for one service is made from.
--- a/src/version/tests/capacity_plan_test.cpp
+++ b/src/version/tests/capacity_plan_test.cpp
@@ -39,6 +39,7 @@
     capacity_options options;
     options.tokens_per_engine = 25'000;
     options.on_demand_part = 0.4;
+    options.least_served_part = 0.7;
     auto now = make_situation(200'000);
     for (auto const* name : {"a", "b", "c", "d"})
         now.serving[data_centre_id(name)] = {2, 0};
@@ -58,6 +59,7 @@
     capacity_options options;
     options.tokens_per_engine = 25'000;
     options.on_demand_part = 0.4;
+    options.least_served_part = 0.7;
     auto now = make_situation(200'000);
     for (auto const& [data_centre, counts] : plan_capacity(now, options))
         now.serving[data_centre] = {1, counts.reclaimable};
@@ -73,6 +75,19 @@
         CHECK(counts.on_demand >= 1);
 }
 
+TEST_CASE("on-demand replicas serve the whole demand while reclaimable ones are not to be had")
+{
+    // Guards against engines that are overloaded for as long as a reclaim of two data centres
+    // lasts, since only a part of the demand was covered.
+    auto now = make_situation(2'700'000);
+    now.limits.most = 60;
+    for (auto const* name : {"a", "b", "c", "d"})
+        now.serving[data_centre_id(name)] = {4, 24};
+    now.serving[data_centre_id("a")].reclaimable = 0;
+    now.serving[data_centre_id("b")].reclaimable = 0;
+    CHECK(total(plan_capacity(now), &replica_counts::on_demand) + 48 >= 90);
+}
+
 TEST_CASE("orders stay within the limits for any demand and any replicas")
 {
     rc::prop("least and most hold",
