Release no engines while their service moves to another version

One call in all had reached it at shares of 0.1 to 1. A good version would have been reversed just the same.

Cause: the new version's engines run beside the old ones, which the capacity duty took for more than the demand needs. 13 of them were announced from 4.3 s on; at 6.23 s, with the first step of the move, it ordered 1, 1, 2 and 1 on-demand engines in place of 4, 4, 6 and 4, and the platform released the newest ones: endpoint.leaving and endpoint.removed of all 13 at 6.24 s.

Ruled out: the choice of versions. Calls went to the new version while one of its engines served.

Change: while a move of the service runs, orders that would lower a number are not made. Orders for more, as after a reclaim, are.

Class: two duties that decide on the same engines without knowledge of each other. The other pair, notices of reclaims and moves, has no such conflict: a reclaimed engine leaves whatever its version is.

--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -35,6 +35,16 @@
     return demand;
 }
 
+bool is_moving(control_view const& view, service_name const& service)
+{
+    auto const& moves = view.shared->moves;
+    return std::any_of(moves.begin(), moves.end(),
+                       [&](version::move_record const& move) {
+                           return move.service == service &&
+                                  move.state == version::move_state::running;
+                       });
+}
+
 } // namespace
 
 capacity_driver::capacity_driver(event_sink& log, clock const& time_source)
@@ -150,13 +160,14 @@
         now.limits = *service.scaling;
         now.serving = this->serving_replicas(view, service.name);
         now.demand = demand;
+        bool const moves = is_moving(view, service.name);
         for (auto const& [data_centre, counts] : version::plan_capacity(now))
         {
             auto const serving = now.serving[data_centre];
-            this->order({service.name, data_centre, true}, counts.reclaimable, serving.reclaimable,
-                        demand, platform, self);
-            this->order({service.name, data_centre, false}, counts.on_demand, serving.on_demand,
-                        demand, platform, self);
+            this->order({service.name, data_centre, true},
+                        {counts.reclaimable, serving.reclaimable, demand, moves}, platform, self);
+            this->order({service.name, data_centre, false},
+                        {counts.on_demand, serving.on_demand, demand, moves}, platform, self);
         }
     }
 }
@@ -174,14 +185,20 @@
     return now - *state.lower_since >= lowering_delay ? replicas : *state.accepted;
 }
 
-void capacity_driver::order(order_key const& key, std::uint32_t replicas, std::uint32_t serving,
-                            double demand, proxy::platform_duties& platform,
+void capacity_driver::order(order_key const& key, order_basis const& basis,
+                            proxy::platform_duties& platform,
                             proxy::platform_duties::holder const& self)
 {
     auto const now = this->time.now();
     auto& state = this->orders[key];
-    replicas = this->hold_down(state, replicas);
-    bool const is_settled = state.accepted == replicas && serving == replicas;
+    // Both versions run side by side during a move; the platform would release the new one.
+    if (basis.is_moving && basis.planned <= basis.serving)
+    {
+        state.lower_since.reset();
+        return;
+    }
+    auto const replicas = this->hold_down(state, basis.planned);
+    bool const is_settled = state.accepted == replicas && basis.serving == replicas;
     bool const was_ordered = state.accepted == replicas && now < state.next_try;
     bool const is_refused = !state.accepted && now < state.next_try;
     if (state.in_flight || is_settled || was_ordered || is_refused)
@@ -192,8 +209,8 @@
                        {"data_centre", key.data_centre.value()},
                        {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
                        {"replicas", std::to_string(replicas)},
-                       {"serving", std::to_string(serving)},
-                       {"demand", std::to_string(std::llround(demand))}});
+                       {"serving", std::to_string(basis.serving)},
+                       {"demand", std::to_string(std::llround(basis.demand))}});
     platform.order_capacity(
         self, {key.service, key.data_centre, replicas, key.reclaimable},
         [this, key, replicas, began = this->epoch](bool accepted)
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -33,6 +33,17 @@
         friend auto operator<=>(order_key const&, order_key const&) = default;
     };
 
+    /// What one order is made from.
+    struct order_basis
+    {
+        std::uint32_t planned = 0;
+        std::uint32_t serving = 0;
+        /// Tokens a second that callers ask for, for the log.
+        double demand = 0;
+        /// The service moves to another version.
+        bool is_moving = false;
+    };
+
     struct order_state
     {
         std::optional<std::uint32_t> accepted;
@@ -62,8 +73,8 @@
     double peak_demand(control_view const& view);
     /// The number to order: a lower one only after the plan has asked for it for a while.
     std::uint32_t hold_down(order_state& state, std::uint32_t replicas) const;
-    void order(order_key const& key, std::uint32_t replicas, std::uint32_t serving, double demand,
-               proxy::platform_duties& platform, proxy::platform_duties::holder const& self);
+    void order(order_key const& key, order_basis const& basis, proxy::platform_duties& platform,
+               proxy::platform_duties::holder const& self);
 
     event_sink& events;
     clock const& time;
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -179,3 +179,26 @@
     duty.step_for(30, view);
     CHECK(duty.platform.total() <= 20);
 }
+
+TEST_CASE("no replica is released while its service moves to another version")
+{
+    // Guards against a move without evidence: the replicas of the new version were released as
+    // more than the demand needs, and every version was reversed in the end.
+    held_duty duty;
+    duty.step_for(5, view_of(9, 200'000));
+    auto const before = duty.platform.total();
+    auto view = view_of(18, 200'000);
+    auto shared = std::make_shared<version::shared_state>(*view.shared);
+    version::move_record move;
+    move.service = engines;
+    shared->moves.push_back(move);
+    view.shared = shared;
+    duty.platform.orders.clear();
+    duty.step_for(12, view);
+    CHECK(duty.platform.on_demand() == 0);
+    shared = std::make_shared<version::shared_state>(*shared);
+    shared->moves.back().state = version::move_state::finished;
+    view.shared = shared;
+    duty.step_for(20, view);
+    CHECK(duty.platform.total() <= before);
+}
