Close an HTTP server's connections without losing requests

Callers saw connections that closed without an answer at a planned stop. The server had only stop(), which closes all connections at once: requests that were read, that the kernel held or that waited to be accepted, and answers that were not yet written, were dropped.

drain() accepts what the kernel holds, closes the listening socket, ends idle connections and answers requests that become complete later with 503 and Connection: close. is_drained() holds once all answers are written and all connections are closed. refuse_incomplete() answers requests of which only a part came. An idle connection is ended only after its outstanding read was cancelled and brought no bytes: asking the socket for available bytes is not enough, because the event loop may have read them already.

--- a/src/process/http/include/lagoonladder/http/server.hpp
+++ b/src/process/http/include/lagoonladder/http/server.hpp
@@ -100,6 +100,18 @@
     /// Connections end after their next answer; new ones are still accepted.
     void close_after_answers();
 
+    /// Accepts no connection any more, closes idle ones and answers requests that become
+    /// complete from now on with 503. Requests that were handled before get their answers.
+    /// To be called on the event loop, as refuse_incomplete().
+    void drain();
+
+    /// Answers requests of which only a part has arrived with 503.
+    void refuse_incomplete();
+
+    /// After drain(): every answer has been written and every connection is closed. May be
+    /// called on any thread.
+    bool is_drained() const;
+
     /// Closes all connections. To be called on the event loop.
     void stop();
 
--- a/src/process/http/internal/server.cpp
+++ b/src/process/http/internal/server.cpp
@@ -1,5 +1,6 @@
 #include <lagoonladder/http/server.hpp>
 
+#include <atomic>
 #include <list>
 
 #include "server_connection.hpp"
@@ -13,6 +14,8 @@
 
 constexpr duration accept_retry_delay = milliseconds(100);
 constexpr std::size_t prune_interval = 64;
+/// Short against the time of a planned stop.
+constexpr duration drain_check_interval = milliseconds(20);
 
 } // namespace
 
@@ -23,6 +26,7 @@
         : shared(std::move(common))
         , acceptor(context)
         , retry_timer(context)
+        , drain_timer(context)
     {
     }
 
@@ -49,6 +53,12 @@
         asio::error_code ignored;
         this->acceptor.close(ignored);
         this->retry_timer.cancel();
+        this->drain_timer.cancel();
+        auto const cut = this->count_if([](server_connection& one) { return one.is_busy(); });
+        if (cut > 0)
+            this->shared->events.emit(
+                severity::warning, "http.connections_cut",
+                {{"server", this->shared->options.name}, {"connections", std::to_string(cut)}});
         for (auto const& known : std::exchange(this->connections, {}))
         {
             if (auto const connection = known.lock())
@@ -56,6 +66,30 @@
         }
     }
 
+    void drain()
+    {
+        if (std::exchange(this->shared->refuses_requests, true))
+            return;
+        this->shared->closes_after_answers = true;
+        this->accept_waiting();
+        asio::error_code ignored;
+        this->acceptor.close(ignored);
+        this->retry_timer.cancel();
+        this->for_each_connection([](server_connection& one) { one.close_idle(); });
+        auto const busy = this->count_if([](server_connection& one) { return one.is_busy(); });
+        this->shared->events.emit(
+            severity::info, "http.draining",
+            {{"server", this->shared->options.name}, {"open_requests", std::to_string(busy)}});
+        this->check_drained();
+    }
+
+    void refuse_incomplete()
+    {
+        this->for_each_connection([](server_connection& one) { one.refuse_incomplete(); });
+    }
+
+    bool is_drained() const { return this->drained; }
+
     network_address address() const
     {
         auto const local = this->acceptor.local_endpoint();
@@ -71,15 +105,72 @@
             [self = this->shared_from_this()](asio::error_code const& problem,
                                               asio::ip::tcp::socket socket)
             {
-                if (problem == asio::error::operation_aborted || !self->acceptor.is_open())
+                // A connection may have been accepted just before a drain closed the acceptor.
+                bool const is_stopped =
+                    !self->acceptor.is_open() && !self->shared->refuses_requests;
+                if (problem == asio::error::operation_aborted || is_stopped)
                     return;
                 if (problem)
                     return self->accept_later(problem);
                 self->add(std::move(socket));
-                self->accept();
+                if (self->acceptor.is_open())
+                    self->accept();
+            });
+    }
+
+    /// Closing the acceptor would reset the connections that the kernel holds for it.
+    void accept_waiting()
+    {
+        asio::error_code problem;
+        if (!this->acceptor.is_open() || this->acceptor.non_blocking(true, problem))
+            return;
+        while (!problem)
+        {
+            asio::ip::tcp::socket socket(this->acceptor.get_executor());
+            this->acceptor.accept(socket, problem);
+            if (!problem)
+                this->add(std::move(socket));
+        }
+    }
+
+    /// Stays true once it is: no connection is accepted any more.
+    void check_drained()
+    {
+        if (this->count_if([](server_connection& one) { return !one.is_closed(); }) == 0)
+        {
+            this->shared->events.emit(severity::info, "http.drained",
+                                      {{"server", this->shared->options.name}});
+            this->drained = true;
+            return;
+        }
+        this->drain_timer.expires_after(drain_check_interval);
+        this->drain_timer.async_wait(
+            [self = this->shared_from_this()](asio::error_code const& cancelled)
+            {
+                if (!cancelled)
+                    self->check_drained();
             });
     }
 
+    template <class Condition>
+    std::size_t count_if(Condition const& condition)
+    {
+        std::size_t count = 0;
+        this->for_each_connection([&](server_connection& one) { count += condition(one) ? 1 : 0; });
+        return count;
+    }
+
+    template <class Action>
+    void for_each_connection(Action const& act)
+    {
+        // An action may end a call, which may drop connections.
+        for (auto const& known : std::list(this->connections))
+        {
+            if (auto const connection = known.lock())
+                act(*connection);
+        }
+    }
+
     /// Without descriptors, accepting again at once would take all of the processor.
     void accept_later(asio::error_code const& problem)
     {
@@ -115,10 +206,14 @@
         }
         this->connections.push_back(connection);
         connection->start();
+        if (this->shared->refuses_requests)
+            connection->close_idle();
     }
 
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
+    asio::steady_timer drain_timer;
+    std::atomic<bool> drained = false;
     std::list<std::weak_ptr<server_connection>> connections;
     std::size_t prune_at = prune_interval;
 };
@@ -151,6 +246,21 @@
     this->state->shared->closes_after_answers = true;
 }
 
+void server::drain()
+{
+    this->state->drain();
+}
+
+void server::refuse_incomplete()
+{
+    this->state->refuse_incomplete();
+}
+
+bool server::is_drained() const
+{
+    return this->state->is_drained();
+}
+
 void server::stop()
 {
     this->state->stop();
--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "server_connection.hpp"
 
+#include "connection_exchange.hpp"
 #include "socket_options.hpp"
 
 namespace lagoonladder::http
@@ -16,89 +17,6 @@
 /// Callers may send until the very end of the idle time.
 constexpr duration idle_allowance = seconds(1);
 
-/// The exchange of one request; inert once the connection has gone on to the next one.
-class connection_exchange : public server_exchange
-{
-public:
-    explicit connection_exchange(std::shared_ptr<server_connection> owner)
-        : connection(std::move(owner))
-        , request(connection->head())
-        , content(connection->body())
-        , began(connection->arrived())
-        , remote(connection->remote_address())
-    {
-    }
-
-    request_head const& head() const override { return this->request; }
-    std::string const& body() const override { return this->content; }
-    time_point arrived() const override { return this->began; }
-    std::string const& remote_address() const override { return this->remote; }
-
-    void respond(response_head answer, std::string_view bytes) override
-    {
-        if (auto const target = this->take())
-            target->respond(std::move(answer), bytes);
-    }
-
-    void begin(response_head answer, std::optional<std::uint64_t> length) override
-    {
-        if (this->connection)
-            this->connection->begin(std::move(answer), length);
-    }
-
-    void write(std::string_view bytes) override
-    {
-        if (this->connection)
-            this->connection->write(bytes);
-    }
-
-    void finish() override
-    {
-        if (auto const target = this->take())
-            target->finish();
-    }
-
-    void abort() override
-    {
-        if (auto const target = this->take())
-            target->close();
-    }
-
-    std::size_t unsent_bytes() const override
-    {
-        return this->connection ? this->connection->unsent_bytes() : 0;
-    }
-
-    void on_closed(std::function<void()> handler) override
-    {
-        if (this->connection)
-            this->connection->closed_handler = std::move(handler);
-    }
-
-    void on_drained(std::function<void()> handler) override
-    {
-        if (this->connection)
-            this->connection->drained_handler = std::move(handler);
-    }
-
-private:
-    std::shared_ptr<server_connection> take()
-    {
-        if (this->connection)
-        {
-            this->connection->closed_handler = {};
-            this->connection->drained_handler = {};
-        }
-        return std::exchange(this->connection, nullptr);
-    }
-
-    std::shared_ptr<server_connection> connection;
-    request_head const request;
-    std::string const content;
-    time_point const began;
-    std::string const remote;
-};
-
 } // namespace
 
 server_connection::server_connection(asio::ip::tcp::socket accepted,
@@ -149,7 +67,9 @@
             self->reads = false;
             if (self->state == phase::closed)
                 return;
-            if (problem)
+            if (problem == asio::error::operation_aborted && self->context->refuses_requests)
+                self->on_read_cancelled();
+            else if (problem)
                 self->on_read_end();
             else
                 self->on_read(count);
@@ -166,6 +86,13 @@
     this->read();
 }
 
+void server_connection::on_read_cancelled()
+{
+    if (this->state == phase::idle)
+        return this->close_idle();
+    this->read();
+}
+
 void server_connection::on_read_end()
 {
     // The rest of an answer may still be on its way to a caller that closed one direction.
@@ -223,9 +150,11 @@
 
 void server_connection::dispatch()
 {
+    this->timer.cancel();
     if (this->is_over_limit)
         return this->reject({503, "this entry has no free connection"});
-    this->timer.cancel();
+    if (this->context->refuses_requests)
+        return this->reject({503, "this entry is stopping; the request was not run"});
     this->state = phase::handling;
     this->closes = !this->parser->keeps_alive();
     this->has_no_body = this->parser->head().method == "HEAD";
@@ -344,6 +273,32 @@
     this->set_timer(this->context->limits().idle_timeout + idle_allowance);
     this->take_input();
     this->read();
+    if (this->context->refuses_requests)
+        this->close_idle();
+}
+
+void server_connection::close_idle()
+{
+    if (this->state != phase::idle)
+        return;
+    asio::error_code ignored;
+    // The read may have taken a request whose completion is still queued. Cancelling it
+    // brings either those bytes or the certainty that there are none.
+    if (this->reads)
+    {
+        this->socket.cancel(ignored);
+        return;
+    }
+    // A request that the kernel has already received is read and refused.
+    if (this->socket.available(ignored) == 0)
+        return this->linger();
+    this->read();
+}
+
+void server_connection::refuse_incomplete()
+{
+    if (this->state == phase::reading)
+        this->reject({503, "this entry stops before the request is complete"});
 }
 
 void server_connection::linger()
--- a/src/process/http/internal/server_connection.hpp
+++ b/src/process/http/internal/server_connection.hpp
@@ -25,6 +25,8 @@
     clock const& time;
     /// Connections end after their next answer.
     bool closes_after_answers = false;
+    /// Requests that are complete from now on are answered with 503.
+    bool refuses_requests = false;
     std::size_t open_connections = 0;
 };
 
@@ -42,6 +44,17 @@
 
     void start();
     void close();
+    bool is_closed() const { return this->state == phase::closed; }
+    /// A request is being read, handled or answered.
+    bool is_busy() const
+    {
+        return this->state == phase::reading || this->state == phase::handling ||
+               this->state == phase::finishing;
+    }
+    /// Closes the connection in an orderly way unless a request has arrived.
+    void close_idle();
+    /// Answers a request of which only a part has arrived with 503.
+    void refuse_incomplete();
 
     // For the exchange of the current request.
     request_head const& head();
@@ -73,6 +86,7 @@
 
     void read();
     void on_read(std::size_t count);
+    void on_read_cancelled();
     void on_read_end();
     void take_input();
     void dispatch();
