Answer calls that are open at the end of a planned stop

At the end of the drain timeout open calls were closed without an answer. end_calls() answers them: 503 if they were not passed on to an endpoint, 504 if they may have run. Calls that wait for the configuration or for tokens of other entries are refused as not run and are not sent to an endpoint any more. Refusals by the server (too many connections, planned stop) now carry Retry-After.

--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -52,6 +52,12 @@
 
     void handle(std::shared_ptr<http::server_exchange> const& exchange) override;
 
+    /// The answer states that the call has not run and when its caller should come back.
+    std::string rejection_body(http::response_head& head, std::string const& reason) override;
+
+    /// Answers all open calls now, at the end of the time for a planned stop.
+    void end_calls();
+
     /// Gives tokens of the account's quota away to another entry.
     double lend_tokens(account_id const& account, double wanted);
     /// Takes tokens that another entry gave away after the call had gone on without them.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -12,6 +12,8 @@
 constexpr duration demand_interval = milliseconds(250);
 /// Of callers that state none.
 constexpr duration default_time_left = seconds(3);
+/// Another entry can take a call that this one refuses because it is stopping or full.
+constexpr duration refusal_retry_after = milliseconds(250);
 
 std::vector<event_field> describe_refusal(incoming_call const& call, admitted_call const& admitted,
                                           unsigned status)
@@ -109,12 +111,36 @@
 void call_proxy::start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                        admitted_call admitted)
 {
+    if (admitted.reason == refusal::none && this->context->is_ending)
+    {
+        admitted.reason = refusal::overloaded;
+        admitted.retry_after = refusal_retry_after;
+        call.problem = "this entry is stopping";
+    }
     if (admitted.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admitted);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admitted))
         ->start();
 }
 
+std::string call_proxy::rejection_body(http::response_head& head, std::string const& reason)
+{
+    if (head.status == 503)
+        head.headers.set("Retry-After", std::to_string(to_seconds(refusal_retry_after)));
+    return reason;
+}
+
+void call_proxy::end_calls()
+{
+    this->context->is_ending = true;
+    this->early->release();
+    for (auto const& [key, known] : std::map(this->context->running))
+    {
+        if (auto const call = known.lock())
+            call->end_at_stop();
+    }
+}
+
 void call_proxy::borrow(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                         admitted_call const& refused)
 {
--- a/src/process/proxy/internal/early_calls.cpp
+++ b/src/process/proxy/internal/early_calls.cpp
@@ -61,13 +61,28 @@
             this->waiting.push_back(std::move(call));
             continue;
         }
-        call.exchange->on_closed({});
-        this->current = call.exchange.get();
-        this->go_on(call.exchange);
-        this->current = nullptr;
+        this->go_on_with(call);
     }
     if (!this->waiting.empty())
         this->schedule();
 }
 
+void early_calls::release()
+{
+    this->timer.cancel();
+    for (auto const& call : std::exchange(this->waiting, {}))
+    {
+        if (!*call.is_gone)
+            this->go_on_with(call);
+    }
+}
+
+void early_calls::go_on_with(waiting_call const& call)
+{
+    call.exchange->on_closed({});
+    this->current = call.exchange.get();
+    this->go_on(call.exchange);
+    this->current = nullptr;
+}
+
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/early_calls.hpp
+++ b/src/process/proxy/internal/early_calls.hpp
@@ -32,6 +32,9 @@
     /// Keeps the call; false when it has waited before or too many wait.
     bool wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left);
 
+    /// Lets all calls go on at once.
+    void release();
+
     std::size_t size() const { return this->waiting.size(); }
 
 private:
@@ -44,6 +47,7 @@
 
     void schedule();
     void check();
+    void go_on_with(waiting_call const& call);
 
     clock const& time;
     std::function<bool()> const is_known;
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint32_t max_unsent_tries = 4;
 /// Part of the connections an endpoint accepts that the entries use together.
 constexpr double used_connection_part = 0.8;
-/// When a caller whose call did not run should come back.
-constexpr duration overload_retry_after = milliseconds(250);
 
 std::string milliseconds_text(duration span)
 {
@@ -43,11 +41,13 @@
 proxied_call::~proxied_call()
 {
     --this->context->open_calls;
+    this->context->running.erase(this);
 }
 
 void proxied_call::start()
 {
     auto const self = this->shared_from_this();
+    this->context->running.emplace(this, self);
     this->exchange->on_closed([self] { self->on_caller_gone(); });
     this->exchange->on_drained([self] { self->on_drained(); });
     auto const view = this->context->parts.control.view();
@@ -309,21 +309,6 @@
     return decision.delay.has_value();
 }
 
-void proxied_call::on_caller_gone()
-{
-    if (this->is_over)
-        return;
-    auto const self = this->shared_from_this();
-    if (this->current)
-    {
-        auto const attempt = std::exchange(this->current, nullptr);
-        attempt->cancel();
-        this->context->chooser.ended(this->context->parts.time.now(), this->admitted.service,
-                                     attempt->endpoint().id, std::nullopt);
-    }
-    this->finish("caller_gone", 0, "the caller closed the connection");
-}
-
 void proxied_call::record_sample(endpoint_attempt const& attempt, attempt_result result)
 {
     if (result == attempt_result::not_sent || result == attempt_result::not_run)
@@ -357,43 +342,4 @@
         this->context->parts.control.count_usage(this->admitted.account->name);
 }
 
-void proxied_call::give_up(refusal reason, std::string const& detail)
-{
-    if (this->is_over)
-        return;
-    auto const self = this->shared_from_this();
-    if (this->relay.is_committed())
-    {
-        this->exchange->abort();
-        return this->finish("broken_off", 0, detail);
-    }
-    auto const status = status_of(reason);
-    http::response_head head{status, {}, {}};
-    if (status == status_of(refusal::overloaded))
-        head.headers.set("Retry-After", std::to_string(to_seconds(overload_retry_after)));
-    this->exchange->respond(std::move(head), detail);
-    this->finish(to_string(reason), status, detail);
-}
-
-void proxied_call::finish(char const* outcome, unsigned status, std::string const& detail)
-{
-    if (std::exchange(this->is_over, true))
-        return;
-    this->timer.cancel();
-    call_end end;
-    end.outcome = outcome;
-    end.status = status;
-    end.reason = detail;
-    end.attempts = this->sends;
-    if (!this->tried.empty())
-        end.endpoint = this->tried.back();
-    end.endpoint_load = this->chosen_load;
-    end.prompt_ahead = this->sent ? this->sent->tokens_ahead : 0;
-    end.arrived = this->exchange->arrived();
-    end.first_byte = this->first_byte;
-    report_end(*this->context, this->call, this->admitted, end);
-    this->exchange->on_closed({});
-    this->exchange->on_drained({});
-}
-
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -27,6 +27,8 @@
     proxied_call& operator=(proxied_call const&) = delete;
 
     void start();
+    /// Answers the call with what is known at the end of a planned stop.
+    void end_at_stop();
 
     void on_answer(endpoint_attempt& attempt, http::response_head const& head) override;
     void on_answer_bytes(endpoint_attempt& attempt, std::string_view bytes) override;
@@ -45,6 +47,8 @@
     void on_timer();
     void on_caller_gone();
     void on_drained();
+    /// Stops the attempt without a judgement on its endpoint.
+    void cancel_attempt();
     void end_attempt(attempt_result result, std::string const& reason);
     void decide_after(attempt_result result, std::string const& reason);
     bool may_repeat(attempt_result result);
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -50,6 +50,9 @@
     time_point demand_told{};
     line_budget answered_lines;
     std::size_t open_calls = 0;
+    std::map<class proxied_call const*, std::weak_ptr<proxied_call>> running;
+    /// Calls are not sent to endpoints any more.
+    bool is_ending = false;
 };
 
 } // namespace lagoonladder::proxy
