Leave a planned stop only when every request has its answer

Callers that used an entry around its planned stop saw connections that closed without an answer, also of calls that an endpoint had run.

Cause: the daemon left when entry_list_max_age was over and a count of proxied calls was zero. The count is a sample up to 100 ms old and holds no request that is being read and no answer that is being written. Calls were taken up to the last moment, also at the end of drain_timeout, and then all connections were closed at once.

Ruled out by reading: SIGHUP changes the seeds only and closes no connection; limits of the configuration are asked for at the start of each request and timer, so that a change ends no request that has been handled.

Change: after entry_list_max_age the callers' server refuses what becomes complete and the daemon waits until its connections are closed. Then the control, directory, readiness and metrics servers and the completion interface end in the same way. 950 ms before drain_timeout calls that are open are answered. Answers of the completion interface carry Connection: close from the SIGTERM on. A second SIGTERM leaves 250 ms for all that.

--- a/src/process/completion/include/lagoonladder/completion/traffic_server.hpp
+++ b/src/process/completion/include/lagoonladder/completion/traffic_server.hpp
@@ -36,9 +36,16 @@
     /// Address that is served; valid after start().
     network_address address() const;
 
-    /// Marks this entry as leaving. Requests are still served.
+    /// Marks this entry as leaving. Requests are still served; connections end after their
+    /// next answer.
     void drain();
 
+    /// Refuses further requests and closes connections once their answers are written.
+    void close_connections();
+
+    /// After close_connections(): all connections are closed.
+    bool has_closed_connections() const;
+
     /// Requests in progress.
     std::uint32_t open_requests() const;
 
--- a/src/process/completion/internal/traffic_server.cpp
+++ b/src/process/completion/internal/traffic_server.cpp
@@ -173,6 +173,17 @@
 void traffic_server::drain()
 {
     this->state->context.control.set_leaving(this->state->context.config.vm);
+    asio::post(*this->state->context.loop, [this] { this->state->server.close_after_answers(); });
+}
+
+void traffic_server::close_connections()
+{
+    asio::post(*this->state->context.loop, [this] { this->state->server.drain(); });
+}
+
+bool traffic_server::has_closed_connections() const
+{
+    return this->state->server.is_drained();
 }
 
 std::uint32_t traffic_server::open_requests() const
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -155,33 +155,6 @@
     }
 }
 
-void pass_through_plane::drain()
-{
-    asio::post(*this->context, [this] { this->callers.close_after_answers(); });
-}
-
-void pass_through_plane::stop()
-{
-    if (!this->thread.joinable())
-        return;
-    this->control.set_platform_duties(nullptr);
-    asio::post(*this->context,
-               [this]
-               {
-                   this->count_timer.cancel();
-                   this->callers.stop();
-                   this->control_server.stop();
-                   this->directory_server.stop();
-                   this->readiness_server.stop();
-                   this->metrics_server.stop();
-                   this->prompts.stop();
-                   this->client.stop();
-                   this->duty_calls.stop();
-                   this->context->stop();
-               });
-    this->thread.join();
-}
-
 void pass_through_plane::count_open_calls()
 {
     this->open = this->proxy.open_calls();
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONLADDER_DAEMON_PASS_THROUGH_PLANE_HPP
 #define LAGOONLADDER_DAEMON_PASS_THROUGH_PLANE_HPP
 
+#include <array>
 #include <thread>
 
 #include <lagoonladder/platform.hpp>
@@ -41,7 +42,17 @@
     void start();
     /// Takes no new work: connections end after their next answer.
     void drain();
+    /// Refuses calls that arrive from now on; those that arrived before get their answers.
+    void refuse_calls();
+    /// Answers all open calls at the end of the time for a planned stop.
+    void end_calls();
+    /// Closes the servers of operators, endpoints and the platform after their open answers.
+    void close_control();
     void stop();
+    /// After refuse_calls(): all answers have been written.
+    bool has_answered_calls() const { return this->callers.is_drained(); }
+    /// After close_control(): all servers have closed their connections.
+    bool is_closed() const;
     std::size_t open_calls() const { return this->open; }
 
     // traffic_control
@@ -77,6 +88,7 @@
     template <class Result>
     void propose(version::command_body body, handler<Result> done);
     void run();
+    std::array<http::server*, 4> control_servers();
     void count_open_calls();
     http::connection_limits limits() const;
     /// Asks each lender for `part` tokens at once. `done` gets what came until it was enough
--- /dev/null
+++ b/src/process/daemon/internal/pass_through_stop.cpp
@@ -0,0 +1,69 @@
+#include "pass_through_plane.hpp"
+
+namespace lagoonladder::daemon
+{
+
+void pass_through_plane::drain()
+{
+    asio::post(*this->context, [this] { this->callers.close_after_answers(); });
+}
+
+void pass_through_plane::refuse_calls()
+{
+    asio::post(*this->context, [this] { this->callers.drain(); });
+}
+
+void pass_through_plane::end_calls()
+{
+    asio::post(*this->context,
+               [this]
+               {
+                   this->callers.refuse_incomplete();
+                   this->proxy.end_calls();
+               });
+}
+
+void pass_through_plane::close_control()
+{
+    asio::post(*this->context,
+               [this]
+               {
+                   for (auto* server : this->control_servers())
+                       server->drain();
+               });
+}
+
+bool pass_through_plane::is_closed() const
+{
+    return this->callers.is_drained() && this->control_server.is_drained() &&
+           this->directory_server.is_drained() && this->readiness_server.is_drained() &&
+           this->metrics_server.is_drained();
+}
+
+std::array<http::server*, 4> pass_through_plane::control_servers()
+{
+    return {&this->control_server, &this->directory_server, &this->readiness_server,
+            &this->metrics_server};
+}
+
+void pass_through_plane::stop()
+{
+    if (!this->thread.joinable())
+        return;
+    this->control.set_platform_duties(nullptr);
+    asio::post(*this->context,
+               [this]
+               {
+                   this->count_timer.cancel();
+                   this->callers.stop();
+                   for (auto* server : this->control_servers())
+                       server->stop();
+                   this->prompts.stop();
+                   this->client.stop();
+                   this->duty_calls.stop();
+                   this->context->stop();
+               });
+    this->thread.join();
+}
+
+} // namespace lagoonladder::daemon
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -62,6 +62,11 @@
 
 /// Part of the drain timeout that closing all servers takes.
 constexpr duration shutdown_time = milliseconds(700);
+/// Part of the drain timeout before that in which calls that are still open are answered.
+constexpr duration last_answers_time = milliseconds(250);
+/// Operators' and endpoints' calls are answered within a second, and callers have a second to
+/// close their end of a connection.
+constexpr duration closing_time = seconds(2);
 constexpr duration drain_check_interval = milliseconds(50);
 
 std::uint64_t random_seed()
@@ -200,23 +205,67 @@
         if (this->pass_through)
             this->pass_through->drain();
         auto const begun = this->time.now();
+        auto const give_up =
+            begun + this->options.drain_timeout - shutdown_time - last_answers_time;
         // Callers use this address until their answer of /v1/entries is too old.
-        auto const addresses_expire = begun + this->options.entry_list_max_age;
-        auto const give_up = begun + this->options.drain_timeout - shutdown_time;
-        while (this->time.now() < give_up)
+        auto const addresses_expire = std::min(give_up, begun + this->options.entry_list_max_age);
+        bool is_patient = this->wait_until(signals, addresses_expire, [] { return false; });
+        if (this->pass_through)
+            this->pass_through->refuse_calls();
+        if (is_patient)
+            is_patient =
+                this->wait_until(signals, give_up, [this] { return this->has_answered_calls(); });
+        // The number of calls is a sample and may still count calls that have ended.
+        auto const open = this->has_answered_calls() ? 0 : this->open_requests();
+        this->timeline.emit(open == 0 ? severity::info : severity::error,
+                            open == 0 ? "daemon.drained" : "daemon.drain_incomplete",
+                            {{"open_requests", std::to_string(open)}});
+        this->close_connections(signals, is_patient ? give_up : begun);
+        return open == 0 ? 0 : 1;
+    }
+
+    /// Answers what is still open and closes all connections. After `give_up` little time is
+    /// left for that.
+    void close_connections(process_signals& signals, time_point give_up)
+    {
+        if (this->pass_through)
+        {
+            if (!this->pass_through->has_answered_calls())
+                this->pass_through->end_calls();
+            this->pass_through->close_control();
+        }
+        this->traffic.close_connections();
+        auto const now = this->time.now();
+        auto const no_longer = now + closing_time;
+        auto const until = std::max(now, give_up) + last_answers_time;
+        this->wait_until(signals, until,
+                         [this, no_longer]
+                         {
+                             // A completion may have arrived after the last look.
+                             if (this->time.now() >= no_longer && this->open_requests() == 0)
+                                 return true;
+                             return this->traffic.has_closed_connections() &&
+                                    (!this->pass_through || this->pass_through->is_closed());
+                         });
+    }
+
+    /// False when the operator asks again to stop.
+    template <class Condition>
+    bool wait_until(process_signals& signals, time_point end, Condition const& condition)
+    {
+        while (this->time.now() < end && !condition())
         {
-            if (this->time.now() >= addresses_expire && this->open_requests() == 0)
-                return 0;
             if (signals.wait(drain_check_interval) == daemon_signal::stop)
-                break;
+                return false;
             this->control->set_open_requests(this->open_requests());
         }
-        auto const open = this->open_requests();
-        if (open == 0)
-            return 0;
-        this->timeline.emit(severity::error, "daemon.drain_incomplete",
-                            {{"open_requests", std::to_string(open)}});
-        return 1;
+        return true;
+    }
+
+    bool has_answered_calls() const
+    {
+        return this->traffic.open_requests() == 0 &&
+               (!this->pass_through || this->pass_through->has_answered_calls());
     }
 
     std::uint32_t open_requests() const
--- /dev/null
+++ b/tests/system/kept_callers.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""Callers that use one entry until its process is gone, whatever the directory says.
+
+Some keep a connection and send one request after the other, others open a connection for
+each request. Prints counts as JSON. Fails when a request was lost: it was sent whole, its
+connection ended without a complete answer, and it either ran or waited longer than the slack.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+
+SLACK_SECONDS = 0.2
+ANSWER_TIMEOUT_SECONDS = 15
+# An entry that refuses connections for so long is gone.
+GONE_SECONDS = 0.3
+OPEN_INTERVAL_SECONDS = 0.02
+
+
+class Callers:
+    def __init__(self, options):
+        self.host, port = options.target.split(":")
+        self.port = int(port)
+        self.prefix = options.prefix
+        self.path = options.path
+        self.runs = options.runs
+        self.count = 0
+        self.statuses = {}
+        self.unanswered = []
+        self.is_gone = False
+
+    async def connect(self):
+        """None when the entry refuses connections."""
+        end = time.monotonic() + GONE_SECONDS
+        while time.monotonic() < end:
+            try:
+                return await asyncio.open_connection(self.host, self.port)
+            except OSError:
+                await asyncio.sleep(0.02)
+        self.is_gone = True
+        return None
+
+    async def exchange(self, reader, writer):
+        """Sends one request; true when the connection may be used again."""
+        self.count += 1
+        name = f"{self.prefix}-{self.count}"
+        head = f"POST {self.path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: {name}\r\n"
+        head += "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n"
+        sent = None
+        try:
+            writer.write(head.encode())
+            await writer.drain()
+            sent = time.monotonic()
+            status, keeps = await asyncio.wait_for(read_answer(reader), ANSWER_TIMEOUT_SECONDS)
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+            return keeps
+        except (OSError, EOFError, asyncio.TimeoutError) as problem:
+            if sent:
+                self.unanswered.append((name, time.monotonic() - sent, repr(problem)))
+            return False
+
+    async def keep(self):
+        while not self.is_gone:
+            connection = await self.connect()
+            if connection is None:
+                return
+            while await self.exchange(*connection):
+                await asyncio.sleep(0.03)
+            connection[1].close()
+
+    async def open_anew(self):
+        while not self.is_gone:
+            connection = await self.connect()
+            if connection is None:
+                return
+            await self.exchange(*connection)
+            connection[1].close()
+            await asyncio.sleep(OPEN_INTERVAL_SECONDS)
+
+    def lost(self):
+        with open(self.runs, encoding="utf-8") as lines:
+            ran = {line.split()[0] for line in lines if line.strip()}
+        return [one for one in self.unanswered if one[0] in ran or one[1] > SLACK_SECONDS]
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+    if fields.get("transfer-encoding") == "chunked":
+        size = -1
+        while size != 0:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            await reader.readexactly(size + 2)
+    else:
+        await reader.readexactly(int(fields["content-length"]))
+    return head[0].split()[1], fields.get("connection") != "close"
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    for name in ("target", "prefix", "path", "runs"):
+        parser.add_argument("--" + name, required=True)
+    parser.add_argument("--kept", type=int, default=8)
+    parser.add_argument("--opening", type=int, default=2)
+    options = parser.parse_args()
+    callers = Callers(options)
+    await asyncio.gather(*(callers.keep() for _ in range(options.kept)),
+                         *(callers.open_anew() for _ in range(options.opening)))
+    lost = callers.lost()
+    print(json.dumps({"requests": callers.count, "statuses": callers.statuses,
+                      "crossed": len(callers.unanswered) - len(lost), "lost": lost}))
+    return 1 if lost else 0
+
+
+raise SystemExit(asyncio.run(main()))
