Test that the completion interface finishes its answers when it closes

The test guards against a stop that cuts requests which arrived after the daemon's last look at their number.

--- a/src/process/completion/tests/traffic_http_test.cpp
+++ b/src/process/completion/tests/traffic_http_test.cpp
@@ -169,6 +169,25 @@
     CHECK(one.entry.server->open_requests() == 0);
 }
 
+// Guards against a stop that cuts requests which arrived after the last look at their number.
+TEST_CASE("an entry that closes its connections finishes the answers it has begun")
+{
+    one_entry one;
+    test_engine engine(one.cluster, "engine-1");
+    engine.token_delay_us = 20'000;
+    seen_stream seen;
+    std::thread caller([&] { seen = read_completion(one.entry, chat_body()); });
+    REQUIRE(eventually([&] { return engine.attempts == 1; }));
+    one.entry.server->drain();
+    CHECK_FALSE(one.entry.server->has_closed_connections());
+    one.entry.server->close_connections();
+    REQUIRE(eventually([&] { return one.entry.server->has_closed_connections(); }));
+    one.entry.server->stop();
+    caller.join();
+    CHECK(seen.text == expected_text(0, 20));
+    CHECK(seen.is_done);
+}
+
 // Guards against two daemons that silently share a port.
 TEST_CASE("a port in use is a clear error")
 {
