Split the lending of quota tokens out of the traffic plane

The rounds in which an entry asks others for tokens are now in token_lending; nothing else changes.

Run: daemon_test passes.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -1,10 +1,5 @@
 #include "pass_through_plane.hpp"
 
-#include <algorithm>
-#include <random>
-
-#include <control.grpc.pb.h>
-
 namespace lagoonladder::daemon
 {
 
@@ -14,8 +9,6 @@
 /// An operator that waits longer asks another daemon.
 constexpr duration command_timeout = milliseconds(900);
 constexpr duration count_interval = milliseconds(100);
-/// Longer than a message to another region and back; a call that waits for it is rare.
-constexpr duration lend_timeout = milliseconds(60);
 /// Connections of operators, endpoints and the platform.
 constexpr std::size_t max_control_connections = 500;
 
@@ -46,16 +39,6 @@
 /// anew each time.
 constexpr std::size_t max_prompt_receivers = 32;
 
-/// Tokens that the other entries give for one call.
-struct lending_round
-{
-    double missing = 0;
-    double lent = 0;
-    std::size_t open = 0;
-    /// Empty once the call has gone on.
-    std::function<void(double)> done;
-};
-
 /// Bounds of calls that are not passed through; configurations may be large.
 http::connection_limits control_limits()
 {
@@ -84,7 +67,6 @@
     : options(config)
     , control(loop)
     , events(sink)
-    , peers(channels)
     , context(std::make_shared<asio::io_context>(1))
     , work(asio::make_work_guard(*this->context))
     , client(*this->context, {}, time)
@@ -94,6 +76,9 @@
     , prompts(
           *this->context, config.cluster_token,
           [this](proxy::prompt_news const& news) { this->proxy.note_prompt(news); }, sink, metrics)
+    , lending(this->context, channels, seed,
+              [this](account_id const& account, double tokens)
+              { this->proxy.deposit_tokens(account, tokens); })
     , random(seed)
     , control_calls(*this, sink)
     , directory_calls(*this, config.pass_through.directory_age)
@@ -238,57 +223,8 @@
             keepers.push_back(keeper.control);
     }
     if (!keepers.empty())
-        return this->ask_keepers(account, std::move(keepers), missing, std::move(done));
-    auto const lenders = this->other_entries();
-    auto const part = request::account_quota::part_to_ask(missing, lenders.size());
-    this->ask_lenders(account, lenders, missing, part, std::move(done));
-}
-
-void pass_through_plane::ask_keepers(account_id const& account,
-                                     std::vector<network_address> keepers, double missing,
-                                     std::function<void(double)> done)
-{
-    std::shuffle(keepers.begin(), keepers.end(), std::mt19937_64(this->random.next()));
-    this->ask_lenders(account, {keepers.front()}, missing, missing,
-                      [this, account, keepers, missing, done = std::move(done)](double lent)
-                      {
-                          if (lent >= missing || keepers.size() < 2)
-                              return done(lent);
-                          this->ask_lenders(account, {keepers[1]}, missing, missing, done);
-                      });
-}
-
-void pass_through_plane::ask_lenders(account_id const& account,
-                                     std::vector<network_address> const& lenders, double missing,
-                                     double part, std::function<void(double)> done)
-{
-    auto const round = std::make_shared<lending_round>();
-    round->missing = missing;
-    round->open = lenders.size();
-    round->done = std::move(done);
-    if (lenders.empty())
-        return asio::post(*this->context, [round] { round->done(0); });
-    protocol::LendRequest request;
-    request.set_account(account.value());
-    request.set_tokens(part);
-    for (auto const& lender : lenders)
-    {
-        std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
-        control::call_async<protocol::LendReply>(
-            this->context, this->peers, lend_timeout, request,
-            [stub](auto* call, auto const* sent, auto* reply, auto finished)
-            { stub->async()->Lend(call, sent, reply, std::move(finished)); },
-            [this, stub, account, round](grpc::Status const& status, protocol::LendReply& reply)
-            {
-                auto const lent = status.ok() ? reply.tokens() : 0;
-                // A later answer still brings its tokens.
-                if (!round->done)
-                    return this->proxy.deposit_tokens(account, lent);
-                round->lent += lent;
-                if (--round->open == 0 || round->lent >= round->missing)
-                    std::exchange(round->done, {})(round->lent);
-            });
-    }
+        return this->lending.ask_keepers(account, std::move(keepers), missing, std::move(done));
+    this->lending.ask_all(account, this->other_entries(), missing, std::move(done));
 }
 
 void pass_through_plane::tell_prompt(proxy::prompt_news const& news)
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -6,6 +6,7 @@
 #include <lagoonladder/platform.hpp>
 
 #include "prompt_exchange.hpp"
+#include "token_lending.hpp"
 #include <lagoonladder/control.hpp>
 
 namespace lagoonladder::daemon
@@ -79,13 +80,6 @@
     void run();
     void count_open_calls();
     http::connection_limits limits() const;
-    /// Asks each lender for `part` tokens at once. `done` gets what came until it was enough
-    /// for `missing` or all have answered.
-    void ask_lenders(account_id const& account, std::vector<network_address> const& lenders,
-                     double missing, double part, std::function<void(double)> done);
-    /// Asks one keeper for all that is missing, and a second one if it has too little.
-    void ask_keepers(account_id const& account, std::vector<network_address> keepers,
-                     double missing, std::function<void(double)> done);
     /// Control addresses of the other entries that take calls.
     std::vector<network_address> other_entries() const;
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
@@ -93,7 +87,6 @@
     config::settings const& options;
     control::control_loop& control;
     event_sink& events;
-    control::peer_channels& peers;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     http::client client;
@@ -102,6 +95,7 @@
     platform::call_translation translation;
     proxy::call_proxy proxy;
     prompt_exchange prompts;
+    token_lending lending;
     seeded_random random;
     platform::control_handler control_calls;
     platform::directory_handler directory_calls;
