Tell silence from refusal when an entry borrows quota tokens

Callers saw 429 although their account used half of its quota, most of them in the first seconds of a system of 86 entries and when keepers could not be reached.

Cause: with more than 16 entries an entry asks two keepers in turn for the tokens of a call. A message without an answer for 60 ms, an entry without the configuration, and an entry that does not count itself as a keeper all counted as refusals. After such a round the entry refused every call of the account for 250 ms without asking, and it refused all calls beyond four that waited for tokens. Connections to keepers were opened by the first call that needed them.

Change: keeper_round asks the next keeper when one refuses, cannot be reached or is silent for 60 ms, while the answer of the silent one still counts. Two refusals, 400 ms or half of the call's time end the round. LendReply states whether the answering entry holds tokens. Only a refusal makes the entry stop asking. Keepers that were silent are asked last for a second. 32 rounds of an account may be open with keepers. Connections to the keepers of all accounts are opened when the entries or the configuration change, 8 each 100 ms. The line call.refused and quota_rounds_total tell no_answer from too_little. Without keepers, a round that nobody answered no longer pauses either.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -1,5 +1,7 @@
 #include "pass_through_plane.hpp"
 
+#include <set>
+
 namespace lagoonladder::daemon
 {
 
@@ -76,7 +78,7 @@
     , prompts(
           *this->context, config.cluster_token,
           [this](proxy::prompt_news const& news) { this->proxy.note_prompt(news); }, sink, metrics)
-    , lending(this->context, channels, seed,
+    , lending(this->context, channels, time, seed,
               [this](account_id const& account, double tokens)
               { this->proxy.deposit_tokens(account, tokens); })
     , random(seed)
@@ -170,6 +172,7 @@
 void pass_through_plane::count_open_calls()
 {
     this->open = this->proxy.open_calls();
+    this->prepare_lending();
     this->count_timer.expires_after(count_interval);
     this->count_timer.async_wait(
         [this](asio::error_code const& problem)
@@ -179,6 +182,32 @@
         });
 }
 
+void pass_through_plane::prepare_lending()
+{
+    this->lending.connect();
+    auto const current = this->view();
+    if (!current->services || !current->is_ready || current == this->prepared_view)
+        return;
+    auto const before = std::exchange(this->prepared_view, current);
+    if (before && before->services == current->services &&
+        std::equal(before->serving.begin(), before->serving.end(), current->serving.begin(),
+                   current->serving.end(),
+                   [](auto const& one, auto const& other) { return one.vm == other.vm; }))
+        return;
+    std::set<network_address> lenders;
+    for (auto const& account : current->services->map().accounts)
+    {
+        if (!account.quota)
+            continue;
+        for (auto const& keeper : proxy::quota_keepers(*current, account.name))
+        {
+            if (keeper.vm != this->options.vm)
+                lenders.insert(keeper.control);
+        }
+    }
+    this->lending.expect({lenders.begin(), lenders.end()});
+}
+
 http::connection_limits pass_through_plane::limits() const
 {
     http::connection_limits limits;
@@ -214,7 +243,8 @@
 }
 
 void pass_through_plane::borrow_tokens(account_id const& account, double missing,
-                                       std::function<void(double)> done)
+                                       duration time_left,
+                                       std::function<void(request::lending_outcome const&)> done)
 {
     std::vector<network_address> keepers;
     for (auto const& keeper : proxy::quota_keepers(*this->view(), account))
@@ -223,7 +253,8 @@
             keepers.push_back(keeper.control);
     }
     if (!keepers.empty())
-        return this->lending.ask_keepers(account, std::move(keepers), missing, std::move(done));
+        return this->lending.ask_keepers(account, std::move(keepers), missing, time_left,
+                                         std::move(done));
     this->lending.ask_all(account, this->other_entries(), missing, std::move(done));
 }
 
@@ -250,7 +281,7 @@
 }
 
 void pass_through_plane::lend_tokens(account_id const& account, double wanted,
-                                     std::function<void(double)> done)
+                                     std::function<void(request::lender_reply const&)> done)
 {
     asio::post(*this->context, [this, account, wanted, done = std::move(done)]
                { done(this->proxy.lend_tokens(account, wanted)); });
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -50,12 +50,13 @@
     void record(version::traffic_sample const& sample) override;
     void count_usage(account_id const& account) override;
     void set_demand(std::map<account_id, double> demand) override;
-    void borrow_tokens(account_id const& account, double missing,
-                       std::function<void(double)> done) override;
+    void borrow_tokens(account_id const& account, double missing, duration time_left,
+                       std::function<void(request::lending_outcome const&)> done) override;
     void tell_prompt(proxy::prompt_news const& news) override;
 
     /// Gives tokens of the account's quota away to another entry. Safe to call from any thread.
-    void lend_tokens(account_id const& account, double wanted, std::function<void(double)> done);
+    void lend_tokens(account_id const& account, double wanted,
+                     std::function<void(request::lender_reply const&)> done);
 
     // operations
     void apply(version::apply_service_map order, handler<version::apply_map_result> done) override;
@@ -79,6 +80,8 @@
     void propose(version::command_body body, handler<Result> done);
     void run();
     void count_open_calls();
+    /// Tells the lending which entries it will ask.
+    void prepare_lending();
     http::connection_limits limits() const;
     /// Control addresses of the other entries that take calls.
     std::vector<network_address> other_entries() const;
@@ -96,6 +99,8 @@
     proxy::call_proxy proxy;
     prompt_exchange prompts;
     token_lending lending;
+    /// The view that the lending was prepared for.
+    std::shared_ptr<proxy::traffic_view const> prepared_view;
     seeded_random random;
     platform::control_handler control_calls;
     platform::directory_handler directory_calls;
--- a/src/process/daemon/internal/quota_service.cpp
+++ b/src/process/daemon/internal/quota_service.cpp
@@ -18,13 +18,16 @@
         return control::missing_cluster_token();
     if (this->plane == nullptr)
         return grpc::Status::OK;
-    auto const answer = std::make_shared<std::promise<double>>();
+    auto const answer = std::make_shared<std::promise<request::lender_reply>>();
     auto lent = answer->get_future();
     this->plane->lend_tokens(account_id(request->account()), request->tokens(),
-                             [answer](double tokens) { answer->set_value(tokens); });
+                             [answer](request::lender_reply const& lent_now)
+                             { answer->set_value(lent_now); });
     if (lent.wait_for(control::remaining_time(*context)) != std::future_status::ready)
         return {grpc::StatusCode::DEADLINE_EXCEEDED, "the traffic thread did not answer in time"};
-    reply->set_tokens(lent.get());
+    auto const given = lent.get();
+    reply->set_tokens(given.lent);
+    reply->set_is_holder(given.is_holder);
     return grpc::Status::OK;
 }
 
--- a/src/process/daemon/internal/token_lending.cpp
+++ b/src/process/daemon/internal/token_lending.cpp
@@ -1,12 +1,9 @@
 #include "token_lending.hpp"
 
 #include <algorithm>
-#include <random>
 
 #include <control.grpc.pb.h>
 
-#include <lagoonladder/request.hpp>
-
 namespace lagoonladder::daemon
 {
 
@@ -15,78 +12,196 @@
 
 /// Longer than a message to another region and back; a call that waits for it is rare.
 constexpr duration lend_timeout = milliseconds(60);
+/// Connections opened at one time. A system that starts opens all of its connections in
+/// the same seconds.
+constexpr std::size_t connections_at_once = 8;
 
-/// Tokens that the other entries give for one call.
+/// Tokens that all other entries give for one call.
 struct lending_round
 {
     double missing = 0;
     double lent = 0;
     std::size_t open = 0;
+    bool is_answered = false;
     /// Empty once the call has gone on.
-    std::function<void(double)> done;
+    token_lending::handler done;
 };
 
 } // namespace
 
+struct token_lending::keeper_call
+{
+    keeper_call(asio::io_context& loop, account_id whose, std::vector<network_address> order,
+                double wanted, handler when_over)
+        : account(std::move(whose))
+        , keepers(std::move(order))
+        , missing(wanted)
+        , round(this->keepers.size(), wanted)
+        , is_answered(this->keepers.size())
+        , done(std::move(when_over))
+        , silence(loop)
+        , expiry(loop)
+    {
+    }
+
+    account_id account;
+    std::vector<network_address> keepers;
+    double missing;
+    request::keeper_round round;
+    std::vector<bool> is_answered;
+    /// Empty once the call has gone on.
+    handler done;
+    asio::steady_timer silence;
+    asio::steady_timer expiry;
+};
+
 token_lending::token_lending(std::shared_ptr<asio::io_context> loop,
-                             control::peer_channels& channels, std::uint64_t seed, late_tokens late)
+                             control::peer_channels& channels, clock const& time_source,
+                             std::uint64_t seed, late_tokens late)
     : context(std::move(loop))
     , peers(channels)
+    , time(time_source)
     , random(seed)
     , deposit(std::move(late))
 {
 }
 
-void token_lending::ask_all(account_id const& account, std::vector<network_address> const& lenders,
-                            double missing, std::function<void(double)> done)
+void token_lending::expect(std::vector<network_address> const& keepers)
 {
-    auto const part = request::account_quota::part_to_ask(missing, lenders.size());
-    this->ask(account, lenders, missing, part, std::move(done));
+    for (auto const& keeper : keepers)
+    {
+        if (this->expected.insert(keeper).second)
+            this->unconnected.push_back(keeper);
+    }
 }
 
-void token_lending::ask_keepers(account_id const& account, std::vector<network_address> keepers,
-                                double missing, std::function<void(double)> done)
+void token_lending::connect()
+{
+    for (std::size_t i = 0; i < connections_at_once && !this->unconnected.empty(); ++i)
+    {
+        this->peers.channel(this->unconnected.front())->GetState(true);
+        this->unconnected.pop_front();
+    }
+}
+
+void token_lending::send(
+    account_id const& account, network_address const& lender, double tokens, duration timeout,
+    std::function<void(grpc::Status const&, request::lender_reply const&)> done)
 {
-    std::shuffle(keepers.begin(), keepers.end(), std::mt19937_64(this->random.next()));
-    this->ask(account, {keepers.front()}, missing, missing,
-              [this, account, keepers, missing, done = std::move(done)](double lent)
-              {
-                  if (lent >= missing || keepers.size() < 2)
-                      return done(lent);
-                  this->ask(account, {keepers[1]}, missing, missing, done);
-              });
+    protocol::LendRequest request;
+    request.set_account(account.value());
+    request.set_tokens(tokens);
+    std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
+    control::call_async<protocol::LendReply>(
+        this->context, this->peers, timeout, request,
+        [stub](auto* call, auto const* sent, auto* reply, auto finished)
+        { stub->async()->Lend(call, sent, reply, std::move(finished)); },
+        [stub, done = std::move(done)](grpc::Status const& status, protocol::LendReply& reply)
+        {
+            request::lender_reply given;
+            if (status.ok())
+                given = {reply.tokens(), reply.is_holder()};
+            done(status, given);
+        });
 }
 
-void token_lending::ask(account_id const& account, std::vector<network_address> const& lenders,
-                        double missing, double part, std::function<void(double)> done)
+void token_lending::ask_all(account_id const& account, std::vector<network_address> const& lenders,
+                            double missing, handler done)
 {
+    auto const part = request::account_quota::part_to_ask(missing, lenders.size());
     auto const round = std::make_shared<lending_round>();
     round->missing = missing;
     round->open = lenders.size();
     round->done = std::move(done);
     if (lenders.empty())
-        return asio::post(*this->context, [round] { round->done(0); });
-    protocol::LendRequest request;
-    request.set_account(account.value());
-    request.set_tokens(part);
+        return asio::post(*this->context, [round] { round->done({}); });
     for (auto const& lender : lenders)
     {
-        std::shared_ptr stub = protocol::Quotas::NewStub(this->peers.channel(lender));
-        control::call_async<protocol::LendReply>(
-            this->context, this->peers, lend_timeout, request,
-            [stub](auto* call, auto const* sent, auto* reply, auto finished)
-            { stub->async()->Lend(call, sent, reply, std::move(finished)); },
-            [this, stub, account, round](grpc::Status const& status, protocol::LendReply& reply)
+        this->send(
+            account, lender, part, lend_timeout,
+            [this, account, round](grpc::Status const& status, request::lender_reply const& reply)
             {
-                auto const lent = status.ok() ? reply.tokens() : 0;
                 // A later answer still brings its tokens.
                 if (!round->done)
-                    return this->deposit(account, lent);
-                round->lent += lent;
-                if (--round->open == 0 || round->lent >= round->missing)
-                    std::exchange(round->done, {})(round->lent);
+                    return this->deposit(account, reply.lent);
+                round->lent += reply.lent;
+                round->is_answered = round->is_answered || status.ok();
+                bool const is_enough = round->lent >= round->missing;
+                if (--round->open > 0 && !is_enough)
+                    return;
+                std::exchange(round->done, {})({round->lent, round->is_answered && !is_enough});
             });
     }
 }
 
+void token_lending::ask_keepers(account_id const& account, std::vector<network_address> keepers,
+                                double missing, duration time_left, handler done)
+{
+    auto order = this->contacts.order(this->time.now(), std::move(keepers), this->random);
+    auto const call = std::make_shared<keeper_call>(*this->context, account, std::move(order),
+                                                    missing, std::move(done));
+    // The endpoint needs the other half.
+    call->expiry.expires_after(std::min(request::keeper_round::longest, time_left / 2));
+    call->expiry.async_wait(
+        [this, call](asio::error_code const& problem)
+        {
+            if (problem)
+                return;
+            call->round.expire();
+            this->finish(*call);
+        });
+    this->ask_next(call, call->round.start());
+}
+
+void token_lending::ask_next(std::shared_ptr<keeper_call> const& call,
+                             std::optional<std::size_t> keeper)
+{
+    if (call->round.is_over())
+        return this->finish(*call);
+    if (!keeper)
+        return;
+    this->wait_for(call, *keeper);
+    this->send(call->account, call->keepers[*keeper], call->missing, request::keeper_round::longest,
+               [this, call, number = *keeper](grpc::Status const& status,
+                                              request::lender_reply const& reply)
+               { this->answered(call, number, status, reply); });
+}
+
+void token_lending::wait_for(std::shared_ptr<keeper_call> const& call, std::size_t keeper)
+{
+    call->silence.expires_after(request::keeper_round::silence);
+    call->silence.async_wait(
+        [this, call, keeper](asio::error_code const& problem)
+        {
+            if (problem || call->is_answered[keeper])
+                return;
+            this->contacts.silent(this->time.now(), call->keepers[keeper]);
+            this->ask_next(call, call->round.silent(keeper));
+        });
+}
+
+void token_lending::answered(std::shared_ptr<keeper_call> const& call, std::size_t keeper,
+                             grpc::Status const& status, request::lender_reply const& reply)
+{
+    call->is_answered[keeper] = true;
+    if (status.ok())
+        this->contacts.answered(call->keepers[keeper]);
+    else
+        this->contacts.silent(this->time.now(), call->keepers[keeper]);
+    // A later answer still brings its tokens.
+    if (!call->done)
+        return this->deposit(call->account, reply.lent);
+    this->ask_next(call,
+                   status.ok() ? call->round.answered(keeper, reply) : call->round.failed(keeper));
+}
+
+void token_lending::finish(keeper_call& call)
+{
+    if (!call.done)
+        return;
+    call.silence.cancel();
+    call.expiry.cancel();
+    std::exchange(call.done, {})(call.round.outcome());
+}
+
 } // namespace lagoonladder::daemon
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -53,7 +53,7 @@
     void handle(std::shared_ptr<http::server_exchange> const& exchange) override;
 
     /// Gives tokens of the account's quota away to another entry.
-    double lend_tokens(account_id const& account, double wanted);
+    request::lender_reply lend_tokens(account_id const& account, double wanted);
     /// Takes tokens that another entry gave away after the call had gone on without them.
     void deposit_tokens(account_id const& account, double tokens);
 
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -70,9 +70,10 @@
     /// Tokens a second that accounts ask for at this entry.
     virtual void set_demand(std::map<account_id, double> demand) = 0;
     /// Asks the other entries for tokens of the account's quota. `done` gets what they
-    /// gave, on the traffic thread and within a bounded time.
-    virtual void borrow_tokens(account_id const& account, double missing,
-                               std::function<void(double)> done) = 0;
+    /// gave, on the traffic thread and within a bounded time, which is shorter when
+    /// the call has little `time_left`.
+    virtual void borrow_tokens(account_id const& account, double missing, duration time_left,
+                               std::function<void(request::lending_outcome const&)> done) = 0;
     /// Tells the other entries of a prompt, so that they count it at the engine. May be lost.
     virtual void tell_prompt(prompt_news const& news) = 0;
 };
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -52,6 +52,8 @@
     request::peer_demand quota_demand;
     /// Tokens that this entry's part lacks when the quota refuses the call.
     double missing_tokens = 0;
+    /// What came of asking other entries for them.
+    char const* lending = "not_asked";
 };
 
 /// What decides on this entry's part of an account's quota.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -33,10 +33,18 @@
     fields.push_back({"demand_here", std::to_string(demand.own)});
     fields.push_back({"demand_elsewhere", std::to_string(demand.others)});
     fields.push_back({"entries", std::to_string(demand.entries)});
+    fields.push_back({"lending", admitted.lending});
     fields.push_back({"retry_after", format_duration(admitted.retry_after)});
     return fields;
 }
 
+char const* describe_lending(request::lending_outcome const& outcome, double missing)
+{
+    if (outcome.lent >= missing)
+        return "enough";
+    return outcome.refused ? "too_little" : "no_answer";
+}
+
 /// Answers a call that is not admitted.
 void refuse(proxy_context& context, http::server_exchange& exchange, incoming_call const& call,
             admitted_call const& admitted)
@@ -101,7 +109,8 @@
         this->early->wait(exchange, call.time_left.value_or(default_time_left)))
         return;
     if (admitted.reason == refusal::over_quota && view->entries > 1 &&
-        this->context->borrowing.begin_round(now, admitted.account->name))
+        this->context->borrowing.begin_round(now, admitted.account->name,
+                                             admitted.quota_demand.keepers > 0))
         return this->borrow(exchange, std::move(call), admitted);
     this->start(exchange, std::move(call), std::move(admitted));
 }
@@ -123,34 +132,36 @@
     ++this->context->open_calls;
     auto const& account = refused.account->name;
     this->context->parts.control.borrow_tokens(
-        account, refused.missing_tokens,
-        [this, exchange, call = std::move(call), admitted = refused, is_gone](double lent) mutable
+        account, refused.missing_tokens, refused.deadline - this->context->parts.time.now(),
+        [this, exchange, call = std::move(call), admitted = refused,
+         is_gone](request::lending_outcome const& outcome) mutable
         {
             --this->context->open_calls;
             exchange->on_closed({});
             auto const now = this->context->parts.time.now();
             auto& quotas = this->context->quotas;
-            bool const is_enough = lent >= admitted.missing_tokens;
-            this->context->borrowing.end_round(now, admitted.account->name, is_enough);
-            this->context->parts.metrics.add("quota_rounds_total",
-                                             {{"outcome", is_enough ? "enough" : "too_little"}});
+            admitted.lending = describe_lending(outcome, admitted.missing_tokens);
+            this->context->borrowing.end_round(now, admitted.account->name, outcome);
+            this->context->parts.metrics.add("quota_rounds_total", {{"outcome", admitted.lending}});
             if (*is_gone)
-                return quotas.deposit(admitted.account->name, lent);
+                return quotas.deposit(admitted.account->name, outcome.lent);
             auto const view = this->context->parts.control.view();
-            admit_again(now, *view, quotas, this->context->options.quota, lent, admitted);
+            admit_again(now, *view, quotas, this->context->options.quota, outcome.lent, admitted);
             this->start(exchange, std::move(call), std::move(admitted));
         });
 }
 
-double call_proxy::lend_tokens(account_id const& account, double wanted)
+request::lender_reply call_proxy::lend_tokens(account_id const& account, double wanted)
 {
     auto const view = this->context->parts.control.view();
     auto const* known = view->services ? view->services->find_account(account) : nullptr;
     if (known == nullptr || !known->quota)
-        return 0;
+        return {};
     auto const situation = quota_situation_of(*view, *known, this->context->options.quota);
-    return this->context->quotas.lend(this->context->parts.time.now(), account, situation.limit,
-                                      situation.peers, wanted);
+    auto const& peers = situation.peers;
+    auto const lent = this->context->quotas.lend(this->context->parts.time.now(), account,
+                                                 situation.limit, peers, wanted);
+    return {lent, peers.keepers == 0 || peers.is_keeper};
 }
 
 void call_proxy::deposit_tokens(account_id const& account, double tokens)
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -6,7 +6,6 @@
 #include <lagoonladder/proxy/call_proxy.hpp>
 
 #include "endpoint_chooser.hpp"
-#include "quota_borrowing.hpp"
 
 namespace lagoonladder::proxy
 {
@@ -45,7 +44,7 @@
     seeded_random random;
     endpoint_chooser chooser;
     request::account_quota quotas;
-    quota_borrowing borrowing;
+    request::quota_borrowing borrowing;
     std::map<service_name, request::retry_budget> budgets;
     time_point demand_told{};
     line_budget answered_lines;
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -78,11 +78,12 @@
     void record(lagoonladder::version::traffic_sample const&) override {}
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
     void set_demand(std::map<lagoonladder::account_id, double>) override {}
-    void borrow_tokens(lagoonladder::account_id const& account, double missing,
-                       std::function<void(double)> done) override
+    void
+    borrow_tokens(lagoonladder::account_id const& account, double missing, lagoonladder::duration,
+                  std::function<void(lagoonladder::request::lending_outcome const&)> done) override
     {
         this->borrowed.push_back({account, missing});
-        done(this->lent);
+        done({this->lent, this->lent < missing && this->others_answer});
     }
     void tell_prompt(lagoonladder::proxy::prompt_news const& news) override
     {
@@ -101,6 +102,7 @@
     std::vector<std::pair<lagoonladder::account_id, double>> borrowed;
     /// What other entries give at each request for tokens.
     double lent = 0;
+    bool others_answer = true;
     std::vector<lagoonladder::proxy::prompt_news> told;
 
 private:
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -274,13 +274,28 @@
     CHECK(system.control.borrowed.size() == 1);
 }
 
+TEST_CASE("entries that do not answer do not make the next calls fail")
+{
+    // Guards against 250 ms of refusals below the quota after each message that was lost.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    set_quota(system, 200);
+    CHECK(system.call("/plain/x", "id-1").status() == 200);
+    system.control.others_answer = false;
+    CHECK(system.call("/plain/x", "id-2").status() == 429);
+    system.control.lent = 100;
+    CHECK(system.call("/plain/x", "id-3").status() == 200);
+}
+
 TEST_CASE("an entry lends tokens of known accounts with a quota only")
 {
     proxy_fixture system;
-    CHECK(system.proxy.lend_tokens(account_id("account"), 10) == 0);
+    CHECK(system.proxy.lend_tokens(account_id("account"), 10).lent == 0);
+    CHECK_FALSE(system.proxy.lend_tokens(account_id("account"), 10).is_holder);
     set_quota(system, 200);
-    CHECK(system.proxy.lend_tokens(account_id("other"), 10) == 0);
-    CHECK(system.proxy.lend_tokens(account_id("account"), 10) == 10);
+    CHECK(system.proxy.lend_tokens(account_id("other"), 10).lent == 0);
+    CHECK(system.proxy.lend_tokens(account_id("account"), 10).lent == 10);
+    CHECK(system.proxy.lend_tokens(account_id("account"), 10).is_holder);
 }
 
 TEST_CASE("a call that comes before the configuration waits for it")
--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -8,12 +8,14 @@
 #include <lagoonladder/request/admission.hpp>
 #include <lagoonladder/request/event_splitter.hpp>
 #include <lagoonladder/request/fair_queue.hpp>
+#include <lagoonladder/request/keeper_round.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/once_record.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
 #include <lagoonladder/request/prompt_backlog.hpp>
 #include <lagoonladder/request/queue_trend.hpp>
 #include <lagoonladder/request/queued_request.hpp>
+#include <lagoonladder/request/quota_borrowing.hpp>
 #include <lagoonladder/request/retry_budget.hpp>
 #include <lagoonladder/request/route_choice.hpp>
 #include <lagoonladder/request/service_rate.hpp>
--- /dev/null
+++ b/src/request/internal/keeper_round.cpp
@@ -0,0 +1,92 @@
+#include <lagoonladder/request/keeper_round.hpp>
+
+#include <algorithm>
+
+namespace lagoonladder::request
+{
+
+namespace
+{
+
+/// Two keepers without enough tokens hold half of what there is; the others hold no more.
+constexpr std::size_t refusals_to_end = 2;
+
+} // namespace
+
+keeper_round::keeper_round(std::size_t keepers, double wanted)
+    : count(keepers)
+    , missing(wanted)
+    , settled(keepers)
+{
+}
+
+std::optional<std::size_t> keeper_round::start()
+{
+    this->over = this->count == 0;
+    return this->ask_next();
+}
+
+std::optional<std::size_t> keeper_round::ask_next()
+{
+    if (this->over || this->asked == this->count)
+        return std::nullopt;
+    return this->asked++;
+}
+
+std::optional<std::size_t> keeper_round::answered(std::size_t keeper, lender_reply const& reply)
+{
+    if (this->over)
+        return std::nullopt;
+    this->lent += reply.lent;
+    if (reply.is_holder && reply.lent <= 0)
+        ++this->refusals;
+    if (this->lent >= this->missing || this->refusals >= refusals_to_end)
+        this->over = true;
+    return this->failed(keeper);
+}
+
+std::optional<std::size_t> keeper_round::failed(std::size_t keeper)
+{
+    ++this->ended;
+    auto const next = this->silent(keeper);
+    if (this->ended == this->asked)
+        this->over = true;
+    return next;
+}
+
+std::optional<std::size_t> keeper_round::silent(std::size_t keeper)
+{
+    if (this->settled[keeper])
+        return std::nullopt;
+    this->settled[keeper] = true;
+    return this->ask_next();
+}
+
+lending_outcome keeper_round::outcome() const
+{
+    return {this->lent, this->lent<this->missing&& this->refusals> 0};
+}
+
+void lender_contacts::silent(time_point now, network_address const& lender)
+{
+    this->silent_until[lender] = now + memory;
+}
+
+void lender_contacts::answered(network_address const& lender)
+{
+    this->silent_until.erase(lender);
+}
+
+std::vector<network_address>
+lender_contacts::order(time_point now, std::vector<network_address> lenders, random_source& random)
+{
+    std::erase_if(this->silent_until, [&](auto const& known) { return known.second <= now; });
+    for (auto left = lenders.size(); left > 1; --left)
+        std::swap(lenders[left - 1], lenders[random.below(left)]);
+    std::stable_partition(lenders.begin(), lenders.end(),
+                          [&](network_address const& lender)
+                          { return !this->silent_until.contains(lender); });
+    return lenders;
+}
+
+} // namespace lagoonladder::request
