Choose endpoints without copies of their rows

Each attempt of a passed call copied all endpoint rows of the service, a dozen strings each, and built an ordered map of their addresses. The chooser now works with pointers into the immutable view, finds replaced rows with a hash table of views of the addresses, and copies the chosen row only.

lagoonladder_capacity has a section "placement" for the choice of one attempt.

The copies of ids in the candidates and the policy's maps are what is left.

--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <unordered_map>
 
 namespace lagoonladder::proxy
 {
@@ -28,15 +30,19 @@
 }
 
 /// Two rows with one address: the endpoint that started later has it now.
-void remove_replaced(std::vector<connection::endpoint_record>& rows)
+void remove_replaced(endpoint_rows& rows)
 {
-    std::map<network_address, incarnation> latest;
-    for (auto const& row : rows)
+    std::unordered_map<std::string_view, incarnation> latest;
+    latest.reserve(rows.size());
+    for (auto const* row : rows)
     {
-        auto& known = latest[row.address];
-        known = std::max(known, row.incarnation);
+        auto& known = latest[row->address.value()];
+        known = std::max(known, row->incarnation);
     }
-    std::erase_if(rows, [&](auto const& row) { return row.incarnation < latest[row.address]; });
+    if (latest.size() == rows.size())
+        return;
+    std::erase_if(rows,
+                  [&](auto const* row) { return row->incarnation < latest[row->address.value()]; });
 }
 
 request::route_candidate make_candidate(connection::endpoint_record const& row, double load)
@@ -54,35 +60,37 @@
 
 /// Endpoints of the version that a running move gives the call. While there are none
 /// of it, the others serve, but no endpoint of the candidate before its first share.
-std::vector<connection::endpoint_record>
-select_version(std::vector<connection::endpoint_record> rows, version::traffic_split const& split,
-               request_id const& call)
+endpoint_rows select_version(endpoint_rows rows, version::traffic_split const& split,
+                             request_id const& call)
 {
-    auto const is_candidate = [&](auto const& row) { return row.version == split.candidate; };
+    auto const is_candidate = [&](auto const* row) { return row->version == split.candidate; };
     bool const has_candidate = std::any_of(rows.begin(), rows.end(), is_candidate);
     bool const has_stable = !std::all_of(rows.begin(), rows.end(), is_candidate);
     bool const wants_candidate = split.choose(call) == split.candidate;
     bool const may_use_candidate = split.candidate_share > 0;
     bool const uses_candidate =
         has_candidate && (wants_candidate || (!has_stable && may_use_candidate));
-    std::erase_if(rows, [&](auto const& row) { return is_candidate(row) != uses_candidate; });
+    std::erase_if(rows, [&](auto const* row) { return is_candidate(row) != uses_candidate; });
     return rows;
 }
 
 } // namespace
 
-std::vector<connection::endpoint_record>
-usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call)
+endpoint_rows usable_endpoints(traffic_view const& view, service_name const& service,
+                               request_id const& call)
 {
     auto const known = view.endpoints.find(service);
     if (known == view.endpoints.end())
         return {};
-    auto rows = known->second;
+    endpoint_rows rows;
+    rows.reserve(known->second.size());
+    for (auto const& row : known->second)
+        rows.push_back(&row);
     remove_replaced(rows);
-    std::erase_if(rows, [](auto const& row) { return !is_serving(row); });
+    std::erase_if(rows, [](auto const* row) { return !is_serving(*row); });
     auto const reversed = view.reversed.find(service);
     if (reversed != view.reversed.end())
-        std::erase_if(rows, [&](auto const& row) { return row.version == reversed->second; });
+        std::erase_if(rows, [&](auto const* row) { return row->version == reversed->second; });
     auto const found = view.splits.find(service);
     if (found == view.splits.end())
         return rows;
@@ -92,9 +100,9 @@
         return select_version(std::move(rows), split, call);
     }
     bool const has_stable = std::any_of(
-        rows.begin(), rows.end(), [&](auto const& row) { return row.version == split.stable; });
+        rows.begin(), rows.end(), [&](auto const* row) { return row->version == split.stable; });
     if (has_stable)
-        std::erase_if(rows, [&](auto const& row) { return row.version != split.stable; });
+        std::erase_if(rows, [&](auto const* row) { return row->version != split.stable; });
     return rows;
 }
 
@@ -114,11 +122,11 @@
                          std::vector<endpoint_id> const& excluded, random_source& random)
 {
     auto rows = usable_endpoints(view, service, call.id);
-    std::erase_if(rows, [&](auto const& row) { return this->is_gone(now, row); });
+    std::erase_if(rows, [&](auto const* row) { return this->is_gone(now, *row); });
     std::vector<request::route_candidate> candidates;
     candidates.reserve(rows.size());
-    for (auto const& row : rows)
-        candidates.push_back(make_candidate(row, this->loads.estimate(now, row.id)));
+    for (auto const* row : rows)
+        candidates.push_back(make_candidate(*row, this->loads.estimate(now, row->id)));
     request::route_query query;
     query.data_centre = view.data_centre;
     query.excluded = excluded;
@@ -131,8 +139,8 @@
     if (!chosen)
         return std::nullopt;
     auto const row = std::find_if(rows.begin(), rows.end(),
-                                  [&](auto const& other) { return other.id == *chosen; });
-    return *row;
+                                  [&](auto const* other) { return other->id == *chosen; });
+    return **row;
 }
 
 void endpoint_chooser::keep_cheapest(time_point now, request::prompt_parts const& prompt,
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -70,9 +70,12 @@
     std::uint64_t next_report = 1;
 };
 
+/// Rows of a view, which has to outlive them. A copy of a row copies a dozen strings.
+using endpoint_rows = std::vector<connection::endpoint_record const*>;
+
 /// Endpoints of the service that a call may go to by their state and version.
-std::vector<connection::endpoint_record>
-usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call);
+endpoint_rows usable_endpoints(traffic_view const& view, service_name const& service,
+                               request_id const& call);
 
 } // namespace lagoonladder::proxy
 
--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -87,3 +87,56 @@
     CHECK(engines.choose({{1, 1}}, {endpoint_id("e1"), endpoint_id("e2"), endpoint_id("e3")})
               .empty());
 }
+
+namespace
+{
+
+connection::endpoint_record make_row(std::string const& id, std::string const& address,
+                                     std::uint64_t started, std::string const& version)
+{
+    connection::endpoint_record row;
+    row.id = endpoint_id(id);
+    row.address = network_address(address);
+    row.incarnation = incarnation(started);
+    row.version = version_name(version);
+    return row;
+}
+
+/// Ids of the endpoints that calls may go to, in their order in the view.
+std::string usable_ids(traffic_view const& view)
+{
+    std::string ids;
+    for (auto const* row : usable_endpoints(view, service_name("s"), request_id("id")))
+        ids += (ids.empty() ? "" : " ") + row->id.value();
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint whose address another one has taken over gets no calls")
+{
+    // Guards against calls to an endpoint that is gone while its row is still known, also
+    // when the later endpoint does not serve.
+    traffic_view view;
+    auto& rows = view.endpoints[service_name("s")];
+    rows = {make_row("old", "a:1", 1, "v1"), make_row("other", "b:1", 1, "v1"),
+            make_row("new", "a:1", 2, "v1")};
+    CHECK(usable_ids(view) == "other new");
+    rows[2].state = connection::endpoint_state::leaving;
+    CHECK(usable_ids(view) == "other");
+}
+
+TEST_CASE("endpoints of a reversed version or beside the stable one get no calls")
+{
+    traffic_view view;
+    view.endpoints[service_name("s")] = {make_row("e1", "a:1", 1, "v1"),
+                                         make_row("e2", "b:1", 1, "v2"),
+                                         make_row("e3", "c:1", 1, "v3")};
+    CHECK(usable_ids(view) == "e1 e2 e3");
+    view.reversed[service_name("s")] = version_name("v2");
+    CHECK(usable_ids(view) == "e1 e3");
+    view.splits[service_name("s")].stable = version_name("v3");
+    CHECK(usable_ids(view) == "e3");
+    view.splits[service_name("s")].stable = version_name("v4");
+    CHECK(usable_ids(view) == "e1 e3");
+}
--- a/tools/capacity/internal/slopes.hpp
+++ b/tools/capacity/internal/slopes.hpp
@@ -9,6 +9,7 @@
 void measure_routing();
 void measure_gossip();
 void measure_spread();
+void measure_placement();
 void measure_configuration();
 void measure_consensus();
 void measure_once_records();
--- a/tools/capacity/main.cpp
+++ b/tools/capacity/main.cpp
@@ -20,6 +20,7 @@
     {"once", measure_once_records},
     {"restart", measure_restart},
     {"spread", measure_spread},
+    {"placement", measure_placement},
 };
 
 } // namespace
