--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -10,6 +10,7 @@
 
 #include "loop_lag.hpp"
 #include "prompt_exchange.hpp"
+#include "token_lending.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -62,12 +63,13 @@
     void record(version::traffic_sample const& sample) override;
     void count_usage(account_id const& account) override;
     void set_demand(std::map<account_id, double> demand) override;
-    void borrow_tokens(account_id const& account, double missing,
-                       std::function<void(double)> done) override;
+    void borrow_tokens(account_id const& account, double missing, duration time_left,
+                       std::function<void(request::lending_outcome const&)> done) override;
     void tell_prompt(proxy::prompt_news const& news) override;
 
     /// Gives tokens of the account's quota away to another entry. Safe to call from any thread.
-    void lend_tokens(account_id const& account, double wanted, std::function<void(double)> done);
+    void lend_tokens(account_id const& account, double wanted,
+                     std::function<void(request::lender_reply const&)> done);
 
     // operations
     void apply(version::apply_service_map order, handler<version::apply_map_result> done) override;
@@ -93,14 +95,9 @@
     void run();
     std::array<http::server*, 4> control_servers();
     void count_open_calls();
+    /// Tells the lending which entries it will ask.
+    void prepare_lending();
     http::connection_limits limits() const;
-    /// Asks each lender for `part` tokens at once. `done` gets what came until it was enough
-    /// for `missing` or all have answered.
-    void ask_lenders(account_id const& account, std::vector<network_address> const& lenders,
-                     double missing, double part, std::function<void(double)> done);
-    /// Asks one keeper for all that is missing, and a second one if it has too little.
-    void ask_keepers(account_id const& account, std::vector<network_address> keepers,
-                     double missing, std::function<void(double)> done);
     /// Control addresses of the other entries that take calls.
     std::vector<network_address> other_entries() const;
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
@@ -108,7 +105,6 @@
     config::settings const& options;
     control::control_loop& control;
     event_sink& events;
-    control::peer_channels& peers;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     http::client client;
@@ -117,6 +113,9 @@
     platform::call_translation translation;
     proxy::call_proxy proxy;
     prompt_exchange prompts;
+    token_lending lending;
+    /// The view that the lending was prepared for.
+    std::shared_ptr<proxy::traffic_view const> prepared_view;
     seeded_random random;
     platform::control_handler control_calls;
     platform::directory_handler directory_calls;
