Split the rows of digests from the gossip driver

The encoding, the versions and the choice of rows are now in gossip_rows; the fixture of the driver's tests is a header, so that other tests of the driver can use it. No change of behaviour; the tests of the driver pass as before.

--- a/src/process/control/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
-#include <unordered_map>
 
 #include <control.grpc.pb.h>
 
+#include "gossip_rows.hpp"
+
 namespace lagoonladder::control
 {
 
@@ -18,90 +19,6 @@
 /// Each receiver of news passes it on, so a part of a large system is enough.
 constexpr std::size_t max_news_peers = 16;
 
-template <class Row>
-std::string pack(std::vector<Row> const& rows)
-{
-    std::string bytes;
-    nlohmann::json::to_msgpack(nlohmann::json(rows), bytes);
-    return bytes;
-}
-
-/// A row that cannot be read is left out and logged: it must not keep the others
-/// from spreading.
-template <class Row>
-std::vector<Row> unpack(std::string const& bytes, std::string const& from, event_sink& events)
-{
-    std::vector<Row> rows;
-    if (bytes.empty())
-        return rows;
-    for (auto const& item : nlohmann::json::from_msgpack(bytes))
-    {
-        try
-        {
-            rows.push_back(item.get<Row>());
-        }
-        catch (nlohmann::json::exception const& problem)
-        {
-            events.emit(severity::warning, "gossip.row_dropped",
-                        {{"from", from}, {"reason", problem.what()}});
-        }
-    }
-    return rows;
-}
-
-template <class Row>
-void keep_leaving(std::vector<Row>& rows)
-{
-    using state = decltype(Row::state);
-    std::erase_if(rows, [](Row const& row) { return row.state != state::leaving; });
-}
-
-std::uint64_t key_of(connection::endpoint_record const& row)
-{
-    return stable_hash(row.id.value(), row.incarnation.value());
-}
-
-std::uint64_t key_of(connection::entry_record const& row)
-{
-    return stable_hash(row.vm.value(), row.incarnation.value());
-}
-
-std::uint64_t version_of(connection::endpoint_record const& row)
-{
-    return 2 * row.sequence + (row.state == connection::endpoint_state::leaving ? 1 : 0);
-}
-
-std::uint64_t version_of(connection::entry_record const& row)
-{
-    return 2 * row.heartbeat.value() + (row.state == connection::entry_state::leaving ? 1 : 0);
-}
-
-template <class Row>
-void add_versions(std::vector<Row> const& rows, protocol::RowVersions& out)
-{
-    for (auto const& row : rows)
-    {
-        out.add_keys(key_of(row));
-        out.add_versions(version_of(row));
-    }
-}
-
-/// Removes the rows that the other side has in the same version or a newer one.
-template <class Row>
-void erase_known(std::vector<Row>& rows, protocol::RowVersions const& known)
-{
-    std::unordered_map<std::uint64_t, std::uint64_t> versions;
-    auto const count = std::min(known.keys_size(), known.versions_size());
-    for (int i = 0; i < count; ++i)
-        versions[known.keys(i)] = known.versions(i);
-    std::erase_if(rows,
-                  [&](Row const& row)
-                  {
-                      auto const found = versions.find(key_of(row));
-                      return found != versions.end() && found->second >= version_of(row);
-                  });
-}
-
 connection::entry_record make_own_row(config::settings const& config, clock const& time_source)
 {
     connection::entry_record row;
--- a/src/process/control/tests/gossip_driver_test.cpp
+++ b/src/process/control/tests/gossip_driver_test.cpp
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <lagoonladder/config.hpp>
-
-#include "gossip_driver.hpp"
+#include "gossip_fixture.hpp"
 
 using namespace lagoonladder;
 using namespace lagoonladder::control;
@@ -10,83 +8,6 @@
 namespace
 {
 
-config::settings settings_of(std::string const& vm)
-{
-    config::settings settings;
-    settings.vm = vm_id(vm);
-    settings.data_centre = data_centre_id("a");
-    settings.zone = zone_id("a");
-    settings.http = network_address("127.0.0.1:1");
-    settings.control = network_address("127.0.0.1:2");
-    settings.gossip_interval = milliseconds(100);
-    return settings;
-}
-
-connection::entry_record entry_of(std::size_t number)
-{
-    connection::entry_record row;
-    row.vm = vm_id("entry-" + std::to_string(number));
-    row.data_centre = data_centre_id("a");
-    row.zone = zone_id("a");
-    row.http = network_address("127.0.0.1:1");
-    row.control = network_address("127.0.0.1:2");
-    row.incarnation = incarnation(1);
-    return row;
-}
-
-connection::endpoint_record endpoint_of(std::size_t number)
-{
-    connection::endpoint_record row;
-    row.id = endpoint_id("endpoint-" + std::to_string(number));
-    row.service = service_name("llm");
-    row.version = version_name("v1");
-    row.zone = zone_id("a");
-    row.address = network_address("127.0.0.1:3");
-    row.vm = vm_id("vm-" + std::to_string(number));
-    row.data_centre = data_centre_id("a");
-    row.incarnation = incarnation(1);
-    row.sequence = 1;
-    return row;
-}
-
-/// A daemon's directories without a network: digests are handed over by the test.
-struct directories
-{
-    explicit directories(std::string const& vm)
-        : settings(settings_of(vm))
-        , events(this->settings.vm, this->time, severity::error)
-        , peers("token")
-        , random(7)
-        , context(std::make_shared<asio::io_context>(1))
-        , driver(this->context, this->settings, this->peers, this->events, this->time, this->random)
-    {
-        this->driver.set_change_handler([] {});
-    }
-
-    /// Tells of entries and endpoints as another daemon does.
-    void learn(std::size_t entries, std::size_t endpoints)
-    {
-        auto rows = nlohmann::json::array();
-        for (std::size_t i = 0; i < entries; ++i)
-            rows.push_back(entry_of(i));
-        protocol::Digest digest;
-        digest.set_from("teller");
-        auto const bytes = nlohmann::json::to_msgpack(rows);
-        digest.set_entries(std::string(bytes.begin(), bytes.end()));
-        this->driver.exchange(digest);
-        for (std::size_t i = 0; i < endpoints; ++i)
-            this->driver.announce(endpoint_of(i));
-    }
-
-    config::settings settings;
-    system_clock time;
-    observability::event_timeline events;
-    peer_channels peers;
-    seeded_random random;
-    std::shared_ptr<asio::io_context> context;
-    gossip_driver driver;
-};
-
 protocol::Digest leaving_request(std::string const& from)
 {
     protocol::Digest digest;
