Gather leaving marks into bounded rounds of news

Callers of a large system saw the credit for reclaims come late, and the consensus lost its leader just after 48 replicas had been released, with nothing else going on. Each mark that an announcement, a removal or a merge brought made the daemon send to 16 entries at once, and each of these did the same.

Change: connection::mark_spreader gathers marks for 10 ms and tells them in rounds of three messages, at most one round in 100 ms. A mark is told to twelve entries that are not known to have it; messages that failed are repeated to others for 2 s; a reply holds the marks that the sender lacks and is empty otherwise. Rows are packed once for each mark.

Ruled out: nine tells for each mark.

The repeats of the mark spreader take the place of the rounds each 250 ms and of endpoint_directory::is_urgent, which nothing else used.

--- a/src/connection/include/lagoonladder/connection.hpp
+++ b/src/connection/include/lagoonladder/connection.hpp
@@ -8,6 +8,7 @@
 #include <lagoonladder/connection/endpoint_record.hpp>
 #include <lagoonladder/connection/entry_directory.hpp>
 #include <lagoonladder/connection/entry_record.hpp>
+#include <lagoonladder/connection/mark_spreader.hpp>
 #include <lagoonladder/connection/silence_detector.hpp>
 
 #endif
--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -17,8 +17,6 @@
     duration lease = seconds(5);
     /// Added to the lease of rows that arrive by gossip, because renewals arrive unevenly.
     duration gossip_allowance = seconds(2);
-    /// How long after a new leaving mark digests are sent at short intervals.
-    duration urgent_time = seconds(1);
     /// How long an expired or removed row is remembered, so that a late digest does
     /// not bring it back.
     duration tombstone_retention = std::chrono::minutes(10);
@@ -61,8 +59,9 @@
 struct merge_summary
 {
     std::map<directory_result, std::size_t> results;
-    /// Whether a row became leaving; such news is sent on without waiting for the next interval.
-    bool has_new_leaving = false;
+    /// Received rows by which a row became leaving; such news is sent on without waiting for
+    /// the next interval.
+    std::vector<endpoint_record> became_leaving;
 };
 
 /// Endpoints as announced here and learned by gossip. The row with the higher
@@ -105,11 +104,6 @@
     /// When the endpoint's VM is taken away, as far as a notice said so.
     std::optional<time_point> leave_deadline(endpoint_id const& id) const;
 
-    /// Whether a leaving mark is so new that digests should be sent every 250 ms, and at once
-    /// when it was learned. With the ordinary interval of 1 s and lost digests, some entries
-    /// would learn it only after the bound of 3 s.
-    bool is_urgent(time_point now) const;
-
     /// Counts every change of a row.
     std::uint64_t version() const { return this->current_version; }
 
@@ -137,8 +131,8 @@
     directory_result insert(time_point now, endpoint_record row, duration lease);
     directory_result update(time_point now, stored_row& known, endpoint_record row, duration lease);
     void replace(time_point now, stored_row& known, endpoint_record row, duration lease);
-    void mark_leaving(time_point now, stored_row& known);
-    void apply_notice(time_point now, stored_row& known, reclaim_notice const& notice);
+    void mark_leaving(stored_row& known);
+    void apply_notice(stored_row& known, reclaim_notice const& notice);
     bool make_room(time_point now);
     void touch(stored_row& known);
 
@@ -146,7 +140,6 @@
     std::map<endpoint_id, stored_row> rows;
     std::vector<reclaim_notice> notices;
     std::uint64_t current_version = 0;
-    std::optional<time_point> last_leaving;
 };
 
 } // namespace lagoonladder::connection
--- a/src/connection/include/lagoonladder/connection/entry_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_directory.hpp
@@ -54,8 +54,9 @@
 struct entry_merge_summary
 {
     std::map<entry_result, std::size_t> results;
-    /// Whether a row became leaving; such news is sent on without waiting for the next interval.
-    bool has_new_leaving = false;
+    /// Received rows by which a row became leaving; such news is sent on without waiting for
+    /// the next interval.
+    std::vector<entry_record> became_leaving;
     /// Whether another entry's row said that this entry is leaving, and it was not before.
     bool self_marked_leaving = false;
 };
@@ -101,6 +102,10 @@
 
     /// All entries that are not dead, this one included.
     std::vector<entry_record> live(time_point now) const;
+    /// The other entries that are not dead.
+    std::vector<vm_id> live_peers(time_point now) const;
+    /// Where daemons reach another entry; empty for an unknown one.
+    network_address control_address(vm_id const& vm) const;
     /// All known entries with their health, this one included.
     std::vector<entry_status> all(time_point now) const;
     std::optional<entry_status> find(time_point now, vm_id const& vm) const;
--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -89,7 +89,7 @@
         return directory_result::gone;
     if (is_leaving(known.record))
         return directory_result::unchanged;
-    this->mark_leaving(now, known);
+    this->mark_leaving(known);
     return directory_result::marked_leaving;
 }
 
@@ -102,7 +102,7 @@
     if (!this->is_listed(now, known))
         return directory_result::gone;
     known.is_removed = true;
-    this->mark_leaving(now, known);
+    this->mark_leaving(known);
     return directory_result::marked_leaving;
 }
 
@@ -120,7 +120,7 @@
         ++summary.results[result];
         auto const is_new_leaving = result == directory_result::added && is_leaving(row);
         if (result == directory_result::marked_leaving || is_new_leaving)
-            summary.has_new_leaving = true;
+            summary.became_leaving.push_back(row);
     }
     return summary;
 }
@@ -143,7 +143,7 @@
         auto const was_leaving = is_leaving(row.record);
         if (!matches(notice, row.record) || !this->is_listed(now, row))
             continue;
-        this->apply_notice(now, row, notice);
+        this->apply_notice(row, notice);
         if (!was_leaving)
             marked.push_back(id);
     }
@@ -212,11 +212,6 @@
     return out;
 }
 
-bool endpoint_directory::is_urgent(time_point now) const
-{
-    return this->last_leaving && now - *this->last_leaving < this->options.urgent_time;
-}
-
 bool endpoint_directory::is_listed(time_point now, stored_row const& known) const
 {
     return known.lease_until > now && !known.is_removed;
@@ -265,7 +260,7 @@
     // A row with a lower sequence may carry the only copy of a leaving mark.
     if (becomes_leaving)
     {
-        this->mark_leaving(now, known);
+        this->mark_leaving(known);
         return was_gone ? directory_result::gone : directory_result::marked_leaving;
     }
     if (was_gone)
@@ -276,31 +271,27 @@
 void endpoint_directory::replace(time_point now, stored_row& known, endpoint_record row,
                                  duration lease)
 {
-    if (is_leaving(row) && !is_leaving(known.record))
-        this->last_leaving = now;
     known.record = std::move(row);
     known.lease_until = std::max(known.lease_until, now + lease);
     known.is_expiry_reported = false;
     for (auto const& notice : this->notices)
     {
         if (matches(notice, known.record))
-            this->apply_notice(now, known, notice);
+            this->apply_notice(known, notice);
     }
     this->touch(known);
 }
 
-void endpoint_directory::apply_notice(time_point now, stored_row& known,
-                                      reclaim_notice const& notice)
+void endpoint_directory::apply_notice(stored_row& known, reclaim_notice const& notice)
 {
     known.leave_by = notice.deadline;
     if (!is_leaving(known.record))
-        this->mark_leaving(now, known);
+        this->mark_leaving(known);
 }
 
-void endpoint_directory::mark_leaving(time_point now, stored_row& known)
+void endpoint_directory::mark_leaving(stored_row& known)
 {
     known.record.state = endpoint_state::leaving;
-    this->last_leaving = now;
     this->touch(known);
 }
 
--- a/src/connection/internal/entry_directory.cpp
+++ b/src/connection/internal/entry_directory.cpp
@@ -173,7 +173,7 @@
         ++summary.results[result];
         auto const is_new_leaving = result == entry_result::added && is_leaving(row);
         if (result == entry_result::marked_leaving || is_new_leaving)
-            summary.has_new_leaving = true;
+            summary.became_leaving.push_back(row);
         if (result == entry_result::marked_leaving && row.vm == this->self.vm)
             summary.self_marked_leaving = true;
     }
@@ -224,6 +224,24 @@
     return out;
 }
 
+std::vector<vm_id> entry_directory::live_peers(time_point now) const
+{
+    std::vector<vm_id> peers;
+    peers.reserve(this->rows.size());
+    for (auto const& [vm, known] : this->rows)
+    {
+        if (this->health_of(now, known) != entry_health::dead)
+            peers.push_back(vm);
+    }
+    return peers;
+}
+
+network_address entry_directory::control_address(vm_id const& vm) const
+{
+    auto const found = this->rows.find(vm);
+    return found == this->rows.end() ? network_address() : found->second.record.control;
+}
+
 std::vector<entry_status> entry_directory::all(time_point now) const
 {
     std::vector<entry_status> out{{this->self, entry_health::alive, duration::zero()}};
--- /dev/null
+++ b/src/process/control/internal/gossip_changes.cpp
@@ -0,0 +1,106 @@
+#include "gossip_driver.hpp"
+
+namespace lagoonladder::control
+{
+
+connection::directory_result gossip_driver::announce(connection::endpoint_record record)
+{
+    using connection::directory_result;
+    auto const id = record.id;
+    auto const service = record.service;
+    auto const version = record.version;
+    auto const result = this->endpoint_rows.announce(this->time.now(), std::move(record));
+    this->announced.insert(id);
+    if (result == directory_result::added)
+        this->events.emit(
+            severity::info, "endpoint.announced",
+            {{"endpoint", id.value()}, {"service", service.value()}, {"version", version.value()}});
+    if (result == directory_result::full)
+        this->events.emit(severity::error, "endpoint.directory_full", {{"endpoint", id.value()}});
+    if (result == directory_result::marked_leaving)
+    {
+        this->events.emit(severity::info, "endpoint.leaving", {{"endpoint", id.value()}});
+        this->add_endpoint_news(id);
+    }
+    this->schedule_news();
+    this->on_change();
+    return result;
+}
+
+void gossip_driver::add_endpoint_news(endpoint_id const& id)
+{
+    if (auto row = this->endpoint_rows.find(this->time.now(), id))
+        this->add_news(std::move(*row), {});
+}
+
+void gossip_driver::add_entry_news(vm_id const& vm)
+{
+    if (auto status = this->entry_rows.find(this->time.now(), vm))
+        this->add_news(std::move(status->record), {});
+}
+
+void gossip_driver::remove(endpoint_id const& id)
+{
+    auto const now = this->time.now();
+    // A removed row is not listed any more.
+    auto const row = this->endpoint_rows.find(now, id);
+    auto const result = this->endpoint_rows.remove(now, id);
+    if (result == connection::directory_result::not_found)
+        return;
+    this->events.emit(severity::info, "endpoint.removed", {{"endpoint", id.value()}});
+    if (row)
+        this->add_news(*row, {});
+    this->schedule_news();
+    this->on_change();
+}
+
+void gossip_driver::set_leaving(vm_id const& vm)
+{
+    auto const now = this->time.now();
+    connection::reclaim_notice notice;
+    notice.vm = vm;
+    notice.deadline = now + this->options.drain_timeout;
+    for (auto const& id : this->endpoint_rows.apply(now, notice))
+        this->add_endpoint_news(id);
+    if (this->entry_rows.set_leaving(now, vm) == connection::entry_result::marked_leaving)
+    {
+        this->events.emit(severity::info, "entry.leaving", {{"entry", vm.value()}});
+        this->add_entry_news(vm);
+    }
+    this->schedule_news();
+    this->on_change();
+}
+
+void gossip_driver::apply_notices(std::vector<platform_notice> const& notices)
+{
+    auto const now = this->time.now();
+    for (auto const& received : notices)
+    {
+        connection::reclaim_notice notice;
+        notice.vm = received.vm;
+        notice.zone = received.zone;
+        notice.deadline = now + (received.deadline - this->time.wall_now());
+        // A zone notice takes the reclaimable VMs; on-demand VMs stay.
+        notice.reclaimable_only = received.vm.value().empty();
+        for (auto const& id : this->endpoint_rows.apply(now, notice))
+        {
+            this->add_endpoint_news(id);
+            this->events.emit(severity::warning, "endpoint.reclaimed",
+                              {{"endpoint", id.value()},
+                               {"vm", received.vm.value()},
+                               {"zone", received.zone.value()},
+                               {"deadline", format_wall_time(received.deadline)}});
+        }
+        if (!received.vm.value().empty() && this->entry_rows.set_leaving(now, received.vm) ==
+                                                connection::entry_result::marked_leaving)
+        {
+            this->add_entry_news(received.vm);
+            this->events.emit(severity::warning, "entry.reclaimed",
+                              {{"entry", received.vm.value()}});
+        }
+    }
+    this->schedule_news();
+    this->on_change();
+}
+
+} // namespace lagoonladder::control
--- a/src/process/control/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -14,10 +14,6 @@
 {
 
 constexpr duration exchange_timeout = milliseconds(800);
-constexpr duration urgent_interval = milliseconds(250);
-
-/// Each receiver of news passes it on, so a part of a large system is enough.
-constexpr std::size_t max_news_peers = 16;
 
 connection::entry_record make_own_row(config::settings const& config, clock const& time_source)
 {
@@ -52,6 +48,7 @@
     , time(time_source)
     , random(random_numbers)
     , timer(*io)
+    , news_timer(*io)
     , entry_rows(make_own_row(config, time_source))
     , endpoint_rows(make_endpoint_options(config))
     , seeds(config.seeds)
@@ -68,6 +65,7 @@
 {
     this->stopped = true;
     this->timer.cancel();
+    this->news_timer.cancel();
 }
 
 void gossip_driver::set_change_handler(std::function<void()> handler)
@@ -94,15 +92,7 @@
 
 void gossip_driver::schedule_round()
 {
-    // One in so many digests is lost; a leaving mark is repeated for a time so
-    // that it is everywhere within its bound.
-    auto const now = this->time.now();
-    auto const interval = this->options.gossip_interval;
-    auto span = this->endpoint_rows.is_urgent(now) ? std::min(urgent_interval, interval) : interval;
-    // News call this too. Without a bound, frequent news would put off the heartbeats.
-    if (this->last_full_round)
-        span = std::clamp(*this->last_full_round + interval - now, duration(0), span);
-    this->timer.expires_after(span);
+    this->timer.expires_after(this->options.gossip_interval);
     this->timer.async_wait(
         [this](asio::error_code const& problem)
         {
@@ -116,22 +106,11 @@
 void gossip_driver::round()
 {
     auto const now = this->time.now();
-    auto const is_due =
-        !this->last_full_round || now - *this->last_full_round >= this->options.gossip_interval;
-    if (is_due)
-        return this->full_round(now);
-    for (auto const& peer : this->entry_rows.gossip_peers(now, this->random))
-        this->send_to(peer.control, peer.vm.value(), digest_scope::leaving);
-}
-
-void gossip_driver::full_round(time_point now)
-{
-    this->last_full_round = now;
     this->entry_rows.beat(this->own_generation, this->own_requests);
     this->report_expired();
     auto const chosen = this->entry_rows.gossip_peers(now, this->random);
     for (auto const& peer : chosen)
-        this->send_to(peer.control, peer.vm.value(), digest_scope::all);
+        this->send_all(peer.control, peer.vm.value());
     // Seeds are asked while too few peers are known, and now and then later, so
     // that two halves of a system that lost each other meet again.
     bool const use_seed =
@@ -140,7 +119,7 @@
     {
         auto const& seed = this->seeds[this->next_seed++ % this->seeds.size()];
         if (seed != this->options.control)
-            this->send_to(seed, seed.value(), digest_scope::all);
+            this->send_all(seed, seed.value());
     }
     this->announced.clear();
     this->on_change();
@@ -155,70 +134,99 @@
         this->events.emit(severity::warning, "entry.dead", {{"entry", vm.value()}});
 }
 
+void gossip_driver::send_all(network_address const& address, std::string const& peer)
+{
+    this->send_to(address, peer, this->make_request(), [] {});
+}
+
 void gossip_driver::send_to(network_address const& address, std::string const& peer,
-                            digest_scope scope)
+                            protocol::Digest const& digest, std::function<void()> failed)
 {
-    auto& state = this->progress[peer];
-    if (state.in_flight || this->stopped)
+    if (this->stopped || !this->in_flight.insert(peer).second)
         return;
-    state.in_flight = true;
-    auto const sent_version = this->endpoint_rows.version();
-    auto const digest = this->make_request(peer, scope);
     this->bytes += digest.ByteSizeLong();
     std::shared_ptr stub = protocol::Directory::NewStub(this->peers.channel(address));
     call_async<protocol::Digest>(
         this->context, this->peers, exchange_timeout, digest,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->Exchange(call, sent, reply, std::move(done)); },
-        [this, stub, peer, scope, sent_version](grpc::Status const& status, protocol::Digest& reply)
+        [this, stub, peer, failed = std::move(failed)](grpc::Status const& status,
+                                                       protocol::Digest& reply)
         {
-            auto& peer_state = this->progress[peer];
-            peer_state.in_flight = false;
-            if (this->stopped || !status.ok())
+            this->in_flight.erase(peer);
+            if (this->stopped)
                 return;
-            if (scope == digest_scope::leaving)
-                peer_state.sent_leaving_version = sent_version;
-            this->merge(reply);
+            if (status.ok())
+                this->merge(reply);
+            else
+                failed();
+        });
+}
+
+void gossip_driver::add_news(connection::endpoint_record row, vm_id const& source)
+{
+    row.state = connection::endpoint_state::leaving;
+    this->news.add(this->time.now(),
+                   {connection::mark_kind::endpoint, row.id.value(), pack_row(row)}, source);
+}
+
+void gossip_driver::add_news(connection::entry_record row, vm_id const& source)
+{
+    row.state = connection::entry_state::leaving;
+    this->news.add(this->time.now(), {connection::mark_kind::entry, row.vm.value(), pack_row(row)},
+                   source);
+}
+
+void gossip_driver::schedule_news()
+{
+    auto const next = this->news.next_round();
+    if (this->news_scheduled || this->stopped || !next)
+        return;
+    this->news_scheduled = true;
+    this->news_timer.expires_after(std::max(*next - this->time.now(), duration(0)));
+    this->news_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            this->news_scheduled = false;
+            if (problem || this->stopped)
+                return;
+            this->send_news();
+            this->schedule_news();
         });
 }
 
 void gossip_driver::send_news()
 {
-    // A leaving mark has to be everywhere within seconds, so it does not wait
-    // for the next round.
-    auto targets = this->entry_rows.live(this->time.now());
-    for (std::size_t sent = 0; sent < max_news_peers && !targets.empty(); ++sent)
+    auto const now = this->time.now();
+    auto targets = this->entry_rows.live_peers(now);
+    std::erase_if(targets, [this](auto const& vm) { return this->in_flight.contains(vm.value()); });
+    for (auto const& message : this->news.round(now, std::move(targets), this->random))
     {
-        auto const pick = this->random.below(targets.size());
-        std::swap(targets[pick], targets.back());
-        if (targets.back().vm != this->options.vm)
-            this->send_to(targets.back().control, targets.back().vm.value(), digest_scope::leaving);
-        targets.pop_back();
+        auto digest = this->make_digest();
+        add_marks(message, digest);
+        this->send_to(this->entry_rows.control_address(message.to), message.to.value(), digest,
+                      [this, message]
+                      {
+                          this->news.set_failed(message);
+                          this->schedule_news();
+                      });
     }
-    this->schedule_round();
-    this->on_change();
 }
 
-protocol::Digest gossip_driver::make_digest(digest_scope scope) const
+protocol::Digest gossip_driver::make_digest() const
 {
     protocol::Digest digest;
     digest.set_from(this->options.vm.value());
     auto const stamp = this->events.stamp();
     digest.mutable_sent()->set_wall_us(stamp.wall.time_since_epoch().count());
     digest.mutable_sent()->set_counter(stamp.counter);
-    digest.set_leaving_only(scope == digest_scope::leaving);
     return digest;
 }
 
-protocol::Digest gossip_driver::make_request(std::string const& peer, digest_scope scope)
+protocol::Digest gossip_driver::make_request()
 {
     auto const now = this->time.now();
-    auto digest = this->make_digest(scope);
-    if (scope == digest_scope::leaving)
-    {
-        this->add_leaving_rows(digest, peer);
-        return digest;
-    }
+    auto digest = this->make_digest();
     auto const endpoints = this->endpoint_rows.changed_since(now, 0);
     add_versions(this->entry_rows.digest(now), *digest.mutable_known_entries());
     add_versions(endpoints, *digest.mutable_known_endpoints());
@@ -233,15 +241,13 @@
 
 protocol::Digest gossip_driver::make_reply(protocol::Digest const& received)
 {
+    auto const now = this->time.now();
+    auto reply = this->make_digest();
     if (received.leaving_only())
     {
-        auto reply = this->make_digest(digest_scope::leaving);
-        this->add_leaving_rows(reply, received.from());
-        this->progress[received.from()].sent_leaving_version = this->endpoint_rows.version();
+        add_marks(this->news.reply_for(now, vm_id(received.from())), reply);
         return reply;
     }
-    auto const now = this->time.now();
-    auto reply = this->make_digest(digest_scope::all);
     auto entries = this->entry_rows.digest(now);
     erase_known(entries, received.known_entries());
     reply.set_entries(pack(entries));
@@ -251,17 +257,6 @@
     return reply;
 }
 
-void gossip_driver::add_leaving_rows(protocol::Digest& digest, std::string const& peer)
-{
-    auto const now = this->time.now();
-    auto entries = this->entry_rows.digest(now);
-    keep_leaving(entries);
-    digest.set_entries(pack(entries));
-    auto rows = this->endpoint_rows.changed_since(now, this->progress[peer].sent_leaving_version);
-    keep_leaving(rows);
-    digest.set_endpoints(pack(rows));
-}
-
 protocol::Digest gossip_driver::exchange(protocol::Digest const& received)
 {
     this->merge(received);
@@ -277,19 +272,23 @@
     try
     {
         auto const now = this->time.now();
-        auto const entries = this->entry_rows.merge(
-            now,
-            unpack<connection::entry_record>(received.entries(), received.from(), this->events));
-        auto const endpoints = this->endpoint_rows.merge(
-            now, unpack<connection::endpoint_record>(received.endpoints(), received.from(),
-                                                     this->events));
-        if (entries.self_marked_leaving)
+        vm_id const from(received.from());
+        auto const entries =
+            unpack<connection::entry_record>(received.entries(), received.from(), this->events);
+        auto const endpoints = unpack<connection::endpoint_record>(received.endpoints(),
+                                                                   received.from(), this->events);
+        auto const entry_summary = this->entry_rows.merge(now, entries);
+        auto const endpoint_summary = this->endpoint_rows.merge(now, endpoints);
+        for (auto const& row : entry_summary.became_leaving)
+            this->add_news(row, from);
+        for (auto const& row : endpoint_summary.became_leaving)
+            this->add_news(row, from);
+        this->note_known_marks(from, entries, endpoints);
+        if (entry_summary.self_marked_leaving)
             this->events.emit(severity::info, "entry.leaving",
                               {{"entry", this->options.vm.value()}, {"by", received.from()}});
-        if (entries.has_new_leaving || endpoints.has_new_leaving || entries.self_marked_leaving)
-            this->send_news();
-        else
-            this->on_change();
+        this->schedule_news();
+        this->on_change();
     }
     catch (nlohmann::json::exception const& problem)
     {
@@ -298,88 +297,20 @@
     }
 }
 
-connection::directory_result gossip_driver::announce(connection::endpoint_record record)
-{
-    using connection::directory_result;
-    auto const id = record.id;
-    auto const service = record.service;
-    auto const version = record.version;
-    auto const result = this->endpoint_rows.announce(this->time.now(), std::move(record));
-    this->announced.insert(id);
-    if (result == directory_result::added)
-        this->events.emit(
-            severity::info, "endpoint.announced",
-            {{"endpoint", id.value()}, {"service", service.value()}, {"version", version.value()}});
-    if (result == directory_result::full)
-        this->events.emit(severity::error, "endpoint.directory_full", {{"endpoint", id.value()}});
-    if (result == directory_result::marked_leaving)
-    {
-        this->events.emit(severity::info, "endpoint.leaving", {{"endpoint", id.value()}});
-        this->send_news();
-    }
-    else
-    {
-        this->on_change();
-    }
-    return result;
-}
-
-void gossip_driver::remove(endpoint_id const& id)
-{
-    auto const result = this->endpoint_rows.remove(this->time.now(), id);
-    if (result == connection::directory_result::not_found)
-        return;
-    this->events.emit(severity::info, "endpoint.removed", {{"endpoint", id.value()}});
-    this->send_news();
-}
-
-void gossip_driver::set_leaving(vm_id const& vm)
+void gossip_driver::note_known_marks(vm_id const& peer,
+                                     std::vector<connection::entry_record> const& entries,
+                                     std::vector<connection::endpoint_record> const& endpoints)
 {
-    auto const now = this->time.now();
-    connection::reclaim_notice notice;
-    notice.vm = vm;
-    notice.deadline = now + this->options.drain_timeout;
-    bool news = !this->endpoint_rows.apply(now, notice).empty();
-    if (this->entry_rows.set_leaving(now, vm) == connection::entry_result::marked_leaving)
+    for (auto const& row : entries)
     {
-        this->events.emit(severity::info, "entry.leaving", {{"entry", vm.value()}});
-        news = true;
+        if (row.state == connection::entry_state::leaving)
+            this->news.set_known(peer, connection::mark_kind::entry, row.vm.value());
     }
-    if (news)
-        this->send_news();
-}
-
-void gossip_driver::apply_notices(std::vector<platform_notice> const& notices)
-{
-    auto const now = this->time.now();
-    bool news = false;
-    for (auto const& received : notices)
+    for (auto const& row : endpoints)
     {
-        connection::reclaim_notice notice;
-        notice.vm = received.vm;
-        notice.zone = received.zone;
-        notice.deadline = now + (received.deadline - this->time.wall_now());
-        // A zone notice takes the reclaimable VMs; on-demand VMs stay.
-        notice.reclaimable_only = received.vm.value().empty();
-        for (auto const& id : this->endpoint_rows.apply(now, notice))
-        {
-            news = true;
-            this->events.emit(severity::warning, "endpoint.reclaimed",
-                              {{"endpoint", id.value()},
-                               {"vm", received.vm.value()},
-                               {"zone", received.zone.value()},
-                               {"deadline", format_wall_time(received.deadline)}});
-        }
-        if (!received.vm.value().empty() && this->entry_rows.set_leaving(now, received.vm) ==
-                                                connection::entry_result::marked_leaving)
-        {
-            news = true;
-            this->events.emit(severity::warning, "entry.reclaimed",
-                              {{"entry", received.vm.value()}});
-        }
+        if (row.state == connection::endpoint_state::leaving)
+            this->news.set_known(peer, connection::mark_kind::endpoint, row.id.value());
     }
-    if (news)
-        this->send_news();
 }
 
 } // namespace lagoonladder::control
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -22,7 +21,8 @@
 
 /// Keeps the endpoint and entry directories in step with other daemons: each round asks
 /// two of them for the rows that are newer there, and tells them what was announced here.
-/// Leaving marks are sent at once and repeated. Lives on the control thread.
+/// Leaving marks are gathered for some milliseconds and told at once to a few entries, which
+/// pass them on. Lives on the control thread.
 class gossip_driver
 {
 public:
@@ -50,7 +50,7 @@
     void apply_notices(std::vector<platform_notice> const& notices);
 
     /// The request of a full round.
-    protocol::Digest request() { return this->make_request({}, digest_scope::all); }
+    protocol::Digest request() { return this->make_request(); }
     /// Merges a received digest and returns the rows that the sender lacks.
     protocol::Digest exchange(protocol::Digest const& received);
 
@@ -62,31 +62,23 @@
     std::uint64_t sent_bytes() const { return this->bytes; }
 
 private:
-    /// What a digest carries.
-    enum class digest_scope
-    {
-        all,
-        /// Rows of leaving entries and endpoints, which must be everywhere within seconds.
-        leaving
-    };
-
-    struct peer_progress
-    {
-        /// Leaving rows up to this version of the own directory were sent.
-        std::uint64_t sent_leaving_version = 0;
-        bool in_flight = false;
-    };
-
     void schedule_round();
-    /// A full round once per interval, rounds of leaving rows in between.
     void round();
-    void full_round(time_point now);
-    void send_to(network_address const& address, std::string const& peer, digest_scope scope);
+    void send_all(network_address const& address, std::string const& peer);
+    /// Calls `failed` when no answer came. A peer gets one message at a time.
+    void send_to(network_address const& address, std::string const& peer,
+                 protocol::Digest const& digest, std::function<void()> failed);
+    void add_news(connection::endpoint_record row, vm_id const& source);
+    void add_news(connection::entry_record row, vm_id const& source);
+    void add_endpoint_news(endpoint_id const& id);
+    void add_entry_news(vm_id const& vm);
+    void note_known_marks(vm_id const& peer, std::vector<connection::entry_record> const& entries,
+                          std::vector<connection::endpoint_record> const& endpoints);
+    void schedule_news();
     void send_news();
-    protocol::Digest make_digest(digest_scope scope) const;
-    protocol::Digest make_request(std::string const& peer, digest_scope scope);
+    protocol::Digest make_digest() const;
+    protocol::Digest make_request();
     protocol::Digest make_reply(protocol::Digest const& received);
-    void add_leaving_rows(protocol::Digest& digest, std::string const& peer);
     void merge(protocol::Digest const& received);
     void report_expired();
 
@@ -97,18 +89,22 @@
     clock const& time;
     random_source& random;
     asio::steady_timer timer;
+    asio::steady_timer news_timer;
     connection::entry_directory entry_rows;
     connection::endpoint_directory endpoint_rows;
-    std::map<std::string, peer_progress> progress;
+    /// Leaving marks that are on their way to the other entries.
+    connection::mark_spreader news;
+    /// Peers that have not yet answered.
+    std::set<std::string> in_flight;
     /// Endpoints that announced themselves here since the last full round.
     std::set<endpoint_id> announced;
     std::function<void()> on_change;
     std::vector<network_address> seeds;
-    std::optional<time_point> last_full_round;
     generation own_generation;
     std::uint32_t own_requests = 0;
     std::size_t next_seed = 0;
     std::uint64_t bytes = 0;
+    bool news_scheduled = false;
     bool stopped = false;
 };
 
--- a/src/process/control/internal/gossip_rows.cpp
+++ b/src/process/control/internal/gossip_rows.cpp
@@ -3,6 +3,39 @@
 namespace lagoonladder::control
 {
 
+namespace
+{
+
+/// An array of MessagePack whose items are packed already.
+std::string pack_marks(connection::mark_message const& message, connection::mark_kind kind)
+{
+    constexpr char array_of_32_bit_length = '\xdd';
+    std::string rows;
+    std::uint32_t count = 0;
+    for (auto const& mark : message.marks)
+    {
+        if (mark->kind != kind)
+            continue;
+        rows += mark->row;
+        ++count;
+    }
+    if (count == 0)
+        return {};
+    std::string bytes(1, array_of_32_bit_length);
+    for (int shift = 24; shift >= 0; shift -= 8)
+        bytes.push_back(static_cast<char>(count >> shift & 0xff));
+    return bytes + rows;
+}
+
+} // namespace
+
+void add_marks(connection::mark_message const& message, protocol::Digest& digest)
+{
+    digest.set_leaving_only(true);
+    digest.set_entries(pack_marks(message, connection::mark_kind::entry));
+    digest.set_endpoints(pack_marks(message, connection::mark_kind::endpoint));
+}
+
 std::uint64_t key_of(connection::endpoint_record const& row)
 {
     return stable_hash(row.id.value(), row.incarnation.value());
--- a/src/process/control/internal/gossip_rows.hpp
+++ b/src/process/control/internal/gossip_rows.hpp
@@ -47,13 +47,18 @@
     return rows;
 }
 
+/// The bytes of one row within those of a digest.
 template <class Row>
-void keep_leaving(std::vector<Row>& rows)
+std::string pack_row(Row const& row)
 {
-    using state = decltype(Row::state);
-    std::erase_if(rows, [](Row const& row) { return row.state != state::leaving; });
+    std::string bytes;
+    nlohmann::json::to_msgpack(nlohmann::json(row), bytes);
+    return bytes;
 }
 
+/// Makes the digest one of leaving rows only.
+void add_marks(connection::mark_message const& message, protocol::Digest& digest);
+
 /// Names a row of one incarnation in a digest.
 std::uint64_t key_of(connection::endpoint_record const& row);
 std::uint64_t key_of(connection::entry_record const& row);
