Bound the framing lines of a body and the fields of a response's head

Callers saw requests that waited until their deadline while the memory of the process grew. A server that sends one chunk extension, one chunk size or one trailer without end was read for as long as it sent. The head of a response was bounded in bytes, but 13,000 short fields fit in them, each with two strings.

Cause: the parser limits heads only; the lines between the chunks of a body and its trailer are looked for in all that has arrived. On the server side the reading stops at 16 KiB, after which the connection stayed open until its idle timeout without an answer.

Ruled out: lines of a head that come one by one.

Change: such a line may have 8 KiB, a response's head 256 fields. The fields of a response's trailer are no longer added to a head that was handed on.

Now the call ends as broken, with a growth below 262,144 bytes, and the connection is closed.

--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -13,6 +13,10 @@
 {
 
 constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
+/// Short fields take many times their bytes in memory, so that their number is bounded too.
+constexpr std::size_t max_response_fields = 256;
+/// Size line of a chunk with its extensions, or the trailer of a body; neither is used here.
+constexpr std::size_t max_chunk_line_bytes = 8 * 1024;
 
 std::string text_of(beast::string_view text)
 {
@@ -30,6 +34,17 @@
     return problem;
 }
 
+/// Lines of the framing within a body have no limit in the parser. `left` bytes wait for the end
+/// of such a line.
+template <class Parser>
+std::optional<parse_problem> find_excess(Parser const& parser, std::size_t left)
+{
+    if (!parser.is_header_done() || parser.is_done() || left <= max_chunk_line_bytes)
+        return std::nullopt;
+    return parse_problem{400, "the size line of a chunk or the trailer exceeds " +
+                                  std::to_string(max_chunk_line_bytes) + " bytes"};
+}
+
 /// Feeds a parser until the message ends or the bytes do.
 template <class Parser>
 std::size_t feed(Parser& parser, std::string_view data, std::optional<parse_problem>& problem)
@@ -51,6 +66,8 @@
         if (used == 0)
             break;
     }
+    if (!problem)
+        problem = find_excess(parser, data.size() - taken);
     return taken;
 }
 
@@ -175,6 +192,7 @@
     std::function<void(response_head const&)> on_head;
     std::function<void(std::string_view)> on_body;
     response_head head;
+    std::size_t field_count = 0;
 
 protected:
     void on_response_impl(int status, beast::string_view reason, int, beast::error_code&) override
@@ -184,8 +202,13 @@
     }
 
     void on_field_impl(beast::http::field, beast::string_view text, beast::string_view value,
-                       beast::error_code&) override
+                       beast::error_code& code) override
     {
+        // Fields of a trailer come after the head was handed on.
+        if (this->is_header_done())
+            return;
+        if (++this->field_count > max_response_fields)
+            code = beast::http::error::header_limit;
         this->head.headers.add(text_of(text), text_of(value));
     }
 
--- /dev/null
+++ b/src/process/http/tests/endless_response_test.cpp
@@ -0,0 +1,131 @@
+#include "endless_server.hpp"
+#include "loop_fixture.hpp"
+
+using namespace lagoonladder;
+
+namespace
+{
+
+/// Memory that one connection to a server may take.
+constexpr std::size_t max_connection_memory = 256 * 1024;
+/// More than the client reads before it gives a response up, with what the sockets hold.
+constexpr std::uint64_t max_sent_bytes = 8 * 1024 * 1024;
+
+std::string repeated(std::string const& text, std::size_t count)
+{
+    std::string all;
+    for (std::size_t i = 0; i < count; ++i)
+        all += text;
+    return all;
+}
+
+struct endless_case
+{
+    std::string name;
+    std::string beginning;
+    std::string unit;
+    duration pause{};
+};
+
+std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Bytes that never end the response to the call.
+std::vector<endless_case> cases_without_end()
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    return {
+        {"a chunk extension", head + chunked + "3;a=", std::string(4096, 'a')},
+        {"a chunk's size", head + chunked, std::string(4096, '0')},
+        {"a chunk extension after a chunk",
+         head + chunked + "3\r\nabc\r\n3;a=", std::string(4096, 'a')},
+        {"a trailer", head + chunked + "0\r\n", repeated("A: b\r\n", 600)},
+        {"a trailer line", head + chunked + "0\r\nA: ", std::string(4096, 'a')},
+    };
+}
+
+void check_end(endless_case const& one, http::call_failure expected)
+{
+    loop_fixture loop;
+    endless_server peer(loop.context, one.beginning, one.unit, one.pause);
+    auto const observer = std::make_shared<recording_observer>();
+    loop.client.send(peer.address(), loop.request(), observer);
+    auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    while (!observer->is_over() && std::chrono::steady_clock::now() < end)
+    {
+        loop.context.restart();
+        loop.context.run_for(std::chrono::milliseconds(2));
+    }
+    INFO(one.name << ": " << peer.sent_bytes << " bytes sent, heap grew by " << peer.heap_growth()
+                  << " bytes, reason: " << observer->reason);
+    CHECK(observer->failure == expected);
+    CHECK(observer->body.size() <= 3);
+    CHECK(peer.heap_growth() < max_connection_memory);
+    CHECK(peer.sent_bytes < max_sent_bytes);
+    CHECK(loop.client.connections(peer.address()) == 0);
+    if (observer->is_over())
+        loop.run_until([&] { return peer.closed_by_peer == 1; });
+}
+
+} // namespace
+
+TEST_CASE("a response whose framing has no end is broken")
+{
+    for (auto const& one : cases_without_end())
+        check_end(one, http::call_failure::broken_response);
+}
+
+TEST_CASE("a head of very many short fields is no response")
+{
+    // Guards against heads that take megabytes though their bytes are within the limit.
+    loop_fixture loop;
+    auto const outcome = [&](std::size_t fields)
+    {
+        endless_server peer(loop.context,
+                            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" +
+                                repeated("A: b\r\n", fields) + "\r\nx",
+                            "");
+        auto const observer = std::make_shared<recording_observer>();
+        loop.client.send(peer.address(), loop.request(), observer);
+        loop.run_until([&] { return observer->is_over(); });
+        return *observer;
+    };
+    CHECK(outcome(200).ended);
+    CHECK(outcome(10000).failure == http::call_failure::no_response);
+}
+
+TEST_CASE("a chunk extension without end in a request is answered")
+{
+    // Guards against a connection that stays open and unread until it counts as idle.
+    loop_fixture loop;
+    auto const received =
+        loop.exchange_raw("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;a=" +
+                          std::string(20 * 1024, 'a'));
+    CHECK(received.starts_with("HTTP/1.1 400 "));
+    CHECK(loop.handler.exchanges.empty());
+}
+
+TEST_CASE("header lines of a request without end are rejected though they come one by one")
+{
+    loop_fixture loop;
+    asio::ip::tcp::socket socket(loop.context);
+    auto const text = loop.address.value();
+    auto const port = static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1)));
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    std::string const line = "Aa: " + std::string(90, 'b') + "\r\n";
+    asio::error_code problem;
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\n")), problem);
+    std::size_t sent = 0;
+    socket.non_blocking(true);
+    std::string received(512, '\0');
+    std::size_t count = 0;
+    while (count == 0 && sent < 64 * 1024)
+    {
+        loop.context.restart();
+        loop.context.run_for(std::chrono::microseconds(200));
+        asio::error_code ignored;
+        sent += socket.write_some(asio::buffer(line), ignored);
+        count = socket.read_some(asio::buffer(received), ignored);
+    }
+    CHECK(received.starts_with("HTTP/1.1 431 "));
+    CHECK(sent < 20 * 1024);
+}
