Bound what a server may send before the response to a call

Callers saw 504 at the deadline of a call whose server sent bytes that never became its answer: interim heads, or answers to other requests, one after the other or one with a body without end.

Cause: such messages are skipped, as many and as long as they come.

Ruled out: garbage, and heads without an end. They ended the call before, and tests keep that.

Change: before the head of the response, a call reads 32 skipped heads and 1 MiB at most; then it ends without a response, the connection is closed, and the reason in the log names the excess.

--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -9,6 +9,12 @@
 {
 
 constexpr unsigned first_final_status = 200;
+/// Interim heads, and whole responses to earlier requests, that may come before the response to
+/// a call. A connection carries one call at a time, so that there are few of either.
+constexpr std::size_t max_skipped_heads = 32;
+/// Bytes of these with the head of the response. Without a bound a server that sends such bytes
+/// without end keeps the call until its deadline.
+constexpr std::size_t max_bytes_before_response = 1024 * 1024;
 
 } // namespace
 
@@ -34,6 +40,8 @@
     this->is_sent = false;
     this->is_paused = false;
     this->has_response = false;
+    this->bytes_before_response = 0;
+    this->skipped_heads = 0;
     this->is_head_request = this->request->starts_with("HEAD ");
     this->begin_response();
 }
@@ -88,24 +96,35 @@
                           if (!problem && self->request == sent)
                               self->is_sent = true;
                       });
-    this->set_response_timer();
+    if (this->options.response_timeout > duration(0))
+        this->set_response_timer(this->options.response_timeout,
+                                 "the response did not end in time");
     this->read();
 }
 
-void client_connection::set_response_timer()
+void client_connection::set_response_timer(duration span, std::string const& reason)
 {
-    if (this->options.response_timeout <= duration(0))
-        return;
-    this->response_timer.expires_after(this->options.response_timeout);
+    this->response_timer.expires_after(span);
     this->response_timer.async_wait(
-        [weak = this->weak_from_this(), sent = this->request](asio::error_code const& problem)
+        [weak = this->weak_from_this(), sent = this->request,
+         reason](asio::error_code const& problem)
         {
             auto const self = weak.lock();
             if (!problem && self && self->request == sent)
-                self->fail(self->failure_now(), "the response did not end in time");
+                self->fail(self->failure_now(), reason);
         });
 }
 
+std::string client_connection::excess() const
+{
+    if (!this->has_response && this->bytes_before_response > max_bytes_before_response)
+        return "no response in " + std::to_string(this->bytes_before_response) + " bytes";
+    if (this->skipped_heads > max_skipped_heads)
+        return "no response after " + std::to_string(this->skipped_heads) +
+               " interim or foreign ones";
+    return {};
+}
+
 void client_connection::begin_response()
 {
     this->skips = false;
@@ -171,6 +190,8 @@
     // Bytes without a call belong to no request.
     if (!this->observer)
         return this->close();
+    if (!this->has_response)
+        this->bytes_before_response += count;
     this->input.append(this->chunk.data(), count);
     this->take_input();
     this->read();
@@ -189,6 +210,9 @@
             return;
         if (problem)
             return this->fail(this->failure_now(), problem->reason);
+        auto const exceeded = this->excess();
+        if (!exceeded.empty())
+            return this->fail(this->failure_now(), exceeded);
         if (!this->parser->is_done())
             return;
         this->on_message_end();
@@ -216,6 +240,7 @@
 {
     if (this->skips)
     {
+        ++this->skipped_heads;
         if (!this->parser->keeps_alive())
             return this->fail(call_failure::no_response, "the connection ends after a response "
                                                          "to another request");
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -59,8 +59,10 @@
     void take_input();
     void on_connection_end(std::string const& reason);
     void begin_response();
-    void set_response_timer();
+    void set_response_timer(duration span, std::string const& reason);
     void on_message_end();
+    /// What the bytes of the present call exceed; empty when they are within bounds.
+    std::string excess() const;
     void fail(call_failure failure, std::string const& reason);
     call_failure failure_now() const;
     duration idle_time(response_head const& head) const;
@@ -79,6 +81,9 @@
     std::string input;
     time_point reuse_until{};
     duration stated_idle_time{};
+    /// Bytes and heads read for the call before the head of its own response.
+    std::size_t bytes_before_response = 0;
+    std::size_t skipped_heads = 0;
     bool is_head_request = false;
     bool is_connected = false;
     bool is_sending = false;
--- a/src/process/http/tests/endless_response_test.cpp
+++ b/src/process/http/tests/endless_response_test.cpp
@@ -27,8 +27,33 @@
     duration pause{};
 };
 
+std::string const foreign_head = "HTTP/1.1 200 OK\r\nId: 0\r\n";
 std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
+/// Bytes that never become the response to the call.
+std::vector<endless_case> cases_without_response()
+{
+    return {
+        {"garbage without a line end", "\x01\x02", std::string(4096, '\x7f')},
+        {"a reason without an end", "HTTP/1.1 200 ", std::string(4096, 'a')},
+        {"a field without an end", "HTTP/1.1 200 OK\r\nA: ", std::string(4096, 'a')},
+        {"header lines", "HTTP/1.1 200 OK\r\n", repeated("A: b\r\n", 600)},
+        {"header lines one by one", "HTTP/1.1 200 OK\r\n", "Aa: " + std::string(90, 'b') + "\r\n",
+         microseconds(50)},
+        {"short header lines one by one", "HTTP/1.1 200 OK\r\n", "A:\r\n", microseconds(50)},
+        {"100 Continue", "", repeated("HTTP/1.1 100 Continue\r\n\r\n", 100)},
+        {"responses to other requests", "", foreign_head + "Content-Length: 1\r\n\r\nx"},
+        {"the long body of another response", foreign_head + "Content-Length: 900000000000\r\n\r\n",
+         std::string(4096, 'a')},
+        {"the body of another response", foreign_head + "\r\n", std::string(4096, 'a')},
+        {"chunks of another response", foreign_head + chunked, "3\r\nabc\r\n"},
+        {"a chunk extension of another response",
+         foreign_head + chunked + "3;a=", std::string(4096, 'a')},
+        {"the trailer of another response", foreign_head + chunked + "0\r\n",
+         repeated("A: b\r\n", 600)},
+    };
+}
+
 /// Bytes that never end the response to the call.
 std::vector<endless_case> cases_without_end()
 {
@@ -68,6 +93,14 @@
 
 } // namespace
 
+TEST_CASE("bytes without end that never become a response end the call")
+{
+    // Guards against a call that waits until its deadline, with a head or a chunk line that
+    // grows in memory, while its server sends bytes that are no answer to it.
+    for (auto const& one : cases_without_response())
+        check_end(one, http::call_failure::no_response);
+}
+
 TEST_CASE("a response whose framing has no end is broken")
 {
     for (auto const& one : cases_without_end())
@@ -93,6 +126,23 @@
     CHECK(outcome(10000).failure == http::call_failure::no_response);
 }
 
+TEST_CASE("a few interim heads and earlier responses before the response are skipped")
+{
+    // Guards against bounds that a sound server exceeds.
+    loop_fixture loop;
+    auto const before = repeated("HTTP/1.1 102 Processing\r\n\r\n", 10) + foreign_head +
+                        "Content-Length: 200000\r\n\r\n" + std::string(200000, 'a') + foreign_head +
+                        chunked + "3;a=b\r\nabc\r\n0\r\nA: b\r\n\r\n";
+    endless_server peer(loop.context,
+                        before + "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nnew", "x");
+    auto const observer = std::make_shared<recording_observer>();
+    loop.client.send(peer.address(), loop.request(), observer);
+    loop.run_until([&] { return observer->is_over(); });
+    INFO(observer->reason);
+    CHECK(observer->ended);
+    CHECK(observer->body == "new");
+}
+
 TEST_CASE("a chunk extension without end in a request is answered")
 {
     // Guards against a connection that stays open and unread until it counts as idle.
