Refuse or move a call at the head of a refusal

Callers saw calls that did not run wait until their deadline when the endpoint's refusal had a body without end, instead of a refusal at once or an answer of another endpoint.

Cause: the attempt ended with the body of the refusal, which nobody reads.

Change: the attempt ends as not run once what arrived with the head of the refusal is taken. The rest is read for 500 ms and 64 KiB at most, so that a short refusal does not cost its connection.

The new test on the old code: calls with a deadline of 300 ms were refused after 302 to 308 ms in all five cases, with up to 78,540,833 bytes sent. Now all are refused in less than 200 ms, and the connection is closed.

--- a/src/process/http/include/lagoonladder/http/client.hpp
+++ b/src/process/http/include/lagoonladder/http/client.hpp
@@ -56,6 +56,10 @@
     /// Stops and continues reading the response.
     virtual void pause() = 0;
     virtual void resume() = 0;
+    /// The body of the response is of no use: the rest is read within bounds, so that the
+    /// connection may be kept. `done` is called once what has arrived is taken, which may be
+    /// before the response ends.
+    virtual void drain(std::function<void()> done) = 0;
     /// Whether a byte of the request may have reached the server.
     virtual bool may_have_sent() const = 0;
     /// Whether the connection had carried a call before.
--- a/src/process/http/internal/client.cpp
+++ b/src/process/http/internal/client.cpp
@@ -37,6 +37,7 @@
     void cancel() override { this->connection->close(); }
     void pause() override { this->connection->pause(); }
     void resume() override { this->connection->resume(); }
+    void drain(std::function<void()> done) override { this->connection->drain(std::move(done)); }
     bool may_have_sent() const override { return this->connection->may_have_sent(); }
     bool is_on_kept_connection() const override { return this->is_kept; }
 
@@ -52,6 +53,7 @@
     void cancel() override { this->is_cancelled = true; }
     void pause() override {}
     void resume() override {}
+    void drain(std::function<void()>) override {}
     bool may_have_sent() const override { return false; }
     bool is_on_kept_connection() const override { return false; }
 
--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -15,6 +15,10 @@
 /// Bytes of these with the head of the response. Without a bound a server that sends such bytes
 /// without end keeps the call until its deadline.
 constexpr std::size_t max_bytes_before_response = 1024 * 1024;
+/// Bytes of a body without use up to which the connection is kept; a new one costs less than more.
+constexpr std::size_t max_drained_bytes = 64 * 1024;
+/// A body without use follows its head in the same packets or one round trip later.
+constexpr duration drain_timeout = milliseconds(500);
 
 } // namespace
 
@@ -40,8 +44,10 @@
     this->is_sent = false;
     this->is_paused = false;
     this->has_response = false;
+    this->is_draining = false;
     this->bytes_before_response = 0;
     this->skipped_heads = 0;
+    this->drained_bytes = 0;
     this->is_head_request = this->request->starts_with("HEAD ");
     this->begin_response();
 }
@@ -115,6 +121,13 @@
         });
 }
 
+void client_connection::drain(std::function<void()> done)
+{
+    this->is_draining = true;
+    this->set_response_timer(drain_timeout, "the response without use did not end in time");
+    asio::post(this->socket.get_executor(), std::move(done));
+}
+
 std::string client_connection::excess() const
 {
     if (!this->has_response && this->bytes_before_response > max_bytes_before_response)
@@ -122,6 +135,8 @@
     if (this->skipped_heads > max_skipped_heads)
         return "no response after " + std::to_string(this->skipped_heads) +
                " interim or foreign ones";
+    if (this->drained_bytes > max_drained_bytes)
+        return "the response without use exceeds " + std::to_string(max_drained_bytes) + " bytes";
     return {};
 }
 
@@ -192,6 +207,8 @@
         return this->close();
     if (!this->has_response)
         this->bytes_before_response += count;
+    if (this->is_draining)
+        this->drained_bytes += count;
     this->input.append(this->chunk.data(), count);
     this->take_input();
     this->read();
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -46,6 +46,7 @@
     void close();
     void pause();
     void resume();
+    void drain(std::function<void()> done);
     bool may_have_sent() const { return this->is_sending; }
 
     network_address const& address() const { return this->target; }
@@ -84,6 +85,7 @@
     /// Bytes and heads read for the call before the head of its own response.
     std::size_t bytes_before_response = 0;
     std::size_t skipped_heads = 0;
+    std::size_t drained_bytes = 0;
     bool is_head_request = false;
     bool is_connected = false;
     bool is_sending = false;
@@ -94,6 +96,7 @@
     bool has_response = false;
     bool skips = false;
     bool is_parsing = false;
+    bool is_draining = false;
 };
 
 } // namespace lagoonladder::http
--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -86,7 +86,10 @@
     this->received = decoded;
     this->answer_status = head.status;
     if (decoded.is_not_run)
+    {
+        this->drain();
         return http::head_action::accept;
+    }
     auto const problem = this->problem_of(head);
     if (!problem.empty())
     {
@@ -101,6 +104,21 @@
     return http::head_action::accept;
 }
 
+void endpoint_attempt::drain()
+{
+    // The statement holds whatever follows; a body without an end must not hold the call up.
+    // An answer that is there as a whole ends the attempt first.
+    this->call->drain(
+        [self = this->shared_from_this()]
+        {
+            if (self->is_over)
+                return;
+            self->on_end();
+            if (self->received.is_other_endpoint)
+                self->call->cancel();
+        });
+}
+
 std::string endpoint_attempt::problem_of(http::response_head const& head) const
 {
     if (this->received.is_recoded)
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -68,6 +68,8 @@
     void on_failure(http::call_failure failure, std::string const& reason) override;
 
 private:
+    /// Ends the attempt without the body of the answer.
+    void drain();
     std::string problem_of(http::response_head const& head) const;
     void end(attempt_result result, std::string const& reason);
 
