Take a failure that is longer than any sound one for broken

Callers of idempotent routes saw an endpoint's failure with a body that did not end before their deadline, though another endpoint could answer.

Cause: an answer is passed on in parts once 64 KiB of it are held, also one with a status of 500 or more, after which the call cannot go elsewhere.

Change: such an answer ends the attempt as broken beyond 64 KiB, and the connection is closed.

--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -7,6 +7,9 @@
 {
 
 constexpr unsigned first_failure_status = 500;
+/// A longer answer of a failed endpoint is not held until its end. The call may go elsewhere only
+/// as long as no byte was passed on.
+constexpr std::size_t max_failed_answer_bytes = 64 * 1024;
 
 bool is_success(unsigned status)
 {
@@ -135,8 +138,16 @@
 void endpoint_attempt::on_body(std::string_view bytes)
 {
     auto const target_call = this->owner.lock();
-    if (this->is_valid && !this->is_over && target_call)
-        target_call->on_answer_bytes(*this, bytes);
+    if (!this->is_valid || this->is_over || !target_call)
+        return;
+    this->body_bytes += bytes.size();
+    if (this->answer_status < first_failure_status || this->body_bytes <= max_failed_answer_bytes)
+        return target_call->on_answer_bytes(*this, bytes);
+    auto const self = this->shared_from_this();
+    this->call->cancel();
+    this->end(attempt_result::broken, "the answer of status " +
+                                          std::to_string(this->answer_status) + " exceeds " +
+                                          std::to_string(max_failed_answer_bytes) + " bytes");
 }
 
 void endpoint_attempt::on_end()
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -81,6 +81,7 @@
     std::shared_ptr<http::client_call> call;
     endpoint_answer received;
     unsigned answer_status = 0;
+    std::uint64_t body_bytes = 0;
     bool is_valid = false;
     bool is_over = false;
 };
--- a/src/process/proxy/tests/endless_answer_test.cpp
+++ b/src/process/proxy/tests/endless_answer_test.cpp
@@ -202,6 +202,22 @@
     }
 }
 
+TEST_CASE("an idempotent call goes elsewhere from a failure without end")
+{
+    // Guards against a failure whose bytes are passed on until the deadline though another
+    // endpoint could answer.
+    endless_case const one{"failure", "HTTP/1.1 500 Failed\r\nSeal: s\r\nId: $\r\n\r\n",
+                           std::string(4096, 'a')};
+    endless_system with("plain", one);
+    with.system.add_endpoint("plain", "good");
+    auto const answer = with.call("/plain/x");
+    INFO(describe(one, with));
+    CHECK(answer.status() == 200);
+    CHECK(answer.body.starts_with("answer to id-"));
+    CHECK(with.elapsed < prompt_end);
+    with.check_closed();
+}
+
 TEST_CASE("a body without end is cut at the deadline and waits for its caller")
 {
     // Guards against memory that grows with the bytes of an endpoint, and against an answer
