Do not pass the body of a failure on as events of a stream

Callers saw, in a stream that was continued after a break, events that no run of the stream had made: the text of a failure, or of another answer without a stream, of the second endpoint.

Cause: a continued stream keeps the head that the caller has, and the relay splits whatever body comes next into events. An event without a number passes the check of the order.

Change: an answer whose status is not 200 does not continue a stream; its attempt is broken.

The new test on the old code: the answers contain "data: wrong", the body of a 500 and of a 404 of the second endpoint. Now they end visibly incomplete after the last event of the first run.

--- a/src/process/proxy/internal/answer_relay.cpp
+++ b/src/process/proxy/internal/answer_relay.cpp
@@ -15,6 +15,8 @@
 {
     this->content_seen = false;
     this->is_continued = this->committed;
+    // Only a stream continues a stream: the body of another answer has no place in it.
+    this->is_broken = this->committed && answer.status != 200;
     // A continued stream keeps the head that the caller has.
     if (this->committed)
         return;
--- a/src/process/proxy/tests/endless_answer_test.cpp
+++ b/src/process/proxy/tests/endless_answer_test.cpp
@@ -218,6 +218,31 @@
     with.check_closed();
 }
 
+TEST_CASE("a failure does not continue a stream")
+{
+    // Guards against the text of a failure that a caller reads as events of its stream.
+    for (auto const& one : std::vector<endless_case>{
+             {"failure", "HTTP/1.1 500 Failed\r\nSeal: s\r\nId: $\r\n\r\n", "data: wrong\n\n"},
+             {"refusal", "HTTP/1.1 404 Gone\r\nSeal: s\r\nId: $\r\n\r\n", "data: wrong\n\n"}})
+    {
+        endless_system with("stream", one);
+        auto& cut = with.system.add_endpoint("stream", "cut");
+        cut.mode = endpoint_mode::cut_stream_once;
+        for (int i = 0; i < 20; ++i)
+        {
+            auto const sent = cut.requests.size();
+            auto const answer = with.system.call("/stream/x", "id-" + std::to_string(i));
+            if (cut.requests.size() == sent || answer.status() != 200)
+                continue;
+            INFO(one.name << ": " << answer.body);
+            CHECK(answer.body.find("wrong") == std::string::npos);
+            CHECK_FALSE(answer.ended);
+        }
+        CHECK(with.server.requests > 0);
+        with.check_closed();
+    }
+}
+
 TEST_CASE("a body without end is cut at the deadline and waits for its caller")
 {
     // Guards against memory that grows with the bytes of an endpoint, and against an answer
