Hold 96 KiB of an event that has not ended

An event without end was held up to 1 MiB, in a buffer of up to 2 MiB, before its stream was taken for malformed. VMs with 160 MB carry hundreds of streams at a time.

Change: 96 KiB of one event are held, and the log line of the attempt says that the event exceeds them, where it said that the answer does not continue the stream.

--- a/src/process/proxy/internal/answer_relay.cpp
+++ b/src/process/proxy/internal/answer_relay.cpp
@@ -32,6 +32,12 @@
     {
         bool const fits = this->splitter.add(
             bytes, [this](request::event_splitter::event const& one) { this->take_event(one); });
+        if (!fits)
+            this->malformation = "an event exceeds " +
+                                 std::to_string(request::event_splitter::max_event_bytes) +
+                                 " bytes";
+        else if (this->is_broken)
+            this->malformation = "the answer does not continue the stream";
         return fits && !this->is_broken;
     }
     if (this->committed)
--- a/src/process/proxy/internal/answer_relay.hpp
+++ b/src/process/proxy/internal/answer_relay.hpp
@@ -28,6 +28,8 @@
     void start(http::response_head head, std::optional<std::uint64_t> length);
     /// Returns false when the bytes cannot follow what was passed on before.
     bool add(std::string_view bytes);
+    /// Why the bytes that were added last cannot be passed on.
+    std::string const& problem() const { return this->malformation; }
     /// The answer is complete. Returns false when it cannot be.
     bool complete();
     /// Drops what was not passed on; a stream continues with the next start().
@@ -53,6 +55,7 @@
     std::string held;
     request::event_splitter splitter;
     std::optional<std::uint64_t> last_id;
+    std::string malformation;
     bool streams = false;
     bool has_ids = true;
     bool committed = false;
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -211,8 +211,8 @@
     auto const self = this->shared_from_this();
     if (!this->relay.add(bytes))
     {
-        this->end_attempt(attempt_result::broken, "the answer does not continue the stream");
-        return this->decide_after(attempt_result::broken, "the answer is malformed");
+        this->end_attempt(attempt_result::broken, this->relay.problem());
+        return this->decide_after(attempt_result::broken, this->relay.problem());
     }
     if (this->exchange->unsent_bytes() > max_unsent_bytes && !this->is_paused && this->current)
     {
--- a/src/process/proxy/tests/endless_answer_test.cpp
+++ b/src/process/proxy/tests/endless_answer_test.cpp
@@ -218,6 +218,26 @@
     with.check_closed();
 }
 
+TEST_CASE("an event without end breaks the stream off")
+{
+    // Guards against streams that take a megabyte each on VMs with 160 MB.
+    std::string const head =
+        "HTTP/1.1 200 OK\r\nSeal: s\r\nId: $\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const& one :
+         std::vector<endless_case>{{"data", head, "400\r\n" + std::string(1024, 'a') + "\r\n"},
+                                   {"comments", head, "8\r\n: alive\n\r\n"}})
+    {
+        endless_system with("stream", one);
+        with.system.add_endpoint("stream", "good");
+        auto const answer = with.call("/stream/x");
+        INFO(describe(one, with));
+        CHECK(answer.ended);
+        CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+        CHECK(with.server.heap_growth() < max_call_memory);
+        with.check_closed();
+    }
+}
+
 TEST_CASE("a failure does not continue a stream")
 {
     // Guards against the text of a failure that a caller reads as events of its stream.
--- a/src/request/include/lagoonladder/request/event_splitter.hpp
+++ b/src/request/include/lagoonladder/request/event_splitter.hpp
@@ -15,8 +15,9 @@
 class event_splitter
 {
 public:
-    /// Bytes of an event that has not ended; a stream with a longer one is not valid.
-    static constexpr std::size_t max_event_bytes = 1024 * 1024;
+    /// Bytes of an event that has not ended; a stream with a longer one is not valid. The buffer
+    /// of an event may take twice as much, and each open stream has one.
+    static constexpr std::size_t max_event_bytes = 96 * 1024;
 
     struct event
     {
