--- a/src/process/proxy/internal/answer_relay.cpp
+++ b/src/process/proxy/internal/answer_relay.cpp
@@ -15,6 +15,8 @@
 {
     this->content_seen = false;
     this->is_continued = this->committed;
+    // Only a stream continues a stream: the body of another answer has no place in it.
+    this->is_broken = this->committed && answer.status != 200;
     // A continued stream keeps the head that the caller has.
     if (this->committed)
         return;
@@ -30,6 +32,12 @@
     {
         bool const fits = this->splitter.add(
             bytes, [this](request::event_splitter::event const& one) { this->take_event(one); });
+        if (!fits)
+            this->malformation = "an event exceeds " +
+                                 std::to_string(request::event_splitter::max_event_bytes) +
+                                 " bytes";
+        else if (this->is_broken)
+            this->malformation = "the answer does not continue the stream";
         return fits && !this->is_broken;
     }
     if (this->committed)
--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -7,6 +7,9 @@
 {
 
 constexpr unsigned first_failure_status = 500;
+/// A longer answer of a failed endpoint is not held until its end. The call may go elsewhere only
+/// as long as no byte was passed on.
+constexpr std::size_t max_failed_answer_bytes = 64 * 1024;
 
 bool is_success(unsigned status)
 {
@@ -86,7 +89,10 @@
     this->received = decoded;
     this->answer_status = head.status;
     if (decoded.is_not_run)
+    {
+        this->drain();
         return http::head_action::accept;
+    }
     auto const problem = this->problem_of(head);
     if (!problem.empty())
     {
@@ -101,6 +107,21 @@
     return http::head_action::accept;
 }
 
+void endpoint_attempt::drain()
+{
+    // The statement holds whatever follows; a body without an end must not hold the call up.
+    // An answer that is there as a whole ends the attempt first.
+    this->call->drain(
+        [self = this->shared_from_this()]
+        {
+            if (self->is_over)
+                return;
+            self->on_end();
+            if (self->received.is_other_endpoint)
+                self->call->cancel();
+        });
+}
+
 std::string endpoint_attempt::problem_of(http::response_head const& head) const
 {
     if (this->received.is_recoded)
@@ -117,8 +138,16 @@
 void endpoint_attempt::on_body(std::string_view bytes)
 {
     auto const target_call = this->owner.lock();
-    if (this->is_valid && !this->is_over && target_call)
-        target_call->on_answer_bytes(*this, bytes);
+    if (!this->is_valid || this->is_over || !target_call)
+        return;
+    this->body_bytes += bytes.size();
+    if (this->answer_status < first_failure_status || this->body_bytes <= max_failed_answer_bytes)
+        return target_call->on_answer_bytes(*this, bytes);
+    auto const self = this->shared_from_this();
+    this->call->cancel();
+    this->end(attempt_result::broken, "the answer of status " +
+                                          std::to_string(this->answer_status) + " exceeds " +
+                                          std::to_string(max_failed_answer_bytes) + " bytes");
 }
 
 void endpoint_attempt::on_end()
