--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -37,10 +37,6 @@
     return options;
 }
 
-/// Bounds the datagrams of large systems. The entries that hear of a prompt are drawn
-/// anew each time.
-constexpr std::size_t max_prompt_receivers = 32;
-
 /// Bounds of calls that are not passed through; configurations may be large.
 http::connection_limits control_limits()
 {
@@ -238,7 +234,7 @@
 void pass_through_plane::tell_prompt(proxy::prompt_news const& news)
 {
     auto receivers = this->other_entries();
-    while (receivers.size() > max_prompt_receivers)
+    while (receivers.size() > request::max_news_receivers)
     {
         std::swap(receivers[this->random.below(receivers.size())], receivers.back());
         receivers.pop_back();
