Order engines for the callers that are there when the duty changes hands

Change: what serves counts as demand only while there are no callers. With callers their demand is taken, and a holder that does not know earlier orders waits as long before it lowers a number as one that does. Before, it ordered the lower number at once.

--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -122,8 +122,9 @@
         this->held_since = now;
     this->callers_came = this->callers_came || asked_for(view) >= 1;
     bool const is_settling = now - *this->held_since < settling_time;
-    // Own orders change the replicas, so only those from before the first order count.
-    if (is_settling || this->initial_demand == 0)
+    // Own orders change the replicas, so only those from before the first order count. Once
+    // there are callers, their demand tells more: engines of two kinds may overlap.
+    if (!this->callers_came && (is_settling || this->initial_demand == 0))
         this->initial_demand = std::max(this->initial_demand, this->served_by_engines(view));
     return this->callers_came || !is_settling;
 }
@@ -172,17 +173,19 @@
     }
 }
 
-std::uint32_t capacity_driver::hold_down(order_state& state, std::uint32_t replicas) const
+std::optional<std::uint32_t> capacity_driver::hold_down(order_state& state,
+                                                        order_basis const& basis) const
 {
     auto const now = this->time.now();
-    if (!state.accepted || replicas >= *state.accepted)
+    // What an earlier holder ordered is not known, but what serves is.
+    if (basis.planned >= state.accepted.value_or(basis.serving))
     {
         state.lower_since.reset();
-        return replicas;
+        return basis.planned;
     }
     if (!state.lower_since)
         state.lower_since = now;
-    return now - *state.lower_since >= lowering_delay ? replicas : *state.accepted;
+    return now - *state.lower_since >= lowering_delay ? basis.planned : state.accepted;
 }
 
 void capacity_driver::order(order_key const& key, order_basis const& basis,
@@ -197,7 +200,10 @@
         state.lower_since.reset();
         return;
     }
-    auto const replicas = this->hold_down(state, basis.planned);
+    auto const held = this->hold_down(state, basis);
+    if (!held)
+        return;
+    auto const replicas = *held;
     bool const is_settled = state.accepted == replicas && basis.serving == replicas;
     bool const was_ordered = state.accepted == replicas && now < state.next_try;
     bool const is_refused = !state.accepted && now < state.next_try;
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -71,8 +71,9 @@
     /// Learns what runs before the first order. Returns whether orders may be made.
     bool settle(control_view const& view);
     double peak_demand(control_view const& view);
-    /// The number to order: a lower one only after the plan has asked for it for a while.
-    std::uint32_t hold_down(order_state& state, std::uint32_t replicas) const;
+    /// The number to order: a lower one only after the plan has asked for it for a while. No
+    /// value when there is nothing to order until then.
+    std::optional<std::uint32_t> hold_down(order_state& state, order_basis const& basis) const;
     void order(order_key const& key, order_basis const& basis, proxy::platform_duties& platform,
                proxy::platform_duties::holder const& self);
 
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -169,6 +169,29 @@
     CHECK(duty.platform.total() >= 60);
 }
 
+TEST_CASE("a new holder of the duty orders for the callers that are there")
+{
+    // Guards against orders for all replicas that run while on-demand ones are replaced by
+    // reclaimable ones: twice as many as callers need.
+    held_duty duty;
+    auto view = view_of(186, 2'700'000);
+    for (std::size_t i = 0; i < 96; ++i)
+        view.endpoints[engines][i].reclaimable = true;
+    duty.step_for(10, view);
+    CHECK(duty.platform.total() >= 90);
+    CHECK(duty.platform.total() <= 120);
+}
+
+TEST_CASE("a new holder of the duty releases nothing for a demand that has just begun")
+{
+    // Guards against a change of the leader in the first second of the traffic, when the
+    // demand that is told is a small part of what comes.
+    held_duty duty;
+    duty.step_for(1, view_of(90, 20'000));
+    duty.step_for(4, view_of(90, 2'700'000));
+    CHECK((duty.platform.on_demand() == 0 || duty.platform.on_demand() >= 90));
+}
+
 TEST_CASE("replicas follow the demand once callers have come")
 {
     held_duty duty;
