Parse the addresses of other entries once for the news of prompts

Each prompt copied the control addresses of all entries, parsed up to 32 of them and looked the counter up for each datagram. The addresses are kept in parsed form, only those of the receivers are copied, and the datagrams of one news message are counted at once.

The test "each datagram of news is counted" guards the counts; it was not run on the code before, whose counts were the same by design. Processor time of sending was not measured. A binary layout was left out: the present one takes 13 bytes for a part where fixed fields take 12 to 16, and entries of two versions would not understand each other.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -289,11 +289,19 @@
 
 void pass_through_plane::tell_prompt(proxy::prompt_news const& news)
 {
-    auto receivers = this->other_entries();
-    while (receivers.size() > request::max_news_receivers)
+    auto const view = this->control.view();
+    std::vector<network_address const*> others;
+    for (auto const& entry : view->entries)
     {
-        std::swap(receivers[this->random.below(receivers.size())], receivers.back());
-        receivers.pop_back();
+        if (entry.vm != this->options.vm && !entry.pass_through.value().empty())
+            others.push_back(&entry.control);
+    }
+    std::vector<network_address> receivers;
+    while (!others.empty() && receivers.size() < request::max_news_receivers)
+    {
+        std::swap(others[this->random.below(others.size())], others.back());
+        receivers.push_back(*others.back());
+        others.pop_back();
     }
     this->prompts.send(receivers, news);
 }
--- a/src/process/daemon/internal/prompt_exchange.cpp
+++ b/src/process/daemon/internal/prompt_exchange.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Addresses that are kept in parsed form; entries come and go, and get other addresses.
+constexpr std::size_t max_resolved = 1'024;
+
 std::optional<asio::ip::udp::endpoint> endpoint_of(network_address const& address)
 {
     auto const& text = address.value();
@@ -91,15 +94,37 @@
     auto const bytes = encode(this->cluster_token, news);
     if (bytes.size() > max_datagram_bytes)
         return this->gauges.add("prompt_news_total", {{"outcome", "too_long"}});
+    std::size_t sent = 0;
+    std::size_t not_sent = 0;
     for (auto const& receiver : receivers)
     {
-        auto const remote = endpoint_of(receiver);
+        auto const& remote = this->resolve(receiver);
         if (!remote)
             continue;
         asio::error_code problem;
         this->socket.send_to(asio::buffer(bytes), *remote, 0, problem);
-        this->gauges.add("prompt_news_total", {{"outcome", problem ? "not_sent" : "sent"}});
+        ++(problem ? not_sent : sent);
     }
+    this->count("sent", sent);
+    this->count("not_sent", not_sent);
+}
+
+std::optional<asio::ip::udp::endpoint> const&
+prompt_exchange::resolve(network_address const& receiver)
+{
+    auto const known = this->resolved.find(receiver);
+    if (known != this->resolved.end())
+        return known->second;
+    if (this->resolved.size() >= max_resolved)
+        this->resolved.clear();
+    return this->resolved.emplace(receiver, endpoint_of(receiver)).first->second;
+}
+
+void prompt_exchange::count(char const* outcome, std::size_t datagrams)
+{
+    if (datagrams > 0)
+        this->gauges.add("prompt_news_total", {{"outcome", outcome}},
+                         static_cast<double>(datagrams));
 }
 
 void prompt_exchange::receive()
--- a/src/process/daemon/internal/prompt_exchange.hpp
+++ b/src/process/daemon/internal/prompt_exchange.hpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <functional>
+#include <map>
+#include <optional>
 
 #include <asio.hpp>
 
@@ -35,6 +37,9 @@
 private:
     void receive();
     void take(std::string_view datagram);
+    /// No value for an address without a host and a port.
+    std::optional<asio::ip::udp::endpoint> const& resolve(network_address const& receiver);
+    void count(char const* outcome, std::size_t datagrams);
 
     asio::ip::udp::socket socket;
     std::string const cluster_token;
@@ -42,6 +47,7 @@
     event_sink& events;
     observability::metrics& gauges;
     asio::ip::udp::endpoint sender;
+    std::map<network_address, std::optional<asio::ip::udp::endpoint>> resolved;
     std::array<char, max_datagram_bytes> buffer{};
 };
 
--- a/src/process/daemon/tests/prompt_exchange_test.cpp
+++ b/src/process/daemon/tests/prompt_exchange_test.cpp
@@ -78,6 +78,22 @@
     CHECK(entries.received.size() == 1);
 }
 
+TEST_CASE("each datagram of news is counted")
+{
+    // Guards against the share of lost news that operators see being wrong: one count for
+    // each receiver, also when the receiver's address is known from before.
+    exchange_pair entries;
+    for (int i = 0; i < 2; ++i)
+        entries.first.send({entries.address, network_address("nowhere"), entries.address},
+                           make_news(1));
+    entries.run();
+    CHECK(entries.received.size() == 4);
+    auto const text = entries.metrics.expose();
+    CHECK(text.find("prompt_news_total{outcome=\"sent\"} 4") != std::string::npos);
+    CHECK(text.find("prompt_news_total{outcome=\"received\"} 4") != std::string::npos);
+    CHECK(text.find("outcome=\"not_sent\"") == std::string::npos);
+}
+
 TEST_CASE("an entry without the port goes on without news")
 {
     exchange_pair entries;
