--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -87,3 +87,18 @@
     CHECK(engines.choose({{1, 1}}, {endpoint_id("e1"), endpoint_id("e2"), endpoint_id("e3")})
               .empty());
 }
+
+TEST_CASE("entries of a large system keep to the engine that all expect to have a part")
+{
+    // Guards against shared parts that each entry has read at another engine since it hears
+    // of few prompts.
+    for (std::uint32_t const entries : {1, 86})
+    {
+        engine_choice engines;
+        engines.view.entries = entries;
+        auto const expected = engines.choose({{1, 20'000}, {9, 100}});
+        engines.send(expected, {{4, 15'000}});
+        bool const is_kept = engines.choose({{1, 20'000}, {9, 100}}) == expected;
+        CHECK(is_kept == (entries == 86));
+    }
+}
