--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -140,3 +140,18 @@
     view.splits[service_name("s")].stable = version_name("v4");
     CHECK(usable_ids(view) == "e1 e3");
 }
+
+TEST_CASE("entries of a large system keep to the engine that all expect to have a part")
+{
+    // Guards against shared parts that each entry has read at another engine since it hears
+    // of few prompts.
+    for (std::uint32_t const entries : {1, 86})
+    {
+        engine_choice engines;
+        engines.view.entries = entries;
+        auto const expected = engines.choose({{1, 20'000}, {9, 100}});
+        engines.send(expected, {{4, 15'000}});
+        bool const is_kept = engines.choose({{1, 20'000}, {9, 100}}) == expected;
+        CHECK(is_kept == (entries == 86));
+    }
+}
