Tell only the total of the demand in rows of large systems

Each daemon of a large system spent processor time and bytes on the demand of each account at each other entry: the rows change with every heartbeat, and each carried a map of all accounts. With keepers of quotas (more than 16 entries that take calls) account_quota uses neither the own nor the others' demand; only the duty that orders capacity reads it, as a sum.

Change: with more than 32 such entries the own row holds one item, the total under an empty account id. The margin from 16 to 32 is for a system that loses half of its entries at once: the rest then share by demand and have the rows for it.

Evidence: with the former content of the row (the new function gave back the whole map) the new test failed for 16 accounts: 391 bytes in a row, where 163 are allowed for the row without demand and 20 bytes of total; 16 == 1 for the items. It passes now.

--- a/src/connection/include/lagoonladder/connection/entry_record.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_record.hpp
@@ -37,7 +37,8 @@
     bool has_disk = false;
     /// Where callers of pass-through routes connect; empty when it takes none now.
     network_address pass_through;
-    /// Tokens a second that accounts ask for at this entry.
+    /// Tokens a second that accounts ask for at this entry. In large systems, where quotas
+    /// are not shared by it, only the total, under an empty account id.
     std::map<account_id, double> demand;
 };
 
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -238,9 +238,11 @@
     }
     this->directories.set_own_figures(next->shared->generation, this->open_requests);
     bool const takes_calls = next->ready && next->shared->services && !next->leaving;
-    this->directories.set_pass_through(
-        takes_calls ? this->options.pass_through.callers : network_address(), this->account_demand);
-    this->published_traffic.store(make_traffic_view(*next, this->options));
+    auto const traffic_view = make_traffic_view(*next, this->options);
+    this->directories.set_pass_through(takes_calls ? this->options.pass_through.callers
+                                                   : network_address(),
+                                       demand_to_tell(*traffic_view, this->account_demand));
+    this->published_traffic.store(traffic_view);
     this->reclaims.set_active(this->directories.entries().polls_cloud(now));
     this->update_metrics(*next);
     this->published.store(std::move(next));
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -6,6 +6,10 @@
 namespace
 {
 
+/// When many entries go at once and few remain, these share quotas by the demand of the
+/// accounts, which they must know by then.
+constexpr std::size_t shares_margin = 2;
+
 std::map<service_name, version_name>
 reversed_versions(std::vector<version::move_record> const& moves)
 {
@@ -51,4 +55,16 @@
     return view;
 }
 
+std::map<account_id, double> demand_to_tell(proxy::traffic_view const& view,
+                                            std::map<account_id, double> const& demand)
+{
+    auto const shares_end = shares_margin * proxy::max_entries_with_quota_parts();
+    if (demand.empty() || view.serving.size() <= shares_end)
+        return demand;
+    double total = 0;
+    for (auto const& [account, rate] : demand)
+        total += rate;
+    return {{account_id(), total}};
+}
+
 } // namespace lagoonladder::control
--- a/src/process/control/internal/pass_through_view.hpp
+++ b/src/process/control/internal/pass_through_view.hpp
@@ -12,6 +12,11 @@
 std::shared_ptr<proxy::traffic_view const> make_traffic_view(control_view const& control,
                                                              config::settings const& config);
 
+/// Demand for the own entry row: by account while quotas are shared by it, otherwise the
+/// total under an empty account id.
+std::map<account_id, double> demand_to_tell(proxy::traffic_view const& view,
+                                            std::map<account_id, double> const& demand);
+
 } // namespace lagoonladder::control
 
 #endif
--- /dev/null
+++ b/src/process/control/tests/pass_through_view_test.cpp
@@ -0,0 +1,68 @@
+#include <catch2/catch.hpp>
+
+#include <numeric>
+
+#include "pass_through_view.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::control;
+
+namespace
+{
+
+proxy::traffic_view view_of(std::size_t entries)
+{
+    proxy::traffic_view view;
+    view.serving.resize(entries);
+    return view;
+}
+
+std::map<account_id, double> demand_of(std::size_t accounts)
+{
+    std::map<account_id, double> demand;
+    for (std::size_t i = 0; i < accounts; ++i)
+        demand[account_id("tenant-" + std::to_string(i))] = 100.5;
+    return demand;
+}
+
+double total_of(std::map<account_id, double> const& demand)
+{
+    return std::accumulate(demand.begin(), demand.end(), 0.0,
+                           [](double sum, auto const& item) { return sum + item.second; });
+}
+
+std::size_t row_bytes(std::map<account_id, double> const& demand)
+{
+    connection::entry_record row;
+    row.vm = vm_id("entry-1");
+    row.demand = demand;
+    return nlohmann::json::to_msgpack(nlohmann::json(row)).size();
+}
+
+} // namespace
+
+TEST_CASE("rows of a large system carry the total of the demand only")
+{
+    // Guards against rows that grow with the number of accounts: each heartbeat of 86 entries
+    // carried the demand of 16 accounts to all others, which needed only the sum.
+    auto const demand = demand_of(16);
+    auto const told = demand_to_tell(view_of(86), demand);
+    CHECK(told.size() == 1);
+    CHECK(total_of(told) == Approx(total_of(demand)));
+    CHECK(row_bytes(told) < row_bytes({}) + 20);
+}
+
+TEST_CASE("rows of a small system carry the demand of each account")
+{
+    // Guards against quotas that are shared equally although one entry has all the callers,
+    // also right after a system has lost half of its entries.
+    auto const demand = demand_of(16);
+    CHECK(demand_to_tell(view_of(1), demand) == demand);
+    CHECK(demand_to_tell(view_of(10), demand) == demand);
+    CHECK(demand_to_tell(view_of(32), demand) == demand);
+}
+
+TEST_CASE("an entry without callers tells no demand")
+{
+    CHECK(demand_to_tell(view_of(86), {}).empty());
+}
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -48,6 +48,9 @@
 /// so few entries that each holds a part.
 std::vector<serving_entry> quota_keepers(traffic_view const& view, account_id const& account);
 
+/// Most entries with which each of them holds a part of a quota by its accounts' demand.
+std::size_t max_entries_with_quota_parts();
+
 /// A prompt was sent to an engine.
 struct prompt_news
 {
