Bound the cloud API's list of notices

A cloud API whose answer does not end filled the memory of the process, and held the thread that polls it.

Cause: the answer was collected whatever its size; only the time without a byte was bounded.

Change: an answer may have 1 MiB and take 5 s. Beyond these the poll fails like one without an answer, and the next one tries again.

--- a/src/process/control/internal/reclaim_poller.cpp
+++ b/src/process/control/internal/reclaim_poller.cpp
@@ -13,6 +13,10 @@
 
 constexpr int connect_timeout_s = 1;
 constexpr int read_timeout_s = 2;
+/// Thousands of notices fit; an answer without an end must not fill the memory.
+constexpr std::size_t max_answer_bytes = 1024 * 1024;
+/// From the request to the end of the answer; the next poll tries again.
+constexpr duration max_answer_time = seconds(5);
 
 platform_notice parse_notice(nlohmann::json const& in)
 {
@@ -30,13 +34,21 @@
     httplib::Client client("http://" + this->address.value());
     client.set_connection_timeout(connect_timeout_s);
     client.set_read_timeout(read_timeout_s);
-    auto const answer = client.Get("/v1/notices");
+    auto const end = std::chrono::steady_clock::now() + max_answer_time;
+    std::string text;
+    auto const answer = client.Get("/v1/notices",
+                                   [&](char const* data, std::size_t size)
+                                   {
+                                       text.append(data, size);
+                                       return text.size() <= max_answer_bytes &&
+                                              std::chrono::steady_clock::now() < end;
+                                   });
     if (!answer || answer->status != 200)
         throw control_error("the cloud API at " + this->address.value() +
                             " did not answer GET /v1/notices");
     try
     {
-        auto const body = nlohmann::json::parse(answer->body);
+        auto const body = nlohmann::json::parse(text);
         std::vector<platform_notice> found;
         for (auto const& item : body.at("notices"))
             found.push_back(parse_notice(item));
--- a/src/process/control/tests/reclaim_poller_test.cpp
+++ b/src/process/control/tests/reclaim_poller_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -63,3 +64,32 @@
     notice_server const server(R"({"notes":[]})");
     CHECK_THROWS_AS(http_cloud_platform(server.address()).notices(), control_error);
 }
+
+TEST_CASE("a list of notices without an end is an error")
+{
+    // Guards against a cloud API whose answer fills the memory of the VM.
+    constexpr std::size_t all_bytes = 64 * 1024 * 1024;
+    std::atomic<std::size_t> sent = 0;
+    httplib::Server server;
+    server.Get("/v1/notices",
+               [&](auto const&, auto& response)
+               {
+                   response.set_chunked_content_provider("application/json",
+                                                         [&](std::size_t, httplib::DataSink& sink)
+                                                         {
+                                                             std::string const part(64 * 1024, ' ');
+                                                             sent += part.size();
+                                                             if (sent >= all_bytes)
+                                                                 sink.done();
+                                                             return sink.write(part.data(),
+                                                                               part.size());
+                                                         });
+               });
+    auto const port = server.bind_to_any_port("127.0.0.1");
+    std::thread thread([&] { server.listen_after_bind(); });
+    network_address const address("127.0.0.1:" + std::to_string(port));
+    CHECK_THROWS_AS(http_cloud_platform(address).notices(), control_error);
+    server.stop();
+    thread.join();
+    CHECK(sent < all_bytes / 2);
+}
