End an engine's answer with its last event

Callers of completions waited until the deadline for the end of an answer that was whole when the engine sent bytes behind its last event without end, and got tokens from behind that event. A refusal of the engine with a body without end was held as long.

Cause: an attempt ended with the connection or the body only, each byte counts as progress, and events behind the last one were read like those before it.

Change: events behind the last one are ignored. Behind it, or of an error answer, 16 KiB are waited for so that the connection may be kept; beyond these it is closed and what arrived is judged.

The new tests on the old code, with calls that may take 10 s: the text was "t0 t1 t2 " instead of "t0 t1 ", and the call ended after 10,043 ms, with comments after 10,047 ms, each without the last event; an engine's 400 gave the caller no answer within its 15 s. Now all end in less than 3 s with the whole text, or the error.

The whole test program passed in two of three runs. In the third, "a stop ends the requests in progress and the companion finishes them" failed; by itself it passed 12 times, and 8 times with the earlier code.

--- a/src/process/completion/internal/engine_attempt.cpp
+++ b/src/process/completion/internal/engine_attempt.cpp
@@ -11,6 +11,10 @@
 // Bytes of an engine's error answer that go into the detail of the refusal.
 constexpr std::size_t max_detail = 500;
 
+// Bytes behind the end of the stream, or of an engine's error answer, that are waited for so
+// that the connection may be kept. More of them have no end that is worth the wait.
+constexpr std::size_t max_unused_bytes = 16 * 1024;
+
 using json_handler = std::function<void(std::optional<nlohmann::json> const&)>;
 
 http::request_head post_head(std::string const& path)
@@ -76,6 +80,9 @@
 
 bool engine_attempt::take_event(std::string_view data)
 {
+    // Nothing of the answer follows its end.
+    if (this->has_end_event)
+        return true;
     auto const event = read_engine_event(data);
     this->has_end_event = this->has_end_event || event.is_end;
     this->has_error_event = event.is_error;
@@ -93,6 +100,10 @@
 {
     if (this->is_over)
         return;
+    if (this->status != 200 || this->has_end_event)
+        this->unused_bytes += bytes.size();
+    if (this->unused_bytes > max_unused_bytes)
+        return this->close();
     if (this->status != 200)
     {
         this->refused_body.append(bytes.substr(0, max_detail - this->refused_body.size()));
@@ -103,15 +114,18 @@
     if (this->is_over)
         return;
     if (!is_readable)
-    {
-        if (auto const open = this->call.lock())
-            open->cancel();
-        return this->on_call_end(call_result::broken);
-    }
+        return this->close();
     if (auto const target = this->receiver)
         target->on_progress();
 }
 
+void engine_attempt::close()
+{
+    if (auto const open = this->call.lock())
+        open->cancel();
+    this->on_call_end(call_result::broken);
+}
+
 void engine_attempt::on_call_end(call_result result)
 {
     this->end(this->judge(result));
--- a/src/process/completion/internal/engine_attempt.hpp
+++ b/src/process/completion/internal/engine_attempt.hpp
@@ -77,6 +77,8 @@
 
 private:
     bool take_event(std::string_view data);
+    /// Closes the connection and judges what has arrived.
+    void close();
     attempt_result judge(call_result result) const;
     void end(attempt_result const& result);
 
@@ -85,6 +87,7 @@
     event_stream_parser parser;
     std::string refused_body;
     std::string finish_reason;
+    std::size_t unused_bytes = 0;
     unsigned status = 0;
     bool has_end_event = false;
     bool has_error_event = false;
--- /dev/null
+++ b/src/process/completion/tests/endless_engine_test.cpp
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+
+#include "endless_server.hpp"
+#include "traffic_harness.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::completion;
+
+namespace
+{
+
+/// An engine that answers with a beginning and then sends the same bytes without end.
+class endless_engine
+{
+public:
+    endless_engine(memory_cluster& cluster, std::string const& beginning, std::string const& unit)
+        : server(this->context, beginning, unit)
+    {
+        connection::endpoint_record record;
+        record.id = endpoint_id("engine-1");
+        record.service = service_name("advisor");
+        record.version = version_name("v1");
+        record.load.slots = 64;
+        record.address = this->server.address();
+        cluster.add(record);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~endless_engine()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+private:
+    asio::io_context context;
+    endless_server server;
+    std::thread thread;
+};
+
+std::string const stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+std::string token_event(std::uint64_t offset)
+{
+    return R"(data: {"choices":[{"index":0,"delta":{"content":"t)" + std::to_string(offset) +
+           R"( "},"finish_reason":null}],"offset":)" + std::to_string(offset) + "}\n\n";
+}
+
+std::string const stream_end =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}]}\n\n"
+    "data: [DONE]\n\n";
+
+/// Well below the 10 s that calls of the tests' service may take.
+constexpr auto prompt_end = std::chrono::seconds(3);
+
+} // namespace
+
+// Guards against a caller that waits until the deadline for the end of an answer that is whole.
+TEST_CASE("events without end behind the last one end with the answer")
+{
+    for (auto const& unit : {token_event(2), std::string(": alive\n\n"), std::string(4096, 'x')})
+    {
+        memory_cluster cluster;
+        recorded_events events;
+        test_entry entry{cluster, events, "entry-1", "dc-1"};
+        endless_engine engine(cluster, stream_head + token_event(0) + token_event(1) + stream_end,
+                              unit);
+        auto const began = std::chrono::steady_clock::now();
+        auto const seen = read_completion(entry, chat_body());
+        INFO(unit.substr(0, 20));
+        CHECK(seen.status == 200);
+        CHECK(seen.text == expected_text(0, 2));
+        CHECK(seen.is_done);
+        CHECK(std::chrono::steady_clock::now() - began < prompt_end);
+    }
+}
+
+// Guards against a refusal of the engine that is held until the deadline of the call.
+TEST_CASE("an engine's error without end is an error at once")
+{
+    memory_cluster cluster;
+    recorded_events events;
+    test_entry entry{cluster, events, "entry-1", "dc-1"};
+    endless_engine engine(cluster, "HTTP/1.1 400 Bad\r\n\r\n", std::string(4096, 'x'));
+    auto const began = std::chrono::steady_clock::now();
+    auto const seen = read_completion(entry, chat_body());
+    CHECK(seen.status >= 400);
+    CHECK(std::chrono::steady_clock::now() - began < prompt_end);
+}
