Release no engines until the old version of a move has stopped

In between both versions serve, and an order for what the demand needs would have released the newest ones, those of the version that the service had just moved to.

--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -35,14 +35,22 @@
     return demand;
 }
 
-bool is_moving(control_view const& view, service_name const& service)
+/// Both versions serve from the order of a move until the platform has stopped the endpoints
+/// of one, which is after the move has ended.
+bool has_two_versions(control_view const& view, service_name const& service)
 {
     auto const& moves = view.shared->moves;
-    return std::any_of(moves.begin(), moves.end(),
-                       [&](version::move_record const& move) {
-                           return move.service == service &&
-                                  move.state == version::move_state::running;
-                       });
+    bool const is_moving = std::any_of(moves.begin(), moves.end(),
+                                       [&](version::move_record const& move) {
+                                           return move.service == service &&
+                                                  move.state == version::move_state::running;
+                                       });
+    auto const found = view.endpoints.find(service);
+    if (is_moving || found == view.endpoints.end())
+        return is_moving;
+    auto const& rows = found->second;
+    return std::any_of(rows.begin(), rows.end(),
+                       [&](auto const& row) { return row.version != rows.front().version; });
 }
 
 } // namespace
@@ -161,7 +169,7 @@
         now.limits = *service.scaling;
         now.serving = this->serving_replicas(view, service.name);
         now.demand = demand;
-        bool const moves = is_moving(view, service.name);
+        bool const moves = has_two_versions(view, service.name);
         for (auto const& [data_centre, counts] : version::plan_capacity(now))
         {
             auto const serving = now.serving[data_centre];
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -40,7 +40,7 @@
         std::uint32_t serving = 0;
         /// Tokens a second that callers ask for, for the log.
         double demand = 0;
-        /// The service moves to another version.
+        /// Two versions of the service run side by side.
         bool is_moving = false;
     };
 
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -219,9 +219,15 @@
     duty.platform.orders.clear();
     duty.step_for(12, view);
     CHECK(duty.platform.on_demand() == 0);
+    // The platform stops the old version some time after the move has finished.
     shared = std::make_shared<version::shared_state>(*shared);
     shared->moves.back().state = version::move_state::finished;
     view.shared = shared;
+    for (std::size_t i = 0; i < 9; ++i)
+        view.endpoints[engines][i].version = version_name("v2");
+    duty.step_for(4, view);
+    CHECK(duty.platform.on_demand() == 0);
+    view.endpoints[engines].resize(9);
     duty.step_for(20, view);
     CHECK(duty.platform.total() <= before);
 }
