Tell other entries of an endpoint that leaves as it becomes known

Entries that knew it as serving heard of the mark with the next exchanges only. The new case sees no message within 500 ms with the code before.

--- a/src/process/control/internal/gossip_changes.cpp
+++ b/src/process/control/internal/gossip_changes.cpp
@@ -9,6 +9,7 @@
     auto const id = record.id;
     auto const service = record.service;
     auto const version = record.version;
+    bool const leaves = record.state == connection::endpoint_state::leaving;
     auto const result = this->endpoint_rows.announce(this->time.now(), std::move(record));
     this->announced.insert(id);
     if (result == directory_result::added)
@@ -17,7 +18,10 @@
             {{"endpoint", id.value()}, {"service", service.value()}, {"version", version.value()}});
     if (result == directory_result::full)
         this->events.emit(severity::error, "endpoint.directory_full", {{"endpoint", id.value()}});
-    if (result == directory_result::marked_leaving)
+    // Other entries may know the endpoint as serving though it is new here.
+    bool const is_news = result == directory_result::marked_leaving ||
+                         (result == directory_result::added && leaves);
+    if (is_news)
     {
         this->events.emit(severity::info, "endpoint.leaving", {{"endpoint", id.value()}});
         this->add_endpoint_news(id);
--- a/src/process/control/tests/gossip_news_test.cpp
+++ b/src/process/control/tests/gossip_news_test.cpp
@@ -37,6 +37,29 @@
 
 } // namespace
 
+TEST_CASE("an endpoint that leaves as it becomes known here is told to the others")
+{
+    // Guards against calls to a leaving endpoint from entries that knew it before, when it
+    // tells a daemon that has just started.
+    counting_directory others;
+    auto const address = free_address();
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address.value(), grpc::InsecureServerCredentials());
+    builder.RegisterService(&others);
+    auto const server = builder.BuildAndStart();
+    directories self("self");
+    auto row = entry_of(0);
+    row.control = address;
+    self.learn_entry(row);
+    auto leaving = endpoint_of(0);
+    leaving.state = connection::endpoint_state::leaving;
+    self.driver.announce(leaving);
+    self.context->run_for(milliseconds(500));
+    self.driver.stop();
+    server->Shutdown(std::chrono::system_clock::now());
+    CHECK(others.news >= 1);
+}
+
 TEST_CASE("a daemon gathers the marks of a reclaimed zone")
 {
     // Guards against one round of messages for each mark: with 86 daemons and the marks of
