--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -16,6 +16,12 @@
     return status >= 200 && status < 300;
 }
 
+/// Statuses that tell a caller that its call has not run and never will.
+bool is_promise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 char const* to_string(attempt_result result)
@@ -126,6 +132,8 @@
 {
     if (this->received.is_recoded)
         return "the answer is encoded in a way that was not asked for";
+    if (is_promise(head.status) && !this->received.is_sealed)
+        return "a refusal without a signature or the statement that nothing was run";
     if (!is_success(head.status))
         return {};
     if (!this->received.is_sealed)
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -200,6 +200,8 @@
         return peer.close();
     case endpoint_mode::unsigned_answer:
         return peer.write("HTTP/1.1 200 OK\r\n" + named + length + body);
+    case endpoint_mode::unsigned_refusal:
+        return peer.write("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
     case endpoint_mode::stale_answer_first:
         return peer.write("HTTP/1.1 200 OK\r\nSeal: s\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
                           "HTTP/1.1 200 OK\r\nSeal: s\r\n" +
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -21,6 +21,8 @@
     close_without_answer,
     cut_answer,
     unsigned_answer,
+    /// 503 with neither a signature nor the statement that nothing was run.
+    unsigned_refusal,
     /// An answer to an earlier request comes first.
     stale_answer_first,
     /// The first run ends within its second event.
@@ -82,7 +84,10 @@
     }
     void record(lagoonladder::version::traffic_sample const&) override {}
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
-    void set_demand(std::map<lagoonladder::account_id, double>) override {}
+    void set_demand(std::map<lagoonladder::account_id, double> told_demand) override
+    {
+        this->demand = std::move(told_demand);
+    }
     void
     borrow_tokens(lagoonladder::account_id const& account, double missing, lagoonladder::duration,
                   std::function<void(lagoonladder::request::lending_outcome const&)> done) override
@@ -104,6 +109,8 @@
     }
 
     std::map<lagoonladder::account_id, int> usage;
+    /// As it was told last.
+    std::map<lagoonladder::account_id, double> demand;
     std::vector<std::pair<lagoonladder::account_id, double>> borrowed;
     /// What other entries give at each request for tokens.
     double lent = 0;
