Let the demand of callers that have left fade

When its callers had left, the last figure stayed for ever, and engines were kept for it. It is told from a timer now.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -142,6 +142,7 @@
 void pass_through_plane::count_open_calls()
 {
     this->open = this->proxy.open_calls();
+    this->proxy.tick();
     this->prepare_lending();
     this->count_timer.expires_after(count_interval);
     this->count_timer.async_wait(
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -58,6 +58,9 @@
     /// Answers all open calls now, at the end of the time for a planned stop.
     void end_calls();
 
+    /// To be called some times a second: tells the accounts' demand, also without calls.
+    void tick();
+
     /// Gives tokens of the account's quota away to another entry.
     request::lender_reply lend_tokens(account_id const& account, double wanted);
     /// Takes tokens that another entry gave away after the call had gone on without them.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -201,6 +201,11 @@
                                         news.incarnation, news.prompt);
 }
 
+void call_proxy::tick()
+{
+    this->tell_demand(this->context->parts.time.now());
+}
+
 void call_proxy::tell_demand(time_point now)
 {
     if (now < this->context->demand_told + demand_interval)
