--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -62,8 +62,9 @@
 
 /// Part of the drain timeout that closing all servers takes.
 constexpr duration shutdown_time = milliseconds(700);
-/// Part of the drain timeout before that in which calls that are still open are answered.
-constexpr duration last_answers_time = milliseconds(250);
+/// Part of the drain timeout before that in which calls that are still open are answered;
+/// calls that wait for quota tokens get their answer within 400 ms.
+constexpr duration last_answers_time = milliseconds(450);
 /// Operators' and endpoints' calls are answered within a second, and callers have a second to
 /// close their end of a connection.
 constexpr duration closing_time = seconds(2);
