Hold a move while the calls of its new version do not end

Cause: the tests of a move know a slow call when it ends. While the share doubled, most calls of the new version were still open: move.share_changed says failures_new=0/16 with 289 old calls ended when the share became 1. The last steps are made by the plan's slack whatever the evidence is.

Change: entries tell the open calls of each version. While the new version has 2.5 times as many as it would have if it were as fast as the old one, and at least 4, the share is not raised, also where there is no slack left. Its slow calls then end at a small share and decide the tests, or the move is reversed at its time.

Ruled out: the capacity duty, whose orders had hidden this on by releasing the new version's engines.

--- a/src/process/control/internal/traffic_counter.cpp
+++ b/src/process/control/internal/traffic_counter.cpp
@@ -12,6 +12,7 @@
     sum.route = sample.route;
     sum.requests += sample.requests;
     sum.failures += sample.failures;
+    sum.open += sample.open;
     sum.first_token.add(sample.first_token);
     sum.between_tokens.add(sample.between_tokens);
     sum.whole_call.add(sample.whole_call);
--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -67,6 +67,23 @@
     return sample;
 }
 
+open_attempt::open_attempt(traffic_control& traffic, admitted_call const& admitted,
+                           connection::endpoint_record const& endpoint)
+    : control(traffic)
+{
+    this->sample.service = admitted.service;
+    this->sample.version = compared_version(*traffic.view(), admitted.service, endpoint);
+    this->sample.route = admitted.route->name;
+    this->sample.open = 1;
+    this->control.record(this->sample);
+}
+
+open_attempt::~open_attempt()
+{
+    this->sample.open = -1;
+    this->control.record(this->sample);
+}
+
 void report_end(proxy_context& context, incoming_call const& call, admitted_call const& admitted,
                 call_end const& end)
 {
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -42,6 +42,22 @@
                                     admitted_call const& admitted, endpoint_attempt const& attempt,
                                     bool is_complete, time_point first_byte);
 
+/// Counts an attempt as open, for the comparison of versions, as long as it lives.
+class open_attempt
+{
+public:
+    open_attempt(traffic_control& control, admitted_call const& admitted,
+                 connection::endpoint_record const& endpoint);
+    ~open_attempt();
+
+    open_attempt(open_attempt const&) = delete;
+    open_attempt& operator=(open_attempt const&) = delete;
+
+private:
+    traffic_control& control;
+    version::traffic_sample sample;
+};
+
 /// Writes the log line and the metrics of a call.
 void report_end(proxy_context& context, incoming_call const& call, admitted_call const& admitted,
                 call_end const& end);
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -92,6 +92,7 @@
     this->first_byte = {};
     this->current = std::make_shared<endpoint_attempt>(
         this->weak_from_this(), this->context->parts.codec, endpoint, this->call.id, now);
+    this->counted.emplace(this->context->parts.control, this->admitted, endpoint);
     this->chosen_load = this->context->chooser.load(now, endpoint.id);
     this->context->chooser.started(now, endpoint.id);
     this->tell_prompt(endpoint);
@@ -256,6 +257,7 @@
 void proxied_call::end_attempt(attempt_result result, std::string const& reason)
 {
     auto const attempt = std::exchange(this->current, nullptr);
+    this->counted.reset();
     auto const now = this->context->parts.time.now();
     auto const& endpoint = attempt->endpoint();
     this->tried.push_back(endpoint.id);
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -7,6 +7,7 @@
 
 #include "answer_relay.hpp"
 #include "call_admission.hpp"
+#include "call_report.hpp"
 #include "endpoint_attempt.hpp"
 #include "proxy_context.hpp"
 
@@ -68,6 +69,8 @@
     answer_relay relay;
     asio::steady_timer timer;
     std::shared_ptr<endpoint_attempt> current;
+    /// Set as long as `current` is.
+    std::optional<open_attempt> counted;
     std::vector<endpoint_id> tried;
     /// Attempts of which a byte was sent.
     std::uint32_t sends = 0;
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -37,6 +37,7 @@
     if (!this->current)
         return;
     auto const attempt = std::exchange(this->current, nullptr);
+    this->counted.reset();
     attempt->cancel();
     this->context->chooser.ended(this->context->parts.time.now(), this->admitted.service,
                                  attempt->endpoint().id, std::nullopt);
--- a/src/version/include/lagoonladder/version/traffic_sample.hpp
+++ b/src/version/include/lagoonladder/version/traffic_sample.hpp
@@ -34,6 +34,8 @@
     std::uint32_t requests = 0;
     /// Answers with status 500 and above, broken streams and timeouts.
     std::uint32_t failures = 0;
+    /// Calls sent to the version less those that have ended since, for whatever reason.
+    std::int32_t open = 0;
     latency_histogram first_token;
     latency_histogram between_tokens;
     latency_histogram whole_call;
--- a/src/version/internal/move_controller.cpp
+++ b/src/version/internal/move_controller.cpp
@@ -68,8 +68,10 @@
             this->first = this->plan.first_share(this->comparison.busiest_route_rate());
         if (!this->plan.is_step_due(now, this->held, this->last_step, this->first, record.share))
             return false;
-        bool const hold = this->comparison.is_suspect() &&
-                          !this->plan.is_slack_used(now, this->first, record.share);
+        bool const is_doubtful = this->comparison.is_suspect() &&
+                                 !this->plan.is_slack_used(now, this->first, record.share);
+        // More traffic for calls that do not end would only be more evidence of the same.
+        bool const hold = is_doubtful || this->comparison.has_backlog(record.share);
         if (hold)
             this->held += now - this->previous;
         return !hold;
--- a/src/version/internal/traffic_sample.cpp
+++ b/src/version/internal/traffic_sample.cpp
@@ -81,6 +81,7 @@
            {"route", in.route},
            {"requests", in.requests},
            {"failures", in.failures},
+           {"open", in.open},
            {"first_token", in.first_token},
            {"between_tokens", in.between_tokens},
            {"whole_call", in.whole_call}};
@@ -93,6 +94,8 @@
     in.at("route").get_to(out.route);
     in.at("requests").get_to(out.requests);
     in.at("failures").get_to(out.failures);
+    // Entries of an earlier version do not tell it.
+    out.open = in.value("open", 0);
     in.at("first_token").get_to(out.first_token);
     in.at("between_tokens").get_to(out.between_tokens);
     in.at("whole_call").get_to(out.whole_call);
--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -14,6 +14,12 @@
 // Above this share the old version's concurrent traffic gets too thin for a test.
 constexpr double reference_share = 0.6;
 
+/// Open calls of the new version for each one that it would have if it were as fast as the old
+/// one. Versions as good as that rarely exceed it.
+constexpr double backlog_factor = 2.5;
+/// Fewer open calls are no sign.
+constexpr double least_backlog = 4;
+
 std::string const evidence_prefix = "evidence ";
 
 std::string const route_separator = " on route ";
@@ -163,6 +169,14 @@
            this->pooled.old.requests >= this->settings.least_requests;
 }
 
+bool verdict::has_backlog(double share) const
+{
+    if (share <= 0 || share > reference_share)
+        return false;
+    auto const expected = std::max(0.0, this->pooled.old.open) * share / (1 - share);
+    return this->pooled.fresh.open >= std::max(least_backlog, backlog_factor * expected);
+}
+
 double verdict::busiest_route_rate() const
 {
     double most = 0;
--- a/src/version/internal/verdict.hpp
+++ b/src/version/internal/verdict.hpp
@@ -31,6 +31,10 @@
     /// Routes on which a version had too few requests to be compared.
     std::vector<route_name> thin_routes() const;
 
+    /// Whether so many calls of the new version have not ended that they must take far longer
+    /// than those of the old one. Slow calls show in the tests only once they end.
+    bool has_backlog(double share) const;
+
     /// Requests per second of the busiest route, by the intervals so far.
     double busiest_route_rate() const;
 
--- a/src/version/internal/version_counts.cpp
+++ b/src/version/internal/version_counts.cpp
@@ -27,6 +27,7 @@
 {
     this->requests += sample.requests;
     this->failures += std::min(sample.failures, sample.requests);
+    this->open += sample.open;
     this->latencies[0].add(sample.first_token);
     this->latencies[1].add(sample.between_tokens);
     this->latencies[2].add(sample.whole_call);
@@ -36,6 +37,7 @@
 {
     this->requests += other.requests;
     this->failures += other.failures;
+    this->open += other.open;
     for (std::size_t i = 0; i < this->latencies.size(); ++i)
         this->latencies[i].add(other.latencies[i]);
 }
--- a/src/version/internal/version_counts.hpp
+++ b/src/version/internal/version_counts.hpp
@@ -30,6 +30,8 @@
 {
     double requests = 0;
     double failures = 0;
+    /// Calls that have not ended.
+    double open = 0;
     /// By latency metric, in the order of move_metric without `failures`.
     std::array<latency_histogram, 3> latencies;
 
--- a/src/version/tests/move_controller_test.cpp
+++ b/src/version/tests/move_controller_test.cpp
@@ -203,3 +203,95 @@
         CHECK((!change || change->state == move_state::running));
     }
 }
+
+namespace
+{
+
+/// One second of 30 calls, of which those of the new version end after `fresh_seconds`.
+class short_move
+{
+public:
+    explicit short_move(int fresh_seconds)
+        : delay(fresh_seconds)
+    {
+        this->settings.observe = seconds(1);
+        this->settings.commit_margin = milliseconds(1500);
+        this->settings.most_first_share = 0.1;
+        this->settings.least_requests = 20;
+        this->record.service = service_name("s");
+        this->record.from = version_name("old");
+        this->record.to = version_name("new");
+        this->record.started = this->now;
+        this->record.finish_by = this->now + seconds(12);
+        this->record.generation = generation(2);
+        this->service.watch = seconds(3);
+    }
+
+    /// Runs the move to its end; returns the largest share before `last`.
+    double largest_share(int last)
+    {
+        move_controller controller(this->settings);
+        double largest = 0;
+        for (int second = 0; second < 12 && this->record.state == move_state::running; ++second)
+        {
+            this->now += seconds(1);
+            auto const change =
+                controller.step(this->now, this->record, this->service, this->samples(second));
+            if (!change)
+                continue;
+            this->record.share = change->share;
+            this->record.state = change->state;
+            this->record.figures = change->figures;
+            if (change->share >= 1 && !this->record.full_since)
+                this->record.full_since = this->now;
+            if (second < last)
+                largest = std::max(largest, change->share);
+        }
+        return largest;
+    }
+
+    move_record record;
+
+private:
+    std::vector<traffic_sample> samples(int second)
+    {
+        auto const sent = static_cast<int>(30 * this->record.share);
+        this->sent_at.push_back(sent);
+        auto const ended = second >= this->delay ? this->sent_at[second - this->delay] : 0;
+        traffic_sample fresh{
+            service_name("s"), version_name("new"), route_name("r"), 0, 0, 0, {}, {}, {}};
+        fresh.requests = static_cast<std::uint32_t>(ended);
+        fresh.open = sent - ended;
+        for (int i = 0; i < ended; ++i)
+            fresh.whole_call.add(this->delay * seconds(1));
+        traffic_sample old{
+            service_name("s"), version_name("old"), route_name("r"), 0, 0, 0, {}, {}, {}};
+        old.requests = static_cast<std::uint32_t>(30 - sent);
+        for (int i = 0; i < 30 - sent; ++i)
+            old.whole_call.add(milliseconds(500));
+        return {old, fresh};
+    }
+
+    int delay;
+    move_settings settings;
+    service_config service;
+    wall_time now{std::chrono::hours(24 * 20000)};
+    std::vector<int> sent_at;
+};
+
+} // namespace
+
+TEST_CASE("a version whose calls do not end gets no larger share")
+{
+    // Guards against a slow version that has all of the traffic before its first calls end.
+    short_move slow(8);
+    CHECK(slow.largest_share(9) <= 0.2);
+    CHECK(slow.record.state == move_state::reversed);
+}
+
+TEST_CASE("a short move of a version whose calls end soon is not held up")
+{
+    short_move good(0);
+    good.largest_share(12);
+    CHECK(good.record.state == move_state::finished);
+}
