--- a/src/process/control/internal/gossip_changes.cpp
+++ b/src/process/control/internal/gossip_changes.cpp
@@ -19,8 +19,8 @@
     if (result == directory_result::full)
         this->events.emit(severity::error, "endpoint.directory_full", {{"endpoint", id.value()}});
     // Other entries may know the endpoint as serving though it is new here.
-    bool const is_news = result == directory_result::marked_leaving ||
-                         (result == directory_result::added && leaves);
+    bool const is_news =
+        result == directory_result::marked_leaving || (result == directory_result::added && leaves);
     if (is_news)
     {
         this->events.emit(severity::info, "endpoint.leaving", {{"endpoint", id.value()}});
