Reproduce configurations that are not acknowledged or not followed

Two tests without the bench, with links that have a rate (a relay in the test process): three voters that each receive at a seventh of 100 Mbit/s, as seven followers of a leader do, and daemons without a log that receive at 10 Mbit/s. Bounds are the users': 5 s for the acknowledgement, 2.5 s until it is in force.

No link is cut, nothing is stopped, so that size and rate suffice as cause.

--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -70,8 +70,9 @@
 class control_process
 {
 public:
+    /// Listens at `listen` where others reach the daemon through a relay.
     control_process(config::settings const& config, storage::log_store* store,
-                    std::string const& voter)
+                    std::string const& voter, network_address const& listen = {})
         : options(config)
         , events(config.vm, this->time, severity::error)
         , peers(config.cluster_token)
@@ -82,7 +83,8 @@
         , directory_calls(this->loop, this->options)
     {
         grpc::ServerBuilder builder;
-        builder.AddListeningPort(config.control.value(), grpc::InsecureServerCredentials());
+        auto const& own = listen.value().empty() ? config.control : listen;
+        builder.AddListeningPort(own.value(), grpc::InsecureServerCredentials());
         builder.RegisterService(&this->consensus_calls);
         builder.RegisterService(&this->control_calls);
         builder.RegisterService(&this->directory_calls);
--- /dev/null
+++ b/src/process/control/tests/slow_link_test.cpp
@@ -0,0 +1,185 @@
+#include <catch2/catch.hpp>
+
+#include "control_fixture.hpp"
+#include "slow_relay.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::control;
+
+namespace
+{
+
+/// Within this time a configuration has to be acknowledged.
+constexpr std::chrono::seconds acknowledge_limit{5};
+/// Within this time after its acknowledgement it has to be in force everywhere.
+constexpr std::chrono::milliseconds apply_limit{2'500};
+/// An operator asks another daemon after this time.
+constexpr duration operator_patience = milliseconds(900);
+
+/// A leader shares its uplink of 100 Mbit/s among seven followers.
+link_rate const share_of_uplink = megabits_per_second(100.0 / 7);
+/// Link of a daemon without a log.
+link_rate const reader_link = megabits_per_second(10);
+link_rate const fast_link = megabits_per_second(1'000);
+
+/// Voters and daemons without a log that reach each other over links with a rate.
+class slow_system
+{
+public:
+    static constexpr std::size_t voters = 3;
+
+    /// `to_voter` is the rate at which a voter receives, `to_reader` the one at which daemons
+    /// without a log get what voters send them.
+    slow_system(link_rate to_voter, link_rate to_reader, std::size_t readers)
+    {
+        for (std::size_t i = 0; i < voters + readers; ++i)
+        {
+            this->addresses.push_back(free_address());
+            this->hidden.push_back(free_address());
+            this->relays.push_back(std::make_unique<slow_relay>(
+                this->addresses[i].value(), this->hidden[i].value(), to_voter, to_reader));
+        }
+        for (std::size_t i = 0; i < voters + readers; ++i)
+            this->start(i);
+    }
+
+    control_thread& loop(std::size_t index) { return this->processes[index]->loop; }
+
+    bool is_ready()
+    {
+        return std::all_of(this->processes.begin(), this->processes.end(),
+                           [](auto const& one) { return one->loop.view()->ready; });
+    }
+
+    std::uint64_t term() { return this->loop(0).view()->term; }
+
+private:
+    void start(std::size_t index)
+    {
+        config::settings config;
+        config.vm = vm_id("entry-" + std::to_string(index));
+        config.data_centre = data_centre_id("dc");
+        config.zone = zone_id("zone");
+        config.http = network_address("127.0.0.1:1");
+        config.control = this->addresses[index];
+        config.cluster_token = "secret";
+        config.election_timeout = milliseconds(500);
+        config.gossip_interval = milliseconds(500);
+        config.state_poll_interval = milliseconds(300);
+        bool const is_voter = index < voters;
+        for (std::size_t i = 0; i < voters; ++i)
+        {
+            config.seeds.push_back(this->addresses[i]);
+            if (is_voter)
+                config.initial_voters.push_back(
+                    {vm_id("entry-" + std::to_string(i)), this->addresses[i]});
+        }
+        if (is_voter)
+            config.data_folder = "in memory";
+        this->processes.push_back(std::make_unique<control_process>(
+            config, is_voter ? &this->stores[index] : nullptr,
+            "entry-" + std::to_string(index) + "#1", this->hidden[index]));
+    }
+
+    std::vector<network_address> addresses;
+    std::vector<network_address> hidden;
+    std::vector<std::unique_ptr<slow_relay>> relays;
+    storage::memory_log_store stores[voters];
+    std::vector<std::unique_ptr<control_process>> processes;
+};
+
+/// Routes with names that do not repeat, as operators have them.
+std::pair<version::service_map, std::string> make_configuration(std::uint64_t number,
+                                                                std::size_t routes)
+{
+    version::service_map map;
+    map.number = number;
+    version::pass_service service;
+    service.name = service_name("model");
+    map.services = {service};
+    std::string document;
+    seeded_random random(number);
+    for (std::size_t i = 0; i < routes; ++i)
+    {
+        version::pass_route route;
+        route.name = route_name("r-" + std::to_string(random.next()));
+        route.host = "host.example";
+        route.path_prefix = "/" + std::to_string(random.next()) + "/";
+        route.split = {{service.name, 1}};
+        document += "{\"name\":\"" + route.name.value() + "\",\"hostname\":\"" + route.host +
+                    "\",\"pathPrefix\":\"" + route.path_prefix +
+                    "\",\"routeType\":\"stream\",\"timeoutMs\":8000,\"targetLatencyMs\":1000,"
+                    "\"priority\":1,\"trafficSplit\":[{\"backend\":\"model\",\"weight\":100}],"
+                    "\"maxAttempts\":1,\"allowAnonymous\":false,\"sessionAffinity\":true,"
+                    "\"resumable\":false,\"targetGapMs\":600},";
+        map.routes.push_back(std::move(route));
+    }
+    return {std::move(map), std::move(document)};
+}
+
+/// Sends a configuration as an operator does, again to the next daemon until it is
+/// acknowledged. Returns false when that takes longer than the limit.
+bool send_configuration(slow_system& system, std::uint64_t number, std::size_t routes)
+{
+    auto const [map, document] = make_configuration(number, routes);
+    auto const end = std::chrono::steady_clock::now() + acknowledge_limit;
+    for (std::size_t attempt = 0; std::chrono::steady_clock::now() < end; ++attempt)
+    {
+        auto& loop = system.loop(attempt == 0 ? slow_system::voters : attempt % 3);
+        auto const outcome =
+            propose_and_wait(loop, version::apply_service_map{map, document}, operator_patience);
+        if (outcome.status == proposal_status::committed)
+            return true;
+    }
+    return false;
+}
+
+bool has_number(control_thread& loop, std::uint64_t number)
+{
+    auto const view = loop.view();
+    return view->shared->services && view->shared->services->map().number >= number;
+}
+
+/// Whether all daemons have the number in force within the limit.
+bool is_in_force_in_time(slow_system& system, std::uint64_t number, std::size_t daemons)
+{
+    auto const end = std::chrono::steady_clock::now() + apply_limit;
+    auto const everywhere = [&]
+    {
+        for (std::size_t i = 0; i < daemons; ++i)
+        {
+            if (!has_number(system.loop(i), number))
+                return false;
+        }
+        return true;
+    };
+    while (!everywhere() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    return everywhere();
+}
+
+} // namespace
+
+TEST_CASE("a configuration with many routes is acknowledged over slow links")
+{
+    // Guards against transfers that never fit in their time limit: version 49 of a grown
+    // system was sent for 20 s and never acknowledged.
+    slow_system system(share_of_uplink, fast_link, 1);
+    REQUIRE(eventually([&] { return system.is_ready(); }));
+    REQUIRE(send_configuration(system, 1, 300));
+    auto const term = system.term();
+    CHECK(send_configuration(system, 2, 1'800));
+    CHECK(is_in_force_in_time(system, 2, slow_system::voters));
+    // Heartbeats must not wait behind a configuration.
+    CHECK(system.term() == term);
+}
+
+TEST_CASE("a daemon without a log follows a configuration with many routes over a slow link")
+{
+    // Guards against confirmed configurations that readers never get: a reply with the whole
+    // state took longer than the time limit of a poll, and was asked for again.
+    slow_system system(fast_link, reader_link, 2);
+    REQUIRE(eventually([&] { return system.is_ready(); }));
+    CHECK(send_configuration(system, 2, 1'800));
+    CHECK(is_in_force_in_time(system, 2, slow_system::voters + 2));
+}
