Send and fetch configurations in parts between daemons

Cause: the shared state travelled as a whole. An entry had 900 ms for a command of about 1 MB through 10 Mbit/s; a voter encoded the whole state anew for each of 78 readers, which had 800 ms for it, threw away what came late and asked the next voter for all of it again.

Change: a configuration goes to the leader packed, in parts of 32 KiB that stay in the log, so that a resend through another entry goes on with what is missing; its time limit grows with its bytes. Polls are answered with a small status; contents are fetched by digest, part by part, from the next voter after a failure, and are neither encoded for a reader nor read on the control thread. Polls go on meanwhile. Reads of operators name the newest digest through the log and get the text from the content.

Lines: configuration.taken, .acknowledged, .given_up, .refused, .read_given_up, pass_through.in_force, content.fetched, content.part_missed.

--- a/src/process/control/include/lagoonladder/control/control_loop.hpp
+++ b/src/process/control/include/lagoonladder/control/control_loop.hpp
@@ -40,6 +40,16 @@
     virtual void start() = 0;
     virtual void stop() = 0;
 
+    /// Gets no value when no quorum confirmed the command in time; it may still take effect.
+    using apply_handler = std::function<void(std::optional<version::apply_map_result> const&)>;
+    /// Gets the operator's text; null when it is not known for certain, or there is none.
+    using read_handler = std::function<void(std::shared_ptr<std::string const> const&)>;
+
+    /// Puts a pass-through configuration in force.
+    virtual void apply_services(version::service_configuration wanted, apply_handler done) = 0;
+    /// Reads the pass-through configuration that reflects all that was acknowledged before.
+    virtual void read_services(read_handler done) = 0;
+
     /// Control state for pass-through calls.
     virtual std::shared_ptr<proxy::traffic_view const> traffic() const = 0;
     /// Counts a request that an endpoint began to work on.
--- a/src/process/control/include/lagoonladder/control/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -58,6 +58,8 @@
     std::uint64_t term = 0;
     std::string leader;
     std::shared_ptr<version::shared_state const> shared;
+    /// A newer configuration than the one in `shared` is known to be in force.
+    bool knows_newer = false;
     /// Endpoints with a valid lease, leaving ones included.
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
     /// All entries that are not dead, this one included.
--- /dev/null
+++ b/src/process/control/internal/configuration_client.cpp
@@ -0,0 +1,131 @@
+#include "configuration_client.hpp"
+
+#include "configuration_upload.hpp"
+
+namespace lagoonladder::control
+{
+
+namespace
+{
+
+/// An operator that waits longer asks another daemon.
+constexpr duration command_timeout = milliseconds(900);
+/// Bytes a second that a configuration moves at when calls fill most of a link of 10 Mbit/s.
+constexpr std::uint64_t least_rate = 250'000;
+
+duration upload_timeout(std::uint64_t bytes)
+{
+    return command_timeout + milliseconds(static_cast<std::int64_t>(bytes * 1000 / least_rate));
+}
+
+std::string milliseconds_text(duration value)
+{
+    return std::to_string(value / milliseconds(1));
+}
+
+} // namespace
+
+configuration_client::configuration_client(leader_client& client, content_fetcher& fetcher,
+                                           event_sink& log, clock const& time_source)
+    : leaders(client)
+    , contents(fetcher)
+    , events(log)
+    , time(time_source)
+{
+}
+
+void configuration_client::apply(version::service_configuration const& wanted,
+                                 control_loop::apply_handler done)
+{
+    auto const started = this->time.now();
+    auto order = version::make_apply_order(wanted);
+    auto const bytes = order.content.size();
+    this->events.emit(severity::info, "configuration.taken",
+                      {{"number", std::to_string(order.number)},
+                       {"routes", std::to_string(wanted.map.routes.size())},
+                       {"document_bytes", std::to_string(wanted.document.size())},
+                       {"packed_bytes", std::to_string(bytes)},
+                       {"digest", order.content.digest.value()}});
+    auto const report = [this, started, number = order.number, done = std::move(done)](
+                            std::optional<version::apply_map_result> const& result)
+    {
+        auto const elapsed = milliseconds_text(this->time.now() - started);
+        if (!result)
+            this->events.emit(
+                severity::warning, "configuration.given_up",
+                {{"number", std::to_string(number)},
+                 {"elapsed_ms", elapsed},
+                 {"leader", this->leaders.leader().value()},
+                 {"reason", "no quorum confirmed it in time; it may come into force"}});
+        else
+            this->events.emit(result->problem.empty() ? severity::info : severity::warning,
+                              result->problem.empty() ? "configuration.acknowledged"
+                                                      : "configuration.refused",
+                              {{"number", std::to_string(number)},
+                               {"stored", result->stored ? "true" : "false"},
+                               {"number_in_force", std::to_string(result->number)},
+                               {"elapsed_ms", elapsed},
+                               {"reason", result->problem}});
+        done(result);
+    };
+    std::make_shared<configuration_upload>(this->leaders, std::move(order),
+                                           started + upload_timeout(bytes), report)
+        ->start();
+}
+
+void configuration_client::read(control_loop::read_handler done)
+{
+    auto const deadline = this->time.now() + command_timeout;
+    this->leaders.propose(version::read_pass_state{}, deadline,
+                          [this, deadline, done](proposal_outcome const& outcome)
+                          {
+                              if (outcome.status != proposal_status::committed)
+                                  return done(nullptr);
+                              auto const& found =
+                                  std::get<version::pass_state_result>(outcome.result);
+                              if (found.content.value().empty())
+                                  return done(nullptr);
+                              this->read_document(found.content, deadline, done);
+                          });
+}
+
+void configuration_client::read_document(version::content_digest const& digest, time_point deadline,
+                                         control_loop::read_handler const& done)
+{
+    if (digest == this->last_digest)
+        return done(this->last_document);
+    this->contents.fetch(
+        digest, this->leaders.leader(),
+        [this, digest, deadline, done](std::optional<version::packed_content> const& content)
+        {
+            if (!content || this->time.now() >= deadline)
+            {
+                this->events.emit(severity::warning, "configuration.read_given_up",
+                                  {{"digest", digest.value()},
+                                   {"reason", content ? "the content came too late"
+                                                      : "no voter sent the content"}});
+                return done(nullptr);
+            }
+            this->answer(*content, done);
+        });
+}
+
+void configuration_client::answer(version::packed_content const& content,
+                                  control_loop::read_handler const& done)
+{
+    try
+    {
+        auto stated = version::decode_service_configuration(version::unpack(content));
+        this->last_document = std::make_shared<std::string const>(std::move(stated.document));
+        this->last_digest = content.digest;
+        done(this->last_document);
+    }
+    catch (parse_error const& problem)
+    {
+        this->events.emit(severity::error, "configuration.unreadable",
+                          {{"digest", content.digest.value()}, {"reason", problem.what()}});
+        done(nullptr);
+    }
+}
+
+} // namespace lagoonladder::control
--- /dev/null
+++ b/src/process/control/internal/configuration_client.hpp
@@ -0,0 +1,40 @@
+#ifndef LAGOONLADDER_CONTROL_CONFIGURATION_CLIENT_HPP
+#define LAGOONLADDER_CONTROL_CONFIGURATION_CLIENT_HPP
+
+#include <lagoonladder/control/control_loop.hpp>
+
+#include "content_fetcher.hpp"
+
+namespace lagoonladder::control
+{
+
+/// Stores pass-through configurations and reads the newest one back for operators.
+/// Lives on the control thread.
+class configuration_client
+{
+public:
+    configuration_client(leader_client& client, content_fetcher& fetcher, event_sink& log,
+                         clock const& time_source);
+
+    void apply(version::service_configuration const& wanted, control_loop::apply_handler done);
+
+    /// The answer reflects every configuration that was acknowledged before the call.
+    void read(control_loop::read_handler done);
+
+private:
+    void read_document(version::content_digest const& digest, time_point deadline,
+                       control_loop::read_handler const& done);
+    void answer(version::packed_content const& content, control_loop::read_handler const& done);
+
+    leader_client& leaders;
+    content_fetcher& contents;
+    event_sink& events;
+    clock const& time;
+    /// Operators read the same text again and again.
+    version::content_digest last_digest;
+    std::shared_ptr<std::string const> last_document;
+};
+
+} // namespace lagoonladder::control
+
+#endif
--- /dev/null
+++ b/src/process/control/internal/content_fetcher.cpp
@@ -0,0 +1,130 @@
+#include "content_fetcher.hpp"
+
+namespace lagoonladder::control
+{
+
+namespace
+{
+
+/// A part takes 27 ms on a link of 10 Mbit/s that carries nothing else.
+constexpr duration part_timeout = milliseconds(800);
+/// Rounds through all voters without a part until the fetch is given up.
+constexpr std::size_t max_rounds = 2;
+
+std::string describe(grpc::Status const& status, protocol::ReadContentReply const& reply)
+{
+    if (!status.ok())
+        return status.error_message();
+    return reply.found() ? "a part is empty" : "the voter does not hold the content";
+}
+
+} // namespace
+
+content_fetcher::content_fetcher(std::shared_ptr<asio::io_context> io, peer_channels& channels,
+                                 leader_client& client, content_cache& held, event_sink& log,
+                                 clock const& time_source)
+    : context(std::move(io))
+    , peers(channels)
+    , leaders(client)
+    , cache(held)
+    , events(log)
+    , time(time_source)
+{
+}
+
+void content_fetcher::fetch(version::content_digest const& digest, network_address const& first,
+                            handler done)
+{
+    if (auto const held = this->cache.find(digest))
+        return done(held);
+    auto const [position, is_new] = this->fetches.try_emplace(digest);
+    auto& started = position->second;
+    started.waiting.push_back(std::move(done));
+    if (!is_new)
+        return;
+    started.voter = first;
+    started.started = this->time.now();
+    this->ask(digest);
+}
+
+void content_fetcher::ask(version::content_digest const& digest)
+{
+    auto const& current = this->fetches.at(digest);
+    protocol::ReadContentRequest request;
+    request.set_digest(digest.value());
+    request.set_offset(current.bytes.size());
+    std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(current.voter));
+    call_async<protocol::ReadContentReply>(
+        this->context, this->peers, part_timeout, request,
+        [stub](auto* call, auto const* sent, auto* reply, auto done)
+        { stub->async()->ReadContent(call, sent, reply, std::move(done)); },
+        [this, stub, digest](grpc::Status const& status, protocol::ReadContentReply& reply)
+        {
+            if (!this->stopped)
+                this->take(digest, status, reply);
+        });
+}
+
+void content_fetcher::take(version::content_digest const& digest, grpc::Status const& status,
+                           protocol::ReadContentReply& reply)
+{
+    auto& current = this->fetches.at(digest);
+    bool const has_part = status.ok() && reply.found() && !reply.part().empty() &&
+                          reply.total() <= version::max_content_bytes;
+    if (!has_part)
+        return this->try_next_voter(digest, describe(status, reply));
+    current.failures = 0;
+    current.total = reply.total();
+    current.bytes += reply.part();
+    if (current.bytes.size() < current.total)
+        return this->ask(digest);
+    this->finish(digest);
+}
+
+void content_fetcher::try_next_voter(version::content_digest const& digest,
+                                     std::string const& reason)
+{
+    auto& current = this->fetches.at(digest);
+    this->events.emit(severity::warning, "content.part_missed",
+                      {{"digest", digest.value()},
+                       {"voter", current.voter.value()},
+                       {"offset", std::to_string(current.bytes.size())},
+                       {"reason", reason}});
+    auto const voters = this->leaders.voters();
+    if (voters.empty() || ++current.failures > max_rounds * voters.size())
+        return this->end(digest, std::nullopt);
+    current.voter = voters[this->next_voter++ % voters.size()];
+    this->ask(digest);
+}
+
+void content_fetcher::finish(version::content_digest const& digest)
+{
+    auto& current = this->fetches.at(digest);
+    auto const elapsed = this->time.now() - current.started;
+    try
+    {
+        auto const content = version::make_packed(digest, std::move(current.bytes));
+        this->events.emit(severity::info, "content.fetched",
+                          {{"digest", digest.value()},
+                           {"bytes", std::to_string(content.size())},
+                           {"elapsed_ms", std::to_string(elapsed / milliseconds(1))}});
+        this->cache.add(content);
+        this->end(digest, content);
+    }
+    catch (parse_error const& problem)
+    {
+        this->events.emit(severity::error, "content.damaged",
+                          {{"digest", digest.value()}, {"reason", problem.what()}});
+        this->end(digest, std::nullopt);
+    }
+}
+
+void content_fetcher::end(version::content_digest const& digest,
+                          std::optional<version::packed_content> const& content)
+{
+    auto const ended = this->fetches.extract(digest);
+    for (auto const& done : ended.mapped().waiting)
+        done(content);
+}
+
+} // namespace lagoonladder::control
--- a/src/process/control/internal/control_services.cpp
+++ b/src/process/control/internal/control_services.cpp
@@ -186,7 +186,22 @@
     reply->set_available(request->through_quorum() || this->control.view()->ready);
     reply->set_applied_index(answer->shared->applied_index);
     if (reply->available() && answer->shared->changed_index > request->known_index())
-        reply->set_state(version::encode(*answer->shared));
+        reply->set_status(version::encode(version::status_of(*answer->shared)));
+    return grpc::Status::OK;
+}
+
+grpc::Status control_service::ReadContent(grpc::ServerContext* context,
+                                          protocol::ReadContentRequest const* request,
+                                          protocol::ReadContentReply* reply)
+{
+    if (!has_cluster_token(*context, this->options.cluster_token))
+        return missing_cluster_token();
+    auto const content = this->control.contents().find(version::content_digest(request->digest()));
+    if (!content || request->offset() >= content->size())
+        return grpc::Status::OK;
+    reply->set_found(true);
+    reply->set_total(content->size());
+    reply->set_part(content->bytes->substr(request->offset(), version::max_content_part_bytes));
     return grpc::Status::OK;
 }
 
--- a/src/process/control/internal/control_services.hpp
+++ b/src/process/control/internal/control_services.hpp
@@ -37,6 +37,9 @@
                          protocol::ProposeReply* reply) override;
     grpc::Status ReadState(grpc::ServerContext* context, protocol::ReadStateRequest const* request,
                            protocol::ReadStateReply* reply) override;
+    grpc::Status ReadContent(grpc::ServerContext* context,
+                             protocol::ReadContentRequest const* request,
+                             protocol::ReadContentReply* reply) override;
     grpc::Status FindOnce(grpc::ServerContext* context, protocol::FindOnceRequest const* request,
                           protocol::FindOnceReply* reply) override;
     grpc::Status Report(grpc::ServerContext* context, protocol::ReportRequest const* request,
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -40,8 +40,11 @@
                   this->random)
     , client(this->context, this->options, dependencies.peers, this->directories, this->time,
              this->driver.get())
-    , shared(this->context, this->options, dependencies.peers, this->client, this->events,
-             this->time, this->driver.get())
+    , fetcher(this->context, dependencies.peers, this->client, this->cache, this->events,
+              this->time)
+    , configurations(this->client, this->fetcher, this->events, this->time)
+    , shared(this->context, this->options, dependencies.peers, this->client, this->fetcher,
+             this->cache, this->events, this->time, this->driver.get())
     , version_moves(this->driver.get(), this->events, this->time)
     , platform_duties(this->driver.get(), this->options, this->events, this->time)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
@@ -108,6 +111,7 @@
         [this]
         {
             this->shared.stop();
+            this->fetcher.stop();
             this->directories.stop();
             this->client.stop();
             if (this->driver)
@@ -142,6 +146,17 @@
                { this->client.find_once(key, this->time.now() + timeout, done); });
 }
 
+void control_thread::apply_services(version::service_configuration wanted, apply_handler done)
+{
+    this->post([this, wanted = std::move(wanted), done = std::move(done)]
+               { this->configurations.apply(wanted, done); });
+}
+
+void control_thread::read_services(read_handler done)
+{
+    this->post([this, done = std::move(done)] { this->configurations.read(done); });
+}
+
 std::shared_ptr<proxy::traffic_view const> control_thread::traffic() const
 {
     return this->published_traffic.load();
@@ -227,6 +242,7 @@
     next->term = this->driver ? this->driver->term() : this->shared.term();
     next->leader = this->client.leader().value();
     next->shared = this->shared.state();
+    next->knows_newer = this->shared.knows_newer();
     for (auto& row : this->directories.endpoints().live(now))
         next->endpoints[row.service].push_back(std::move(row));
     next->entries = this->directories.entries().live(now);
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -7,6 +7,7 @@
 
 #include <lagoonladder/control/control_loop.hpp>
 
+#include "configuration_client.hpp"
 #include "consensus_driver.hpp"
 #include "duty_driver.hpp"
 #include "gossip_driver.hpp"
@@ -40,6 +41,8 @@
     void set_leaving(vm_id const& vm) override;
     void set_open_requests(std::uint32_t count) override;
 
+    void apply_services(version::service_configuration wanted, apply_handler done) override;
+    void read_services(read_handler done) override;
     std::shared_ptr<proxy::traffic_view const> traffic() const override;
     void count_usage(account_id const& account) override;
     void set_demand(std::map<account_id, double> demand) override;
@@ -56,6 +59,9 @@
     leader_client& leaders() { return this->client; }
     duty_driver& duties() { return this->platform_duties; }
 
+    /// Safe to call from any thread.
+    content_cache const& contents() const { return this->cache; }
+
 private:
     void run();
     void schedule_publish();
@@ -75,6 +81,9 @@
     std::unique_ptr<consensus_driver> driver;
     gossip_driver directories;
     leader_client client;
+    content_cache cache;
+    content_fetcher fetcher;
+    configuration_client configurations;
     state_follower shared;
     move_driver version_moves;
     duty_driver platform_duties;
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -1,6 +1,7 @@
 #include "state_follower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <control.grpc.pb.h>
 
@@ -18,12 +19,15 @@
 } // namespace
 
 state_follower::state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
-                               peer_channels& channels, leader_client& client, event_sink& log,
+                               peer_channels& channels, leader_client& client,
+                               content_fetcher& fetcher, content_cache& held, event_sink& log,
                                clock const& time_source, consensus_driver* own_node)
     : context(io)
     , options(config)
     , peers(channels)
     , leaders(client)
+    , contents(fetcher)
+    , cache(held)
     , events(log)
     , time(time_source)
     , node(own_node)
@@ -110,34 +114,110 @@
         this->context, this->peers, read_timeout, request,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->ReadState(call, sent, reply, std::move(done)); },
-        [this, stub](grpc::Status const& status, protocol::ReadStateReply& reply)
+        [this, stub, target](grpc::Status const& status, protocol::ReadStateReply& reply)
         {
             this->poll_in_flight = false;
-            if (this->stopped || !status.ok() || !reply.available())
-                return;
-            if (reply.quorum_recent())
-            {
-                this->quorum_heard = this->time.now();
-                this->leaders.set_leader_hint(network_address(reply.leader()));
-            }
-            if (reply.term() > this->latest_term)
-                this->latest_term = reply.term();
-            try
-            {
-                if (!reply.state().empty())
-                    this->adopt(std::make_shared<version::shared_state const>(
-                        version::decode_shared_state(reply.state())));
-                if (!this->ready)
-                    this->become_ready();
-            }
-            catch (error const& problem)
-            {
-                this->events.emit(severity::error, "state.unreadable",
-                                  {{"reason", problem.what()}});
-            }
+            if (!this->stopped && status.ok() && reply.available())
+                this->take_reply(target, reply);
         });
 }
 
+void state_follower::take_reply(network_address const& voter, protocol::ReadStateReply const& reply)
+{
+    if (reply.quorum_recent())
+    {
+        this->quorum_heard = this->time.now();
+        this->leaders.set_leader_hint(network_address(reply.leader()));
+    }
+    this->latest_term = std::max(this->latest_term, reply.term());
+    try
+    {
+        if (!reply.status().empty())
+            this->follow(voter, version::decode_shared_status(reply.status()));
+        // Until it is ready, each poll is confirmed by a quorum.
+        if (!this->ready && !this->wanted)
+            this->become_ready();
+    }
+    catch (error const& problem)
+    {
+        this->events.emit(severity::error, "state.unreadable", {{"reason", problem.what()}});
+    }
+}
+
+void state_follower::follow(network_address const& voter, version::shared_status const& status)
+{
+    if (status.applied_index < this->current->applied_index)
+        return;
+    if (version::missing_contents(status, *this->current).empty())
+        return this->adopt(std::make_shared<version::shared_state const>(
+            version::make_shared_state(status, *this->current, {})));
+    if (this->wanted && status.applied_index < this->wanted->applied_index)
+        return;
+    bool const knew_newer = this->knows_newer();
+    this->named_index = std::max(this->named_index, status.changed_index);
+    if (!knew_newer && this->on_change)
+        this->on_change();
+    bool const is_new = !this->wanted || this->wanted->service_content != status.service_content ||
+                        this->wanted->configuration_content != status.configuration_content;
+    // A fetch that has begun ends first: while configurations follow each other, one
+    // that starts anew with each of them might never end.
+    if (this->fetch_in_flight && is_new)
+        return;
+    this->wanted = status;
+    this->wanted_from = voter;
+    this->fetch_next();
+}
+
+void state_follower::fetch_next()
+{
+    if (this->fetch_in_flight)
+        return;
+    for (auto const& digest : version::missing_contents(*this->wanted, *this->current))
+    {
+        bool const is_here = std::any_of(this->fetched.begin(), this->fetched.end(),
+                                         [&](auto const& one) { return one.digest == digest; });
+        if (is_here)
+            continue;
+        this->fetch_in_flight = true;
+        return this->contents.fetch(digest, this->wanted_from,
+                                    [this](std::optional<version::packed_content> const& content)
+                                    { this->take_content(content); });
+    }
+    auto const status = *this->wanted;
+    auto const parts = std::exchange(this->fetched, {});
+    this->wanted.reset();
+    // The own log may have brought a newer state meanwhile.
+    if (status.applied_index < this->current->applied_index)
+        return;
+    this->adopt(std::make_shared<version::shared_state const>(
+        version::make_shared_state(status, *this->current, parts)));
+    if (!this->ready)
+        this->become_ready();
+}
+
+void state_follower::take_content(std::optional<version::packed_content> const& content)
+{
+    this->fetch_in_flight = false;
+    if (this->stopped)
+        return;
+    if (!content)
+    {
+        // Replaced meanwhile, or no voter answers: the next poll names what to fetch.
+        this->wanted.reset();
+        this->fetched.clear();
+        return;
+    }
+    this->fetched.push_back(*content);
+    try
+    {
+        this->fetch_next();
+    }
+    catch (error const& problem)
+    {
+        this->events.emit(severity::error, "state.unreadable", {{"reason", problem.what()}});
+    }
+}
+
 void state_follower::refresh_from_node()
 {
     this->adopt(this->node->state().shared());
@@ -152,15 +232,27 @@
         return;
     invariant(candidate->generation >= this->current->generation,
               "a newer state has an older configuration generation");
-    bool const is_new = candidate->generation != this->current->generation;
-    this->current = std::move(candidate);
-    if (is_new)
-        this->events.emit(severity::info, "configuration.in_force",
-                          {{"generation", std::to_string(this->current->generation.value())}});
+    auto const before = std::exchange(this->current, std::move(candidate));
+    this->cache.add(this->current->configuration_content);
+    this->cache.add(this->current->service_content);
+    this->report_change(*before);
     if (this->on_change)
         this->on_change();
 }
 
+void state_follower::report_change(version::shared_state const& before)
+{
+    if (before.generation != this->current->generation)
+        this->events.emit(severity::info, "configuration.in_force",
+                          {{"generation", std::to_string(this->current->generation.value())}});
+    if (before.services != this->current->services)
+        this->events.emit(severity::info, "pass_through.in_force",
+                          {{"number", std::to_string(this->current->services->map().number)},
+                           {"routes", std::to_string(this->current->services->map().routes.size())},
+                           {"packed_bytes", std::to_string(this->current->service_content.size())},
+                           {"index", std::to_string(this->current->changed_index)}});
+}
+
 void state_follower::become_ready()
 {
     this->ready = true;
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 
-#include "leader_client.hpp"
+#include "content_fetcher.hpp"
 
 namespace lagoonladder::control
 {
@@ -15,8 +15,9 @@
 {
 public:
     state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
-                   peer_channels& channels, leader_client& client, event_sink& log,
-                   clock const& time_source, consensus_driver* own_node);
+                   peer_channels& channels, leader_client& client, content_fetcher& fetcher,
+                   content_cache& held, event_sink& log, clock const& time_source,
+                   consensus_driver* own_node);
 
     void start();
     void stop();
@@ -30,20 +31,31 @@
     bool is_ready() const { return this->ready; }
     bool has_recent_quorum() const;
     std::uint64_t term() const { return this->latest_term; }
+    /// A voter has named a content that is not here yet: calls may be decided by an
+    /// older configuration than the one in force.
+    bool knows_newer() const { return this->named_index > this->current->changed_index; }
     std::shared_ptr<version::shared_state const> state() const { return this->current; }
 
 private:
     void schedule_poll();
     void poll();
     void poll_voter();
+    void take_reply(network_address const& voter, protocol::ReadStateReply const& reply);
+    /// Adopts a status, at once when its contents are here.
+    void follow(network_address const& voter, version::shared_status const& status);
+    void fetch_next();
+    void take_content(std::optional<version::packed_content> const& content);
     void confirm_own_state();
     void adopt(std::shared_ptr<version::shared_state const> candidate);
+    void report_change(version::shared_state const& before);
     void become_ready();
 
     std::shared_ptr<asio::io_context> context;
     config::settings const& options;
     peer_channels& peers;
     leader_client& leaders;
+    content_fetcher& contents;
+    content_cache& cache;
     event_sink& events;
     clock const& time;
     consensus_driver* const node;
@@ -51,6 +63,13 @@
     std::function<void()> on_change;
     std::shared_ptr<version::shared_state const> current =
         std::make_shared<version::shared_state>();
+    /// The newest status whose contents are not all here.
+    std::optional<version::shared_status> wanted;
+    network_address wanted_from;
+    std::vector<version::packed_content> fetched;
+    bool fetch_in_flight = false;
+    /// changed_index of the newest status that a voter has sent.
+    std::uint64_t named_index = 0;
     bool ready = false;
     bool poll_in_flight = false;
     bool stopped = false;
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -282,16 +282,29 @@
                           });
 }
 
-void pass_through_plane::apply(version::apply_service_map order,
+void pass_through_plane::apply(version::service_configuration wanted,
                                handler<version::apply_map_result> done)
 {
-    this->propose<version::apply_map_result>(std::move(order), std::move(done));
+    this->control.apply_services(
+        std::move(wanted),
+        [this, done = std::move(done)](std::optional<version::apply_map_result> const& result)
+        { asio::post(*this->context, [done, result] { done(result); }); });
 }
 
-void pass_through_plane::read(version::read_pass_state query,
-                              handler<version::pass_state_result> done)
+void pass_through_plane::read_configuration(
+    std::function<void(std::shared_ptr<std::string const> const&)> done)
 {
-    this->propose<version::pass_state_result>(query, std::move(done));
+    this->control.read_services(
+        [this, done = std::move(done)](std::shared_ptr<std::string const> const& document)
+        { asio::post(*this->context, [done, document] { done(document); }); });
+}
+
+void pass_through_plane::read_moves(handler<std::vector<version::move_record>> done)
+{
+    this->propose<version::pass_state_result>(
+        version::read_pass_state{},
+        [done = std::move(done)](std::optional<version::pass_state_result> const& result)
+        { done(result ? std::optional(result->moves) : std::nullopt); });
 }
 
 void pass_through_plane::start_move(version::start_service_move order,
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -72,8 +72,11 @@
                      std::function<void(request::lender_reply const&)> done);
 
     // operations
-    void apply(version::apply_service_map order, handler<version::apply_map_result> done) override;
-    void read(version::read_pass_state query, handler<version::pass_state_result> done) override;
+    void apply(version::service_configuration wanted,
+               handler<version::apply_map_result> done) override;
+    void read_configuration(
+        std::function<void(std::shared_ptr<std::string const> const&)> done) override;
+    void read_moves(handler<std::vector<version::move_record>> done) override;
     void start_move(version::start_service_move order,
                     handler<version::start_move_result> done) override;
     void announce(connection::endpoint_record row) override;
--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -23,9 +23,12 @@
     template <class Result>
     using handler = std::function<void(std::optional<Result> const&)>;
 
-    virtual void apply(version::apply_service_map order,
+    virtual void apply(version::service_configuration wanted,
                        handler<version::apply_map_result> done) = 0;
-    virtual void read(version::read_pass_state query, handler<version::pass_state_result> done) = 0;
+    /// The operator's text of the configuration in force.
+    virtual void
+    read_configuration(std::function<void(std::shared_ptr<std::string const> const&)> done) = 0;
+    virtual void read_moves(handler<std::vector<version::move_record>> done) = 0;
     virtual void start_move(version::start_service_move order,
                             handler<version::start_move_result> done) = 0;
 
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -28,6 +28,8 @@
     bool is_ready = false;
     /// This entry is stopping.
     bool is_leaving = false;
+    /// A newer configuration than `services` is known to be in force.
+    bool knows_newer = false;
     /// Null before the first configuration.
     std::shared_ptr<version::service_index const> services;
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -103,6 +103,9 @@
     std::uint64_t window = 0;
 };
 
+/// The command that puts a configuration in force. Throws parse_error when it is too large.
+apply_service_map make_apply_order(service_configuration const& stated);
+
 using command_body =
     std::variant<apply_configuration, update_move, reserve_orders, expire_records,
                  request::once_begin, request::once_refuse, request::once_finish, apply_service_map,
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -70,7 +70,7 @@
     {
         service_configuration const stated{in.at("map").get<service_map>(),
                                            in.at("document").get<std::string>()};
-        out = {stated.map.number, pack(encode(stated))};
+        out = make_apply_order(stated);
         return;
     }
     in.at("number").get_to(out.number);
@@ -263,6 +263,11 @@
 
 } // namespace
 
+apply_service_map make_apply_order(service_configuration const& stated)
+{
+    return {stated.map.number, pack(encode(stated))};
+}
+
 std::string encode(command const& value)
 {
     return seal(envelope_kind::of_command,
