Bound the bytes that are on their way to a voter

Cause: a call between voters had 250 ms whatever it carried. The leader sent a follower all that it lacked at once, up to 64 messages went in one call, the call ended before it arrived, heartbeats waited behind it, and the same bytes were sent again.

Queues have a bound in bytes. consensus.call_lost tells of calls with entries that fail.

Tests: two cases of a voter that comes back behind a seventh of 100 Mbit/s and lacks 3.2 MB.

Not covered: an entry of more than some 256 KiB still holds up heartbeats while it is sent.

--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -15,8 +15,12 @@
     duration election_timeout = seconds(1);
     duration heartbeat_interval = milliseconds(200);
     std::uint64_t max_entries_per_append = 256;
-    std::uint64_t max_bytes_per_append = 256 * 1024;
-    std::uint64_t snapshot_chunk_bytes = 256 * 1024;
+    /// A single entry may be larger.
+    std::uint64_t max_bytes_per_append = 64 * 1024;
+    /// Entries on their way to one follower, in bytes. Heartbeats wait behind them, so a
+    /// link has to carry them in a part of the election timeout.
+    std::uint64_t max_unanswered_bytes = 128 * 1024;
+    std::uint64_t snapshot_chunk_bytes = 64 * 1024;
     /// Entries kept in memory behind a snapshot, so that a follower that lags
     /// a little needs no snapshot.
     std::uint64_t retained_entries = 1000;
--- a/src/process/consensus/internal/follower_progress.hpp
+++ b/src/process/consensus/internal/follower_progress.hpp
@@ -1,6 +1,8 @@
 #ifndef LAGOONLADDER_CONSENSUS_FOLLOWER_PROGRESS_HPP
 #define LAGOONLADDER_CONSENSUS_FOLLOWER_PROGRESS_HPP
 
+#include <algorithm>
+#include <deque>
 #include <memory>
 
 #include <lagoonladder/consensus/types.hpp>
@@ -39,8 +41,40 @@
     time_point chunk_sent_at{};
     std::uint64_t chunk_round = 0;
 
+    /// Appends of a stream that are not yet answered, oldest first.
+    struct unanswered_append
+    {
+        log_index last;
+        std::uint64_t bytes = 0;
+    };
+    std::deque<unanswered_append> unanswered;
+    std::uint64_t unanswered_bytes = 0;
+
+    void note_sent(log_index last, std::uint64_t bytes)
+    {
+        this->unanswered.push_back({last, bytes});
+        this->unanswered_bytes += bytes;
+    }
+
+    void note_match(log_index index)
+    {
+        this->match = std::max(this->match, index);
+        while (!this->unanswered.empty() && this->unanswered.front().last <= this->match)
+        {
+            this->unanswered_bytes -= this->unanswered.front().bytes;
+            this->unanswered.pop_front();
+        }
+    }
+
+    void forget_sent()
+    {
+        this->unanswered.clear();
+        this->unanswered_bytes = 0;
+    }
+
     void start_probe(log_index first)
     {
+        this->forget_sent();
         this->mode = replication_mode::probe;
         this->next = first;
         this->awaiting_reply = false;
@@ -49,6 +83,7 @@
 
     void start_transfer(std::shared_ptr<consensus::snapshot const> state)
     {
+        this->forget_sent();
         this->mode = replication_mode::snapshot;
         this->transfer = std::move(state);
         this->transferred = 0;
--- a/src/process/consensus/internal/replication.cpp
+++ b/src/process/consensus/internal/replication.cpp
@@ -11,6 +11,14 @@
 /// Appends that may be on their way to one follower at a time.
 constexpr std::uint64_t max_unanswered_appends = 16;
 
+std::uint64_t size_of(std::vector<log_entry> const& entries)
+{
+    std::uint64_t bytes = 0;
+    for (auto const& entry : entries)
+        bytes += entry.data.size();
+    return bytes;
+}
+
 } // namespace
 
 bool node_core::wants_append(follower_progress const& follower) const
@@ -18,7 +26,8 @@
     if (follower.mode != replication_mode::stream)
         return !follower.awaiting_reply;
     auto const unanswered = follower.next.value() - 1 - follower.match.value();
-    bool const room = unanswered < max_unanswered_appends * this->options.max_entries_per_append;
+    bool const room = unanswered < max_unanswered_appends * this->options.max_entries_per_append &&
+                      follower.unanswered_bytes < this->options.max_unanswered_bytes;
     return (room && follower.next <= this->log.last_index()) ||
            follower.sent_commit < this->hard.commit;
 }
@@ -81,8 +90,11 @@
         request.entries = this->log.slice(follower.next, this->log.last_index(),
                                           this->options.max_entries_per_append,
                                           this->options.max_bytes_per_append);
-    if (follower.mode == replication_mode::stream)
+    if (follower.mode == replication_mode::stream && !request.entries.empty())
+    {
         follower.next = after(follower.next, request.entries.size());
+        follower.note_sent(before(follower.next), size_of(request.entries));
+    }
     follower.sent_commit = this->hard.commit;
     this->outbox.push_back(std::move(request));
 }
@@ -124,7 +136,7 @@
         return this->on_append_rejected(reply, follower);
     invariant(reply.index <= this->log.last_index(),
               "a follower has entries that the leader lacks");
-    follower.match = std::max(follower.match, reply.index);
+    follower.note_match(reply.index);
     if (follower.mode == replication_mode::snapshot)
     {
         if (follower.match >= follower.transfer->index)
--- a/src/process/control/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -59,7 +59,7 @@
     , time(time_source)
     , random(random_numbers)
     , node(make_node_options(config, self), this->load(), random_numbers, time_source.now())
-    , sender(io, channels, self, config.control, config.election_timeout / 2)
+    , sender(io, channels, self, config.control, config.election_timeout / 2, log, time_source)
     , timer(*io)
 {
 }
--- a/src/process/control/internal/step_sender.cpp
+++ b/src/process/control/internal/step_sender.cpp
@@ -5,13 +5,24 @@
 namespace lagoonladder::control
 {
 
+namespace
+{
+
+/// Calls without entries are far smaller.
+constexpr std::size_t least_reported_bytes = 4 * 1024;
+
+} // namespace
+
 step_sender::step_sender(std::shared_ptr<asio::io_context> io, peer_channels& channels,
-                         consensus::voter_id id, network_address address, duration timeout)
+                         consensus::voter_id id, network_address address, duration timeout,
+                         event_sink& log, clock const& time_source)
     : context(std::move(io))
     , peers(channels)
     , self(std::move(id))
     , self_address(std::move(address))
-    , call_timeout(timeout)
+    , base_timeout(timeout)
+    , events(log)
+    , time(time_source)
 {
 }
 
@@ -19,8 +30,13 @@
 {
     auto& queue = this->queues[to];
     queue.messages.push_back(consensus::encode_message(message));
-    if (queue.messages.size() > max_queued_messages)
+    queue.bytes += queue.messages.back().size();
+    while (queue.messages.size() > max_queued_messages ||
+           (queue.bytes > max_queued_bytes && queue.messages.size() > 1))
+    {
+        queue.bytes -= queue.messages.front().size();
         queue.messages.pop_front();
+    }
     if (!queue.in_flight)
         this->flush(to);
 }
@@ -33,24 +49,46 @@
     protocol::StepRequest request;
     request.set_from(this->self.value());
     request.set_from_address(this->self_address.value());
-    for (auto& message : queue.messages)
+    std::size_t size = 0;
+    while (!queue.messages.empty() &&
+           (size == 0 || size + queue.messages.front().size() <= max_call_bytes))
     {
-        this->bytes += message.size();
-        request.add_messages(std::move(message));
+        size += queue.messages.front().size();
+        request.add_messages(std::move(queue.messages.front()));
+        queue.messages.pop_front();
     }
-    queue.messages.clear();
+    queue.bytes -= size;
+    this->bytes += size;
     queue.in_flight = true;
+    auto const started = this->time.now();
+    auto const timeout =
+        this->base_timeout + microseconds(static_cast<std::int64_t>(size * 1'000'000 / least_rate));
 
     std::shared_ptr stub = protocol::Consensus::NewStub(this->peers.channel(to));
     call_async<protocol::StepReply>(
-        this->context, this->peers, this->call_timeout, request,
+        this->context, this->peers, timeout, request,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->Step(call, sent, reply, std::move(done)); },
-        [this, stub, to](grpc::Status const&, protocol::StepReply&)
+        [this, stub, to, size, started](grpc::Status const& status, protocol::StepReply&)
         {
+            this->note_end(to, size, started, status);
             this->queues[to].in_flight = false;
             this->flush(to);
         });
 }
 
+void step_sender::note_end(network_address const& to, std::size_t size, time_point started,
+                           grpc::Status const& status)
+{
+    // Lost heartbeats are told by the changes of role that follow from them.
+    if (status.ok() || size < least_reported_bytes)
+        return;
+    this->events.emit(
+        severity::warning, "consensus.call_lost",
+        {{"to", to.value()},
+         {"bytes", std::to_string(size)},
+         {"elapsed_ms", std::to_string((this->time.now() - started) / milliseconds(1))},
+         {"reason", status.error_message()}});
+}
+
 } // namespace lagoonladder::control
--- a/src/process/control/tests/slow_link_test.cpp
+++ b/src/process/control/tests/slow_link_test.cpp
@@ -30,7 +30,9 @@
 
     /// `to_voter` is the rate at which a voter receives, `to_reader` the one at which daemons
     /// without a log get what voters send them.
-    slow_system(link_rate to_voter, link_rate to_reader, std::size_t readers)
+    slow_system(link_rate to_voter, link_rate to_reader, std::size_t readers,
+                std::uint64_t snapshot_after = 10'000)
+        : snapshot_after_entries(snapshot_after)
     {
         for (std::size_t i = 0; i < voters + readers; ++i)
         {
@@ -39,12 +41,15 @@
             this->relays.push_back(std::make_unique<slow_relay>(
                 this->addresses[i].value(), this->hidden[i].value(), to_voter, to_reader));
         }
+        this->processes.resize(voters + readers);
         for (std::size_t i = 0; i < voters + readers; ++i)
             this->start(i);
     }
 
     control_thread& loop(std::size_t index) { return this->processes[index]->loop; }
 
+    void stop(std::size_t index) { this->processes[index].reset(); }
+
     bool is_ready()
     {
         return std::all_of(this->processes.begin(), this->processes.end(),
@@ -53,7 +58,6 @@
 
     std::uint64_t term() { return this->loop(0).view()->term; }
 
-private:
     void start(std::size_t index)
     {
         config::settings config;
@@ -76,11 +80,23 @@
         }
         if (is_voter)
             config.data_folder = "in memory";
-        this->processes.push_back(std::make_unique<control_process>(
+        config.snapshot_after_entries = this->snapshot_after_entries;
+        this->processes[index] = std::make_unique<control_process>(
             config, is_voter ? &this->stores[index] : nullptr,
-            "entry-" + std::to_string(index) + "#1", this->hidden[index]));
+            "entry-" + std::to_string(index) + "#1", this->hidden[index]);
+    }
+
+    /// Index of the leader, as the daemon at `index` knows it; `voters` when there is none.
+    std::size_t leader(std::size_t index)
+    {
+        auto const known = network_address(this->loop(index).view()->leader);
+        auto const found = std::find(this->addresses.begin(), this->addresses.end(), known);
+        return std::min<std::size_t>(static_cast<std::size_t>(found - this->addresses.begin()),
+                                     voters);
     }
 
+private:
+    std::uint64_t const snapshot_after_entries;
     std::vector<network_address> addresses;
     std::vector<network_address> hidden;
     std::vector<std::unique_ptr<slow_relay>> relays;
@@ -190,3 +206,72 @@
     CHECK(send_configuration(system, 2, 1'800));
     CHECK(is_in_force_in_time(system, 2, slow_system::voters + 2));
 }
+
+namespace
+{
+
+/// Time in which a voter that comes back has to hold the log again.
+constexpr std::chrono::seconds catch_up_limit{6};
+
+/// Log that a voter misses.
+constexpr std::size_t missed_parts = 100;
+
+/// Appends parts of one content to the log.
+void write_parts(control_thread& loop, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        version::content_part part;
+        part.digest = version::content_digest("x");
+        part.offset = i * version::max_content_part_bytes;
+        part.total = 128 * version::max_content_part_bytes;
+        part.bytes = std::string(version::max_content_part_bytes, static_cast<char>(i));
+        commit_and_wait(loop, version::store_content_part{part}, seconds(5));
+    }
+}
+
+/// Stops a follower, writes, starts it again. It has to catch up in time, without an
+/// election and while small writes are committed.
+void check_catch_up(std::uint64_t snapshot_after_entries)
+{
+    slow_system system(share_of_uplink, fast_link, 0, snapshot_after_entries);
+    REQUIRE(eventually([&] { return system.is_ready() && system.leader(0) < 3; }));
+    auto const leader = system.leader(0);
+    auto const follower = (leader + 1) % slow_system::voters;
+    system.stop(follower);
+    write_parts(system.loop(leader), missed_parts);
+    auto const term = system.loop(leader).view()->term;
+    auto const wanted = system.loop(leader).view()->shared->applied_index;
+    system.start(follower);
+    auto const end = std::chrono::steady_clock::now() + catch_up_limit;
+    auto const has_caught_up = [&]
+    {
+        auto const view = system.loop(follower).view();
+        return view->shared && view->shared->applied_index >= wanted;
+    };
+    std::chrono::steady_clock::duration slowest{};
+    while (!has_caught_up() && std::chrono::steady_clock::now() < end)
+    {
+        auto const begun = std::chrono::steady_clock::now();
+        commit_and_wait(system.loop(leader), version::reserve_orders{1, 1}, seconds(5));
+        slowest = std::max(slowest, std::chrono::steady_clock::now() - begun);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(has_caught_up());
+    CHECK(slowest < operator_patience);
+    CHECK(system.loop(leader).view()->term == term);
+}
+
+} // namespace
+
+TEST_CASE("a voter that missed many entries catches up over a slow link")
+{
+    // Guards against one call with all that a follower lacks, which ends before it arrives
+    // and is then sent again.
+    check_catch_up(10'000);
+}
+
+TEST_CASE("a voter that needs a large snapshot catches up over a slow link")
+{
+    check_catch_up(40);
+}
