Leave routes and keys of a newer configuration open until it is here

What callers saw: an entry that had heard of a newer configuration and was still fetching it answered 404 for a route and 401 for a key that the newer one has. No caller comes back after these statuses (DENIED, and CONFIG once the configuration is acknowledged).

Cause: admission did not look at traffic_view::knows_newer, so the present configuration decided alone.

Change: while a newer configuration is known, a call whose route or key the present one lacks is taken like a call before the first configuration: it waits until the newer one is here, for a third of its time and a second at most, and is then refused with 503 and Retry-After. Calls that the present configuration allows go on at once. Calls before the first configuration wait as before.

Ruled out: a 503 at once. Fetching takes a fraction of a second as a rule, and a refusal takes one of the caller's few retries.

Evidence: two of the four new cases failed before, by a run: 404 and 401 instead of 503, no Retry-After, and 404 instead of 200 for a call that comes 100 ms before the configuration. The other two guard against the opposite fault and passed. proxy_test passes after it, 51 cases, 3 of 3 runs.

--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -77,6 +77,9 @@
                 struct admitted_call const& refused);
     void start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                struct admitted_call admitted);
+    /// Whether the call waits for a configuration that `seen` does not have yet.
+    bool wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
+                                incoming_call const& call, traffic_view const& seen);
     void tell_demand(time_point now);
 
     std::shared_ptr<struct proxy_context> context;
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -167,11 +167,15 @@
         return result;
     result.route = view.services->find_route(call.host, call.target);
     result.reason = refusal::unknown_route;
-    if (result.route == nullptr)
-        return result;
-    result.reason = check_account(view, call, result);
+    if (result.route != nullptr)
+        result.reason = check_account(view, call, result);
     if (result.reason != refusal::none)
+    {
+        // The newer configuration may have the route or the key.
+        if (view.knows_newer)
+            result.reason = refusal::no_configuration;
         return result;
+    }
     auto const allowed =
         std::min(call.time_left.value_or(result.route->timeout), result.route->timeout);
     result.deadline = arrived + allowed;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -87,11 +87,6 @@
     : context(std::make_shared<proxy_context>(parts, options))
     , early(std::make_unique<early_calls>(
           parts.context, parts.time,
-          [this]
-          {
-              auto const view = this->context->parts.control.view();
-              return view->is_ready && view->services;
-          },
           [this](std::shared_ptr<http::server_exchange> const& exchange)
           { this->handle(exchange); }))
 {
@@ -108,7 +103,7 @@
                           this->context->options.quota);
     this->tell_demand(now);
     if (admitted.reason == refusal::no_configuration &&
-        this->early->wait(exchange, call.time_left.value_or(default_time_left)))
+        this->wait_for_configuration(exchange, call, *view))
         return;
     if (admitted.reason == refusal::over_quota && view->entries > 1 &&
         this->context->borrowing.begin_round(now, admitted.account->name,
@@ -117,6 +112,20 @@
     this->start(exchange, std::move(call), std::move(admitted));
 }
 
+bool call_proxy::wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
+                                        incoming_call const& call, traffic_view const& seen)
+{
+    auto const& control = this->context->parts.control;
+    return this->early->wait(exchange, call.time_left.value_or(default_time_left),
+                             [&control, before = seen.is_ready ? seen.services : nullptr]
+                             {
+                                 auto const view = control.view();
+                                 bool const is_other = view->services != before;
+                                 return view->is_ready && view->services &&
+                                        (is_other || !view->knows_newer);
+                             });
+}
+
 void call_proxy::start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                        admitted_call admitted)
 {
--- a/src/process/proxy/internal/early_calls.cpp
+++ b/src/process/proxy/internal/early_calls.cpp
@@ -15,23 +15,22 @@
 
 } // namespace
 
-early_calls::early_calls(asio::io_context& context, clock const& time_source,
-                         std::function<bool()> known, handler next)
+early_calls::early_calls(asio::io_context& context, clock const& time_source, handler next)
     : time(time_source)
-    , is_known(std::move(known))
     , go_on(std::move(next))
     , timer(context)
 {
 }
 
-bool early_calls::wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left)
+bool early_calls::wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left,
+                       condition may_go)
 {
     if (exchange.get() == this->current || this->waiting.size() >= max_waiting)
         return false;
     auto const span = std::min<duration>(longest_wait, time_left / part_of_time_left);
     auto const is_gone = std::make_shared<bool>(false);
     exchange->on_closed([is_gone] { *is_gone = true; });
-    this->waiting.push_back({exchange, exchange->arrived() + span, is_gone});
+    this->waiting.push_back({exchange, exchange->arrived() + span, std::move(may_go), is_gone});
     if (this->waiting.size() == 1)
         this->schedule();
     return true;
@@ -50,13 +49,12 @@
 
 void early_calls::check()
 {
-    bool const may_go = this->is_known();
     auto const now = this->time.now();
     for (auto& call : std::exchange(this->waiting, {}))
     {
         if (*call.is_gone)
             continue;
-        if (!may_go && now < call.until)
+        if (now < call.until && !call.may_go())
         {
             this->waiting.push_back(std::move(call));
             continue;
--- a/src/process/proxy/internal/early_calls.hpp
+++ b/src/process/proxy/internal/early_calls.hpp
@@ -12,9 +12,9 @@
 namespace lagoonladder::proxy
 {
 
-/// Calls that arrived before this entry had read the configuration. An entry that starts
-/// again has it in a fraction of a second; a refusal would cost callers a longer pause and
-/// one of their few retries. Used on its event loop only.
+/// Calls that need a configuration which this entry has not read yet: the first one after its
+/// start, or a newer one that it has heard of. It has it in a fraction of a second; a refusal
+/// would cost callers a longer pause and one of their few retries. Used on its event loop only.
 class early_calls
 {
 public:
@@ -24,13 +24,14 @@
 
     using handler = std::function<void(std::shared_ptr<http::server_exchange> const&)>;
 
-    /// `is_known` tells whether the configuration is there; `go_on` gets each call then, or
-    /// when it has waited for its time.
-    early_calls(asio::io_context& context, clock const& time_source, std::function<bool()> is_known,
-                handler go_on);
+    using condition = std::function<bool()>;
 
-    /// Keeps the call; false when it has waited before or too many wait.
-    bool wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left);
+    /// `go_on` gets each call when its condition holds, or when it has waited for its time.
+    early_calls(asio::io_context& context, clock const& time_source, handler go_on);
+
+    /// Keeps the call until `may_go` holds; false when it has waited before or too many wait.
+    bool wait(std::shared_ptr<http::server_exchange> const& exchange, duration time_left,
+              condition may_go);
 
     /// Lets all calls go on at once.
     void release();
@@ -42,6 +43,7 @@
     {
         std::shared_ptr<http::server_exchange> exchange;
         time_point until{};
+        condition may_go;
         std::shared_ptr<bool> is_gone;
     };
 
@@ -50,7 +52,6 @@
     void go_on_with(waiting_call const& call);
 
     clock const& time;
-    std::function<bool()> const is_known;
     handler const go_on;
     asio::steady_timer timer;
     std::vector<waiting_call> waiting;
--- /dev/null
+++ b/src/process/proxy/tests/newer_configuration_test.cpp
@@ -0,0 +1,90 @@
+#include <catch2/catch.hpp>
+
+#include "proxy_fixture.hpp"
+
+using namespace lagoonladder;
+
+namespace
+{
+
+/// The fixture's configuration with another number and one route and one key more.
+std::shared_ptr<version::service_index const> grown(proxy_fixture const& system)
+{
+    auto map = system.control.view()->services->map();
+    ++map.number;
+    auto route = map.routes[0];
+    route.name = route_name("added");
+    route.path_prefix = "/added/";
+    map.routes.push_back(route);
+    map.accounts[0].keys.push_back("key-added");
+    return std::make_shared<version::service_index const>(std::move(map));
+}
+
+void learn_of_newer(proxy_fixture& system)
+{
+    system.control.change([](proxy::traffic_view& view) { view.knows_newer = true; });
+}
+
+} // namespace
+
+TEST_CASE("an entry that waits for a newer configuration does not answer for it")
+{
+    // Guards against 404 and 401 for a route and a key that the newer configuration has.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    CHECK(system.call("/added/x", "id-1").status() == 404);
+    CHECK(system.call("/plain/x", "id-2", "", "key-added").status() == 401);
+    learn_of_newer(system);
+    for (auto const& answer :
+         {system.call("/added/x", "id-3"), system.call("/plain/x", "id-4", "", "key-added")})
+    {
+        CHECK(answer.status() == 503);
+        REQUIRE(answer.heads.size() == 1);
+        CHECK(answer.heads[0].headers.find("Retry-After") != nullptr);
+    }
+}
+
+TEST_CASE("calls that the present configuration allows do not wait for a newer one")
+{
+    // Guards against an entry that serves nothing while a configuration is on its way.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    learn_of_newer(system);
+    auto const begun = std::chrono::steady_clock::now();
+    CHECK(system.call("/plain/x", "id-1").status() == 200);
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(200));
+}
+
+TEST_CASE("a call on a route of the newer configuration is served when it is there")
+{
+    // Guards against a refusal of each call that comes in the moments before a new route.
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    learn_of_newer(system);
+    auto const call = system.start_call("/added/x", "id-1", "", "key-added");
+    system.context.run_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(call.observer->is_over());
+    auto const newer = grown(system);
+    system.control.change([&](proxy::traffic_view& view) { view.services = newer; });
+    system.run_until([&] { return call.observer->is_over(); });
+    CHECK(call.observer->status() == 200);
+    CHECK(endpoint.requests.size() == 1);
+    CHECK(system.proxy.open_calls() == 0);
+}
+
+TEST_CASE("a call on a route that the newer configuration does not have gets its 404")
+{
+    proxy_fixture system;
+    learn_of_newer(system);
+    auto const call = system.start_call("/nowhere/x", "id-1");
+    system.context.run_for(std::chrono::milliseconds(50));
+    auto const newer = grown(system);
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            view.services = newer;
+            view.knows_newer = false;
+        });
+    system.run_until([&] { return call.observer->is_over(); });
+    CHECK(call.observer->status() == 404);
+}
