Send a silent follower no entries beyond its bound

Cause: the test whether a follower gets an append counted a new commit index like room for entries, so each advance of the commit sent another 64 KiB to a follower that had not answered the last ones.

Evidence: "a silent follower gets a bounded number of bytes ..." fails without the change: 1,310,720 bytes where 196,608 are allowed. It passes with it; consensus_test passes, 18 cases.

Change: a new commit index goes out alone when there is no room for entries.

--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -82,6 +82,7 @@
 
     // replication.cpp: leader side.
     bool wants_append(follower_progress const& follower) const;
+    bool wants_entries(follower_progress const& follower) const;
     void send_appends();
     void send_to(voter_id const& id, follower_progress& follower, std::uint64_t round, bool beat);
     void send_append(voter_id const& id, follower_progress& follower, std::uint64_t round,
--- a/src/process/consensus/internal/replication.cpp
+++ b/src/process/consensus/internal/replication.cpp
@@ -22,14 +22,21 @@
 } // namespace
 
 bool node_core::wants_append(follower_progress const& follower) const
+{
+    if (follower.mode != replication_mode::stream)
+        return !follower.awaiting_reply;
+    return this->wants_entries(follower) || follower.sent_commit < this->hard.commit;
+}
+
+/// A new commit index goes out also when there is no room for entries, but alone.
+bool node_core::wants_entries(follower_progress const& follower) const
 {
     if (follower.mode != replication_mode::stream)
         return !follower.awaiting_reply;
     auto const unanswered = follower.next.value() - 1 - follower.match.value();
     bool const room = unanswered < max_unanswered_appends * this->options.max_entries_per_append &&
                       follower.unanswered_bytes < this->options.max_unanswered_bytes;
-    return (room && follower.next <= this->log.last_index()) ||
-           follower.sent_commit < this->hard.commit;
+    return room && follower.next <= this->log.last_index();
 }
 
 void node_core::send_appends()
@@ -68,12 +75,12 @@
             this->send_plain_heartbeat(id, round);
         return;
     case replication_mode::probe:
-        this->send_append(id, follower, round, wants);
+        this->send_append(id, follower, round, this->wants_entries(follower));
         follower.awaiting_reply = true;
         return;
     case replication_mode::stream:
         do
-            this->send_append(id, follower, round, wants);
+            this->send_append(id, follower, round, this->wants_entries(follower));
         while (this->wants_append(follower));
     }
 }
