Note usage counts in commands of bounded size

Cause: the leader noted the counts of all entries in one log entry each second. Each report repeats eight windows, closed ones too, which the ledger ignores.

Change: only windows that are open and counts that were not noted yet go into the log, in commands of about 32 KiB.

Ruled out: reports of fewer windows by the entries; a new holder of the duty needs them all.

Tests: "usage counts of many entries make no large command" and "only news of open usage windows are noted".

--- a/src/process/control/internal/duty_driver.cpp
+++ b/src/process/control/internal/duty_driver.cpp
@@ -50,27 +50,48 @@
 
 void duty_driver::note_counts()
 {
-    if (this->is_noting || this->received.empty())
+    if (this->open_notes > 0 || this->received.empty())
         return;
-    version::note_usage order;
+    std::vector<version::usage_report> news;
     for (auto const& [vm, report] : this->received)
-        order.reports.push_back(report);
-    auto sent = std::exchange(this->received, {});
-    this->is_noting = true;
+    {
+        auto found = version::usage_news(report, this->noted[vm], this->first_open_window());
+        if (!found.windows.empty())
+            news.push_back(std::move(found));
+    }
+    auto const sent = std::exchange(this->received, {});
+    auto orders = version::make_usage_notes(news);
+    this->open_notes = orders.size();
+    for (auto& order : orders)
+        this->note(std::move(order), sent);
+}
+
+void duty_driver::note(version::note_usage order,
+                       std::map<vm_id, version::usage_report> const& sent)
+{
+    std::vector<version::usage_report> whole;
+    for (auto const& report : order.reports)
+        whole.push_back(sent.at(report.vm));
     this->node->propose(
         std::move(order), this->time.now() + command_timeout,
-        [this, term = this->held_term, sent = std::move(sent)](proposal_outcome const& outcome)
+        [this, term = this->held_term, whole = std::move(whole)](proposal_outcome const& outcome)
         {
             if (term != this->held_term)
                 return;
-            this->is_noting = false;
+            --this->open_notes;
             if (outcome.status != proposal_status::committed)
                 return;
-            for (auto const& [vm, report] : sent)
-                this->noted[vm] = report;
+            for (auto const& report : whole)
+                this->noted[report.vm] = report;
         });
 }
 
+std::uint64_t duty_driver::first_open_window() const
+{
+    auto const& closed = this->node->state().usage_windows();
+    return closed.empty() ? 0 : closed.rbegin()->first + 1;
+}
+
 bool duty_driver::holds_duty()
 {
     if (!this->node->is_leader())
@@ -84,7 +105,7 @@
         this->held_term = this->node->term();
         this->held_since = now;
         this->noted.clear();
-        this->is_noting = false;
+        this->open_notes = 0;
         this->is_closing = false;
         this->is_reporting = false;
         this->capacity.reset();
@@ -110,7 +131,7 @@
     auto const first_known = this->node->state().open_usage().first_window();
     if (this->is_closing || (closed.empty() && !first_known))
         return;
-    auto next = closed.empty() ? *first_known : closed.rbegin()->first + 1;
+    auto next = closed.empty() ? *first_known : this->first_open_window();
     if (next >= end)
         return;
     next = std::max(next, end - std::min(end, max_windows_behind));
--- a/src/process/control/internal/duty_driver.hpp
+++ b/src/process/control/internal/duty_driver.hpp
@@ -30,6 +30,8 @@
     void step_usage();
     bool holds_duty();
     void note_counts();
+    void note(version::note_usage order, std::map<vm_id, version::usage_report> const& sent);
+    std::uint64_t first_open_window() const;
     void close_windows();
     void report_windows();
     void confirm(std::uint64_t window);
@@ -47,7 +49,8 @@
     std::uint64_t held_term = 0;
     time_point held_since{};
     capacity_driver capacity;
-    bool is_noting = false;
+    /// Commands with counts that are not yet committed.
+    std::size_t open_notes = 0;
     bool is_closing = false;
     bool is_reporting = false;
 };
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -14,5 +14,6 @@
 #include <lagoonladder/version/shared_state.hpp>
 #include <lagoonladder/version/traffic_sample.hpp>
 #include <lagoonladder/version/usage_ledger.hpp>
+#include <lagoonladder/version/usage_notes.hpp>
 
 #endif
