Keep the parts of configurations that are sent at once

Cause: parts of four contents were kept, an operator may have eight orders in progress, and from five on they dropped each other's parts.

Change: parts of 16 contents are kept, bounded in bytes over all of them.

--- a/src/version/include/lagoonladder/version/content_assembly.hpp
+++ b/src/version/include/lagoonladder/version/content_assembly.hpp
@@ -35,9 +35,11 @@
     nlohmann::json snapshot() const;
     void restore(nlohmann::json const& in);
 
-    /// Contents that operators may send at once; the one that has waited longest
-    /// for a part makes room for another one.
-    static constexpr std::size_t max_contents = 4;
+    /// Contents that operators may send at once, twice the eight of one operator. The one
+    /// that has waited longest for a part makes room for another one.
+    static constexpr std::size_t max_contents = 16;
+    /// Of all parts together.
+    static constexpr std::uint64_t max_bytes = 2 * max_content_bytes;
 
 private:
     struct partial_content
@@ -47,7 +49,8 @@
         std::map<std::uint64_t, std::string> parts;
     };
 
-    void make_room();
+    std::uint64_t stored_bytes() const;
+    void make_room(content_part const& part);
 
     std::map<content_digest, partial_content> contents;
 };
--- a/src/version/internal/content_assembly.cpp
+++ b/src/version/internal/content_assembly.cpp
@@ -24,8 +24,7 @@
 {
     if (!is_well_formed(part))
         return;
-    if (!this->contents.contains(part.digest))
-        this->make_room();
+    this->make_room(part);
     auto& content = this->contents[part.digest];
     if (content.total == 0)
         content.total = part.total;
@@ -35,14 +34,39 @@
     content.parts.try_emplace(part.offset, part.bytes);
 }
 
-void content_assembly::make_room()
+std::uint64_t content_assembly::stored_bytes() const
 {
-    if (this->contents.size() < max_contents)
-        return;
-    this->contents.erase(
-        std::min_element(this->contents.begin(), this->contents.end(),
-                         [](auto const& one, auto const& other)
-                         { return one.second.last_index < other.second.last_index; }));
+    std::uint64_t sum = 0;
+    for (auto const& [digest, content] : this->contents)
+    {
+        for (auto const& [offset, bytes] : content.parts)
+            sum += bytes.size();
+    }
+    return sum;
+}
+
+void content_assembly::make_room(content_part const& part)
+{
+    auto const lacks_room = [&]
+    {
+        bool const is_new = !this->contents.contains(part.digest);
+        return (is_new && this->contents.size() >= max_contents) ||
+               this->stored_bytes() + part.bytes.size() > max_bytes;
+    };
+    while (lacks_room())
+    {
+        auto oldest = this->contents.end();
+        for (auto item = this->contents.begin(); item != this->contents.end(); ++item)
+        {
+            bool const is_older = oldest == this->contents.end() ||
+                                  item->second.last_index < oldest->second.last_index;
+            if (item->first != part.digest && is_older)
+                oldest = item;
+        }
+        if (oldest == this->contents.end())
+            return;
+        this->contents.erase(oldest);
+    }
 }
 
 std::vector<std::uint64_t> content_assembly::held(content_digest const& digest) const
--- a/src/version/tests/content_test.cpp
+++ b/src/version/tests/content_test.cpp
@@ -192,3 +192,27 @@
     CHECK_THROWS_AS(unpack(forged), parse_error);
     CHECK_THROWS_AS(unpack(packed_content{content.digest, nullptr}), parse_error);
 }
+
+TEST_CASE("configurations that are sent at once do not push each other out")
+{
+    // Guards against uploads that drop each other's parts and never end: an operator may have
+    // eight orders in progress.
+    voter one;
+    std::vector<apply_service_map> orders;
+    std::vector<std::vector<content_part>> parts;
+    for (std::uint64_t number = 1; number <= 8; ++number)
+    {
+        orders.push_back(make_apply_order(make_large_configuration(number, many_routes)));
+        parts.push_back(split(orders.back().content));
+    }
+    for (std::size_t round = 0; round < parts[0].size() + 1; ++round)
+    {
+        for (auto const& of_one : parts)
+        {
+            if (round < of_one.size())
+                one.run(store_content_part{of_one[round]});
+        }
+    }
+    for (auto const& order : orders)
+        CHECK(one.apply(without_bytes(order)).stored);
+}
