Refuse a configuration that is too large instead of ending the daemon

Cause: a document that packs to more than 4 MiB throws on the control thread, where nothing caught it; the process ended, and the operator sent the same to the next daemon.

Change: it is refused, with a line that says why.

Test: "a configuration that is too large is refused and harms no daemon".

--- a/src/process/control/internal/configuration_client.cpp
+++ b/src/process/control/internal/configuration_client.cpp
@@ -38,7 +38,15 @@
                                  control_loop::apply_handler done)
 {
     auto const started = this->time.now();
-    auto order = version::make_apply_order(wanted);
+    version::apply_service_map order;
+    try
+    {
+        order = version::make_apply_order(wanted);
+    }
+    catch (parse_error const& problem)
+    {
+        return this->refuse(wanted, problem.what(), done);
+    }
     auto const bytes = order.content.size();
     this->events.emit(severity::info, "configuration.taken",
                       {{"number", std::to_string(order.number)},
@@ -73,6 +81,20 @@
         ->start();
 }
 
+void configuration_client::refuse(version::service_configuration const& wanted,
+                                  std::string const& problem,
+                                  control_loop::apply_handler const& done)
+{
+    this->events.emit(severity::warning, "configuration.refused",
+                      {{"number", std::to_string(wanted.map.number)},
+                       {"routes", std::to_string(wanted.map.routes.size())},
+                       {"document_bytes", std::to_string(wanted.document.size())},
+                       {"reason", problem}});
+    version::apply_map_result result;
+    result.problem = problem;
+    done(result);
+}
+
 void configuration_client::read(control_loop::read_handler done)
 {
     auto const deadline = this->time.now() + command_timeout;
--- a/src/process/control/internal/configuration_client.hpp
+++ b/src/process/control/internal/configuration_client.hpp
@@ -22,6 +22,8 @@
     void read(control_loop::read_handler done);
 
 private:
+    void refuse(version::service_configuration const& wanted, std::string const& problem,
+                control_loop::apply_handler const& done);
     void read_document(version::content_digest const& digest, time_point deadline,
                        control_loop::read_handler const& done);
     void answer(version::packed_content const& content, control_loop::read_handler const& done);
--- a/src/process/control/tests/control_pass_through_test.cpp
+++ b/src/process/control/tests/control_pass_through_test.cpp
@@ -111,3 +111,27 @@
     CHECK(system.reports() - before >= 2);
     CHECK(system.reports() - before <= 4);
 }
+
+TEST_CASE("a configuration that is too large is refused and harms no daemon")
+{
+    // Guards against a document that ends the control thread of each daemon it is sent to.
+    small_system system;
+    CHECK(eventually([&] { return system.loop(3).view()->ready; }));
+    seeded_random random(1);
+    version::service_configuration wanted;
+    wanted.map.number = 3;
+    while (wanted.document.size() < 2 * version::max_content_bytes)
+    {
+        auto const number = random.next();
+        wanted.document.append(reinterpret_cast<char const*>(&number), sizeof(number));
+    }
+    auto const answer = std::make_shared<std::promise<std::string>>();
+    auto future = answer->get_future();
+    system.loop(3).apply_services(wanted,
+                                  [answer](std::optional<version::apply_map_result> const& result)
+                                  { answer->set_value(result ? result->problem : ""); });
+    REQUIRE(future.wait_for(seconds(10)) == std::future_status::ready);
+    CHECK_FALSE(future.get().empty());
+    commit_and_wait(system.loop(3), make_pass_through(4), seconds(10));
+    CHECK(read_document(system.loop(3)) == "document 4");
+}
