Accept an account that states one of its keys twice

What callers saw: a configuration in which one account lists a key twice got a 400, which ends the operator's call. The users call a configuration invalid when two accounts share a key; here one account holds it.

Cause: the check looked at keys without their accounts.

Change: a key is shared when another account holds it.

--- a/src/version/internal/service_map.cpp
+++ b/src/version/internal/service_map.cpp
@@ -1,6 +1,7 @@
 #include <lagoonladder/version/service_map.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <tuple>
 
@@ -42,7 +43,7 @@
 
 std::string problem_of_accounts(service_map const& map)
 {
-    std::set<std::string> keys;
+    std::map<std::string, account_id> holders;
     std::set<account_id> names;
     for (auto const& account : map.accounts)
     {
@@ -50,7 +51,7 @@
             return "account " + account.name.value() + " is stated twice";
         for (auto const& key : account.keys)
         {
-            if (!keys.insert(key).second)
+            if (holders.emplace(key, account.name).first->second != account.name)
                 return "account " + account.name.value() + " shares a key";
         }
     }
