Let a longer idle limit hold for connections that are idle already

What callers saw: when a configuration raised idleTimeoutMs, a connection that was idle before was closed after the earlier limit. Its caller, who may use it up to four fifths of the newest limit, met a closed connection with its next request.

Cause: the limit was read once, when the connection became idle.

Change: when the time is up, the connection looks at the limit of now and waits for the rest. A shorter limit holds from the next answer on, as before, so that no caller loses a connection that it keeps by the longer one.

--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -41,7 +41,7 @@
     auto const peer = this->socket.remote_endpoint(is_gone);
     if (!is_gone)
         this->remote = peer.address().to_string();
-    this->set_timer(this->context->limits().idle_timeout + idle_allowance);
+    this->wait_idle();
     this->read();
 }
 
@@ -270,7 +270,7 @@
 void server_connection::next_request()
 {
     this->state = phase::idle;
-    this->set_timer(this->context->limits().idle_timeout + idle_allowance);
+    this->wait_idle();
     this->take_input();
     this->read();
     if (this->context->refuses_requests)
@@ -331,8 +331,21 @@
         return;
     if (this->state == phase::reading)
         return this->reject({408, "the request did not arrive in time"});
+    if (this->state == phase::idle && this->context->time.now() < this->idle_end())
+        return this->set_timer(this->idle_end() - this->context->time.now());
     if (this->state == phase::idle || this->state == phase::lingering)
         this->close();
 }
 
+void server_connection::wait_idle()
+{
+    this->idle_since = this->context->time.now();
+    this->set_timer(this->idle_end() - this->idle_since);
+}
+
+time_point server_connection::idle_end() const
+{
+    return this->idle_since + this->context->limits().idle_timeout + idle_allowance;
+}
+
 } // namespace lagoonladder::http
--- a/src/process/http/internal/server_connection.hpp
+++ b/src/process/http/internal/server_connection.hpp
@@ -99,11 +99,15 @@
     void linger();
     void set_timer(duration span);
     void on_timer();
+    void wait_idle();
+    /// By the newest limit: it may have become longer while the connection was idle.
+    time_point idle_end() const;
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     std::shared_ptr<server_context> context;
     phase state = phase::idle;
+    time_point idle_since{};
     std::unique_ptr<request_parser> parser;
     std::array<char, 8192> chunk{};
     std::string input;
