Show that a configuration that is too large ends the daemon that takes it

What operators saw: one Config.Put whose content packs to more than 4 MiB, which the limit of 16 MB on calls allows, ends the control thread of the daemon that takes it and with it the process. No answer comes, so the operator sends it to the next daemon, which ends as well, until no quorum is left (Fault, CONFIG).

Cause: version::pack throws parse_error in configuration_client::apply, and nothing on the control thread catches it.

--- a/src/process/control/tests/control_pass_through_test.cpp
+++ b/src/process/control/tests/control_pass_through_test.cpp
@@ -111,3 +111,24 @@
     CHECK(system.reports() - before >= 2);
     CHECK(system.reports() - before <= 4);
 }
+
+TEST_CASE("a configuration that is too large is refused and ends no daemon")
+{
+    // Guards against one call of an operator that ends the control thread of each daemon it
+    // is sent to.
+    small_system system;
+    commit_and_wait(system.loop(3), make_pass_through(7), seconds(10));
+    version::service_configuration large;
+    large.map.number = 8;
+    seeded_random random(1);
+    while (large.document.size() < 3 * version::max_content_bytes)
+        large.document += std::to_string(random.next());
+    auto const answer = std::make_shared<std::promise<std::string>>();
+    auto future = answer->get_future();
+    system.loop(3).apply_services(
+        large, [answer](std::optional<version::apply_map_result> const& result)
+        { answer->set_value(result ? result->problem : "no answer of a quorum"); });
+    REQUIRE(future.wait_for(seconds(10)) == std::future_status::ready);
+    CHECK_THAT(future.get(), Catch::Matchers::Contains("too large"));
+    CHECK(read_document(system.loop(3)) == "document 7");
+}
