Test that a daemon knows of a newer configuration while it fetches it

What is missed: no test had an entry that has heard of a newer configuration, although what it answers then depends on it.

Change: a case with a reader behind a slow link, which gets 1,800 routes after 10. It must know of the newer configuration before it has it, must not go back, and must no longer know of one when it has it.

--- a/src/process/control/tests/slow_link_test.cpp
+++ b/src/process/control/tests/slow_link_test.cpp
@@ -207,6 +207,36 @@
     CHECK(is_in_force_in_time(system, 2, slow_system::voters + 2));
 }
 
+TEST_CASE("a daemon knows of a newer configuration while its content is on its way")
+{
+    // Guards against 404 and 401 of an entry that decides by the configuration before, and
+    // against an entry that goes back to it or never decides alone again.
+    slow_system system(fast_link, reader_link, 1);
+    REQUIRE(eventually([&] { return system.is_ready(); }));
+    REQUIRE(send_configuration(system, 1, 10));
+    REQUIRE(is_in_force_in_time(system, 1, slow_system::voters + 1));
+    auto& reader = system.loop(slow_system::voters);
+    REQUIRE_FALSE(reader.traffic()->knows_newer);
+    REQUIRE(apply_and_wait(system.loop(0), make_configuration(2, 1'800)));
+    bool knew_newer = false;
+    std::uint64_t highest = 1;
+    bool went_back = false;
+    auto const end = std::chrono::steady_clock::now() + apply_limit;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        auto const view = reader.traffic();
+        auto const number = view->services->map().number;
+        went_back = went_back || number < highest;
+        highest = std::max(highest, number);
+        knew_newer = knew_newer || (number == 1 && view->knows_newer);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    CHECK(knew_newer);
+    CHECK_FALSE(went_back);
+    CHECK(highest == 2);
+    CHECK_FALSE(reader.traffic()->knows_newer);
+}
+
 namespace
 {
 
