Report a control loop that runs late

What operators saw: a leader that lost its lease, or a command that was not acknowledged, without a line that tells whether the daemon had no processor time or the network was slow. The traffic loop reports its delays, the control loop did not.

Cause: the class that measures a loop's delay belonged to the traffic thread.

Change: observability::loop_lag takes the name of its loop. The control thread checks a timer of 100 ms, writes control.loop_late at most once a second for delays from 100 ms, and fills the histogram control_loop_late_seconds.

--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -19,6 +19,8 @@
 /// Traffic counts and moves need no shorter intervals than a second. Usage counts of a second
 /// are lost with an entry; shorter intervals would cost the leader more of its processor.
 constexpr std::uint32_t reports_per_step = 2;
+/// Delays of the loop that are longer than this are seen by at least one timer.
+constexpr duration lag_check_interval = milliseconds(100);
 
 } // namespace
 
@@ -54,6 +56,8 @@
                { this->post([this, notices] { this->directories.apply_notices(notices); }); })
     , publish_timer(*this->context)
     , report_timer(*this->context)
+    , lag_timer(*this->context)
+    , lag(dependencies.events, dependencies.metrics, dependencies.time, "control")
 {
     this->published = std::make_shared<control_view const>();
     this->published_traffic = std::make_shared<proxy::traffic_view const>();
@@ -80,6 +84,7 @@
             this->directories.start();
             this->shared.start();
             this->schedule_report();
+            this->schedule_lag_check();
             this->publish();
         });
     this->thread = std::thread([this] { this->run(); });
@@ -118,6 +123,7 @@
                 this->driver->stop();
             this->publish_timer.cancel();
             this->report_timer.cancel();
+            this->lag_timer.cancel();
             this->context->stop();
         });
     this->thread.join();
@@ -294,6 +300,22 @@
         });
 }
 
+void control_thread::schedule_lag_check()
+{
+    this->lag_timer.expires_after(lag_check_interval);
+    this->lag_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem)
+                return;
+            auto const late = std::chrono::steady_clock::now() - this->lag_timer.expiry();
+            bool const is_leader = this->driver && this->driver->is_leader();
+            this->lag.note(std::chrono::duration_cast<duration>(late),
+                           {{"is_leader", is_leader ? "true" : "false"}});
+            this->schedule_lag_check();
+        });
+}
+
 void control_thread::report()
 {
     bool const is_step = ++this->report_count % reports_per_step == 0;
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -69,6 +69,7 @@
     void schedule_report();
     void report();
     void update_metrics(control_view const& current);
+    void schedule_lag_check();
 
     config::settings const& options;
     observability::event_timeline& events;
@@ -94,6 +95,8 @@
     reclaim_poller reclaims;
     asio::steady_timer publish_timer;
     asio::steady_timer report_timer;
+    asio::steady_timer lag_timer;
+    observability::loop_lag lag;
     bool publish_scheduled = false;
     std::uint32_t report_count = 0;
     std::atomic<std::uint32_t> open_requests = 0;
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -102,7 +102,7 @@
                      server_at(config.pass_through.metrics, max_control_connections, "metrics"),
                      this->metrics_calls, control_limits, sink, time)
     , count_timer(*this->context)
-    , lag(sink, metrics, time)
+    , lag(sink, metrics, time, "traffic")
 {
 }
 
@@ -151,7 +151,8 @@
             if (problem)
                 return;
             auto const late = std::chrono::steady_clock::now() - this->count_timer.expiry();
-            this->lag.note(std::chrono::duration_cast<duration>(late), this->open);
+            this->lag.note(std::chrono::duration_cast<duration>(late),
+                           {{"open_calls", std::to_string(this->open)}});
             this->count_open_calls();
         });
 }
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -8,7 +8,6 @@
 
 #include <lagoonladder/control.hpp>
 
-#include "loop_lag.hpp"
 #include "prompt_exchange.hpp"
 #include "token_lending.hpp"
 
@@ -131,7 +130,7 @@
     http::server readiness_server;
     http::server metrics_server;
     asio::steady_timer count_timer;
-    loop_lag lag;
+    observability::loop_lag lag;
     std::atomic<std::size_t> open = 0;
     std::thread thread;
 };
--- a/src/process/observability/include/lagoonladder/observability.hpp
+++ b/src/process/observability/include/lagoonladder/observability.hpp
@@ -5,7 +5,9 @@
 /// event timeline.
 
 #include <lagoonladder/observability/event_timeline.hpp>
+#include <lagoonladder/observability/line_limit.hpp>
 #include <lagoonladder/observability/log.hpp>
+#include <lagoonladder/observability/loop_lag.hpp>
 #include <lagoonladder/observability/metrics.hpp>
 
 #endif
--- a/src/process/daemon/tests/loop_lag_test.cpp
+++ b/src/process/observability/tests/loop_lag_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "loop_lag.hpp"
+#include <lagoonladder/observability.hpp>
 
 using namespace lagoonladder;
 
@@ -28,12 +28,12 @@
     observability::metrics metrics;
     manual_clock time;
     time.advance(seconds(10));
-    daemon::loop_lag lag(events, metrics, time);
-    lag.note(milliseconds(20), 1);
+    observability::loop_lag lag(events, metrics, time, "traffic");
+    lag.note(milliseconds(20), {{"open_calls", "1"}});
     CHECK(events.names.empty());
     for (int i = 0; i < 50; ++i)
     {
-        lag.note(milliseconds(150), 3);
+        lag.note(milliseconds(150), {{"open_calls", "3"}});
         time.advance(milliseconds(100));
     }
     CHECK(events.names.size() == 5);
