Count and tell the steps of a configuration between daemons

What operators saw: a configuration that was not acknowledged, or that was in force at some entries only, and no metric or line for the steps in between. A poll of the shared state that failed left no trace, nor did a command that expired at the leader.

Change: the classes of the control thread get a `telemetry` (events, metrics, clock) in place of events and clock. New metrics: state_polls_total, state_index, state_index_named, named_until_in_force_seconds, content_fetches_total, contents_damaged_total, content_parts_fetched_total, content_fetched_bytes_total, content_parts_served_total, content_served_bytes_total, command_seconds, commands_given_up_total, consensus_calls_total, consensus_call_bytes_total, consensus_messages_dropped_total. New lines: state.poll_failed and consensus.proposal_expired, each at most once a second, and consensus.large_command_committed for commands of 32 KiB or more. No decision changes.

The status of the shared state names contents by digest and has no configuration number, so state_index_named is the log index of the newest change that a voter has named, next to state_index, the one in force here.

--- a/src/process/control/internal/configuration_client.cpp
+++ b/src/process/control/internal/configuration_client.cpp
@@ -18,19 +18,14 @@
     return command_timeout + milliseconds(static_cast<std::int64_t>(bytes * 1000 / least_rate));
 }
 
-std::string milliseconds_text(duration value)
-{
-    return std::to_string(value / milliseconds(1));
-}
-
 } // namespace
 
 configuration_client::configuration_client(leader_client& client, content_fetcher& fetcher,
-                                           event_sink& log, clock const& time_source)
+                                           telemetry const& reports)
     : leaders(client)
     , contents(fetcher)
-    , events(log)
-    , time(time_source)
+    , events(reports.events)
+    , time(reports.time)
 {
 }
 
--- a/src/process/control/internal/configuration_client.hpp
+++ b/src/process/control/internal/configuration_client.hpp
@@ -13,8 +13,7 @@
 class configuration_client
 {
 public:
-    configuration_client(leader_client& client, content_fetcher& fetcher, event_sink& log,
-                         clock const& time_source);
+    configuration_client(leader_client& client, content_fetcher& fetcher, telemetry const& reports);
 
     void apply(version::service_configuration const& wanted, control_loop::apply_handler done);
 
--- a/src/process/control/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -49,17 +49,16 @@
 consensus_driver::consensus_driver(std::shared_ptr<asio::io_context> io,
                                    config::settings const& config, consensus::voter_id self,
                                    storage::log_store& store, peer_channels& channels,
-                                   event_sink& log, clock const& time_source,
-                                   random_source& random_numbers)
+                                   telemetry const& reports, random_source& random_numbers)
     : context(io)
     , options(config)
     , log_store(store)
     , peers(channels)
-    , events(log)
-    , time(time_source)
+    , events(reports.events)
+    , time(reports.time)
     , random(random_numbers)
-    , node(make_node_options(config, self), this->load(), random_numbers, time_source.now())
-    , sender(io, channels, self, config.control, config.election_timeout / 2, log, time_source)
+    , node(make_node_options(config, self), this->load(), random_numbers, reports.time.now())
+    , sender(io, channels, self, config.control, config.election_timeout / 2, reports)
     , timer(*io)
 {
 }
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -15,6 +15,7 @@
 #include <lagoonladder/storage.hpp>
 
 #include "step_sender.hpp"
+#include "telemetry.hpp"
 #include <lagoonladder/control/peer_channels.hpp>
 
 namespace lagoonladder::control
@@ -35,7 +36,7 @@
     /// Loads the stored log. Throws storage_error or parse_error when it is damaged.
     consensus_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
                      consensus::voter_id self, storage::log_store& store, peer_channels& channels,
-                     event_sink& log, clock const& time_source, random_source& random);
+                     telemetry const& reports, random_source& random);
 
     void start();
     void stop();
@@ -81,9 +82,20 @@
     {
         consensus::term_number term;
         time_point deadline;
+        time_point started;
+        std::size_t bytes = 0;
         proposal_handler done;
     };
 
+    /// Proposals that were not committed in time and are not in the log lines yet.
+    struct expired_proposals
+    {
+        std::size_t count = 0;
+        std::uint64_t first_index = 0;
+        std::size_t bytes = 0;
+        duration longest{};
+    };
+
     struct pending_read
     {
         time_point deadline;
@@ -106,6 +118,9 @@
     void restore(consensus::snapshot const& state);
     void apply(consensus::log_entry const& entry);
     void resolve_proposal(consensus::log_entry const& entry, version::command_result const& result);
+    void report_large_commit(consensus::log_entry const& entry, pending_proposal const& pending);
+    void note_expired(time_point now);
+    void report_expired();
     void fail_read(std::uint64_t id);
     void serve_reads();
     void expire_pending();
@@ -140,6 +155,8 @@
     std::function<void()> on_applied;
 
     std::multimap<std::uint64_t, pending_proposal> proposals;
+    expired_proposals expired;
+    observability::line_limit expired_lines{seconds(1)};
     std::map<std::uint64_t, pending_read> reads;
     std::uint64_t next_read = 1;
     wall_time last_proposed{};
--- a/src/process/control/internal/consensus_requests.cpp
+++ b/src/process/control/internal/consensus_requests.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Commands of this size are parts of configurations or whole ones.
+constexpr std::size_t large_command_bytes = 32 * 1024;
+
 /// Removes what has waited past its deadline. Returns the handlers.
 template <class Waiting>
 auto take_expired(Waiting& waiting, time_point now)
@@ -32,7 +35,12 @@
     auto const [first, last] = this->proposals.equal_range(entry.index.value());
     std::vector<std::pair<proposal_handler, bool>> resolved;
     for (auto pending = first; pending != last; ++pending)
-        resolved.emplace_back(std::move(pending->second.done), pending->second.term == entry.term);
+    {
+        bool const is_own = pending->second.term == entry.term;
+        if (is_own && pending->second.bytes >= large_command_bytes)
+            this->report_large_commit(entry, pending->second);
+        resolved.emplace_back(std::move(pending->second.done), is_own);
+    }
     this->proposals.erase(first, last);
     for (auto const& [done, own] : resolved)
     {
@@ -43,6 +51,15 @@
     }
 }
 
+void consensus_driver::report_large_commit(consensus::log_entry const& entry,
+                                           pending_proposal const& pending)
+{
+    this->events.emit(severity::info, "consensus.large_command_committed",
+                      {{"index", std::to_string(entry.index.value())},
+                       {"bytes", std::to_string(pending.bytes)},
+                       {"elapsed_ms", milliseconds_text(this->time.now() - pending.started)}});
+}
+
 void consensus_driver::propose(version::command_body body, time_point deadline,
                                proposal_handler done)
 {
@@ -51,12 +68,15 @@
     entry.body = std::move(body);
     if (!this->usable)
         return done({proposal_status::not_proposed, {}});
-    auto const position = this->node.propose(this->time.now(), version::encode(entry));
+    auto const now = this->time.now();
+    auto data = version::encode(entry);
+    auto const bytes = data.size();
+    auto const position = this->node.propose(now, std::move(data));
     if (!position)
         return done({proposal_status::not_proposed, {}});
     this->last_proposed = entry.now;
-    this->proposals.emplace(position->index.value(),
-                            pending_proposal{position->term, deadline, std::move(done)});
+    this->proposals.emplace(position->index.value(), pending_proposal{position->term, deadline, now,
+                                                                      bytes, std::move(done)});
     this->schedule_flush();
 }
 
@@ -92,9 +112,38 @@
         done(true);
 }
 
+void consensus_driver::note_expired(time_point now)
+{
+    for (auto const& [index, pending] : this->proposals)
+    {
+        if (pending.deadline > now)
+            continue;
+        if (this->expired.count++ == 0)
+            this->expired.first_index = index;
+        this->expired.bytes += pending.bytes;
+        this->expired.longest = std::max(this->expired.longest, now - pending.started);
+    }
+}
+
+void consensus_driver::report_expired()
+{
+    if (this->expired.count == 0 || !this->expired_lines.admit(this->time.now()))
+        return;
+    this->events.emit(severity::warning, "consensus.proposal_expired",
+                      {{"index", std::to_string(this->expired.first_index)},
+                       {"count", std::to_string(this->expired.count)},
+                       {"bytes", std::to_string(this->expired.bytes)},
+                       {"elapsed_ms", milliseconds_text(this->expired.longest)},
+                       {"commit_index", std::to_string(this->node.commit_index().value())},
+                       {"is_leader", this->is_leader() ? "true" : "false"}});
+    this->expired = {};
+}
+
 void consensus_driver::expire_pending()
 {
     auto const now = this->time.now();
+    this->note_expired(now);
+    this->report_expired();
     auto const late_proposals = take_expired(this->proposals, now);
     auto const late_reads = take_expired(this->reads, now);
     for (auto const& done : late_proposals)
--- a/src/process/control/internal/content_fetcher.cpp
+++ b/src/process/control/internal/content_fetcher.cpp
@@ -21,14 +21,15 @@
 } // namespace
 
 content_fetcher::content_fetcher(std::shared_ptr<asio::io_context> io, peer_channels& channels,
-                                 leader_client& client, content_cache& held, event_sink& log,
-                                 clock const& time_source)
+                                 leader_client& client, content_cache& held,
+                                 telemetry const& reports)
     : context(std::move(io))
     , peers(channels)
     , leaders(client)
     , cache(held)
-    , events(log)
-    , time(time_source)
+    , events(reports.events)
+    , metrics(reports.metrics)
+    , time(reports.time)
 {
 }
 
@@ -68,6 +69,7 @@
 void content_fetcher::take(version::content_digest const& digest, grpc::Status const& status,
                            protocol::ReadContentReply& reply)
 {
+    this->count_part(status, reply);
     auto& current = this->fetches.at(digest);
     bool const has_part = status.ok() && reply.found() && !reply.part().empty() &&
                           reply.total() <= version::max_content_bytes;
@@ -81,6 +83,15 @@
     this->finish(digest);
 }
 
+void content_fetcher::count_part(grpc::Status const& status,
+                                 protocol::ReadContentReply const& reply)
+{
+    bool const is_absent = status.ok() && !reply.found();
+    this->metrics.add("content_parts_fetched_total",
+                      {{"outcome", is_absent ? "not_held" : call_outcome(status)}});
+    this->metrics.add("content_fetched_bytes_total", {}, static_cast<double>(reply.part().size()));
+}
+
 void content_fetcher::try_next_voter(version::content_digest const& digest,
                                      std::string const& reason)
 {
@@ -107,7 +118,7 @@
         this->events.emit(severity::info, "content.fetched",
                           {{"digest", digest.value()},
                            {"bytes", std::to_string(content.size())},
-                           {"elapsed_ms", std::to_string(elapsed / milliseconds(1))}});
+                           {"elapsed_ms", milliseconds_text(elapsed)}});
         this->cache.add(content);
         this->end(digest, content);
     }
@@ -115,6 +126,7 @@
     {
         this->events.emit(severity::error, "content.damaged",
                           {{"digest", digest.value()}, {"reason", problem.what()}});
+        this->metrics.add("contents_damaged_total");
         this->end(digest, std::nullopt);
     }
 }
@@ -122,6 +134,7 @@
 void content_fetcher::end(version::content_digest const& digest,
                           std::optional<version::packed_content> const& content)
 {
+    this->metrics.add("content_fetches_total", {{"outcome", content ? "complete" : "given_up"}});
     auto const ended = this->fetches.extract(digest);
     for (auto const& done : ended.mapped().waiting)
         done(content);
--- a/src/process/control/internal/content_fetcher.hpp
+++ b/src/process/control/internal/content_fetcher.hpp
@@ -24,8 +24,7 @@
     using handler = std::function<void(std::optional<version::packed_content> const&)>;
 
     content_fetcher(std::shared_ptr<asio::io_context> io, peer_channels& channels,
-                    leader_client& client, content_cache& held, event_sink& log,
-                    clock const& time_source);
+                    leader_client& client, content_cache& held, telemetry const& reports);
 
     /// Asks `first` and then the other voters. Fetches of the same content share their parts.
     void fetch(version::content_digest const& digest, network_address const& first, handler done);
@@ -48,6 +47,7 @@
     void take(version::content_digest const& digest, grpc::Status const& status,
               protocol::ReadContentReply& reply);
     void try_next_voter(version::content_digest const& digest, std::string const& reason);
+    void count_part(grpc::Status const& status, protocol::ReadContentReply const& reply);
     void finish(version::content_digest const& digest);
     void end(version::content_digest const& digest,
              std::optional<version::packed_content> const& content);
@@ -57,6 +57,7 @@
     leader_client& leaders;
     content_cache& cache;
     event_sink& events;
+    observability::metrics& metrics;
     clock const& time;
     std::map<version::content_digest, content_fetch> fetches;
     std::size_t next_voter = 0;
--- a/src/process/control/internal/control_services.cpp
+++ b/src/process/control/internal/control_services.cpp
@@ -197,11 +197,16 @@
     if (!has_cluster_token(*context, this->options.cluster_token))
         return missing_cluster_token();
     auto const content = this->control.contents().find(version::content_digest(request->digest()));
-    if (!content || request->offset() >= content->size())
+    bool const is_held = content && request->offset() < content->size();
+    this->control.metrics().add("content_parts_served_total",
+                                {{"outcome", is_held ? "sent" : "not_held"}});
+    if (!is_held)
         return grpc::Status::OK;
     reply->set_found(true);
     reply->set_total(content->size());
     reply->set_part(content->bytes->substr(request->offset(), version::max_content_part_bytes));
+    this->control.metrics().add("content_served_bytes_total", {},
+                                static_cast<double>(reply->part().size()));
     return grpc::Status::OK;
 }
 
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -29,6 +29,7 @@
     , events(dependencies.events)
     , gauges(dependencies.metrics)
     , time(dependencies.time)
+    , reports{dependencies.events, dependencies.metrics, dependencies.time}
     , peers(dependencies.peers)
     , random(dependencies.seed)
     , context(std::make_shared<asio::io_context>(1))
@@ -36,17 +37,16 @@
     , driver(dependencies.store
                  ? std::make_unique<consensus_driver>(
                        this->context, this->options, dependencies.voter, *dependencies.store,
-                       dependencies.peers, this->events, this->time, this->random)
+                       dependencies.peers, this->reports, this->random)
                  : nullptr)
     , directories(this->context, this->options, dependencies.peers, this->events, this->time,
                   this->random)
-    , client(this->context, this->options, dependencies.peers, this->directories, this->time,
+    , client(this->context, this->options, dependencies.peers, this->directories, this->reports,
              this->driver.get())
-    , fetcher(this->context, dependencies.peers, this->client, this->cache, this->events,
-              this->time)
-    , configurations(this->client, this->fetcher, this->events, this->time)
+    , fetcher(this->context, dependencies.peers, this->client, this->cache, this->reports)
+    , configurations(this->client, this->fetcher, this->reports)
     , shared(this->context, this->options, dependencies.peers, this->client, this->fetcher,
-             this->cache, this->events, this->time, this->driver.get())
+             this->cache, this->reports, this->driver.get())
     , version_moves(this->driver.get(), this->events, this->time)
     , platform_duties(this->driver.get(), this->options, this->events, this->time)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
@@ -280,6 +280,10 @@
     if (current.shared->services)
         this->gauges.set("pass_through_configuration", {},
                          static_cast<double>(current.shared->services->map().number));
+    this->gauges.set("state_index", {}, static_cast<double>(current.shared->changed_index));
+    this->gauges.set(
+        "state_index_named", {},
+        static_cast<double>(std::max(current.shared->changed_index, this->shared.newest_named())));
     this->gauges.set("entries", {}, static_cast<double>(current.entries.size()));
     for (auto const& [service, rows] : current.endpoints)
         this->gauges.set("endpoints", {{"service", service.value()}},
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -15,6 +15,7 @@
 #include "move_driver.hpp"
 #include "reclaim_poller.hpp"
 #include "state_follower.hpp"
+#include "telemetry.hpp"
 #include "traffic_counter.hpp"
 #include "usage_counter.hpp"
 
@@ -61,6 +62,7 @@
 
     /// Safe to call from any thread.
     content_cache const& contents() const { return this->cache; }
+    observability::metrics& metrics() const { return this->gauges; }
 
 private:
     void run();
@@ -75,6 +77,7 @@
     observability::event_timeline& events;
     observability::metrics& gauges;
     clock const& time;
+    telemetry const reports;
     peer_channels& peers;
     seeded_random random;
     std::shared_ptr<asio::io_context> context;
--- a/src/process/control/internal/leader_client.cpp
+++ b/src/process/control/internal/leader_client.cpp
@@ -22,11 +22,26 @@
     return bytes;
 }
 
+char const* outcome_name(proposal_status status)
+{
+    switch (status)
+    {
+    case proposal_status::committed:
+        return "committed";
+    case proposal_status::not_proposed:
+        return "not_proposed";
+    case proposal_status::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 struct leader_client::attempt
 {
     version::command_body body;
+    time_point started;
     time_point deadline;
     proposal_handler done;
     /// An earlier try may have reached the log.
@@ -35,12 +50,13 @@
 
 leader_client::leader_client(std::shared_ptr<asio::io_context> io, config::settings const& config,
                              peer_channels& channels, gossip_driver const& directories,
-                             clock const& time_source, consensus_driver* own_node)
+                             telemetry const& reports, consensus_driver* own_node)
     : context(std::move(io))
     , options(config)
     , peers(channels)
     , gossip(directories)
-    , time(time_source)
+    , metrics(reports.metrics)
+    , time(reports.time)
     , node(own_node)
 {
 }
@@ -89,7 +105,8 @@
 void leader_client::propose(version::command_body const& body, time_point deadline,
                             proposal_handler done)
 {
-    this->try_propose(std::make_shared<attempt>(attempt{body, deadline, std::move(done)}));
+    this->try_propose(
+        std::make_shared<attempt>(attempt{body, this->time.now(), deadline, std::move(done)}));
 }
 
 void leader_client::try_propose(std::shared_ptr<attempt> const& state)
@@ -99,7 +116,7 @@
     {
         auto const status =
             state->maybe_proposed ? proposal_status::unknown : proposal_status::not_proposed;
-        return state->done({status, {}});
+        return this->finish_command(*state, {status, {}});
     }
     if (this->node && this->node->is_leader())
         return this->node->propose(state->body, state->deadline,
@@ -154,7 +171,7 @@
                                    proposal_outcome const& outcome)
 {
     if (outcome.status == proposal_status::committed)
-        return state->done(outcome);
+        return this->finish_command(*state, outcome);
     if (outcome.status == proposal_status::unknown)
         state->maybe_proposed = true;
     if (this->stopped)
@@ -162,6 +179,16 @@
     this->retry_later([this, state] { this->try_propose(state); });
 }
 
+void leader_client::finish_command(attempt const& state, proposal_outcome const& outcome)
+{
+    auto const* const name = outcome_name(outcome.status);
+    this->metrics.observe_seconds("command_seconds", {{"outcome", name}},
+                                  to_seconds(this->time.now() - state.started));
+    if (outcome.status != proposal_status::committed)
+        this->metrics.add("commands_given_up_total", {{"outcome", name}});
+    state.done(outcome);
+}
+
 void leader_client::find_once(request::once_key const& key, time_point deadline, find_handler done)
 {
     this->try_find(key, deadline, done);
--- a/src/process/control/internal/leader_client.hpp
+++ b/src/process/control/internal/leader_client.hpp
@@ -23,7 +23,7 @@
     /// `own_node` is null on a VM without a log.
     leader_client(std::shared_ptr<asio::io_context> io, config::settings const& config,
                   peer_channels& channels, gossip_driver const& directories,
-                  clock const& time_source, consensus_driver* own_node);
+                  telemetry const& reports, consensus_driver* own_node);
 
     /// Repeats the proposal until it is committed or the deadline has passed;
     /// all commands may be repeated without a second effect.
@@ -51,6 +51,8 @@
     void propose_remotely(std::shared_ptr<attempt> const& state, network_address const& target);
     void finish_attempt(std::shared_ptr<attempt> const& state, proposal_outcome const& outcome);
     void try_find(request::once_key const& key, time_point deadline, find_handler const& done);
+    /// Ends a command with its last outcome.
+    void finish_command(attempt const& state, proposal_outcome const& outcome);
     network_address next_target();
     void retry_later(std::function<void()> action);
 
@@ -58,6 +60,7 @@
     config::settings const& options;
     peer_channels& peers;
     gossip_driver const& gossip;
+    observability::metrics& metrics;
     clock const& time;
     consensus_driver* const node;
     network_address leader_hint;
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -15,21 +15,24 @@
 constexpr duration start_poll_interval = milliseconds(50);
 /// Several polls, so that one slow voter does not make the quorum look lost.
 constexpr duration quorum_memory = seconds(3);
+/// Changes whose time until they are in force is measured at once.
+constexpr std::size_t max_named_changes = 16;
 
 } // namespace
 
 state_follower::state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
                                peer_channels& channels, leader_client& client,
-                               content_fetcher& fetcher, content_cache& held, event_sink& log,
-                               clock const& time_source, consensus_driver* own_node)
+                               content_fetcher& fetcher, content_cache& held,
+                               telemetry const& reports, consensus_driver* own_node)
     : context(io)
     , options(config)
     , peers(channels)
     , leaders(client)
     , contents(fetcher)
     , cache(held)
-    , events(log)
-    , time(time_source)
+    , events(reports.events)
+    , metrics(reports.metrics)
+    , time(reports.time)
     , node(own_node)
     , timer(*io)
 {
@@ -117,11 +120,36 @@
         [this, stub, target](grpc::Status const& status, protocol::ReadStateReply& reply)
         {
             this->poll_in_flight = false;
-            if (!this->stopped && status.ok() && reply.available())
-                this->take_reply(target, reply);
+            if (this->stopped)
+                return;
+            if (!status.ok() || !reply.available())
+                return this->note_failed_poll(target, status);
+            this->take_reply(target, reply);
         });
 }
 
+void state_follower::count_poll(char const* outcome)
+{
+    this->metrics.add("state_polls_total", {{"outcome", outcome}});
+}
+
+void state_follower::note_failed_poll(network_address const& voter, grpc::Status const& status)
+{
+    bool const is_late = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    this->count_poll(is_late ? "timed_out" : "unavailable");
+    auto const now = this->time.now();
+    if (!this->failed_poll_lines.admit(now))
+        return;
+    auto const age = this->last_good_poll ? milliseconds_text(now - *this->last_good_poll)
+                                          : std::string("never");
+    this->events.emit(
+        severity::warning, "state.poll_failed",
+        {{"voter", voter.value()},
+         {"reason", status.ok() ? "the voter has not confirmed its state" : status.error_message()},
+         {"last_good_age_ms", age},
+         {"index", std::to_string(this->current->changed_index)}});
+}
+
 void state_follower::take_reply(network_address const& voter, protocol::ReadStateReply const& reply)
 {
     if (reply.quorum_recent())
@@ -137,9 +165,12 @@
         // Until it is ready, each poll is confirmed by a quorum.
         if (!this->ready && !this->wanted)
             this->become_ready();
+        this->last_good_poll = this->time.now();
+        this->count_poll(reply.status().empty() ? "unchanged" : "fresh");
     }
     catch (error const& problem)
     {
+        this->count_poll("unreadable");
         this->events.emit(severity::error, "state.unreadable", {{"reason", problem.what()}});
     }
 }
@@ -154,7 +185,7 @@
     if (this->wanted && status.applied_index < this->wanted->applied_index)
         return;
     bool const knew_newer = this->knows_newer();
-    this->named_index = std::max(this->named_index, status.changed_index);
+    this->note_named(status.changed_index);
     if (!knew_newer && this->on_change)
         this->on_change();
     bool const is_new = !this->wanted || this->wanted->service_content != status.service_content ||
@@ -168,6 +199,27 @@
     this->fetch_next();
 }
 
+void state_follower::note_named(std::uint64_t index)
+{
+    if (index <= this->named_index)
+        return;
+    this->named_index = index;
+    this->named.push_back({index, this->time.now()});
+    if (this->named.size() > max_named_changes)
+        this->named.pop_front();
+}
+
+void state_follower::note_in_force()
+{
+    auto const now = this->time.now();
+    while (!this->named.empty() && this->named.front().index <= this->current->changed_index)
+    {
+        this->metrics.observe_seconds("named_until_in_force_seconds", {},
+                                      to_seconds(now - this->named.front().when));
+        this->named.pop_front();
+    }
+}
+
 void state_follower::fetch_next()
 {
     if (this->fetch_in_flight)
@@ -235,6 +287,7 @@
     auto const before = std::exchange(this->current, std::move(candidate));
     this->cache.add(this->current->configuration_content);
     this->cache.add(this->current->service_content);
+    this->note_in_force();
     this->report_change(*before);
     if (this->on_change)
         this->on_change();
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONLADDER_CONTROL_STATE_FOLLOWER_HPP
 #define LAGOONLADDER_CONTROL_STATE_FOLLOWER_HPP
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -16,8 +17,7 @@
 public:
     state_follower(std::shared_ptr<asio::io_context> io, config::settings const& config,
                    peer_channels& channels, leader_client& client, content_fetcher& fetcher,
-                   content_cache& held, event_sink& log, clock const& time_source,
-                   consensus_driver* own_node);
+                   content_cache& held, telemetry const& reports, consensus_driver* own_node);
 
     void start();
     void stop();
@@ -34,12 +34,18 @@
     /// A voter has named a content that is not here yet: calls may be decided by an
     /// older configuration than the one in force.
     bool knows_newer() const { return this->named_index > this->current->changed_index; }
+    /// Log index of the newest change whose contents a voter has named; 0 before the first.
+    std::uint64_t newest_named() const { return this->named_index; }
     std::shared_ptr<version::shared_state const> state() const { return this->current; }
 
 private:
     void schedule_poll();
     void poll();
     void poll_voter();
+    void count_poll(char const* outcome);
+    void note_failed_poll(network_address const& voter, grpc::Status const& status);
+    void note_named(std::uint64_t index);
+    void note_in_force();
     void take_reply(network_address const& voter, protocol::ReadStateReply const& reply);
     /// Adopts a status, at once when its contents are here.
     void follow(network_address const& voter, version::shared_status const& status);
@@ -57,6 +63,7 @@
     content_fetcher& contents;
     content_cache& cache;
     event_sink& events;
+    observability::metrics& metrics;
     clock const& time;
     consensus_driver* const node;
     asio::steady_timer timer;
@@ -70,6 +77,15 @@
     bool fetch_in_flight = false;
     /// changed_index of the newest status that a voter has sent.
     std::uint64_t named_index = 0;
+    struct named_change
+    {
+        std::uint64_t index = 0;
+        time_point when{};
+    };
+    /// Changes that a voter has named and that are not in force here, oldest first.
+    std::deque<named_change> named;
+    std::optional<time_point> last_good_poll;
+    observability::line_limit failed_poll_lines{seconds(1)};
     bool ready = false;
     bool poll_in_flight = false;
     bool stopped = false;
--- a/src/process/control/internal/step_sender.cpp
+++ b/src/process/control/internal/step_sender.cpp
@@ -15,14 +15,15 @@
 
 step_sender::step_sender(std::shared_ptr<asio::io_context> io, peer_channels& channels,
                          consensus::voter_id id, network_address address, duration timeout,
-                         event_sink& log, clock const& time_source)
+                         telemetry const& reports)
     : context(std::move(io))
     , peers(channels)
     , self(std::move(id))
     , self_address(std::move(address))
     , base_timeout(timeout)
-    , events(log)
-    , time(time_source)
+    , events(reports.events)
+    , metrics(reports.metrics)
+    , time(reports.time)
 {
 }
 
@@ -36,6 +37,7 @@
     {
         queue.bytes -= queue.messages.front().size();
         queue.messages.pop_front();
+        this->metrics.add("consensus_messages_dropped_total");
     }
     if (!queue.in_flight)
         this->flush(to);
@@ -80,15 +82,17 @@
 void step_sender::note_end(network_address const& to, std::size_t size, time_point started,
                            grpc::Status const& status)
 {
+    observability::metric_labels const outcome{{"outcome", call_outcome(status)}};
+    this->metrics.add("consensus_calls_total", outcome);
+    this->metrics.add("consensus_call_bytes_total", outcome, static_cast<double>(size));
     // Lost heartbeats are told by the changes of role that follow from them.
     if (status.ok() || size < least_reported_bytes)
         return;
-    this->events.emit(
-        severity::warning, "consensus.call_lost",
-        {{"to", to.value()},
-         {"bytes", std::to_string(size)},
-         {"elapsed_ms", std::to_string((this->time.now() - started) / milliseconds(1))},
-         {"reason", status.error_message()}});
+    this->events.emit(severity::warning, "consensus.call_lost",
+                      {{"to", to.value()},
+                       {"bytes", std::to_string(size)},
+                       {"elapsed_ms", milliseconds_text(this->time.now() - started)},
+                       {"reason", status.error_message()}});
 }
 
 } // namespace lagoonladder::control
--- a/src/process/control/internal/step_sender.hpp
+++ b/src/process/control/internal/step_sender.hpp
@@ -10,6 +10,8 @@
 
 #include <lagoonladder/control/peer_channels.hpp>
 
+#include "telemetry.hpp"
+
 namespace lagoonladder::control
 {
 
@@ -19,8 +21,8 @@
 {
 public:
     step_sender(std::shared_ptr<asio::io_context> io, peer_channels& channels,
-                consensus::voter_id id, network_address address, duration timeout, event_sink& log,
-                clock const& time_source);
+                consensus::voter_id id, network_address address, duration timeout,
+                telemetry const& reports);
 
     /// Messages are lost when the voter does not answer in time; consensus repeats them.
     void send(network_address const& to, consensus::message const& message);
@@ -57,6 +59,7 @@
     network_address const self_address;
     duration const base_timeout;
     event_sink& events;
+    observability::metrics& metrics;
     clock const& time;
     std::map<network_address, peer_queue> queues;
     std::uint64_t bytes = 0;
--- a/src/process/control/tests/control_metrics_test.cpp
+++ b/src/process/control/tests/control_metrics_test.cpp
@@ -37,3 +37,84 @@
         eventually([&] { return !events_of(*system.processes[0], "control.loop_late").empty(); }));
     CHECK(metric(*system.processes[0], "control_loop_late_seconds_count") > 0);
 }
+
+TEST_CASE("polls of the shared state are counted and failed ones told once a second")
+{
+    // Guards against a daemon with an old configuration whose log does not tell why.
+    small_system system;
+    system.apply(0, 0, first_text, "op-1");
+    REQUIRE(eventually([&] { return in_force(system.loop(3), 1); }));
+    auto const& reader = *system.processes[3];
+    CHECK(metric(reader, "state_polls_total{outcome=\"fresh\"}") > 0);
+    CHECK(
+        eventually([&] { return metric(reader, "state_polls_total{outcome=\"unchanged\"}") > 0; }));
+    CHECK(eventually([&] { return metric(reader, "state_index") > 0; }));
+    CHECK(metric(reader, "state_index_named") == metric(reader, "state_index"));
+    CHECK(metric(reader, "named_until_in_force_seconds_count") > 0);
+    CHECK(metric(reader, "content_fetches_total{outcome=\"complete\"}") > 0);
+
+    for (std::size_t i = 0; i < 3; ++i)
+        system.stop(i);
+    auto const begun = std::chrono::steady_clock::now();
+    auto const told = events_of(reader, "state.poll_failed").size();
+    auto const failed = [&]
+    {
+        return metric(reader, "state_polls_total{outcome=\"unavailable\"}") +
+               metric(reader, "state_polls_total{outcome=\"timed_out\"}");
+    };
+    auto const failed_before = failed();
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    CHECK(eventually([&] { return failed() > failed_before + 3; }));
+    auto const lines = events_of(reader, "state.poll_failed");
+    auto const elapsed = std::chrono::steady_clock::now() - begun;
+    REQUIRE(lines.size() > told);
+    CHECK(lines.size() - told <= static_cast<std::size_t>(elapsed / std::chrono::seconds(1)) + 1);
+    CHECK(lines.back().fields[0].key == "voter");
+    CHECK(lines.back().fields[2].key == "last_good_age_ms");
+    CHECK(lines.back().fields[2].value != "never");
+}
+
+TEST_CASE("a leader tells of commands that are not committed in time")
+{
+    // Guards against a lost quorum that shows at the operator only.
+    small_system system;
+    system.apply(0, 0, first_text, "op-1");
+    REQUIRE(eventually([&] { return system.loop(0).view()->quorum_recent; }));
+    auto const leader_of = [&]
+    {
+        auto const known = network_address(system.loop(0).view()->leader);
+        auto const found = std::find(system.addresses.begin(), system.addresses.end(), known);
+        return static_cast<std::size_t>(found - system.addresses.begin());
+    };
+    REQUIRE(eventually([&] { return leader_of() < 3; }));
+    auto const leader = leader_of();
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        if (i != leader)
+            system.stop(i);
+    }
+    CHECK(propose_and_wait(system.loop(leader), version::reserve_orders{1, 1}, milliseconds(200))
+              .status == proposal_status::unknown);
+    auto const& process = *system.processes[leader];
+    CHECK(eventually([&] { return !events_of(process, "consensus.proposal_expired").empty(); }));
+    CHECK(metric(process, "commands_given_up_total{outcome=\"unknown\"}") == 1);
+    CHECK(metric(process, "command_seconds_count{outcome=\"unknown\"}") == 1);
+    CHECK(metric(process, "consensus_calls_total{outcome=\"answered\"}") > 0);
+}
+
+TEST_CASE("a leader tells of large commands that are committed")
+{
+    // Guards against a slow configuration of which only the sum of its parts is known.
+    small_system system;
+    REQUIRE(eventually([&] { return system.loop(3).view()->ready; }));
+    version::content_part part;
+    part.digest = version::content_digest("x");
+    part.total = 2 * version::max_content_part_bytes;
+    part.bytes = std::string(version::max_content_part_bytes, 'x');
+    commit_and_wait(system.loop(3), version::store_content_part{part}, seconds(10));
+    std::size_t lines = 0;
+    for (auto const& process : system.processes)
+        lines += events_of(*process, "consensus.large_command_committed").size();
+    CHECK(lines >= 1);
+    CHECK(metric(*system.processes[3], "command_seconds_count{outcome=\"committed\"}") > 0);
+}
