--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -19,6 +19,8 @@
 /// Traffic counts and moves need no shorter intervals than a second. Usage counts of a second
 /// are lost with an entry; shorter intervals would cost the leader more of its processor.
 constexpr std::uint32_t reports_per_step = 2;
+/// Delays of the loop that are longer than this are seen by at least one timer.
+constexpr duration lag_check_interval = milliseconds(100);
 
 } // namespace
 
@@ -27,6 +29,7 @@
     , events(dependencies.events)
     , gauges(dependencies.metrics)
     , time(dependencies.time)
+    , reports{dependencies.events, dependencies.metrics, dependencies.time}
     , peers(dependencies.peers)
     , random(dependencies.seed)
     , context(std::make_shared<asio::io_context>(1))
@@ -34,17 +37,16 @@
     , driver(dependencies.store
                  ? std::make_unique<consensus_driver>(
                        this->context, this->options, dependencies.voter, *dependencies.store,
-                       dependencies.peers, this->events, this->time, this->random)
+                       dependencies.peers, this->reports, this->random)
                  : nullptr)
     , directories(this->context, this->options, dependencies.peers, this->events, this->time,
                   this->random)
-    , client(this->context, this->options, dependencies.peers, this->directories, this->time,
+    , client(this->context, this->options, dependencies.peers, this->directories, this->reports,
              this->driver.get())
-    , fetcher(this->context, dependencies.peers, this->client, this->cache, this->events,
-              this->time)
-    , configurations(this->client, this->fetcher, this->events, this->time)
+    , fetcher(this->context, dependencies.peers, this->client, this->cache, this->reports)
+    , configurations(this->client, this->fetcher, this->reports)
     , shared(this->context, this->options, dependencies.peers, this->client, this->fetcher,
-             this->cache, this->events, this->time, this->driver.get())
+             this->cache, this->reports, this->driver.get())
     , version_moves(this->driver.get(), this->events, this->time)
     , platform_duties(this->driver.get(), this->options, this->events, this->time)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
@@ -54,6 +56,8 @@
                { this->post([this, notices] { this->directories.apply_notices(notices); }); })
     , publish_timer(*this->context)
     , report_timer(*this->context)
+    , lag_timer(*this->context)
+    , lag(dependencies.events, dependencies.metrics, dependencies.time, "control")
 {
     this->published = std::make_shared<control_view const>();
     this->published_traffic = std::make_shared<proxy::traffic_view const>();
@@ -80,6 +84,7 @@
             this->directories.start();
             this->shared.start();
             this->schedule_report();
+            this->schedule_lag_check();
             this->publish();
         });
     this->thread = std::thread([this] { this->run(); });
@@ -118,6 +123,7 @@
                 this->driver->stop();
             this->publish_timer.cancel();
             this->report_timer.cancel();
+            this->lag_timer.cancel();
             this->context->stop();
         });
     this->thread.join();
@@ -274,6 +280,10 @@
     if (current.shared->services)
         this->gauges.set("pass_through_configuration", {},
                          static_cast<double>(current.shared->services->map().number));
+    this->gauges.set("state_index", {}, static_cast<double>(current.shared->changed_index));
+    this->gauges.set(
+        "state_index_named", {},
+        static_cast<double>(std::max(current.shared->changed_index, this->shared.newest_named())));
     this->gauges.set("entries", {}, static_cast<double>(current.entries.size()));
     for (auto const& [service, rows] : current.endpoints)
         this->gauges.set("endpoints", {{"service", service.value()}},
@@ -294,6 +304,22 @@
         });
 }
 
+void control_thread::schedule_lag_check()
+{
+    this->lag_timer.expires_after(lag_check_interval);
+    this->lag_timer.async_wait(
+        [this](asio::error_code const& problem)
+        {
+            if (problem)
+                return;
+            auto const late = std::chrono::steady_clock::now() - this->lag_timer.expiry();
+            bool const is_leader = this->driver && this->driver->is_leader();
+            this->lag.note(std::chrono::duration_cast<duration>(late),
+                           {{"is_leader", is_leader ? "true" : "false"}});
+            this->schedule_lag_check();
+        });
+}
+
 void control_thread::report()
 {
     bool const is_step = ++this->report_count % reports_per_step == 0;
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -15,6 +15,7 @@
 #include "move_driver.hpp"
 #include "reclaim_poller.hpp"
 #include "state_follower.hpp"
+#include "telemetry.hpp"
 #include "traffic_counter.hpp"
 #include "usage_counter.hpp"
 
@@ -61,6 +62,7 @@
 
     /// Safe to call from any thread.
     content_cache const& contents() const { return this->cache; }
+    observability::metrics& metrics() const { return this->gauges; }
 
 private:
     void run();
@@ -69,11 +71,13 @@
     void schedule_report();
     void report();
     void update_metrics(control_view const& current);
+    void schedule_lag_check();
 
     config::settings const& options;
     observability::event_timeline& events;
     observability::metrics& gauges;
     clock const& time;
+    telemetry const reports;
     peer_channels& peers;
     seeded_random random;
     std::shared_ptr<asio::io_context> context;
@@ -94,6 +98,8 @@
     reclaim_poller reclaims;
     asio::steady_timer publish_timer;
     asio::steady_timer report_timer;
+    asio::steady_timer lag_timer;
+    observability::loop_lag lag;
     bool publish_scheduled = false;
     std::uint32_t report_count = 0;
     std::atomic<std::uint32_t> open_requests = 0;
