Test uploads and fetches of configurations against lost daemons

Callers saw nothing: these are tests of the way of configurations in parts, which had tests of slow links and of the state machine only.

Cause: no test lost a leader in an upload, or a voter in a fetch, and no random test drew parts.

Ruled out: counting calls of voters by time. The daemons of the tests count the parts that they answered, and stop answering at a stated count, so that a loss is at the same part in each run.

Change: tests only. The counting service of the fixture counts parts.

--- /dev/null
+++ b/src/process/control/tests/content_calls.hpp
@@ -0,0 +1,120 @@
+#ifndef LAGOONLADDER_CONTROL_TESTS_CONTENT_CALLS_HPP
+#define LAGOONLADDER_CONTROL_TESTS_CONTENT_CALLS_HPP
+
+#include <numeric>
+
+#include "control_fixture.hpp"
+
+namespace lagoonladder::control
+{
+
+/// A configuration whose packed size grows with its routes. `variant` makes another
+/// content with the same number.
+inline version::service_configuration make_stated(std::uint64_t number, std::size_t routes,
+                                                  std::uint64_t variant = 0)
+{
+    version::service_configuration stated;
+    stated.map.number = number;
+    version::pass_service service;
+    service.name = service_name("model");
+    stated.map.services = {service};
+    stated.document = "document " + std::to_string(number) + "." + std::to_string(variant) + ":";
+    seeded_random random(stable_hash(stated.document));
+    for (std::size_t i = 0; i < routes; ++i)
+    {
+        version::pass_route route;
+        route.name = route_name("r-" + std::to_string(random.next()));
+        route.host = "host.example";
+        route.path_prefix = "/" + std::to_string(random.next()) + "/";
+        route.split = {{service.name, 1}};
+        stated.document += " " + route.name.value() + route.path_prefix;
+        stated.map.routes.push_back(std::move(route));
+    }
+    return stated;
+}
+
+inline std::size_t parts_of(version::service_configuration const& stated)
+{
+    return version::split(version::make_apply_order(stated).content).size();
+}
+
+using apply_outcome = std::optional<version::apply_map_result>;
+
+/// Sends a configuration once; the future gets the answer.
+inline std::future<apply_outcome> begin_apply(control_thread& loop,
+                                              version::service_configuration const& stated)
+{
+    auto const answer = std::make_shared<std::promise<apply_outcome>>();
+    loop.apply_services(stated, [answer](auto const& result) { answer->set_value(result); });
+    return answer->get_future();
+}
+
+inline apply_outcome apply_and_wait(control_thread& loop,
+                                    version::service_configuration const& stated)
+{
+    auto answer = begin_apply(loop, stated);
+    if (answer.wait_for(seconds(15)) != std::future_status::ready)
+        throw std::runtime_error("the handler of a configuration was not called");
+    return answer.get();
+}
+
+/// Sends a configuration until it is acknowledged; false when it was not within 15 s.
+inline bool apply_at_last(control_thread& loop, version::service_configuration const& stated)
+{
+    return eventually(
+        [&]
+        {
+            auto const result = apply_and_wait(loop, stated);
+            return result && result->problem.empty();
+        });
+}
+
+/// The operator's text as a daemon reads it; empty when it has no answer.
+inline std::string read_text(control_thread& loop)
+{
+    auto const answer = std::make_shared<std::promise<std::string>>();
+    auto future = answer->get_future();
+    loop.read_services([answer](std::shared_ptr<std::string const> const& document)
+                       { answer->set_value(document ? *document : std::string()); });
+    if (future.wait_for(seconds(15)) != std::future_status::ready)
+        throw std::runtime_error("the handler of a read was not called");
+    return future.get();
+}
+
+/// Number in force at a daemon; 0 before the first one.
+inline std::uint64_t number_at(control_thread& loop)
+{
+    auto const shared = loop.view()->shared;
+    return shared->services ? shared->services->map().number : 0;
+}
+
+inline int sum_of(part_calls const& calls)
+{
+    return std::accumulate(calls.begin(), calls.end(), 0,
+                           [](int sum, auto const& call) { return sum + call.second; });
+}
+
+inline void add_to(part_calls& sum, part_calls const& calls)
+{
+    for (auto const& [offset, count] : calls)
+        sum[offset] += count;
+}
+
+/// Waits until all four daemons are ready and know a leader.
+inline bool is_settled(small_system& system)
+{
+    return eventually(
+        [&]
+        {
+            for (std::size_t i = 0; i < 4; ++i)
+            {
+                if (!system.loop(i).view()->ready || system.leader(i) >= 3)
+                    return false;
+            }
+            return true;
+        });
+}
+
+} // namespace lagoonladder::control
+
+#endif
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -2,6 +2,8 @@
 #define LAGOONLADDER_CONTROL_TESTS_CONTROL_FIXTURE_HPP
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include <grpcpp/grpcpp.h>
@@ -50,7 +52,10 @@
     }
 };
 
-/// Counts the reports that arrive.
+/// Answered calls by the position of the part that they carried.
+using part_calls = std::map<std::uint64_t, int>;
+
+/// Counts the calls that it answers, and stops to answer those with parts of contents.
 class counting_control_service : public control_service
 {
 public:
@@ -63,7 +68,57 @@
         return control_service::Report(context, request, reply);
     }
 
+    grpc::Status Propose(grpc::ServerContext* context, protocol::ProposeRequest const* request,
+                         protocol::ProposeReply* reply) override
+    {
+        auto const command = version::decode_command(request->command());
+        auto const* stored = std::get_if<version::store_content_part>(&command.body);
+        if (stored == nullptr)
+            return control_service::Propose(context, request, reply);
+        if (--this->uploads_allowed < 0)
+            return {grpc::StatusCode::UNAVAILABLE, "stopped by the test"};
+        auto const status = control_service::Propose(context, request, reply);
+        if (reply->status() == protocol::ProposeReply::COMMITTED)
+            this->count(this->stored_parts, stored->part.offset);
+        return status;
+    }
+
+    grpc::Status ReadContent(grpc::ServerContext* context,
+                             protocol::ReadContentRequest const* request,
+                             protocol::ReadContentReply* reply) override
+    {
+        if (--this->fetches_allowed < 0)
+            return {grpc::StatusCode::UNAVAILABLE, "stopped by the test"};
+        auto const status = control_service::ReadContent(context, request, reply);
+        if (reply->found())
+            this->count(this->fetched_parts, request->offset());
+        return status;
+    }
+
+    part_calls stored() const { return this->copy(this->stored_parts); }
+    part_calls fetched() const { return this->copy(this->fetched_parts); }
+
     std::atomic<int> reports = 0;
+    /// Parts that may still be stored and fetched through this daemon.
+    std::atomic<int> uploads_allowed = 1'000'000;
+    std::atomic<int> fetches_allowed = 1'000'000;
+
+private:
+    void count(part_calls& calls, std::uint64_t offset)
+    {
+        std::lock_guard const lock(this->mutex);
+        ++calls[offset];
+    }
+
+    part_calls copy(part_calls const& calls) const
+    {
+        std::lock_guard const lock(this->mutex);
+        return calls;
+    }
+
+    mutable std::mutex mutex;
+    part_calls stored_parts;
+    part_calls fetched_parts;
 };
 
 /// One daemon without its traffic plane, with real sockets between daemons.
@@ -114,8 +169,10 @@
 class small_system
 {
 public:
-    explicit small_system(duration poll_interval = milliseconds(100))
+    explicit small_system(duration poll_interval = milliseconds(100),
+                          std::uint64_t snapshot_after = 10'000)
         : state_poll_interval(poll_interval)
+        , snapshot_after_entries(snapshot_after)
     {
         for (std::size_t i = 0; i < 4; ++i)
             this->addresses.push_back(free_address());
@@ -136,6 +193,7 @@
         config.election_timeout = milliseconds(400);
         config.gossip_interval = milliseconds(200);
         config.state_poll_interval = this->state_poll_interval;
+        config.snapshot_after_entries = this->snapshot_after_entries;
         if (index < 3)
         {
             config.data_folder = "in memory";
@@ -164,6 +222,19 @@
 
     control_thread& loop(std::size_t index) { return this->processes[index]->loop; }
 
+    counting_control_service& calls(std::size_t index)
+    {
+        return this->processes[index]->control_calls;
+    }
+
+    /// Index of the leader, as the daemon at `index` knows it; 4 when there is none.
+    std::size_t leader(std::size_t index)
+    {
+        auto const known = network_address(this->loop(index).view()->leader);
+        auto const found = std::find(this->addresses.begin(), this->addresses.end(), known);
+        return static_cast<std::size_t>(found - this->addresses.begin());
+    }
+
     /// Reports that arrived at all daemons.
     int reports() const
     {
@@ -183,6 +254,7 @@
     }
 
     duration const state_poll_interval;
+    std::uint64_t const snapshot_after_entries;
     std::vector<network_address> addresses;
     fillable_store stores[3];
     std::uint64_t incarnations[4] = {1, 1, 1, 1};
--- /dev/null
+++ b/src/version/tests/content_assembly_test.cpp
@@ -0,0 +1,162 @@
+#include <algorithm>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "service_maps.hpp"
+
+using namespace lagoonladder;
+using namespace lagoonladder::version;
+
+namespace
+{
+
+/// Bytes that do not repeat, of up to six parts.
+packed_content draw_content(random_source& random)
+{
+    std::string bytes(1 + random.below(6 * max_content_part_bytes), '\0');
+    for (auto& byte : bytes)
+        byte = static_cast<char>(random.next());
+    content_digest const digest(sha256_hex(bytes));
+    return make_packed(digest, std::move(bytes));
+}
+
+/// A part with one byte changed, or with other bounds than it should have.
+content_part damage(random_source& random, content_part part)
+{
+    switch (random.below(4))
+    {
+    case 0:
+        part.bytes[random.below(part.bytes.size())] ^= 1;
+        break;
+    case 1:
+        part.bytes.pop_back();
+        break;
+    case 2:
+        ++part.offset;
+        break;
+    default:
+        part.offset += part.total * max_content_part_bytes;
+    }
+    return part;
+}
+
+std::set<std::uint64_t> offsets_of(packed_content const& content)
+{
+    std::set<std::uint64_t> offsets;
+    for (auto const& part : split(content))
+        offsets.insert(part.offset);
+    return offsets;
+}
+
+/// Voter that stores parts; a restart restores it from its snapshot.
+struct part_store
+{
+    void add(content_part const& part) { this->assembly.add(++this->index, part); }
+
+    void restart()
+    {
+        content_assembly restored;
+        restored.restore(this->assembly.snapshot());
+        this->assembly = restored;
+    }
+
+    content_assembly assembly;
+    std::uint64_t index = 0;
+};
+
+/// Stores drawn parts, some of them twice, some damaged.
+void add_some(random_source& random, part_store& store, packed_content const& content)
+{
+    auto const parts = split(content);
+    for (auto count = random.below(2 * parts.size()); count > 0; --count)
+    {
+        auto const& part = parts[random.below(parts.size())];
+        store.add(random.below(12) == 0 ? damage(random, part) : part);
+        if (random.below(8) == 0)
+            store.restart();
+    }
+}
+
+/// Stores what is missing, as a sender does after each answer.
+std::optional<packed_content> finish(part_store& store, packed_content const& content)
+{
+    // The second round repeats a content that was dropped because a part was damaged.
+    for (int round = 0; round < 2; ++round)
+    {
+        auto const held = store.assembly.held(content.digest);
+        for (auto const& part : split(content))
+        {
+            if (!std::binary_search(held.begin(), held.end(), part.offset))
+                store.add(part);
+        }
+        if (auto const found = store.assembly.find(content.digest))
+            return found;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("an upload ends with its content whatever parts came before")
+{
+    // Guards against parts that come twice, damaged or between restarts and keep a
+    // configuration from being acknowledged or put other bytes in force.
+    rc::prop("for drawn parts of several contents",
+             [](std::uint64_t seed)
+             {
+                 seeded_random random(seed);
+                 std::vector<packed_content> contents;
+                 for (std::size_t i = 0; i < content_assembly::max_contents; ++i)
+                     contents.push_back(draw_content(random));
+                 part_store store;
+                 for (int round = 0; round < 3; ++round)
+                 {
+                     for (auto const& content : contents)
+                         add_some(random, store, content);
+                 }
+                 for (auto const& content : contents)
+                 {
+                     auto const possible = offsets_of(content);
+                     auto const held = store.assembly.held(content.digest);
+                     RC_ASSERT(std::is_sorted(held.begin(), held.end()));
+                     RC_ASSERT(
+                         std::includes(possible.begin(), possible.end(), held.begin(), held.end()));
+                     auto const found = finish(store, content);
+                     RC_ASSERT(found);
+                     RC_ASSERT(*found->bytes == *content.bytes);
+                     store.assembly.forget(content.digest);
+                     RC_ASSERT(store.assembly.held(content.digest).empty());
+                 }
+                 RC_ASSERT(store.assembly.snapshot().empty());
+             });
+}
+
+TEST_CASE("an assembly that was restored goes on like one that was not")
+{
+    // Guards against voters that name different missing parts after a restart.
+    rc::prop("for drawn parts of more contents than are kept",
+             [](std::uint64_t seed)
+             {
+                 seeded_random random(seed);
+                 std::vector<packed_content> contents;
+                 for (std::size_t i = 0; i < content_assembly::max_contents + 2; ++i)
+                     contents.push_back(draw_content(random));
+                 part_store steady;
+                 part_store restarted;
+                 for (int step = 0; step < 40; ++step)
+                 {
+                     auto const& content = contents[random.below(contents.size())];
+                     auto const parts = split(content);
+                     auto const& part = parts[random.below(parts.size())];
+                     steady.add(part);
+                     restarted.add(part);
+                     restarted.restart();
+                     RC_ASSERT(steady.assembly.find(content.digest).has_value() ==
+                               restarted.assembly.find(content.digest).has_value());
+                     RC_ASSERT(steady.assembly.snapshot() == restarted.assembly.snapshot());
+                     RC_ASSERT(steady.assembly.snapshot().size() <= content_assembly::max_contents);
+                 }
+             });
+}
