Keep no parts of a configuration that is in force

What callers saw: nothing.

Cause: when two entries upload the same content, or an operator resends while the first upload goes on, parts of the slower one come after the configuration is in force. They began a new partial content, which was only dropped when four others had come.

Ruled out: dropping partial contents with lower numbers. A part does not state the number of its configuration.

Change: a part with the digest of the configuration in force is ignored. A content states its number, so it can not be asked for again.

--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -229,7 +229,9 @@
 
 command_result control_state::apply_body(store_content_part const& body)
 {
-    this->uploads.add(this->index, body.part);
+    // Another daemon may send the same content; its last parts come when it is in force.
+    if (body.part.digest != this->current.service_content.digest)
+        this->uploads.add(this->index, body.part);
     return no_result{};
 }
 
--- a/src/version/tests/content_assembly_test.cpp
+++ b/src/version/tests/content_assembly_test.cpp
@@ -160,3 +160,23 @@
                  }
              });
 }
+
+TEST_CASE("a part that comes after its configuration is in force is not kept")
+{
+    // Guards against snapshots that hold the parts of a second upload of the same content.
+    auto const order = make_apply_order(make_large_configuration(1, 3'000));
+    auto const parts = split(order.content);
+    REQUIRE(parts.size() > 1);
+    control_state state;
+    std::uint64_t index = 0;
+    for (auto const& part : parts)
+        state.apply(++index, make_command(store_content_part{part}));
+    auto without_bytes = order;
+    without_bytes.content.bytes.reset();
+    auto const result =
+        std::get<apply_map_result>(state.apply(++index, make_command(without_bytes)));
+    REQUIRE(result.stored);
+    auto const before = state.snapshot().size();
+    state.apply(++index, make_command(store_content_part{parts.front()}));
+    CHECK(state.snapshot().size() < before + 1024);
+}
