Keep the parts of a fetch that no voter could finish

What callers saw: a daemon without a log whose voters were out of reach for a while, or had not got the content yet, fetched a configuration from its first part again and stayed that much longer on the one before.

Cause: after two rounds through all voters without a part a fetch is given up, and its bytes were dropped. Calls that are refused at once end these rounds within milliseconds, for example when the leader is lost before the other voters know that the configuration is committed.

Ruled out: waiting between the rounds. A newer configuration may have replaced the content, and the next poll names what to fetch.

Change: the bytes of the fetch that was given up last are kept for the next fetch of the same content. The digest is still checked at its end; bytes that fail it are not kept.

--- a/src/process/control/internal/content_fetcher.cpp
+++ b/src/process/control/internal/content_fetcher.cpp
@@ -1,5 +1,7 @@
 #include "content_fetcher.hpp"
 
+#include <utility>
+
 namespace lagoonladder::control
 {
 
@@ -42,6 +44,8 @@
     started.waiting.push_back(std::move(done));
     if (!is_new)
         return;
+    if (this->kept.digest == digest)
+        started.bytes = std::exchange(this->kept, {}).bytes;
     started.voter = first;
     started.started = this->time.now();
     this->ask(digest);
@@ -92,11 +96,19 @@
                        {"reason", reason}});
     auto const voters = this->leaders.voters();
     if (voters.empty() || ++current.failures > max_rounds * voters.size())
-        return this->end(digest, std::nullopt);
+        return this->give_up(digest);
     current.voter = voters[this->next_voter++ % voters.size()];
     this->ask(digest);
 }
 
+void content_fetcher::give_up(version::content_digest const& digest)
+{
+    auto& current = this->fetches.at(digest);
+    if (!current.bytes.empty())
+        this->kept = {digest, std::move(current.bytes)};
+    this->end(digest, std::nullopt);
+}
+
 void content_fetcher::finish(version::content_digest const& digest)
 {
     auto& current = this->fetches.at(digest);
--- a/src/process/control/internal/content_fetcher.hpp
+++ b/src/process/control/internal/content_fetcher.hpp
@@ -16,7 +16,7 @@
 {
 
 /// Fetches contents from voters part by part. A part that has arrived is kept when a
-/// voter fails. Lives on the control thread.
+/// voter fails, and when all of them do. Lives on the control thread.
 class content_fetcher
 {
 public:
@@ -44,11 +44,19 @@
         std::vector<handler> waiting;
     };
 
+    /// First bytes of the content whose fetch was given up last.
+    struct kept_content
+    {
+        version::content_digest digest;
+        std::string bytes;
+    };
+
     void ask(version::content_digest const& digest);
     void take(version::content_digest const& digest, grpc::Status const& status,
               protocol::ReadContentReply& reply);
     void try_next_voter(version::content_digest const& digest, std::string const& reason);
     void finish(version::content_digest const& digest);
+    void give_up(version::content_digest const& digest);
     void end(version::content_digest const& digest,
              std::optional<version::packed_content> const& content);
 
@@ -59,6 +67,7 @@
     event_sink& events;
     clock const& time;
     std::map<version::content_digest, content_fetch> fetches;
+    kept_content kept;
     std::size_t next_voter = 0;
     bool stopped = false;
 };
--- a/src/process/control/tests/content_fetch_test.cpp
+++ b/src/process/control/tests/content_fetch_test.cpp
@@ -101,6 +101,35 @@
     CHECK(sum_of(fetched) == static_cast<int>(parts));
 }
 
+TEST_CASE("a fetch that no voter could finish goes on with the parts that arrived")
+{
+    // Guards against parts that are fetched again after each loss of the network.
+    constexpr int parts_of_each_voter = 2;
+    small_system system;
+    REQUIRE(is_settled(system));
+    auto const stated = make_stated(1, 8'000);
+    auto const parts = parts_of(stated);
+    REQUIRE(parts > 3 * parts_of_each_voter);
+    allow_fetches(system, 0);
+    REQUIRE(apply_at_last(system.loop(system.leader(3)), stated));
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(has_number_in_time(system.loop(i), 1));
+    allow_fetches(system, parts_of_each_voter);
+    auto const fetched = [&]
+    {
+        part_calls sum;
+        for (std::size_t i = 0; i < 3; ++i)
+            add_to(sum, system.calls(i).fetched());
+        return sum;
+    };
+    REQUIRE(eventually([&] { return sum_of(fetched()) == 3 * parts_of_each_voter; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    allow_fetches(system, 1'000'000);
+    CHECK(has_number_in_time(system.loop(3), 1));
+    CHECK(fetched().size() == parts);
+    CHECK(sum_of(fetched()) == static_cast<int>(parts));
+}
+
 TEST_CASE("a daemon without a log advances while large configurations follow each other")
 {
     // Guards against fetches that each newer configuration cuts off: versions 52 to 56 of a
