--- a/tools/capacity/internal/control.cpp
+++ b/tools/capacity/internal/control.cpp
@@ -50,6 +50,57 @@
                   {"decode_us", median_microseconds(9, 10, rebuild)}});
 }
 
+/// Routes with names and paths that do not repeat, and a document with as much text for
+/// each of them as operators of large sites send.
+version::service_configuration make_pass_through(std::size_t routes)
+{
+    version::service_configuration stated;
+    stated.map.number = 1;
+    version::pass_service service;
+    service.name = service_name("model");
+    stated.map.services = {service};
+    seeded_random random(routes);
+    for (std::size_t i = 0; i < routes; ++i)
+    {
+        version::pass_route route;
+        route.name = route_name("r-" + std::to_string(random.next()));
+        route.host = "host.example";
+        route.path_prefix = "/" + std::to_string(random.next()) + "/";
+        route.split = {{service.name, 1}};
+        stated.document += "{\"name\":\"" + route.name.value() + "\",\"hostname\":\"" + route.host +
+                           "\",\"pathPrefix\":\"" + route.path_prefix +
+                           "\",\"routeType\":\"stream\",\"timeoutMs\":8000,"
+                           "\"targetLatencyMs\":1000,\"priority\":1,\"trafficSplit\":"
+                           "[{\"backend\":\"model\",\"weight\":100}],\"maxAttempts\":1,"
+                           "\"allowAnonymous\":false,\"sessionAffinity\":true,"
+                           "\"resumable\":false,\"targetGapMs\":600},";
+        stated.map.routes.push_back(std::move(route));
+    }
+    return stated;
+}
+
+/// What a large configuration costs the entry that takes it and each daemon that follows.
+void measure_pass_through(std::size_t routes)
+{
+    constexpr std::size_t repetitions = 9;
+    auto const stated = make_pass_through(routes);
+    auto const order = version::make_apply_order(stated);
+    auto const pack = [&] { version::make_apply_order(stated); };
+    auto const unpack = [&] { version::unpack(order.content); };
+    auto const index = [&]
+    {
+        version::service_index(
+            version::decode_service_configuration(version::unpack(order.content)).map);
+    };
+    print_figure("configuration.pass_through", std::to_string(routes) + " routes",
+                 {{"document_bytes", stated.document.size()},
+                  {"packed_bytes", order.content.size()},
+                  {"parts", version::split(order.content).size()},
+                  {"pack_us", median_microseconds(repetitions, 1, pack)},
+                  {"unpack_us", median_microseconds(repetitions, 1, unpack)},
+                  {"unpack_and_index_us", median_microseconds(repetitions, 1, index)}});
+}
+
 /// The report of one interval: 20 services with one version and route each.
 void measure_report()
 {
@@ -110,6 +161,8 @@
 {
     for (std::size_t const services : {2, 10, 50})
         measure_change(services);
+    for (std::size_t const routes : {300, 1'800, 10'000})
+        measure_pass_through(routes);
     measure_report();
 }
 
