Let many configurations be uploaded at once

What callers saw: nothing was reported. Operators that send more than four large configurations at about the same time would have got no acknowledgement of any of them until they stopped.

Cause: voters kept the parts of four contents; a part of a fifth one dropped the content that had waited longest. With more senders than that each part drops what another sender is about to complete, so that none ends and all send their parts again until their time is over.

Ruled out: refusing the parts of a new content while others are coming; the sender would repeat them, and abandoned ones would block it.

Change: 16 contents, and 16 MB for all parts together, which is the bound on memory that four contents of the largest size had. The one that has waited longest still makes room. A duplicate makes no other content give way.

Tests: "parts of abandoned configurations do not pile up" takes the number of contents from the class and stays; a test of the bound in bytes is new. The test of restored assemblies draws smaller contents and more of them than are kept, since more are kept.

--- a/src/process/control/tests/content_upload_test.cpp
+++ b/src/process/control/tests/content_upload_test.cpp
@@ -128,3 +128,24 @@
     for (std::size_t i = 0; i < 4; ++i)
         CHECK(read_text(system.loop(i)) == first.document);
 }
+
+TEST_CASE("large configurations that are sent at once are all acknowledged")
+{
+    // Guards against uploads that push each other's parts out of the log's state.
+    constexpr std::uint64_t versions = 8;
+    std::vector<version::service_configuration> stated;
+    for (std::uint64_t number = 1; number <= versions; ++number)
+        stated.push_back(make_stated(number, many_routes));
+    small_system system;
+    REQUIRE(is_settled(system));
+    std::vector<std::future<apply_outcome>> answers;
+    for (auto const& one : stated)
+        answers.push_back(begin_apply(system.loop(3), one));
+    for (auto& answer : answers)
+    {
+        auto const result = answer.get();
+        REQUIRE(result);
+        CHECK(result->problem.empty());
+    }
+    CHECK(read_text(system.loop(3)) == stated.back().document);
+}
--- a/src/version/include/lagoonladder/version/content_assembly.hpp
+++ b/src/version/include/lagoonladder/version/content_assembly.hpp
@@ -37,7 +37,10 @@
 
     /// Contents that operators may send at once; the one that has waited longest
     /// for a part makes room for another one.
-    static constexpr std::size_t max_contents = 4;
+    static constexpr std::size_t max_contents = 16;
+
+    /// Bytes of all parts; bounds the memory of a voter and its snapshot.
+    static constexpr std::uint64_t max_held_bytes = 4 * max_content_bytes;
 
 private:
     struct partial_content
@@ -47,7 +50,10 @@
         std::map<std::uint64_t, std::string> parts;
     };
 
-    void make_room();
+    std::uint64_t held_bytes() const;
+    /// Drops other contents until a part of this one fits.
+    void make_room(content_digest const& digest, std::uint64_t part_bytes);
+    void forget_oldest_except(content_digest const& digest);
 
     std::map<content_digest, partial_content> contents;
 };
--- a/src/version/internal/content_assembly.cpp
+++ b/src/version/internal/content_assembly.cpp
@@ -24,25 +24,49 @@
 {
     if (!is_well_formed(part))
         return;
-    if (!this->contents.contains(part.digest))
-        this->make_room();
-    auto& content = this->contents[part.digest];
-    if (content.total == 0)
-        content.total = part.total;
-    if (content.total != part.total)
+    auto const known = this->contents.find(part.digest);
+    if (known != this->contents.end() && known->second.total != part.total)
         return;
+    if (known == this->contents.end() || !known->second.parts.contains(part.offset))
+        this->make_room(part.digest, part.bytes.size());
+    auto& content = this->contents[part.digest];
+    content.total = part.total;
     content.last_index = index;
     content.parts.try_emplace(part.offset, part.bytes);
 }
 
-void content_assembly::make_room()
+std::uint64_t content_assembly::held_bytes() const
 {
-    if (this->contents.size() < max_contents)
-        return;
-    this->contents.erase(
-        std::min_element(this->contents.begin(), this->contents.end(),
-                         [](auto const& one, auto const& other)
-                         { return one.second.last_index < other.second.last_index; }));
+    std::uint64_t sum = 0;
+    for (auto const& [digest, content] : this->contents)
+    {
+        for (auto const& [offset, bytes] : content.parts)
+            sum += bytes.size();
+    }
+    return sum;
+}
+
+void content_assembly::make_room(content_digest const& digest, std::uint64_t part_bytes)
+{
+    if (!this->contents.contains(digest) && this->contents.size() >= max_contents)
+        this->forget_oldest_except(digest);
+    // A content alone is smaller than the bound.
+    while (this->held_bytes() + part_bytes > max_held_bytes)
+        this->forget_oldest_except(digest);
+}
+
+void content_assembly::forget_oldest_except(content_digest const& digest)
+{
+    auto oldest = this->contents.end();
+    for (auto one = this->contents.begin(); one != this->contents.end(); ++one)
+    {
+        bool const is_older =
+            oldest == this->contents.end() || one->second.last_index < oldest->second.last_index;
+        if (one->first != digest && is_older)
+            oldest = one;
+    }
+    invariant(oldest != this->contents.end(), "a content of bounded size fits alone");
+    this->contents.erase(oldest);
 }
 
 std::vector<std::uint64_t> content_assembly::held(content_digest const& digest) const
--- a/src/version/tests/content_assembly_test.cpp
+++ b/src/version/tests/content_assembly_test.cpp
@@ -12,10 +12,10 @@
 namespace
 {
 
-/// Bytes that do not repeat, of up to six parts.
-packed_content draw_content(random_source& random)
+/// Bytes that do not repeat.
+packed_content draw_content(random_source& random, std::uint64_t most_parts = 6)
 {
-    std::string bytes(1 + random.below(6 * max_content_part_bytes), '\0');
+    std::string bytes(1 + random.below(most_parts * max_content_part_bytes), '\0');
     for (auto& byte : bytes)
         byte = static_cast<char>(random.next());
     content_digest const digest(sha256_hex(bytes));
@@ -141,11 +141,11 @@
              {
                  seeded_random random(seed);
                  std::vector<packed_content> contents;
-                 for (std::size_t i = 0; i < content_assembly::max_contents + 2; ++i)
-                     contents.push_back(draw_content(random));
+                 for (std::size_t i = 0; i < content_assembly::max_contents + 6; ++i)
+                     contents.push_back(draw_content(random, 2));
                  part_store steady;
                  part_store restarted;
-                 for (int step = 0; step < 40; ++step)
+                 for (int step = 0; step < 60; ++step)
                  {
                      auto const& content = contents[random.below(contents.size())];
                      auto const parts = split(content);
@@ -180,3 +180,48 @@
     state.apply(++index, make_command(store_content_part{parts.front()}));
     CHECK(state.snapshot().size() < before + 1024);
 }
+
+TEST_CASE("contents that are uploaded at once all end")
+{
+    // Guards against uploads that push each other's parts out: with one content more than
+    // are kept, each part of one dropped the next one's.
+    constexpr std::size_t senders = 8;
+    seeded_random random(1);
+    std::vector<packed_content> contents;
+    for (std::size_t i = 0; i < senders; ++i)
+        contents.push_back(draw_content(random));
+    part_store store;
+    std::vector<std::vector<content_part>> waiting;
+    for (auto const& content : contents)
+        waiting.push_back(split(content));
+    for (std::size_t i = 0; i < 8; ++i)
+    {
+        for (auto const& parts : waiting)
+        {
+            if (i < parts.size())
+                store.add(parts[i]);
+        }
+    }
+    for (auto const& content : contents)
+        CHECK(store.assembly.find(content.digest));
+}
+
+TEST_CASE("parts of large contents stay within the bound in bytes")
+{
+    // Guards against voters whose memory and snapshots grow with uploads that do not end.
+    constexpr std::uint64_t full = max_content_bytes / max_content_part_bytes;
+    content_assembly assembly;
+    std::uint64_t index = 0;
+    for (std::size_t i = 0; i < content_assembly::max_contents; ++i)
+    {
+        content_digest const digest("d" + std::to_string(i));
+        for (std::uint64_t part = 0; part + 1 < full; ++part)
+            assembly.add(++index, {digest, part * max_content_part_bytes, max_content_bytes,
+                                   std::string(max_content_part_bytes, 'x')});
+        CHECK(assembly.held(digest).size() == full - 1);
+    }
+    std::uint64_t held = 0;
+    for (std::size_t i = 0; i < content_assembly::max_contents; ++i)
+        held += assembly.held(content_digest("d" + std::to_string(i))).size();
+    CHECK(held * max_content_part_bytes <= content_assembly::max_held_bytes);
+}
