--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include "simulated_cluster.hpp"
+#include "hand_fed_node.hpp"
 
 using namespace lagoonladder;
 using namespace lagoonladder::consensus;
@@ -10,72 +10,6 @@
 namespace
 {
 
-time_point const start(seconds(100));
-
-/// One node, fed by hand; the other voters exist only in the messages.
-struct hand_fed_node
-{
-    explicit hand_fed_node(std::vector<log_entry> entries = {}, std::uint64_t term = 1)
-        : random(7)
-    {
-        set_invariant_handler([](std::string const& message)
-                              { throw simulation_failure(message); });
-        membership voters;
-        for (auto const* id : {"a", "b", "c"})
-            voters.voters[voter_id(id)] = network_address("10.0.0.1:1");
-        auto state = founding_state(voters);
-        state.hard_state.term = term_number(term);
-        state.entries = std::move(entries);
-        node_options options;
-        options.self = voter_id("a");
-        this->subject = std::make_unique<node>(options, state, this->random, start);
-    }
-
-    std::vector<message> receive(message received)
-    {
-        received.to = voter_id("a");
-        this->subject->step(this->now, received);
-        return this->subject->take_ready().messages;
-    }
-
-    message from(char const* sender, message_type type, std::uint64_t term) const
-    {
-        message result;
-        result.type = type;
-        result.from = voter_id(sender);
-        result.term = term_number(term);
-        return result;
-    }
-
-    std::vector<message> tick_after(duration span)
-    {
-        this->now += span;
-        this->subject->tick(this->now);
-        return this->subject->take_ready().messages;
-    }
-
-    /// Wins the election of the next term with the vote of b.
-    std::vector<message> lead()
-    {
-        this->tick_after(seconds(3));
-        auto const next = this->subject->term().value() + 1;
-        this->receive(this->from("b", message_type::prevote_reply, next));
-        return this->receive(this->from("b", message_type::vote_reply, next));
-    }
-
-    std::vector<message> acknowledge(char const* sender, std::uint64_t index, std::uint64_t round)
-    {
-        auto reply = this->from(sender, message_type::append_reply, this->subject->term().value());
-        reply.index = log_index(index);
-        reply.round = round;
-        return this->receive(reply);
-    }
-
-    seeded_random random;
-    time_point now = start;
-    std::unique_ptr<node> subject;
-};
-
 log_entry entry(std::uint64_t index, std::uint64_t term)
 {
     return {log_index(index), term_number(term), entry_kind::command, "x"};
@@ -166,39 +100,6 @@
     CHECK(node.subject->take_ready().reads.size() == 1);
 }
 
-TEST_CASE("a silent follower gets a bounded number of bytes while the others commit")
-{
-    // Guards against entries that pile up on the link to a follower with each new commit.
-    hand_fed_node leader;
-    leader.lead();
-    auto const first = leader.subject->last_index().value();
-    std::uint64_t round = 0;
-    std::uint64_t sent_to_c = 0;
-    auto const take = [&](std::vector<message> const& messages)
-    {
-        for (auto const& sent : messages)
-        {
-            round = std::max(round, sent.round);
-            if (sent.to != voter_id("c"))
-                continue;
-            for (auto const& entry : sent.entries)
-                sent_to_c += entry.data.size();
-        }
-    };
-    take(leader.acknowledge("b", first, 1));
-    take(leader.acknowledge("c", first, 1));
-    sent_to_c = 0;
-    for (std::uint64_t i = 1; i <= 40; ++i)
-    {
-        REQUIRE(leader.subject->propose(leader.now, std::string(32 * 1024, 'x')));
-        take(leader.subject->take_ready().messages);
-        take(leader.acknowledge("b", first + i, round));
-    }
-    CHECK(leader.subject->commit_index().value() == first + 40);
-    node_options const options;
-    CHECK(sent_to_c <= options.max_unanswered_bytes + options.max_bytes_per_append);
-}
-
 TEST_CASE("a lease ends before the voters grant votes, at the bounds of the clock rates")
 {
     // Guards against two leases when the leader's clock is 1% slow and a voter's 1% fast.
