Count the calls that are sent to each version

Callers saw: a bad version got more requests than allowed, and neither logs nor metrics had the number of requests that it had got.

Cause: traffic samples counted calls when they ended. Calls that were open, refused by a full endpoint or cancelled were not in them, but they reach the version.

Change: an attempt is counted for its version when it is sent. Samples of earlier releases, which lack the count, use the number of ended calls.

--- a/src/process/control/internal/traffic_counter.cpp
+++ b/src/process/control/internal/traffic_counter.cpp
@@ -11,6 +11,7 @@
     sum.version = sample.version;
     sum.route = sample.route;
     sum.requests += sample.requests;
+    sum.sent += sample.sent;
     sum.failures += sample.failures;
     sum.open += sample.open;
     sum.first_token.add(sample.first_token);
--- a/src/process/control/tests/control_pass_through_test.cpp
+++ b/src/process/control/tests/control_pass_through_test.cpp
@@ -61,6 +61,7 @@
             sample.version = version_name(is_new ? "v2" : "");
             sample.route = route_name("r");
             sample.requests = 1;
+            sample.sent = 1;
             sample.failures = is_new && random.unit() < new_version_failure_rate ? 1 : 0;
             sample.whole_call.add(milliseconds(20));
             system.loop(i % 4).record_traffic(sample);
--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -77,12 +77,14 @@
     this->sample.version = compared_version(*traffic.view(), admitted.service, endpoint);
     this->sample.route = admitted.route->name;
     this->sample.open = 1;
+    this->sample.sent = 1;
     this->control.record(this->sample);
 }
 
 open_attempt_counter::~open_attempt_counter()
 {
     this->sample.open = -1;
+    this->sample.sent = 0;
     this->control.record(this->sample);
 }
 
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -45,7 +45,8 @@
                                     call_admission const& admitted, endpoint_attempt const& attempt,
                                     bool is_complete, time_point first_byte);
 
-/// Counts an attempt as open, for the comparison of versions, while the object exists.
+/// Counts an attempt as sent and, while the object exists, as open, for the comparison of
+/// versions.
 class open_attempt_counter
 {
 public:
--- a/src/version/include/lagoonladder/version/traffic_sample.hpp
+++ b/src/version/include/lagoonladder/version/traffic_sample.hpp
@@ -32,7 +32,10 @@
     service_name service;
     version_name version;
     route_name route;
+    /// Calls that ended in the interval with an outcome that counts for the comparison.
     std::uint32_t requests = 0;
+    /// Calls that were sent to the version in the interval.
+    std::uint32_t sent = 0;
     /// Responses with status 500 and above, broken streams and timeouts.
     std::uint32_t failures = 0;
     /// Calls sent to the version in the interval, minus the calls that ended in it for
--- a/src/version/internal/traffic_sample.cpp
+++ b/src/version/internal/traffic_sample.cpp
@@ -80,6 +80,7 @@
            {"version", in.version},
            {"route", in.route},
            {"requests", in.requests},
+           {"sent", in.sent},
            {"failures", in.failures},
            {"open", in.open},
            {"first_token", in.first_token},
@@ -94,7 +95,8 @@
     in.at("route").get_to(out.route);
     in.at("requests").get_to(out.requests);
     in.at("failures").get_to(out.failures);
-    // Entries of earlier releases do not report open calls.
+    // Entries of earlier releases report neither the calls that they send nor open calls.
+    out.sent = in.value("sent", out.requests);
     out.open = in.value("open", 0);
     in.at("first_token").get_to(out.first_token);
     in.at("between_tokens").get_to(out.between_tokens);
--- a/src/version/internal/version_counts.cpp
+++ b/src/version/internal/version_counts.cpp
@@ -26,6 +26,7 @@
 void version_counts::add(traffic_sample const& sample)
 {
     this->requests += sample.requests;
+    this->sent += sample.sent;
     this->failures += std::min(sample.failures, sample.requests);
     this->open += sample.open;
     this->latencies[0].add(sample.first_token);
@@ -36,6 +37,7 @@
 void version_counts::add(version_counts const& other)
 {
     this->requests += other.requests;
+    this->sent += other.sent;
     this->failures += other.failures;
     this->open += other.open;
     for (std::size_t i = 0; i < this->latencies.size(); ++i)
--- a/src/version/internal/version_counts.hpp
+++ b/src/version/internal/version_counts.hpp
@@ -29,6 +29,7 @@
 struct version_counts
 {
     double requests = 0;
+    double sent = 0;
     double failures = 0;
     /// Calls that have not ended.
     double open = 0;
--- a/src/version/tests/move_controller_test.cpp
+++ b/src/version/tests/move_controller_test.cpp
@@ -265,13 +265,13 @@
         auto const ended =
             second >= this->latency ? this->sent_by_second[second - this->latency] : 0;
         traffic_sample candidate{
-            service_name("s"), version_name("new"), route_name("r"), 0, 0, 0, {}, {}, {}};
+            service_name("s"), version_name("new"), route_name("r"), 0, 0, 0, 0, {}, {}, {}};
         candidate.requests = static_cast<std::uint32_t>(ended);
         candidate.open = sent - ended;
         for (int i = 0; i < ended; ++i)
             candidate.whole_call.add(this->latency * seconds(1));
         traffic_sample stable{
-            service_name("s"), version_name("old"), route_name("r"), 0, 0, 0, {}, {}, {}};
+            service_name("s"), version_name("old"), route_name("r"), 0, 0, 0, 0, {}, {}, {}};
         stable.requests = static_cast<std::uint32_t>(30 - sent);
         for (int i = 0; i < 30 - sent; ++i)
             stable.whole_call.add(milliseconds(500));
--- a/src/version/tools/traffic_model.cpp
+++ b/src/version/tools/traffic_model.cpp
@@ -108,6 +108,7 @@
                              version_condition const& condition)
 {
     ++sample.requests;
+    ++sample.sent;
     auto const latency = [&](double median)
     {
         return from_seconds(median * condition.slowdown *
