Raise a version's share only while its exposure limit holds or it is shown as good

Callers saw: a bad version of a plain service answered up to 205 of 403 requests in the time of its roll-out, where a tenth of them and 50 more are allowed; two slow versions even finished their move.

Cause: the share was raised by the plan of the move. A step was held only once there was evidence against the new version, so that a lack of evidence counted as a good version. With 3 to 15 calls a second the evidence came after the full share. Failures that belong to a route, such as a look-up that fails in 14% of its calls with every version, made the concurrent comparison weaker still.

Change: a version has a budget of requests, from the settings exposure_share and exposure_requests, and its share follows from what is left of it. A non-inferiority test of the failures and of the latencies, on all routes together and on each large one, has to be passed before the share exceeds the budget or, in a short move, before the move finishes. A new leader adds an estimate of the requests that nobody counted. The log of a move has sent_new, sent_old, exposure_limit and the evidence of each comparison; the metrics move_candidate_requests and move_candidate_limit are new.

--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -51,6 +51,10 @@
     duration quota_window{};
     double quota_overshoot = 0;
     double quota_tolerance = 0;
+    /// A new version of a service that is not known to be good gets at most this fraction of the
+    /// service's requests during its move, and `exposure_requests` more.
+    double exposure_share = 0.1;
+    double exposure_requests = 50;
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -44,11 +44,11 @@
         else if (section.kind == "platform")
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
-            document.require_known_keys(section, {"callers", "control", "directory", "readiness",
-                                                  "metrics", "platform_api", "max_connections",
-                                                  "retry_share", "retry_burst", "quota_span",
-                                                  "quota_overshoot", "quota_tolerance",
-                                                  "usage_window", "duty_lease", "directory_age"});
+            document.require_known_keys(
+                section, {"callers", "control", "directory", "readiness", "metrics", "platform_api",
+                          "max_connections", "retry_share", "retry_burst", "quota_span",
+                          "quota_overshoot", "quota_tolerance", "exposure_share",
+                          "exposure_requests", "usage_window", "duty_lease", "directory_age"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -199,6 +199,8 @@
     section.read("quota_span", out.quota_window, milliseconds(1), std::chrono::hours(1));
     section.read_number("quota_overshoot", out.quota_overshoot, 0, 10);
     section.read_number("quota_tolerance", out.quota_tolerance, 0, 1e12);
+    section.read_number("exposure_share", out.exposure_share, 0, 1);
+    section.read_number("exposure_requests", out.exposure_requests, 0, 1e9);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -47,7 +47,7 @@
     , configurations(this->group_client, this->fetcher, this->sinks)
     , followed_state(this->context, this->options, dependencies.peers, this->group_client,
                      this->fetcher, this->cache, this->sinks, this->own_node.get())
-    , version_moves(this->own_node.get(), this->events, this->time)
+    , version_moves(this->own_node.get(), this->options.pass_through, this->sinks)
     , platform_duties(this->own_node.get(), this->options, this->events, this->time)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
     , cloud(this->options.cloud_api)
--- a/src/process/control/internal/move_driver.cpp
+++ b/src/process/control/internal/move_driver.cpp
@@ -63,29 +63,27 @@
     return service;
 }
 
-/// Moves of pass-through services take seconds, so their controller uses short steps.
-version::move_controller make_controller(version::shared_state const& shared,
-                                         version::move_record const& record)
-{
-    if (!is_passed_through(shared, record))
-        return version::move_controller();
-    version::move_settings settings;
-    settings.observation_time = seconds(1);
-    settings.commit_margin = milliseconds(1500);
-    settings.max_first_share = 0.1;
-    settings.min_requests = 20;
-    return version::move_controller(settings);
-}
-
 } // namespace
 
-move_driver::move_driver(consensus_driver* own_node, event_sink& log, clock const& time_source)
+move_driver::move_driver(consensus_driver* own_node, config::pass_through_settings const& config,
+                         telemetry const& sinks)
     : node(own_node)
-    , events(log)
-    , time(time_source)
+    , options(config)
+    , events(sinks.events)
+    , metrics(sinks.metrics)
+    , time(sinks.time)
 {
 }
 
+version::move_controller move_driver::make_controller(version::shared_state const& shared,
+                                                      version::move_record const& record) const
+{
+    if (!is_passed_through(shared, record))
+        return version::move_controller();
+    return version::move_controller(version::make_short_move_settings(
+        this->options.exposure_share, this->options.exposure_requests));
+}
+
 void move_driver::collect(std::vector<version::traffic_sample> const& samples)
 {
     if (!this->node || !this->node->is_leader())
@@ -134,7 +132,7 @@
     auto& controller =
         existing != this->controllers.end()
             ? existing->second
-            : this->controllers.emplace(record.service, make_controller(shared, record))
+            : this->controllers.emplace(record.service, this->make_controller(shared, record))
                   .first->second;
     auto const change =
         controller.step(this->time.wall_now(), record, *service, this->collected[record.service]);
@@ -165,6 +163,7 @@
         // Only the leader logs, so that the merged timeline has one line per change.
         if (!this->node->is_leader())
             continue;
+        this->update_metrics(record);
         auto const level =
             record.state == version::move_state::reversed ? severity::warning : severity::info;
         auto const name = is_new_move && record.state == version::move_state::running
@@ -174,4 +173,12 @@
     }
 }
 
+void move_driver::update_metrics(version::move_record const& record) const
+{
+    auto const exposure = version::exposure_of(record);
+    observability::metric_labels const labels{{"service", record.service.value()}};
+    this->metrics.set("move_candidate_requests", labels, exposure.candidate_requests);
+    this->metrics.set("move_candidate_limit", labels, exposure.limit);
+}
+
 } // namespace lagoonladder::control
--- a/src/process/control/internal/move_driver.hpp
+++ b/src/process/control/internal/move_driver.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "consensus_driver.hpp"
+#include "telemetry.hpp"
 
 namespace lagoonladder::control
 {
@@ -15,7 +16,8 @@
 {
 public:
     /// `own_node` is null on a VM without a log; the driver is then inactive.
-    move_driver(consensus_driver* own_node, event_sink& log, clock const& time_source);
+    move_driver(consensus_driver* own_node, config::pass_through_settings const& config,
+                telemetry const& sinks);
 
     /// Adds one entry's traffic samples of an interval. Ignored unless this daemon is the leader.
     void collect(std::vector<version::traffic_sample> const& samples);
@@ -25,7 +27,11 @@
 
 private:
     void step_move(version::shared_state const& shared, version::move_record const& record);
+    /// Controller for a move of a pass-through service or of one of the configuration.
+    version::move_controller make_controller(version::shared_state const& shared,
+                                             version::move_record const& record) const;
     void report_changes(version::shared_state const& shared);
+    void update_metrics(version::move_record const& record) const;
 
     struct reported_move
     {
@@ -35,7 +41,9 @@
     };
 
     consensus_driver* const node;
+    config::pass_through_settings const& options;
     event_sink& events;
+    observability::metrics& metrics;
     clock const& time;
     std::map<service_name, std::vector<version::traffic_sample>> collected;
     std::map<service_name, version::move_controller> controllers;
--- a/src/version/include/lagoonladder/version/move_controller.hpp
+++ b/src/version/include/lagoonladder/version/move_controller.hpp
@@ -11,6 +11,18 @@
 namespace lagoonladder::version
 {
 
+/// Number of requests that a new version may get although it may be bad.
+struct exposure_limit
+{
+    /// Fraction, 0 to 1, of the requests that the service gets during the move.
+    double share = 0.1;
+    /// Requests beyond this fraction.
+    double requests = 50;
+    /// Whether the limit holds until the end of the move, or only until the new version is shown
+    /// to be as good as the old one.
+    bool holds_to_end = false;
+};
+
 /// Parameters of the verdict and of the steps by which the share is raised.
 struct move_settings
 {
@@ -26,6 +38,9 @@
     double first_step_requests = 10;
     double min_first_share = 0.01;
     double max_first_share = 0.2;
+    exposure_limit exposure;
+    /// Maximum share of a version that is not shown to be as good as the old one.
+    double max_unproven_share = 0.3;
     /// Requests of each version that are needed to decide the move.
     double min_requests = 50;
     /// Time for which traffic is observed before the first step.
@@ -37,6 +52,19 @@
     duration commit_margin = seconds(3);
 };
 
+/// Settings for moves of a few seconds, whose exposure limit holds to the end.
+move_settings make_short_move_settings(double exposure_share, double exposure_requests);
+
+/// Requests that the new version of a move has got, by the figures of the move.
+struct move_exposure
+{
+    double candidate_requests = 0;
+    /// Requests that it may get while it may be bad, by those that the service has got so far.
+    double limit = 0;
+};
+
+move_exposure exposure_of(move_record const& record);
+
 /// Controls one running move: raises the share of the new version step by step, and
 /// finishes or reverses the move. Deterministic.
 ///
@@ -46,6 +74,10 @@
 /// in the same interval, per route and pooled. Above a share of one half they also compare
 /// with the earlier figures of the old version in this move.
 ///
+/// The share is raised only as far as the exposure limit allows, unless a non-inferiority test
+/// shows that the new version is as good as the old one. A lack of evidence against the new
+/// version is not a reason to send it more requests.
+///
 /// A new controller continues from the figures in the move record. What is lost with a
 /// leader are the samples since the last report, the latencies of the new version (which
 /// are shown but not tested) and the time spent on holds.
--- a/src/version/internal/figure_text.cpp
+++ b/src/version/internal/figure_text.cpp
@@ -25,6 +25,11 @@
     return count;
 }
 
+std::string count_text(double value)
+{
+    return std::to_string(std::llround(value));
+}
+
 std::string number_text(double value)
 {
     std::array<char, 64> text{};
--- a/src/version/internal/figure_text.hpp
+++ b/src/version/internal/figure_text.hpp
@@ -10,6 +10,12 @@
 namespace lagoonladder::version
 {
 
+/// Names of figures with requests that were sent to the new and to the old version, and that the
+/// new version may get.
+inline std::string const sent_candidate_figure = "sent_new";
+inline std::string const sent_stable_figure = "sent_old";
+inline std::string const exposure_limit_figure = "exposure_limit";
+
 /// Conversion of the figures of a move to text and back. The parse functions return zero for
 /// damaged text, because a new leader can also work without earlier figures.
 
@@ -17,6 +23,9 @@
 std::string ratio_text(event_count const& count);
 event_count parse_ratio(std::string const& text);
 
+/// Returns the number rounded to an integer.
+std::string count_text(double value);
+
 /// Returns the number with two digits after the point.
 std::string number_text(double value);
 double parse_number(std::string const& text);
--- a/src/version/internal/move_controller.cpp
+++ b/src/version/internal/move_controller.cpp
@@ -1,11 +1,49 @@
 #include <lagoonladder/version/move_controller.hpp>
 
+#include <algorithm>
+#include <cmath>
+
+#include "exposure_budget.hpp"
+#include "figure_text.hpp"
 #include "share_plan.hpp"
 #include "verdict.hpp"
 
 namespace lagoonladder::version
 {
 
+namespace
+{
+
+/// Figure with the seconds of the move whose requests the other figures count.
+std::string const counted_seconds_figure = "counted_seconds";
+
+/// Time by which entries report their requests late.
+constexpr duration report_delay = seconds(1);
+
+// Where the exposure limit holds to the end, a part of the budget is left for a larger share in
+// the last part of the move, in which faults under load show.
+constexpr double comparison_budget = 0.8;
+constexpr double last_phase_budget = 0.9;
+constexpr int last_phase_divisor = 5;
+constexpr double max_last_phase_share = 0.5;
+
+/// Smaller changes of the share are not worth an update, which is sent to all daemons.
+constexpr double min_share_change = 0.2;
+
+} // namespace
+
+move_settings make_short_move_settings(double exposure_share, double exposure_requests)
+{
+    move_settings settings;
+    settings.observation_time = seconds(1);
+    settings.commit_margin = milliseconds(1500);
+    settings.max_first_share = 0.1;
+    settings.min_requests = 10;
+    settings.report_interval = seconds(1);
+    settings.exposure = {exposure_share, exposure_requests, true};
+    return settings;
+}
+
 /// State of the controller for one move.
 class move_controller::implementation
 {
@@ -18,11 +56,13 @@
         , on_undecided(service.on_undecided)
         , plan(record, service, initial_settings)
         , version_verdict(record, initial_settings)
+        , budget(initial_settings.exposure)
         , start_time(now)
         , previous_time(now)
         , last_step(now)
         , last_report(now)
     {
+        this->add_unobserved_requests(now, record);
     }
 
     bool belongs_to(move_record const& record) const
@@ -43,20 +83,52 @@
     std::optional<update_move> decide(wall_time now, move_record const& record)
     {
         if (this->version_verdict.is_worse())
-            return this->make_update(record, 0, move_state::reversed,
+            return this->make_update(now, record, 0, move_state::reversed,
                                      this->version_verdict.describe());
+        return this->settings.exposure.holds_to_end ? this->decide_within_budget(now, record)
+                                                    : this->decide_by_plan(now, record);
+    }
+
+    /// Continues a move whose exposure limit holds to the end.
+    std::optional<update_move> decide_within_budget(wall_time now, move_record const& record)
+    {
+        if (now >= record.finish_by - this->settings.commit_margin)
+            return this->conclude(now, record);
+        if (now - record.started < this->settings.observation_time)
+            return std::nullopt;
+        auto const share = this->share_within_budget(now, record);
+        bool const is_changed = std::abs(share - record.share) > min_share_change * record.share;
+        if (is_changed || now - this->last_report >= this->settings.report_interval)
+            return this->report(now, record, is_changed ? share : record.share);
+        return std::nullopt;
+    }
+
+    double share_within_budget(wall_time now, move_record const& record) const
+    {
+        auto const end = record.finish_by - this->settings.commit_margin;
+        bool const is_last_phase =
+            end - now <= (record.finish_by - record.started) / last_phase_divisor;
+        if (is_last_phase && this->is_proven(record))
+            return std::min(max_last_phase_share, this->max_share(now, record, last_phase_budget));
+        return std::min(this->settings.max_unproven_share,
+                        this->max_share(now, record, comparison_budget));
+    }
+
+    /// Continues a move whose exposure limit holds until the new version is shown to be as good as
+    /// the old one.
+    std::optional<update_move> decide_by_plan(wall_time now, move_record const& record)
+    {
         bool const watch_is_over =
             record.full_since && now - *record.full_since >= this->plan.watch();
         if (watch_is_over && this->version_verdict.has_enough_requests() &&
             !this->version_verdict.is_suspect())
-            return this->conclude(record);
+            return this->conclude(now, record);
         if (now >= record.finish_by - this->settings.commit_margin)
-            return this->conclude(record);
+            return this->conclude(now, record);
         if (this->should_advance(now, record))
         {
             this->last_step = now;
-            return this->report(now, record,
-                                this->plan.next_share(this->first_share, record.share));
+            return this->report(now, record, this->next_share(now, record));
         }
         if (now - this->last_report >= this->settings.report_interval)
             return this->report(now, record, record.share);
@@ -80,27 +152,75 @@
             this->version_verdict.is_suspect() &&
             !this->plan.is_slack_used(now, this->first_share, record.share);
         // More traffic to a version whose calls do not end would add no new evidence.
-        bool const should_hold =
-            has_evidence_to_hold || this->version_verdict.has_backlog(record.share);
+        bool const should_hold = has_evidence_to_hold ||
+                                 this->version_verdict.has_backlog(record.share) ||
+                                 this->next_share(now, record) <= record.share;
         if (should_hold)
             this->hold_time += now - this->previous_time;
         return !should_hold;
     }
 
+    double next_share(wall_time now, move_record const& record)
+    {
+        auto const planned = this->plan.next_share(this->first_share, record.share);
+        this->was_proven = this->was_proven || this->is_proven(record);
+        auto const limit = this->max_share(now, record, 1);
+        if (this->was_proven || limit >= 1)
+            return planned;
+        return std::min({planned, this->settings.max_unproven_share, limit});
+    }
+
+    bool is_proven(move_record const& record) const
+    {
+        return this->version_verdict.is_shown_as_good() && !this->version_verdict.is_suspect() &&
+               !this->version_verdict.has_backlog(record.share);
+    }
+
+    /// Largest share until `finish_by` that uses at most `fraction` of the exposure limit.
+    double max_share(wall_time now, move_record const& record, double fraction) const
+    {
+        auto sent = this->version_verdict.sent();
+        auto const observed_time =
+            std::max<duration>(now - record.started - report_delay, seconds(1));
+        auto const rate = sent.total / to_seconds(observed_time);
+        auto const unreported = rate * to_seconds(report_delay);
+        sent.candidate += record.share * unreported;
+        sent.total += unreported;
+        return this->budget.max_share(sent, rate, record.finish_by - now, fraction);
+    }
+
+    /// Adds an estimate of the requests that an earlier leader has not counted.
+    void add_unobserved_requests(wall_time now, move_record const& record)
+    {
+        auto const found = record.figures.find(counted_seconds_figure);
+        if (found == record.figures.end())
+            return;
+        auto const counted_seconds = std::max(parse_number(found->second), 1.0);
+        auto const missing_seconds = to_seconds(now - record.started) - counted_seconds;
+        if (missing_seconds <= 0)
+            return;
+        auto const missing = this->version_verdict.sent().total * missing_seconds / counted_seconds;
+        this->version_verdict.add_unobserved({record.share * missing, missing});
+    }
+
     /// Ends the move, at the end of the watch time or shortly before `finish_by`.
-    std::optional<update_move> conclude(move_record const& record)
+    std::optional<update_move> conclude(wall_time now, move_record const& record)
     {
+        bool const holds_to_end = this->settings.exposure.holds_to_end;
         std::string undecided_reason;
-        if (!record.full_since)
+        if (holds_to_end && !this->version_verdict.is_shown_as_good())
+            undecided_reason = "the new version is not shown to be as good as the old one: " +
+                               this->version_verdict.describe_unshown();
+        else if (!holds_to_end && !record.full_since)
             undecided_reason = "the full share was not reached in time";
         else if (!this->version_verdict.has_enough_requests())
             undecided_reason = "too little traffic to decide";
         else if (this->version_verdict.is_suspect())
             undecided_reason = "signs of a worse version: " + this->version_verdict.describe();
         if (undecided_reason.empty())
-            return this->make_update(record, 1, move_state::finished, this->finished_reason());
+            return this->make_update(now, record, 1, move_state::finished, this->finished_reason());
         bool const should_finish = this->on_undecided == undecided_choice::finish;
-        return this->make_update(record, should_finish ? 1 : 0,
+        return this->make_update(now, record, should_finish ? 1 : 0,
                                  should_finish ? move_state::finished : move_state::reversed,
                                  "undecided at the stated time (" + undecided_reason +
                                      "), on_undecided = " + (should_finish ? "finish" : "reverse"));
@@ -119,15 +239,21 @@
     std::optional<update_move> report(wall_time now, move_record const& record, double share)
     {
         this->last_report = now;
-        auto const* reason = share > record.share ? "next step" : "comparing";
-        return this->make_update(record, share, move_state::running, reason);
+        auto const* reason = share > record.share   ? "next step"
+                             : share < record.share ? "limited by the exposure limit"
+                                                    : "comparing";
+        return this->make_update(now, record, share, move_state::running, reason);
     }
 
-    std::optional<update_move> make_update(move_record const& record, double share,
+    std::optional<update_move> make_update(wall_time now, move_record const& record, double share,
                                            move_state state, std::string reason) const
     {
+        auto figures = this->version_verdict.figures();
+        figures[counted_seconds_figure] = number_text(to_seconds(now - record.started));
+        figures[exposure_limit_figure] =
+            count_text(this->budget.limit_so_far(this->version_verdict.sent()));
         return update_move{record.service, record.generation, share,
-                           state,          std::move(reason), this->version_verdict.figures()};
+                           state,          std::move(reason), std::move(figures)};
     }
 
     move_settings settings;
@@ -136,14 +262,26 @@
     undecided_choice on_undecided;
     share_plan plan;
     verdict version_verdict;
+    exposure_budget budget;
     wall_time start_time;
     wall_time previous_time;
     wall_time last_step;
     wall_time last_report;
     duration hold_time{};
     double first_share = 0;
+    bool was_proven = false;
 };
 
+move_exposure exposure_of(move_record const& record)
+{
+    auto const number = [&](std::string const& name)
+    {
+        auto const found = record.figures.find(name);
+        return found == record.figures.end() ? 0 : parse_number(found->second);
+    };
+    return {number(sent_candidate_figure), number(exposure_limit_figure)};
+}
+
 move_controller::move_controller(move_settings const& initial_settings)
     : settings(initial_settings)
 {
--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -20,7 +20,26 @@
 /// Fewer open calls are not significant.
 constexpr double min_backlog = 4;
 
+/// The metrics in which a new version has to be shown to be as good as the old one.
+constexpr std::array<move_metric, 2> shown_metrics{move_metric::failures, move_metric::whole_call};
+/// A new version that takes this many times as long is not as good as the old one. Model engines
+/// start without prompt prefixes in memory, so that their first calls take up to twice as long.
+constexpr double bad_slowdown = 2.5;
+constexpr double bad_stream_slowdown = 4;
+/// Evidence, in nats, that shows a version to be as good. A version that is worse by the margin
+/// reaches it with a probability of about 0.08 on all routes together, and of 0.22 on one route.
+constexpr double pooled_evidence_needed = 2.5;
+constexpr double route_evidence_needed = 1.5;
+/// Routes with at least this part of the traffic are compared each by itself.
+constexpr double min_route_fraction = 0.2;
+
+double as_good_evidence_needed(std::optional<route_name> const& route)
+{
+    return route ? route_evidence_needed : pooled_evidence_needed;
+}
+
 std::string const evidence_prefix = "evidence ";
+std::string const as_good_prefix = "as_good ";
 
 std::string const route_separator = " on route ";
 
@@ -82,6 +101,12 @@
     return counts;
 }
 
+double stored_number(verdict::figure_map const& stored, std::string const& name)
+{
+    auto const found = stored.find(name);
+    return found == stored.end() ? 0 : parse_number(found->second);
+}
+
 } // namespace
 
 verdict::verdict(move_record const& record, move_settings const& initial_settings)
@@ -121,6 +146,84 @@
     this->pooled.add(interval);
     for (auto const& [name, counts] : by_route)
         this->routes[name].add(counts);
+    this->run_non_inferiority_tests(std::nullopt, interval.candidate, this->pooled.stable);
+    for (auto const& [name, counts] : by_route)
+        this->run_non_inferiority_tests(name, counts.candidate, this->routes[name].stable);
+}
+
+void verdict::run_non_inferiority_tests(std::optional<route_name> const& route,
+                                        version_counts const& candidate,
+                                        version_counts const& reference)
+{
+    if (candidate.requests <= 0)
+        return;
+    bool const has_streams = reference.latency(move_metric::first_token).total() > 0;
+    this->comparison({move_metric::failures, route}).add_failures(candidate, reference);
+    this->comparison({move_metric::whole_call, route})
+        .add_latency(move_metric::whole_call, candidate, reference,
+                     has_streams ? bad_stream_slowdown : bad_slowdown);
+}
+
+std::vector<verdict::test_key> verdict::required_comparisons() const
+{
+    std::vector<test_key> keys;
+    auto const total = this->pooled.candidate.requests + this->pooled.stable.requests;
+    for (auto const metric : shown_metrics)
+    {
+        keys.push_back({metric, std::nullopt});
+        for (auto const& [name, counts] : this->routes)
+        {
+            if (counts.candidate.requests + counts.stable.requests >= min_route_fraction * total)
+                keys.push_back({metric, name});
+        }
+    }
+    return keys;
+}
+
+bool verdict::is_shown_as_good(test_key const& key) const
+{
+    auto const found = this->non_inferiority_tests.find(key);
+    return found != this->non_inferiority_tests.end() && found->second.is_passed();
+}
+
+bool verdict::is_shown_as_good() const
+{
+    auto const keys = this->required_comparisons();
+    return std::all_of(keys.begin(), keys.end(),
+                       [this](test_key const& key) { return this->is_shown_as_good(key); });
+}
+
+std::string verdict::describe_unshown() const
+{
+    std::string text;
+    for (auto const& key : this->required_comparisons())
+    {
+        if (this->is_shown_as_good(key))
+            continue;
+        auto const found = this->non_inferiority_tests.find(key);
+        auto const evidence =
+            found == this->non_inferiority_tests.end() ? 0 : found->second.evidence();
+        text += (text.empty() ? "" : ", ") + test_name(key.metric, key.route) + " " +
+                number_text(evidence) + " of " + number_text(as_good_evidence_needed(key.route));
+    }
+    return text;
+}
+
+non_inferiority_test& verdict::comparison(test_key const& key)
+{
+    return this->non_inferiority_tests.try_emplace(key, as_good_evidence_needed(key.route))
+        .first->second;
+}
+
+sent_requests verdict::sent() const
+{
+    return {this->pooled.candidate.sent, this->pooled.candidate.sent + this->pooled.stable.sent};
+}
+
+void verdict::add_unobserved(sent_requests const& requests)
+{
+    this->pooled.candidate.sent += requests.candidate;
+    this->pooled.stable.sent += requests.total - requests.candidate;
 }
 
 void verdict::run_test(test_key const& key, paired_counts const& interval,
@@ -220,6 +323,8 @@
 {
     figure_map result;
     result["evidence_needed"] = number_text(this->threshold());
+    result[sent_candidate_figure] = count_text(this->pooled.candidate.sent);
+    result[sent_stable_figure] = count_text(this->pooled.stable.sent);
     store_counts(result, this->pooled, "");
     for (auto const& [name, counts] : this->routes)
         store_counts(result, counts, route_suffix(name));
@@ -231,26 +336,38 @@
             result[evidence_prefix + test_name(key.metric, key.route)] =
                 number_text(test.evidence());
     }
+    for (auto const& [key, test] : this->non_inferiority_tests)
+        result[as_good_prefix + test_name(key.metric, key.route)] = number_text(test.evidence());
     return result;
 }
 
 void verdict::restore(figure_map const& stored)
 {
     this->pooled = stored_counts(stored, "");
+    this->pooled.candidate.sent = stored_number(stored, sent_candidate_figure);
+    this->pooled.stable.sent = stored_number(stored, sent_stable_figure);
     for (auto const& [name, value] : stored)
     {
         if (auto const route = route_after(name, "failures_old"))
             this->routes[*route] = stored_counts(stored, route_suffix(*route));
         for (auto const metric : all_metrics)
         {
-            auto const prefix = evidence_prefix + metric_name(metric);
-            auto const route = route_after(name, prefix);
-            if (!route && name != prefix)
-                continue;
-            auto const position = this->tests.try_emplace({metric, route}, metric).first;
-            position->second.restore(parse_number(value));
+            if (auto const key = find_key(name, evidence_prefix, metric))
+                this->tests.try_emplace(*key, metric).first->second.restore(parse_number(value));
+            if (auto const key = find_key(name, as_good_prefix, metric))
+                this->comparison(*key).restore(parse_number(value));
         }
     }
 }
 
+std::optional<verdict::test_key> verdict::find_key(std::string const& figure,
+                                                   std::string const& prefix, move_metric metric)
+{
+    auto const name = prefix + metric_name(metric);
+    auto const route = route_after(figure, name);
+    if (!route && figure != name)
+        return std::nullopt;
+    return test_key{metric, route};
+}
+
 } // namespace lagoonladder::version
--- a/src/version/internal/verdict.hpp
+++ b/src/version/internal/verdict.hpp
@@ -3,7 +3,9 @@
 
 #include <lagoonladder/version/move_controller.hpp>
 
+#include "exposure_budget.hpp"
 #include "metric_test.hpp"
+#include "non_inferiority_test.hpp"
 
 namespace lagoonladder::version
 {
@@ -25,6 +27,13 @@
     /// Whether there is evidence of a worse version, perhaps too little to reverse the move.
     bool is_suspect() const;
 
+    /// Whether the recent calls of the new version show that it is as good as the old one, on all
+    /// routes together and on each route with a large part of the traffic.
+    bool is_shown_as_good() const;
+
+    /// Describes the comparisons in which the new version is not shown to be as good.
+    std::string describe_unshown() const;
+
     /// Whether both versions had enough requests to be compared.
     bool has_enough_requests() const;
 
@@ -35,6 +44,12 @@
     /// of the old one. The tests count a slow call only when it has ended.
     bool has_backlog(double share) const;
 
+    /// Requests that were sent to either version, including those that have not ended.
+    sent_requests sent() const;
+
+    /// Adds requests that were sent without being observed.
+    void add_unobserved(sent_requests const& requests);
+
     /// Mean requests per second of the busiest route over the intervals so far.
     double busiest_route_rate() const;
 
@@ -54,8 +69,18 @@
     };
 
     void restore(figure_map const& stored);
+    /// Returns the test whose figure has this name; no value for another figure.
+    static std::optional<test_key> find_key(std::string const& figure, std::string const& prefix,
+                                            move_metric metric);
     void run_test(test_key const& key, paired_counts const& interval,
                   version_counts const& earlier_counts, double share);
+    void run_non_inferiority_tests(std::optional<route_name> const& route,
+                                   version_counts const& candidate,
+                                   version_counts const& reference);
+    /// Returns the comparisons in which a new version has to be shown to be as good.
+    std::vector<test_key> required_comparisons() const;
+    bool is_shown_as_good(test_key const& key) const;
+    non_inferiority_test& comparison(test_key const& key);
     /// Evidence, in nats, from which a test reverses the move.
     double threshold() const;
     std::optional<test_key> strongest_test() const;
@@ -69,6 +94,7 @@
     paired_counts pooled;
     std::map<route_name, paired_counts> routes;
     std::map<test_key, metric_test> tests;
+    std::map<test_key, non_inferiority_test> non_inferiority_tests;
 };
 
 } // namespace lagoonladder::version
--- a/src/version/tests/exposure_test.cpp
+++ b/src/version/tests/exposure_test.cpp
@@ -39,23 +39,13 @@
     int leader_gap = 0;
 };
 
-move_settings settings_of_a_short_move()
-{
-    move_settings settings;
-    settings.observation_time = seconds(1);
-    settings.commit_margin = milliseconds(1500);
-    settings.max_first_share = 0.1;
-    settings.min_requests = 20;
-    return settings;
-}
-
 class exposure_run
 {
 public:
     exposure_run(move_scenario const& scenario_of_run, std::uint64_t seed)
         : scenario(scenario_of_run)
         , random(seed)
-        , settings(settings_of_a_short_move())
+        , settings(make_short_move_settings(exposure_share, exposure_requests))
         , controller(this->settings)
     {
         this->service.watch = seconds(move_seconds) / 4;
@@ -141,6 +131,7 @@
         sample.version = version_name(is_candidate ? "new" : "old");
         sample.route = route_name(route);
         sample.requests = count;
+        sample.sent = count;
         for (std::uint32_t i = 0; i < count; ++i)
         {
             sample.failures += this->random.unit() < behavior.failure_rate ? 1 : 0;
