Keep each reversed version from traffic during later moves

Callers could see: while a service moved to a third version, endpoints of a version whose move had been reversed got calls, as long as they still served.

Cause: the traffic view kept one reversed version per service, and the next move removed it. Endpoints of any version but the new one then counted as the old version.

Change: the view keeps every version whose last move was reversed. A later move to the same version lets it have its share again. The test covers a running and a second reversed move after the first one.

--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -11,17 +11,18 @@
 /// multiple of the number of entries that split quotas.
 constexpr std::size_t account_demand_margin = 2;
 
-std::map<service_name, version_name>
+std::map<service_name, std::set<version_name>>
 reversed_versions(std::vector<version::move_record> const& moves)
 {
-    std::map<service_name, version_name> reversed;
-    // Only the latest move of a service counts.
+    std::map<service_name, std::set<version_name>> reversed;
+    // Only the latest move to a version counts. Endpoints of a reversed version may still serve
+    // while the service moves to another one.
     for (auto const& move : moves)
     {
         if (move.state == version::move_state::reversed)
-            reversed[move.service] = move.to;
+            reversed[move.service].insert(move.to);
         else
-            reversed.erase(move.service);
+            reversed[move.service].erase(move.to);
     }
     return reversed;
 }
--- a/src/process/control/tests/pass_through_view_test.cpp
+++ b/src/process/control/tests/pass_through_view_test.cpp
@@ -67,3 +67,29 @@
     // Guards against a total of 0 under an empty account id in the row of each idle entry.
     CHECK(demand_to_publish(make_view(86), {}).empty());
 }
+
+TEST_CASE("a version whose move was reversed gets no calls during a later move")
+{
+    // Guards against calls to a version that was reversed while the service moves to another one:
+    // its endpoints, which still serve, counted as those of the old version.
+    auto const make_move = [](char const* to, version::move_state state)
+    {
+        version::move_record move;
+        move.service = service_name("s");
+        move.to = version_name(to);
+        move.state = state;
+        return move;
+    };
+    auto shared = std::make_shared<version::shared_state>();
+    shared->moves = {make_move("v2", version::move_state::reversed),
+                     make_move("v3", version::move_state::running)};
+    control_view control;
+    control.shared = shared;
+    auto const reversed = [&]
+    { return make_traffic_view(control, {})->reversed.at(service_name("s")); };
+    CHECK(reversed() == std::set{version_name("v2")});
+    shared->moves.push_back(make_move("v4", version::move_state::reversed));
+    CHECK(reversed() == std::set{version_name("v2"), version_name("v4")});
+    shared->moves.push_back(make_move("v2", version::move_state::running));
+    CHECK(reversed() == std::set{version_name("v4")});
+}
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -34,8 +34,8 @@
     std::shared_ptr<version::service_index const> services;
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
     std::map<service_name, version::traffic_split> splits;
-    /// Per service, the version whose move was reversed last; it gets no traffic.
-    std::map<service_name, version_name> reversed;
+    /// Per service, the versions whose last move was reversed; they get no traffic.
+    std::map<service_name, std::set<version_name>> reversed;
     std::map<account_id, request::peer_demand> demand;
     /// Number of serving entries, including this one.
     std::uint32_t entries = 1;
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -96,8 +96,8 @@
     std::erase_if(endpoints, [](auto const* endpoint) { return !is_serving(*endpoint); });
     auto const reversed = view.reversed.find(service);
     if (reversed != view.reversed.end())
-        std::erase_if(endpoints,
-                      [&](auto const* endpoint) { return endpoint->version == reversed->second; });
+        std::erase_if(endpoints, [&](auto const* endpoint)
+                      { return reversed->second.contains(endpoint->version); });
     auto const found_split = view.splits.find(service);
     if (found_split == view.splits.end())
         return endpoints;
--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -139,7 +139,7 @@
                                          make_record("e2", "b:1", 1, "v2"),
                                          make_record("e3", "c:1", 1, "v3")};
     CHECK(usable_ids(view) == "e1 e2 e3");
-    view.reversed[service_name("s")] = version_name("v2");
+    view.reversed[service_name("s")] = {version_name("v2")};
     CHECK(usable_ids(view) == "e1 e3");
     view.splits[service_name("s")].stable = version_name("v3");
     CHECK(usable_ids(view) == "e3");
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -219,7 +219,7 @@
         [&](proxy::traffic_view& view)
         {
             view.splits.clear();
-            view.reversed[service] = version_name("v2");
+            view.reversed[service] = {version_name("v2")};
         });
     CHECK(count_new_version_calls("reversed-") == 0);
     system.control.change(
