Keep calls of the old version from a new one that is not known to be good

Callers could see: when no endpoint of the old version was left during a move, all calls went to the new version as soon as it had any share.

Cause: select_version() fell back to the candidate at every share above 0. Four copies in four data centres are lost together often enough: crashes, drains, lapsed leases.

Evidence: the test fails on the code before, 200 of 200 calls at a share of 0.3.

Change: calls that are not assigned to the new version use it only above a share of one half, which it gets after it was shown to be as good. Below that they are refused at once as not executed, so that callers may return.

--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+/// Calls that are not assigned to the candidate version may use it only above this share.
+constexpr double min_fallback_share = 0.5;
 /// How long an endpoint is not chosen after another one has taken over its address.
 constexpr duration replaced_retention = seconds(10);
 /// Engines whose costs differ by no more than this are treated as equal, since the estimate is no
@@ -63,7 +65,8 @@
 }
 
 /// Keeps the endpoints of the version that a running move assigns to the call. If there are none,
-/// keeps those of the other version, but the candidate's only once it has a share of the traffic.
+/// keeps those of the other version, but the candidate's only if it has most of the traffic: until
+/// then it may be bad, and the loss of the stable version's endpoints must not give it all calls.
 endpoint_record_pointers select_version(endpoint_record_pointers endpoints,
                                         version::traffic_split const& split, request_id const& call)
 {
@@ -72,7 +75,7 @@
     bool const has_candidate = std::any_of(endpoints.begin(), endpoints.end(), is_candidate);
     bool const has_stable = !std::all_of(endpoints.begin(), endpoints.end(), is_candidate);
     bool const is_assigned_to_candidate = split.choose(call) == split.candidate;
-    bool const may_use_candidate = split.candidate_share > 0;
+    bool const may_use_candidate = split.candidate_share > min_fallback_share;
     bool const uses_candidate =
         has_candidate && (is_assigned_to_candidate || (!has_stable && may_use_candidate));
     std::erase_if(endpoints,
--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -147,6 +147,27 @@
     CHECK(usable_ids(view) == "e1 e3");
 }
 
+TEST_CASE("a candidate version does not get the calls of a stable version without endpoints")
+{
+    // Guards against a bad version that gets all calls because the endpoints of the old one crashed
+    // or were cut off during the move.
+    traffic_view view;
+    view.endpoints[service_name("s")] = {make_record("e1", "a:1", 1, "v2")};
+    auto& split = view.splits[service_name("s")];
+    split = {version_name("v1"), version_name("v2"), 0.3};
+    int used = 0;
+    for (int i = 0; i < 200; ++i)
+        used += usable_endpoints(view, service_name("s"), request_id(std::to_string(i))).empty()
+                    ? 0
+                    : 1;
+    CHECK(used > 30);
+    CHECK(used < 90);
+    split.candidate_share = 0.95;
+    for (int i = 0; i < 200; ++i)
+        CHECK_FALSE(
+            usable_endpoints(view, service_name("s"), request_id(std::to_string(i))).empty());
+}
+
 TEST_CASE("entries of a large system choose the engine expected to have a shared prefix")
 {
     // Guards against shared prefixes that each entry has computed at a different engine, since an
