Do not attribute a response without a request id on a kept connection

Callers could see: a call was refused as not executed, with the advice to try again, although the endpoint executed it, if the endpoint had written an earlier refusal once more on the kept connection without its request id.

Cause: a refusal that states that the call was not executed was accepted without an id. A refusal with another id is skipped already.

Evidence: the test fails on the code before with 503 in place of 502.

Change: a response without an id ends the attempt as broken when the connection was used before. On a new connection it cannot belong to another request.

--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -93,8 +93,12 @@
     // A late response to an earlier request on the connection precedes the one to this request.
     if (!decoded.request.value().empty() && decoded.request != this->request)
         return http::head_action::skip;
-    this->received = decoded;
     this->answer_status = head.status;
+    if (decoded.request.value().empty() && this->call->is_on_reused_connection())
+        return this->reject(
+            "the response states no request id and may be that of an earlier request "
+            "on the connection");
+    this->received = decoded;
     if (decoded.is_not_executed)
     {
         this->drain();
@@ -102,18 +106,21 @@
     }
     auto const problem = this->find_problem(head);
     if (!problem.empty())
-    {
-        auto const self = this->shared_from_this();
-        this->call->cancel();
-        this->end(attempt_result::broken, problem);
-        return http::head_action::accept;
-    }
+        return this->reject(problem);
     this->is_valid = true;
     if (auto const owning_call = this->owner.lock())
         owning_call->on_answer(*this, head);
     return http::head_action::accept;
 }
 
+http::head_action endpoint_attempt::reject(std::string const& problem)
+{
+    auto const self = this->shared_from_this();
+    this->call->cancel();
+    this->end(attempt_result::broken, problem);
+    return http::head_action::accept;
+}
+
 void endpoint_attempt::drain()
 {
     // The head already states that the call was not executed, so an endless body must not delay the
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -71,6 +71,8 @@
     void on_failure(http::call_failure failure, std::string const& reason) override;
 
 private:
+    /// Ends the attempt as broken because of its response, whose connection is closed.
+    http::head_action reject(std::string const& problem);
     /// Ends the attempt without waiting for the rest of the response's body.
     void drain();
     /// Returns why the response cannot be accepted; empty when it can.
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -202,6 +202,14 @@
         return peer.write("HTTP/1.1 200 OK\r\n" + id_line + length_line + body);
     case endpoint_mode::refusal_without_seal:
         return peer.write("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    case endpoint_mode::stale_refusal_first:
+        return peer.write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: old\r\nContent-Length: 0\r\n\r\n"
+                          "HTTP/1.1 200 OK\r\nSeal: s\r\n" +
+                          id_line + length_line + body);
+    case endpoint_mode::stale_refusal_without_id_first:
+        return peer.write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                          "HTTP/1.1 200 OK\r\nSeal: s\r\n" +
+                          id_line + length_line + body);
     case endpoint_mode::stale_answer_first:
         return peer.write("HTTP/1.1 200 OK\r\nSeal: s\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
                           "HTTP/1.1 200 OK\r\nSeal: s\r\n" +
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -25,6 +25,10 @@
     refusal_without_seal,
     /// A response to an earlier request precedes the right one.
     stale_answer_first,
+    /// A refusal of an earlier request precedes the right response.
+    stale_refusal_first,
+    /// The same, but the refusal states no request id.
+    stale_refusal_without_id_first,
     /// The stream of the first attempt is cut within its second event.
     cut_stream_once
 };
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -97,6 +97,20 @@
     CHECK(system.call("/once/x", "id-7").body == "answer to id-7");
 }
 
+TEST_CASE("a refusal of an earlier call on a kept connection does not refuse the next call")
+{
+    // Guards against a statement that a call was not executed although the endpoint executes it,
+    // and against a second execution at another endpoint.
+    proxy_fixture system;
+    auto& first = system.add_endpoint("once", "e1");
+    CHECK(system.call("/once/x", "id-1").status() == 200);
+    first.mode = endpoint_mode::stale_refusal_first;
+    CHECK(system.call("/once/x", "id-2").body == "answer to id-2");
+    first.mode = endpoint_mode::stale_refusal_without_id_first;
+    CHECK(system.call("/once/x", "id-3").status() == 502);
+    CHECK(first.requests.size() == 3);
+}
+
 TEST_CASE("an endpoint whose address is reused gets no more calls")
 {
     // Guards against further calls to the process that now has the address.
@@ -161,6 +175,35 @@
     CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
 }
 
+TEST_CASE("a stream is not continued by a response that is no stream")
+{
+    // Guards against the text of a failure in the middle of a stream, and against a stream that
+    // looks complete although its last events are missing.
+    for (auto const mode : {endpoint_mode::fail, endpoint_mode::refuse, endpoint_mode::answer,
+                            endpoint_mode::refusal_without_seal, endpoint_mode::answer_without_seal,
+                            endpoint_mode::cut_answer, endpoint_mode::close_without_answer})
+    {
+        int continued = 0;
+        for (int i = 0; i < 10; ++i)
+        {
+            proxy_fixture system;
+            auto& first = system.add_endpoint("stream", "e1");
+            auto& second = system.add_endpoint("stream", "e2");
+            first.mode = endpoint_mode::cut_stream_once;
+            second.mode = mode;
+            second.is_stream = false;
+            auto const answer = system.call("/stream/x", "id-" + std::to_string(i));
+            if (answer.status() != 200 || second.requests.empty() ||
+                second.requests.back().headers.find("Last") == nullptr)
+                continue;
+            ++continued;
+            CHECK(answer.body == "id: 1\ndata: a\n\n");
+            CHECK_FALSE(answer.ended);
+        }
+        CHECK(continued > 0);
+    }
+}
+
 TEST_CASE("a stream that may not be resumed ends as a broken response")
 {
     // Guards against a cut stream that looks complete, and against one that runs twice.
