Compare versions route by route, and let good versions of short moves finish

Cause: the non-inferiority test pooled routes with different rates and latencies, so that a different mix of routes looked like a difference of the versions. It asked for proof on each route, which gets 15 to 25 calls of a new version in 15 s. A call that failed at two endpoints counted twice for the same version. Calls of 2 ms were compared although the distance of their endpoint decides how long they take.

Change: each route is compared with its own calls of the old version, the evidence of the service is the sum of its routes' evidence, and a large route only must not show a worse version. A route on which the old version fails most calls, such as one that tests timeouts, is left out. A call counts once. Slowdowns are also tested for a part of the calls.

--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -340,6 +340,9 @@
 {
     if (result == attempt_result::not_sent || result == attempt_result::not_run)
         return;
+    // A call that fails at each endpoint counts once: all its attempts go to the same version.
+    if (std::exchange(this->is_outcome_recorded, true))
+        return;
     auto const& control = this->context->dependencies.control;
     this->context->dependencies.control.record(
         make_sample(this->context->dependencies.time.now(), *control.view(), this->admitted,
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -96,6 +96,8 @@
     /// The endpoint's response is not read, since the caller reads too slowly.
     bool is_paused = false;
     bool is_over = false;
+    /// An attempt's outcome has been counted for the comparison of versions.
+    bool is_outcome_recorded = false;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/version/internal/move_controller.cpp
+++ b/src/version/internal/move_controller.cpp
@@ -163,7 +163,8 @@
     double next_share(wall_time now, move_record const& record)
     {
         auto const planned = this->plan.next_share(this->first_share, record.share);
-        this->was_proven = this->was_proven || this->is_proven(record);
+        this->was_proven =
+            this->was_proven || (this->is_proven(record) && !this->version_verdict.is_suspect());
         auto const limit = this->max_share(now, record, 1);
         if (this->was_proven || limit >= 1)
             return planned;
@@ -172,7 +173,7 @@
 
     bool is_proven(move_record const& record) const
     {
-        return this->version_verdict.is_shown_as_good() && !this->version_verdict.is_suspect() &&
+        return this->version_verdict.is_shown_as_good() &&
                !this->version_verdict.has_backlog(record.share);
     }
 
@@ -206,26 +207,39 @@
     /// Ends the move, at the end of the watch time or shortly before `finish_by`.
     std::optional<update_move> conclude(wall_time now, move_record const& record)
     {
-        bool const holds_to_end = this->settings.exposure.holds_to_end;
-        std::string undecided_reason;
-        if (holds_to_end && !this->version_verdict.is_shown_as_good())
-            undecided_reason = "the new version is not shown to be as good as the old one: " +
-                               this->version_verdict.describe_unshown();
-        else if (!holds_to_end && !record.full_since)
-            undecided_reason = "the full share was not reached in time";
-        else if (!this->version_verdict.has_enough_requests())
-            undecided_reason = "too little traffic to decide";
-        else if (this->version_verdict.is_suspect())
-            undecided_reason = "signs of a worse version: " + this->version_verdict.describe();
-        if (undecided_reason.empty())
+        auto const reason = this->undecided_reason(record);
+        if (reason.empty())
             return this->make_update(now, record, 1, move_state::finished, this->finished_reason());
         bool const should_finish = this->on_undecided == undecided_choice::finish;
         return this->make_update(now, record, should_finish ? 1 : 0,
                                  should_finish ? move_state::finished : move_state::reversed,
-                                 "undecided at the stated time (" + undecided_reason +
+                                 "undecided at the stated time (" + reason +
                                      "), on_undecided = " + (should_finish ? "finish" : "reverse"));
     }
 
+    /// Returns why the move cannot be decided by its figures; empty when the new version is as good
+    /// as the old one.
+    std::string undecided_reason(move_record const& record) const
+    {
+        auto const& figures = this->version_verdict;
+        if (this->settings.exposure.holds_to_end)
+        {
+            if (!figures.has_enough_requests())
+                return "too little traffic to decide";
+            if (!figures.is_shown_as_good())
+                return "the new version is not shown to be as good as the old one: " +
+                       figures.describe_unshown();
+            return {};
+        }
+        if (!record.full_since)
+            return "the full share was not reached in time";
+        if (!figures.has_enough_requests())
+            return "too little traffic to decide";
+        if (figures.is_suspect())
+            return "signs of a worse version: " + figures.describe();
+        return {};
+    }
+
     std::string finished_reason() const
     {
         std::string undersampled;
--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -22,22 +22,41 @@
 
 /// The metrics in which a new version has to be shown to be as good as the old one.
 constexpr std::array<move_metric, 2> shown_metrics{move_metric::failures, move_metric::whole_call};
+/// Increases of the failure rate from which a new version is not as good as the old one. A route
+/// gets fewer calls than the service, so that only a larger increase shows in time.
+constexpr double pooled_failure_margin = 0.3;
+constexpr double route_failure_margin = 0.35;
 /// A new version that takes this many times as long is not as good as the old one. Model engines
 /// start without prompt prefixes in memory, so that their first calls take up to twice as long.
 constexpr double bad_slowdown = 2.5;
 constexpr double bad_stream_slowdown = 4;
-/// Evidence, in nats, that shows a version to be as good. A version that is worse by the margin
-/// reaches it with a probability of about 0.08 on all routes together, and of 0.22 on one route.
+/// Evidence, in nats, that shows a version to be as good on all routes together. A version that is
+/// worse by the margin reaches it with a probability of about 0.08.
 constexpr double pooled_evidence_needed = 2.5;
-constexpr double route_evidence_needed = 1.5;
-/// Routes with at least this part of the traffic are compared each by itself.
+/// Routes with at least this part of the traffic are also compared each by itself. In a short move
+/// they get too few calls to show a good version, but enough to show a worse one.
 constexpr double min_route_fraction = 0.2;
+constexpr double route_evidence_needed = -2;
 
 double as_good_evidence_needed(std::optional<route_name> const& route)
 {
     return route ? route_evidence_needed : pooled_evidence_needed;
 }
 
+double bad_slowdown_of(version_counts const& reference)
+{
+    bool const has_streams = reference.latency(move_metric::first_token).total() > 0;
+    return has_streams ? bad_stream_slowdown : bad_slowdown;
+}
+
+/// Returns whether a worse version would show in this metric on a route.
+bool is_comparable(move_metric metric, version_counts const& reference)
+{
+    if (metric == move_metric::failures)
+        return reference.failure_count().rate() <= max_comparable_failure_rate;
+    return is_slowdown_noticeable(reference, metric, bad_slowdown_of(reference));
+}
+
 std::string const evidence_prefix = "evidence ";
 std::string const as_good_prefix = "as_good ";
 
@@ -146,22 +165,33 @@
     this->pooled.add(interval);
     for (auto const& [name, counts] : by_route)
         this->routes[name].add(counts);
-    this->run_non_inferiority_tests(std::nullopt, interval.candidate, this->pooled.stable);
-    for (auto const& [name, counts] : by_route)
-        this->run_non_inferiority_tests(name, counts.candidate, this->routes[name].stable);
+    this->run_non_inferiority_tests(by_route);
 }
 
-void verdict::run_non_inferiority_tests(std::optional<route_name> const& route,
-                                        version_counts const& candidate,
-                                        version_counts const& reference)
+void verdict::run_non_inferiority_tests(std::map<route_name, paired_counts> const& interval)
 {
-    if (candidate.requests <= 0)
-        return;
-    bool const has_streams = reference.latency(move_metric::first_token).total() > 0;
-    this->comparison({move_metric::failures, route}).add_failures(candidate, reference);
-    this->comparison({move_metric::whole_call, route})
-        .add_latency(move_metric::whole_call, candidate, reference,
-                     has_streams ? bad_stream_slowdown : bad_slowdown);
+    for (auto const metric : shown_metrics)
+    {
+        // The evidence of all routes is the sum of theirs. Were the calls pooled, a different mix
+        // of routes would look like a difference of the versions.
+        non_inferiority_evidence sum;
+        for (auto const& [name, counts] : interval)
+        {
+            auto const& reference = this->routes[name].stable;
+            auto const evidence = [&](double failure_margin)
+            {
+                return metric == move_metric::failures
+                           ? failure_evidence(counts.candidate, reference, failure_margin)
+                           : latency_evidence(counts.candidate, reference, metric,
+                                              bad_slowdown_of(reference));
+            };
+            sum.add(evidence(pooled_failure_margin));
+            // A route has too few calls to tell a part of them from chance.
+            auto const all_calls = evidence(route_failure_margin).all_calls;
+            this->comparison({metric, name}).add({all_calls, all_calls});
+        }
+        this->comparison({metric, std::nullopt}).add(sum);
+    }
 }
 
 std::vector<verdict::test_key> verdict::required_comparisons() const
@@ -170,12 +200,20 @@
     auto const total = this->pooled.candidate.requests + this->pooled.stable.requests;
     for (auto const metric : shown_metrics)
     {
-        keys.push_back({metric, std::nullopt});
+        bool is_any_comparable = false;
         for (auto const& [name, counts] : this->routes)
         {
-            if (counts.candidate.requests + counts.stable.requests >= min_route_fraction * total)
-                keys.push_back({metric, name});
+            auto const requests = counts.candidate.requests + counts.stable.requests;
+            bool const is_large = requests >= min_route_fraction * total;
+            if (!is_large || !is_comparable(metric, counts.stable))
+                continue;
+            is_any_comparable = true;
+            keys.push_back({metric, name});
         }
+        // Without any route to compare, the failures are still required, so that a move without
+        // traffic is not decided.
+        if (is_any_comparable || metric == move_metric::failures)
+            keys.push_back({metric, std::nullopt});
     }
     return keys;
 }
--- a/src/version/internal/verdict.hpp
+++ b/src/version/internal/verdict.hpp
@@ -27,8 +27,8 @@
     /// Whether there is evidence of a worse version, perhaps too little to reverse the move.
     bool is_suspect() const;
 
-    /// Whether the recent calls of the new version show that it is as good as the old one, on all
-    /// routes together and on each route with a large part of the traffic.
+    /// Whether the recent calls of the new version show that it is as good as the old one on all
+    /// routes together, and do not show that it is worse on a route with much of the traffic.
     bool is_shown_as_good() const;
 
     /// Describes the comparisons in which the new version is not shown to be as good.
@@ -74,9 +74,7 @@
                                             move_metric metric);
     void run_test(test_key const& key, paired_counts const& interval,
                   version_counts const& earlier_counts, double share);
-    void run_non_inferiority_tests(std::optional<route_name> const& route,
-                                   version_counts const& candidate,
-                                   version_counts const& reference);
+    void run_non_inferiority_tests(std::map<route_name, paired_counts> const& interval);
     /// Returns the comparisons in which a new version has to be shown to be as good.
     std::vector<test_key> required_comparisons() const;
     bool is_shown_as_good(test_key const& key) const;
--- a/src/version/tests/exposure_test.cpp
+++ b/src/version/tests/exposure_test.cpp
@@ -254,6 +254,10 @@
     move_scenario busy;
     busy.rate = 300;
     CHECK(count_finished(busy) >= 38);
+    // Routes on which every version fails some of the calls, such as look-ups of unknown items.
+    move_scenario failing_routes;
+    failing_routes.stable = failing_routes.candidate = failing_routes.changed = {0.15, 1};
+    CHECK(count_finished(failing_routes) >= 38);
     move_scenario quiet;
     quiet.rate = 12;
     CHECK(count_finished(quiet) >= 38);
