--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -33,6 +33,20 @@
     CHECK(parsed.endpoint_lease == seconds(5));
 }
 
+TEST_CASE("the exposure limit of new versions is read")
+{
+    // Guards against a limit that is left at its default although the settings state another one.
+    auto const defaults = parse_settings("s.ini", base_text).pass_through;
+    CHECK(defaults.exposure_share == 0.1);
+    CHECK(defaults.exposure_requests == 50);
+    auto const parsed = parse_settings(
+        "s.ini", base_text + "[pass_through]\nexposure_share = 0.05\nexposure_requests = 20\n");
+    CHECK(parsed.pass_through.exposure_share == 0.05);
+    CHECK(parsed.pass_through.exposure_requests == 20);
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[pass_through]\nexposure_share = 1.5\n"),
+                      Contains("exposure_share"));
+}
+
 TEST_CASE("settings errors name file and line")
 {
     // Guards against a mistyped key or unit being ignored without an error.
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -88,7 +88,10 @@
     {
         return this->current_view;
     }
-    void record(lagoonladder::version::traffic_sample const&) override {}
+    void record(lagoonladder::version::traffic_sample const& sample) override
+    {
+        this->samples.push_back(sample);
+    }
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
     void set_demand(std::map<lagoonladder::account_id, double> new_demand) override
     {
@@ -114,6 +117,7 @@
         this->current_view = next;
     }
 
+    std::vector<lagoonladder::version::traffic_sample> samples;
     std::map<lagoonladder::account_id, int> usage;
     /// Demand as it was published last.
     std::map<lagoonladder::account_id, double> demand;
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -226,6 +226,28 @@
     CHECK(system.control.usage[account_id("account")] == 2);
 }
 
+TEST_CASE("a call that fails at two endpoints counts as two sent calls with one outcome")
+{
+    // Guards against exposure that is counted too low, and against the failure of one call that
+    // counts twice against the version to which all its attempts are sent.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1").mode = endpoint_mode::fail;
+    system.add_endpoint("plain", "e2").mode = endpoint_mode::fail;
+    CHECK(system.call("/plain/x", "id-1").status() == 500);
+    version::traffic_sample sum;
+    for (auto const& sample : system.control.samples)
+    {
+        sum.sent += sample.sent;
+        sum.requests += sample.requests;
+        sum.failures += sample.failures;
+        sum.open += sample.open;
+    }
+    CHECK(sum.sent == 2);
+    CHECK(sum.requests == 1);
+    CHECK(sum.failures == 1);
+    CHECK(sum.open == 0);
+}
+
 TEST_CASE("a version gets only its share of the calls")
 {
     // Guards against calls to a version before its first share or after its move was reversed, and
