Require the latency comparison also where each route has little traffic

Callers could see: a slow version of a service with more than five equally used routes finished its move.

Cause: the comparison of all routes was required only if a route with a fifth of the traffic could be compared.

Change: any route with enough calls of the old version makes it required.

--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -203,12 +203,12 @@
         bool is_any_comparable = false;
         for (auto const& [name, counts] : this->routes)
         {
-            auto const requests = counts.candidate.requests + counts.stable.requests;
-            bool const is_large = requests >= min_route_fraction * total;
-            if (!is_large || !is_comparable(metric, counts.stable))
+            if (!is_comparable(metric, counts.stable))
                 continue;
             is_any_comparable = true;
-            keys.push_back({metric, name});
+            auto const requests = counts.candidate.requests + counts.stable.requests;
+            if (requests >= min_route_fraction * total)
+                keys.push_back({metric, name});
         }
         // Without any route to compare, the failures are still required, so that a move without
         // traffic is not decided.
