Leave routes that tell nothing about a version out of its latency evidence

Cause: the evidence of the service is the sum of its routes. A route on which every call ends at its timeout, and routes whose calls take a few milliseconds, take equally long with a slower version; their calls counted as evidence that it is as good.

Change: only routes that can be compared add evidence.

Result: all tests of the version library pass.

--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -52,9 +52,11 @@
 /// Returns whether a worse version would show in this metric on a route.
 bool is_comparable(move_metric metric, version_counts const& reference)
 {
-    if (metric == move_metric::failures)
-        return reference.failure_count().rate() <= max_comparable_failure_rate;
-    return is_slowdown_noticeable(reference, metric, bad_slowdown_of(reference));
+    // Calls that end at their timeout with every version take equally long with a slower one.
+    if (reference.failure_count().rate() > max_comparable_failure_rate)
+        return false;
+    return metric == move_metric::failures ||
+           is_slowdown_noticeable(reference, metric, bad_slowdown_of(reference));
 }
 
 std::string const evidence_prefix = "evidence ";
@@ -178,6 +180,8 @@
         for (auto const& [name, counts] : interval)
         {
             auto const& reference = this->routes[name].stable;
+            if (!is_comparable(metric, reference))
+                continue;
             auto const evidence = [&](double failure_margin)
             {
                 return metric == move_metric::failures
--- a/src/version/tests/exposure_test.cpp
+++ b/src/version/tests/exposure_test.cpp
@@ -21,6 +21,8 @@
 {
     double failure_rate = 0;
     double slowdown = 1;
+    /// Part of the calls that are slower.
+    double slow_part = 1;
 };
 
 /// A move of 15 s of a plain service, on entries that report once a second.
@@ -35,6 +37,8 @@
     int changes_at = move_seconds;
     bool changes_on_one_route = false;
     int route_count = 2;
+    /// Calls of every version on the last route end at its timeout.
+    bool has_timeout_route = false;
     /// Seconds without a leader; the samples of this time are lost.
     int leader_lost_at = move_seconds;
     int leader_gap = 0;
@@ -132,11 +136,20 @@
         sample.route = route_name("route-" + std::to_string(route));
         sample.requests = count;
         sample.sent = count;
+        bool const is_timeout_route =
+            this->scenario.has_timeout_route && route + 1 == this->scenario.route_count;
         for (std::uint32_t i = 0; i < count; ++i)
         {
-            sample.failures += this->random.unit() < behavior.failure_rate ? 1 : 0;
+            bool const is_failed = is_timeout_route || this->random.unit() < behavior.failure_rate;
+            sample.failures += is_failed ? 1 : 0;
+            if (is_timeout_route)
+            {
+                sample.whole_call.add(milliseconds(400));
+                continue;
+            }
+            bool const is_slow = behavior.slowdown > 1 && this->random.unit() < behavior.slow_part;
             auto const work = 0.06 * std::exp(0.5 * study::draw_normal(this->random));
-            sample.whole_call.add(from_seconds(0.007 + work * behavior.slowdown));
+            sample.whole_call.add(from_seconds(0.007 + work * (is_slow ? behavior.slowdown : 1)));
         }
         return sample;
     }
@@ -199,6 +212,12 @@
     move_scenario many_routes = slow;
     many_routes.route_count = 8;
     CHECK(count_exposed(many_routes) == 0);
+    // Calls that time out with every version must not hide that half of the other ones are slow.
+    move_scenario partly_slow;
+    partly_slow.candidate = {0.01, 4, 0.5};
+    partly_slow.route_count = 3;
+    partly_slow.has_timeout_route = true;
+    CHECK(count_exposed(partly_slow) == 0);
     move_scenario busy = failing;
     busy.rate = 300;
     CHECK(count_exposed(busy) == 0);
