--- a/src/version/internal/verdict.cpp
+++ b/src/version/internal/verdict.cpp
@@ -179,14 +179,15 @@
         non_inferiority_evidence sum;
         for (auto const& [name, counts] : interval)
         {
+            auto const& candidate = counts.candidate;
             auto const& reference = this->routes[name].stable;
             if (!is_comparable(metric, reference))
                 continue;
             auto const evidence = [&](double failure_margin)
             {
                 return metric == move_metric::failures
-                           ? failure_evidence(counts.candidate, reference, failure_margin)
-                           : latency_evidence(counts.candidate, reference, metric,
+                           ? failure_evidence(candidate, reference, failure_margin)
+                           : latency_evidence(candidate, reference, metric,
                                               bad_slowdown_of(reference));
             };
             sum.add(evidence(pooled_failure_margin));
