Bring the tick of the traffic thread forward when a request begins to wait

Cause: the tick that admits and expires waiting completions was scheduled 500 ms ahead while the entry was idle and was not scheduled anew when the first request began to wait, so that a request with a deadline of 200 ms was refused after some 480 ms.

Change: the admission gate reports each request that begins to wait, and the server brings a tick that is more than 20 ms away forward. A tick that is due soon stays as it is, since requests at short intervals would postpone it.

--- a/src/process/completion/internal/admission_gate.hpp
+++ b/src/process/completion/internal/admission_gate.hpp
@@ -27,10 +27,13 @@
 class admission_gate
 {
 public:
-    admission_gate(traffic_context& shared_context, traffic_router& endpoint_router);
-
     using handler = std::function<void(admission const&)>;
 
+    /// `on_queued` is called when a request begins to wait, so that the owner of the gate can call
+    /// admit_waiting() in time.
+    admission_gate(traffic_context& shared_context, traffic_router& endpoint_router,
+                   std::function<void()> on_queued);
+
     /// Calls `done` when a slot is free, immediately if there is one, or when the request is
     /// refused.
     void enter(admission_request const& request, handler done);
@@ -82,6 +85,7 @@
 
     traffic_context& context;
     traffic_router& router;
+    std::function<void()> request_queued;
     std::map<queue_key, queue> queues;
 };
 
--- a/src/process/completion/internal/traffic_server.cpp
+++ b/src/process/completion/internal/traffic_server.cpp
@@ -52,7 +52,7 @@
         , store(context)
         , companions(context, store, entries)
         , router(context, seed)
-        , gate(context, router)
+        , gate(context, router, [this] { this->expedite_tick(); })
         , calls(context)
         , companion_requests(context, store)
         , completions({context, store, companions, router, gate, calls}, entries,
@@ -71,6 +71,8 @@
 
     void tick();
     void schedule_tick();
+    /// Brings a tick that was scheduled while the entry was idle forward.
+    void expedite_tick();
     void run();
 
     traffic_context context;
@@ -128,6 +130,14 @@
         });
 }
 
+void traffic_server::implementation::expedite_tick()
+{
+    // A tick that is due soon is left as it is: requests that arrive at short intervals would
+    // otherwise postpone it without end.
+    if (this->timer.expiry() > std::chrono::steady_clock::now() + busy_tick_interval)
+        this->schedule_tick();
+}
+
 void traffic_server::implementation::run()
 {
     try
