Reject dates that do not exist

Cause: parse_wall_time checked each field on its own, so that timegm turned 2026-02-31 into 3 March without an error.

Change: the date is checked as a whole by std::chrono.

Result: three new checks of "wall times are parsed and formatted in UTC" failed before (no exception for 31 and 29 February 2026 and for 31 April); 29 February 2028 stays valid.

--- a/src/base/internal/units.cpp
+++ b/src/base/internal/units.cpp
@@ -99,8 +99,10 @@
     int const parsed_fields =
         std::sscanf(trimmed.c_str(), "%4d-%2d-%2dT%2d:%2d:%2dZ%n", &parts.tm_year, &parts.tm_mon,
                     &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &consumed);
-    bool const in_range = parts.tm_mon >= 1 && parts.tm_mon <= 12 && parts.tm_mday >= 1 &&
-                          parts.tm_mday <= 31 && parts.tm_hour <= 23 && parts.tm_min <= 59 &&
+    std::chrono::year_month_day const date{std::chrono::year(parts.tm_year),
+                                           std::chrono::month(static_cast<unsigned>(parts.tm_mon)),
+                                           std::chrono::day(static_cast<unsigned>(parts.tm_mday))};
+    bool const in_range = date.ok() && parts.tm_hour <= 23 && parts.tm_min <= 59 &&
                           parts.tm_sec <= 60 && parts.tm_hour >= 0 && parts.tm_min >= 0 &&
                           parts.tm_sec >= 0;
     if (parsed_fields != 6 || consumed != static_cast<int>(trimmed.size()) || !in_range)
--- a/src/base/tests/base_test.cpp
+++ b/src/base/tests/base_test.cpp
@@ -32,6 +32,11 @@
           "2026-12-05T06:00:00.000000Z");
     CHECK_THROWS_AS(parse_wall_time("2026-13-05T06:00:00Z"), parse_error);
     CHECK_THROWS_AS(parse_wall_time("tomorrow"), parse_error);
+    CHECK_THROWS_AS(parse_wall_time("2026-02-31T00:00:00Z"), parse_error);
+    CHECK_THROWS_AS(parse_wall_time("2026-02-29T00:00:00Z"), parse_error);
+    CHECK_THROWS_AS(parse_wall_time("2026-04-31T00:00:00Z"), parse_error);
+    CHECK(format_wall_time(parse_wall_time("2028-02-29T00:00:00Z")) ==
+          "2028-02-29T00:00:00.000000Z");
 }
 
 TEST_CASE("INI errors name file and line")
