--- a/src/version/include/lagoonladder/version/usage_ledger.hpp
+++ b/src/version/include/lagoonladder/version/usage_ledger.hpp
@@ -55,6 +55,9 @@
     /// Returns all counts as reports. Adding them to an empty ledger restores the counts.
     std::vector<usage_report> reports() const;
 
+    /// Returns the first window whose reports are not ignored.
+    std::uint64_t first_kept() const { return this->first_kept_window; }
+
     /// Removes the windows before `window` and ignores later reports of them.
     void remove_before(std::uint64_t window);
 
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -313,6 +313,7 @@
             {"once", this->once.snapshot()},
             {"usage", std::move(windows)},
             {"open_usage", this->ledger.reports()},
+            {"first_usage_window", this->ledger.first_kept()},
             {"uploads", this->uploads.snapshot()}};
 }
 
@@ -343,6 +344,8 @@
     // Snapshots of earlier releases have no usage windows.
     if (!in.contains("usage"))
         return;
+    // Snapshots of earlier releases have no first window.
+    this->ledger.remove_before(in.value("first_usage_window", std::uint64_t{0}));
     for (auto const& report : in.at("open_usage").get<std::vector<usage_report>>())
         this->ledger.add(report);
     for (auto const& item : in.at("usage"))
--- a/src/version/tests/service_map_test.cpp
+++ b/src/version/tests/service_map_test.cpp
@@ -108,6 +108,27 @@
     CHECK(restored.open_usage().totals(4).at(account_id("t")) == 6);
 }
 
+TEST_CASE("a voter that was restored from a snapshot ignores reports of closed usage windows too")
+{
+    // Guards against voters whose states differ after the same commands, one of which was restored
+    // from a snapshot in between.
+    control_state state;
+    auto const report = [](std::uint64_t window)
+    {
+        return make_command(
+            add_usage{{{vm_id("a"), incarnation(1), {{window, {{account_id("t"), 5}}}}}}});
+    };
+    state.apply(1, report(3));
+    state.apply(2, report(4));
+    state.apply(3, make_command(close_usage_window{3}));
+    control_state restored;
+    restored.restore(state.snapshot());
+    state.apply(4, report(3));
+    restored.apply(4, report(3));
+    CHECK(restored.open_usage().totals(3).empty());
+    CHECK(restored.snapshot() == state.snapshot());
+}
+
 TEST_CASE("a resent start of a move has no effect")
 {
     // Guards against a resent command that starts a reversed move again.
