Ignore trailer fields of requests

Cause: the request parser added each field to the request's head, also those that arrive in the trailer of a chunked body, after the head was decoded. A caller could add fields that way, or let the server expect 100-continue. The response parser had the check already.

Change: fields after the end of the header are dropped.

Result: "trailer fields of a chunked request do not become part of its head" failed before: Tenant and Expect were in the head.

--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -129,6 +129,9 @@
     void on_field_impl(beast::http::field field, beast::string_view field_name,
                        beast::string_view value, beast::error_code& code) override
     {
+        // Trailer fields arrive after the head was passed on; they do not belong to it.
+        if (this->is_header_done())
+            return;
         // Any coding other than chunked makes the length of the body ambiguous, which allows
         // request smuggling.
         if (field == beast::http::field::transfer_encoding && !beast::iequals(value, "chunked"))
@@ -207,7 +210,7 @@
     void on_field_impl(beast::http::field, beast::string_view field_name, beast::string_view value,
                        beast::error_code& code) override
     {
-        // Ignores trailer fields, which arrive after the head was passed on.
+        // Trailer fields arrive after the head was passed on.
         if (this->is_header_done())
             return;
         if (++this->field_count > max_response_fields)
--- a/src/process/http/tests/server_test.cpp
+++ b/src/process/http/tests/server_test.cpp
@@ -96,6 +96,26 @@
     CHECK(loop.handler.exchanges.empty());
 }
 
+TEST_CASE("trailer fields of a chunked request do not become part of its head")
+{
+    // Guards against a caller who adds or replaces header fields after the head was checked.
+    loop_fixture loop;
+    std::optional<http::request_head> head;
+    loop.handler.on_request = [&](http::server_exchange& exchange)
+    {
+        head = exchange.head();
+        exchange.respond({200, {}, {}}, exchange.body());
+    };
+    auto const received = loop.exchange_raw("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                                            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+                                            "Tenant: other\r\nExpect: 100-continue\r\n\r\n");
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.ends_with("abc"));
+    REQUIRE(head);
+    CHECK(head->headers.find("Tenant") == nullptr);
+    CHECK(head->headers.find("Expect") == nullptr);
+}
+
 TEST_CASE("connections beyond the limit are refused with a status")
 {
     // Guards against callers that get only a closed connection, without a status, when an entry has
