Divide quotas equally among entries, and accrue tokens from the process start

Cause: entries divided the quota of an account by the demand that they had reported to each other. Besides, an entry that starts again began with a full bucket although it may have granted these tokens just before.

Change: the parts are equal, so that their sum is the limit whatever the reports say, and a bucket is filled at the entry's rate from the start of the process on. What an entry lacks it borrows, as before; the lender subtracts first. A round asks for twice what is missing and for as much as the bucket can keep, in place of six times what is missing, since the parts follow the demand only by loans: with six times, surplus beyond the bucket was dropped and requests of two parts were refused below the quota.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -71,7 +71,8 @@
     , work_guard(asio::make_work_guard(*this->context))
     , client(*this->context, {}, time)
     , duty_http_client(*this->context, make_duty_options(), time)
-    , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed},
+    , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed,
+             time.now()},
             make_proxy_options(config.pass_through))
     , prompts(
           *this->context, config.cluster_token,
@@ -224,8 +225,8 @@
     this->control.set_demand(std::move(demand));
 }
 
-void pass_through_plane::borrow_tokens(account_id const& account, double missing,
-                                       duration time_left,
+void pass_through_plane::borrow_tokens(account_id const& account,
+                                       request::token_shortage const& shortage, duration time_left,
                                        std::function<void(request::lending_outcome const&)> done)
 {
     std::vector<network_address> quota_holders;
@@ -235,9 +236,9 @@
             quota_holders.push_back(quota_holder.control);
     }
     if (!quota_holders.empty())
-        return this->borrower.request_from_quota_holders(account, std::move(quota_holders), missing,
-                                                         time_left, std::move(done));
-    this->borrower.request_from_all(account, this->other_entries(), missing, std::move(done));
+        return this->borrower.request_from_quota_holders(
+            account, std::move(quota_holders), shortage.missing, time_left, std::move(done));
+    this->borrower.request_from_all(account, this->other_entries(), shortage, std::move(done));
 }
 
 void pass_through_plane::broadcast_prompt(proxy::prompt_notice const& notice)
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -62,7 +62,8 @@
     void record(version::traffic_sample const& sample) override;
     void count_usage(account_id const& account) override;
     void set_demand(std::map<account_id, double> demand) override;
-    void borrow_tokens(account_id const& account, double missing, duration time_left,
+    void borrow_tokens(account_id const& account, request::token_shortage const& shortage,
+                       duration time_left,
                        std::function<void(request::lending_outcome const&)> done) override;
     void broadcast_prompt(proxy::prompt_notice const& notice) override;
 
--- a/src/process/daemon/internal/token_borrower.cpp
+++ b/src/process/daemon/internal/token_borrower.cpp
@@ -108,13 +108,13 @@
 }
 
 void token_borrower::request_from_all(account_id const& account,
-                                      std::vector<network_address> const& lenders, double missing,
-                                      handler done)
+                                      std::vector<network_address> const& lenders,
+                                      request::token_shortage const& shortage, handler done)
 {
     auto const tokens_per_lender =
-        request::account_quota::tokens_to_request(missing, lenders.size());
+        request::account_quota::tokens_to_request(shortage, lenders.size());
     auto const round = std::make_shared<concurrent_request>();
-    round->missing = missing;
+    round->missing = shortage.missing;
     round->pending_replies = lenders.size();
     round->done = std::move(done);
     if (lenders.empty())
--- a/src/process/daemon/internal/token_borrower.hpp
+++ b/src/process/daemon/internal/token_borrower.hpp
@@ -36,10 +36,11 @@
     /// interval.
     void open_connections();
 
-    /// Requests a fraction of the missing tokens from each lender, all at the same time. `done`
-    /// receives the tokens lent so far as soon as they cover `missing` or all lenders have replied.
+    /// Requests a fraction of the tokens from each lender, all at the same time. `done` receives
+    /// the tokens lent so far as soon as they cover those that are missing or all lenders have
+    /// replied.
     void request_from_all(account_id const& account, std::vector<network_address> const& lenders,
-                          double missing, handler done);
+                          request::token_shortage const& shortage, handler done);
     /// Requests all missing tokens from one quota holder after the other, in the way that
     /// `quota_holder_round` decides.
     void request_from_quota_holders(account_id const& account,
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -46,6 +46,8 @@
         observability::metrics& metrics;
         clock const& time;
         std::uint64_t seed = 0;
+        /// Start of the process. The tokens of quotas accrue from then on.
+        time_point process_start{};
     };
 
     call_proxy(dependencies const& injected, proxy_options const& options);
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -75,10 +75,11 @@
     virtual void count_usage(account_id const& account) = 0;
     /// Sets the tokens per second that the callers of each account request at this entry.
     virtual void set_demand(std::map<account_id, double> demand) = 0;
-    /// Requests `missing` tokens of the account's quota from the other entries. `done` receives
-    /// the tokens they lent, on the traffic thread and within a bounded time, which is shorter
-    /// when the call has little `time_left`.
-    virtual void borrow_tokens(account_id const& account, double missing, duration time_left,
+    /// Requests tokens of the account's quota from the other entries. `done` receives the tokens
+    /// they lent, on the traffic thread and within a bounded time, which is shorter when the call
+    /// has little `time_left`.
+    virtual void borrow_tokens(account_id const& account, request::token_shortage const& shortage,
+                               duration time_left,
                                std::function<void(request::lending_outcome const&)> done) = 0;
     /// Notifies the other entries of a prompt, so that they count it at the engine. The notice may
     /// be lost.
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -64,7 +64,7 @@
 {
     result.reason = decision.granted ? refusal::none : refusal::over_quota;
     result.retry_after = decision.retry_after;
-    result.missing_tokens = decision.missing;
+    result.shortage = decision.shortage;
 }
 
 void take_quota_tokens(time_point now, traffic_view const& view, incoming_call const& call,
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -49,10 +49,10 @@
     time_point deadline{};
     /// Tokens that the call counts towards the quota.
     double quota_tokens = 0;
-    /// Demand by which this entry's portion of the quota was computed.
+    /// The entries that share the quota, and their demand.
     request::peer_demand quota_demand;
     /// Tokens that this entry's portion lacks when the quota refuses the call.
-    double missing_tokens = 0;
+    request::token_shortage shortage;
     /// Outcome of requesting the missing tokens from other entries, for the log and the metrics.
     char const* lending = "not_asked";
 };
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -72,6 +72,7 @@
     : dependencies(injected)
     , options(settings)
     , random(injected.seed)
+    , quotas(injected.process_start)
 {
 }
 
@@ -172,7 +173,7 @@
     ++this->context->open_calls;
     auto const& account = refused.account->name;
     this->context->dependencies.control.borrow_tokens(
-        account, refused.missing_tokens, refused.deadline - this->context->dependencies.time.now(),
+        account, refused.shortage, refused.deadline - this->context->dependencies.time.now(),
         [this, exchange, call = std::move(call), admission = refused,
          is_disconnected](request::lending_outcome const& outcome) mutable
         {
@@ -180,7 +181,7 @@
             exchange->on_closed({});
             auto const now = this->context->dependencies.time.now();
             auto& quotas = this->context->quotas;
-            admission.lending = describe_lending(outcome, admission.missing_tokens);
+            admission.lending = describe_lending(outcome, admission.shortage.missing);
             this->context->borrowing.end_round(now, admission.account->name, outcome);
             this->context->dependencies.metrics.add("quota_rounds_total",
                                                     {{"outcome", admission.lending}});
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -7,6 +7,9 @@
 namespace
 {
 
+/// Time since the start of the process that the proxy belongs to; long enough for full quotas.
+constexpr duration uptime = seconds(10);
+
 network_address free_address()
 {
     asio::io_context context;
@@ -296,7 +299,7 @@
     : upstream(this->context, {}, this->time)
     , caller(this->context, {}, this->time)
     , proxy({this->context, this->upstream, this->codec, this->control, this->events, this->metrics,
-             this->time, 7},
+             this->time, 7, this->time.now() - uptime},
             options)
     , address(free_address())
     , server(
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -98,11 +98,12 @@
         this->demand = std::move(new_demand);
     }
     void
-    borrow_tokens(lagoonladder::account_id const& account, double missing, lagoonladder::duration,
+    borrow_tokens(lagoonladder::account_id const& account,
+                  lagoonladder::request::token_shortage const& shortage, lagoonladder::duration,
                   std::function<void(lagoonladder::request::lending_outcome const&)> done) override
     {
-        this->borrow_requests.push_back({account, missing});
-        done({this->lent_tokens, this->lent_tokens < missing && this->others_reply});
+        this->borrow_requests.push_back({account, shortage.missing});
+        done({this->lent_tokens, this->lent_tokens < shortage.missing && this->others_reply});
     }
     void broadcast_prompt(lagoonladder::proxy::prompt_notice const& notice) override
     {
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -20,11 +20,11 @@
     double allowance = 0;
 };
 
-/// Demand for the tokens of one account, as the entries reported it to each other last.
+/// The entries that share the tokens of one account, and their demand as they reported it to each
+/// other last. The demand is for logs only: reports arrive late and do not divide the quota.
 struct peer_demand
 {
-    /// Tokens per second in the last report of this entry. The figures of the others are as old as
-    /// this one; comparing them with the present demand of this entry would count growth twice.
+    /// Tokens per second in the last report of this entry.
     double own = 0;
     /// Tokens per second requested at all other entries together.
     double others = 0;
@@ -36,18 +36,27 @@
     bool is_quota_holder = false;
 };
 
+/// Tokens that a refused request lacks at its entry.
+struct token_shortage
+{
+    /// Number of tokens that are missing now.
+    double missing = 0;
+    /// Tokens beyond `missing` that the entry can keep for its next requests.
+    double room = 0;
+};
+
 struct quota_decision
 {
     bool granted = true;
     /// When refused: time until enough tokens are available.
     duration retry_after{};
-    /// When refused: number of tokens that are missing now.
-    double missing = 0;
+    /// When refused.
+    token_shortage shortage;
 };
 
-/// This entry's share of the token quotas of client accounts. The shares follow the demand that the
-/// entries report to each other, so that their sum stays at the limit. A request that is larger
-/// than the share of the entry can be served with tokens that other entries lend. Lent tokens are
+/// This entry's share of the token quotas of client accounts. All shares are equal, so that their
+/// sum is the limit although entries learn of each other's demand late. A request for which the
+/// share does not suffice can be served with tokens that other entries lend. Lent tokens are
 /// first subtracted at the lender, so that a lost or repeated message never raises the sum. In a
 /// system of many entries a share could be smaller than one request; there, a few quota holders
 /// hold the tokens of an account, and the other entries borrow for each request. Not safe for
@@ -55,6 +64,10 @@
 class account_quota
 {
 public:
+    /// Tokens accrue from the start of the process on. A process that starts again begins without
+    /// tokens, since it may have granted all of them before.
+    explicit account_quota(time_point process_start);
+
     /// Takes the tokens of one request, or refuses it.
     quota_decision take(time_point now, account_id const& account, account_limit const& limit,
                         peer_demand const& peers, double tokens);
@@ -66,8 +79,8 @@
                                   double tokens, double lent);
 
     /// Number of tokens to ask each of the other entries for; more than an equal part of what
-    /// is missing, because not every entry has tokens to spare.
-    static double tokens_to_request(double missing, std::size_t lenders);
+    /// is missing, because not every entry has tokens to spare and the next requests need some.
+    static double tokens_to_request(token_shortage const& shortage, std::size_t lenders);
 
     /// Lends up to `wanted` tokens that this entry does not need at once. A quota holder lends all
     /// of them or none.
@@ -91,10 +104,10 @@
         /// Decaying average of the tokens per second that were requested.
         double demand_rate = 0;
         time_point updated{};
-        bool is_new = true;
         bool was_quota_holder = false;
     };
 
+    bucket& bucket_of(account_id const& account);
     static void decay(bucket& state, time_point now);
     /// Returns the maximum number of tokens in the bucket of this entry.
     static double capacity_of(account_limit const& limit, peer_demand const& peers);
@@ -104,6 +117,7 @@
     static quota_decision grant(bucket& state, account_limit const& limit, peer_demand const& peers,
                                 double tokens);
 
+    time_point started;
     std::map<account_id, bucket> buckets;
 };
 
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -12,20 +12,17 @@
 /// Time constant of the demand: the requests of the last few seconds predict at which entries the
 /// next ones arrive.
 constexpr duration demand_time_constant = seconds(4);
-/// Fraction of an equal share that an entry without demand keeps, so that its first requests are
-/// not refused before the other entries learn of them.
-constexpr double min_fraction_of_equal_share = 0.25;
 constexpr duration max_retry_after = seconds(5);
 /// Minimum burst in seconds of the rate, so that a limit with a small burst has room for the tokens
 /// of an entire request.
 constexpr double min_burst_seconds = 1;
-/// Ratio of the tokens that the other entries are asked for to those that are missing. It is larger
-/// than 1, because entries differ in what they can spare; surplus tokens serve the next requests.
-constexpr double loan_request_factor = 6;
+/// Ratio of the tokens that the other entries are asked for to those that are missing, besides
+/// those for the next requests. It is larger than 1, because entries differ in what they can spare.
+constexpr double loan_request_factor = 2;
 /// Fraction of its capacity that an entry reserves for its own next requests when it lends.
 constexpr double reserved_fraction = 0.25;
-/// Fraction of its capacity with which a new quota holder starts: the previous holder may have
-/// spent the rest.
+/// Fraction of its capacity with which a new quota holder starts at most: the previous holder may
+/// have spent the rest.
 constexpr double new_holder_fraction = 0.5;
 
 bool is_borrower(peer_demand const& peers)
@@ -44,12 +41,20 @@
 {
     if (peers.quota_holder_count > 0)
         return peers.is_quota_holder ? 1.0 / peers.quota_holder_count : 0;
-    auto const equal = 1.0 / std::max(peers.entries, 1U);
-    auto const total = peers.own + peers.others;
-    auto const by_demand = total > 0 ? peers.own / total : equal;
-    // Scaled so that the minimum shares of entries without demand do not raise the sum above the
-    // limit.
-    return min_fraction_of_equal_share * equal + (1 - min_fraction_of_equal_share) * by_demand;
+    return 1.0 / std::max(peers.entries, 1U);
+}
+
+account_quota::account_quota(time_point process_start)
+    : started(process_start)
+{
+}
+
+account_quota::bucket& account_quota::bucket_of(account_id const& account)
+{
+    auto const [position, is_new] = this->buckets.try_emplace(account);
+    if (is_new)
+        position->second.updated = this->started;
+    return position->second;
 }
 
 void account_quota::decay(bucket& state, time_point now)
@@ -72,20 +77,15 @@
                              peer_demand const& peers)
 {
     auto const capacity = capacity_of(limit, peers);
-    if (!state.is_new)
-        decay(state, now);
-    if (state.is_new || state.was_quota_holder != peers.is_quota_holder)
-    {
-        auto const initial = peers.is_quota_holder ? new_holder_fraction * capacity : capacity;
-        state.available = is_borrower(peers) ? 0 : initial;
-    }
+    decay(state, now);
+    auto const elapsed = to_seconds(std::max(duration(0), now - state.updated));
+    auto const accrued = limit.tokens_per_second * share_of(peers) * elapsed;
+    if (peers.is_quota_holder && !state.was_quota_holder)
+        state.available = std::min(new_holder_fraction * capacity, state.available + accrued);
+    else if (is_borrower(peers) && state.was_quota_holder)
+        state.available = 0;
     else
-    {
-        auto const elapsed = to_seconds(std::max(duration(0), now - state.updated));
-        auto const refilled = state.available + limit.tokens_per_second * share_of(peers) * elapsed;
-        state.available = std::min(capacity, refilled);
-    }
-    state.is_new = false;
+        state.available = std::min(capacity, state.available + accrued);
     state.was_quota_holder = peers.is_quota_holder;
     state.updated = now;
     return capacity;
@@ -110,14 +110,15 @@
     auto const share = is_borrower(peers) ? 1.0 / std::max(peers.entries, 1U) : share_of(peers);
     auto const rate = limit.tokens_per_second * share;
     auto const wait = rate > 0 ? from_seconds(missing / rate) : max_retry_after;
-    return {false, std::min<duration>(wait, max_retry_after), missing};
+    auto const room = capacity_of(limit, peers);
+    return {false, std::min<duration>(wait, max_retry_after), {missing, room}};
 }
 
 quota_decision account_quota::take(time_point now, account_id const& account,
                                    account_limit const& limit, peer_demand const& peers,
                                    double tokens)
 {
-    auto& state = this->buckets[account];
+    auto& state = this->bucket_of(account);
     refill(state, now, limit, peers);
     state.demand_rate += tokens / to_seconds(demand_time_constant);
     return grant(state, limit, peers, tokens);
@@ -127,21 +128,22 @@
                                              account_limit const& limit, peer_demand const& peers,
                                              double tokens, double lent)
 {
-    auto& state = this->buckets[account];
+    auto& state = this->bucket_of(account);
     refill(state, now, limit, peers);
     state.available += lent;
     return grant(state, limit, peers, tokens);
 }
 
-double account_quota::tokens_to_request(double missing, std::size_t lenders)
+double account_quota::tokens_to_request(token_shortage const& shortage, std::size_t lenders)
 {
-    return lenders == 0 ? 0 : loan_request_factor * missing / static_cast<double>(lenders);
+    auto const wanted = loan_request_factor * shortage.missing + shortage.room;
+    return lenders == 0 ? 0 : wanted / static_cast<double>(lenders);
 }
 
 double account_quota::lend(time_point now, account_id const& account, account_limit const& limit,
                            peer_demand const& peers, double wanted)
 {
-    auto& state = this->buckets[account];
+    auto& state = this->bucket_of(account);
     auto const capacity = refill(state, now, limit, peers);
     if (peers.quota_holder_count > 0)
     {
@@ -157,7 +159,7 @@
 
 void account_quota::deposit(account_id const& account, double tokens)
 {
-    this->buckets[account].available += tokens;
+    this->bucket_of(account).available += tokens;
 }
 
 std::map<account_id, double> account_quota::demand(time_point now)
--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -16,7 +16,7 @@
 double granted_in_ten_seconds(std::vector<double> const& rates, account_limit const& limit)
 {
     constexpr double request_tokens = 100;
-    std::vector<account_quota> entries(rates.size());
+    std::vector<account_quota> entries(rates.size(), account_quota(time_point{}));
     std::vector<double> pending_tokens(rates.size());
     double granted = 0;
     std::vector<double> known_demand(rates.size());
@@ -76,7 +76,7 @@
 TEST_CASE("a refusal states when the tokens are available")
 {
     // Guards against callers that are told to retry too early or too late.
-    account_quota quota;
+    account_quota quota(time_point{});
     account_limit const limit{100, 100};
     time_point const now{seconds(1)};
     CHECK(quota.take(now, account, limit, {}, 100).granted);
@@ -93,8 +93,9 @@
 class lending_entries
 {
 public:
+    /// The entries start ten seconds before the first request.
     lending_entries(std::size_t count, account_limit const& allowed)
-        : entries(count)
+        : entries(count, account_quota(time_point(seconds(-10))))
         , known_demand(count)
         , limit(allowed)
     {
@@ -114,7 +115,7 @@
         if (decision.granted)
             return true;
         auto const loan =
-            account_quota::tokens_to_request(decision.missing, this->entries.size() - 1);
+            account_quota::tokens_to_request(decision.shortage, this->entries.size() - 1);
         double lent = 0;
         for (std::size_t i = 0; i < this->entries.size(); ++i)
         {
@@ -214,7 +215,7 @@
 TEST_CASE("an entry lends at most what it has beyond its reserve")
 {
     // Guards against an entry that refuses its own next request because it lent all of its tokens.
-    account_quota quota;
+    account_quota quota(time_point{});
     account_limit const limit{100, 100};
     time_point const now{seconds(1)};
     CHECK(quota.lend(now, account, limit, {}, 1'000) == 75);
@@ -226,7 +227,7 @@
 TEST_CASE("tokens that arrive after their request do not accumulate")
 {
     // Guards against the tokens of many late replies that are all spent at once.
-    account_quota quota;
+    account_quota quota(time_point{});
     account_limit const limit{100, 100};
     time_point const now{seconds(1)};
     CHECK(quota.take(now, account, limit, {}, 100).granted);
@@ -250,7 +251,7 @@
     static constexpr std::size_t quota_holder_count = 4;
 
     quota_holder_system(std::size_t count, account_limit const& allowed)
-        : entries(count)
+        : entries(count, account_quota(time_point{}))
         , limit(allowed)
     {
     }
@@ -262,10 +263,10 @@
         if (decision.granted)
             return true;
         auto const first_holder = random.below(quota_holder_count);
-        auto lent = this->request_loan(now, entry, first_holder, decision.missing);
-        if (lent < decision.missing)
+        auto lent = this->request_loan(now, entry, first_holder, decision.shortage.missing);
+        if (lent < decision.shortage.missing)
             lent = this->request_loan(now, entry, (first_holder + 1) % quota_holder_count,
-                                      decision.missing);
+                                      decision.shortage.missing);
         return this->entries[entry]
             .take_with_loan(now, account, this->limit, this->peers_of(entry), tokens, lent)
             .granted;
@@ -354,7 +355,7 @@
     borrower.quota_holder_count = 4;
     auto holder = borrower;
     holder.is_quota_holder = true;
-    account_quota quota;
+    account_quota quota(time_point{});
     CHECK_FALSE(quota.take(time_point(seconds(1)), account, limit, borrower, 100).granted);
     CHECK(quota.lend(time_point(seconds(1)), account, limit, borrower, 100) == 0);
     CHECK(quota.lend(time_point(seconds(60)), account, limit, holder, 126) == 0);
--- a/src/request/tests/quota_holder_round_test.cpp
+++ b/src/request/tests/quota_holder_round_test.cpp
@@ -67,7 +67,7 @@
 private:
     struct entry
     {
-        account_quota quota;
+        account_quota quota{time_point{}};
         quota_borrowing borrowing;
         lender_contacts contacts;
     };
@@ -111,7 +111,7 @@
         if (decision.granted)
             this->result.granted += tokens;
         else if (borrower.borrowing.begin_round(this->now, account, true))
-            this->begin_round_for(entry_index, tokens, decision.missing);
+            this->begin_round_for(entry_index, tokens, decision.shortage.missing);
     }
 
     void begin_round_for(std::size_t entry_index, double tokens, double missing)
