Treat damaged replies to proposals and lookups as unknown outcomes

Cause: the client of the consensus group decoded the results of remote proposals and lookups on the control thread without a handler, so that a reply that could not be decoded ended the process. Replies of polls and gossip had handlers.

Change: a reply that cannot be decoded is logged (reply.unreadable). The outcome of the proposal is then unknown, as for a lost reply, and the lookup is repeated until its deadline.

Result: "a damaged reply to a proposal or a lookup leaves the outcome unknown" ended with SIGABRT without the handler and passes with it.

--- a/src/process/control/internal/leader_client.cpp
+++ b/src/process/control/internal/leader_client.cpp
@@ -55,6 +55,7 @@
     , options(config)
     , peers(channels)
     , gossip(directories)
+    , events(sinks.events)
     , metrics(sinks.metrics)
     , time(sinks.time)
     , node(own_node)
@@ -102,6 +103,22 @@
         });
 }
 
+template <class Decode>
+auto leader_client::try_decode(char const* reply_kind, Decode decode) const
+    -> std::optional<std::invoke_result_t<Decode>>
+{
+    try
+    {
+        return decode();
+    }
+    catch (std::exception const& problem)
+    {
+        this->events.emit(severity::error, "reply.unreadable",
+                          {{"reply", reply_kind}, {"reason", problem.what()}});
+        return std::nullopt;
+    }
+}
+
 void leader_client::propose(version::command_body const& body, time_point deadline,
                             proposal_handler done)
 {
@@ -153,8 +170,11 @@
             }
             else if (reply.status() == protocol::ProposeReply::COMMITTED)
             {
-                outcome.status = proposal_status::committed;
-                outcome.result = version::decode_command_result(reply.result());
+                auto const result = this->try_decode(
+                    "proposal", [&] { return version::decode_command_result(reply.result()); });
+                outcome.status = result ? proposal_status::committed : proposal_status::unknown;
+                if (result)
+                    outcome.result = *result;
             }
             else
             {
@@ -234,8 +254,16 @@
             }
             if (reply.status() == protocol::FindOnceReply::NOT_FOUND)
                 return done(find_status::not_found, {});
-            done(find_status::found,
-                 nlohmann::json::from_msgpack(reply.reply()).get<request::at_most_once_reply>());
+            auto const record =
+                this->try_decode("lookup",
+                                 [&]
+                                 {
+                                     return nlohmann::json::from_msgpack(reply.reply())
+                                         .template get<request::at_most_once_reply>();
+                                 });
+            if (!record)
+                return retry();
+            done(find_status::found, *record);
         });
 }
 
--- a/src/process/control/internal/leader_client.hpp
+++ b/src/process/control/internal/leader_client.hpp
@@ -62,11 +62,17 @@
     /// none.
     network_address next_target();
     void retry_later(std::function<void()> action);
+    /// Decodes a reply of another daemon. Returns no value, and logs the reason, when its bytes are
+    /// damaged.
+    template <class Decode>
+    auto try_decode(char const* reply_kind, Decode decode) const
+        -> std::optional<std::invoke_result_t<Decode>>;
 
     std::shared_ptr<asio::io_context> context;
     config::settings const& options;
     peer_channels& peers;
     gossip_driver const& gossip;
+    event_sink& events;
     observability::metrics& metrics;
     clock const& time;
     consensus_driver* const node;
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -56,7 +56,7 @@
 /// Number of successful calls by the offset of the content part that they carried.
 using part_calls = std::map<std::uint64_t, int>;
 
-/// Counts calls, and fails those with content parts once their limit is used up.
+/// Counts calls, fails those with content parts once their limit is used up, and damages replies.
 class counting_control_service : public control_service
 {
 public:
@@ -75,7 +75,12 @@
         auto const command = version::decode_command(request->command());
         auto const* store_command = std::get_if<version::store_content_part>(&command.body);
         if (store_command == nullptr)
-            return control_service::Propose(context, request, reply);
+        {
+            auto const status = control_service::Propose(context, request, reply);
+            if (this->damages_replies)
+                reply->set_result("damaged");
+            return status;
+        }
         if (--this->remaining_uploads < 0)
             return {grpc::StatusCode::UNAVAILABLE, "stopped by the test"};
         auto const status = control_service::Propose(context, request, reply);
@@ -96,6 +101,15 @@
         return status;
     }
 
+    grpc::Status FindOnce(grpc::ServerContext* context, protocol::FindOnceRequest const* request,
+                          protocol::FindOnceReply* reply) override
+    {
+        auto const status = control_service::FindOnce(context, request, reply);
+        if (this->damages_replies)
+            reply->set_reply("damaged");
+        return status;
+    }
+
     part_calls stored() const { return this->copy(this->stored_parts); }
     part_calls fetched() const { return this->copy(this->fetched_parts); }
 
@@ -103,6 +117,8 @@
     /// Content parts that may still be stored or fetched through this daemon.
     std::atomic<int> remaining_uploads = 1'000'000;
     std::atomic<int> remaining_fetches = 1'000'000;
+    /// The replies to proposals and lookups carry bytes that cannot be decoded.
+    std::atomic<bool> damages_replies = false;
 
 private:
     void count(part_calls& calls, std::uint64_t offset)
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -92,6 +92,24 @@
     CHECK(eventually([&] { return is_in_force(system.loop(3), next.generation.value()); }));
 }
 
+TEST_CASE("a damaged reply to a proposal or a lookup leaves the outcome unknown")
+{
+    // Guards against a process that ends because another one sent bytes that it cannot decode.
+    small_system system;
+    system.apply(3, 0, first_text, "op-1");
+    auto const booking = begin_booking("a-1", system_clock().wall_now());
+    commit_and_wait(system.loop(3), booking, seconds(10));
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).damages_replies = true;
+    CHECK(propose_and_wait(system.loop(3), booking, milliseconds(500)).status ==
+          proposal_status::unknown);
+    CHECK(find_and_wait(system.loop(3), booking.key, milliseconds(500)).status ==
+          find_status::unavailable);
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).damages_replies = false;
+    CHECK(find_and_wait(system.loop(3), booking.key, seconds(10)).status == find_status::found);
+}
+
 TEST_CASE("a voter with a lost disk counts towards the quorum soon after its restart")
 {
     // Guards against a second loss before the first is repaired: a voter that started with an empty
