Limit the lines of a response head before the head is complete

Cause: once Beast's parser waits for the end of a head, it calls no handler for lines that arrive one by one, so that the limit of 256 fields did not take effect. A server that sends short lines without end was stopped by the limit of 64 KiB alone: 16,384 lines of 4 bytes.

Change: the line ends of an unparsed head are counted as they arrive; a line more than the fields allow ends the call.

--- a/src/process/control/internal/leader_client.hpp
+++ b/src/process/control/internal/leader_client.hpp
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <type_traits>
 #include <vector>
 
 #include "consensus_driver.hpp"
--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -1,5 +1,6 @@
 #include "message_parser.hpp"
 
+#include <algorithm>
 #include <limits>
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -15,7 +16,7 @@
 constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
 /// The number of fields is limited as well, since short fields take up many times their size in
 /// memory.
-constexpr std::size_t max_response_fields = 256;
+constexpr std::ptrdiff_t max_response_fields = 256;
 /// Maximum size of the trailer and of a chunk's size line with its extensions. The system
 /// uses neither trailers nor extensions.
 constexpr std::size_t max_chunk_line_bytes = 8 * 1024;
@@ -198,7 +199,28 @@
     std::function<void(response_head const&)> on_head;
     std::function<void(std::string_view)> on_body;
     response_head head;
-    std::size_t field_count = 0;
+    std::ptrdiff_t field_count = 0;
+
+    /// Limits the lines of a head that is not complete: once Beast's parser waits for the end of a
+    /// head, it neither consumes further lines nor calls handlers for them. `is_continued` states
+    /// that `unparsed` begins with the bytes of the call before.
+    std::optional<parse_problem> check_line_count(std::string_view unparsed, bool is_continued)
+    {
+        if (this->is_header_done())
+            return std::nullopt;
+        if (!is_continued)
+        {
+            this->counted_bytes = 0;
+            this->line_count = 0;
+        }
+        auto const new_bytes = unparsed.substr(this->counted_bytes);
+        this->line_count += std::count(new_bytes.begin(), new_bytes.end(), '\n');
+        this->counted_bytes = unparsed.size();
+        if (this->line_count <= max_response_fields)
+            return std::nullopt;
+        return parse_problem{502, "the head of the response exceeds " +
+                                      std::to_string(max_response_fields) + " fields"};
+    }
 
 protected:
     void on_response_impl(int status, beast::string_view reason, int, beast::error_code&) override
@@ -224,6 +246,11 @@
     {
         this->on_body({bytes.data(), bytes.size()});
     }
+
+private:
+    /// Bytes of the unparsed head whose line ends have been counted.
+    std::size_t counted_bytes = 0;
+    std::ptrdiff_t line_count = 0;
 };
 
 response_parser::response_parser(std::function<void(response_head const&)> on_head,
@@ -243,7 +270,10 @@
 
 std::size_t response_parser::put(std::string_view data, std::optional<parse_problem>& problem)
 {
-    return feed(*this->state, data, problem);
+    auto const consumed = feed(*this->state, data, problem);
+    if (!problem)
+        problem = this->state->check_line_count(data.substr(consumed), consumed == 0);
+    return consumed;
 }
 
 void response_parser::put_end(std::optional<parse_problem>& problem)
--- a/src/process/http/tests/endless_response_test.cpp
+++ b/src/process/http/tests/endless_response_test.cpp
@@ -109,6 +109,22 @@
         check_failure(server_case, http::call_failure::broken_response);
 }
 
+TEST_CASE("a head with too many lines ends the call although the lines arrive one by one")
+{
+    // Guards against a limit of the fields that takes effect only when the head is complete: with
+    // short lines the limit in bytes is reached after thousands of packets.
+    constexpr std::uint64_t max_head_bytes = 8 * 1024;
+    loop_fixture loop;
+    endless_server peer(loop.context, "HTTP/1.1 200 OK\r\n", "A:\r\n", microseconds(50));
+    auto const observer = std::make_shared<recording_observer>();
+    loop.client.send(peer.address(), loop.request(), observer);
+    loop.run_until([&] { return observer->is_over(); });
+    INFO(observer->reason);
+    CHECK(observer->failure == http::call_failure::no_response);
+    CHECK(peer.sent_bytes < max_head_bytes);
+    CHECK(loop.client.connections(peer.address()) == 0);
+}
+
 TEST_CASE("a response head with too many short fields is rejected")
 {
     // Guards against heads that take up megabytes in memory although their size is within the
