Count the configuration as outdated while no voter confirms the state

Cause: a daemon knew that its configuration was old only after a voter had told it. While its polls failed (six voters serve 980 polls/s of 300 entries), it answered 404 or 401 for routes and keys that a newer configuration had added, although it could not know that they were missing.

Change: a daemon that has had no confirmation from a voter for 1 s, or a voter without a recent quorum, counts its configuration as outdated. Calls on unknown routes or keys then wait for the configuration or get 503 (not run), as they do after an announcement. Known routes and keys are served as before.

Result: "without contact to a quorum a daemon counts its configuration as outdated" failed before at a voter and at a daemon without a log.

--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -19,6 +19,9 @@
 /// Time after the last contact in which the quorum counts as recent. It covers several polls, so
 /// that one slow voter does not make the quorum look lost.
 constexpr duration recent_quorum_window = seconds(3);
+/// Time after the last contact in which the configuration counts as current. A change is in force
+/// within a few seconds; after several failed polls it may have been missed.
+constexpr duration max_configuration_age = seconds(1);
 /// Limit of announced changes whose time until they are in force is measured.
 constexpr std::size_t max_announced_changes = 16;
 
@@ -66,6 +69,18 @@
     return this->ready && this->time.now() < this->last_quorum_contact + recent_quorum_window;
 }
 
+bool state_follower::has_unconfirmed_state() const
+{
+    if (this->node && this->node->is_usable())
+        return !this->node->has_recent_quorum();
+    return this->time.now() >= this->last_quorum_contact + max_configuration_age;
+}
+
+bool state_follower::is_configuration_outdated() const
+{
+    return this->awaits_content() || this->has_unconfirmed_state();
+}
+
 void state_follower::schedule_poll()
 {
     // Polls faster during the start, since callers wait for the daemon to become ready.
@@ -191,9 +206,9 @@
             version::make_shared_state(status, *this->current_state, {})));
     if (this->pending_status && status.applied_index < this->pending_status->applied_index)
         return;
-    bool const was_outdated = this->is_configuration_outdated();
+    bool const awaited_content = this->awaits_content();
     this->record_announced_change(status.changed_index);
-    if (!was_outdated && this->on_change)
+    if (!awaited_content && this->on_change)
         this->on_change();
     bool const is_new = !this->pending_status ||
                         this->pending_status->service_content != status.service_content ||
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -32,17 +32,22 @@
     bool is_ready() const { return this->ready; }
     bool has_recent_quorum() const;
     std::uint64_t term() const { return this->latest_term; }
-    /// Returns whether a voter has announced a content that was not fetched yet, so that this
-    /// daemon may handle calls by an older configuration than the one in force.
-    bool is_configuration_outdated() const
-    {
-        return this->announced_index > this->current_state->changed_index;
-    }
+    /// Returns whether this daemon may handle calls by an older configuration than the one in
+    /// force: a voter has announced a content that was not fetched yet, or no voter has confirmed
+    /// the state for a while.
+    bool is_configuration_outdated() const;
     /// Log index of the newest change whose contents a voter has announced; 0 before the first.
     std::uint64_t newest_announced_index() const { return this->announced_index; }
     std::shared_ptr<version::shared_state const> state() const { return this->current_state; }
 
 private:
+    /// Returns whether a voter has announced a content that was not fetched yet.
+    bool awaits_content() const
+    {
+        return this->announced_index > this->current_state->changed_index;
+    }
+    /// Returns whether no voter has confirmed the state for so long that a change may be missed.
+    bool has_unconfirmed_state() const;
     void schedule_poll();
     void poll();
     void poll_voter();
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -92,6 +92,24 @@
     CHECK(eventually([&] { return is_in_force(system.loop(3), next.generation.value()); }));
 }
 
+TEST_CASE("without contact to a quorum a daemon counts its configuration as outdated")
+{
+    // Guards against a 404 for a route that was added while the daemon could not read the state.
+    small_system system;
+    auto const number = system.apply(3, 0, first_text, "op-1").generation.value();
+    for (std::size_t i = 0; i < 4; ++i)
+        REQUIRE(eventually([&] { return is_in_force(system.loop(i), number); }));
+    REQUIRE(eventually([&] { return !system.loop(3).view()->is_configuration_outdated; }));
+    system.stop(0);
+    system.stop(1);
+    CHECK(eventually([&] { return system.loop(2).view()->is_configuration_outdated; }));
+    CHECK(eventually([&] { return system.loop(3).view()->is_configuration_outdated; }));
+    system.start(0);
+    system.start(1);
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return !system.loop(i).view()->is_configuration_outdated; }));
+}
+
 TEST_CASE("a damaged reply to a proposal or a lookup leaves the outcome unknown")
 {
     // Guards against a process that ends because another one sent bytes that it cannot decode.
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -28,7 +28,8 @@
     bool is_ready = false;
     /// This entry is stopping.
     bool is_leaving = false;
-    /// A newer configuration than `services` is known to be in force.
+    /// A newer configuration than `services` is known to be in force, or may be, since no voter has
+    /// confirmed the state for a while.
     bool is_configuration_outdated = false;
     /// Null before the first configuration.
     std::shared_ptr<version::service_index const> services;
