Measure the progress of a stream by its complete events

Cause: each byte of a stream counted as a sign of life. A stalled engine that sends a byte now and then, but no complete event, kept a resumable stream until the call's deadline although another engine could continue it.

Change: after the first bytes of a stream only complete events count, which is what the caller receives. Before them, and for other responses, each byte counts as before.

--- a/src/process/proxy/internal/answer_relay.cpp
+++ b/src/process/proxy/internal/answer_relay.cpp
@@ -56,6 +56,7 @@
 
 void answer_relay::relay_event(request::event_splitter::event const& event)
 {
+    ++this->received_events;
     if (!event.id)
         this->all_events_have_ids = false;
     if (event.id && this->is_continued && this->last_event_id)
--- a/src/process/proxy/internal/answer_relay.hpp
+++ b/src/process/proxy/internal/answer_relay.hpp
@@ -45,6 +45,8 @@
     /// All events of the stream so far had ids, so that it can continue after the last one.
     bool can_continue() const { return this->is_streaming && this->all_events_have_ids; }
     std::optional<std::uint64_t> last_event() const { return this->last_event_id; }
+    /// Number of complete events that were received, also those that the caller has already.
+    std::size_t event_count() const { return this->received_events; }
     unsigned status() const { return this->head.status; }
 
 private:
@@ -58,6 +60,7 @@
     std::string buffered_bytes;
     request::event_splitter splitter;
     std::optional<std::uint64_t> last_event_id;
+    std::size_t received_events = 0;
     std::string error;
     bool is_streaming = false;
     bool all_events_have_ids = true;
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -21,7 +21,8 @@
     failed_answer,
     /// No response, an incomplete one, or one that did not come from the endpoint.
     broken,
-    /// The endpoint sent no byte for the silence timeout or until the deadline.
+    /// The endpoint sent no byte, or no complete event of a stream, for the silence timeout or
+    /// until the deadline.
     silent
 };
 
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -88,7 +88,7 @@
     fields.engine_priority = find_engine_priority(this->route(), this->admitted.account);
     fields.last_event = this->relay.last_event();
     auto const head = this->context->dependencies.codec.encode(this->exchange->head(), fields);
-    this->last_byte = now;
+    this->last_progress = now;
     this->first_byte = {};
     this->current_attempt = std::make_shared<endpoint_attempt>(
         this->weak_from_this(), this->context->dependencies.codec, endpoint, this->call.id, now);
@@ -135,8 +135,8 @@
     auto wake_time = this->admitted.deadline;
     auto const timeout = this->silence_timeout();
     if (timeout > duration(0) && !this->is_paused)
-        wake_time =
-            std::min(wake_time, std::max(this->last_byte, this->kept_despite_silence_at) + timeout);
+        wake_time = std::min(
+            wake_time, std::max(this->last_progress, this->kept_despite_silence_at) + timeout);
     this->timer.expires_after(std::max(wake_time - now, duration(0)));
     this->timer.async_wait(
         [weak = this->weak_from_this()](asio::error_code const& problem)
@@ -160,7 +160,7 @@
                              "the deadline has passed");
     }
     auto const timeout = this->silence_timeout();
-    auto const silent_since = std::max(this->last_byte, this->kept_despite_silence_at);
+    auto const silent_since = std::max(this->last_progress, this->kept_despite_silence_at);
     bool const is_silent =
         timeout > duration(0) && now >= silent_since + timeout && !this->is_paused;
     if (is_silent && this->current_attempt)
@@ -187,14 +187,15 @@
                                               now - this->current_attempt->started());
         return this->set_timer();
     }
-    this->end_attempt(attempt_result::silent, "no byte for " + milliseconds_text(silence) + " ms");
+    this->end_attempt(attempt_result::silent,
+                      "no progress for " + milliseconds_text(silence) + " ms");
     this->send(*other_endpoint);
 }
 
 void proxied_call::on_answer(endpoint_attempt& attempt, http::response_head const& head)
 {
-    this->last_byte = this->context->dependencies.time.now();
-    this->first_byte = this->last_byte;
+    this->last_progress = this->context->dependencies.time.now();
+    this->first_byte = this->last_progress;
     auto const* length = head.headers.find("Content-Length");
     this->relay.start(this->context->dependencies.codec.relay(head),
                       length == nullptr ? std::nullopt : http::parse_number(*length));
@@ -204,16 +205,11 @@
 
 void proxied_call::on_answer_bytes(endpoint_attempt& attempt, std::string_view bytes)
 {
-    this->last_byte = this->context->dependencies.time.now();
-    if (this->route().is_stream && !this->relay.has_content())
-    {
-        this->first_byte = this->last_byte;
-        this->count_usage(attempt);
-        this->set_timer();
-        if (this->counted_prompt)
-            this->context->chooser.record_answered_prompt(this->first_byte, attempt.endpoint(),
-                                                          *this->counted_prompt);
-    }
+    auto const now = this->context->dependencies.time.now();
+    bool const is_first = !this->relay.has_content();
+    if (this->route().is_stream && is_first)
+        this->on_stream_begun(attempt, now);
+    auto const events_before = this->relay.event_count();
     // The end of the attempt after a malformed stream may release the last reference to this call.
     auto const self = this->shared_from_this();
     if (!this->relay.add(bytes))
@@ -221,6 +217,9 @@
         this->end_attempt(attempt_result::broken, this->relay.problem());
         return this->retry_or_fail(attempt_result::broken, this->relay.problem());
     }
+    // Bytes of an incomplete event are no progress: a stalled engine may send one now and then.
+    if (!this->route().is_stream || is_first || this->relay.event_count() > events_before)
+        this->last_progress = now;
     if (this->exchange->unsent_bytes() > max_unsent_bytes && !this->is_paused &&
         this->current_attempt)
     {
@@ -229,11 +228,22 @@
     }
 }
 
+void proxied_call::on_stream_begun(endpoint_attempt& attempt, time_point now)
+{
+    this->last_progress = now;
+    this->first_byte = now;
+    this->count_usage(attempt);
+    this->set_timer();
+    if (this->counted_prompt)
+        this->context->chooser.record_answered_prompt(now, attempt.endpoint(),
+                                                      *this->counted_prompt);
+}
+
 void proxied_call::on_drained()
 {
     if (!std::exchange(this->is_paused, false) || !this->current_attempt)
         return;
-    this->last_byte = this->context->dependencies.time.now();
+    this->last_progress = this->context->dependencies.time.now();
     this->current_attempt->resume();
     this->set_timer();
 }
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -62,6 +62,8 @@
     /// the budget.
     bool try_acquire_retry(attempt_result result);
     bool is_idempotent() const;
+    /// Counts and records the first bytes of an engine's stream.
+    void on_stream_begun(endpoint_attempt& attempt, time_point now);
     void record_sample(endpoint_attempt const& attempt, attempt_result result);
     /// Counts the request towards the usage of its account.
     void count_usage(endpoint_attempt const& attempt);
@@ -89,7 +91,8 @@
     /// The prompt as counted at the engine of the last attempt; not set without a prompt.
     std::optional<request::sent_prompt> counted_prompt;
     bool may_have_run = false;
-    time_point last_byte{};
+    /// When the attempt was sent, or last received bytes, or in a stream a complete event.
+    time_point last_progress{};
     /// When it was last decided to continue the attempt although its endpoint is silent.
     time_point kept_despite_silence_at{};
     time_point first_byte{};
--- a/src/process/proxy/tests/endless_answer_test.cpp
+++ b/src/process/proxy/tests/endless_answer_test.cpp
@@ -247,6 +247,50 @@
     }
 }
 
+TEST_CASE("a stalled stream that sends a byte now and then continues at another endpoint")
+{
+    // Guards against a stream without a complete event that is kept until its deadline, because
+    // each byte counts as a sign of life.
+    std::string const head =
+        "HTTP/1.1 200 OK\r\nSeal: s\r\nId: $\r\nTransfer-Encoding: chunked\r\n\r\n";
+    endless_system system("stream", {"single bytes", head, "1\r\na\r\n", milliseconds(100)});
+    system.fixture.control.change(
+        [](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            for (auto& route : map.routes)
+                route.timeout = seconds(20);
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+        });
+    system.fixture.add_endpoint("stream", "good");
+    auto const answer = system.call("/stream/x");
+    CHECK(answer.ended);
+    CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    system.check_closed();
+}
+
+TEST_CASE("a slow stream of complete events is not interrupted")
+{
+    // Guards against a sound stream that is cut because its events arrive in small pieces.
+    std::string const head = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: $\r\n\r\n";
+    endless_system system("stream", {"pieces", head, "data: a\n\n", milliseconds(300)});
+    system.fixture.control.change(
+        [](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            for (auto& route : map.routes)
+                route.timeout = seconds(4);
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+        });
+    system.fixture.add_endpoint("stream", "good");
+    auto const answer = system.call("/stream/x");
+    // The stream has no end, so it is cut at its deadline, after all events until then.
+    CHECK(system.elapsed >= std::chrono::seconds(4));
+    CHECK(answer.body.size() >= 10 * std::string_view("data: a\n\n").size());
+    CHECK_FALSE(answer.ended);
+    system.check_closed();
+}
+
 TEST_CASE("a failure response does not continue a stream")
 {
     // Guards against the body of a failure response that a caller reads as events of its stream.
