--- a/src/connection/include/lagoonladder/connection/entry_record.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_record.hpp
@@ -41,8 +41,8 @@
     bool has_disk = false;
     /// Address for callers of pass-through routes; empty while the entry accepts none.
     network_address pass_through;
-    /// Demand in tokens per second by account at this entry. In large systems, which do not
-    /// divide quotas by demand, only the total, under an empty account id.
+    /// Demand in tokens per second by account at this entry. In large systems only the total,
+    /// under an empty account id.
     std::map<account_id, double> demand;
 };
 
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -6,9 +6,9 @@
 namespace
 {
 
-/// When many entries leave at once, the few that remain split quotas by the demand of the
-/// accounts, which they must already know. So demand by account is published up to this
-/// multiple of the number of entries that split quotas.
+/// The demand of the accounts, which the log lines of refused calls state, is published up to this
+/// multiple of the number of entries that split quotas, so that it is known when many entries leave
+/// at once and the few that remain split the quotas.
 constexpr std::size_t account_demand_margin = 2;
 
 std::map<service_name, std::set<version_name>>
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -51,8 +51,8 @@
 /// while there are so few entries that each one holds a portion of the quota.
 std::vector<serving_entry> quota_holders(traffic_view const& view, account_id const& account);
 
-/// Returns the maximum number of entries among which a quota is split, each entry holding a
-/// portion by the demand it sees. With more entries, the quota_holders() hold the tokens.
+/// Returns the maximum number of entries among which a quota is split in equal portions. With more
+/// entries, the quota_holders() hold the tokens.
 std::size_t max_entries_splitting_quotas();
 
 /// Notice to other entries that a prompt was sent to an engine.
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -50,8 +50,8 @@
 request::account_limit make_account_limit(version::token_quota const& quota,
                                           quota_tolerance const& tolerance)
 {
-    // The remaining fraction covers overshoot by entries whose view of each other's demand is
-    // out of date.
+    // The remaining fraction covers entries that count fewer entries than there are, and calls that
+    // wait between their admission and their endpoint.
     constexpr double used_fraction = 0.6;
     auto const tokens_in_window =
         quota.tokens_per_second * to_seconds(tolerance.window) + quota.burst;
