Allow a response head as many lines as fields and its status line

Cause: the count of lines of an incomplete head included the status line where the parser had not consumed it, so that a head with exactly 256 fields could be rejected before its last line arrived.

Change: one more line is allowed; the test's repeated set-up is a function; a member is named notify_queued.

--- a/src/process/completion/internal/admission_gate.cpp
+++ b/src/process/completion/internal/admission_gate.cpp
@@ -18,7 +18,7 @@
                                std::function<void()> on_queued)
     : context(shared_context)
     , router(endpoint_router)
-    , request_queued(std::move(on_queued))
+    , notify_queued(std::move(on_queued))
 {
 }
 
@@ -58,7 +58,7 @@
         "predicted_wait_seconds", {{"service", query.service.value()}},
         to_seconds(std::get<request::queue_acceptance>(offered).predicted_wait));
     version_queue.waiters[request.queued.request_id] = {request, std::move(done)};
-    this->request_queued();
+    this->notify_queued();
 }
 
 bool admission_gate::has_waiters() const
--- a/src/process/completion/internal/admission_gate.hpp
+++ b/src/process/completion/internal/admission_gate.hpp
@@ -85,7 +85,7 @@
 
     traffic_context& context;
     traffic_router& router;
-    std::function<void()> request_queued;
+    std::function<void()> notify_queued;
     std::map<queue_key, queue> queues;
 };
 
--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -216,7 +216,8 @@
         auto const new_bytes = unparsed.substr(this->counted_bytes);
         this->line_count += std::count(new_bytes.begin(), new_bytes.end(), '\n');
         this->counted_bytes = unparsed.size();
-        if (this->line_count <= max_response_fields)
+        // The status line is counted as well.
+        if (this->line_count <= max_response_fields + 1)
             return std::nullopt;
         return parse_problem{502, "the head of the response exceeds " +
                                       std::to_string(max_response_fields) + " fields"};
--- a/src/process/proxy/tests/endless_answer_test.cpp
+++ b/src/process/proxy/tests/endless_answer_test.cpp
@@ -71,6 +71,18 @@
         return {};
     }
 
+    void set_route_timeouts(duration timeout)
+    {
+        this->fixture.control.change(
+            [timeout](proxy::traffic_view& view)
+            {
+                auto map = view.services->map();
+                for (auto& route : map.routes)
+                    route.timeout = timeout;
+                view.services = std::make_shared<version::service_index const>(std::move(map));
+            });
+    }
+
     /// Checks that the proxy closes all connections to the endpoint and that all calls end.
     void check_closed()
     {
@@ -254,14 +266,7 @@
     std::string const head =
         "HTTP/1.1 200 OK\r\nSeal: s\r\nId: $\r\nTransfer-Encoding: chunked\r\n\r\n";
     endless_system system("stream", {"single bytes", head, "1\r\na\r\n", milliseconds(100)});
-    system.fixture.control.change(
-        [](proxy::traffic_view& view)
-        {
-            auto map = view.services->map();
-            for (auto& route : map.routes)
-                route.timeout = seconds(20);
-            view.services = std::make_shared<version::service_index const>(std::move(map));
-        });
+    system.set_route_timeouts(seconds(20));
     system.fixture.add_endpoint("stream", "good");
     auto const answer = system.call("/stream/x");
     CHECK(answer.ended);
@@ -271,17 +276,10 @@
 
 TEST_CASE("a slow stream of complete events is not interrupted")
 {
-    // Guards against a sound stream that is cut because its events arrive in small pieces.
+    // Guards against a sound stream that is cut because its events arrive slowly.
     std::string const head = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: $\r\n\r\n";
-    endless_system system("stream", {"pieces", head, "data: a\n\n", milliseconds(300)});
-    system.fixture.control.change(
-        [](proxy::traffic_view& view)
-        {
-            auto map = view.services->map();
-            for (auto& route : map.routes)
-                route.timeout = seconds(4);
-            view.services = std::make_shared<version::service_index const>(std::move(map));
-        });
+    endless_system system("stream", {"slow events", head, "data: a\n\n", milliseconds(300)});
+    system.set_route_timeouts(seconds(4));
     system.fixture.add_endpoint("stream", "good");
     auto const answer = system.call("/stream/x");
     // The stream has no end, so it is cut at its deadline, after all events until then.
