--- a/src/process/control/include/lagoonladder/control/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -60,8 +60,8 @@
     std::uint64_t term = 0;
     std::string leader;
     std::shared_ptr<version::shared_state const> shared;
-    /// A configuration newer than the one in `shared` is in force but not available here yet, or may
-    /// be in force, since no voter has confirmed the state for a while.
+    /// A configuration newer than the one in `shared` is in force but not available here, or may be
+    /// in force, since no voter has confirmed the state for a while.
     bool is_configuration_outdated = false;
     /// Endpoints with a valid lease, including leaving ones.
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
