Stop the leader in the upload test only after its replies have arrived

Cause: the test counted a part when the leader had stored it, and stopped the leader at once. The replies to up to four parts in flight could be lost with the leader; their outcome is then unknown to the sender, which sends them again, as it must.

Change: the test waits until the leader has refused as many further parts as it has stored, which the sender sends only after the replies. The checks are unchanged: no part that was acknowledged is stored twice.

--- a/src/process/control/tests/content_upload_test.cpp
+++ b/src/process/control/tests/content_upload_test.cpp
@@ -45,6 +45,9 @@
                                       ++*handler_calls;
                                   });
     REQUIRE(eventually([&] { return total_calls(stored_parts(system)) == parts_before_loss; }));
+    // A part whose reply is lost with the leader is sent again, since its outcome is unknown. Each
+    // reply lets the upload send a further part, so as many refused parts show that all arrived.
+    REQUIRE(eventually([&] { return system.calls(leader).refused().size() == parts_before_loss; }));
     auto parts = stored_parts(system);
     system.stop(leader);
     REQUIRE(eventually([&] { return *handler_calls > 0; }));
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -82,7 +82,10 @@
             return status;
         }
         if (--this->remaining_uploads < 0)
+        {
+            this->count(this->refused_parts, store_command->part.offset);
             return {grpc::StatusCode::UNAVAILABLE, "stopped by the test"};
+        }
         auto const status = control_service::Propose(context, request, reply);
         if (reply->status() == protocol::ProposeReply::COMMITTED)
             this->count(this->stored_parts, store_command->part.offset);
@@ -111,6 +114,7 @@
     }
 
     part_calls stored() const { return this->copy(this->stored_parts); }
+    part_calls refused() const { return this->copy(this->refused_parts); }
     part_calls fetched() const { return this->copy(this->fetched_parts); }
 
     std::atomic<int> reports = 0;
@@ -135,6 +139,7 @@
 
     mutable std::mutex mutex;
     part_calls stored_parts;
+    part_calls refused_parts;
     part_calls fetched_parts;
 };
 
