Let a voter confirm its state only when it has what its leader had committed

Callers saw: 404 for a route 2.6 s after its configuration was acknowledged, at two entries that the alerts do not name.

Cause (suspected for the users' record, shown by tests): ReadState confirmed the state of a voter that had heard its leader within an election timeout, however far its log lagged. An entry without a log that polls such a voter counts its configuration as current and answers 404 or 401 in place of 503. The commit index of a new leader confirmed as well, although it may lack entries that the previous leader committed until the first entry of the new term is committed. Class of fault: contact with a source is taken for knowledge of its content.

A voter keeps the first index that it lacks and counts its state as recent from the time it received it, once it has reached it and the entry there is of the leader's term. ReadState and the voter's own traffic use this. Elections, joins and the leader's lease are unchanged.

Ruled out: an entry that knows of no contact. Not covered: a message that was delayed on its way or in a stopped process counts from its arrival.

Result: "a voter that lags behind the leader's commit index does not confirm its state", "a voter confirms no state before the leader has committed an entry of its term" and "a voter that catches up confirms only what the leader had committed recently" failed with the former criterion (18 checks) and pass now; consensus_test and control_test pass.

--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -133,6 +133,11 @@
     /// timeout. On others: whether a message of the leader arrived within it.
     bool has_recent_quorum(time_point now) const;
 
+    /// Whether commit_index() covers everything that had been committed at some time within the
+    /// last election timeout. False on a follower that hears its leader but lags behind it, and
+    /// until the leader has committed an entry of its term.
+    bool has_recent_commit(time_point now) const;
+
     /// True only on the leader, while no other leader can have been elected, provided that the
     /// rates of all clocks are within 1% of true time.
     bool has_valid_lease(time_point now) const;
--- a/src/process/consensus/internal/follower.cpp
+++ b/src/process/consensus/internal/follower.cpp
@@ -11,6 +11,29 @@
     this->become_follower(from_leader.term, from_leader.from);
     this->last_leader_contact = this->now;
     this->reset_election_timer();
+    this->record_leader_commit(from_leader);
+}
+
+/// Only the first commit index that this follower lacks is kept: when it is reached, everything
+/// that had been committed when it was received is known.
+void node_core::record_leader_commit(message const& from_leader)
+{
+    bool const is_other_leader =
+        this->awaited_commit && this->awaited_commit->term != from_leader.term;
+    if (!this->awaited_commit || is_other_leader)
+        this->awaited_commit = {from_leader.commit, from_leader.term, this->now};
+}
+
+void node_core::confirm_commit()
+{
+    if (!this->awaited_commit || this->current_hard_state.commit < this->awaited_commit->index)
+        return;
+    // Until the leader has committed an entry of its term, its commit index may lack entries that
+    // an earlier leader committed.
+    auto const commit_term = this->log.term_at(this->current_hard_state.commit);
+    if (commit_term == this->awaited_commit->term)
+        this->commit_confirmed_at = this->awaited_commit->received;
+    this->awaited_commit.reset();
 }
 
 void node_core::on_append_request(message const& request)
@@ -63,6 +86,7 @@
         std::max(after(request.index, request.entries.size()), this->current_hard_state.commit);
     if (request.commit > this->current_hard_state.commit)
         this->advance_commit(std::min(request.commit, match_index));
+    this->confirm_commit();
     auto reply = this->make_message(message_type::append_reply, request.from);
     reply.round = request.round;
     reply.index = match_index;
@@ -82,6 +106,7 @@
         this->install_snapshot(this->assembly.take());
         is_complete = true;
     }
+    this->confirm_commit();
     auto const type = is_complete ? message_type::append_reply : message_type::snapshot_reply;
     auto reply = this->make_message(type, chunk.from);
     reply.round = chunk.round;
--- a/src/process/consensus/internal/leadership.cpp
+++ b/src/process/consensus/internal/leadership.cpp
@@ -70,6 +70,15 @@
     return time < last_contact + this->options.election_timeout;
 }
 
+bool node_core::has_recent_commit(time_point time) const
+{
+    if (!this->has_recent_quorum(time))
+        return false;
+    if (this->role == role::leader)
+        return this->is_term_committed();
+    return time < this->commit_confirmed_at + this->options.election_timeout;
+}
+
 bool node_core::has_valid_lease(time_point time) const
 {
     if (this->role != role::leader)
--- a/src/process/consensus/internal/node.cpp
+++ b/src/process/consensus/internal/node.cpp
@@ -79,6 +79,11 @@
     return this->core->has_recent_quorum(now);
 }
 
+bool node::has_recent_commit(time_point now) const
+{
+    return this->core->has_recent_commit(now);
+}
+
 bool node::has_valid_lease(time_point now) const
 {
     return this->core->has_valid_lease(now);
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -12,6 +12,14 @@
 namespace lagoonladder::consensus
 {
 
+/// Commit index that a leader stated.
+struct leader_commit
+{
+    log_index index;
+    term_number term;
+    time_point received{};
+};
+
 /// Implementation of node. The functions are grouped by source file.
 class node_core
 {
@@ -33,6 +41,7 @@
 
     // leadership.cpp
     bool has_recent_quorum(time_point time) const;
+    bool has_recent_commit(time_point time) const;
     bool has_valid_lease(time_point time) const;
     std::vector<follower_status> follower_list(time_point time) const;
 
@@ -96,6 +105,8 @@
 
     // follower.cpp: follower side.
     void accept_leader(message const& from_leader);
+    void record_leader_commit(message const& from_leader);
+    void confirm_commit();
     void on_append_request(message const& request);
     void reject_append(message const& request);
     void accept_entries(message const& request);
@@ -128,6 +139,10 @@
 
     time_point election_deadline{};
     time_point last_leader_contact;
+    /// Commit index of the leader that this follower has to reach, and when it was received.
+    std::optional<leader_commit> awaited_commit;
+    /// When a commit index of the leader was received that this follower has reached since.
+    time_point commit_confirmed_at{};
     /// Votes of the current prevote or election by voter, with this node's own; true when granted.
     std::map<voter_id, bool> votes;
     snapshot_assembly assembly;
--- a/src/process/consensus/internal/replication.cpp
+++ b/src/process/consensus/internal/replication.cpp
@@ -117,6 +117,7 @@
     auto chunk = this->make_message(message_type::snapshot_chunk, id);
     chunk.index = pending.index;
     chunk.log_term = pending.term;
+    chunk.commit = this->current_hard_state.commit;
     chunk.round = round;
     chunk.part = snapshot_part{
         pending.membership, follower.transferred_bytes, pending.data.size(),
@@ -131,6 +132,7 @@
 void node_core::send_empty_heartbeat(voter_id const& id, std::uint64_t round)
 {
     auto request = this->make_message(message_type::append_request, id);
+    request.commit = this->current_hard_state.commit;
     request.round = round;
     this->outbox.push_back(std::move(request));
 }
--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <deque>
+
 #include "scripted_node.hpp"
 
 using namespace lagoonladder;
@@ -205,6 +207,87 @@
     CHECK(cluster.leader()->node->term().value() == term);
 }
 
+TEST_CASE("a voter that lags behind the leader's commit index does not confirm its state")
+{
+    // Guards against an entry that answers 404 for an added route, because a voter that hears its
+    // leader but has not applied the change confirmed the older configuration.
+    scripted_node node;
+    auto heartbeat = node.message_from("b", message_type::append_request, 2);
+    heartbeat.index = heartbeat.commit = log_index(1);
+    heartbeat.log_term = term_number(1);
+    heartbeat.entries = {entry(2, 2)};
+    heartbeat.commit = log_index(2);
+    node.receive(heartbeat);
+    REQUIRE(node.tested_node->commit_index() == log_index(2));
+    CHECK(node.tested_node->has_recent_commit(node.now));
+
+    // The leader sends a snapshot, and heartbeats without a preceding entry meanwhile.
+    heartbeat.index = log_index(0);
+    heartbeat.log_term = term_number(0);
+    heartbeat.entries.clear();
+    heartbeat.commit = log_index(900);
+    for (int i = 0; i < 4; ++i)
+    {
+        node.now += milliseconds(400);
+        node.receive(heartbeat);
+        REQUIRE(node.tested_node->has_recent_quorum(node.now));
+    }
+    CHECK_FALSE(node.tested_node->has_recent_commit(node.now));
+}
+
+TEST_CASE("a voter confirms no state before the leader has committed an entry of its term")
+{
+    // Guards against a confirmation by the commit index of a new leader, which may lack entries
+    // that the previous leader committed and acknowledged.
+    scripted_node node;
+    auto heartbeat = node.message_from("b", message_type::append_request, 2);
+    heartbeat.index = heartbeat.commit = log_index(1);
+    heartbeat.log_term = term_number(1);
+    node.receive(heartbeat);
+    REQUIRE(node.tested_node->has_recent_quorum(node.now));
+    CHECK_FALSE(node.tested_node->has_recent_commit(node.now));
+    heartbeat.entries = {entry(2, 2)};
+    heartbeat.commit = log_index(2);
+    node.receive(heartbeat);
+    CHECK(node.tested_node->has_recent_commit(node.now));
+}
+
+TEST_CASE("a voter that catches up confirms only what the leader had committed recently")
+{
+    // Guards against a confirmation during a long catch-up, and against one that never returns.
+    simulated_cluster cluster(17, 3);
+    wait_for_leader(cluster);
+    auto& lagging_vm = follower_of(cluster);
+    std::deque<std::pair<time_point, log_index>> commits;
+    bool is_behind = false;
+    auto const run_with_writes = [&](duration length)
+    {
+        for (auto const end = cluster.now + length; cluster.now < end;)
+        {
+            cluster.write();
+            cluster.step();
+            if (auto const* leader = cluster.leader())
+                commits.emplace_back(cluster.now, leader->node->commit_index());
+            // The clocks differ by 2% at most, and a message takes 10 ms at most.
+            auto const limit =
+                cluster.now - cluster.options.election_timeout * 102 / 100 - milliseconds(20);
+            while (commits.size() > 1 && commits[1].first <= limit)
+                commits.pop_front();
+            auto const& node = *lagging_vm.node;
+            auto const now = cluster.local_time(lagging_vm);
+            bool const lags = node.commit_index() < commits.front().second;
+            is_behind = is_behind || (lags && node.has_recent_quorum(now));
+            CHECK_FALSE((lags && node.has_recent_commit(now)));
+        }
+    };
+    cluster.isolate(lagging_vm.name, true, true);
+    run_with_writes(seconds(5));
+    cluster.network.cut_links.clear();
+    run_with_writes(seconds(5));
+    CHECK(is_behind);
+    CHECK(lagging_vm.node->has_recent_commit(cluster.local_time(lagging_vm)));
+}
+
 TEST_CASE("an isolated leader steps down within an election timeout")
 {
     // Guards against an isolated leader that continues to issue orders (check-quorum).
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -79,6 +79,11 @@
     {
         return this->usable && this->node.has_recent_quorum(this->time.now());
     }
+    /// Whether the state reflects everything that had been committed a short time ago.
+    bool has_recent_state() const
+    {
+        return this->usable && this->node.has_recent_commit(this->time.now());
+    }
     std::uint64_t term() const { return this->node.term().value(); }
     /// Control address of the leader; empty when unknown.
     network_address leader_address() const;
--- a/src/process/control/internal/control_services.cpp
+++ b/src/process/control/internal/control_services.cpp
@@ -27,7 +27,7 @@
     std::shared_ptr<version::shared_state const> shared;
     network_address leader;
     std::uint64_t term = 0;
-    bool quorum_recent = false;
+    bool is_recent = false;
 };
 
 /// Runs `action` on the control thread and waits for its result. `action` receives a callback
@@ -175,13 +175,13 @@
                                           {
                                               auto const& node = *this->control.node();
                                               done({node.state().shared(), node.leader_address(),
-                                                    node.term(), node.has_recent_quorum()});
+                                                    node.term(), node.has_recent_state()});
                                           });
     if (!state)
         return control_thread_timeout();
     reply->set_leader(state->leader.value());
     reply->set_term(state->term);
-    reply->set_quorum_recent(state->quorum_recent);
+    reply->set_quorum_recent(state->is_recent);
     // A restarted voter must not serve a state older than what it served before the restart.
     reply->set_available(request->through_quorum() || this->control.view()->ready);
     reply->set_applied_index(state->shared->applied_index);
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -72,7 +72,7 @@
 bool state_follower::has_unconfirmed_state() const
 {
     if (this->node && this->node->is_usable())
-        return !this->node->has_recent_quorum();
+        return !this->node->has_recent_state();
     return this->time.now() >= this->last_quorum_contact + max_configuration_age;
 }
 
