Log status, events and prompt parts of an attempt that failed

Cause: the line of a failed attempt named the reason and the endpoint, but neither whether an answer had begun nor the parts of the prompt, so that a crash on a part could not be told from a crash by a reclaim.

Change: call.attempt_failed has answer_status, the number of complete events and the hashes of at most 16 parts.

--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -1,5 +1,8 @@
 #include "call_report.hpp"
 
+#include <algorithm>
+#include <sstream>
+
 namespace lagoonladder::proxy
 {
 
@@ -11,6 +14,19 @@
     return std::to_string(elapsed / milliseconds(1));
 }
 
+/// Limits the length of a log line, since callers choose the number of parts.
+constexpr std::size_t max_logged_parts = 16;
+
+/// Returns the hashes of the prompt's parts, in hexadecimal.
+std::string describe_parts(request::prompt_parts const& prompt)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i < std::min(prompt.size(), max_logged_parts); ++i)
+        text << (i > 0 ? "," : "") << prompt[i].hash;
+    return text.str();
+}
+
 /// Returns the version under which the endpoint's outcomes count in the comparison of a move.
 version_name compared_version(traffic_view const& view, service_name const& service,
                               connection::endpoint_record const& endpoint)
@@ -25,8 +41,7 @@
 } // namespace
 
 void report_failed_attempt(proxy_context& context, incoming_call const& call,
-                           endpoint_attempt const& attempt, attempt_result result,
-                           std::string const& reason)
+                           endpoint_attempt const& attempt, attempt_failure const& failure)
 {
     auto const& endpoint = attempt.endpoint();
     context.dependencies.events.emit(
@@ -34,8 +49,11 @@
         {{"id", call.id.value()},
          {"endpoint", endpoint.id.value()},
          {"address", endpoint.address.value()},
-         {"result", to_string(result)},
-         {"reason", reason},
+         {"result", to_string(failure.result)},
+         {"reason", failure.reason},
+         {"answer_status", std::to_string(attempt.status())},
+         {"events", std::to_string(failure.events)},
+         {"parts", describe_parts(call.prompt)},
          {"elapsed_ms", milliseconds_text(context.dependencies.time.now() - attempt.started())},
          {"row_sequence", std::to_string(endpoint.sequence)}});
 }
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -28,10 +28,18 @@
     time_point first_byte{};
 };
 
+/// How an attempt that did not complete its call ended.
+struct attempt_failure
+{
+    attempt_result result = attempt_result::broken;
+    std::string reason;
+    /// Complete events of a stream that were received in all attempts.
+    std::size_t events = 0;
+};
+
 /// Logs an attempt that did not complete the call.
 void report_failed_attempt(proxy_context& context, incoming_call const& call,
-                           endpoint_attempt const& attempt, attempt_result result,
-                           std::string const& reason);
+                           endpoint_attempt const& attempt, attempt_failure const& failure);
 
 /// Logs an attempt whose endpoint sent nothing for `silence`. `is_repeated` says whether the call
 /// is repeated at another endpoint, `has_other_endpoint` whether another one may be used.
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -304,7 +304,8 @@
     this->context->chooser.record_end(now, this->admitted.service, endpoint.id, outcome);
     this->record_sample(*attempt, result);
     if (result != attempt_result::complete)
-        report_failed_attempt(*this->context, this->call, *attempt, result, reason);
+        report_failed_attempt(*this->context, this->call, *attempt,
+                              {result, reason, this->relay.event_count()});
     if (result == attempt_result::silent || result == attempt_result::broken)
         attempt->cancel();
     if (!this->relay.is_committed() || result != attempt_result::complete)
