Quarantine parts of prompts that crash each engine that answers them

Cause: nothing counted failures by the parts of a prompt. Each attempt that ended with its engine was repeated at another one, and each entry saw a few of the crashes only. Class of fault: a request that is bad wherever it runs is taken for a bad endpoint (query of death).

Change: request::prompt_quarantine decides by evidence that all entries share. A part is quarantined after three crashes one after another at two engines or more, seen by two entries (five if one entry saw them), when no prompt with it was answered without harm within 30 s. Crashes that overlap in time count once, so that a reclaimed zone raises no suspicion. Of several suspected parts of the same prompts the last one is quarantined. Merging is commutative and idempotent; times travel as ages, and the earliest of several reports counts. A crash is sent to all entries at once, and evidence to two entries every 500 ms, as datagrams beside the prompt notices (prompt_notice_exchange is now notice_exchange). After two crashes a call is not repeated; a quarantined one gets 400 at once and takes no quota. 30 s after the last crash one entry, by rendezvous hash, may try the part with one call; after 5 minutes it is forgotten. Tables are bounded.

Tried and dropped: quarantining all suspected parts.

Ruled out: a bad version (it fails on all parts, which are answered elsewhere). Known limit: a caller who can crash engines may have a part refused that no other caller had answered within 30 s, until it is tried again.

"calls whose prompt crashes engines are refused after a few crashes" and the cases of prompt_quarantine_test guard it; before, no call was ever refused.

--- a/src/process/daemon/internal/prompt_notice_exchange.cpp
+++ b/src/process/daemon/internal/notice_exchange.cpp
@@ -1,6 +1,6 @@
-#include "prompt_notice_exchange.hpp"
+#include "notice_exchange.hpp"
 
-#include <nlohmann/json.hpp>
+#include "notice_codec.hpp"
 
 namespace lagoonladder::daemon
 {
@@ -26,47 +26,21 @@
     return asio::ip::udp::endpoint(host, static_cast<std::uint16_t>(*port));
 }
 
-std::string encode(std::string const& token, proxy::prompt_notice const& notice)
-{
-    auto parts = nlohmann::json::array();
-    for (auto const& part : notice.prompt)
-        parts.push_back({part.hash, part.tokens});
-    std::string bytes;
-    nlohmann::json::to_msgpack(
-        nlohmann::json::array({token, notice.engine.value(), notice.incarnation.value(), parts}),
-        bytes);
-    return bytes;
-}
-
-/// Returns no value when the cluster token differs. Throws nlohmann::json::exception on malformed
-/// bytes.
-std::optional<proxy::prompt_notice> decode(std::string const& token, std::string_view bytes)
-{
-    auto const fields = nlohmann::json::from_msgpack(bytes);
-    if (fields.at(0).get<std::string>() != token)
-        return std::nullopt;
-    proxy::prompt_notice notice;
-    notice.engine = endpoint_id(fields.at(1).get<std::string>());
-    notice.incarnation = incarnation(fields.at(2).get<std::uint64_t>());
-    for (auto const& part : fields.at(3))
-        notice.prompt.push_back({part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>()});
-    return notice;
-}
-
 } // namespace
 
-prompt_notice_exchange::prompt_notice_exchange(asio::io_context& context, std::string token,
-                                               handler on_received, event_sink& log,
-                                               observability::metrics& metrics)
+notice_exchange::notice_exchange(asio::io_context& context, std::string token,
+                                 notice_receiver& notices, clock const& time_source,
+                                 event_sink& log, observability::metrics& metrics)
     : socket(context)
     , cluster_token(std::move(token))
-    , on_notice(std::move(on_received))
+    , receiver(notices)
+    , time(time_source)
     , events(log)
     , counters(metrics)
 {
 }
 
-void prompt_notice_exchange::start(network_address const& address)
+void notice_exchange::start(network_address const& address)
 {
     asio::error_code problem = asio::error::invalid_argument;
     auto const local = parse_udp_endpoint(address);
@@ -83,25 +57,38 @@
     this->stop();
 }
 
-void prompt_notice_exchange::stop()
+void notice_exchange::stop()
 {
     asio::error_code ignored;
     this->socket.close(ignored);
 }
 
-void prompt_notice_exchange::send(std::vector<network_address> const& receivers,
-                                  proxy::prompt_notice const& notice)
+void notice_exchange::send(std::vector<network_address> const& receivers,
+                           proxy::prompt_notice const& notice)
+{
+    this->send_datagram(receivers, encode_notice(this->cluster_token, notice));
+}
+
+void notice_exchange::send(std::vector<network_address> const& receivers,
+                           std::vector<request::part_evidence> const& evidence)
+{
+    for (auto const& bytes :
+         encode_notices(this->cluster_token, this->time.now(), evidence, max_datagram_bytes))
+        this->send_datagram(receivers, bytes);
+}
+
+void notice_exchange::send_datagram(std::vector<network_address> const& receivers,
+                                    std::string const& bytes)
 {
     if (!this->socket.is_open())
         return;
-    auto const bytes = encode(this->cluster_token, notice);
     if (bytes.size() > max_datagram_bytes)
         return this->counters.add("prompt_news_total", {{"outcome", "too_long"}});
     std::size_t sent = 0;
     std::size_t not_sent = 0;
-    for (auto const& receiver : receivers)
+    for (auto const& address : receivers)
     {
-        auto const& remote = this->cached_endpoint(receiver);
+        auto const& remote = this->cached_endpoint(address);
         if (!remote)
             continue;
         asio::error_code problem;
@@ -113,24 +100,24 @@
 }
 
 std::optional<asio::ip::udp::endpoint> const&
-prompt_notice_exchange::cached_endpoint(network_address const& receiver)
+notice_exchange::cached_endpoint(network_address const& address)
 {
-    auto const cached = this->cached_endpoints.find(receiver);
+    auto const cached = this->cached_endpoints.find(address);
     if (cached != this->cached_endpoints.end())
         return cached->second;
     if (this->cached_endpoints.size() >= max_cached_endpoints)
         this->cached_endpoints.clear();
-    return this->cached_endpoints.emplace(receiver, parse_udp_endpoint(receiver)).first->second;
+    return this->cached_endpoints.emplace(address, parse_udp_endpoint(address)).first->second;
 }
 
-void prompt_notice_exchange::count(char const* outcome, std::size_t datagrams)
+void notice_exchange::count(char const* outcome, std::size_t datagrams)
 {
     if (datagrams > 0)
         this->counters.add("prompt_news_total", {{"outcome", outcome}},
                            static_cast<double>(datagrams));
 }
 
-void prompt_notice_exchange::receive()
+void notice_exchange::receive()
 {
     this->socket.async_receive_from(
         asio::buffer(this->receive_buffer), this->sender,
@@ -146,18 +133,20 @@
         });
 }
 
-void prompt_notice_exchange::process_datagram(std::string_view datagram)
+void notice_exchange::process_datagram(std::string_view datagram)
 {
     char const* outcome = "received";
     try
     {
-        auto const notice = decode(this->cluster_token, datagram);
-        if (notice)
-            this->on_notice(*notice);
+        auto const notice = decode_notice(this->cluster_token, this->time.now(), datagram);
+        if (auto const* prompt = std::get_if<proxy::prompt_notice>(&notice))
+            this->receiver.on_prompt_notice(*prompt);
+        else if (auto const* evidence = std::get_if<evidence_list>(&notice))
+            this->receiver.on_crash_evidence(*evidence);
         else
             outcome = "wrong_token";
     }
-    catch (nlohmann::json::exception const&)
+    catch (parse_error const&)
     {
         outcome = "unreadable";
     }
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -74,10 +74,7 @@
     , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed,
              time.now()},
             make_proxy_options(config.pass_through))
-    , prompts(
-          *this->context, config.cluster_token,
-          [this](proxy::prompt_notice const& notice) { this->proxy.on_prompt_notice(notice); },
-          sink, metrics)
+    , notices(*this->context, config.cluster_token, *this, time, sink, metrics)
     , borrower(this->context, channels, time, seed,
                [this](account_id const& account, double tokens)
                { this->proxy.deposit_tokens(account, tokens); })
@@ -126,7 +123,7 @@
     this->readiness_server.start();
     if (!this->options.pass_through.metrics.value().empty())
         this->metrics_server.start();
-    this->prompts.start(this->options.control);
+    this->notices.start(this->options.control);
     this->run_periodic_work();
     if (!this->options.pass_through.platform_api.value().empty())
         this->control.set_platform_duties(this);
@@ -242,6 +239,28 @@
 }
 
 void pass_through_plane::broadcast_prompt(proxy::prompt_notice const& notice)
+{
+    this->notices.send(this->draw_entries(request::max_notice_receivers), notice);
+}
+
+void pass_through_plane::send_crash_evidence(std::vector<request::part_evidence> const& evidence,
+                                             std::optional<std::size_t> receivers)
+{
+    this->notices.send(receivers ? this->draw_entries(*receivers) : this->other_entries(),
+                       evidence);
+}
+
+void pass_through_plane::on_prompt_notice(proxy::prompt_notice const& notice)
+{
+    this->proxy.on_prompt_notice(notice);
+}
+
+void pass_through_plane::on_crash_evidence(std::vector<request::part_evidence> const& evidence)
+{
+    this->proxy.on_crash_evidence(evidence);
+}
+
+std::vector<network_address> pass_through_plane::draw_entries(std::size_t count)
 {
     auto const cluster_view = this->control.view();
     std::vector<network_address const*> candidates;
@@ -251,13 +270,13 @@
             candidates.push_back(&entry.control);
     }
     std::vector<network_address> receivers;
-    while (!candidates.empty() && receivers.size() < request::max_notice_receivers)
+    while (!candidates.empty() && receivers.size() < count)
     {
         std::swap(candidates[this->random.below(candidates.size())], candidates.back());
         receivers.push_back(*candidates.back());
         candidates.pop_back();
     }
-    this->prompts.send(receivers, notice);
+    return receivers;
 }
 
 std::vector<network_address> pass_through_plane::other_entries() const
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -8,7 +8,7 @@
 
 #include <lagoonladder/control.hpp>
 
-#include "prompt_notice_exchange.hpp"
+#include "notice_exchange.hpp"
 #include "token_borrower.hpp"
 
 namespace lagoonladder::daemon
@@ -32,7 +32,8 @@
 /// Runs the traffic thread of pass-through calls, with its event loop, HTTP servers and clients.
 class pass_through_plane : public proxy::traffic_control,
                            public proxy::operations,
-                           public proxy::platform_duties
+                           public proxy::platform_duties,
+                           public notice_receiver
 {
 public:
     pass_through_plane(config::settings const& config, control::control_loop& loop,
@@ -66,6 +67,12 @@
                        duration time_left,
                        std::function<void(request::lending_outcome const&)> done) override;
     void broadcast_prompt(proxy::prompt_notice const& notice) override;
+    void send_crash_evidence(std::vector<request::part_evidence> const& evidence,
+                             std::optional<std::size_t> receivers) override;
+
+    // notice_receiver
+    void on_prompt_notice(proxy::prompt_notice const& notice) override;
+    void on_crash_evidence(std::vector<request::part_evidence> const& evidence) override;
 
     /// Lends tokens of the account's quota to another entry. Safe to call from any thread. `done`
     /// runs on the traffic thread.
@@ -108,6 +115,8 @@
     http::connection_limits limits() const;
     /// Returns the control addresses of the other entries that accept pass-through calls.
     std::vector<network_address> other_entries() const;
+    /// Returns at most `count` of other_entries(), drawn at random.
+    std::vector<network_address> draw_entries(std::size_t count);
     /// Returns a function that calls `done` on the control thread.
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
 
@@ -121,7 +130,7 @@
     http::client duty_http_client;
     platform::call_translation translation;
     proxy::call_proxy proxy;
-    prompt_notice_exchange prompts;
+    notice_exchange notices;
     token_borrower borrower;
     /// The view that `borrower` was last prepared for.
     std::shared_ptr<proxy::traffic_view const> prepared_view;
--- a/src/process/daemon/internal/pass_through_stop.cpp
+++ b/src/process/daemon/internal/pass_through_stop.cpp
@@ -58,7 +58,7 @@
                    this->caller_server.stop();
                    for (auto* server : this->control_servers())
                        server->stop();
-                   this->prompts.stop();
+                   this->notices.stop();
                    this->client.stop();
                    this->duty_http_client.stop();
                    this->context->stop();
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -63,7 +63,7 @@
     void end_calls();
 
     /// To be called several times a second: publishes the demand of the accounts, also while there
-    /// are no calls.
+    /// are no calls, and exchanges evidence with other entries.
     void tick();
 
     /// Lends tokens of the account's quota to another entry.
@@ -74,6 +74,8 @@
 
     /// Records a prompt that another entry has sent to an engine.
     void on_prompt_notice(prompt_notice const& notice);
+    /// Adds evidence of another entry on parts of prompts that crash engines.
+    void on_crash_evidence(std::vector<request::part_evidence> const& evidence);
 
     /// Number of calls without a complete response.
     std::size_t open_calls() const;
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -85,6 +86,10 @@
     /// Notifies the other entries of a prompt, so that they count it at the engine. The notice may
     /// be lost.
     virtual void broadcast_prompt(prompt_notice const& notice) = 0;
+    /// Sends evidence on parts of prompts that crash engines to `receivers` other entries, drawn at
+    /// random, or to all of them. It may be lost.
+    virtual void send_crash_evidence(std::vector<request::part_evidence> const& evidence,
+                                     std::optional<std::size_t> receivers) = 0;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -115,6 +115,8 @@
         return "unknown_route";
     case refusal::unknown_key:
         return "unknown_key";
+    case refusal::quarantined_prompt:
+        return "quarantined_prompt";
     case refusal::over_quota:
         return "over_quota";
     case refusal::no_endpoint:
@@ -131,6 +133,14 @@
     return "unknown";
 }
 
+char const* describe(refusal reason)
+{
+    if (reason == refusal::quarantined_prompt)
+        return "a part of the prompt has crashed the engines that answered it; repeating the call "
+               "does not help";
+    return to_string(reason);
+}
+
 unsigned status_of(refusal reason)
 {
     switch (reason)
@@ -138,6 +148,8 @@
     case refusal::none:
         return 200;
     case refusal::malformed:
+    // A repeated call has the same outcome, which a caller does not expect after a 503.
+    case refusal::quarantined_prompt:
         return 400;
     case refusal::unknown_key:
         return 401;
@@ -159,8 +171,8 @@
 }
 
 call_admission admit(time_point now, time_point arrived, traffic_view const& view,
-                     incoming_call const& call, request::account_quota& quotas,
-                     quota_tolerance const& tolerance)
+                     incoming_call const& call, crash_tracker& crashes,
+                     request::account_quota& quotas, quota_tolerance const& tolerance)
 {
     call_admission result;
     result.retry_after = configuration_wait;
@@ -188,6 +200,9 @@
     result.reason = refusal::too_late;
     if (result.deadline <= now)
         return result;
+    result.reason = refusal::quarantined_prompt;
+    if (crashes.is_refused(now, view, call))
+        return result;
     take_quota_tokens(now, view, call, quotas, tolerance, result);
     result.service = choose_service(*result.route, call.id);
     return result;
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -7,6 +7,8 @@
 #include <lagoonladder/proxy/call_proxy.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
 
+#include "crash_tracker.hpp"
+
 namespace lagoonladder::proxy
 {
 
@@ -18,6 +20,8 @@
     no_configuration,
     unknown_route,
     unknown_key,
+    /// A part of the prompt has crashed engines that answered it.
+    quarantined_prompt,
     over_quota,
     no_endpoint,
     overloaded,
@@ -30,6 +34,8 @@
 };
 
 char const* to_string(refusal reason);
+/// Returns the text for the caller.
+char const* describe(refusal reason);
 
 /// Returns the HTTP status of the refusal. 429 and 503 state that the call was not executed.
 unsigned status_of(refusal reason);
@@ -72,8 +78,8 @@
 /// Decides whether a call is admitted and which service gets it. The tokens of an admitted call are
 /// taken from this entry's portion of its account's quota.
 call_admission admit(time_point now, time_point arrived, traffic_view const& view,
-                     incoming_call const& call, request::account_quota& quotas,
-                     quota_tolerance const& tolerance);
+                     incoming_call const& call, crash_tracker& crashes,
+                     request::account_quota& quotas, quota_tolerance const& tolerance);
 
 /// Decides again on a call that its quota refused, with `lent_tokens` from other entries. Tokens
 /// that come after the call's deadline are added to this entry's portion of the quota.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -62,7 +62,7 @@
                                      describe_refusal(call, admission, status));
     context.dependencies.metrics.add("refused_calls_total",
                                      {{"reason", to_string(admission.reason)}});
-    exchange.respond(std::move(head), to_string(admission.reason));
+    exchange.respond(std::move(head), describe(admission.reason));
 }
 
 } // namespace
@@ -72,6 +72,7 @@
     : dependencies(injected)
     , options(settings)
     , random(injected.seed)
+    , crashes(injected)
     , quotas(injected.process_start)
 {
 }
@@ -103,8 +104,8 @@
     auto const now = this->context->dependencies.time.now();
     auto const view = this->context->dependencies.control.view();
     auto call = this->context->dependencies.codec.decode(exchange->head());
-    auto admission = admit(now, exchange->arrived(), *view, call, this->context->quotas,
-                           this->context->options.quota);
+    auto admission = admit(now, exchange->arrived(), *view, call, this->context->crashes,
+                           this->context->quotas, this->context->options.quota);
     this->publish_demand(now);
     if (admission.reason == refusal::no_configuration &&
         this->wait_for_configuration(exchange, call, *view))
@@ -217,9 +218,16 @@
                                                   notice.engine, notice.incarnation, notice.prompt);
 }
 
+void call_proxy::on_crash_evidence(std::vector<request::part_evidence> const& evidence)
+{
+    this->context->crashes.merge(this->context->dependencies.time.now(), evidence);
+}
+
 void call_proxy::tick()
 {
-    this->publish_demand(this->context->dependencies.time.now());
+    auto const now = this->context->dependencies.time.now();
+    this->publish_demand(now);
+    this->context->crashes.tick(now);
 }
 
 void call_proxy::publish_demand(time_point now)
--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -171,6 +171,7 @@
     if (this->received.is_not_executed)
         return this->end(attempt_result::not_run,
                          "status " + std::to_string(this->answer_status) + ", not executed");
+    this->is_ended_by_endpoint = true;
     bool const failed = this->answer_status >= first_failure_status;
     this->end(failed ? attempt_result::failed_answer : attempt_result::complete,
               failed ? "status " + std::to_string(this->answer_status) : "");
@@ -182,6 +183,7 @@
     // The statement that the call was not executed holds even if the body is cut off.
     if (this->received.is_not_executed)
         return this->end(attempt_result::not_run, reason);
+    this->is_ended_by_endpoint = !is_unsent;
     this->end(is_unsent ? attempt_result::not_sent : attempt_result::broken, reason);
 }
 
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -65,6 +65,8 @@
     time_point started() const { return this->start_time; }
     /// Whether the endpoint may have executed the call, wholly or in part.
     bool may_have_run() const;
+    /// Whether the endpoint or its connection ended the response, and not this entry.
+    bool was_ended_by_endpoint() const { return this->is_ended_by_endpoint; }
 
     http::head_action on_head(http::response_head const& head) override;
     void on_body(std::string_view bytes) override;
@@ -90,6 +92,7 @@
     unsigned answer_status = 0;
     std::uint64_t body_bytes = 0;
     bool is_valid = false;
+    bool is_ended_by_endpoint = false;
     bool is_over = false;
 };
 
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -13,6 +13,8 @@
 
 /// No more is read from the endpoint while this many bytes wait to be sent to the caller.
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
+/// An engine that has sent this many events of a stream has begun the answer without harm.
+constexpr std::size_t min_events_without_harm = 3;
 /// After this many attempts of which no byte could be sent, the service counts as unreachable.
 constexpr std::uint32_t max_unsent_attempts = 4;
 
@@ -90,6 +92,8 @@
     auto const head = this->context->dependencies.codec.encode(this->exchange->head(), fields);
     this->last_progress = now;
     this->first_byte = {};
+    this->events_before_attempt = this->relay.event_count();
+    this->is_prompt_harmless = false;
     this->current_attempt = std::make_shared<endpoint_attempt>(
         this->weak_from_this(), this->context->dependencies.codec, endpoint, this->call.id, now);
     this->open_counter.emplace(this->context->dependencies.control, this->admitted, endpoint);
@@ -220,6 +224,7 @@
     // Bytes of an incomplete event are no progress: a stalled engine may send one now and then.
     if (!this->route().is_stream || is_first || this->relay.event_count() > events_before)
         this->last_progress = now;
+    this->record_prompt_progress(now);
     if (this->exchange->unsent_bytes() > max_unsent_bytes && !this->is_paused &&
         this->current_attempt)
     {
@@ -303,6 +308,7 @@
     }
     this->context->chooser.record_end(now, this->admitted.service, endpoint.id, outcome);
     this->record_sample(*attempt, result);
+    this->record_prompt_outcome(*attempt, result);
     if (result != attempt_result::complete)
         report_failed_attempt(*this->context, this->call, *attempt,
                               {result, reason, this->relay.event_count()});
@@ -335,15 +341,17 @@
     auto const attempts = this->sent_attempts + (has_attempt ? 1 : 0);
     if (result == attempt_result::not_sent || attempts >= this->route().max_attempts)
         return false;
+    auto const now = this->context->dependencies.time.now();
+    if (this->context->crashes.is_suspected(now, this->call))
+        return false;
     auto const view = this->context->dependencies.control.view();
     request::retry_query query;
     query.attempts = attempts;
     query.deadline = this->admitted.deadline;
     query.idempotent = this->is_idempotent();
     query.dispatched = this->may_have_run || (has_attempt && this->current_attempt->may_have_run());
-    auto const decision =
-        this->context->budget(this->admitted.service, view->entries)
-            .retry(this->context->dependencies.time.now(), query, this->context->random);
+    auto const decision = this->context->budget(this->admitted.service, view->entries)
+                              .retry(now, query, this->context->random);
     return decision.delay.has_value();
 }
 
@@ -360,6 +368,27 @@
                     attempt, result == attempt_result::complete, this->first_byte));
 }
 
+void proxied_call::record_prompt_outcome(endpoint_attempt const& attempt, attempt_result result)
+{
+    auto const now = this->context->dependencies.time.now();
+    bool const is_answered = result == attempt_result::complete && this->relay.status() == 200;
+    if (is_answered)
+        return this->context->crashes.record_answer(now, this->call);
+    bool const is_crash = result == attempt_result::broken && attempt.was_ended_by_endpoint();
+    if (is_crash && !this->is_prompt_harmless)
+        this->context->crashes.record_crash(now, this->call, attempt.endpoint().id,
+                                            attempt.started());
+}
+
+void proxied_call::record_prompt_progress(time_point now)
+{
+    bool const has_progress =
+        this->relay.event_count() >= this->events_before_attempt + min_events_without_harm;
+    if (!has_progress || std::exchange(this->is_prompt_harmless, true))
+        return;
+    this->context->crashes.record_answer(now, this->call);
+}
+
 void proxied_call::count_usage(endpoint_attempt const&)
 {
     if (this->admitted.account != nullptr)
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -65,6 +65,10 @@
     /// Counts and records the first bytes of an engine's stream.
     void on_stream_begun(endpoint_attempt& attempt, time_point now);
     void record_sample(endpoint_attempt const& attempt, attempt_result result);
+    /// Records a complete answer to the prompt, or an engine that ended while it answered it.
+    void record_prompt_outcome(endpoint_attempt const& attempt, attempt_result result);
+    /// Records that the engine of the present attempt has begun its answer without harm.
+    void record_prompt_progress(time_point now);
     /// Counts the request towards the usage of its account.
     void count_usage(endpoint_attempt const& attempt);
     /// Ends the call with this entry's own response, or by closing the connection when a part of an
@@ -91,6 +95,10 @@
     /// The prompt as counted at the engine of the last attempt; not set without a prompt.
     std::optional<request::sent_prompt> counted_prompt;
     bool may_have_run = false;
+    /// Events that were received before the present attempt.
+    std::size_t events_before_attempt = 0;
+    /// The engine of the present attempt has begun its answer and did not end.
+    bool is_prompt_harmless = false;
     /// When the attempt was sent, or last received bytes, or in a stream a complete event.
     time_point last_progress{};
     /// When it was last decided to continue the attempt although its endpoint is silent.
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -5,6 +5,7 @@
 
 #include <lagoonladder/proxy/call_proxy.hpp>
 
+#include "crash_tracker.hpp"
 #include "endpoint_chooser.hpp"
 
 namespace lagoonladder::proxy
@@ -45,6 +46,7 @@
     proxy_options const options;
     seeded_random random;
     endpoint_chooser chooser;
+    crash_tracker crashes;
     request::account_quota quotas;
     request::quota_borrowing borrowing;
     std::map<service_name, request::retry_budget> budgets;
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -1,5 +1,8 @@
 #include "proxy_fixture.hpp"
 
+#include <algorithm>
+#include <sstream>
+
 #include <catch2/catch.hpp>
 
 using namespace lagoonladder;
@@ -57,6 +60,23 @@
     return std::make_shared<version::service_index const>(std::move(map));
 }
 
+request::prompt_parts parse_parts(std::string const& text)
+{
+    request::prompt_parts parts;
+    std::istringstream list(text);
+    for (std::string hash; std::getline(list, hash, ',');)
+        parts.push_back({std::stoull(hash), 100});
+    return parts;
+}
+
+bool has_part(http::request_head const& head, std::uint64_t part)
+{
+    auto const* text = head.headers.find("Parts");
+    auto const parts = text == nullptr ? request::prompt_parts() : parse_parts(*text);
+    return std::any_of(parts.begin(), parts.end(),
+                       [&](auto const& candidate) { return candidate.hash == part; });
+}
+
 std::string event_text(std::uint64_t number)
 {
     return "id: " + std::to_string(number) + "\ndata: " + char('a' + number - 1) + "\n\n";
@@ -152,7 +172,8 @@
     this->requests.push_back(head);
     this->bodies.push_back(peer->input.substr(end + 4, size));
     peer->input.erase(0, end + 4 + size);
-    if (this->mode == endpoint_mode::delayed)
+    bool const is_deadly = this->deadly_part && has_part(head, *this->deadly_part);
+    if (this->mode == endpoint_mode::delayed || is_deadly)
         this->answer_after_delay(peer, head);
     else
         this->answer_request(*peer, head);
@@ -179,8 +200,27 @@
     auto const body = "answer to " + request;
     auto const length_line = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     auto const id_line = "Id: " + request + "\r\n";
+    auto const head_text = "HTTP/1.1 200 OK\r\nSeal: s\r\n" + id_line;
+    if (this->deadly_part && has_part(head, *this->deadly_part))
+    {
+        peer.write(head_text + "Transfer-Encoding: chunked\r\n\r\n");
+        return peer.close();
+    }
     switch (this->mode)
     {
+    case endpoint_mode::cut_head:
+        peer.write((head_text + length_line).substr(0, this->head_bytes));
+        return peer.close();
+    case endpoint_mode::until_close:
+        peer.write(head_text + "\r\n" +
+                   (this->is_stream ? event_text(1) + event_text(2) + event_text(3) : body));
+        return peer.close();
+    case endpoint_mode::until_close_without_body:
+        peer.write(head_text + "\r\n");
+        return peer.close();
+    case endpoint_mode::until_close_within_event:
+        peer.write(head_text + "\r\n" + event_text(1) + event_text(2).substr(0, 9));
+        return peer.close();
     case endpoint_mode::answer:
     case endpoint_mode::delayed:
     case endpoint_mode::cut_stream_once:
@@ -247,6 +287,8 @@
     call.target = head.target;
     call.id = request_id(*head.headers.find("Id"));
     call.account_key = *head.headers.find("Key");
+    if (auto const* parts = head.headers.find("Parts"))
+        call.prompt = parse_parts(*parts);
     return call;
 }
 
@@ -330,11 +372,14 @@
 }
 
 pending_call proxy_fixture::start_call(std::string const& path, std::string const& id,
-                                       std::string const& body, std::string const& key)
+                                       std::string const& body, std::string const& key,
+                                       std::string const& parts)
 {
     http::request_head head{"POST", path, {}};
     head.headers.add("Id", id);
     head.headers.add("Key", key);
+    if (!parts.empty())
+        head.headers.add("Parts", parts);
     pending_call pending;
     pending.observer = std::make_shared<call_observer>();
     pending.call = this->caller.send(
@@ -351,6 +396,14 @@
     return *pending.observer;
 }
 
+call_observer proxy_fixture::call_with_prompt(std::string const& path, std::string const& id,
+                                              std::string const& parts)
+{
+    auto const pending = this->start_call(path, id, "", "key-1", parts);
+    this->run_until([&] { return pending.observer->is_over(); });
+    return *pending.observer;
+}
+
 void proxy_fixture::run_until(std::function<bool()> const& condition)
 {
     auto const deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -30,7 +30,15 @@
     /// The same, but the refusal states no request id.
     stale_refusal_without_id_first,
     /// The stream of the first attempt is cut within its second event.
-    cut_stream_once
+    cut_stream_once,
+    /// The connection is closed after this many bytes of the response's head.
+    cut_head,
+    /// The response has neither a length nor chunks and ends with its connection.
+    until_close,
+    /// The same, but the connection ends after the head.
+    until_close_without_body,
+    /// The same, but the connection ends within the second event or, in a body, after some bytes.
+    until_close_within_event
 };
 
 /// An HTTP endpoint on the loopback interface that uses the header fields of test_codec.
@@ -48,6 +56,11 @@
     std::vector<std::string> bodies;
     int closed_by_peer = 0;
     std::chrono::milliseconds answer_delay{400};
+    /// Bytes that are sent in the mode cut_head.
+    std::size_t head_bytes = 0;
+    /// The connection is closed after `answer_delay` and the response's head when the prompt has
+    /// this part.
+    std::optional<std::uint64_t> deadly_part;
 
 private:
     struct connection;
@@ -63,7 +76,8 @@
     asio::ip::tcp::acceptor acceptor;
 };
 
-/// Translates the header fields of the tests: Id, Key, Expected, Last, Seal and Not-Run.
+/// Translates the header fields of the tests: Id, Key, Parts, Expected, Last, Seal and Not-Run.
+/// Parts holds the hashes of the prompt's parts, separated by commas.
 class test_codec : public lagoonladder::proxy::call_codec
 {
 public:
@@ -109,6 +123,11 @@
     {
         this->broadcast_prompts.push_back(notice);
     }
+    void send_crash_evidence(std::vector<lagoonladder::request::part_evidence> const& evidence,
+                             std::optional<std::size_t>) override
+    {
+        this->sent_evidence.insert(this->sent_evidence.end(), evidence.begin(), evidence.end());
+    }
 
     template <class Change>
     void change(Change const& change)
@@ -128,6 +147,7 @@
     double lent_tokens = 0;
     bool others_reply = true;
     std::vector<lagoonladder::proxy::prompt_notice> broadcast_prompts;
+    std::vector<lagoonladder::request::part_evidence> sent_evidence;
 
 private:
     std::shared_ptr<lagoonladder::proxy::traffic_view const> current_view;
@@ -174,10 +194,14 @@
 
     /// Sends a call without waiting for its response.
     pending_call start_call(std::string const& path, std::string const& id,
-                            std::string const& body = "", std::string const& key = "key-1");
+                            std::string const& body = "", std::string const& key = "key-1",
+                            std::string const& parts = "");
     /// Makes a call and runs the event loop until it is over; fails after five seconds.
     call_observer call(std::string const& path, std::string const& id, std::string const& body = "",
                        std::string const& key = "key-1");
+    /// Makes a call whose prompt has the parts, as call().
+    call_observer call_with_prompt(std::string const& path, std::string const& id,
+                                   std::string const& parts);
     /// Runs the event loop until the condition holds; fails after five seconds.
     void run_until(std::function<bool()> const& condition);
 
--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -12,6 +12,7 @@
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
 #include <lagoonladder/request/prompt_backlog.hpp>
+#include <lagoonladder/request/prompt_quarantine.hpp>
 #include <lagoonladder/request/queue_trend.hpp>
 #include <lagoonladder/request/queued_request.hpp>
 #include <lagoonladder/request/quota_borrowing.hpp>
