Treat a stream that ends with its connection before its first event as broken

Cause: a response with neither a length nor chunks ends with its connection. An engine that ended after the head of such a stream gave the caller an empty stream, framed as complete, and counted as one that answered.

Change: such a stream without an event, in all attempts, is a failure of the endpoint.

--- a/src/process/proxy/internal/answer_relay.cpp
+++ b/src/process/proxy/internal/answer_relay.cpp
@@ -11,8 +11,10 @@
 {
 }
 
-void answer_relay::start(http::response_head answer, std::optional<std::uint64_t> length)
+void answer_relay::start(http::response_head answer, std::optional<std::uint64_t> length,
+                         bool ends_with_connection)
 {
+    this->is_ended_by_connection = ends_with_connection;
     this->has_received_content = false;
     this->is_continued = this->committed;
     // Only a successful response can continue a stream; the body of any other would corrupt it.
@@ -89,6 +91,10 @@
         // Bytes after the last complete event belong to an event that was cut off.
         if (this->splitter.has_partial() || this->is_broken)
             return false;
+        // The endpoint may have ended before its first event; only the end of the chunks would show
+        // that there is none.
+        if (this->is_ended_by_connection && this->received_events == 0)
+            return false;
         if (!this->committed)
             this->commit(std::nullopt);
         this->exchange->finish();
--- a/src/process/proxy/internal/answer_relay.hpp
+++ b/src/process/proxy/internal/answer_relay.hpp
@@ -25,8 +25,10 @@
                  std::optional<std::uint64_t> last_event);
 
     /// Begins a response, or the response that continues a broken stream. `length` is the stated
-    /// length of its body in bytes.
-    void start(http::response_head answer, std::optional<std::uint64_t> length);
+    /// length of its body in bytes. `ends_with_connection` states that the response has neither a
+    /// length nor chunks.
+    void start(http::response_head answer, std::optional<std::uint64_t> length,
+               bool ends_with_connection);
     /// Adds bytes of the body. Returns false when they are malformed or do not continue the bytes
     /// that were passed on before; problem() then says why.
     bool add(std::string_view bytes);
@@ -67,6 +69,7 @@
     bool committed = false;
     bool has_received_content = false;
     bool is_continued = false;
+    bool is_ended_by_connection = false;
     bool is_broken = false;
 };
 
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -201,8 +201,10 @@
     this->last_progress = this->context->dependencies.time.now();
     this->first_byte = this->last_progress;
     auto const* length = head.headers.find("Content-Length");
+    bool const has_chunks = head.headers.find("Transfer-Encoding") != nullptr;
     this->relay.start(this->context->dependencies.codec.relay(head),
-                      length == nullptr ? std::nullopt : http::parse_number(*length));
+                      length == nullptr ? std::nullopt : http::parse_number(*length),
+                      length == nullptr && !has_chunks);
     if (!this->route().is_stream)
         this->count_usage(attempt);
 }
