Use replies of voters that arrive after the next poll

Cause, from the log of front-khomas-d-13: from 12.6 to 18.4 s its polls of the voters ended with "Deadline Exceeded" for up to 2,964 ms in a row, and contents that took 40 ms before took 700 and 1,264 ms. A poll was given up after 300 ms and the next voter asked as if the first had failed, so that a daemon whose round trip takes longer, for want of processor time at either end, got no state at all.

Change: a reply counts up to 1.5 s after its poll, while the next voters are polled at the same interval as before, at most four at a time. It confirms the state as of the time the poll was sent.

Result: "a daemon uses replies of voters that are later than its next poll" failed before (the change was not in force 2.5 s later) and passes now; control_test passes. Where the processor time of the entry goes was not traced.

--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -12,9 +12,12 @@
 {
 
 constexpr duration read_timeout = milliseconds(800);
-/// A poll without a quorum read is served from memory with a few kilobytes. Two voters in a row
-/// that do not reply must leave time to fetch a configuration.
-constexpr duration poll_timeout = milliseconds(300);
+/// A voter or this daemon may be out of processor time for a while. A late reply is used too, since
+/// a repeated poll would be as late.
+constexpr duration poll_timeout = milliseconds(1'500);
+/// Polls of this daemon that wait for replies at the same time; a voter that does not reply must
+/// not delay the poll of the next one.
+constexpr std::size_t max_polls_in_flight = 4;
 constexpr duration start_poll_interval = milliseconds(50);
 /// Time after the last contact in which the quorum counts as recent. It covers several polls, so
 /// that one slow voter does not make the quorum look lost.
@@ -98,9 +101,11 @@
 
 void state_follower::poll()
 {
-    if (this->poll_in_flight)
+    bool const has_own_state = this->node && this->node->is_usable();
+    auto const max_polls = this->ready && !has_own_state ? max_polls_in_flight : 1;
+    if (this->polls_in_flight >= max_polls)
         return;
-    if (!this->node || !this->node->is_usable())
+    if (!has_own_state)
         return this->poll_voter();
     this->latest_term = this->node->term();
     if (!this->ready)
@@ -109,11 +114,11 @@
 
 void state_follower::confirm_own_state()
 {
-    this->poll_in_flight = true;
+    ++this->polls_in_flight;
     this->node->read(this->time.now() + read_timeout,
                      [this](bool confirmed)
                      {
-                         this->poll_in_flight = false;
+                         --this->polls_in_flight;
                          if (!confirmed || this->stopped)
                              return;
                          this->refresh_from_node();
@@ -130,20 +135,21 @@
     protocol::ReadStateRequest request;
     request.set_known_index(this->current_state->changed_index);
     request.set_through_quorum(!this->ready);
-    this->poll_in_flight = true;
+    ++this->polls_in_flight;
     std::shared_ptr stub = protocol::Control::NewStub(this->peers.channel(target));
     call_async<protocol::ReadStateReply>(
         this->context, this->peers, this->ready ? poll_timeout : read_timeout, request,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->ReadState(call, sent, reply, std::move(done)); },
-        [this, stub, target](grpc::Status const& status, protocol::ReadStateReply& reply)
+        [this, stub, target, sent_at = this->time.now()](grpc::Status const& status,
+                                                         protocol::ReadStateReply& reply)
         {
-            this->poll_in_flight = false;
+            --this->polls_in_flight;
             if (this->stopped)
                 return;
             if (!status.ok() || !reply.available())
                 return this->record_failed_poll(target, status);
-            this->handle_reply(target, reply);
+            this->handle_reply(target, sent_at, reply);
         });
 }
 
@@ -170,12 +176,13 @@
          {"index", std::to_string(this->current_state->changed_index)}});
 }
 
-void state_follower::handle_reply(network_address const& voter,
+void state_follower::handle_reply(network_address const& voter, time_point sent_at,
                                   protocol::ReadStateReply const& reply)
 {
-    if (reply.quorum_recent())
+    // The reply confirms the state as of the poll, and replies may overtake each other.
+    if (reply.quorum_recent() && sent_at >= this->last_quorum_contact)
     {
-        this->last_quorum_contact = this->time.now();
+        this->last_quorum_contact = sent_at;
         this->consensus_group.set_leader_hint(network_address(reply.leader()));
     }
     this->latest_term = std::max(this->latest_term, reply.term());
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -55,7 +55,8 @@
     void record_failed_poll(network_address const& voter, grpc::Status const& status);
     void record_announced_change(std::uint64_t index);
     void record_changes_in_force();
-    void handle_reply(network_address const& voter, protocol::ReadStateReply const& reply);
+    void handle_reply(network_address const& voter, time_point sent_at,
+                      protocol::ReadStateReply const& reply);
     /// Adopts a status, or fetches its missing contents first.
     void handle_status(network_address const& voter, version::shared_status const& status);
     void fetch_next();
@@ -96,7 +97,7 @@
     std::optional<time_point> last_successful_poll;
     observability::log_rate_limiter failed_poll_log_limit{seconds(1)};
     bool ready = false;
-    bool poll_in_flight = false;
+    std::size_t polls_in_flight = 0;
     bool stopped = false;
     std::uint64_t latest_term = 0;
     std::size_t next_voter = 0;
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -69,6 +69,13 @@
         return control_service::Report(context, request, reply);
     }
 
+    grpc::Status ReadState(grpc::ServerContext* context, protocol::ReadStateRequest const* request,
+                           protocol::ReadStateReply* reply) override
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(this->read_delay_ms));
+        return control_service::ReadState(context, request, reply);
+    }
+
     grpc::Status Propose(grpc::ServerContext* context, protocol::ProposeRequest const* request,
                          protocol::ProposeReply* reply) override
     {
@@ -118,6 +125,8 @@
     part_calls fetched() const { return this->copy(this->fetched_parts); }
 
     std::atomic<int> reports = 0;
+    /// Time until a read of the state begins, in milliseconds.
+    std::atomic<int> read_delay_ms = 0;
     /// Content parts that may still be stored or fetched through this daemon.
     std::atomic<int> remaining_uploads = 1'000'000;
     std::atomic<int> remaining_fetches = 1'000'000;
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -110,6 +110,22 @@
         CHECK(eventually([&] { return !system.loop(i).view()->is_configuration_outdated; }));
 }
 
+TEST_CASE("a daemon uses replies of voters that are later than its next poll")
+{
+    // Guards against an entry that serves by an old configuration for seconds, because it or the
+    // voters are out of processor time and it drops each reply that takes longer than 300 ms.
+    small_system system;
+    auto const first = system.apply(3, 0, first_text, "op-1").generation.value();
+    REQUIRE(eventually([&] { return is_in_force(system.loop(3), first); }));
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).read_delay_ms = 700;
+    auto const second = system.apply(0, first, second_text, "op-2").generation.value();
+    auto const deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(2'500);
+    while (!is_in_force(system.loop(3), second) && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    CHECK(is_in_force(system.loop(3), second));
+}
+
 TEST_CASE("a damaged reply to a proposal or a lookup leaves the outcome unknown")
 {
     // Guards against a process that ends because another one sent bytes that it cannot decode.
