--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -234,6 +234,37 @@
     CHECK(std::chrono::steady_clock::now() - start_time < std::chrono::seconds(3));
 }
 
+TEST_CASE("disks that are full one after another leave a group that stores changes")
+{
+    // Guards against changes that are refused or unanswered for good after the last disk has space
+    // again, while all processes run (report of another operator).
+    small_system system;
+    std::uint64_t base = system.apply(3, 0, first_text, "op").generation.value();
+    for (int round = 0; round < 2; ++round)
+    {
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            system.stores[i].is_full = true;
+            auto const operation = "full-" + std::to_string(3 * round) + std::to_string(i);
+            auto const text = first_text + std::string(static_cast<std::size_t>(round) + 1, '\n');
+            base = system.apply((i + 1) % 3, base, i % 2 ? text : second_text, operation)
+                       .generation.value();
+            std::this_thread::sleep_for(std::chrono::milliseconds(700));
+            system.stores[i].is_full = false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+    auto const begin = std::chrono::steady_clock::now();
+    for (int change = 0; change < 3; ++change)
+        base = system
+                   .apply(static_cast<std::size_t>(change), base,
+                          change % 2 ? first_text : second_text, "after-" + std::to_string(change))
+                   .generation.value();
+    CHECK(std::chrono::steady_clock::now() < begin + std::chrono::seconds(5));
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually([&] { return is_in_force(system.loop(i), base); }));
+}
+
 TEST_CASE("a daemon whose disk is full continues without its log until there is space")
 {
     // Guards against a daemon that exits and so breaks its callers' streams.
--- a/src/request/internal/prompt_quarantine.cpp
+++ b/src/request/internal/prompt_quarantine.cpp
@@ -274,9 +274,10 @@
 std::vector<crash_evidence> prompt_quarantine::unexplained_crashes(std::uint64_t part) const
 {
     auto crashes = this->suspects.at(part).crashes;
-    for (auto const& [other_part, other] : this->suspects)
+    for (auto const& suspected : this->suspects)
     {
-        if (!other.is_quarantined || other_part == part)
+        auto const& other = suspected.second;
+        if (!other.is_quarantined || suspected.first == part)
             continue;
         auto const explains = [&](crash_evidence const& own)
         {
