Move the choice of membership changes into the consensus library

Cause: the decisions about voters that are promoted or removed stood in the daemon's driver, between clock and network, where no simulation reaches them.

Change: the class membership_policy returns the changes that a leader wants; the driver proposes them. What is decided stays the same. The log line of a promotion states its reason, too.

--- a/src/process/consensus/include/lagoonladder/consensus.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus.hpp
@@ -4,6 +4,7 @@
 /// Public header of the consensus library: the replicated log as a
 /// deterministic state machine without I/O, clocks or threads.
 
+#include <lagoonladder/consensus/membership_policy.hpp>
 #include <lagoonladder/consensus/message.hpp>
 #include <lagoonladder/consensus/node.hpp>
 #include <lagoonladder/consensus/ready.hpp>
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -146,11 +146,8 @@
     void report_role();
     void propose_expiry();
     void advance_membership();
-    bool promote_learner();
-    bool remove_replaced_voter();
-    void remove_dead_voter();
-    void update_activity();
-    bool propose_removal(consensus::voter_id const& id, char const* reason);
+    /// Returns whether the node accepted the change.
+    bool propose_change(consensus::wanted_change const& wanted);
     /// Returns whether this node has had no contact with a quorum for some seconds. Updates the
     /// time of the last contact.
     bool lacks_leader();
@@ -198,8 +195,7 @@
     std::size_t join_target = 0;
     network_address join_hint;
     std::function<std::vector<network_address>()> voter_source;
-    /// Voters that do not respond to this leader, and the time since which they don't.
-    std::map<consensus::voter_id, time_point> inactive_since;
+    consensus::membership_policy change_policy;
     time_point last_quorum_contact{};
     /// Bytes of commands applied since the last snapshot.
     std::uint64_t bytes_since_snapshot = 0;
--- a/src/process/control/internal/consensus_membership.cpp
+++ b/src/process/control/internal/consensus_membership.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include <consensus.grpc.pb.h>
 
 #include "consensus_driver.hpp"
@@ -16,14 +14,6 @@
 constexpr duration join_interval = milliseconds(200);
 constexpr duration join_timeout = milliseconds(800);
 
-/// Log entries that a learner may lack when the leader proposes to promote it. The node itself
-/// refuses a learner that lacks committed entries.
-constexpr std::uint64_t max_promotable_lag = 0;
-
-/// Longer than a usual network partition or a stop for maintenance.
-constexpr duration dead_voter_timeout = seconds(10);
-/// Active voters that have to remain when a dead voter is removed, so that one more may fail.
-constexpr std::size_t min_active_voters = 3;
 constexpr duration lost_leader_timeout = seconds(3);
 
 } // namespace
@@ -62,101 +52,26 @@
 void consensus_driver::advance_membership()
 {
     auto const now = this->time.now();
-    if (!this->is_leader())
-    {
-        this->inactive_since.clear();
-        return;
-    }
     if (now < this->next_member_check)
         return;
     this->next_member_check = now + member_check_interval;
-    this->update_activity();
-    if (this->promote_learner() || this->remove_replaced_voter())
-        return;
-    this->remove_dead_voter();
-}
-
-void consensus_driver::update_activity()
-{
-    auto const now = this->time.now();
-    for (auto const& follower : this->node.followers(now))
-    {
-        if (follower.is_active)
-            this->inactive_since.erase(follower.id);
-        else
-            this->inactive_since.try_emplace(follower.id, now);
-    }
-}
-
-bool consensus_driver::promote_learner()
-{
-    using operation = consensus::membership_change::operation;
-    auto const now = this->time.now();
-    for (auto const& follower : this->node.followers(now))
-    {
-        if (!follower.is_learner || !follower.is_active ||
-            follower.match_index.value() + max_promotable_lag < this->node.commit_index().value())
-            continue;
-        auto const proposed =
-            this->node.propose_membership(now, {operation::promote, follower.id, {}});
-        if (proposed.status != consensus::change_status::accepted)
-            continue;
-        this->schedule_flush();
-        this->events.emit(severity::info, "consensus.voter_promoted",
-                          {{"voter", follower.id.value()}});
-        return true;
-    }
-    return false;
-}
-
-bool consensus_driver::remove_replaced_voter()
-{
-    // When a VM has two voters, the inactive one lost its log and is replaced by the active one,
-    // which joined later.
-    auto const& members = this->node.membership();
-    for (auto const& follower : this->node.followers(this->time.now()))
-    {
-        bool const is_replaced =
-            std::any_of(members.voters.begin(), members.voters.end(),
-                        [&](auto const& voter)
-                        {
-                            return voter.first != follower.id &&
-                                   consensus::vm_of(voter.first) == consensus::vm_of(follower.id);
-                        });
-        if (is_replaced && !follower.is_active && this->propose_removal(follower.id, "replaced"))
-            return true;
-    }
-    return false;
-}
-
-void consensus_driver::remove_dead_voter()
-{
-    // A VM that never returns would count towards the quorum forever. One that does return joins
-    // again.
-    auto const now = this->time.now();
-    auto const& members = this->node.membership();
-    auto const inactive = static_cast<std::size_t>(
-        std::count_if(this->inactive_since.begin(), this->inactive_since.end(),
-                      [&](auto const& item) { return members.voters.contains(item.first); }));
-    if (members.voters.size() - inactive < min_active_voters)
-        return;
-    for (auto const& [id, since] : this->inactive_since)
+    for (auto const& wanted : this->change_policy.wanted_changes(now, this->node))
     {
-        bool const is_dead = now - since >= dead_voter_timeout && members.contains(id);
-        if (is_dead && this->propose_removal(id, "silent"))
+        if (this->propose_change(wanted))
             return;
     }
 }
 
-bool consensus_driver::propose_removal(consensus::voter_id const& id, char const* reason)
+bool consensus_driver::propose_change(consensus::wanted_change const& wanted)
 {
-    auto const proposed = this->node.propose_membership(
-        this->time.now(), {consensus::membership_change::operation::remove, id, {}});
+    auto const proposed = this->node.propose_membership(this->time.now(), wanted.change);
     if (proposed.status != consensus::change_status::accepted)
         return false;
     this->schedule_flush();
-    this->events.emit(severity::info, "consensus.voter_removed",
-                      {{"voter", id.value()}, {"reason", reason}});
+    bool const is_removal = wanted.change.action == consensus::membership_change::operation::remove;
+    this->events.emit(severity::info,
+                      is_removal ? "consensus.voter_removed" : "consensus.voter_promoted",
+                      {{"voter", wanted.change.id.value()}, {"reason", to_string(wanted.reason)}});
     return true;
 }
 
