Remove a voter as soon as its VM is silent, whoever leads

Callers saw: after three replaced machines of the core, 9 s apart, no configuration was acknowledged or read any more (review/1, CONFIG), for good.

Cause: a lost voter counted towards the quorum until one leader had seen 10 s of silence. That time was kept by the leader alone, so that the loss of a leader started it anew; with three losses half of the voters were gone.

Change: the policy also uses the heartbeats that each entry hears by gossip. A voter is removed after 1 s without a reply to the leader and 3 s without a heartbeat of its VM, while three active voters remain. Of two voters of a VM the inactive one goes only while the other one is active.

--- a/src/process/consensus/include/lagoonladder/consensus/membership_policy.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/membership_policy.hpp
@@ -11,10 +11,26 @@
 namespace lagoonladder::consensus
 {
 
+/// Source of signs of life of VMs other than their replies to this leader. Each VM has one all the
+/// time, so that a new leader knows how long another VM has been silent.
+class liveness_source
+{
+public:
+    virtual ~liveness_source() = default;
+
+    /// Returns the time since the last sign of life of the VM; no value for an unknown VM.
+    virtual std::optional<duration> time_since_heartbeat(time_point now, vm_id const& vm) const = 0;
+};
+
 struct membership_policy_options
 {
-    /// Time without a reply to this leader after which a voter is removed. Longer than a usual
-    /// network partition or a stop for maintenance.
+    /// Time without any sign of life of its VM after which a voter that does not reply either is
+    /// removed. Its successor may already count as a voter, and another loss may follow soon.
+    duration silent_vm_timeout = seconds(3);
+    /// Minimum time without a reply to this leader after which a voter of a silent VM is removed.
+    duration min_inactive_time = seconds(1);
+    /// Time without a reply to this leader after which a voter is removed although its VM gives
+    /// signs of life. Longer than a usual network partition or a stall of a disk.
     duration dead_voter_timeout = seconds(10);
     /// Active voters that have to remain when a dead voter is removed, so that one more may fail.
     std::size_t min_active_voters = 3;
@@ -27,8 +43,10 @@
     caught_up,
     /// The voter's VM lost its log, and its new voter is a member.
     replaced,
-    /// The voter does not reply.
-    silent
+    /// The voter does not reply, and its VM gives no sign of life.
+    silent,
+    /// The voter has not replied for a long time.
+    unresponsive
 };
 
 char const* to_string(change_reason reason);
@@ -44,7 +62,9 @@
 class membership_policy
 {
 public:
-    explicit membership_policy(membership_policy_options options = {});
+    /// `liveness` must outlive the policy.
+    explicit membership_policy(liveness_source const& liveness,
+                               membership_policy_options options = {});
 
     /// Returns the changes to propose, the preferred one first; the node refuses those that are not
     /// possible now. To be called on each node a few times per election timeout, since the times
@@ -53,9 +73,11 @@
 
 private:
     void update_activity(time_point now, std::vector<follower_status> const& followers);
-    bool is_dead(time_point now, voter_id const& id) const;
+    /// Returns the reason for which the member is to be removed; no value when it may return soon.
+    std::optional<change_reason> removal_reason(time_point now, voter_id const& id) const;
     std::size_t active_voters(membership const& members) const;
 
+    liveness_source const& liveness;
     membership_policy_options options;
     /// Members that do not reply to this leader, and the time since which they don't.
     std::map<voter_id, time_point> inactive_since;
--- a/src/process/consensus/internal/membership_policy.cpp
+++ b/src/process/consensus/internal/membership_policy.cpp
@@ -8,15 +8,16 @@
 namespace
 {
 
-/// Whether the VM of an inactive voter has another voter. The inactive one lost its log and is
-/// replaced by the other one, which joined later.
-bool is_replaced(membership const& members, follower_status const& follower)
+/// Whether the VM of an inactive voter has another voter, which is active. The inactive one lost
+/// its log and is replaced by the other one, which joined later.
+bool is_replaced(follower_status const& inactive, std::vector<follower_status> const& followers)
 {
-    return !follower.is_active && std::any_of(members.voters.begin(), members.voters.end(),
-                                              [&](auto const& voter) {
-                                                  return voter.first != follower.id &&
-                                                         vm_of(voter.first) == vm_of(follower.id);
-                                              });
+    return std::any_of(followers.begin(), followers.end(),
+                       [&](auto const& other)
+                       {
+                           return !other.is_learner && other.is_active && other.id != inactive.id &&
+                                  vm_of(other.id) == vm_of(inactive.id);
+                       });
 }
 
 wanted_change removal(voter_id const& id, change_reason reason)
@@ -36,12 +37,16 @@
         return "replaced";
     case change_reason::silent:
         return "silent";
+    case change_reason::unresponsive:
+        return "unresponsive";
     }
     return "unknown";
 }
 
-membership_policy::membership_policy(membership_policy_options initial)
-    : options(initial)
+membership_policy::membership_policy(liveness_source const& source,
+                                     membership_policy_options initial)
+    : liveness(source)
+    , options(initial)
 {
 }
 
@@ -65,7 +70,7 @@
     }
     for (auto const& follower : followers)
     {
-        if (is_replaced(members, follower))
+        if (!follower.is_active && is_replaced(follower, followers))
             wanted.push_back(removal(follower.id, change_reason::replaced));
     }
     if (this->active_voters(members) < this->options.min_active_voters)
@@ -74,8 +79,8 @@
     // again.
     for (auto const& follower : followers)
     {
-        if (this->is_dead(now, follower.id))
-            wanted.push_back(removal(follower.id, change_reason::silent));
+        if (auto const reason = this->removal_reason(now, follower.id))
+            wanted.push_back(removal(follower.id, *reason));
     }
     return wanted;
 }
@@ -94,11 +99,19 @@
     this->inactive_since = std::move(inactive);
 }
 
-bool membership_policy::is_dead(time_point now, voter_id const& id) const
+std::optional<change_reason> membership_policy::removal_reason(time_point now,
+                                                               voter_id const& id) const
 {
-    auto const inactive = this->inactive_since.find(id);
-    return inactive != this->inactive_since.end() &&
-           now - inactive->second >= this->options.dead_voter_timeout;
+    auto const found = this->inactive_since.find(id);
+    if (found == this->inactive_since.end())
+        return std::nullopt;
+    auto const inactive = now - found->second;
+    if (inactive >= this->options.dead_voter_timeout)
+        return change_reason::unresponsive;
+    auto const silence = this->liveness.time_since_heartbeat(now, vm_of(id)).value_or(inactive);
+    if (inactive >= this->options.min_inactive_time && silence >= this->options.silent_vm_timeout)
+        return change_reason::silent;
+    return std::nullopt;
 }
 
 std::size_t membership_policy::active_voters(membership const& members) const
--- a/src/process/control/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -50,6 +50,7 @@
 consensus_driver::consensus_driver(std::shared_ptr<asio::io_context> io,
                                    config::settings const& config, consensus::voter_id self,
                                    storage::log_store& store, peer_channels& channels,
+                                   consensus::liveness_source const& liveness,
                                    telemetry const& sinks, random_source& random_numbers)
     : context(io)
     , options(config)
@@ -61,6 +62,7 @@
     , node(make_node_options(config, self), this->load(), random_numbers, sinks.time.now())
     , sender(io, channels, self, config.control, config.election_timeout / 2, sinks)
     , timer(*io)
+    , change_policy(liveness)
 {
 }
 
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -34,10 +34,12 @@
     /// false when the read failed.
     using read_handler = std::function<void(bool)>;
 
-    /// Loads the stored log. Throws storage_error or parse_error when it is damaged.
+    /// Loads the stored log. `liveness` is used on the control thread only. Throws storage_error
+    /// or parse_error when the log is damaged.
     consensus_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
                      consensus::voter_id self, storage::log_store& store, peer_channels& channels,
-                     telemetry const& sinks, random_source& random);
+                     consensus::liveness_source const& liveness, telemetry const& sinks,
+                     random_source& random);
 
     void start();
     void stop();
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -37,7 +37,7 @@
     , own_node(dependencies.store
                    ? std::make_unique<consensus_driver>(
                          this->context, this->options, dependencies.voter, *dependencies.store,
-                         dependencies.peers, this->sinks, this->random)
+                         dependencies.peers, this->directories, this->sinks, this->random)
                    : nullptr)
     , directories(this->context, this->options, dependencies.peers, this->events, this->time,
                   this->random)
--- a/src/process/control/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -90,6 +90,12 @@
     return this->entry_rows.own().state == connection::entry_state::leaving;
 }
 
+std::optional<duration> gossip_driver::time_since_heartbeat(time_point now, vm_id const& vm) const
+{
+    auto const status = this->entry_rows.find(now, vm);
+    return status ? std::optional(status->time_since_heartbeat) : std::nullopt;
+}
+
 void gossip_driver::schedule_round()
 {
     this->timer.expires_after(this->options.gossip_interval);
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -11,6 +11,7 @@
 
 #include <lagoonladder/config.hpp>
 #include <lagoonladder/connection.hpp>
+#include <lagoonladder/consensus.hpp>
 #include <lagoonladder/observability.hpp>
 
 #include "reclaim_poller.hpp"
@@ -23,7 +24,7 @@
 /// requests newer rows from two daemons and sends them the endpoints announced here. Leaving
 /// marks are batched for some milliseconds and sent to a few entries, which forward them.
 /// Runs on the control thread.
-class gossip_driver
+class gossip_driver : public consensus::liveness_source
 {
 public:
     gossip_driver(std::shared_ptr<asio::io_context> io, config::settings const& config,
@@ -58,6 +59,10 @@
     connection::entry_directory const& entries() const { return this->entry_rows; }
     connection::endpoint_directory const& endpoints() const { return this->endpoint_rows; }
     bool is_leaving() const;
+
+    // liveness_source
+    std::optional<duration> time_since_heartbeat(time_point now, vm_id const& vm) const override;
+
     std::vector<network_address> const& seed_addresses() const { return this->seeds; }
     void set_seeds(std::vector<network_address> addresses) { this->seeds = std::move(addresses); }
     /// Size of all digests sent since the start, in bytes.
