Acknowledge the leaving of an endpoint once other entries hold it

Cause: the entry responded at once and told the others 10 ms later. When it died in between, nobody knew; the replica does not report it again. A drain by heartbeat had the same gap, and so had the endpoint calls of the product's own interface. An entry that had just started also acknowledged the deregistration of an endpoint it did not know yet, and forgot it.

Change: leaving_acknowledger holds the response back until two other entries have confirmed the leaving mark. After 600 ms one is enough, so that a slow or lost neighbour refuses nothing. Without any, the response is 503 and another entry can take the report; the mark stays in force here and is spread on. The replicated log takes no part, so this also works without a leader.

With acknowledge_leaving calling done(true) at once, "leaving is acknowledged to an endpoint only after other daemons have the mark" and "a daemon that is cut off refuses the leaving of an endpoint within a second" fail; both pass now.

--- a/src/connection/include/lagoonladder/connection.hpp
+++ b/src/connection/include/lagoonladder/connection.hpp
@@ -9,6 +9,7 @@
 #include <lagoonladder/connection/endpoint_record.hpp>
 #include <lagoonladder/connection/entry_directory.hpp>
 #include <lagoonladder/connection/entry_record.hpp>
+#include <lagoonladder/connection/leaving_acknowledger.hpp>
 #include <lagoonladder/connection/leaving_mark_disseminator.hpp>
 #include <lagoonladder/connection/silence_detector.hpp>
 
--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -106,6 +106,8 @@
     /// Listed rows: those with a valid lease that were not removed, leaving ones included.
     std::vector<endpoint_record> live(time_point now) const;
     std::optional<endpoint_record> find(time_point now, endpoint_id const& id) const;
+    /// Returns the row with a valid lease that gossip carries, also that of a removed endpoint.
+    std::optional<endpoint_record> find_gossiped(time_point now, endpoint_id const& id) const;
 
     /// Time at which the endpoint's VM is reclaimed; no value without a reclaim notice.
     std::optional<time_point> reclaim_deadline(endpoint_id const& id) const;
--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -195,6 +195,15 @@
     return found->second.record;
 }
 
+std::optional<endpoint_record> endpoint_directory::find_gossiped(time_point now,
+                                                                 endpoint_id const& id) const
+{
+    auto const found = this->rows.find(id);
+    if (found == this->rows.end() || found->second.lease_until <= now)
+        return std::nullopt;
+    return found->second.record;
+}
+
 std::optional<time_point> endpoint_directory::reclaim_deadline(endpoint_id const& id) const
 {
     auto const found = this->rows.find(id);
--- a/src/process/completion/internal/directory_routes.cpp
+++ b/src/process/completion/internal/directory_routes.cpp
@@ -40,11 +40,17 @@
         throw refusal({422, "bad-field", "field \"version\" must not be empty"});
 }
 
-void announce_endpoint(traffic_context& context, api_exchange& exchange)
+/// Responds to an endpoint whose leaving no other entry knows yet.
+void refuse_acknowledgement(api_exchange& exchange)
 {
-    require_endpoint_token(context, exchange);
+    exchange.refuse({503, "not-replicated", "no other entry has confirmed the change in time"});
+}
+
+void announce_endpoint(traffic_context& context, std::shared_ptr<api_exchange> const& exchange)
+{
+    require_endpoint_token(context, *exchange);
     auto const view = ready_view(context, execution::no);
-    auto const body = parse_json_body(exchange);
+    auto const body = parse_json_body(*exchange);
     connection::endpoint_record record;
     try
     {
@@ -54,19 +60,29 @@
     {
         throw refusal({400, "bad-field", exception.what()});
     }
-    if (record.id.value() != exchange.argument())
+    if (record.id.value() != exchange->argument())
         throw refusal({400, "bad-field", "field \"id\" differs from the id in the path"});
     check_service(*view, record);
-    context.control.announce(std::move(record));
-    nlohmann::json const response{{"lease_us", context.config.endpoint_lease}};
-    exchange.respond_json(200, response.dump());
+    context.control.announce(std::move(record),
+                             [exchange, lease = context.config.endpoint_lease](bool is_acknowledged)
+                             {
+                                 if (!is_acknowledged)
+                                     return refuse_acknowledgement(*exchange);
+                                 nlohmann::json const response{{"lease_us", lease}};
+                                 exchange->respond_json(200, response.dump());
+                             });
 }
 
-void remove_endpoint(traffic_context& context, api_exchange& exchange)
+void remove_endpoint(traffic_context& context, std::shared_ptr<api_exchange> const& exchange)
 {
-    require_endpoint_token(context, exchange);
-    context.control.remove_endpoint(endpoint_id(exchange.argument()));
-    exchange.respond(204, {}, {});
+    require_endpoint_token(context, *exchange);
+    context.control.remove_endpoint(endpoint_id(exchange->argument()),
+                                    [exchange](bool is_acknowledged)
+                                    {
+                                        if (!is_acknowledged)
+                                            return refuse_acknowledgement(*exchange);
+                                        exchange->respond(204, {}, {});
+                                    });
 }
 
 } // namespace
@@ -79,10 +95,10 @@
                { list_entries(this->context, this->entries, *exchange); });
     routes.add_prefix("PUT", "/v1/endpoints/", false,
                       [&shared_context](auto const& exchange)
-                      { announce_endpoint(shared_context, *exchange); });
+                      { announce_endpoint(shared_context, exchange); });
     routes.add_prefix("DELETE", "/v1/endpoints/", false,
                       [&shared_context](auto const& exchange)
-                      { remove_endpoint(shared_context, *exchange); });
+                      { remove_endpoint(shared_context, exchange); });
     this->register_health(routes);
 }
 
--- a/src/process/completion/tests/traffic_harness.cpp
+++ b/src/process/completion/tests/traffic_harness.cpp
@@ -139,10 +139,13 @@
     done(found ? find_status::found : find_status::not_found, found);
 }
 
-void memory_control_plane::remove_endpoint(endpoint_id const& id)
+void memory_control_plane::remove_endpoint(endpoint_id const& id, acknowledgement_handler done)
 {
-    std::lock_guard const lock(this->cluster.mutex);
-    this->cluster.endpoints.erase(id);
+    {
+        std::lock_guard const lock(this->cluster.mutex);
+        this->cluster.endpoints.erase(id);
+    }
+    done(true);
 }
 
 void memory_control_plane::record_traffic(version::traffic_sample const& sample)
--- a/src/process/control/include/lagoonladder/control/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -95,11 +95,15 @@
     virtual void find_once(request::at_most_once_key const& key, duration timeout,
                            find_handler done) = 0;
 
+    /// Receives whether a change may be acknowledged to the endpoint. False when the endpoint is
+    /// leaving and no other entry knows it yet; the endpoint has to report it to another entry.
+    using acknowledgement_handler = connection::leaving_acknowledger::handler;
+
     /// Applies an endpoint's announcement, renewal or change to `leaving`.
-    virtual void announce(connection::endpoint_record record) = 0;
+    virtual void announce(connection::endpoint_record record, acknowledgement_handler done) = 0;
 
     /// Removes an endpoint at its own request.
-    virtual void remove_endpoint(endpoint_id const& id) = 0;
+    virtual void remove_endpoint(endpoint_id const& id, acknowledgement_handler done) = 0;
 
     /// Adds to the traffic counts that the next report sends to the leader.
     virtual void record_traffic(version::traffic_sample const& sample) = 0;
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -200,14 +200,15 @@
     this->post([this, target] { this->platform_duties.set_platform(target); });
 }
 
-void control_thread::announce(connection::endpoint_record record)
+void control_thread::announce(connection::endpoint_record record, acknowledgement_handler done)
 {
-    this->post([this, record = std::move(record)] { this->directories.announce(record); });
+    this->post([this, record = std::move(record), done = std::move(done)]
+               { this->directories.announce(record, done); });
 }
 
-void control_thread::remove_endpoint(endpoint_id const& id)
+void control_thread::remove_endpoint(endpoint_id const& id, acknowledgement_handler done)
 {
-    this->post([this, id] { this->directories.remove(id); });
+    this->post([this, id, done = std::move(done)] { this->directories.remove(id, done); });
 }
 
 void control_thread::record_traffic(version::traffic_sample const& sample)
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -37,8 +37,8 @@
     void propose(version::command_body body, duration timeout, proposal_handler done) override;
     void find_once(request::at_most_once_key const& key, duration timeout,
                    find_handler done) override;
-    void announce(connection::endpoint_record record) override;
-    void remove_endpoint(endpoint_id const& id) override;
+    void announce(connection::endpoint_record record, acknowledgement_handler done) override;
+    void remove_endpoint(endpoint_id const& id, acknowledgement_handler done) override;
     void record_traffic(version::traffic_sample const& sample) override;
     void set_leaving(vm_id const& vm) override;
     void set_open_requests(std::uint32_t count) override;
--- a/src/process/control/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -49,8 +49,10 @@
     , random(random_numbers)
     , timer(*io)
     , mark_timer(*io)
+    , acknowledgement_timer(*io)
     , entry_rows(make_own_row(config, time_source))
     , endpoint_rows(make_endpoint_options(config))
+    , started(time_source.now())
     , seeds(config.seeds)
 {
 }
@@ -66,6 +68,7 @@
     this->stopped = true;
     this->timer.cancel();
     this->mark_timer.cancel();
+    this->acknowledgement_timer.cancel();
 }
 
 void gossip_driver::set_change_handler(std::function<void()> handler)
@@ -142,11 +145,11 @@
 
 void gossip_driver::send_request(network_address const& address, std::string const& peer)
 {
-    this->send_to(address, peer, this->make_request(), [] {});
+    this->send_to(address, peer, this->make_request(), [](bool) {});
 }
 
 void gossip_driver::send_to(network_address const& address, std::string const& peer,
-                            protocol::Digest const& digest, std::function<void()> on_failure)
+                            protocol::Digest const& digest, std::function<void(bool)> on_end)
 {
     if (this->stopped || !this->in_flight.insert(peer).second)
         return;
@@ -156,22 +159,22 @@
         this->context, this->peers, exchange_timeout, digest,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->Exchange(call, sent, reply, std::move(done)); },
-        [this, stub, peer, on_failure = std::move(on_failure)](grpc::Status const& status,
-                                                               protocol::Digest& reply)
+        [this, stub, peer, on_end = std::move(on_end)](grpc::Status const& status,
+                                                       protocol::Digest& reply)
         {
             this->in_flight.erase(peer);
             if (this->stopped)
                 return;
             if (status.ok())
                 this->merge(reply);
-            else
-                on_failure();
+            on_end(status.ok());
         });
 }
 
 void gossip_driver::add_leaving_mark(connection::endpoint_record row, vm_id const& sender)
 {
     row.state = connection::endpoint_state::leaving;
+    this->acknowledger.add(this->time.now(), row.id, row.incarnation);
     this->leaving_marks.add(
         this->time.now(), {connection::mark_kind::endpoint, row.id.value(), pack_row(row)}, sender);
 }
@@ -211,11 +214,22 @@
         auto digest = this->make_digest();
         add_marks(message, digest);
         this->send_to(this->entry_rows.control_address(message.to), message.to.value(), digest,
-                      [this, message]
-                      {
-                          this->leaving_marks.record_failure(message);
-                          this->schedule_marks();
-                      });
+                      [this, message](bool has_arrived)
+                      { this->on_marks_sent(message, has_arrived); });
+    }
+}
+
+void gossip_driver::on_marks_sent(connection::mark_message const& message, bool has_arrived)
+{
+    if (!has_arrived)
+    {
+        this->leaving_marks.record_failure(message);
+        return this->schedule_marks();
+    }
+    for (auto const& mark : message.marks)
+    {
+        if (mark->kind == connection::mark_kind::endpoint)
+            this->acknowledger.record_holder(endpoint_id(mark->id), message.to);
     }
 }
 
@@ -314,8 +328,11 @@
     }
     for (auto const& row : endpoints)
     {
-        if (row.state == connection::endpoint_state::leaving)
-            this->leaving_marks.record_known(peer, connection::mark_kind::endpoint, row.id.value());
+        if (row.state != connection::endpoint_state::leaving)
+            continue;
+        this->leaving_marks.record_known(peer, connection::mark_kind::endpoint, row.id.value());
+        if (this->acknowledger.contains(row.id, row.incarnation))
+            this->acknowledger.record_holder(row.id, peer);
     }
 }
 
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -45,8 +45,15 @@
     void set_pass_through(network_address const& address,
                           std::map<account_id, double> const& demand);
 
-    connection::endpoint_result announce(connection::endpoint_record record);
-    void remove(endpoint_id const& id);
+    /// Receives whether the change may be acknowledged to the endpoint.
+    using acknowledgement_handler = connection::leaving_acknowledger::handler;
+
+    /// Merges a row that an endpoint sent. When the endpoint is leaving, `done` is called once
+    /// other entries have its mark, or the time for that has passed; otherwise at once.
+    connection::endpoint_result announce(connection::endpoint_record record,
+                                         acknowledgement_handler done);
+    /// Removes an endpoint at its own request. `done` as for a leaving endpoint.
+    void remove(endpoint_id const& id, acknowledgement_handler done);
     /// Marks a VM as leaving: its endpoints, and the entry if the VM is one.
     void set_leaving(vm_id const& vm);
     void apply_notices(std::vector<cloud_notice> const& notices);
@@ -72,9 +79,10 @@
     void schedule_round();
     void round();
     void send_request(network_address const& address, std::string const& peer);
-    /// Calls `on_failure` when the exchange fails. A peer has at most one exchange in progress.
+    /// Calls `on_end` with whether the exchange succeeded. A peer has at most one exchange in
+    /// progress; `on_end` is not called when there is one already.
     void send_to(network_address const& address, std::string const& peer,
-                 protocol::Digest const& digest, std::function<void()> on_failure);
+                 protocol::Digest const& digest, std::function<void(bool)> on_end);
     /// Adds a leaving mark for the row to those that are spread. `sender` is the VM that sent the
     /// mark; empty for a mark that was set here.
     void add_leaving_mark(connection::endpoint_record row, vm_id const& sender);
@@ -90,6 +98,10 @@
                                std::vector<connection::endpoint_record> const& endpoints);
     void schedule_marks();
     void send_marks();
+    void on_marks_sent(connection::mark_message const& message, bool has_arrived);
+    /// Calls `done` once the leaving of the endpoint may be acknowledged, or must be refused.
+    void acknowledge_leaving(connection::endpoint_record const& row, acknowledgement_handler done);
+    void schedule_acknowledgements();
     protocol::Digest make_digest() const;
     protocol::Digest make_request();
     protocol::Digest make_reply(protocol::Digest const& received);
@@ -104,10 +116,13 @@
     random_source& random;
     asio::steady_timer timer;
     asio::steady_timer mark_timer;
+    asio::steady_timer acknowledgement_timer;
     connection::entry_directory entry_rows;
     connection::endpoint_directory endpoint_rows;
     /// Leaving marks that are being spread to the other entries.
     connection::leaving_mark_disseminator leaving_marks;
+    connection::leaving_acknowledger acknowledger;
+    time_point const started;
     /// Peers with an exchange in progress.
     std::set<std::string> in_flight;
     /// Endpoints that announced themselves here since the last gossip round.
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -215,7 +215,7 @@
     row.machine_class = "small";
     row.incarnation = incarnation(1);
     row.sequence = 1;
-    system.loop(0).announce(row);
+    system.loop(0).announce(row, [](bool) {});
     auto const state_at = [&](std::size_t i) -> std::optional<connection::endpoint_state>
     {
         auto const view = system.loop(i).view();
--- a/src/process/control/tests/gossip_driver_test.cpp
+++ b/src/process/control/tests/gossip_driver_test.cpp
@@ -27,7 +27,7 @@
     auto leaving = make_endpoint(3);
     leaving.sequence = 2;
     leaving.state = connection::endpoint_state::leaving;
-    large.driver.announce(leaving);
+    large.driver.announce(leaving, [](bool) {});
 
     auto const reply = large.driver.exchange(leaving_request("other"));
     CHECK(reply.leaving_only());
@@ -49,7 +49,7 @@
     auto leaving = make_endpoint(1);
     leaving.sequence = 2;
     leaving.state = connection::endpoint_state::leaving;
-    large.driver.announce(leaving);
+    large.driver.announce(leaving, [](bool) {});
     auto const first = large.driver.exchange(leaving_request("other"));
     auto const second = large.driver.exchange(leaving_request("other"));
     CHECK(second.endpoints().size() < first.endpoints().size());
@@ -70,7 +70,7 @@
     other.driver.exchange(all_rows);
     auto renewed = make_endpoint(7);
     renewed.sequence = 2;
-    large.driver.announce(renewed);
+    large.driver.announce(renewed, [](bool) {});
     auto const newer_rows = large.driver.exchange(other.driver.request_digest());
     auto const rows = nlohmann::json::from_msgpack(newer_rows.endpoints());
     REQUIRE(rows.size() == 1);
@@ -83,7 +83,7 @@
     // Guards against announcements that reach other daemons only when these ask for them.
     directories first("first");
     directories second("second");
-    first.driver.announce(make_endpoint(1));
+    first.driver.announce(make_endpoint(1), [](bool) {});
     second.driver.exchange(first.driver.request_digest());
     CHECK(second.driver.endpoints().find(second.time.now(), endpoint_id("endpoint-1")));
     CHECK(second.driver.entries().find(second.time.now(), vm_id("first")));
@@ -101,7 +101,7 @@
         auto leaving = make_endpoint(i);
         leaving.sequence = 2;
         leaving.state = connection::endpoint_state::leaving;
-        self.driver.announce(leaving);
+        self.driver.announce(leaving, [](bool) {});
         self.context->run_for(milliseconds(20));
     }
     self.driver.stop();
--- a/src/process/control/tests/gossip_fixture.hpp
+++ b/src/process/control/tests/gossip_fixture.hpp
@@ -73,7 +73,7 @@
         digest.set_entries(std::string(bytes.begin(), bytes.end()));
         this->driver.exchange(digest);
         for (std::size_t i = 0; i < endpoints; ++i)
-            this->driver.announce(make_endpoint(i));
+            this->driver.announce(make_endpoint(i), [](bool) {});
     }
 
     /// Adds one entry row as received from another daemon.
--- a/src/process/control/tests/gossip_marks_test.cpp
+++ b/src/process/control/tests/gossip_marks_test.cpp
@@ -53,7 +53,7 @@
     self.receive_entry(row);
     auto leaving = make_endpoint(0);
     leaving.state = connection::endpoint_state::leaving;
-    self.driver.announce(leaving);
+    self.driver.announce(leaving, [](bool) {});
     self.context->run_for(milliseconds(500));
     self.driver.stop();
     server->Shutdown(std::chrono::system_clock::now());
@@ -85,7 +85,7 @@
         auto leaving = make_endpoint(i);
         leaving.sequence = 2;
         leaving.state = connection::endpoint_state::leaving;
-        self.driver.announce(leaving);
+        self.driver.announce(leaving, [](bool) {});
         self.context->run_for(milliseconds(16));
     }
     self.context->run_for(milliseconds(1'500));
@@ -97,3 +97,71 @@
     CHECK(others.mark_messages >= 9);
     CHECK(others.mark_messages <= 75);
 }
+
+TEST_CASE("leaving is acknowledged to an endpoint only after other daemons have the mark")
+{
+    // Guards against an acknowledged deregistration or drain that is lost with the daemon that
+    // acknowledged it: the endpoint does not report it again, and the others go on using it.
+    counting_directory_service others;
+    auto const address = free_address();
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address.value(), grpc::InsecureServerCredentials());
+    builder.RegisterService(&others);
+    auto const server = builder.BuildAndStart();
+    directories self("self");
+    self.receive_rows(0, 2);
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        auto row = make_entry(i);
+        row.control = address;
+        self.receive_entry(row);
+    }
+    std::vector<std::size_t> holders_when_acknowledged;
+    auto const record_holders = [&](bool is_acknowledged)
+    {
+        CHECK(is_acknowledged);
+        holders_when_acknowledged.push_back(others.mark_messages);
+    };
+    self.driver.remove(endpoint_id("endpoint-0"), record_holders);
+    auto leaving = make_endpoint(1);
+    leaving.sequence = 2;
+    leaving.state = connection::endpoint_state::leaving;
+    self.driver.announce(leaving, record_holders);
+    CHECK(holders_when_acknowledged.empty());
+    self.context->run_for(milliseconds(900));
+    REQUIRE(holders_when_acknowledged.size() == 2);
+    CHECK(holders_when_acknowledged[0] >= 2);
+    CHECK(holders_when_acknowledged[1] >= 2);
+    // The endpoint may repeat its report, here or at a daemon that has received the mark.
+    leaving.sequence = 3;
+    self.driver.announce(leaving, record_holders);
+    self.driver.remove(endpoint_id("endpoint-0"), record_holders);
+    CHECK(holders_when_acknowledged.size() == 4);
+    self.driver.stop();
+    server->Shutdown(std::chrono::system_clock::now());
+}
+
+TEST_CASE("a daemon that is cut off refuses the leaving of an endpoint within a second")
+{
+    // Guards against an acknowledgement that no other daemon knows of, and against an endpoint that
+    // waits in vain although another daemon could take its report.
+    directories self("self");
+    self.receive_rows(3, 2);
+    std::vector<bool> results;
+    self.driver.remove(endpoint_id("endpoint-0"),
+                       [&](bool is_acknowledged) { results.push_back(is_acknowledged); });
+    self.context->run_for(milliseconds(900));
+    CHECK(results == std::vector{false});
+    self.driver.stop();
+}
+
+TEST_CASE("a daemon that has just started refuses the leaving of an endpoint it does not know")
+{
+    // Guards against a deregistration that is acknowledged and forgotten because the rows of the
+    // endpoints have not arrived yet.
+    directories self("self");
+    std::vector<bool> results;
+    self.driver.remove(endpoint_id("endpoint-0"),
+                       [&](bool is_acknowledged) { results.push_back(is_acknowledged); });
+    CHECK(results == std::vector{false});
+}
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -341,14 +341,14 @@
     this->propose<version::start_move_result>(std::move(order), std::move(done));
 }
 
-void pass_through_plane::announce(connection::endpoint_record row)
+void pass_through_plane::announce(connection::endpoint_record row, acknowledgement_handler done)
 {
-    this->control.announce(std::move(row));
+    this->control.announce(std::move(row), this->on_traffic_thread(std::move(done)));
 }
 
-void pass_through_plane::remove(endpoint_id const& id)
+void pass_through_plane::remove(endpoint_id const& id, acknowledgement_handler done)
 {
-    this->control.remove_endpoint(id);
+    this->control.remove_endpoint(id, this->on_traffic_thread(std::move(done)));
 }
 
 std::vector<network_address> pass_through_plane::entry_addresses(zone_id const& zone,
@@ -378,6 +378,12 @@
     { this->control.post([done, accepted] { done(accepted); }); };
 }
 
+std::function<void(bool)> pass_through_plane::on_traffic_thread(std::function<void(bool)> done)
+{
+    return [this, done = std::move(done)](bool accepted)
+    { asio::post(*this->context, [done, accepted] { done(accepted); }); };
+}
+
 void pass_through_plane::report_usage(holder const& self, std::uint64_t window,
                                       std::map<account_id, std::uint64_t> const& counts,
                                       std::function<void(bool)> done)
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -87,8 +87,8 @@
     void read_moves(handler<std::vector<version::move_record>> done) override;
     void start_move(version::start_service_move order,
                     handler<version::start_move_result> done) override;
-    void announce(connection::endpoint_record row) override;
-    void remove(endpoint_id const& id) override;
+    void announce(connection::endpoint_record row, acknowledgement_handler done) override;
+    void remove(endpoint_id const& id, acknowledgement_handler done) override;
     std::vector<network_address> entry_addresses(zone_id const& zone,
                                                  std::size_t max_count) const override;
     bool accepts_calls() const override;
@@ -119,6 +119,8 @@
     std::vector<network_address> draw_entries(std::size_t count);
     /// Returns a function that calls `done` on the control thread.
     std::function<void(bool)> on_control_thread(std::function<void(bool)> done);
+    /// Returns a function that calls `done` on the traffic thread.
+    std::function<void(bool)> on_traffic_thread(std::function<void(bool)> done);
 
     config::settings const& options;
     control::control_loop& control;
--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -32,9 +32,13 @@
     virtual void start_move(version::start_service_move order,
                             handler<version::start_move_result> done) = 0;
 
-    virtual void announce(connection::endpoint_record record) = 0;
+    /// Receives whether a change may be acknowledged to the endpoint. False when the endpoint is
+    /// leaving and no other entry knows it yet; the endpoint has to report it to another entry.
+    using acknowledgement_handler = std::function<void(bool)>;
+
+    virtual void announce(connection::endpoint_record record, acknowledgement_handler done) = 0;
     /// Removes an endpoint that is shutting down and accepts no more requests.
-    virtual void remove(endpoint_id const& id) = 0;
+    virtual void remove(endpoint_id const& id, acknowledgement_handler done) = 0;
 
     /// Returns the addresses of at most `max_count` entries that accept calls, for callers in
     /// `zone`.
