Divide quotas anew only among entries that are in contact with a quorum

Cause: each entry divided the quota among the serving entries that it heard. After 6 s of silence both sides of a cut did so, and an entry that was cut off alone took the whole quota. An entry that started, or reached the others again after a cut, took a large portion until it had heard them; a process that was started again did not count until it served.

Change: limit_sharing counts all live entries, serving or not. The count goes down only after 6 s of uninterrupted contact with a quorum. An entry without a quorum keeps the count it had, and its portion stops accruing when it hears no more than half of the entries; its bucket stays. Without a leader anywhere all entries hear each other and go on with their portions.

--- a/src/connection/include/lagoonladder/connection.hpp
+++ b/src/connection/include/lagoonladder/connection.hpp
@@ -11,6 +11,7 @@
 #include <lagoonladder/connection/entry_record.hpp>
 #include <lagoonladder/connection/leaving_acknowledger.hpp>
 #include <lagoonladder/connection/leaving_mark_disseminator.hpp>
+#include <lagoonladder/connection/limit_sharing.hpp>
 #include <lagoonladder/connection/silence_detector.hpp>
 
 #endif
--- a/src/process/control/include/lagoonladder/control/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -67,6 +67,8 @@
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
     /// All entries that are not dead, including this one.
     std::vector<connection::entry_record> entries;
+    /// Portion of the limits of the whole system that this entry has.
+    connection::limit_portion portion;
     /// Entry directory at the time of publication. It gives the order in which callers try
     /// entries, and the companions.
     std::shared_ptr<connection::entry_directory const> directory;
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -255,6 +255,8 @@
     for (auto& row : this->directories.endpoints().live(now))
         next->endpoints[row.service].push_back(std::move(row));
     next->entries = this->directories.entries().live(now);
+    next->portion = this->sharing.update(now, static_cast<std::uint32_t>(next->entries.size()),
+                                         next->quorum_recent);
     next->directory =
         std::make_shared<connection::entry_directory const>(this->directories.entries());
     if (this->own_node)
@@ -290,6 +292,9 @@
         static_cast<double>(std::max(current.shared->changed_index,
                                      this->followed_state.newest_announced_index())));
     this->metrics_registry.set("entries", {}, static_cast<double>(current.entries.size()));
+    this->metrics_registry.set("entries_sharing_limits", {},
+                               static_cast<double>(current.portion.entries));
+    this->metrics_registry.set("quota_accrues", {}, current.portion.may_accrue ? 1 : 0);
     for (auto const& [service, rows] : current.endpoints)
         this->metrics_registry.set("endpoints", {{"service", service.value()}},
                                    static_cast<double>(rows.size()));
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -85,6 +85,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_guard;
     std::unique_ptr<consensus_driver> own_node;
     gossip_driver directories;
+    connection::limit_sharing sharing;
     leader_client group_client;
     content_cache cache;
     content_fetcher fetcher;
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -38,6 +38,7 @@
     view->is_configuration_outdated = control.is_configuration_outdated;
     view->vm = config.vm;
     view->data_centre = config.data_centre;
+    view->portion = control.portion;
     if (!control.shared)
         return view;
     view->services = control.shared->services;
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -41,6 +41,8 @@
     std::map<account_id, request::peer_demand> demand;
     /// Number of serving entries, including this one.
     std::uint32_t entries = 1;
+    /// Portion of the limits of the whole system that this entry has.
+    connection::limit_portion portion;
     /// The serving entries, including this one.
     std::vector<serving_entry> serving;
     /// VM of this entry.
@@ -48,6 +50,9 @@
     data_centre_id data_centre;
 };
 
+/// Returns the number of entries among which the limits of the whole system are divided.
+std::uint32_t entries_sharing_limits(traffic_view const& view);
+
 /// Returns the entries that hold the tokens of an account's quota, the preferred one first. Empty
 /// while there are so few entries that each one holds a portion of the quota.
 std::vector<serving_entry> quota_holders(traffic_view const& view, account_id const& account);
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -93,7 +93,8 @@
     auto const demand = view.demand.find(account.name);
     if (demand != view.demand.end())
         inputs.peers = demand->second;
-    inputs.peers.entries = view.entries;
+    inputs.peers.entries = entries_sharing_limits(view);
+    inputs.peers.may_accrue = view.portion.may_accrue;
     auto const holders = quota_holders(view, account.name);
     inputs.peers.quota_holder_count = static_cast<std::uint32_t>(holders.size());
     inputs.peers.is_quota_holder = std::any_of(
--- a/src/process/proxy/internal/quota_holders.cpp
+++ b/src/process/proxy/internal/quota_holders.cpp
@@ -21,6 +21,11 @@
     return max_splitting_entries;
 }
 
+std::uint32_t entries_sharing_limits(traffic_view const& view)
+{
+    return std::max({view.entries, view.portion.entries, 1U});
+}
+
 std::vector<serving_entry> quota_holders(traffic_view const& view, account_id const& account)
 {
     if (view.serving.size() <= max_splitting_entries)
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -34,6 +34,9 @@
     std::uint32_t quota_holder_count = 0;
     /// Whether this entry is one of the quota holders.
     bool is_quota_holder = false;
+    /// False while this entry may be cut off from the entries that divide the quota among
+    /// themselves: its portion then no longer accrues, and the bucket keeps what it has.
+    bool may_accrue = true;
 };
 
 /// Tokens that a refused request lacks at its entry.
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -79,7 +79,7 @@
     auto const capacity = capacity_of(limit, peers);
     decay(state, now);
     auto const elapsed = to_seconds(std::max(duration(0), now - state.updated));
-    auto const accrued = limit.tokens_per_second * share_of(peers) * elapsed;
+    auto const accrued = peers.may_accrue ? limit.tokens_per_second * share_of(peers) * elapsed : 0;
     if (peers.is_quota_holder && !state.was_quota_holder)
         state.available = std::min(new_holder_fraction * capacity, state.available + accrued);
     else if (is_borrower(peers) && state.was_quota_holder)
--- a/src/request/tests/account_quota_property_test.cpp
+++ b/src/request/tests/account_quota_property_test.cpp
@@ -268,3 +268,29 @@
                  RC_ASSERT(cluster.most_in_window <= max_tokens_in_window(large_account));
              });
 }
+
+TEST_CASE("an entry that is cut off grants what is in its bucket and no more")
+{
+    // Guards against a quota that accrues on both sides of a cut, once among the entries with the
+    // quorum and once more at each entry that they count as dead.
+    account_quota entry(time_point{});
+    request::peer_demand peers;
+    peers.entries = 10;
+    auto const before = time_point{} + seconds(20);
+    auto const bucket = (large_account.burst + large_account.allowance) / peers.entries;
+    double granted = 0;
+    CHECK(entry.take(before, account, large_account, peers, 0).granted);
+    peers.may_accrue = false;
+    for (int i = 0; i < 1'000; ++i)
+    {
+        auto const now = before + i * step;
+        granted += entry.take(now, account, large_account, peers, 100).granted ? 100 : 0;
+    }
+    CHECK(granted <= bucket);
+    CHECK(granted >= 0.99 * bucket);
+    peers.may_accrue = true;
+    auto const after = before + seconds(11);
+    auto const accrued = large_account.tokens_per_second / peers.entries;
+    CHECK(entry.take(after, account, large_account, peers, accrued).granted);
+    CHECK_FALSE(entry.take(after, account, large_account, peers, accrued).granted);
+}
