Start retry budgets without a burst and divide it by the entries of today

Cause: the burst of a service was divided by the serving entries that were known at its first call, and never again; right after a start that is few. And a process that starts got its part anew, although the process before it may have spent it within the window.

Change: service_budgets divides the burst by the entries that share limits, at each use, and gives none to a process younger than the window (setting retry_window). The share per call accrues from the start on. The metric endpoint_attempts_total counts first and repeated attempts by service.

--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -46,6 +46,9 @@
     double retry_share = 0.15;
     /// Maximum number of unused retries of a service that all entries together accumulate.
     double retry_burst = 40;
+    /// Window over which the retries of a service are limited. An entry that starts has no part of
+    /// `retry_burst` for this time.
+    duration retry_window = seconds(10);
     /// Within this window an account may exceed its quota by the fraction `quota_overshoot` of
     /// the quota plus `quota_tolerance` tokens.
     duration quota_window{};
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -46,8 +46,8 @@
         else if (section.kind == "pass_through")
             document.require_known_keys(
                 section, {"callers", "control", "directory", "readiness", "metrics", "platform_api",
-                          "max_connections", "retry_share", "retry_burst", "quota_span",
-                          "quota_overshoot", "quota_tolerance", "exposure_share",
+                          "max_connections", "retry_share", "retry_burst", "retry_window",
+                          "quota_span", "quota_overshoot", "quota_tolerance", "exposure_share",
                           "exposure_requests", "usage_window", "duty_lease", "directory_age"});
         else
             throw settings_error(
@@ -196,6 +196,7 @@
     section.read_count("max_connections", out.max_connections, 8, 65'536);
     section.read_number("retry_share", out.retry_share, 0, 1);
     section.read_number("retry_burst", out.retry_burst, 0, 1'000'000);
+    section.read("retry_window", out.retry_window, milliseconds(1), std::chrono::hours(1));
     section.read("quota_span", out.quota_window, milliseconds(1), std::chrono::hours(1));
     section.read_number("quota_overshoot", out.quota_overshoot, 0, 10);
     section.read_number("quota_tolerance", out.quota_tolerance, 0, 1e12);
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -26,6 +26,7 @@
     proxy::proxy_options options;
     options.retry_share = config.retry_share;
     options.retry_burst = config.retry_burst;
+    options.retry_window = config.retry_window;
     options.quota = {config.quota_window, config.quota_overshoot, config.quota_tolerance};
     return options;
 }
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -30,6 +30,8 @@
     /// Retries of a service that all entries together may accumulate.
     double retry_burst = 40;
     quota_tolerance quota;
+    /// Window over which the retries of all entries are limited.
+    duration retry_window = seconds(10);
 };
 
 /// Passes calls through to endpoints. To be used on its event loop only.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -74,18 +74,16 @@
     , random(injected.seed)
     , crashes(injected)
     , quotas(injected.process_start)
+    , budgets({settings.retry_share, settings.retry_burst, settings.retry_window},
+              injected.process_start)
 {
 }
 
-request::retry_budget& proxy_context::budget(service_name const& service, std::uint32_t entries)
+request::retry_budget& proxy_context::budget(service_name const& service)
 {
-    auto const found = this->budgets.find(service);
-    if (found != this->budgets.end())
-        return found->second;
-    request::retry_budget_options budget;
-    budget.share = this->options.retry_share;
-    budget.burst = std::max(1.0, this->options.retry_burst / std::max(entries, 1U));
-    return this->budgets.emplace(service, request::retry_budget(budget)).first->second;
+    auto const view = this->dependencies.control.view();
+    return this->budgets.budget(this->dependencies.time.now(), service,
+                                entries_sharing_limits(*view));
 }
 
 call_proxy::call_proxy(dependencies const& injected, proxy_options const& options)
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -50,8 +50,7 @@
     this->context->running_calls.emplace(this, self);
     this->exchange->on_closed([self] { self->on_caller_disconnected(); });
     this->exchange->on_drained([self] { self->on_drained(); });
-    auto const view = this->context->dependencies.control.view();
-    this->context->budget(this->admitted.service, view->entries).first_attempt();
+    this->context->budget(this->admitted.service).first_attempt();
     this->try_next();
 }
 
@@ -90,6 +89,9 @@
     fields.engine_priority = find_engine_priority(this->route(), this->admitted.account);
     fields.last_event = this->relay.last_event();
     auto const head = this->context->dependencies.codec.encode(this->exchange->head(), fields);
+    this->context->dependencies.metrics.add(
+        "endpoint_attempts_total", {{"service", this->admitted.service.value()},
+                                    {"kind", this->sent_attempts == 0 ? "first" : "repeated"}});
     this->last_progress = now;
     this->first_byte = {};
     this->events_before_attempt = this->relay.event_count();
@@ -346,14 +348,13 @@
     auto const now = this->context->dependencies.time.now();
     if (this->context->crashes.is_suspected(now, this->call))
         return false;
-    auto const view = this->context->dependencies.control.view();
     request::retry_query query;
     query.attempts = attempts;
     query.deadline = this->admitted.deadline;
     query.idempotent = this->is_idempotent();
     query.dispatched = this->may_have_run || (has_attempt && this->current_attempt->may_have_run());
-    auto const decision = this->context->budget(this->admitted.service, view->entries)
-                              .retry(now, query, this->context->random);
+    auto const decision =
+        this->context->budget(this->admitted.service).retry(now, query, this->context->random);
     return decision.delay.has_value();
 }
 
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -7,6 +7,7 @@
 
 #include "crash_tracker.hpp"
 #include "endpoint_chooser.hpp"
+#include "service_budgets.hpp"
 
 namespace lagoonladder::proxy
 {
@@ -38,9 +39,8 @@
 {
     proxy_context(call_proxy::dependencies const& injected, proxy_options const& settings);
 
-    /// Returns the retry budget of a service. The burst of all entries together is divided equally
-    /// among them.
-    request::retry_budget& budget(service_name const& service, std::uint32_t entries);
+    /// Returns the retry budget of a service at this entry.
+    request::retry_budget& budget(service_name const& service);
 
     call_proxy::dependencies dependencies;
     proxy_options const options;
@@ -49,7 +49,7 @@
     crash_tracker crashes;
     request::account_quota quotas;
     request::quota_borrowing borrowing;
-    std::map<service_name, request::retry_budget> budgets;
+    service_budgets budgets;
     time_point demand_published_at{};
     log_line_budget answered_call_lines;
     std::size_t open_calls = 0;
--- a/src/request/include/lagoonladder/request/retry_budget.hpp
+++ b/src/request/include/lagoonladder/request/retry_budget.hpp
@@ -15,6 +15,8 @@
     double share = 0.1;
     /// Maximum number of retries that can accumulate; a new budget starts with this many.
     double burst = 10;
+    /// Whether a new budget starts without retries instead.
+    bool starts_empty = false;
     /// Upper bound of the delay before the first retry; doubles with each further retry of the
     /// request.
     duration base_delay = milliseconds(25);
@@ -70,6 +72,12 @@
     /// Changes the share after a change of the configuration.
     void set_share(double share);
 
+    /// Changes the burst. Retries beyond a smaller burst are lost; a larger one fills by the share.
+    void set_burst(double burst);
+
+    /// Fills the budget to its burst.
+    void fill() { this->available_tokens = this->options.burst; }
+
     double tokens() const { return this->available_tokens; }
 
 private:
--- a/src/request/internal/retry_budget.cpp
+++ b/src/request/internal/retry_budget.cpp
@@ -23,7 +23,7 @@
 
 retry_budget::retry_budget(retry_budget_options initial)
     : options(initial)
-    , available_tokens(initial.burst)
+    , available_tokens(initial.starts_empty ? 0 : initial.burst)
 {
 }
 
@@ -49,6 +49,12 @@
     return {delay, retry_refusal::none};
 }
 
+void retry_budget::set_burst(double burst)
+{
+    this->options.burst = burst;
+    this->available_tokens = std::min(this->available_tokens, burst);
+}
+
 void retry_budget::set_share(double share)
 {
     this->options.share = share;
