Acknowledge heartbeats of serving endpoints at once, and split two pieces

Change: only the leaving of an endpoint waits; count_attempt stands with the other reports; the tests share other_daemons.

--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -83,6 +83,7 @@
     seeded_random random;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work_guard;
+    /// Uses `directories` once the thread runs.
     std::unique_ptr<consensus_driver> own_node;
     gossip_driver directories;
     connection::limit_sharing sharing;
--- a/src/process/control/tests/gossip_marks_test.cpp
+++ b/src/process/control/tests/gossip_marks_test.cpp
@@ -35,48 +35,60 @@
     std::atomic<std::size_t> mark_message_bytes = 0;
 };
 
+/// Server of counting_directory_service, at one address for all other daemons.
+class other_daemons
+{
+public:
+    other_daemons()
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(this->address.value(), grpc::InsecureServerCredentials());
+        builder.RegisterService(&this->service);
+        this->server = builder.BuildAndStart();
+    }
+
+    ~other_daemons() { this->server->Shutdown(std::chrono::system_clock::now()); }
+    other_daemons(other_daemons const&) = delete;
+    other_daemons& operator=(other_daemons const&) = delete;
+
+    counting_directory_service service;
+    network_address const address = free_address();
+
+private:
+    std::unique_ptr<grpc::Server> server;
+};
+
 } // namespace
 
 TEST_CASE("an endpoint first announced as leaving is sent to the other entries")
 {
     // Guards against calls to a leaving endpoint from entries that list it as serving, when it
     // announces its leaving to a daemon that has just started.
-    counting_directory_service others;
-    auto const address = free_address();
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address.value(), grpc::InsecureServerCredentials());
-    builder.RegisterService(&others);
-    auto const server = builder.BuildAndStart();
+    other_daemons others;
     directories self("self");
     auto row = make_entry(0);
-    row.control = address;
+    row.control = others.address;
     self.receive_entry(row);
     auto leaving = make_endpoint(0);
     leaving.state = connection::endpoint_state::leaving;
     self.driver.announce(leaving, [](bool) {});
     self.context->run_for(milliseconds(500));
     self.driver.stop();
-    server->Shutdown(std::chrono::system_clock::now());
-    CHECK(others.mark_messages >= 1);
+    CHECK(others.service.mark_messages >= 1);
 }
 
 TEST_CASE("a daemon batches the leaving marks of a reclaimed zone")
 {
     // Guards against one round of messages for each leaving mark: with 86 daemons and a reclaimed
     // zone these calls took processor time from consensus, which lost its leader.
-    counting_directory_service others;
-    auto const address = free_address();
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address.value(), grpc::InsecureServerCredentials());
-    builder.RegisterService(&others);
-    auto const server = builder.BuildAndStart();
+    other_daemons others;
 
     directories self("self");
     self.receive_rows(0, 60);
     for (std::size_t i = 0; i < 86; ++i)
     {
         auto row = make_entry(i);
-        row.control = address;
+        row.control = others.address;
         self.receive_entry(row);
     }
     self.driver.start();
@@ -90,37 +102,32 @@
     }
     self.context->run_for(milliseconds(1'500));
     self.driver.stop();
-    server->Shutdown(std::chrono::system_clock::now());
-    INFO("messages " << others.mark_messages << ", bytes " << others.mark_message_bytes);
+    INFO("messages " << others.service.mark_messages << ", bytes "
+                     << others.service.mark_message_bytes);
     // A round with 3 messages every 100 ms while marks are announced, and for some rounds after
     // that.
-    CHECK(others.mark_messages >= 9);
-    CHECK(others.mark_messages <= 75);
+    CHECK(others.service.mark_messages >= 9);
+    CHECK(others.service.mark_messages <= 75);
 }
 
 TEST_CASE("leaving is acknowledged to an endpoint only after other daemons have the mark")
 {
     // Guards against an acknowledged deregistration or drain that is lost with the daemon that
     // acknowledged it: the endpoint does not report it again, and the others go on using it.
-    counting_directory_service others;
-    auto const address = free_address();
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address.value(), grpc::InsecureServerCredentials());
-    builder.RegisterService(&others);
-    auto const server = builder.BuildAndStart();
+    other_daemons others;
     directories self("self");
     self.receive_rows(0, 2);
     for (std::size_t i = 0; i < 5; ++i)
     {
         auto row = make_entry(i);
-        row.control = address;
+        row.control = others.address;
         self.receive_entry(row);
     }
     std::vector<std::size_t> holders_when_acknowledged;
     auto const record_holders = [&](bool is_acknowledged)
     {
         CHECK(is_acknowledged);
-        holders_when_acknowledged.push_back(others.mark_messages);
+        holders_when_acknowledged.push_back(others.service.mark_messages);
     };
     self.driver.remove(endpoint_id("endpoint-0"), record_holders);
     auto leaving = make_endpoint(1);
@@ -138,7 +145,6 @@
     self.driver.remove(endpoint_id("endpoint-0"), record_holders);
     CHECK(holders_when_acknowledged.size() == 4);
     self.driver.stop();
-    server->Shutdown(std::chrono::system_clock::now());
 }
 
 TEST_CASE("a daemon that is cut off refuses the leaving of an endpoint within a second")
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -344,7 +344,11 @@
 
 void pass_through_plane::announce(connection::endpoint_record row, acknowledgement_handler done)
 {
-    this->control.announce(std::move(row), this->on_traffic_thread(std::move(done)));
+    if (row.state == connection::endpoint_state::leaving)
+        return this->control.announce(std::move(row), this->on_traffic_thread(std::move(done)));
+    // A serving endpoint repeats its announcement, so the response need not wait.
+    this->control.announce(std::move(row), [](bool) {});
+    done(true);
 }
 
 void pass_through_plane::remove(endpoint_id const& id, acknowledgement_handler done)
--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -40,6 +40,14 @@
 
 } // namespace
 
+void count_attempt(proxy_context& context, service_name const& service,
+                   std::uint32_t earlier_attempts)
+{
+    context.dependencies.metrics.add(
+        "endpoint_attempts_total",
+        {{"service", service.value()}, {"kind", earlier_attempts == 0 ? "first" : "repeated"}});
+}
+
 void report_failed_attempt(proxy_context& context, incoming_call const& call,
                            endpoint_attempt const& attempt, attempt_failure const& failure)
 {
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -37,6 +37,11 @@
     std::size_t events = 0;
 };
 
+/// Counts an attempt that begins, by service, as the first or a repeated one. `earlier_attempts`
+/// are those of the call that may have reached an endpoint.
+void count_attempt(proxy_context& context, service_name const& service,
+                   std::uint32_t earlier_attempts);
+
 /// Logs an attempt that did not complete the call.
 void report_failed_attempt(proxy_context& context, incoming_call const& call,
                            endpoint_attempt const& attempt, attempt_failure const& failure);
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -89,9 +89,7 @@
     fields.engine_priority = find_engine_priority(this->route(), this->admitted.account);
     fields.last_event = this->relay.last_event();
     auto const head = this->context->dependencies.codec.encode(this->exchange->head(), fields);
-    this->context->dependencies.metrics.add(
-        "endpoint_attempts_total", {{"service", this->admitted.service.value()},
-                                    {"kind", this->sent_attempts == 0 ? "first" : "repeated"}});
+    count_attempt(*this->context, this->admitted.service, this->sent_attempts);
     this->last_progress = now;
     this->first_byte = {};
     this->events_before_attempt = this->relay.event_count();
