Put the file operations of the storage library behind an interface

Tests can so replace the disk by one that separates what was written from what was synced. The public constructor of file_log_store still uses the files of the operating system; the operations and their order are unchanged.

--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -15,8 +15,9 @@
     std::uint64_t segment_bytes = 8 * 1024 * 1024;
 };
 
-class posix_file;
 class data_folder;
+class file;
+class file_system;
 
 /// Log store in a data folder: a write-ahead log in segment files, and snapshot files.
 /// The folder is created if it does not exist and is locked while the store exists. Every
@@ -27,6 +28,9 @@
 public:
     /// Throws storage_error if the folder cannot be written or is in use by another process.
     explicit file_log_store(std::string folder, file_log_store_options options = {});
+    /// As above, on other files than those of the operating system.
+    file_log_store(std::shared_ptr<file_system> files, std::string folder,
+                   file_log_store_options options = {});
     ~file_log_store() override;
 
     using log_store::save;
@@ -55,7 +59,7 @@
 
     file_log_store_options options;
     std::unique_ptr<data_folder> folder;
-    std::unique_ptr<posix_file> segment;
+    std::unique_ptr<file> segment;
     std::uint64_t segment_number = 0;
     std::uint64_t segment_size = 0;
     /// State as stored, without the data of the snapshot, which is only on disk.
--- a/src/process/storage/internal/data_folder.cpp
+++ b/src/process/storage/internal/data_folder.cpp
@@ -1,12 +1,6 @@
 #include "data_folder.hpp"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <array>
-#include <cstdio>
-#include <filesystem>
 
 namespace lagoonladder::storage
 {
@@ -25,29 +19,15 @@
     return std::string(prefix) + std::string(20 - digits.size(), '0') + digits;
 }
 
-std::vector<std::string> file_names(std::string const& path)
-{
-    std::error_code problem;
-    std::vector<std::string> names;
-    for (std::filesystem::directory_iterator file(path, problem), end; !problem && file != end;
-         file.increment(problem))
-        names.push_back(file->path().filename().string());
-    if (problem)
-        throw storage_error(path + ": cannot be listed: " + problem.message());
-    return names;
-}
-
 } // namespace
 
-data_folder::data_folder(std::string initial_path)
-    : path(std::move(initial_path))
+data_folder::data_folder(std::shared_ptr<file_system> initial_files, std::string initial_path)
+    : file_operations(std::move(initial_files))
+    , path(std::move(initial_path))
 {
-    std::error_code problem;
-    std::filesystem::create_directories(this->path, problem);
-    if (problem)
-        throw storage_error(this->path + ": cannot be created: " + problem.message());
-    this->lock = std::make_unique<posix_file>(this->file_path("lock"), O_RDWR | O_CREAT);
-    if (!this->lock->try_lock())
+    this->files().create_folders(this->path);
+    this->lock = this->files().lock(this->file_path("lock"));
+    if (!this->lock)
         throw storage_error(this->path + ": the data folder is in use by another process");
 }
 
@@ -64,7 +44,7 @@
 std::set<std::uint64_t> data_folder::segment_numbers() const
 {
     std::set<std::uint64_t> numbers;
-    for (auto const& name : file_names(this->path))
+    for (auto const& name : this->files().list(this->path))
     {
         bool const is_segment =
             name.size() == segment_prefix.size() + 20 && name.starts_with(segment_prefix) &&
@@ -78,18 +58,14 @@
 
 void data_folder::remove_obsolete(std::uint64_t first_segment, std::string const& snapshot) const
 {
-    for (auto const& name : file_names(this->path))
+    for (auto const& name : this->files().list(this->path))
     {
         bool const is_old_segment =
             name.starts_with(segment_prefix) && name < segment_name(first_segment);
         bool const is_old_snapshot = name.starts_with(snapshot_prefix) && name != snapshot;
         if (!is_old_segment && !is_old_snapshot && !name.ends_with(temporary_suffix))
             continue;
-        std::error_code problem;
-        std::filesystem::remove(this->file_path(name), problem);
-        if (problem)
-            throw storage_error(this->file_path(name) +
-                                ": cannot be removed: " + problem.message());
+        this->files().remove(this->file_path(name));
     }
 }
 
--- a/src/process/storage/internal/data_folder.hpp
+++ b/src/process/storage/internal/data_folder.hpp
@@ -1,10 +1,9 @@
 #ifndef LAGOONLADDER_STORAGE_DATA_FOLDER_HPP
 #define LAGOONLADDER_STORAGE_DATA_FOLDER_HPP
 
-#include <memory>
 #include <set>
 
-#include "posix_file.hpp"
+#include "file_system.hpp"
 
 namespace lagoonladder::storage
 {
@@ -14,7 +13,9 @@
 {
 public:
     /// Creates the folder if it does not exist and locks it. Throws storage_error.
-    explicit data_folder(std::string initial_path);
+    data_folder(std::shared_ptr<file_system> initial_files, std::string initial_path);
+
+    file_system& files() const { return *this->file_operations; }
 
     /// Path of a file in the folder.
     std::string file_path(std::string const& name) const { return this->path + "/" + name; }
@@ -32,8 +33,9 @@
     void remove_obsolete(std::uint64_t first_segment, std::string const& snapshot) const;
 
 private:
+    std::shared_ptr<file_system> file_operations;
     std::string path;
-    std::unique_ptr<posix_file> lock;
+    std::unique_ptr<file_lock> lock;
 };
 
 } // namespace lagoonladder::storage
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -1,8 +1,7 @@
 #include <lagoonladder/storage/file_log_store.hpp>
 
-#include <fcntl.h>
-
 #include "data_folder.hpp"
+#include "posix_file_system.hpp"
 #include "record.hpp"
 #include "stored_log.hpp"
 
@@ -23,8 +22,14 @@
 } // namespace
 
 file_log_store::file_log_store(std::string path, file_log_store_options initial_options)
+    : file_log_store(std::make_shared<posix_file_system>(), std::move(path), initial_options)
+{
+}
+
+file_log_store::file_log_store(std::shared_ptr<file_system> files, std::string path,
+                               file_log_store_options initial_options)
     : options(initial_options)
-    , folder(std::make_unique<data_folder>(std::move(path)))
+    , folder(std::make_unique<data_folder>(std::move(files), std::move(path)))
 {
 }
 
@@ -36,10 +41,11 @@
     if (this->folder->segment_numbers().empty())
     {
         auto const id = consensus::make_voter_id(vm, random.next());
-        write_file_durably(this->folder->folder_path(), voter_file, id.value() + "\n");
+        write_file_durably(this->folder->files(), this->folder->folder_path(), voter_file,
+                           id.value() + "\n");
         return id;
     }
-    auto text = read_file(path);
+    auto text = this->folder->files().read(path);
     if (text.empty() || text.back() != '\n')
         throw storage_error(path + ": the voter id is incomplete");
     text.pop_back();
@@ -75,7 +81,7 @@
         auto const path = this->folder->file_path(data_folder::segment_name(first));
         if (!numbers.contains(first))
             throw storage_error(path + ": the segment is missing");
-        auto const header = decode_segment_header(read_file(path));
+        auto const header = decode_segment_header(this->folder->files().read(path));
         if (!header || header->number != first)
             throw storage_error(location_prefix(path, 0) + "the segment header is damaged");
         if (header->kind == segment_kind::checkpoint)
@@ -90,7 +96,7 @@
         auto const& stored_snapshot = *this->current_state.snapshot;
         snapshot_name = data_folder::snapshot_name(stored_snapshot.index, stored_snapshot.term);
         auto const path = this->folder->file_path(snapshot_name);
-        result.snapshot = decode_snapshot_file(path, read_file(path));
+        result.snapshot = decode_snapshot_file(path, this->folder->files().read(path));
         this->current_state.snapshot->membership = result.snapshot->membership;
     }
     this->folder->remove_obsolete(first, snapshot_name);
@@ -100,7 +106,7 @@
 void file_log_store::read_segment(std::uint64_t number, bool is_last)
 {
     auto const path = this->folder->file_path(data_folder::segment_name(number));
-    auto const bytes = read_file(path);
+    auto const bytes = this->folder->files().read(path);
     bool const is_checkpoint = decode_segment_header(bytes)->kind == segment_kind::checkpoint;
     auto offset = segment_header_bytes;
     while (offset < bytes.size())
@@ -127,7 +133,7 @@
                             std::to_string(*next_record));
     if (!is_last)
         return;
-    this->segment = std::make_unique<posix_file>(path, O_WRONLY | O_APPEND);
+    this->segment = this->folder->files().open(path, open_mode::append);
     this->segment_number = number;
     this->segment_size = offset;
     if (offset == bytes.size())
@@ -200,9 +206,8 @@
         bytes += encode_record(number, bytes.size(), encode_batch(content));
     }
     auto const name = data_folder::segment_name(number);
-    write_file_durably(this->folder->folder_path(), name, bytes);
-    this->segment =
-        std::make_unique<posix_file>(this->folder->file_path(name), O_WRONLY | O_APPEND);
+    write_file_durably(this->folder->files(), this->folder->folder_path(), name, bytes);
+    this->segment = this->folder->files().open(this->folder->file_path(name), open_mode::append);
     this->segment_number = number;
     this->segment_size = bytes.size();
 }
@@ -212,7 +217,8 @@
     this->require_usable();
     this->is_usable = false;
     auto const name = data_folder::snapshot_name(state.index, state.term);
-    write_file_durably(this->folder->folder_path(), name, encode_snapshot_file(state));
+    write_file_durably(this->folder->files(), this->folder->folder_path(), name,
+                       encode_snapshot_file(state));
     install_snapshot(this->current_state, {state.index, state.term, state.membership, {}});
     this->begin_segment(true);
     this->folder->remove_obsolete(this->segment_number, name);
