Make a log durable before it is loaded

Callers would see a change that had been acknowledged come back older, or be gone, after a loss of power; a group could lose one disk more than it may.

Cause: load() took what it read for what is stored. A process that is killed between write and fsync leaves complete records in the page cache, and one that is killed between rename and the sync of the folder leaves a segment under a name that is not durable. The next process loaded both, acknowledged them to the leader and synced neither. It also removed the segments that the renamed one replaces; a removal may be kept by a loss of power that loses the rename, so that the voter found no log and drew a new id. After a failed fsync the kernel marks the pages as clean, so that the record is read back by the load that follows, and a second fsync reports success without storing it.

Evidence: a simulated disk in the tests keeps everything at a kill; at a loss of power it keeps what was synced, and any part of the rest.

Change: load() syncs the folder before it removes files that are obsolete, and replaces the last segment by a synced copy, which also drops an incomplete record. On a full disk, the segment itself is truncated and synced, except after a failed sync. One file is written and synced, and the folder is synced twice.

Not covered: a process that finds its disk full after a sync failed in an earlier process.

--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -42,8 +42,9 @@
     /// process.
     consensus::voter_id open_voter_id(vm_id const& vm, random_source& random);
 
-    /// Loads the log. Truncates an incomplete record at its end; throws storage_error for any other
-    /// damage.
+    /// Loads the log and stores it again, since an earlier process, or a failed save, may have left
+    /// files that can be read but are not durable. Discards an incomplete record at its end; throws
+    /// storage_error for any other damage.
     consensus::persistent_state load() override;
     void save(std::optional<consensus::hard_state> const& state,
               std::vector<consensus::log_entry> const& entries, bool must_sync) override;
@@ -51,7 +52,16 @@
 
 private:
     consensus::persistent_state read_segments();
-    void read_segment(std::uint64_t number, bool is_last);
+    /// Returns the valid part of the segment, in bytes of the file.
+    std::string read_segment(std::uint64_t number, bool is_last);
+    /// Makes the last segment durable and opens it. Writes a copy, since a sync does not store what
+    /// an earlier, failed one has left in the page cache. On a full disk, the segment itself is
+    /// truncated and synced.
+    void store_segment(std::uint64_t number, std::string const& bytes);
+    /// Writes the temporary file of a segment. Returns null if the disk refuses it and the segment
+    /// itself may be synced instead.
+    std::unique_ptr<file> write_copy(std::string const& path, std::string const& bytes);
+    void sync_segment();
     void apply_record(std::string const& payload);
     void append_record(std::string const& payload);
     void begin_segment(bool is_checkpoint);
@@ -64,6 +74,8 @@
     std::uint64_t segment_size = 0;
     /// State as stored, without the data of the snapshot, which is only on disk.
     consensus::persistent_state current_state;
+    /// Whether the last sync of the segment failed.
+    bool has_failed_sync = false;
     /// False before load() and after a failed write.
     bool is_usable = false;
 };
--- a/src/process/storage/include/lagoonladder/storage/log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/log_store.hpp
@@ -21,7 +21,8 @@
 public:
     virtual ~log_store() = default;
 
-    /// Returns the stored state. To be called once, before anything is saved.
+    /// Returns the stored state, which is durable on return. To be called before anything is saved,
+    /// and again after an error. Throws storage_error.
     virtual consensus::persistent_state load() = 0;
 
     /// Stores the hard state and the entries, which replace any stored entries from
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -87,8 +87,10 @@
         if (header->kind == segment_kind::checkpoint)
             break;
     }
-    for (auto number = first; number <= *numbers.rbegin(); ++number)
-        this->read_segment(number, number == *numbers.rbegin());
+    auto const last = *numbers.rbegin();
+    std::string last_bytes;
+    for (auto number = first; number <= last; ++number)
+        last_bytes = this->read_segment(number, number == last);
     auto result = this->current_state;
     std::string snapshot_name;
     if (this->current_state.snapshot)
@@ -99,11 +101,15 @@
         result.snapshot = decode_snapshot_file(path, this->folder->files().read(path));
         this->current_state.snapshot->membership = result.snapshot->membership;
     }
+    // A killed process may have renamed files without a sync of the folder. The files that they
+    // replace are removed after it.
+    this->folder->files().sync_folder(this->folder->folder_path());
     this->folder->remove_obsolete(first, snapshot_name);
+    this->store_segment(last, last_bytes);
     return result;
 }
 
-void file_log_store::read_segment(std::uint64_t number, bool is_last)
+std::string file_log_store::read_segment(std::uint64_t number, bool is_last)
 {
     auto const path = this->folder->file_path(data_folder::segment_name(number));
     auto const bytes = this->folder->files().read(path);
@@ -131,15 +137,51 @@
         throw storage_error(location_prefix(path, offset) +
                             "the record is damaged, but a valid one follows at offset " +
                             std::to_string(*next_record));
-    if (!is_last)
-        return;
-    this->segment = this->folder->files().open(path, open_mode::append);
+    return bytes.substr(0, offset);
+}
+
+void file_log_store::store_segment(std::uint64_t number, std::string const& bytes)
+{
+    auto& files = this->folder->files();
+    auto const path = this->folder->file_path(data_folder::segment_name(number));
+    auto const copy = this->write_copy(path, bytes);
+    if (copy)
+        publish_temporary(files, *copy, this->folder->folder_path(), path);
+    this->segment = files.open(path, open_mode::append);
     this->segment_number = number;
-    this->segment_size = offset;
-    if (offset == bytes.size())
-        return;
-    this->segment->truncate(offset);
+    this->segment_size = bytes.size();
+    if (!copy)
+    {
+        this->segment->truncate(bytes.size());
+        this->sync_segment();
+    }
+    this->has_failed_sync = false;
+}
+
+std::unique_ptr<file> file_log_store::write_copy(std::string const& path, std::string const& bytes)
+{
+    auto& files = this->folder->files();
+    auto const temporary = temporary_path(path);
+    try
+    {
+        auto copy = files.open(temporary, open_mode::replace);
+        copy->append(bytes);
+        return copy;
+    }
+    catch (storage_error const&)
+    {
+        files.remove(temporary);
+        if (this->has_failed_sync)
+            throw;
+        return nullptr;
+    }
+}
+
+void file_log_store::sync_segment()
+{
+    this->has_failed_sync = true;
     this->segment->sync();
+    this->has_failed_sync = false;
 }
 
 void file_log_store::apply_record(std::string const& payload)
@@ -189,7 +231,7 @@
 {
     auto const record = encode_record(this->segment_number, this->segment_size, payload);
     this->segment->append(record);
-    this->segment->sync();
+    this->sync_segment();
     this->segment_size += record.size();
 }
 
--- a/src/process/storage/internal/file_system.cpp
+++ b/src/process/storage/internal/file_system.cpp
@@ -3,18 +3,26 @@
 namespace lagoonladder::storage
 {
 
+std::string temporary_path(std::string const& path)
+{
+    return path + ".tmp";
+}
+
+void publish_temporary(file_system& files, file& temporary, std::string const& folder,
+                       std::string const& path)
+{
+    temporary.sync();
+    files.rename(temporary_path(path), path);
+    files.sync_folder(folder);
+}
+
 void write_file_durably(file_system& files, std::string const& folder, std::string const& name,
                         std::string const& bytes)
 {
-    auto const target = folder + "/" + name;
-    auto const temporary = target + ".tmp";
-    {
-        auto const file = files.open(temporary, open_mode::replace);
-        file->append(bytes);
-        file->sync();
-    }
-    files.rename(temporary, target);
-    files.sync_folder(folder);
+    auto const path = folder + "/" + name;
+    auto const temporary = files.open(temporary_path(path), open_mode::replace);
+    temporary->append(bytes);
+    publish_temporary(files, *temporary, folder, path);
 }
 
 } // namespace lagoonladder::storage
--- a/src/process/storage/internal/file_system.hpp
+++ b/src/process/storage/internal/file_system.hpp
@@ -63,6 +63,13 @@
     virtual void sync_folder(std::string const& folder) = 0;
 };
 
+/// Path of the temporary file from which a file is replaced.
+std::string temporary_path(std::string const& path);
+
+/// Syncs the temporary file of `path`, renames it and syncs the folder.
+void publish_temporary(file_system& files, file& temporary, std::string const& folder,
+                       std::string const& path);
+
 /// Writes and syncs a temporary file, renames it and syncs the folder, so that after a crash the
 /// file is either complete or unchanged.
 void write_file_durably(file_system& files, std::string const& folder, std::string const& name,
