Remove a record whose sync failed before the next process reads it

Callers would see an acknowledged change lost after a loss of power, if a process ends after a failed fsync and the next one finds the disk full.

Cause: without space for a copy of the last segment, load() syncs the segment itself. The kernel has marked the pages of a failed fsync as clean, so that the record is read, the second fsync succeeds and the record is not on the disk. Only the process that saw the error knew of it.

Change: append_record() truncates the segment to its stored size after a failed sync. What is left in the file was synced before.

The cases on failed syncs let the truncation fail too, so that they still guard the copy and the refusal to sync again.

Not covered: a process that is killed between the failed fsync and the truncation, or whose truncation fails, with a next process on a full disk.

--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -64,6 +64,9 @@
     void sync_segment();
     void apply_record(std::string const& payload);
     void append_record(std::string const& payload);
+    /// Removes a record whose sync failed, since the next process could not tell it from a stored
+    /// one.
+    void discard_record();
     void begin_segment(bool is_checkpoint);
     void require_usable() const;
 
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -231,10 +231,30 @@
 {
     auto const record = encode_record(this->segment_number, this->segment_size, payload);
     this->segment->append(record);
-    this->sync_segment();
+    try
+    {
+        this->sync_segment();
+    }
+    catch (storage_error const&)
+    {
+        this->discard_record();
+        throw;
+    }
     this->segment_size += record.size();
 }
 
+void file_log_store::discard_record()
+{
+    try
+    {
+        this->segment->truncate(this->segment_size);
+    }
+    catch (storage_error const&)
+    {
+        // The next load still writes a copy, since `has_failed_sync` is set.
+    }
+}
+
 void file_log_store::begin_segment(bool is_checkpoint)
 {
     auto const number = this->segment_number + 1;
--- a/src/process/storage/tests/power_loss_test.cpp
+++ b/src/process/storage/tests/power_loss_test.cpp
@@ -70,6 +70,14 @@
     store.save(make_hard_state(2, 2), {make_entry(3, 2)}, true);
 }
 
+/// Saves the third entry on a disk that takes the record but neither its sync nor its removal.
+void fail_third_entry(simulated_disk& disk, file_log_store& store)
+{
+    disk.set_failures(true, 1);
+    CHECK_THROWS_AS(save_third_entry(store), storage_error);
+    disk.set_failures(true, 0);
+}
+
 /// Kills a process at the given operation of `action`. Returns false if the action has fewer
 /// operations.
 bool kill_during(simulated_disk& disk, random_source& random, file_log_store_options options,
@@ -150,8 +158,7 @@
         {
             voter_process first(disk, random);
             save_two_entries(first.store);
-            disk.fail_next_sync();
-            CHECK_THROWS_AS(save_third_entry(first.store), storage_error);
+            fail_third_entry(disk, first.store);
             if (!is_restarted)
                 loaded = first.store.load();
         }
@@ -173,8 +180,7 @@
         {
             voter_process first(disk, random);
             save_two_entries(first.store);
-            disk.fail_next_sync();
-            CHECK_THROWS_AS(save_third_entry(first.store), storage_error);
+            fail_third_entry(disk, first.store);
             disk.set_full(true);
             try
             {
@@ -192,6 +198,27 @@
     }
 }
 
+TEST_CASE("a record whose sync failed is not loaded by the next process from a full disk")
+{
+    // Guards against a process that syncs the record again, for want of space for a copy, and takes
+    // it for stored.
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        seeded_random random(seed);
+        simulated_disk disk(random);
+        {
+            voter_process first(disk, random);
+            save_two_entries(first.store);
+            disk.fail_next_sync();
+            CHECK_THROWS_AS(save_third_entry(first.store), storage_error);
+        }
+        disk.set_full(true);
+        auto const loaded = voter_process(disk, random).loaded;
+        disk.lose_power(unsynced::lost);
+        CHECK(are_equal(voter_process(disk, random).loaded, loaded));
+    }
+}
+
 TEST_CASE("a log that was loaded from a full disk survives a loss of power")
 {
     // Guards against a daemon that does not start while its disk is full, or that starts with
