--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -15,8 +15,9 @@
     std::uint64_t segment_bytes = 8 * 1024 * 1024;
 };
 
-class posix_file;
 class data_folder;
+class file;
+class file_system;
 
 /// Log store in a data folder: a write-ahead log in segment files, and snapshot files.
 /// The folder is created if it does not exist and is locked while the store exists. Every
@@ -27,6 +28,9 @@
 public:
     /// Throws storage_error if the folder cannot be written or is in use by another process.
     explicit file_log_store(std::string folder, file_log_store_options options = {});
+    /// As above, on other files than those of the operating system.
+    file_log_store(std::shared_ptr<file_system> files, std::string folder,
+                   file_log_store_options options = {});
     ~file_log_store() override;
 
     using log_store::save;
@@ -38,8 +42,9 @@
     /// process.
     consensus::voter_id open_voter_id(vm_id const& vm, random_source& random);
 
-    /// Loads the log. Truncates an incomplete record at its end; throws storage_error for any other
-    /// damage.
+    /// Loads the log and stores it again, since an earlier process, or a failed save, may have left
+    /// files that can be read but are not durable. Discards an incomplete record at its end; throws
+    /// storage_error for any other damage.
     consensus::persistent_state load() override;
     void save(std::optional<consensus::hard_state> const& state,
               std::vector<consensus::log_entry> const& entries, bool must_sync) override;
@@ -47,19 +52,33 @@
 
 private:
     consensus::persistent_state read_segments();
-    void read_segment(std::uint64_t number, bool is_last);
+    /// Returns the valid part of the segment, in bytes of the file.
+    std::string read_segment(std::uint64_t number, bool is_last);
+    /// Makes the last segment durable and opens it. Writes a copy, since a sync does not store what
+    /// an earlier, failed one has left in the page cache. On a full disk, the segment itself is
+    /// truncated and synced.
+    void store_segment(std::uint64_t number, std::string const& bytes);
+    /// Writes the temporary file of a segment. Returns null if the disk refuses it and the segment
+    /// itself may be synced instead.
+    std::unique_ptr<file> write_copy(std::string const& path, std::string const& bytes);
+    void sync_segment();
     void apply_record(std::string const& payload);
     void append_record(std::string const& payload);
+    /// Removes a record whose sync failed, since the next process could not tell it from a stored
+    /// one.
+    void discard_record();
     void begin_segment(bool is_checkpoint);
     void require_usable() const;
 
     file_log_store_options options;
     std::unique_ptr<data_folder> folder;
-    std::unique_ptr<posix_file> segment;
+    std::unique_ptr<file> segment;
     std::uint64_t segment_number = 0;
     std::uint64_t segment_size = 0;
     /// State as stored, without the data of the snapshot, which is only on disk.
     consensus::persistent_state current_state;
+    /// Whether the last sync of the segment failed.
+    bool has_failed_sync = false;
     /// False before load() and after a failed write.
     bool is_usable = false;
 };
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -1,8 +1,7 @@
 #include <lagoonladder/storage/file_log_store.hpp>
 
-#include <fcntl.h>
-
 #include "data_folder.hpp"
+#include "posix_file_system.hpp"
 #include "record.hpp"
 #include "stored_log.hpp"
 
@@ -23,8 +22,14 @@
 } // namespace
 
 file_log_store::file_log_store(std::string path, file_log_store_options initial_options)
+    : file_log_store(std::make_shared<posix_file_system>(), std::move(path), initial_options)
+{
+}
+
+file_log_store::file_log_store(std::shared_ptr<file_system> files, std::string path,
+                               file_log_store_options initial_options)
     : options(initial_options)
-    , folder(std::make_unique<data_folder>(std::move(path)))
+    , folder(std::make_unique<data_folder>(std::move(files), std::move(path)))
 {
 }
 
@@ -36,10 +41,11 @@
     if (this->folder->segment_numbers().empty())
     {
         auto const id = consensus::make_voter_id(vm, random.next());
-        write_file_durably(this->folder->folder_path(), voter_file, id.value() + "\n");
+        write_file_durably(this->folder->files(), this->folder->folder_path(), voter_file,
+                           id.value() + "\n");
         return id;
     }
-    auto text = read_file(path);
+    auto text = this->folder->files().read(path);
     if (text.empty() || text.back() != '\n')
         throw storage_error(path + ": the voter id is incomplete");
     text.pop_back();
@@ -75,14 +81,16 @@
         auto const path = this->folder->file_path(data_folder::segment_name(first));
         if (!numbers.contains(first))
             throw storage_error(path + ": the segment is missing");
-        auto const header = decode_segment_header(read_file(path));
+        auto const header = decode_segment_header(this->folder->files().read(path));
         if (!header || header->number != first)
             throw storage_error(location_prefix(path, 0) + "the segment header is damaged");
         if (header->kind == segment_kind::checkpoint)
             break;
     }
-    for (auto number = first; number <= *numbers.rbegin(); ++number)
-        this->read_segment(number, number == *numbers.rbegin());
+    auto const last = *numbers.rbegin();
+    std::string last_bytes;
+    for (auto number = first; number <= last; ++number)
+        last_bytes = this->read_segment(number, number == last);
     auto result = this->current_state;
     std::string snapshot_name;
     if (this->current_state.snapshot)
@@ -90,17 +98,21 @@
         auto const& stored_snapshot = *this->current_state.snapshot;
         snapshot_name = data_folder::snapshot_name(stored_snapshot.index, stored_snapshot.term);
         auto const path = this->folder->file_path(snapshot_name);
-        result.snapshot = decode_snapshot_file(path, read_file(path));
+        result.snapshot = decode_snapshot_file(path, this->folder->files().read(path));
         this->current_state.snapshot->membership = result.snapshot->membership;
     }
+    // A killed process may have renamed files without a sync of the folder. The files that they
+    // replace are removed after it.
+    this->folder->files().sync_folder(this->folder->folder_path());
     this->folder->remove_obsolete(first, snapshot_name);
+    this->store_segment(last, last_bytes);
     return result;
 }
 
-void file_log_store::read_segment(std::uint64_t number, bool is_last)
+std::string file_log_store::read_segment(std::uint64_t number, bool is_last)
 {
     auto const path = this->folder->file_path(data_folder::segment_name(number));
-    auto const bytes = read_file(path);
+    auto const bytes = this->folder->files().read(path);
     bool const is_checkpoint = decode_segment_header(bytes)->kind == segment_kind::checkpoint;
     auto offset = segment_header_bytes;
     while (offset < bytes.size())
@@ -125,15 +137,51 @@
         throw storage_error(location_prefix(path, offset) +
                             "the record is damaged, but a valid one follows at offset " +
                             std::to_string(*next_record));
-    if (!is_last)
-        return;
-    this->segment = std::make_unique<posix_file>(path, O_WRONLY | O_APPEND);
+    return bytes.substr(0, offset);
+}
+
+void file_log_store::store_segment(std::uint64_t number, std::string const& bytes)
+{
+    auto& files = this->folder->files();
+    auto const path = this->folder->file_path(data_folder::segment_name(number));
+    auto const copy = this->write_copy(path, bytes);
+    if (copy)
+        publish_temporary(files, *copy, this->folder->folder_path(), path);
+    this->segment = files.open(path, open_mode::append);
     this->segment_number = number;
-    this->segment_size = offset;
-    if (offset == bytes.size())
-        return;
-    this->segment->truncate(offset);
+    this->segment_size = bytes.size();
+    if (!copy)
+    {
+        this->segment->truncate(bytes.size());
+        this->sync_segment();
+    }
+    this->has_failed_sync = false;
+}
+
+std::unique_ptr<file> file_log_store::write_copy(std::string const& path, std::string const& bytes)
+{
+    auto& files = this->folder->files();
+    auto const temporary = temporary_path(path);
+    try
+    {
+        auto copy = files.open(temporary, open_mode::replace);
+        copy->append(bytes);
+        return copy;
+    }
+    catch (storage_error const&)
+    {
+        files.remove(temporary);
+        if (this->has_failed_sync)
+            throw;
+        return nullptr;
+    }
+}
+
+void file_log_store::sync_segment()
+{
+    this->has_failed_sync = true;
     this->segment->sync();
+    this->has_failed_sync = false;
 }
 
 void file_log_store::apply_record(std::string const& payload)
@@ -183,10 +231,30 @@
 {
     auto const record = encode_record(this->segment_number, this->segment_size, payload);
     this->segment->append(record);
-    this->segment->sync();
+    try
+    {
+        this->sync_segment();
+    }
+    catch (storage_error const&)
+    {
+        this->discard_record();
+        throw;
+    }
     this->segment_size += record.size();
 }
 
+void file_log_store::discard_record()
+{
+    try
+    {
+        this->segment->truncate(this->segment_size);
+    }
+    catch (storage_error const&)
+    {
+        // The next load still writes a copy, since `has_failed_sync` is set.
+    }
+}
+
 void file_log_store::begin_segment(bool is_checkpoint)
 {
     auto const number = this->segment_number + 1;
@@ -200,9 +268,8 @@
         bytes += encode_record(number, bytes.size(), encode_batch(content));
     }
     auto const name = data_folder::segment_name(number);
-    write_file_durably(this->folder->folder_path(), name, bytes);
-    this->segment =
-        std::make_unique<posix_file>(this->folder->file_path(name), O_WRONLY | O_APPEND);
+    write_file_durably(this->folder->files(), this->folder->folder_path(), name, bytes);
+    this->segment = this->folder->files().open(this->folder->file_path(name), open_mode::append);
     this->segment_number = number;
     this->segment_size = bytes.size();
 }
@@ -212,7 +279,8 @@
     this->require_usable();
     this->is_usable = false;
     auto const name = data_folder::snapshot_name(state.index, state.term);
-    write_file_durably(this->folder->folder_path(), name, encode_snapshot_file(state));
+    write_file_durably(this->folder->files(), this->folder->folder_path(), name,
+                       encode_snapshot_file(state));
     install_snapshot(this->current_state, {state.index, state.term, state.membership, {}});
     this->begin_segment(true);
     this->folder->remove_obsolete(this->segment_number, name);
