Apply committed entries while a node's own write is in flight

A node accepted no call between take_ready() and the end of the sync, so a voter with a slow disk could neither learn of nor serve what a quorum of the others had stored. node::take_committed() hands out further committed entries while another thread stores the output of the last take_ready().

Why this is safe: messages are sent after the write of the ready that holds them, so an entry of the leader's term that another voter acknowledges has been stored by the leader too. Only a leader that is the only voter commits without another voter; it does so in take_ready(), whose `committed` is applied after the write. It therefore commits nothing on a reply (of a learner): its quorum may have become one while the write was in flight, by the removal of the other voter. A leader that has removed itself still commits on the reply of the last voter.

Tests, each with the part of the change that it covers taken out: "a leader that becomes the only voter commits no entry that it is still storing": commit index 3 instead of 2 while the write of entry 3 is in flight. "a leader that removes itself commits its removal with the acknowledgement of the last voter": commit index 2 instead of 3 when the check is a quorum of one. scripted_node takes a membership and can deliver a message without taking the output.

--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -121,8 +121,14 @@
     void compact(log_index index, std::string data);
 
     bool has_ready() const;
+    /// Returns what to do next. To be called only when what the last call returned has been stored.
     ready take_ready();
 
+    /// Returns further committed entries to apply, while what take_ready() returned is still being
+    /// stored. A quorum has stored these entries, whether or not this node has. To be called only
+    /// after `committed` and `restore` of the last take_ready() were applied.
+    std::vector<log_entry> take_committed();
+
     consensus::role role() const;
     term_number term() const;
     /// Leader of the current term, if known.
--- a/src/process/consensus/include/lagoonladder/consensus/ready.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/ready.hpp
@@ -20,8 +20,10 @@
 /// 3. restore the application from `restore`;
 /// 4. apply `committed`;
 /// 5. serve `reads` as soon as their index is applied.
-/// No other function of the node may be called before the sync has finished. When the sync fails,
-/// the node must no longer be used.
+/// Other functions of the node, except for take_ready(), may be called before the sync has
+/// finished. `committed` may be applied before it when the group has more than one voter and there
+/// is nothing to restore: a quorum has stored these entries. When the sync fails, the node must no
+/// longer be used.
 struct ready
 {
     /// Present when it differs from the one returned last.
--- a/src/process/consensus/internal/client_requests.cpp
+++ b/src/process/consensus/internal/client_requests.cpp
@@ -196,6 +196,8 @@
                           std::move(data)};
     this->latest_snapshot = std::make_shared<snapshot const>(new_snapshot);
     this->snapshot_to_store = std::move(new_snapshot);
+    // The snapshot replaces entries that were applied before they were stored.
+    this->emitted_index = std::max(this->emitted_index, index);
     if (index.value() > this->options.retained_entries)
         this->log.compact_to(log_index(index.value() - this->options.retained_entries));
 }
--- a/src/process/consensus/internal/leadership.cpp
+++ b/src/process/consensus/internal/leadership.cpp
@@ -20,6 +20,12 @@
     return count >= this->log.latest_membership().voters.size() / 2 + 1;
 }
 
+bool node_core::is_only_voter() const
+{
+    auto const& voters = this->log.latest_membership().voters;
+    return voters.size() == 1 && voters.contains(this->options.self);
+}
+
 /// Largest value that a quorum of the voters has reached. `getter` returns no
 /// value for a follower that has none.
 template <class Value, class Getter>
--- a/src/process/consensus/internal/node.cpp
+++ b/src/process/consensus/internal/node.cpp
@@ -54,6 +54,11 @@
     return this->core->take_ready();
 }
 
+std::vector<log_entry> node::take_committed()
+{
+    return this->core->take_committed();
+}
+
 role node::role() const
 {
     return this->core->role;
--- a/src/process/consensus/internal/node_core.cpp
+++ b/src/process/consensus/internal/node_core.cpp
@@ -202,15 +202,21 @@
         this->emitted_hard_state = this->current_hard_state;
     }
     work.messages = std::exchange(this->outbox, {});
-    if (this->applied_index < this->current_hard_state.commit)
-        work.committed = this->log.slice(after(this->applied_index),
-                                         this->current_hard_state.commit, UINT64_MAX, UINT64_MAX);
-    this->applied_index = this->current_hard_state.commit;
+    work.committed = this->take_committed();
     work.reads = std::exchange(this->confirmed_reads, {});
     work.failed_reads = std::exchange(this->failed_reads, {});
     return work;
 }
 
+std::vector<log_entry> node_core::take_committed()
+{
+    if (this->snapshot_to_restore || this->applied_index >= this->current_hard_state.commit)
+        return {};
+    auto const first = after(this->applied_index);
+    this->applied_index = this->current_hard_state.commit;
+    return this->log.slice(first, this->applied_index, UINT64_MAX, UINT64_MAX);
+}
+
 void node_core::collect_persistent_state(ready& work)
 {
     work.snapshot = std::exchange(this->snapshot_to_store, std::nullopt);
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -32,6 +32,7 @@
     void step(time_point time, message const& received);
     bool has_ready() const;
     ready take_ready();
+    std::vector<log_entry> take_committed();
 
     // client_requests.cpp
     std::optional<proposal> propose(time_point time, std::string data);
@@ -78,6 +79,7 @@
 
     // leadership.cpp: state that a leader derives from the replies of its followers.
     bool is_quorum(std::size_t count) const;
+    bool is_only_voter() const;
     template <class Value, class Getter>
     std::optional<Value> quorum_value(Value own, Getter getter) const;
     std::optional<time_point> quorum_acknowledged_at() const;
--- a/src/process/consensus/internal/replication.cpp
+++ b/src/process/consensus/internal/replication.cpp
@@ -164,7 +164,11 @@
     }
     if (follower.next_index <= follower.match_index)
         follower.next_index = after(follower.match_index);
-    this->commit_by_quorum();
+    // Entries are sent after this node has stored them, so a voter that acknowledges one shows that
+    // this node's copy is stored too. An only voter has no such evidence and commits in
+    // take_ready().
+    if (!this->is_only_voter())
+        this->commit_by_quorum();
 }
 
 void node_core::on_append_rejected(message const& reply, follower_progress& follower)
--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -53,6 +53,96 @@
     CHECK(node.tested_node->commit_index() == log_index(3));
 }
 
+TEST_CASE("a follower applies committed entries while its last write is in flight")
+{
+    // Guards against a write that waits for a slow disk of one voter although a quorum has it.
+    scripted_node node;
+    auto append = node.message_from("b", message_type::append_request, 2);
+    append.index = append.commit = log_index(1);
+    append.log_term = term_number(1);
+    append.entries = {entry(2, 2)};
+    node.receive(append);
+    append.index = append.commit = log_index(2);
+    append.log_term = term_number(2);
+    append.entries = {entry(3, 2)};
+    node.step(append);
+    CHECK(node.tested_node->take_committed() == std::vector{entry(2, 2)});
+    append.commit = log_index(3);
+    node.step(append);
+    CHECK(node.tested_node->take_committed() == std::vector{entry(3, 2)});
+    CHECK(node.tested_node->take_committed().empty());
+    auto const work = node.tested_node->take_ready();
+    CHECK(work.entries == std::vector{entry(3, 2)});
+    CHECK(work.committed.empty());
+}
+
+TEST_CASE("a snapshot of entries that were applied before they were stored replaces them")
+{
+    // Guards against a node that stores a snapshot and then entries that the snapshot covers, which
+    // its store refuses.
+    scripted_node node;
+    storage::memory_log_store store;
+    store.save_snapshot(*node.initial_state.snapshot);
+    store.save(node.tested_node->take_ready());
+    auto append = node.message_from("b", message_type::append_request, 2);
+    append.index = log_index(1);
+    append.log_term = term_number(1);
+    append.entries = {entry(2, 2), entry(3, 2), entry(4, 2)};
+    append.commit = log_index(3);
+    node.step(append);
+    REQUIRE(node.tested_node->take_committed().size() == 2);
+    node.tested_node->compact(log_index(3), "state");
+    store.save(node.tested_node->take_ready());
+    auto const stored = store.load();
+    CHECK(stored.snapshot->index == log_index(3));
+    CHECK(stored.entries == std::vector{entry(4, 2)});
+}
+
+TEST_CASE("a leader that becomes the only voter commits no entry that it is still storing")
+{
+    // Guards against an acknowledged write that only the leader has, and has not stored: the voter
+    // that was to acknowledge it is removed while the leader's write is in flight.
+    membership members;
+    members.voters[voter_id("a")] = members.voters[voter_id("b")] =
+        members.learners[voter_id("c")] = network_address("10.0.0.1:1");
+    scripted_node leader({}, 1, members);
+    leader.win_election();
+    leader.acknowledge("b", 2, 1);
+    leader.acknowledge("c", 2, 1);
+    REQUIRE(leader.tested_node->commit_index() == log_index(2));
+    REQUIRE(leader.tested_node->propose(leader.now, "x"));
+    leader.tested_node->take_ready();
+    REQUIRE(
+        leader.tested_node->propose_membership(leader.now, {operation::remove, voter_id("b"), {}})
+            .status == change_status::accepted);
+    auto reply = leader.message_from("c", message_type::append_reply, 2);
+    reply.index = log_index(2);
+    reply.round = 1;
+    leader.step(reply);
+    CHECK(leader.tested_node->commit_index() == log_index(2));
+    CHECK(leader.tested_node->take_committed().empty());
+    CHECK(leader.tested_node->take_ready().committed.size() == 2);
+}
+
+TEST_CASE(
+    "a leader that removes itself commits its removal with the acknowledgement of the last voter")
+{
+    // Guards against a removal that waits for the leader's next heartbeat.
+    membership members;
+    members.voters[voter_id("a")] = members.voters[voter_id("b")] = network_address("10.0.0.1:1");
+    scripted_node leader({}, 1, members);
+    leader.win_election();
+    leader.acknowledge("b", 2, 1);
+    REQUIRE(
+        leader.tested_node->propose_membership(leader.now, {operation::remove, voter_id("a"), {}})
+            .status == change_status::accepted);
+    leader.tested_node->take_ready();
+    auto reply = leader.message_from("b", message_type::append_reply, 2);
+    reply.index = log_index(3);
+    leader.step(reply);
+    CHECK(leader.tested_node->commit_index() == log_index(3));
+}
+
 TEST_CASE("a node grants no vote right after its start")
 {
     // Guards against a restarted voter that votes while a leader's lease relies on it not to.
--- a/src/process/consensus/tests/scripted_node.hpp
+++ b/src/process/consensus/tests/scripted_node.hpp
@@ -8,30 +8,43 @@
 
 inline time_point const start_time(seconds(100));
 
-/// A single node whose received messages the test constructs. The other voters, b and c, exist only
-/// as senders of these messages.
+/// A single node, a, whose received messages the test constructs. The other members, b and c, exist
+/// only as senders of these messages.
 struct scripted_node
 {
-    explicit scripted_node(std::vector<log_entry> entries = {}, std::uint64_t term = 1)
+    explicit scripted_node(std::vector<log_entry> entries = {}, std::uint64_t term = 1,
+                           membership const& members = three_voters())
         : random(7)
+        , initial_state(founding_state(members))
     {
         set_invariant_handler([](std::string const& message)
                               { throw simulation_failure(message); });
-        membership voters;
-        for (auto const* id : {"a", "b", "c"})
-            voters.voters[voter_id(id)] = network_address("10.0.0.1:1");
-        auto state = founding_state(voters);
-        state.hard_state.term = term_number(term);
-        state.entries = std::move(entries);
+        this->initial_state.hard_state.term = term_number(term);
+        this->initial_state.entries = std::move(entries);
         node_options options;
         options.self = voter_id("a");
-        this->tested_node = std::make_unique<node>(options, state, this->random, start_time);
+        this->tested_node =
+            std::make_unique<node>(options, this->initial_state, this->random, start_time);
     }
 
-    std::vector<message> receive(message received)
+    static membership three_voters()
+    {
+        membership members;
+        for (auto const* id : {"a", "b", "c"})
+            members.voters[voter_id(id)] = network_address("10.0.0.1:1");
+        return members;
+    }
+
+    /// Delivers a message while the last write of the node is in flight.
+    void step(message received)
     {
         received.to = voter_id("a");
         this->tested_node->step(this->now, received);
+    }
+
+    std::vector<message> receive(message received)
+    {
+        this->step(std::move(received));
         return this->tested_node->take_ready().messages;
     }
 
@@ -70,6 +83,7 @@
     }
 
     seeded_random random;
+    persistent_state initial_state;
     time_point now = start_time;
     std::unique_ptr<node> tested_node;
 };
