Count what a voter confirms from the reply that its leader had received

A voter confirmed its state (has_recent_commit) as of the arrival of a message of its leader. Messages that were late, because the voter was frozen, a link delivered late or a socket had stalled, confirmed for one election timeout more what had been committed seconds earlier. Entries that poll such a voter judge calls by an older configuration, and answer 404 for a route that was added.

The leader echoes the latest number it received, and the commit index of its message counts from the sending of that reply, by the follower's own clock. A message without a known number confirms nothing.

Why this holds: a leader accepts a reply only in its term, and only while a quorum has acknowledged it within an election timeout, during which the others elect nobody; the commit index that it sends later therefore covers what was committed when the reply was sent, to within the 2% by which two clocks may differ. Late, duplicated or reordered messages carry older numbers and so count from earlier. Each leader starts without a number. A follower that restarts draws its first number, so that an echo from before the restart is unknown.

"a voter confirms no state by messages of its leader that are late" fails with the arrival as the time: all four messages that are 3.0 to 3.3 s late confirm the state ("CHECK_FALSE( node.tested_node->has_recent_commit(node.now) )"). "a voter confirms its state after a restart under the same leader" fails when the leader keeps the highest number instead of the latest: two of four restarts are not followed by a confirmation. "each voter confirms its state all the time while all is well" guards the age at which a heartbeat renews a confirmation: it is up to two heartbeats now, and was one.

Two tests sent messages of a leader that had received no reply, which confirm nothing any more. They now echo the replies, so that the property in each, a lagging commit index and a term without a commit, is again all that prevents the confirmation.

--- a/src/process/consensus/include/lagoonladder/consensus/message.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/message.hpp
@@ -57,6 +57,10 @@
     /// request, a number that tells the requester's reads from those before its restart. Echoed in
     /// the reply.
     std::uint64_t round = 0;
+    /// In an append or snapshot reply, the number of the reply, by which the follower knows when it
+    /// was sent. The leader echoes the latest one in append requests and snapshot chunks: its
+    /// `commit` then covers everything that had been committed when that reply was sent.
+    std::uint64_t reply_number = 0;
     bool rejected = false;
     /// In a rejected append: last entry of the follower, up to the rejected index, whose term is
     /// at most that of the request. The leader continues its search for the last matching entry
--- a/src/process/consensus/internal/follower.cpp
+++ b/src/process/consensus/internal/follower.cpp
@@ -15,13 +15,17 @@
 }
 
 /// Only the first commit index that this follower lacks is kept: when it is reached, everything
-/// that had been committed when it was received is known.
+/// that it covers is known. The message may be late by any time, so what it says counts from the
+/// reply that the leader had received before it.
 void node_core::record_leader_commit(message const& from_leader)
 {
     bool const is_other_leader =
         this->awaited_commit && this->awaited_commit->term != from_leader.term;
-    if (!this->awaited_commit || is_other_leader)
-        this->awaited_commit = {from_leader.commit, from_leader.term, this->now};
+    if (is_other_leader)
+        this->awaited_commit.reset();
+    auto const as_of = this->replies.sent_at(from_leader.reply_number);
+    if (!this->awaited_commit && as_of)
+        this->awaited_commit = {from_leader.commit, from_leader.term, *as_of};
 }
 
 void node_core::confirm_commit()
@@ -32,7 +36,8 @@
     // an earlier leader committed.
     auto const commit_term = this->log.term_at(this->current_hard_state.commit);
     if (commit_term == this->awaited_commit->term)
-        this->commit_confirmed_at = this->awaited_commit->received;
+        this->commit_confirmed_at =
+            std::max(this->commit_confirmed_at, this->awaited_commit->as_of);
     this->awaited_commit.reset();
 }
 
@@ -51,8 +56,7 @@
 
 void node_core::reject_append(message const& request)
 {
-    auto reply = this->make_message(message_type::append_reply, request.from);
-    reply.round = request.round;
+    auto reply = this->make_reply(message_type::append_reply, request);
     reply.rejected = true;
     reply.index = request.index;
     reply.hint_index =
@@ -87,8 +91,7 @@
     if (request.commit > this->current_hard_state.commit)
         this->advance_commit(std::min(request.commit, match_index));
     this->confirm_commit();
-    auto reply = this->make_message(message_type::append_reply, request.from);
-    reply.round = request.round;
+    auto reply = this->make_reply(message_type::append_reply, request);
     reply.index = match_index;
     this->outbox.push_back(std::move(reply));
 }
@@ -108,8 +111,7 @@
     }
     this->confirm_commit();
     auto const type = is_complete ? message_type::append_reply : message_type::snapshot_reply;
-    auto reply = this->make_message(type, chunk.from);
-    reply.round = chunk.round;
+    auto reply = this->make_reply(type, chunk);
     reply.index = is_complete ? this->current_hard_state.commit : chunk.index;
     reply.received = is_complete ? 0 : this->assembly.received();
     this->outbox.push_back(std::move(reply));
--- a/src/process/consensus/internal/follower_progress.hpp
+++ b/src/process/consensus/internal/follower_progress.hpp
@@ -37,6 +37,9 @@
     std::uint64_t acknowledged_round = 0;
     std::optional<time_point> acknowledged_sent_at;
 
+    /// Number of the follower's latest reply that has arrived.
+    std::uint64_t last_reply_number = 0;
+
     /// Snapshot in transfer; kept until the transfer ends, even when the leader has a newer one.
     std::shared_ptr<consensus::snapshot const> pending_snapshot;
     std::uint64_t transferred_bytes = 0;
--- a/src/process/consensus/internal/leadership.cpp
+++ b/src/process/consensus/internal/leadership.cpp
@@ -137,6 +137,9 @@
 
 void node_core::record_acknowledgement(message const& reply, follower_progress& follower)
 {
+    // Not the highest number, since a follower that has restarted begins with another one.
+    if (reply.round >= follower.acknowledged_round)
+        follower.last_reply_number = reply.reply_number;
     if (reply.round <= follower.acknowledged_round)
         return;
     auto const sent_at = this->rounds.sent_at(reply.round);
--- a/src/process/consensus/internal/message.cpp
+++ b/src/process/consensus/internal/message.cpp
@@ -49,6 +49,7 @@
     put_unless_default(out, "log_term", value.log_term);
     put_unless_default(out, "commit", value.commit);
     put_unless_default(out, "round", value.round);
+    put_unless_default(out, "reply_number", value.reply_number);
     put_unless_default(out, "rejected", value.rejected);
     put_unless_default(out, "hint_index", value.hint_index);
     put_unless_default(out, "hint_term", value.hint_term);
@@ -70,6 +71,7 @@
     get_if_present(in, "log_term", value.log_term);
     get_if_present(in, "commit", value.commit);
     get_if_present(in, "round", value.round);
+    get_if_present(in, "reply_number", value.reply_number);
     get_if_present(in, "rejected", value.rejected);
     get_if_present(in, "hint_index", value.hint_index);
     get_if_present(in, "hint_term", value.hint_term);
--- a/src/process/consensus/internal/node_core.cpp
+++ b/src/process/consensus/internal/node_core.cpp
@@ -31,6 +31,7 @@
     , random(source)
     , now(start)
     , last_leader_contact(start)
+    , replies(source.next() / 2)
     , read_nonce(source.next())
 {
     // A received snapshot may have been stored before the hard state with its term. This node sent
@@ -160,6 +161,15 @@
     return result;
 }
 
+/// Reply to an append request or a snapshot chunk.
+message node_core::make_reply(message_type type, message const& request)
+{
+    auto reply = this->make_message(type, request.from);
+    reply.round = request.round;
+    reply.reply_number = this->replies.begin(this->now, this->options.election_timeout * 2);
+    return reply;
+}
+
 void node_core::advance_commit(log_index index)
 {
     if (index <= this->current_hard_state.commit)
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -17,7 +17,8 @@
 {
     log_index index;
     term_number term;
-    time_point received{};
+    /// The index covers everything that had been committed at this time.
+    time_point as_of{};
 };
 
 /// Implementation of node. The functions are grouped by source file.
@@ -60,6 +61,7 @@
     void dispatch(message const& received);
     void become_follower(term_number term, std::optional<voter_id> const& new_leader);
     message make_message(message_type type, voter_id const& to) const;
+    message make_reply(message_type type, message const& request);
     void advance_commit(log_index index);
     void collect_persistent_state(ready& work);
 
@@ -100,7 +102,8 @@
     void send_append(voter_id const& id, follower_progress& follower, std::uint64_t round,
                      bool with_entries);
     void send_snapshot_chunk(voter_id const& id, follower_progress& follower, std::uint64_t round);
-    void send_empty_heartbeat(voter_id const& id, std::uint64_t round);
+    void send_empty_heartbeat(voter_id const& id, follower_progress const& follower,
+                              std::uint64_t round);
     void on_append_reply(message const& reply);
     void on_append_rejected(message const& reply, follower_progress& follower);
     void on_snapshot_reply(message const& reply);
@@ -141,10 +144,13 @@
 
     time_point election_deadline{};
     time_point last_leader_contact;
-    /// Commit index of the leader that this follower has to reach, and when it was received.
+    /// Commit index of the leader that this follower has to reach.
     std::optional<leader_commit> awaited_commit;
-    /// When a commit index of the leader was received that this follower has reached since.
+    /// Latest time as of which this follower knows everything that had been committed.
     time_point commit_confirmed_at{};
+    /// Replies of this follower to leaders. The first number is drawn, since a leader may echo the
+    /// number of a reply from before a restart.
+    round_log replies;
     /// Votes of the current prevote or election by voter, with this node's own; true when granted.
     std::map<voter_id, bool> votes;
     snapshot_assembly assembly;
--- a/src/process/consensus/internal/replication.cpp
+++ b/src/process/consensus/internal/replication.cpp
@@ -76,7 +76,7 @@
         if (!follower.awaiting_reply)
             this->send_snapshot_chunk(id, follower, round);
         else
-            this->send_empty_heartbeat(id, round);
+            this->send_empty_heartbeat(id, follower, round);
         return;
     case replication_mode::probe:
         this->send_append(id, follower, round, this->can_send_entries(follower));
@@ -97,6 +97,7 @@
     request.log_term = *this->log.term_at(request.index);
     request.commit = this->current_hard_state.commit;
     request.round = round;
+    request.reply_number = follower.last_reply_number;
     if (with_entries)
         request.entries = this->log.slice(follower.next_index, this->log.last_index(),
                                           this->options.max_entries_per_append,
@@ -119,6 +120,7 @@
     chunk.log_term = pending.term;
     chunk.commit = this->current_hard_state.commit;
     chunk.round = round;
+    chunk.reply_number = follower.last_reply_number;
     chunk.part = snapshot_part{
         pending.membership, follower.transferred_bytes, pending.data.size(),
         pending.data.substr(follower.transferred_bytes, this->options.snapshot_chunk_bytes)};
@@ -129,11 +131,13 @@
 }
 
 /// Sends an append that every follower accepts: it has no entries and its previous index is 0.
-void node_core::send_empty_heartbeat(voter_id const& id, std::uint64_t round)
+void node_core::send_empty_heartbeat(voter_id const& id, follower_progress const& follower,
+                                     std::uint64_t round)
 {
     auto request = this->make_message(message_type::append_request, id);
     request.commit = this->current_hard_state.commit;
     request.round = round;
+    request.reply_number = follower.last_reply_number;
     this->outbox.push_back(std::move(request));
 }
 
--- a/src/process/consensus/internal/round_log.hpp
+++ b/src/process/consensus/internal/round_log.hpp
@@ -10,11 +10,18 @@
 namespace lagoonladder::consensus
 {
 
-/// Numbers the broadcasts (rounds) of a leader and records when each was sent. The numbers increase
-/// over the lifetime of the node, so that a reply is never attributed to a later round.
+/// Numbers the broadcasts (rounds) of a leader, or the replies of a follower, and records when each
+/// was sent. The numbers increase over the lifetime of the node, so that a message is never
+/// attributed to a later round.
 class round_log
 {
 public:
+    /// `before_first`: number before the one of the first round.
+    explicit round_log(std::uint64_t before_first = 0)
+        : latest_number(before_first)
+    {
+    }
+
     /// Starts a round, returns its number and drops rounds sent more than `retention` ago.
     std::uint64_t begin(time_point now, duration retention)
     {
@@ -33,7 +40,7 @@
         return this->rounds[number - this->rounds.front().number].sent_at;
     }
 
-    /// Number of the latest round; 0 before the first.
+    /// Number of the latest round; the initial number before the first.
     std::uint64_t current() const { return this->latest_number; }
 
 private:
@@ -44,7 +51,7 @@
     };
 
     std::deque<round> rounds;
-    std::uint64_t latest_number = 0;
+    std::uint64_t latest_number;
 };
 
 } // namespace lagoonladder::consensus
--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -307,8 +307,9 @@
     heartbeat.log_term = term_number(1);
     heartbeat.entries = {entry(2, 2)};
     heartbeat.commit = log_index(2);
-    node.receive(heartbeat);
+    node.receive_with_echo(heartbeat);
     REQUIRE(node.tested_node->commit_index() == log_index(2));
+    node.receive_with_echo(heartbeat);
     CHECK(node.tested_node->has_recent_commit(node.now));
 
     // The leader sends a snapshot, and heartbeats without a preceding entry meanwhile.
@@ -319,7 +320,7 @@
     for (int i = 0; i < 4; ++i)
     {
         node.now += milliseconds(400);
-        node.receive(heartbeat);
+        node.receive_with_echo(heartbeat);
         REQUIRE(node.tested_node->has_recent_quorum(node.now));
     }
     CHECK_FALSE(node.tested_node->has_recent_commit(node.now));
@@ -333,15 +334,72 @@
     auto heartbeat = node.message_from("b", message_type::append_request, 2);
     heartbeat.index = heartbeat.commit = log_index(1);
     heartbeat.log_term = term_number(1);
-    node.receive(heartbeat);
+    for (int i = 0; i < 2; ++i)
+        node.receive_with_echo(heartbeat);
     REQUIRE(node.tested_node->has_recent_quorum(node.now));
     CHECK_FALSE(node.tested_node->has_recent_commit(node.now));
     heartbeat.entries = {entry(2, 2)};
     heartbeat.commit = log_index(2);
-    node.receive(heartbeat);
+    node.receive_with_echo(heartbeat);
+    CHECK(node.tested_node->has_recent_commit(node.now));
+}
+
+TEST_CASE("a voter confirms no state by messages of its leader that are late")
+{
+    // Guards against 404 for an added route: a voter that received messages of its leader seconds
+    // late confirmed what had been committed then as if it were current.
+    scripted_node node;
+    auto heartbeat = node.message_from("b", message_type::append_request, 2);
+    heartbeat.index = heartbeat.commit = log_index(1);
+    heartbeat.log_term = term_number(1);
+    heartbeat.entries = {entry(2, 2)};
+    heartbeat.commit = log_index(2);
+    node.receive_with_echo(heartbeat);
+    heartbeat.reply_number = node.last_reply_number;
+    node.now += seconds(3);
+    for (int i = 0; i < 4; ++i)
+    {
+        // Sent before the replies to the earlier ones have arrived.
+        node.receive(heartbeat);
+        REQUIRE(node.tested_node->has_recent_quorum(node.now));
+        CHECK_FALSE(node.tested_node->has_recent_commit(node.now));
+        node.now += milliseconds(100);
+    }
+    node.receive_with_echo(heartbeat);
+    node.receive_with_echo(heartbeat);
     CHECK(node.tested_node->has_recent_commit(node.now));
 }
 
+TEST_CASE("each voter confirms its state all the time while all is well")
+{
+    // Guards against a confirmation that is too old before the next heartbeat renews it, so that
+    // entries refuse calls without a fault.
+    simulated_cluster cluster(19, 3);
+    wait_for_leader(cluster);
+    for (auto const end = cluster.now + seconds(20); cluster.now < end;)
+    {
+        cluster.step();
+        for (auto const& vm : cluster.vms)
+            REQUIRE(vm->node->has_recent_commit(cluster.local_time(*vm)));
+    }
+}
+
+TEST_CASE("a voter confirms its state after a restart under the same leader")
+{
+    // Guards against a leader that goes on to echo the number of a reply from before the restart,
+    // so that the voter confirms nothing until the next election.
+    simulated_cluster cluster(18, 3);
+    wait_for_leader(cluster);
+    auto& voter = follower_of(cluster);
+    for (int restarts = 0; restarts < 4; ++restarts)
+    {
+        cluster.crash(voter);
+        cluster.start(voter);
+        cluster.run(seconds(2));
+        CHECK(voter.node->has_recent_commit(cluster.local_time(voter)));
+    }
+}
+
 TEST_CASE("a voter that catches up confirms only what the leader had committed recently")
 {
     // Guards against a confirmation during a long catch-up, and against one that never returns.
@@ -456,6 +514,7 @@
                  value.from = voter_id("a#1");
                  value.term = term_number(*rc::gen::arbitrary<std::uint64_t>());
                  value.round = *rc::gen::arbitrary<std::uint64_t>();
+                 value.reply_number = *rc::gen::arbitrary<std::uint64_t>();
                  value.rejected = *rc::gen::arbitrary<bool>();
                  auto const bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
                  value.entries = {{log_index(3), term_number(2), entry_kind::command, bytes}};
--- a/src/process/consensus/tests/scripted_node.hpp
+++ b/src/process/consensus/tests/scripted_node.hpp
@@ -48,6 +48,16 @@
         return this->tested_node->take_ready().messages;
     }
 
+    /// Delivers a message of a leader that has received all replies of the node.
+    std::vector<message> receive_with_echo(message received)
+    {
+        received.reply_number = this->last_reply_number;
+        auto replies = this->receive(std::move(received));
+        for (auto const& reply : replies)
+            this->last_reply_number = reply.reply_number;
+        return replies;
+    }
+
     message message_from(char const* sender, message_type type, std::uint64_t term) const
     {
         message result;
@@ -86,6 +96,8 @@
     persistent_state initial_state;
     time_point now = start_time;
     std::unique_ptr<node> tested_node;
+    /// Number of the node's last reply to a leader.
+    std::uint64_t last_reply_number = 0;
 };
 
 } // namespace lagoonladder::consensus
