Let writes take time in the simulated cluster, and check what is confirmed

The simulation stored the output of a node at once, so nothing happened between take_ready() and the end of its write. A write now takes up to 8 ms, or up to 3 s while a disk stalls. All earlier checks stay. In each step, a node that confirms its state must know what any node had applied an election timeout ago.

--- a/src/process/consensus/tests/cluster_test.cpp
+++ b/src/process/consensus/tests/cluster_test.cpp
@@ -23,6 +23,9 @@
     std::uint64_t lost_disks = 0;
     std::uint64_t snapshots = 0;
     std::uint64_t leases = 0;
+    std::uint64_t confirmations = 0;
+    std::uint64_t applied_meanwhile = 0;
+    std::uint64_t lost_writes = 0;
 };
 
 void run_with_faults(std::uint64_t seed, std::size_t size, std::uint64_t steps, totals& total)
@@ -48,6 +51,9 @@
     total.lost_disks += cluster.lost_disks;
     total.snapshots += cluster.restored_snapshots;
     total.leases += cluster.observed_leases;
+    total.confirmations += cluster.confirmations;
+    total.applied_meanwhile += cluster.applied_meanwhile;
+    total.lost_writes += cluster.lost_writes;
 }
 
 void run_seeds(std::size_t size, std::uint64_t count)
@@ -65,10 +71,15 @@
     CHECK(total.writes > 20 * count);
     CHECK(total.reads > 20 * count);
     CHECK(total.leases > 20 * count);
+    CHECK(total.confirmations > 20 * count);
+    CHECK(total.applied_meanwhile > count);
+    CHECK(total.lost_writes > count);
     CHECK(total.lost_disks > count);
     CHECK(total.snapshots > count);
     WARN(count << " runs: " << total.writes << " writes, " << total.reads << " reads, "
-               << total.lost_disks << " lost disks, " << total.snapshots << " snapshots restored");
+               << total.lost_disks << " lost disks, " << total.snapshots << " snapshots restored, "
+               << total.confirmations << " confirmations, " << total.applied_meanwhile
+               << " entries applied during a write, " << total.lost_writes << " writes lost");
 }
 
 } // namespace
--- a/src/process/consensus/tests/simulated_cluster.cpp
+++ b/src/process/consensus/tests/simulated_cluster.cpp
@@ -64,6 +64,11 @@
 void simulated_cluster::crash(simulated_vm& vm)
 {
     vm.node.reset();
+    if (vm.write && this->chance(0.3))
+        this->store_entries(vm, vm.write->work);
+    else if (vm.write)
+        ++this->lost_writes;
+    vm.write.reset();
     vm.store.discard_unsynced();
     vm.pending_proposals.clear();
     vm.min_index_by_read.clear();
@@ -112,34 +117,82 @@
 
 void simulated_cluster::process_ready(simulated_vm& vm)
 {
-    while (vm.node && vm.node->has_ready())
+    while (vm.node && (vm.write || vm.node->has_ready()))
     {
-        auto const work = vm.node->take_ready();
-        if (this->network.loss_probability > 0 && this->chance(0.0005))
-            return this->crash(vm);
-        this->store_entries(vm, work);
-        if (this->network.loss_probability > 0 && this->chance(0.0005))
-            return this->crash(vm);
-        for (auto const& sent : work.messages)
-            this->network.send(this->now, sent);
-        if (work.restore)
-        {
-            vm.applied_index = work.restore->index.value();
-            vm.state_digest = work.restore->data.empty() ? 0 : std::stoull(work.restore->data);
-            require(vm.applied_index <= 1 ||
-                        this->applied_history.at(vm.applied_index).second == vm.state_digest,
-                    "a snapshot differs from the applied entries at " +
-                        index_text(work.restore->index));
-            vm.pending_proposals.clear();
-            ++this->restored_snapshots;
-        }
-        for (auto const& entry : work.committed)
-            this->apply(vm, entry);
-        vm.waiting_reads.insert(vm.waiting_reads.end(), work.reads.begin(), work.reads.end());
-        this->serve_reads(vm);
-        if (vm.applied_index > vm.node->snapshot_index().value() + 20 && this->chance(0.3))
-            vm.node->compact(log_index(vm.applied_index), std::to_string(vm.state_digest));
+        if (!vm.write)
+            this->begin_write(vm);
+        if (!vm.node)
+            return;
+        if (this->now < vm.write->ends_at || this->now < vm.disk_stalled_until)
+            return this->continue_meanwhile(vm);
+        this->end_write(vm);
+    }
+}
+
+void simulated_cluster::begin_write(simulated_vm& vm)
+{
+    auto& write = vm.write.emplace();
+    write.work = vm.node->take_ready();
+    if (this->network.loss_probability > 0 && this->chance(0.0005))
+        return this->crash(vm);
+    bool const is_stored =
+        write.work.hard_state || write.work.snapshot || !write.work.entries.empty();
+    // In microseconds: up to 8 ms.
+    write.ends_at = is_stored ? this->now + duration(this->random.below(8'000)) : this->now;
+    write.is_applied = !write.work.restore && vm.node->membership().voters.size() > 1;
+    if (!write.is_applied)
+        return;
+    for (auto const& entry : write.work.committed)
+        this->apply(vm, entry);
+}
+
+void simulated_cluster::continue_meanwhile(simulated_vm& vm)
+{
+    if (!vm.write->is_applied)
+        return;
+    for (auto const& entry : vm.node->take_committed())
+    {
+        this->apply(vm, entry);
+        ++this->applied_meanwhile;
     }
+    this->serve_reads(vm);
+    this->compact_sometimes(vm);
+}
+
+void simulated_cluster::end_write(simulated_vm& vm)
+{
+    auto const write = *std::exchange(vm.write, std::nullopt);
+    this->store_entries(vm, write.work);
+    if (this->network.loss_probability > 0 && this->chance(0.0005))
+        return this->crash(vm);
+    for (auto const& sent : write.work.messages)
+        this->network.send(this->now, sent);
+    if (write.work.restore)
+        this->restore(vm, *write.work.restore);
+    if (!write.is_applied)
+        for (auto const& entry : write.work.committed)
+            this->apply(vm, entry);
+    vm.waiting_reads.insert(vm.waiting_reads.end(), write.work.reads.begin(),
+                            write.work.reads.end());
+    this->serve_reads(vm);
+    this->compact_sometimes(vm);
+}
+
+void simulated_cluster::restore(simulated_vm& vm, snapshot const& state)
+{
+    vm.applied_index = state.index.value();
+    vm.state_digest = state.data.empty() ? 0 : std::stoull(state.data);
+    require(vm.applied_index <= 1 ||
+                this->applied_history.at(vm.applied_index).second == vm.state_digest,
+            "a snapshot differs from the applied entries at " + index_text(state.index));
+    vm.pending_proposals.clear();
+    ++this->restored_snapshots;
+}
+
+void simulated_cluster::compact_sometimes(simulated_vm& vm)
+{
+    if (vm.applied_index > vm.node->snapshot_index().value() + 20 && this->chance(0.3))
+        vm.node->compact(log_index(vm.applied_index), std::to_string(vm.state_digest));
 }
 
 void simulated_cluster::store_entries(simulated_vm& vm, ready const& work)
@@ -242,6 +295,7 @@
             this->process_ready(*vm);
         }
     this->check_leaders();
+    this->check_confirmations();
 }
 
 void simulated_cluster::run(duration duration_to_run)
@@ -266,6 +320,25 @@
     this->observed_leases += leases;
 }
 
+void simulated_cluster::check_confirmations()
+{
+    this->applied_by_time.emplace_back(
+        this->now, this->applied_history.empty() ? 0 : this->applied_history.rbegin()->first);
+    // The clocks differ by 2% at most, and a step takes 5 ms.
+    auto const limit = this->now - this->options.election_timeout * 102 / 100 - milliseconds(10);
+    while (this->applied_by_time.size() > 1 && this->applied_by_time[1].first <= limit)
+        this->applied_by_time.pop_front();
+    for (auto const& vm : this->vms)
+    {
+        if (!vm->node || vm->paused_until > this->now ||
+            !vm->node->has_recent_commit(this->local_time(*vm)))
+            continue;
+        ++this->confirmations;
+        require(vm->node->commit_index().value() >= this->applied_by_time.front().second,
+                "an old state is confirmed on " + vm->name.value());
+    }
+}
+
 void simulated_cluster::isolate(vm_id const& vm_name, bool inbound, bool outbound)
 {
     for (auto const& other : this->vms)
--- a/src/process/consensus/tests/simulated_cluster.hpp
+++ b/src/process/consensus/tests/simulated_cluster.hpp
@@ -1,6 +1,8 @@
 #ifndef LAGOONLADDER_CONSENSUS_SIMULATED_CLUSTER_HPP
 #define LAGOONLADDER_CONSENSUS_SIMULATED_CLUSTER_HPP
 
+#include <deque>
+
 #include <lagoonladder/storage.hpp>
 
 #include "simulated_network.hpp"
@@ -12,6 +14,15 @@
     using std::runtime_error::runtime_error;
 };
 
+/// Output of a node that its disk is still storing.
+struct write_in_flight
+{
+    lagoonladder::consensus::ready work;
+    lagoonladder::time_point ends_at{};
+    /// Whether the committed entries were applied before the write ended.
+    bool is_applied = false;
+};
+
 /// A VM with its disk, its clock and one consensus node.
 struct simulated_vm
 {
@@ -19,8 +30,11 @@
     lagoonladder::consensus::voter_id id;
     double clock_rate = 1;
     lagoonladder::time_point paused_until{};
+    /// No write ends before.
+    lagoonladder::time_point disk_stalled_until{};
     lagoonladder::storage::memory_log_store store;
     std::unique_ptr<lagoonladder::consensus::node> node;
+    std::optional<write_in_flight> write;
 
     // State of the application; lost in a crash and rebuilt from the snapshot and the log.
     std::uint64_t applied_index = 0;
@@ -50,6 +64,8 @@
 
     void write();
     void read();
+    /// Ends the process and discards what its disk has not synced. A write in flight is lost, or
+    /// stored without a report.
     void crash(simulated_vm& vm);
     void start(simulated_vm& vm);
     /// Erases the disk of the VM, which then gets a new voter id. Returns false, and erases
@@ -77,14 +93,29 @@
     std::uint64_t lost_disks = 0;
     std::uint64_t restored_snapshots = 0;
     std::uint64_t observed_leases = 0;
+    std::uint64_t confirmations = 0;
+    /// Committed entries that were applied while a write was in flight.
+    std::uint64_t applied_meanwhile = 0;
+    std::uint64_t lost_writes = 0;
+    /// Last index that a client knows to be applied.
+    std::uint64_t client_visible_index = 0;
 
 private:
     void process_ready(simulated_vm& vm);
+    void begin_write(simulated_vm& vm);
+    /// Does what is possible while the write is in flight.
+    void continue_meanwhile(simulated_vm& vm);
+    void end_write(simulated_vm& vm);
+    void restore(simulated_vm& vm, lagoonladder::consensus::snapshot const& state);
+    void compact_sometimes(simulated_vm& vm);
     void store_entries(simulated_vm& vm, lagoonladder::consensus::ready const& work);
     void apply(simulated_vm& vm, lagoonladder::consensus::log_entry const& entry);
     void serve_reads(simulated_vm& vm);
     /// Checks that each term has one leader and that at most one lease is valid.
     void check_leaders();
+    /// Checks that a node that confirms its state knows what had been applied anywhere an election
+    /// timeout ago.
+    void check_confirmations();
     void inject_network_faults();
     void cut_link(bool both_ways);
     void inject_vm_faults();
@@ -104,8 +135,8 @@
     /// Entry and state digest by applied index.
     std::map<std::uint64_t, std::pair<lagoonladder::consensus::log_entry, std::uint64_t>>
         applied_history;
-    /// Last index that a client knows to be applied.
-    std::uint64_t client_visible_index = 0;
+    /// Times, oldest first, and the last index that any node had applied by then.
+    std::deque<std::pair<lagoonladder::time_point, std::uint64_t>> applied_by_time;
 };
 
 #endif
--- a/src/process/consensus/tests/simulated_faults.cpp
+++ b/src/process/consensus/tests/simulated_faults.cpp
@@ -57,6 +57,8 @@
         this->crash(vm);
     if (this->chance(0.004))
         vm.paused_until = this->now + milliseconds(this->random.below(1500));
+    if (this->chance(0.004))
+        vm.disk_stalled_until = this->now + milliseconds(this->random.below(3000));
     if (this->chance(0.002) && this->lose_disk(vm) && this->chance(0.5))
         this->crash(this->random_vm());
     for (auto& stopped : this->vms)
@@ -114,6 +116,7 @@
     for (auto& vm : this->vms)
     {
         vm->paused_until = {};
+        vm->disk_stalled_until = {};
         if (!vm->node)
             this->start(*vm);
     }
