Let a published configuration expire unless the control thread renews it

Cause: the control thread publishes a view for the traffic thread, with a flag that says whether its configuration may be outdated. The flag was computed when the view was published, and held until the next one. While the control thread waits for a sync of its disk, or gets no processor time, the traffic thread goes on refusing calls by a flag that is seconds old. Class of fault: a belief without an expiry.

Evidence: the test "a view that the control thread cannot renew counts as outdated" holds up the control threads of a voter and of a daemon without a disk for 1.5 s. With the flag as it was (an expiry that is either past or infinite) it fails at both: after 1.3 s the view still counts as current.

Change: the view carries the time at which its configuration stops being current, a second after the latest confirmation, and each call compares it with the clock. The view is published with each poll, so that the expiry moves on. A voter's state counts as confirmed only when what it knows to be committed has been applied. The line of a refused call states for how long the configuration counted as current, which tells such a refusal from others.

--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -138,6 +138,10 @@
     /// until the leader has committed an entry of its term.
     bool has_recent_commit(time_point now) const;
 
+    /// Latest time known as of which commit_index() covers everything that had been committed. No
+    /// value while there is no leader or it has not committed an entry of its term.
+    std::optional<time_point> commit_confirmed_at() const;
+
     /// True only on the leader, while no other leader can have been elected, provided that the
     /// rates of all clocks are within 1% of true time.
     bool has_valid_lease(time_point now) const;
--- a/src/process/consensus/internal/follower.cpp
+++ b/src/process/consensus/internal/follower.cpp
@@ -32,7 +32,7 @@
     // an earlier leader committed.
     auto const commit_term = this->log.term_at(this->current_hard_state.commit);
     if (commit_term == this->awaited_commit->term)
-        this->commit_confirmed_at = this->awaited_commit->received;
+        this->follower_commit_confirmed_at = this->awaited_commit->received;
     this->awaited_commit.reset();
 }
 
--- a/src/process/consensus/internal/leadership.cpp
+++ b/src/process/consensus/internal/leadership.cpp
@@ -59,24 +59,33 @@
     return this->current_hard_state.commit >= this->term_start;
 }
 
+/// No value for a node that follows no leader.
+std::optional<time_point> node_core::last_quorum_contact() const
+{
+    if (this->role == role::leader)
+        return std::max(this->leader_since, this->quorum_acknowledged_at().value_or(time_point()));
+    return this->leader ? std::optional(this->last_leader_contact) : std::nullopt;
+}
+
 bool node_core::has_recent_quorum(time_point time) const
 {
-    auto last_contact = this->last_leader_contact;
+    auto const last_contact = this->last_quorum_contact();
+    return last_contact && time < *last_contact + this->options.election_timeout;
+}
+
+std::optional<time_point> node_core::commit_confirmed_at() const
+{
+    auto const last_contact = this->last_quorum_contact();
     if (this->role == role::leader)
-        last_contact =
-            std::max(this->leader_since, this->quorum_acknowledged_at().value_or(time_point()));
-    else if (!this->leader)
-        return false;
-    return time < last_contact + this->options.election_timeout;
+        return this->is_term_committed() ? last_contact : std::nullopt;
+    return last_contact ? std::optional(this->follower_commit_confirmed_at) : std::nullopt;
 }
 
 bool node_core::has_recent_commit(time_point time) const
 {
-    if (!this->has_recent_quorum(time))
-        return false;
-    if (this->role == role::leader)
-        return this->is_term_committed();
-    return time < this->commit_confirmed_at + this->options.election_timeout;
+    auto const confirmed_at = this->commit_confirmed_at();
+    return this->has_recent_quorum(time) && confirmed_at &&
+           time < *confirmed_at + this->options.election_timeout;
 }
 
 bool node_core::has_valid_lease(time_point time) const
--- a/src/process/consensus/internal/node.cpp
+++ b/src/process/consensus/internal/node.cpp
@@ -84,6 +84,11 @@
     return this->core->has_recent_commit(now);
 }
 
+std::optional<time_point> node::commit_confirmed_at() const
+{
+    return this->core->commit_confirmed_at();
+}
+
 bool node::has_valid_lease(time_point now) const
 {
     return this->core->has_valid_lease(now);
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -42,6 +42,7 @@
     // leadership.cpp
     bool has_recent_quorum(time_point time) const;
     bool has_recent_commit(time_point time) const;
+    std::optional<time_point> commit_confirmed_at() const;
     bool has_valid_lease(time_point time) const;
     std::vector<follower_status> follower_list(time_point time) const;
 
@@ -81,6 +82,7 @@
     template <class Value, class Getter>
     std::optional<Value> quorum_value(Value own, Getter getter) const;
     std::optional<time_point> quorum_acknowledged_at() const;
+    std::optional<time_point> last_quorum_contact() const;
     bool is_active(follower_progress const& follower, time_point time) const;
     bool is_term_committed() const;
     void update_followers();
@@ -142,7 +144,7 @@
     /// Commit index of the leader that this follower has to reach, and when it was received.
     std::optional<leader_commit> awaited_commit;
     /// When a commit index of the leader was received that this follower has reached since.
-    time_point commit_confirmed_at{};
+    time_point follower_commit_confirmed_at{};
     /// Votes of the current prevote or election by voter, with this node's own; true when granted.
     std::map<voter_id, bool> votes;
     snapshot_assembly assembly;
--- a/src/process/control/include/lagoonladder/control/control_plane.hpp
+++ b/src/process/control/include/lagoonladder/control/control_plane.hpp
@@ -60,9 +60,9 @@
     std::uint64_t term = 0;
     std::string leader;
     std::shared_ptr<version::shared_state const> shared;
-    /// A configuration newer than the one in `shared` is in force but not available here, or may be
-    /// in force, since no voter has confirmed the state for a while.
-    bool is_configuration_outdated = false;
+    /// From this time on, a configuration newer than the one in `shared` may be in force. It is
+    /// past while one is known to be in force that is not available here.
+    time_point configuration_expiry{};
     /// Endpoints with a valid lease, including leaving ones.
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
     /// All entries that are not dead, including this one.
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -84,7 +84,12 @@
     /// Whether the state reflects everything that had been committed a short time ago.
     bool has_recent_state() const
     {
-        return this->usable && this->node.has_recent_commit(this->time.now());
+        return this->has_applied_commits() && this->node.has_recent_commit(this->time.now());
+    }
+    /// Latest time known as of which the state reflects everything that had been committed.
+    std::optional<time_point> state_confirmed_at() const
+    {
+        return this->has_applied_commits() ? this->node.commit_confirmed_at() : std::nullopt;
     }
     std::uint64_t term() const { return this->node.term().value(); }
     /// Control address of the leader; empty when unknown.
@@ -93,6 +98,12 @@
     consensus::membership const& membership() const { return this->node.membership(); }
 
 private:
+    /// The node knows of a commit before its entry is synced and applied.
+    bool has_applied_commits() const
+    {
+        return this->usable && this->applied_index >= this->node.commit_index().value();
+    }
+
     struct pending_proposal
     {
         consensus::term_number term;
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -251,7 +251,7 @@
     next->term = this->own_node ? this->own_node->term() : this->followed_state.term();
     next->leader = this->group_client.leader().value();
     next->shared = this->followed_state.state();
-    next->is_configuration_outdated = this->followed_state.is_configuration_outdated();
+    next->configuration_expiry = this->followed_state.configuration_expiry();
     for (auto& row : this->directories.endpoints().live(now))
         next->endpoints[row.service].push_back(std::move(row));
     next->entries = this->directories.entries().live(now);
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -35,7 +35,7 @@
     auto view = std::make_shared<proxy::traffic_view>();
     view->is_ready = control.ready;
     view->is_leaving = control.leaving;
-    view->is_configuration_outdated = control.is_configuration_outdated;
+    view->configuration_expiry = control.configuration_expiry;
     view->vm = config.vm;
     view->data_centre = config.data_centre;
     view->portion = control.portion;
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -22,8 +22,8 @@
 /// Time after the last contact in which the quorum counts as recent. It covers several polls, so
 /// that one slow voter does not make the quorum look lost.
 constexpr duration recent_quorum_window = seconds(3);
-/// Time after the last contact in which the configuration counts as current. A change is in force
-/// within a few seconds; after several failed polls it may have been missed.
+/// Time after the last confirmation in which the configuration counts as current. A change is in
+/// force within a few seconds; after several failed polls it may have been missed.
 constexpr duration max_configuration_age = seconds(1);
 /// Limit of announced changes whose time until they are in force is measured.
 constexpr std::size_t max_announced_changes = 16;
@@ -72,16 +72,19 @@
     return this->ready && this->time.now() < this->last_quorum_contact + recent_quorum_window;
 }
 
-bool state_follower::has_unconfirmed_state() const
+std::optional<time_point> state_follower::state_confirmed_at() const
 {
     if (this->node && this->node->is_usable())
-        return !this->node->has_recent_state();
-    return this->time.now() >= this->last_quorum_contact + max_configuration_age;
+        return this->node->state_confirmed_at();
+    return this->last_quorum_contact;
 }
 
-bool state_follower::is_configuration_outdated() const
+time_point state_follower::configuration_expiry() const
 {
-    return this->awaits_content() || this->has_unconfirmed_state();
+    auto const confirmed_at = this->state_confirmed_at();
+    if (this->awaits_content() || !confirmed_at)
+        return time_point();
+    return *confirmed_at + max_configuration_age;
 }
 
 void state_follower::schedule_poll()
@@ -96,6 +99,9 @@
                 return;
             this->poll();
             this->schedule_poll();
+            // Renews the expiry of the published configuration.
+            if (this->on_change)
+                this->on_change();
         });
 }
 
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -32,10 +32,10 @@
     bool is_ready() const { return this->ready; }
     bool has_recent_quorum() const;
     std::uint64_t term() const { return this->latest_term; }
-    /// Returns whether this daemon may handle calls by an older configuration than the one in
-    /// force: a voter has announced a content that was not fetched yet, or no voter has confirmed
-    /// the state for a while.
-    bool is_configuration_outdated() const;
+    /// Returns the time from which on this daemon may handle calls by an older configuration than
+    /// the one in force, unless a voter confirms the state until then. A past time when a voter has
+    /// announced a content that was not fetched yet.
+    time_point configuration_expiry() const;
     /// Log index of the newest change whose contents a voter has announced; 0 before the first.
     std::uint64_t newest_announced_index() const { return this->announced_index; }
     std::shared_ptr<version::shared_state const> state() const { return this->current_state; }
@@ -46,8 +46,8 @@
     {
         return this->announced_index > this->current_state->changed_index;
     }
-    /// Returns whether no voter has confirmed the state for so long that a change may be missed.
-    bool has_unconfirmed_state() const;
+    /// Latest time known as of which the state reflects everything that had been committed.
+    std::optional<time_point> state_confirmed_at() const;
     void schedule_poll();
     void poll();
     void poll_voter();
--- a/src/process/control/tests/content_fetch_test.cpp
+++ b/src/process/control/tests/content_fetch_test.cpp
@@ -215,7 +215,7 @@
     for (int i = 0; i < 5; ++i)
         CHECK(read_document(system.loop(3)).empty());
     CHECK(number_in_force(system.loop(3)) == 1);
-    CHECK(eventually([&] { return system.loop(3).view()->is_configuration_outdated; }));
+    CHECK(eventually([&] { return is_outdated(*system.loop(3).traffic()); }));
     allow_fetches(system, 1'000'000);
     CHECK(eventually([&] { return read_document(system.loop(3)) == second.document; }));
     CHECK(reaches_number_in_time(system.loop(3), 2));
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -314,6 +314,12 @@
     return view->ready && view->shared->generation == generation(number);
 }
 
+/// Whether the traffic thread counts the configuration as outdated.
+inline bool is_outdated(proxy::traffic_view const& view)
+{
+    return proxy::is_configuration_outdated(system_clock().now(), view);
+}
+
 inline request::at_most_once_begin begin_booking(std::string const& attempt, wall_time now)
 {
     return {{account_id("a"), service_name("booking"), idempotency_key("k")},
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -99,15 +99,34 @@
     auto const number = system.apply(3, 0, first_text, "op-1").generation.value();
     for (std::size_t i = 0; i < 4; ++i)
         REQUIRE(eventually([&] { return is_in_force(system.loop(i), number); }));
-    REQUIRE(eventually([&] { return !system.loop(3).view()->is_configuration_outdated; }));
+    REQUIRE(eventually([&] { return !is_outdated(*system.loop(3).traffic()); }));
     system.stop(0);
     system.stop(1);
-    CHECK(eventually([&] { return system.loop(2).view()->is_configuration_outdated; }));
-    CHECK(eventually([&] { return system.loop(3).view()->is_configuration_outdated; }));
+    CHECK(eventually([&] { return is_outdated(*system.loop(2).traffic()); }));
+    CHECK(eventually([&] { return is_outdated(*system.loop(3).traffic()); }));
     system.start(0);
     system.start(1);
     for (std::size_t i = 0; i < 4; ++i)
-        CHECK(eventually([&] { return !system.loop(i).view()->is_configuration_outdated; }));
+        CHECK(eventually([&] { return !is_outdated(*system.loop(i).traffic()); }));
+}
+
+TEST_CASE("a view that the control thread cannot renew counts as outdated")
+{
+    // Guards against a 404 for a route that was added while the control thread of an entry waited
+    // for a disk or for processor time, and the traffic thread did not.
+    small_system system;
+    auto const first = system.apply(3, 0, first_text, "op-1").generation.value();
+    for (std::size_t const i : {1, 3})
+    {
+        REQUIRE(eventually([&] { return is_in_force(system.loop(i), first); }));
+        REQUIRE(eventually([&] { return !is_outdated(*system.loop(i).traffic()); }));
+        system.loop(i).post([] { std::this_thread::sleep_for(std::chrono::milliseconds(1'500)); });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
+    for (std::size_t const i : {1, 3})
+        CHECK(is_outdated(*system.loop(i).traffic()));
+    for (std::size_t const i : {1, 3})
+        CHECK(eventually([&] { return !is_outdated(*system.loop(i).traffic()); }));
 }
 
 TEST_CASE("a daemon uses replies of voters that are later than its next poll")
--- a/src/process/control/tests/slow_link_test.cpp
+++ b/src/process/control/tests/slow_link_test.cpp
@@ -220,7 +220,7 @@
     REQUIRE(send_configuration(system, 1, 10));
     REQUIRE(is_in_force_within_limit(system, 1, slow_link_system::voters + 1));
     auto& reader = system.loop(slow_link_system::voters);
-    REQUIRE_FALSE(reader.traffic()->is_configuration_outdated);
+    REQUIRE_FALSE(is_outdated(*reader.traffic()));
     REQUIRE(apply_and_wait(system.loop(0), make_configuration(2, 1'800)));
     bool was_outdated = false;
     std::uint64_t highest = 1;
@@ -232,13 +232,13 @@
         auto const number = view->services->map().number;
         has_reverted = has_reverted || number < highest;
         highest = std::max(highest, number);
-        was_outdated = was_outdated || (number == 1 && view->is_configuration_outdated);
+        was_outdated = was_outdated || (number == 1 && is_outdated(*view));
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
     CHECK(was_outdated);
     CHECK_FALSE(has_reverted);
     CHECK(highest == 2);
-    CHECK_FALSE(reader.traffic()->is_configuration_outdated);
+    CHECK_FALSE(is_outdated(*reader.traffic()));
 }
 
 namespace
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -29,9 +29,10 @@
     bool is_ready = false;
     /// This entry is stopping.
     bool is_leaving = false;
-    /// A newer configuration than `services` is known to be in force, or may be, since no voter has
-    /// confirmed the state for a while.
-    bool is_configuration_outdated = false;
+    /// From this time on, a newer configuration than `services` may be in force. It is past while
+    /// one is known to be in force that this entry has not read. A time, not a flag, since the
+    /// control thread may be too late to replace the view.
+    time_point configuration_expiry{};
     /// Null before the first configuration.
     std::shared_ptr<version::service_index const> services;
     std::map<service_name, std::vector<connection::endpoint_record>> endpoints;
@@ -50,6 +51,12 @@
     data_centre_id data_centre;
 };
 
+/// Returns whether a newer configuration than the one of the view may be in force.
+inline bool is_configuration_outdated(time_point now, traffic_view const& view)
+{
+    return now >= view.configuration_expiry;
+}
+
 /// Returns the number of entries among which the limits of the whole system are divided.
 std::uint32_t entries_sharing_limits(traffic_view const& view);
 
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -178,6 +178,8 @@
     call_admission result;
     result.retry_after = configuration_wait;
     result.services = view.services;
+    result.configuration_validity =
+        std::max<duration>(view.configuration_expiry - now, duration(0));
     result.reason = refusal::malformed;
     if (!call.problem.empty())
         return result;
@@ -191,7 +193,7 @@
     if (result.reason != refusal::none)
     {
         // The newer configuration, not read yet, may have the route or the key.
-        if (view.is_configuration_outdated)
+        if (is_configuration_outdated(now, view))
             result.reason = refusal::no_configuration;
         return result;
     }
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -48,6 +48,8 @@
     duration retry_after{};
     /// Keeps `route` and `account` valid.
     std::shared_ptr<version::service_index const> services;
+    /// Time for which `services` counts as current, for the log; zero when it does not.
+    duration configuration_validity{};
     version::pass_through_route const* route = nullptr;
     /// Null for anonymous calls.
     version::pass_through_account const* account = nullptr;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -21,13 +21,16 @@
                                           call_admission const& admission, unsigned status)
 {
     auto const number = admission.services ? admission.services->map().number : 0;
-    std::vector<event_field> fields{{"id", call.id.value()},
-                                    {"host", call.host},
-                                    {"target", call.target},
-                                    {"reason", to_string(admission.reason)},
-                                    {"detail", call.problem},
-                                    {"status", std::to_string(status)},
-                                    {"configuration", std::to_string(number)}};
+    std::vector<event_field> fields{
+        {"id", call.id.value()},
+        {"host", call.host},
+        {"target", call.target},
+        {"reason", to_string(admission.reason)},
+        {"detail", call.problem},
+        {"status", std::to_string(status)},
+        {"configuration", std::to_string(number)},
+        {"configuration_valid_ms",
+         std::to_string(admission.configuration_validity / milliseconds(1))}};
     if (admission.reason != refusal::over_quota)
         return fields;
     auto const& demand = admission.quota_demand;
@@ -119,15 +122,15 @@
                                         incoming_call const& call,
                                         traffic_view const& refusing_view)
 {
-    auto const& control = this->context->dependencies.control;
+    auto const& injected = this->context->dependencies;
     return this->wait_queue->wait(
         exchange, call.time_left.value_or(default_time_left),
-        [&control, previous_services = refusing_view.is_ready ? refusing_view.services : nullptr]
+        [&injected, previous_services = refusing_view.is_ready ? refusing_view.services : nullptr]
         {
-            auto const view = control.view();
+            auto const view = injected.control.view();
             bool const is_changed = view->services != previous_services;
             return view->is_ready && view->services &&
-                   (is_changed || !view->is_configuration_outdated);
+                   (is_changed || !is_configuration_outdated(injected.time.now(), *view));
         });
 }
 
--- a/src/process/proxy/tests/newer_configuration_test.cpp
+++ b/src/process/proxy/tests/newer_configuration_test.cpp
@@ -24,7 +24,7 @@
 /// Notifies the entry that a newer configuration is in force, which it has not read yet.
 void announce_newer_configuration(proxy_fixture& system)
 {
-    system.control.change([](proxy::traffic_view& view) { view.is_configuration_outdated = true; });
+    system.control.change([](proxy::traffic_view& view) { view.configuration_expiry = {}; });
 }
 
 } // namespace
@@ -46,6 +46,21 @@
     }
 }
 
+TEST_CASE("a view that was not replaced in time leads to 503 for an unknown route or key")
+{
+    // Guards against 404 and 401 by a view that the control thread is too late to replace.
+    proxy_fixture system;
+    system.add_endpoint("plain", "e1");
+    system.control.change([&](proxy::traffic_view& view)
+                          { view.configuration_expiry = system.time.now() + milliseconds(300); });
+    CHECK(system.call("/added/x", "id-1").status() == 404);
+    CHECK(system.call("/plain/x", "id-2", "", "key-added").status() == 401);
+    system.context.run_for(std::chrono::milliseconds(350));
+    CHECK(system.call("/added/x", "id-3").status() == 503);
+    CHECK(system.call("/plain/x", "id-4", "", "key-added").status() == 503);
+    CHECK(system.call("/plain/x", "id-5").status() == 200);
+}
+
 TEST_CASE("calls that the current configuration allows do not wait for a newer one")
 {
     // Guards against an entry that serves nothing until it has read a newer configuration.
@@ -86,7 +101,7 @@
         [&](proxy::traffic_view& view)
         {
             view.services = newer;
-            view.is_configuration_outdated = false;
+            view.configuration_expiry = time_point::max();
         });
     system.run_until([&] { return call.observer->is_over(); });
     CHECK(call.observer->status() == 404);
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -328,6 +328,7 @@
     initial_view->is_ready = true;
     initial_view->services = make_services();
     initial_view->data_centre = data_centre_id("d");
+    initial_view->configuration_expiry = time_point::max();
     this->current_view = initial_view;
 }
 
