--- a/src/process/consensus/internal/follower.cpp
+++ b/src/process/consensus/internal/follower.cpp
@@ -36,8 +36,8 @@
     // an earlier leader committed.
     auto const commit_term = this->log.term_at(this->current_hard_state.commit);
     if (commit_term == this->awaited_commit->term)
-        this->commit_confirmed_at =
-            std::max(this->commit_confirmed_at, this->awaited_commit->as_of);
+        this->follower_commit_confirmed_at =
+            std::max(this->follower_commit_confirmed_at, this->awaited_commit->as_of);
     this->awaited_commit.reset();
 }
 
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -44,6 +44,7 @@
     // leadership.cpp
     bool has_recent_quorum(time_point time) const;
     bool has_recent_commit(time_point time) const;
+    std::optional<time_point> commit_confirmed_at() const;
     bool has_valid_lease(time_point time) const;
     std::vector<follower_status> follower_list(time_point time) const;
 
@@ -85,6 +86,7 @@
     template <class Value, class Getter>
     std::optional<Value> quorum_value(Value own, Getter getter) const;
     std::optional<time_point> quorum_acknowledged_at() const;
+    std::optional<time_point> last_quorum_contact() const;
     bool is_active(follower_progress const& follower, time_point time) const;
     bool is_term_committed() const;
     void update_followers();
@@ -147,7 +149,7 @@
     /// Commit index of the leader that this follower has to reach.
     std::optional<leader_commit> awaited_commit;
     /// Latest time as of which this follower knows everything that had been committed.
-    time_point commit_confirmed_at{};
+    time_point follower_commit_confirmed_at{};
     /// Replies of this follower to leaders. The first number is drawn, since a leader may echo the
     /// number of a reply from before a restart.
     round_log replies;
