Add a soak of real processes for the rule on configurations

lagoonladder-soak starts entries of the built program on loopback addresses with the settings template of the platform, plays faults that are drawn from a seed and checks the recorded history. The checks are functions of the history; each has tests with broken histories.

--- /dev/null
+++ b/tools/soak/internal/summary.cpp
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include "history_index.hpp"
+
+namespace lagoonladder::soak
+{
+
+namespace
+{
+
+bool is_cause(fault_kind kind)
+{
+    return kind != fault_kind::start && kind != fault_kind::resume &&
+           kind != fault_kind::free_disk && kind != fault_kind::idle;
+}
+
+std::map<config_version, run_time> acknowledgement_times(history const& recorded)
+{
+    std::map<config_version, run_time> times;
+    for (auto const& put : recorded.puts)
+    {
+        if (put.status != 200)
+            continue;
+        auto& time = times.try_emplace(put.version, put.ended).first->second;
+        time = std::min(time, put.ended);
+    }
+    return times;
+}
+
+std::vector<duration> collect_lags(history const& recorded, history_index const& index,
+                                   std::map<config_version, run_time> const& acknowledged)
+{
+    std::map<std::pair<config_version, entry_id>, call_event const*> first_served;
+    for (auto const& call : recorded.calls)
+    {
+        auto const* const life = index.find_route(call.route);
+        if (life == nullptr || call.status != 200 || !acknowledged.contains(life->added))
+            continue;
+        auto& first = first_served.try_emplace({life->added, call.entry}, &call).first->second;
+        if (call.ended < first->ended)
+            first = &call;
+    }
+    std::vector<duration> lags;
+    for (auto const& [key, call] : first_served)
+    {
+        auto const time = acknowledged.at(key.first);
+        if (index.is_undisturbed(key.second, std::min(time, call->ended), call->ended))
+            lags.push_back(std::max(duration{}, call->ended - time));
+    }
+    std::sort(lags.begin(), lags.end());
+    return lags;
+}
+
+/// `portion` is 0 to 1; returns 0 without values.
+duration quantile(std::vector<duration> const& sorted, double portion)
+{
+    if (sorted.empty())
+        return duration{};
+    auto const last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(portion * last + 0.5)];
+}
+
+} // namespace
+
+summary summarize(history const& recorded)
+{
+    history_index const index(recorded);
+    auto const acknowledged = acknowledgement_times(recorded);
+    summary totals;
+    totals.acknowledged = acknowledged.size();
+    totals.reads = recorded.reads.size();
+    totals.calls = recorded.calls.size();
+    totals.answered_reads = static_cast<std::size_t>(
+        std::count_if(recorded.reads.begin(), recorded.reads.end(),
+                      [](read_event const& read) { return read.status == 200; }));
+    totals.answered_calls = static_cast<std::size_t>(
+        std::count_if(recorded.calls.begin(), recorded.calls.end(),
+                      [](call_event const& call) { return call.status != 0; }));
+    for (auto const& fault : recorded.faults)
+        if (is_cause(fault.kind))
+            ++totals.faults[to_string(fault.kind)];
+    totals.lags = collect_lags(recorded, index, acknowledged);
+    return totals;
+}
+
+std::string format(summary const& totals)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1);
+    text << "acknowledged=" << totals.acknowledged << " reads=" << totals.reads
+         << " answered_reads=" << totals.answered_reads << " calls=" << totals.calls
+         << " answered_calls=" << totals.answered_calls << "\nfaults:";
+    for (auto const& [kind, count] : totals.faults)
+        text << ' ' << kind << '=' << count;
+    text << "\nlag to the first call: count=" << totals.lags.size()
+         << " p50_ms=" << to_seconds(quantile(totals.lags, 0.5)) * 1000
+         << " p99_ms=" << to_seconds(quantile(totals.lags, 0.99)) * 1000
+         << " most_ms=" << to_seconds(quantile(totals.lags, 1)) * 1000 << '\n';
+    return text.str();
+}
+
+} // namespace lagoonladder::soak
