Sync the parents of a new data folder

A voter would lose its log and its id with a loss of power, and the group a disk more than it may, if the daemon had created the data folder itself.

Cause: the store created the data folder and synced the files in it, but not the folder above, in which the name of the data folder is.

Change: the parent of each created folder is synced. While there is no log, all writable parents are synced, since an earlier process may have been killed between the creation of a folder and the sync of its parent. The simulated disk has folders.

--- a/src/process/storage/internal/data_folder.cpp
+++ b/src/process/storage/internal/data_folder.cpp
@@ -1,6 +1,7 @@
 #include "data_folder.hpp"
 
 #include <algorithm>
+#include <filesystem>
 
 namespace lagoonladder::storage
 {
@@ -19,16 +20,48 @@
     return std::string(prefix) + std::string(20 - digits.size(), '0') + digits;
 }
 
+std::string parent_folder(std::string const& path)
+{
+    auto const parent = std::filesystem::path(path).parent_path();
+    return parent.empty() ? "." : parent.string();
+}
+
+/// Creates a folder and its missing parents durably.
+void create_folders(file_system& files, std::string const& path)
+{
+    if (files.exists(path))
+        return;
+    create_folders(files, parent_folder(path));
+    files.create_folder(path);
+    files.sync_folder(parent_folder(path));
+}
+
+/// Syncs all folders above `path` in which this process could have created a folder.
+void sync_parents(file_system& files, std::string const& path)
+{
+    auto child = path;
+    for (auto folder = parent_folder(path); folder != child; folder = parent_folder(folder))
+    {
+        if (files.is_writable(folder))
+            files.sync_folder(folder);
+        child = folder;
+    }
+}
+
 } // namespace
 
 data_folder::data_folder(std::shared_ptr<file_system> initial_files, std::string initial_path)
     : file_operations(std::move(initial_files))
     , path(std::move(initial_path))
 {
-    this->files().create_folders(this->path);
+    create_folders(this->files(), this->path);
     this->lock = this->files().lock(this->file_path("lock"));
     if (!this->lock)
         throw storage_error(this->path + ": the data folder is in use by another process");
+    // An earlier process may have been killed between the creation of a folder and the sync of its
+    // parent. Once there is a log, they are durable.
+    if (this->segment_numbers().empty())
+        sync_parents(this->files(), this->path);
 }
 
 std::string data_folder::segment_name(std::uint64_t number)
--- a/src/process/storage/internal/file_system.hpp
+++ b/src/process/storage/internal/file_system.hpp
@@ -48,8 +48,11 @@
 public:
     virtual ~file_system() = default;
 
-    /// Creates a folder and its missing parents.
-    virtual void create_folders(std::string const& path) = 0;
+    virtual bool exists(std::string const& path) = 0;
+    /// Whether this process may create files in the folder and sync it.
+    virtual bool is_writable(std::string const& folder) = 0;
+    /// Creates a folder in an existing one.
+    virtual void create_folder(std::string const& path) = 0;
     virtual std::unique_ptr<file> open(std::string const& path, open_mode mode) = 0;
     /// Creates the file if it does not exist. Returns null if another process holds the lock.
     virtual std::unique_ptr<file_lock> lock(std::string const& path) = 0;
--- a/src/process/storage/internal/posix_file_system.cpp
+++ b/src/process/storage/internal/posix_file_system.cpp
@@ -85,10 +85,21 @@
 
 } // namespace
 
-void posix_file_system::create_folders(std::string const& path)
+bool posix_file_system::exists(std::string const& path)
 {
     std::error_code problem;
-    std::filesystem::create_directories(path, problem);
+    return std::filesystem::exists(path, problem);
+}
+
+bool posix_file_system::is_writable(std::string const& folder)
+{
+    return ::access(folder.c_str(), R_OK | W_OK) == 0;
+}
+
+void posix_file_system::create_folder(std::string const& path)
+{
+    std::error_code problem;
+    std::filesystem::create_directory(path, problem);
     if (problem)
         throw storage_error(path + ": cannot be created: " + problem.message());
 }
--- a/src/process/storage/internal/posix_file_system.hpp
+++ b/src/process/storage/internal/posix_file_system.hpp
@@ -10,7 +10,9 @@
 class posix_file_system : public file_system
 {
 public:
-    void create_folders(std::string const& path) override;
+    bool exists(std::string const& path) override;
+    bool is_writable(std::string const& folder) override;
+    void create_folder(std::string const& path) override;
     std::unique_ptr<file> open(std::string const& path, open_mode mode) override;
     std::unique_ptr<file_lock> lock(std::string const& path) override;
     std::string read(std::string const& path) override;
--- a/src/process/storage/tests/power_loss_test.cpp
+++ b/src/process/storage/tests/power_loss_test.cpp
@@ -16,7 +16,7 @@
 
 using unsynced = simulated_disk::unsynced;
 
-std::string const folder = "/data";
+std::string const folder = "/srv/data";
 vm_id const vm("vm1");
 
 log_entry make_entry(std::uint64_t index, std::uint64_t term, std::size_t bytes = 20)
@@ -144,6 +144,36 @@
     }
 }
 
+TEST_CASE("a data folder in which a log was created survives a loss of power")
+{
+    // Guards against a voter that loses its log and id with the folder, since its parent was not
+    // synced.
+    for (std::uint64_t operation = 0;; ++operation)
+    {
+        INFO("killed at operation " << operation);
+        seeded_random random(operation);
+        simulated_disk disk(random);
+        bool is_killed = false;
+        try
+        {
+            auto files = disk.start_process();
+            disk.kill_after(operation);
+            file_log_store store(std::move(files), folder);
+            store.open_voter_id(vm, random);
+            store.load();
+        }
+        catch (process_killed const&)
+        {
+            is_killed = true;
+        }
+        auto const second = voter_process(disk, random).id;
+        disk.lose_power(unsynced::lost);
+        CHECK(voter_process(disk, random).id == second);
+        if (!is_killed)
+            return;
+    }
+}
+
 TEST_CASE("a log that was loaded after a failed sync survives a loss of power")
 {
     // Guards against the acknowledgement of writes that the kernel has discarded: after a failed
--- a/src/process/storage/tests/simulated_disk.cpp
+++ b/src/process/storage/tests/simulated_disk.cpp
@@ -4,6 +4,17 @@
 
 using namespace lagoonladder::storage;
 
+namespace
+{
+
+std::string parent_of(std::string const& path)
+{
+    auto const slash = path.rfind('/');
+    return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+} // namespace
+
 class simulated_file : public file
 {
 public:
@@ -39,7 +50,18 @@
     {
     }
 
-    void create_folders(std::string const&) override {}
+    bool exists(std::string const& path) override
+    {
+        return this->disk.folders.contains(path) || this->disk.current.contains(path);
+    }
+
+    bool is_writable(std::string const&) override { return true; }
+
+    void create_folder(std::string const& path) override
+    {
+        this->disk.begin(simulated_disk::operation::other, path, "created");
+        this->disk.folders.insert(path);
+    }
 
     std::unique_ptr<file> open(std::string const& path, open_mode mode) override
     {
@@ -100,7 +122,14 @@
             this->disk.store_part_of_names();
             throw;
         }
-        this->disk.durable = this->disk.current;
+        std::erase_if(this->disk.durable,
+                      [&](auto const& named) { return parent_of(named.first) == folder; });
+        for (auto const& named : this->disk.current)
+            if (parent_of(named.first) == folder)
+                this->disk.durable.insert(named);
+        for (auto const& path : this->disk.folders)
+            if (parent_of(path) == folder)
+                this->disk.durable_folders.insert(path);
     }
 
 private:
@@ -263,6 +292,18 @@
             stored[path] = source.at(path);
     }
     this->durable = std::move(stored);
+    for (auto const& path : this->folders)
+        if (have_one_fate ? are_kept : this->chance(0.5))
+            this->durable_folders.insert(path);
+}
+
+void simulated_disk::remove_orphans()
+{
+    // Parents are before their children.
+    std::erase_if(this->folders, [&](std::string const& path)
+                  { return !this->folders.contains(parent_of(path)); });
+    std::erase_if(this->durable, [&](auto const& named)
+                  { return !this->folders.contains(parent_of(named.first)); });
 }
 
 void simulated_disk::lose_power(unsynced remainder)
@@ -272,6 +313,9 @@
     if (remainder == unsynced::removals)
         std::erase_if(this->durable,
                       [&](auto const& named) { return !this->current.contains(named.first); });
+    this->folders = this->durable_folders;
+    this->remove_orphans();
+    this->durable_folders = this->folders;
     this->current.clear();
     for (auto& [path, target] : this->durable)
     {
--- a/src/process/storage/tests/simulated_disk.hpp
+++ b/src/process/storage/tests/simulated_disk.hpp
@@ -100,10 +100,14 @@
     /// Stores a random part of the unsynced changes.
     void store_part(inode& target);
     void store_part_of_names();
+    /// Removes files and folders whose folder is lost.
+    void remove_orphans();
 
     lagoonladder::random_source& random;
     names_map current;
     names_map durable;
+    std::set<std::string> folders{"/"};
+    std::set<std::string> durable_folders{"/"};
     double failure_probability = 0;
     operation reliable_operation = operation::sync;
     bool fails_next_sync = false;
