Start on a full disk that refuses truncations

A voter would not start while its disk is full, if the disk refuses every change of a file's length.

Cause: without space for a copy of the last segment, load() set the length of the segment even if there was nothing to cut off.

Change: the segment is truncated only if an incomplete record is at its end. The simulated full disk refuses truncations.

--- a/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/file_log_store.hpp
@@ -52,12 +52,20 @@
 
 private:
     consensus::persistent_state read_segments();
-    /// Returns the valid part of the segment, in bytes of the file.
-    std::string read_segment(std::uint64_t number, bool is_last);
+    struct segment_content
+    {
+        /// Header and valid records.
+        std::string valid_bytes;
+        /// Whether an incomplete record follows.
+        bool is_torn = false;
+    };
+
+    segment_content read_segment(std::uint64_t number, bool is_last);
     /// Makes the last segment durable and opens it. Writes a copy, since a sync does not store what
     /// an earlier, failed one has left in the page cache. On a full disk, the segment itself is
     /// truncated and synced.
-    void store_segment(std::uint64_t number, std::string const& bytes);
+    void store_segment(std::uint64_t number, segment_content const& content);
+    void sync_loaded_segment(segment_content const& content);
     /// Writes the temporary file of a segment. Returns null if the disk refuses it and the segment
     /// itself may be synced instead.
     std::unique_ptr<file> write_copy(std::string const& path, std::string const& bytes);
--- a/src/process/storage/internal/file_log_store.cpp
+++ b/src/process/storage/internal/file_log_store.cpp
@@ -88,9 +88,9 @@
             break;
     }
     auto const last = *numbers.rbegin();
-    std::string last_bytes;
+    segment_content last_content;
     for (auto number = first; number <= last; ++number)
-        last_bytes = this->read_segment(number, number == last);
+        last_content = this->read_segment(number, number == last);
     auto result = this->current_state;
     std::string snapshot_name;
     if (this->current_state.snapshot)
@@ -105,11 +105,11 @@
     // replace are removed after it.
     this->folder->files().sync_folder(this->folder->folder_path());
     this->folder->remove_obsolete(first, snapshot_name);
-    this->store_segment(last, last_bytes);
+    this->store_segment(last, last_content);
     return result;
 }
 
-std::string file_log_store::read_segment(std::uint64_t number, bool is_last)
+file_log_store::segment_content file_log_store::read_segment(std::uint64_t number, bool is_last)
 {
     auto const path = this->folder->file_path(data_folder::segment_name(number));
     auto const bytes = this->folder->files().read(path);
@@ -137,27 +137,32 @@
         throw storage_error(location_prefix(path, offset) +
                             "the record is damaged, but a valid one follows at offset " +
                             std::to_string(*next_record));
-    return bytes.substr(0, offset);
+    return {bytes.substr(0, offset), offset < bytes.size()};
 }
 
-void file_log_store::store_segment(std::uint64_t number, std::string const& bytes)
+void file_log_store::store_segment(std::uint64_t number, segment_content const& content)
 {
     auto& files = this->folder->files();
     auto const path = this->folder->file_path(data_folder::segment_name(number));
-    auto const copy = this->write_copy(path, bytes);
+    auto const copy = this->write_copy(path, content.valid_bytes);
     if (copy)
         publish_temporary(files, *copy, this->folder->folder_path(), path);
     this->segment = files.open(path, open_mode::append);
     this->segment_number = number;
-    this->segment_size = bytes.size();
+    this->segment_size = content.valid_bytes.size();
     if (!copy)
-    {
-        this->segment->truncate(bytes.size());
-        this->sync_segment();
-    }
+        this->sync_loaded_segment(content);
     this->has_failed_sync = false;
 }
 
+void file_log_store::sync_loaded_segment(segment_content const& content)
+{
+    // A full disk may refuse a truncation as well.
+    if (content.is_torn)
+        this->segment->truncate(content.valid_bytes.size());
+    this->sync_segment();
+}
+
 std::unique_ptr<file> file_log_store::write_copy(std::string const& path, std::string const& bytes)
 {
     auto& files = this->folder->files();
--- a/src/process/storage/tests/simulated_disk.cpp
+++ b/src/process/storage/tests/simulated_disk.cpp
@@ -244,6 +244,8 @@
 void simulated_disk::truncate(std::string const& path, inode& target, std::uint64_t size)
 {
     this->begin(operation::other, path, "truncated");
+    if (this->is_full)
+        this->fail(path, "truncated");
     target.content.resize(size);
     target.unsynced_changes.emplace_back(truncation{size});
 }
--- a/src/process/storage/tests/simulated_disk.hpp
+++ b/src/process/storage/tests/simulated_disk.hpp
@@ -44,7 +44,7 @@
         this->failure_probability = probability;
     }
     void fail_next_sync() { this->fails_next_sync = true; }
-    /// A full disk refuses new files and appended bytes.
+    /// A full disk refuses new files, appended bytes and truncations.
     void set_full(bool full) { this->is_full = full; }
     /// To be called when no process runs.
     void lose_power(unsynced remainder);
