State that the memory store's load does not make unsynced saves durable

Cause: log_store::load() promises a durable state since the log on a disk is stored again when it is loaded; the store in memory returns unsynced saves as well, which the simulated cluster reads after each save and discards with the power.

Change: a line of documentation; no change of code.

--- a/src/process/storage/include/lagoonladder/storage/memory_log_store.hpp
+++ b/src/process/storage/include/lagoonladder/storage/memory_log_store.hpp
@@ -12,6 +12,7 @@
 public:
     using log_store::save;
 
+    /// Returns unsynced saves too and, unlike a store on a disk, does not make them durable.
     consensus::persistent_state load() override;
     void save(std::optional<consensus::hard_state> const& state,
               std::vector<consensus::log_entry> const& entries, bool must_sync) override;
