Pass on the age of an entry's heartbeat with its row

Callers could be directed to a VM long after it was gone: an entry that starts learns of the others second-hand, counted the silence of each from that moment, and passed the row on for 6 s as if it were new; each further entry that started in that time did the same.

Cause: entry_directory::merge set last_heartbeat_at to the time of arrival for rows that it did not know and for newer heartbeats, however old they were.

Change: a row carries the age of its heartbeat (heartbeat_age, "age_ms" on the wire), and the receiver counts from there. Rows of an entry that is new to the receiver count with their whole age. A newer heartbeat of a known entry counts as sent on arrival up to an age of 3 s (gossip_allowance), since it is passed on several times in a large system; the rest counts as silence, but never more than the receiver counted before. So an entry is dead everywhere 9 s after its last heartbeat, apart from the time in messages, whoever tells whom. The age that is passed on ignores pauses of this process, which the health compensates. The field is optional: rows of daemons of an earlier release count as before.

--- a/src/connection/include/lagoonladder/connection/entry_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_directory.hpp
@@ -17,6 +17,11 @@
     duration suspect_after = seconds(3);
     /// Time without a new heartbeat after which an entry is dead.
     duration dead_after = seconds(6);
+    /// Age up to which a newer heartbeat of a known entry, received from another entry, counts as
+    /// sent when it arrives; in large systems it is passed on several times first. Time beyond
+    /// counts as time without a heartbeat, so that an entry is dead everywhere `dead_after` plus
+    /// this time after its last heartbeat.
+    duration gossip_allowance = seconds(3);
     /// How long the row of a dead entry is kept, counted from its last heartbeat, so that a
     /// delayed digest cannot add it again.
     duration dead_retention = std::chrono::minutes(10);
@@ -71,14 +76,15 @@
 {
     entry_record record;
     entry_health health = entry_health::alive;
-    /// Time since the last new heartbeat arrived, by the local clock.
+    /// Time without a new heartbeat by which `health` is determined.
     duration time_since_heartbeat{};
 };
 
 /// Gossip membership of the entries. Each row has a heartbeat counter. Of two rows of an entry,
 /// the one with the higher (incarnation, heartbeat) wins; leaving wins a tie and lasts for the
 /// incarnation. The health of an entry follows from the local time at which its last new
-/// heartbeat arrived.
+/// heartbeat arrived and from the heartbeat's age at that time: an entry that hears of another one
+/// for the first time does not believe longer in it than those from which it has the row.
 class entry_directory
 {
 public:
@@ -143,11 +149,21 @@
     struct stored_row
     {
         entry_record record;
+        /// Time by which the health is determined.
         time_point last_heartbeat_at{};
+        /// Time at which the entry sent its last heartbeat, as far as known. Unlike
+        /// `last_heartbeat_at`, pauses of this process do not change it.
+        time_point heartbeat_sent_at{};
         bool was_reported_dead = false;
     };
 
     entry_result merge_self(entry_record const& entry);
+    /// Row of an entry or incarnation that was unknown.
+    static stored_row first_row(time_point now, entry_record const& entry);
+    /// Row that replaces the one of the same incarnation with an older heartbeat.
+    stored_row next_row(time_point now, stored_row const& row, entry_record const& entry) const;
+    /// Record of the row with the age of its heartbeat, as it is sent to other entries.
+    static entry_record record_to_send(time_point now, stored_row const& row);
     /// Updates the row with a record of the same incarnation.
     entry_result update(time_point now, stored_row& row, entry_record const& entry);
     void compensate_local_pause(time_point now);
--- a/src/connection/include/lagoonladder/connection/entry_record.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_record.hpp
@@ -34,6 +34,10 @@
     lagoonladder::incarnation incarnation;
     /// Increases once per gossip interval.
     heartbeat_count heartbeat;
+    /// Time since the entry sent the heartbeat, without the time that the row spent in messages;
+    /// in milliseconds on the wire. Set in digests and leaving marks only; zero in the row that an
+    /// entry sends of itself, and in rows of daemons that do not send it.
+    duration heartbeat_age{};
     /// Generation of the configuration that the daemon applies.
     lagoonladder::generation generation;
     std::uint32_t open_requests = 0;
--- a/src/connection/internal/entry_directory.cpp
+++ b/src/connection/internal/entry_directory.cpp
@@ -112,7 +112,7 @@
     {
         if (this->rows.size() >= this->options.max_rows && !this->evict_oldest_dead(now))
             return entry_result::full;
-        this->rows[entry.vm] = {entry, now, false};
+        this->rows[entry.vm] = first_row(now, entry);
         return entry_result::added;
     }
     auto& row = found->second;
@@ -120,12 +120,38 @@
         return entry_result::stale;
     if (entry.incarnation > row.record.incarnation)
     {
-        row = {entry, now, false};
+        row = first_row(now, entry);
         return entry_result::added;
     }
     return this->update(now, row, entry);
 }
 
+entry_directory::stored_row entry_directory::first_row(time_point now, entry_record const& entry)
+{
+    auto const sent_at = now - entry.heartbeat_age;
+    stored_row row{entry, sent_at, sent_at, false};
+    row.record.heartbeat_age = duration::zero();
+    return row;
+}
+
+entry_directory::stored_row entry_directory::next_row(time_point now, stored_row const& row,
+                                                      entry_record const& entry) const
+{
+    auto next = first_row(now, entry);
+    auto const counts_from = std::min(now, next.heartbeat_sent_at + this->options.gossip_allowance);
+    next.last_heartbeat_at = std::max(row.last_heartbeat_at, counts_from);
+    next.was_reported_dead =
+        row.was_reported_dead && this->health_of(now, next) == entry_health::dead;
+    return next;
+}
+
+entry_record entry_directory::record_to_send(time_point now, stored_row const& row)
+{
+    auto record = row.record;
+    record.heartbeat_age = now - row.heartbeat_sent_at;
+    return record;
+}
+
 entry_result entry_directory::update(time_point now, stored_row& row, entry_record const& entry)
 {
     auto const was_leaving = is_leaving(row.record);
@@ -133,7 +159,7 @@
     auto const is_newer = entry.heartbeat > row.record.heartbeat;
     auto const is_equal = entry.heartbeat == row.record.heartbeat;
     if (is_newer)
-        row = {entry, now, false};
+        row = this->next_row(now, row, entry);
     if (was_leaving || becomes_leaving)
         row.record.state = entry_state::leaving;
     if (becomes_leaving)
@@ -182,7 +208,13 @@
 
 std::vector<entry_record> entry_directory::digest(time_point now) const
 {
-    return this->live(now);
+    std::vector<entry_record> out{this->self};
+    for (auto const& [vm, row] : this->rows)
+    {
+        if (this->health_of(now, row) != entry_health::dead)
+            out.push_back(record_to_send(now, row));
+    }
+    return out;
 }
 
 std::vector<entry_record> entry_directory::gossip_peers(time_point now, random_source& random) const
@@ -258,7 +290,8 @@
     if (found == this->rows.end())
         return std::nullopt;
     auto const& row = found->second;
-    return entry_status{row.record, this->health_of(now, row), now - row.last_heartbeat_at};
+    return entry_status{record_to_send(now, row), this->health_of(now, row),
+                        now - row.last_heartbeat_at};
 }
 
 std::vector<entry_record> entry_directory::list_for(time_point now, std::string_view caller,
--- a/src/connection/tests/entry_directory_test.cpp
+++ b/src/connection/tests/entry_directory_test.cpp
@@ -62,6 +62,77 @@
     CHECK(directory.live(at(seconds(27))).size() == 1);
 }
 
+TEST_CASE("an entry that starts late counts silence like the entry that it hears it from")
+{
+    // Guards against an entry that lists a VM for 6 s more than the others, because it counts the
+    // silence of a VM from the moment at which it first hears of it.
+    auto const first = make_directory(1);
+    CHECK(first.own().heartbeat_age == duration::zero());
+    entry_directory second(make_entry("vm-2", "d2"));
+    second.merge(at(seconds(5)), first.digest(at(seconds(5))));
+    CHECK(second.find(at(seconds(5)), vm_id("vm-0"))->health == entry_health::alive);
+    CHECK(second.find(at(seconds(5)), vm_id("vm-1"))->health == entry_health::suspect);
+    CHECK(second.find(at(seconds(5)), vm_id("vm-1"))->time_since_heartbeat == seconds(5));
+    CHECK(vm_names(second.list_for(at(seconds(5)), "caller")) ==
+          std::set<std::string>{"vm-0", "vm-2"});
+    CHECK(second.find(at(seconds(6)), vm_id("vm-1"))->health == entry_health::dead);
+
+    entry_directory third(make_entry("vm-3", "d0"));
+    third.merge(at(milliseconds(5900)), second.digest(at(milliseconds(5900))));
+    CHECK(third.live(at(milliseconds(5900))).size() == 4);
+    CHECK(vm_names(third.live(at(seconds(6)))) == std::set<std::string>{"vm-0", "vm-2", "vm-3"});
+}
+
+TEST_CASE("a restarted entry is as silent as the entry that passes its row on knows")
+{
+    // Guards against a VM that restarts, is gone at once and is revived by each entry that hears of
+    // the restart.
+    auto directory = make_directory(1);
+    auto restarted = make_entry("vm-1", "d1", 2);
+    restarted.heartbeat_age = seconds(4);
+    CHECK(directory.merge(at(seconds(1)), restarted) == entry_result::added);
+    CHECK(directory.find(at(seconds(1)), vm_id("vm-1"))->health == entry_health::suspect);
+    CHECK(directory.find(at(seconds(3)), vm_id("vm-1"))->health == entry_health::dead);
+}
+
+TEST_CASE("a heartbeat that was passed on several times counts as new within the allowance")
+{
+    // Guards against entries of large systems that suspect each other because each heartbeat is
+    // some seconds old when it arrives, and against old heartbeats that revive an entry for long.
+    auto directory = make_directory(2);
+    auto passed_on = make_entry("vm-1", "d1", 1, 7);
+    passed_on.heartbeat_age = seconds(3);
+    directory.merge(at(seconds(4)), passed_on);
+    CHECK(directory.find(at(seconds(4)), vm_id("vm-1"))->time_since_heartbeat == seconds(0));
+    // The age that is passed on is not reduced by the allowance.
+    CHECK(directory.find(at(seconds(4)), vm_id("vm-1"))->record.heartbeat_age == seconds(3));
+    passed_on.heartbeat = heartbeat_count(8);
+    passed_on.heartbeat_age = seconds(5);
+    directory.merge(at(seconds(5)), passed_on);
+    CHECK(directory.find(at(seconds(5)), vm_id("vm-1"))->time_since_heartbeat == seconds(1));
+    passed_on.heartbeat = heartbeat_count(9);
+    passed_on.heartbeat_age = seconds(60);
+    directory.merge(at(seconds(6)), passed_on);
+    CHECK(directory.find(at(seconds(6)), vm_id("vm-1"))->time_since_heartbeat == seconds(2));
+    CHECK(directory.find(at(seconds(10)), vm_id("vm-1"))->health == entry_health::dead);
+}
+
+TEST_CASE("an old heartbeat of a dead entry is not reported again")
+{
+    // Guards against repeated events about an entry that is dead, each time an older entry passes
+    // on one more of its heartbeats.
+    auto directory = make_directory(1);
+    CHECK(directory.expire(at(seconds(1))).empty());
+    for (int second = 2; second < 6; ++second)
+        CHECK(directory.expire(at(seconds(second))).empty());
+    CHECK(directory.expire(at(seconds(6))).size() == 1);
+    auto late = make_entry("vm-1", "d1", 1, 7);
+    late.heartbeat_age = seconds(9);
+    CHECK(directory.merge(at(seconds(7)), late) == entry_result::advanced);
+    CHECK(directory.find(at(seconds(7)), vm_id("vm-1"))->health == entry_health::dead);
+    CHECK(directory.expire(at(seconds(7))).empty());
+}
+
 TEST_CASE("an entry supersedes rows of its earlier incarnation")
 {
     // Guards against an entry whose new rows are ignored because its wall clock was set back.
--- a/src/connection/tests/gossip_test.cpp
+++ b/src/connection/tests/gossip_test.cpp
@@ -102,6 +102,31 @@
             member_state.entries.merge(this->now(), entry_of(static_cast<int>(i), 1));
     }
 
+    /// Starts one more entry, which knows only the entry `seed`, and returns its index.
+    std::size_t start_late(std::size_t seed)
+    {
+        auto const index = this->members.size();
+        this->members.push_back({entry_directory(entry_of(static_cast<int>(index), 1)),
+                                 endpoint_directory(), 0, this->time_ms / step_ms % 20 * step_ms,
+                                 leaving_mark_disseminator()});
+        this->members.back().entries.merge(this->now(), entry_of(static_cast<int>(seed), 1));
+        return index;
+    }
+
+    /// Number of entries that run and count the entry `index` as alive or suspect.
+    std::size_t believers_in(std::size_t index) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->members.begin(), this->members.end(),
+                          [&](member const& observer)
+                          {
+                              if (observer.paused_until_ms > this->time_ms)
+                                  return false;
+                              auto const status = observer.entries.find(this->now(), to_vm(index));
+                              return status && status->health != entry_health::dead;
+                          }));
+    }
+
     std::vector<member> members;
     seeded_random random;
     double loss_probability;
@@ -266,6 +291,46 @@
              });
 }
 
+TEST_CASE("an entry that is gone is not kept alive by entries that start late")
+{
+    // Guards against callers that are directed to a VM that is gone, because each entry that starts
+    // counts the silence of the others anew and passes this on to the next one.
+    rc::prop("no entry believes in it after dead_after and the time that gossip takes",
+             []
+             {
+                 gossip_model model(8, 0.2, *rc::gen::arbitrary<std::uint64_t>());
+                 model.run(5000);
+                 auto const gone = model.random.below(8);
+                 model.pause(gone, 120'000);
+                 auto seed = (gone + 1) % 8;
+                 for (int elapsed_ms = 0; elapsed_ms < 25'000; elapsed_ms += 500)
+                 {
+                     model.run(500);
+                     // Each entry starts with what the one that started before it believes.
+                     if (elapsed_ms % 2000 == 0)
+                         seed = model.start_late(seed);
+                     // The model delays each message by up to 200 ms, and a row passes several.
+                     if (elapsed_ms >= 10'000)
+                         RC_ASSERT(model.believers_in(gone) == 0U);
+                 }
+             });
+}
+
+TEST_CASE("an entry that was paused does not revive one that is gone")
+{
+    // Guards against an entry that was paused, does not count the pause as silence of the others
+    // and makes entries that start late believe in one that has gone meanwhile.
+    entry_directory paused(make_entry("vm-0", "d0"));
+    paused.merge(at({}), make_entry("vm-1", "d0"));
+    paused.expire(at(seconds(1)));
+    paused.expire(at(seconds(60)));
+    CHECK(paused.find(at(seconds(60)), vm_id("vm-1"))->health == entry_health::alive);
+    entry_directory started_late(make_entry("vm-2", "d0"));
+    started_late.merge(at(seconds(60)), paused.digest(at(seconds(60))));
+    CHECK(started_late.find(at(seconds(60)), vm_id("vm-0"))->health == entry_health::alive);
+    CHECK(started_late.find(at(seconds(60)), vm_id("vm-1"))->health == entry_health::dead);
+}
+
 TEST_CASE("live entries are rarely suspected")
 {
     // Guards against timeouts that are too short for the gossip interval: callers would be
--- a/src/connection/tests/record_test.cpp
+++ b/src/connection/tests/record_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <limits>
+
 #include "test_records.hpp"
 
 using namespace lagoonladder;
@@ -63,6 +65,30 @@
     CHECK_THROWS_WITH(endpoint.get<endpoint_record>(), Contains("\"state\""));
 }
 
+TEST_CASE("the age of a heartbeat is optional and validated")
+{
+    // Guards against rows of daemons of an earlier release that are dropped, and against an age
+    // that makes an entry alive in the future.
+    auto entry = make_entry("vm-1", "d1", 5, 6);
+    CHECK_FALSE(nlohmann::json(entry).contains("age_ms"));
+    entry.heartbeat_age = milliseconds(2750);
+    nlohmann::json row = entry;
+    CHECK(row["age_ms"] == 2750);
+    CHECK(row.get<entry_record>().heartbeat_age == milliseconds(2750));
+    for (nlohmann::json const& wrong :
+         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("1"),
+          nlohmann::json(std::uint64_t(1) << 32)})
+    {
+        row["age_ms"] = wrong;
+        CHECK_THROWS_WITH(row.get<entry_record>(), Contains("\"age_ms\""));
+    }
+    row.erase("age_ms");
+    CHECK(row.get<entry_record>().heartbeat_age == duration::zero());
+    entry.heartbeat_age = std::chrono::hours(24 * 365);
+    CHECK(nlohmann::json(entry).get<entry_record>().heartbeat_age ==
+          milliseconds(std::numeric_limits<std::uint32_t>::max()));
+}
+
 TEST_CASE("records are unchanged after MessagePack encoding and decoding")
 {
     // Guards against an encoding that differs between digests and HTTP responses.
