Give a second-hand row of an endpoint only the rest of its lease

Requests could be sent to an endpoint long after it was gone: an entry that starts gave each endpoint that it heard of a whole lease and 2 s, and passed the row on in that time to entries that started later.

Cause: the same as that of entries: endpoint_directory::merge counted the lease from the arrival of the row, whoever sent it.

Change: a row carries the time since an entry received it from the endpoint (renewal_age, optional "age_ms" on the wire, with validation shared with rows of entries). The lease of a row that is new to the receiver is shorter by its whole age, that of a renewal by what the age exceeds the gossip allowance. The lease of a known row never becomes shorter. An endpoint's own announcement has no age.

A row has 8 to 10 bytes more, as that of an entry.

--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -15,7 +15,9 @@
 {
     /// How long a row stays valid after its last renewal.
     duration lease = seconds(5);
-    /// Extra lease of rows received by gossip, because renewals arrive at uneven intervals.
+    /// Extra lease of rows received by gossip, because renewals arrive at uneven intervals. Also
+    /// the age up to which a newer row of a known endpoint, received from another entry, counts as
+    /// sent when it arrives.
     duration gossip_allowance = seconds(2);
     /// How long an expired or removed row is kept as a tombstone, so that a delayed digest
     /// cannot add it again.
@@ -127,6 +129,8 @@
     {
         endpoint_record record;
         time_point lease_until{};
+        /// Time at which an entry received the record from the endpoint, as far as known.
+        time_point renewed_at{};
         /// The endpoint requested its removal; only gossip uses the row until the lease ends.
         bool is_removed = false;
         bool is_expiry_reported = false;
@@ -135,6 +139,8 @@
         std::uint64_t version = 0;
     };
 
+    /// Record of the row with the age of its renewal, as it is sent to other entries.
+    static endpoint_record record_to_send(time_point now, stored_row const& row);
     bool is_listed(time_point now, stored_row const& row) const;
     /// Inserts or updates the row of the endpoint.
     endpoint_result put(time_point now, endpoint_record endpoint, duration lease);
--- a/src/connection/include/lagoonladder/connection/endpoint_record.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_record.hpp
@@ -52,6 +52,10 @@
     /// Increases with each announcement or renewal of the incarnation.
     std::uint64_t sequence = 0;
     load_report load;
+    /// Time since an entry received the row from the endpoint, without the time that the row spent
+    /// in messages between entries; in milliseconds on the wire. Set in digests and leaving marks
+    /// only; zero in rows of daemons that do not send it.
+    duration renewal_age{};
 };
 
 void to_json(nlohmann::json& out, load_report const& in);
--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -59,6 +59,7 @@
 
 endpoint_result endpoint_directory::announce(time_point now, endpoint_record endpoint)
 {
+    endpoint.renewal_age = duration::zero();
     return this->put(now, std::move(endpoint), this->options.lease);
 }
 
@@ -201,7 +202,7 @@
     auto const found = this->rows.find(id);
     if (found == this->rows.end() || found->second.lease_until <= now)
         return std::nullopt;
-    return found->second.record;
+    return record_to_send(now, found->second);
 }
 
 std::optional<time_point> endpoint_directory::reclaim_deadline(endpoint_id const& id) const
@@ -219,11 +220,18 @@
     for (auto const& [id, row] : this->rows)
     {
         if (row.lease_until > now && row.version > version)
-            out.push_back(row.record);
+            out.push_back(record_to_send(now, row));
     }
     return out;
 }
 
+endpoint_record endpoint_directory::record_to_send(time_point now, stored_row const& row)
+{
+    auto record = row.record;
+    record.renewal_age = now - row.renewed_at;
+    return record;
+}
+
 bool endpoint_directory::is_listed(time_point now, stored_row const& row) const
 {
     return row.lease_until > now && !row.is_removed;
@@ -240,6 +248,7 @@
     if (endpoint.incarnation == row.record.incarnation)
         return this->update(now, row, std::move(endpoint), lease);
     row = stored_row{};
+    lease -= endpoint.renewal_age;
     this->replace(now, row, std::move(endpoint), lease);
     return endpoint_result::added;
 }
@@ -249,6 +258,7 @@
     if (this->rows.size() >= this->options.max_rows && !this->evict_oldest_expired(now))
         return endpoint_result::full;
     auto& row = this->rows[endpoint.id];
+    lease -= endpoint.renewal_age;
     this->replace(now, row, std::move(endpoint), lease);
     return endpoint_result::added;
 }
@@ -265,6 +275,8 @@
     {
         if (was_leaving)
             endpoint.state = endpoint_state::leaving;
+        // In large systems a renewal is passed on several times before it arrives.
+        lease -= std::max(endpoint.renewal_age - this->options.gossip_allowance, duration::zero());
         this->replace(now, row, std::move(endpoint), lease);
         auto const is_marked = !was_leaving && is_leaving(row.record);
         return is_marked ? endpoint_result::marked_leaving : endpoint_result::renewed;
@@ -283,7 +295,9 @@
 void endpoint_directory::replace(time_point now, stored_row& row, endpoint_record endpoint,
                                  duration lease)
 {
+    row.renewed_at = now - endpoint.renewal_age;
     row.record = std::move(endpoint);
+    row.record.renewal_age = duration::zero();
     row.lease_until = std::max(row.lease_until, now + lease);
     row.is_expiry_reported = false;
     for (auto const& notice : this->notices)
--- a/src/connection/internal/endpoint_record.cpp
+++ b/src/connection/internal/endpoint_record.cpp
@@ -39,6 +39,7 @@
            {"incarnation", in.incarnation},
            {"sequence", in.sequence},
            {"load", in.load}};
+    write_age(out, in.renewal_age);
 }
 
 void from_json(nlohmann::json const& in, endpoint_record& out)
@@ -58,6 +59,7 @@
     read_field(in, "incarnation", endpoint.incarnation);
     read_field(in, "sequence", endpoint.sequence);
     require_field(in, "load").get_to(endpoint.load);
+    endpoint.renewal_age = read_age(in);
     out = std::move(endpoint);
 }
 
--- a/src/connection/internal/entry_record.cpp
+++ b/src/connection/internal/entry_record.cpp
@@ -1,8 +1,5 @@
 #include <lagoonladder/connection/entry_record.hpp>
 
-#include <algorithm>
-#include <limits>
-
 #include <json_fields.hpp>
 
 namespace lagoonladder::connection
@@ -32,16 +29,6 @@
     }
 }
 
-/// Reads the optional field "age_ms".
-duration read_heartbeat_age(nlohmann::json const& in)
-{
-    if (!in.contains("age_ms"))
-        return duration::zero();
-    std::uint32_t age_ms = 0;
-    read_field(in, "age_ms", age_ms);
-    return milliseconds(age_ms);
-}
-
 } // namespace
 
 void to_json(nlohmann::json& out, entry_record const& in)
@@ -59,10 +46,7 @@
            {"has_disk", in.has_disk},
            {"pass_through", in.pass_through},
            {"demand", demand_json(in.demand)}};
-    auto const age_ms = in.heartbeat_age / milliseconds(1);
-    // Most rows are own ones or carry a fresh heartbeat, and rows are sent in many messages.
-    if (age_ms > 0)
-        out["age_ms"] = std::min<std::int64_t>(age_ms, std::numeric_limits<std::uint32_t>::max());
+    write_age(out, in.heartbeat_age);
 }
 
 void from_json(nlohmann::json const& in, entry_record& out)
@@ -81,7 +65,7 @@
     read_field(in, "has_disk", entry.has_disk);
     read_field(in, "pass_through", entry.pass_through);
     read_demand(in, "demand", entry.demand);
-    entry.heartbeat_age = read_heartbeat_age(in);
+    entry.heartbeat_age = read_age(in);
     out = std::move(entry);
 }
 
--- a/src/connection/internal/json_fields.cpp
+++ b/src/connection/internal/json_fields.cpp
@@ -1,5 +1,6 @@
 #include <json_fields.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace lagoonladder::connection
@@ -66,4 +67,21 @@
     out = static_cast<std::uint32_t>(value);
 }
 
+void write_age(nlohmann::json& out, duration age)
+{
+    constexpr std::int64_t max_age_ms = std::numeric_limits<std::uint32_t>::max();
+    auto const age_ms = std::min<std::int64_t>(age / milliseconds(1), max_age_ms);
+    if (age_ms > 0)
+        out["age_ms"] = age_ms;
+}
+
+duration read_age(nlohmann::json const& in)
+{
+    if (!in.contains("age_ms"))
+        return duration::zero();
+    std::uint32_t age_ms = 0;
+    read_field(in, "age_ms", age_ms);
+    return milliseconds(age_ms);
+}
+
 } // namespace lagoonladder::connection
--- a/src/connection/internal/json_fields.hpp
+++ b/src/connection/internal/json_fields.hpp
@@ -59,6 +59,12 @@
         throw_field_error(in, name, "is neither \"serving\" nor \"leaving\"");
 }
 
+/// Writes the age of a row as the field "age_ms". A row without an age has no such field, as rows
+/// are sent in many messages.
+void write_age(nlohmann::json& out, duration age);
+/// Reads the optional field "age_ms"; zero when it is missing.
+duration read_age(nlohmann::json const& in);
+
 template <class State>
 char const* state_text(State state)
 {
--- a/src/connection/tests/endpoint_directory_test.cpp
+++ b/src/connection/tests/endpoint_directory_test.cpp
@@ -211,3 +211,41 @@
     CHECK(directory.find(at({}), endpoint_id("e1"))->state == endpoint_state::serving);
     CHECK(directory.find(at({}), endpoint_id("e3"))->state == endpoint_state::leaving);
 }
+
+TEST_CASE("an entry that starts late gives an endpoint only the rest of its lease")
+{
+    // Guards against an endpoint that is gone and gets a whole lease at each entry that hears of
+    // it.
+    endpoint_directory first;
+    first.announce(at({}), make_endpoint("e1", 1, 1));
+    endpoint_directory second;
+    second.merge(at(seconds(4)), first.changed_since(at(seconds(4)), 0));
+    CHECK(second.live(at(milliseconds(6900))).size() == 1);
+    CHECK(second.live(at(seconds(7))).empty());
+    endpoint_directory third;
+    third.merge(at(milliseconds(6900)), second.changed_since(at(milliseconds(6900)), 0));
+    CHECK(third.live(at(milliseconds(6900))).size() == 1);
+    CHECK(third.live(at(seconds(7))).empty());
+}
+
+TEST_CASE("the age of an endpoint's row counts only beyond the allowance when it is renewed")
+{
+    // Guards against endpoints that expire in large systems, where renewals are passed on several
+    // times, and against old renewals that give a whole lease.
+    endpoint_directory directory;
+    directory.merge(at({}), make_endpoint("e1", 1, 1));
+    auto renewed = make_endpoint("e1", 1, 2);
+    renewed.renewal_age = seconds(2);
+    directory.merge(at(seconds(3)), renewed);
+    CHECK(directory.live(at(milliseconds(9900))).size() == 1);
+    CHECK(directory.live(at(seconds(10))).empty());
+    renewed.sequence = 3;
+    renewed.renewal_age = seconds(6);
+    directory.merge(at(seconds(8)), renewed);
+    CHECK(directory.live(at(milliseconds(10'900))).size() == 1);
+    CHECK(directory.live(at(seconds(11))).empty());
+    // The endpoint itself renews with the whole lease.
+    renewed.sequence = 4;
+    directory.announce(at(seconds(10)), renewed);
+    CHECK(directory.live(at(milliseconds(14'900))).size() == 1);
+}
--- a/src/connection/tests/gossip_test.cpp
+++ b/src/connection/tests/gossip_test.cpp
@@ -316,6 +316,31 @@
              });
 }
 
+TEST_CASE("an endpoint that is gone is not kept alive by entries that start late")
+{
+    // Guards against requests that are sent to an endpoint that is gone, because each entry that
+    // starts gives it a new lease and passes the row on to the next one.
+    rc::prop("no entry lists it after its lease and the time that gossip takes",
+             []
+             {
+                 gossip_model model(8, 0.2, *rc::gen::arbitrary<std::uint64_t>());
+                 model.run(5000);
+                 model.is_renewing = false;
+                 std::size_t seed = 1;
+                 for (int elapsed_ms = 0; elapsed_ms < 25'000; elapsed_ms += 500)
+                 {
+                     model.run(500);
+                     // Each entry starts with the rows of the one that started before it.
+                     if (elapsed_ms % 2000 == 0)
+                         seed = model.start_late(seed);
+                     if (elapsed_ms < 10'000)
+                         continue;
+                     for (auto const& observer : model.members)
+                         RC_ASSERT(observer.endpoints.live(model.now()).empty());
+                 }
+             });
+}
+
 TEST_CASE("an entry that was paused does not revive one that is gone")
 {
     // Guards against an entry that was paused, does not count the pause as silence of the others
--- a/src/connection/tests/record_test.cpp
+++ b/src/connection/tests/record_test.cpp
@@ -32,6 +32,30 @@
     }
 }
 
+/// Checks the field that `age`, a member of `record`, is sent as.
+template <class Record>
+void check_age_validation(Record& record, duration& age)
+{
+    age = duration::zero();
+    CHECK_FALSE(nlohmann::json(record).contains("age_ms"));
+    age = milliseconds(2750);
+    nlohmann::json row = record;
+    CHECK(row["age_ms"] == 2750);
+    CHECK(nlohmann::json(row.get<Record>()) == row);
+    auto without_age = row;
+    without_age.erase("age_ms");
+    CHECK(nlohmann::json(without_age.get<Record>()) == without_age);
+    for (nlohmann::json const& wrong :
+         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("1"),
+          nlohmann::json(std::uint64_t(1) << 32)})
+    {
+        row["age_ms"] = wrong;
+        CHECK_THROWS_WITH(row.get<Record>(), Contains("\"age_ms\""));
+    }
+    age = std::chrono::hours(24 * 365);
+    CHECK(nlohmann::json(record)["age_ms"] == std::numeric_limits<std::uint32_t>::max());
+}
+
 } // namespace
 
 TEST_CASE("an error names the missing or mistyped field")
@@ -65,28 +89,14 @@
     CHECK_THROWS_WITH(endpoint.get<endpoint_record>(), Contains("\"state\""));
 }
 
-TEST_CASE("the age of a heartbeat is optional and validated")
+TEST_CASE("the age of a row is optional and validated")
 {
     // Guards against rows of daemons of an earlier release that are dropped, and against an age
     // that makes an entry alive in the future.
+    auto endpoint = make_endpoint("e1", 7, 9);
+    check_age_validation(endpoint, endpoint.renewal_age);
     auto entry = make_entry("vm-1", "d1", 5, 6);
-    CHECK_FALSE(nlohmann::json(entry).contains("age_ms"));
-    entry.heartbeat_age = milliseconds(2750);
-    nlohmann::json row = entry;
-    CHECK(row["age_ms"] == 2750);
-    CHECK(row.get<entry_record>().heartbeat_age == milliseconds(2750));
-    for (nlohmann::json const& wrong :
-         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("1"),
-          nlohmann::json(std::uint64_t(1) << 32)})
-    {
-        row["age_ms"] = wrong;
-        CHECK_THROWS_WITH(row.get<entry_record>(), Contains("\"age_ms\""));
-    }
-    row.erase("age_ms");
-    CHECK(row.get<entry_record>().heartbeat_age == duration::zero());
-    entry.heartbeat_age = std::chrono::hours(24 * 365);
-    CHECK(nlohmann::json(entry).get<entry_record>().heartbeat_age ==
-          milliseconds(std::numeric_limits<std::uint32_t>::max()));
+    check_age_validation(entry, entry.heartbeat_age);
 }
 
 TEST_CASE("records are unchanged after MessagePack encoding and decoding")
