--- a/src/connection/tests/gossip_test.cpp
+++ b/src/connection/tests/gossip_test.cpp
@@ -274,8 +274,8 @@
                  auto const paused_index = 1 + model.random.below(7);
                  model.pause(paused_index, 20000);
                  model.restart((paused_index + 1 + model.random.below(7)) % 8);
-                 // An entry is dead 6 s after its last heartbeat arrived, which may itself arrive
-                 // up to 6 s late, since peers forward it until they consider the entry dead.
+                 // An entry is dead at most 9 s after its last heartbeat, apart from the time in
+                 // messages.
                  model.run(13000);
                  RC_ASSERT(
                      model.members[paused_index == 1 ? 2 : 1]
