Send the age of an endpoint's row with a leaving mark that was set here

An entry that starts late could give an endpoint that is gone a whole lease when it heard of it by a leaving mark of a reclaimed or drained VM.

Cause: such marks are made from endpoint_directory::find, whose record has no age, as it is not meant for other entries.

Change: they are made from find_gossiped, as the marks of removed endpoints are.

Result: "a leaving mark carries the age of the row" failed before (age 0 of a row that was 4 s old) and passes.

--- a/src/process/control/internal/gossip_changes.cpp
+++ b/src/process/control/internal/gossip_changes.cpp
@@ -40,7 +40,7 @@
 
 void gossip_driver::add_local_endpoint_mark(endpoint_id const& id)
 {
-    if (auto row = this->endpoint_rows.find(this->time.now(), id))
+    if (auto row = this->endpoint_rows.find_gossiped(this->time.now(), id))
         this->add_leaving_mark(std::move(*row), {});
 }
 
--- a/src/process/control/tests/gossip_driver_test.cpp
+++ b/src/process/control/tests/gossip_driver_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "gossip_fixture.hpp"
+#include "gossip_rows.hpp"
 
 using namespace lagoonladder;
 using namespace lagoonladder::control;
@@ -108,3 +109,29 @@
     // Leaving marks are announced for 0.8 s, with a gossip round every 100 ms.
     CHECK(self.driver.entries().own().heartbeat.value() >= 5);
 }
+
+TEST_CASE("a leaving mark carries the age of the row")
+{
+    // Guards against entries that start late and give an endpoint or an entry that is gone a whole
+    // lease, because they hear of it by a leaving mark.
+    directories self("self");
+    auto entry = make_entry(1);
+    entry.heartbeat_age = seconds(2);
+    auto endpoint = make_endpoint(1);
+    endpoint.vm = entry.vm;
+    endpoint.renewal_age = seconds(4);
+    protocol::Digest digest;
+    digest.set_from("sender");
+    digest.set_entries(pack_rows(std::vector{entry}));
+    digest.set_endpoints(pack_rows(std::vector{endpoint}));
+    self.driver.exchange(digest);
+    self.driver.set_leaving(entry.vm);
+
+    auto const reply = self.driver.exchange(leaving_request("other"));
+    auto const entries = nlohmann::json::from_msgpack(reply.entries());
+    REQUIRE(entries.size() == 1);
+    CHECK(entries[0]["age_ms"] >= 2000);
+    auto const endpoints = nlohmann::json::from_msgpack(reply.endpoints());
+    REQUIRE(endpoints.size() == 1);
+    CHECK(endpoints[0].value("age_ms", 0) >= 4000);
+}
