--- a/src/connection/internal/entry_record.cpp
+++ b/src/connection/internal/entry_record.cpp
@@ -46,6 +46,7 @@
            {"has_disk", in.has_disk},
            {"pass_through", in.pass_through},
            {"demand", demand_json(in.demand)}};
+    write_age(out, in.heartbeat_age);
 }
 
 void from_json(nlohmann::json const& in, entry_record& out)
@@ -64,6 +65,7 @@
     read_field(in, "has_disk", entry.has_disk);
     read_field(in, "pass_through", entry.pass_through);
     read_demand(in, "demand", entry.demand);
+    entry.heartbeat_age = read_age(in);
     out = std::move(entry);
 }
 
