Test what a voter confirms on late links and after pauses

"a voter that catches up confirms only what the leader had committed recently" covered a voter that was cut off. It now also covers messages that are 2.5 s late to the voter or from it, and pauses of the voter and of its leader. With the arrival of a message as the time of the confirmation, the section "messages to it are late" fails: "an old state is confirmed on vm1". The first case is unchanged.

--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -402,7 +402,8 @@
 
 TEST_CASE("a voter that catches up confirms only what the leader had committed recently")
 {
-    // Guards against a confirmation during a long catch-up, and against one that never returns.
+    // Guards against a confirmation during a long catch-up or by messages that are late, and
+    // against one that never returns.
     simulated_cluster cluster(17, 3);
     wait_for_leader(cluster);
     auto& lagging_vm = follower_of(cluster);
@@ -421,6 +422,8 @@
                 cluster.now - cluster.options.election_timeout * 102 / 100 - milliseconds(20);
             while (commits.size() > 1 && commits[1].first <= limit)
                 commits.pop_front();
+            if (lagging_vm.paused_until > cluster.now)
+                continue;
             auto const& node = *lagging_vm.node;
             auto const now = cluster.local_time(lagging_vm);
             bool const lags = node.commit_index() < commits.front().second;
@@ -428,12 +431,55 @@
             CHECK_FALSE((lags && node.has_recent_commit(now)));
         }
     };
-    cluster.isolate(lagging_vm.name, true, true);
-    run_with_writes(seconds(5));
-    cluster.network.cut_links.clear();
-    run_with_writes(seconds(5));
-    CHECK(is_behind);
-    CHECK(lagging_vm.node->has_recent_commit(cluster.local_time(lagging_vm)));
+    auto const recover = [&]
+    {
+        cluster.network.cut_links.clear();
+        cluster.network.late_links.clear();
+        run_with_writes(seconds(5));
+        CHECK(lagging_vm.node->has_recent_commit(cluster.local_time(lagging_vm)));
+    };
+    SECTION("cut off")
+    {
+        cluster.isolate(lagging_vm.name, true, true);
+        run_with_writes(seconds(5));
+        recover();
+        CHECK(is_behind);
+    }
+    SECTION("messages to it are late")
+    {
+        for (auto const& vm : cluster.vms)
+            cluster.network.late_links[{vm->name, lagging_vm.name}] = milliseconds(2'500);
+        run_with_writes(seconds(8));
+        CHECK(is_behind);
+        recover();
+    }
+    SECTION("messages from it are late")
+    {
+        for (auto const& vm : cluster.vms)
+            cluster.network.late_links[{lagging_vm.name, vm->name}] = milliseconds(2'500);
+        run_with_writes(seconds(8));
+        recover();
+    }
+    SECTION("it is paused again and again")
+    {
+        for (int pauses = 0; pauses < 8; ++pauses)
+        {
+            lagging_vm.paused_until = cluster.now + milliseconds(200 + 400 * pauses);
+            run_with_writes(milliseconds(400 + 400 * pauses));
+        }
+        recover();
+        CHECK(is_behind);
+    }
+    SECTION("its leader is paused again and again")
+    {
+        for (int pauses = 0; pauses < 8; ++pauses)
+        {
+            if (auto* leader = cluster.leader(); leader && leader != &lagging_vm)
+                leader->paused_until = cluster.now + milliseconds(200 + 400 * pauses);
+            run_with_writes(milliseconds(400 + 400 * pauses));
+        }
+        recover();
+    }
 }
 
 TEST_CASE("an isolated leader steps down within an election timeout")
--- a/src/process/consensus/tests/simulated_network.hpp
+++ b/src/process/consensus/tests/simulated_network.hpp
@@ -7,7 +7,7 @@
 #include <lagoonladder/consensus.hpp>
 
 /// Network that loses, delays, reorders and duplicates messages. Single directions of a link can be
-/// cut.
+/// cut or late.
 class simulated_network
 {
 public:
@@ -26,7 +26,10 @@
             bool const is_delayed = this->random.unit() < this->delay_probability;
             // In microseconds: 0.5 to 8.5 ms, or up to 800.5 ms for a delayed message.
             auto const delay = 500 + this->random.below(is_delayed ? 800'000 : 8'000);
-            this->in_flight.emplace(now + lagoonladder::duration(delay),
+            auto const late = this->late_links.find({vm_of(sent.from), vm_of(sent.to)});
+            auto const lateness =
+                late == this->late_links.end() ? lagoonladder::duration(0) : late->second;
+            this->in_flight.emplace(now + lagoonladder::duration(delay) + lateness,
                                     lagoonladder::consensus::encode_message(sent));
         }
     }
@@ -50,6 +53,9 @@
     double duplication_probability = 0;
     double delay_probability = 0;
     std::set<std::pair<lagoonladder::vm_id, lagoonladder::vm_id>> cut_links;
+    /// Additional delay of all messages from the first VM to the second one.
+    std::map<std::pair<lagoonladder::vm_id, lagoonladder::vm_id>, lagoonladder::duration>
+        late_links;
 
 private:
     lagoonladder::random_source& random;
