Let the only voter lead only once its vote is stored

A voter whose log names it as the only voter counted its own vote at once and led before it was stored. Since calls go on while a write is in flight, it could lead for seconds beside a stalled disk, hold a lease, crash, lose the vote, and vote for another candidate in the same term. The group had two voters and the removal of the other one was not committed: the other one, whose log lacked no entry, won the same term. Nothing was acknowledged by the first one, since it commits only in take_ready(), but two leaders in a term break what all else relies on.

The node now becomes leader in the take_ready() after the one that returned its vote. Candidates with other voters are unchanged: replies arrive only after the request was sent, and so after the vote was stored.

"the only voter becomes leader once its vote is stored" failed before: the role was leader after the tick, and has_ready() did not ask for another call.

--- a/src/process/consensus/internal/election.cpp
+++ b/src/process/consensus/internal/election.cpp
@@ -58,7 +58,15 @@
     this->votes = {{this->options.self, true}};
     this->reset_election_timer();
     this->request_votes(message_type::vote_request, this->current_hard_state.term);
-    this->count_votes();
+}
+
+/// Whether this node's own vote decides the election and is stored. Others grant theirs on a
+/// request that was sent after this node had stored its own.
+bool node_core::is_elected_by_own_vote() const
+{
+    return this->role == role::candidate && this->is_only_voter() &&
+           this->emitted_hard_state.term == this->current_hard_state.term &&
+           this->emitted_hard_state.vote == this->options.self;
 }
 
 void node_core::request_votes(message_type type, term_number campaign_term)
--- a/src/process/consensus/internal/node_core.cpp
+++ b/src/process/consensus/internal/node_core.cpp
@@ -185,7 +185,7 @@
         this->emitted_index < this->log.last_index() || this->snapshot_to_store ||
         this->snapshot_to_restore || !this->outbox.empty() ||
         this->applied_index < this->current_hard_state.commit || !this->confirmed_reads.empty() ||
-        !this->failed_reads.empty())
+        !this->failed_reads.empty() || this->is_elected_by_own_vote())
         return true;
     return this->role == role::leader &&
            (this->heartbeat_due ||
@@ -196,6 +196,8 @@
 ready node_core::take_ready()
 {
     ready work;
+    if (this->is_elected_by_own_vote())
+        this->become_leader();
     this->collect_persistent_state(work);
     if (this->role == role::leader)
     {
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -70,6 +70,7 @@
     bool may_campaign() const;
     void start_prevote();
     void start_election();
+    bool is_elected_by_own_vote() const;
     void request_votes(message_type type, term_number campaign_term);
     void become_leader();
     bool must_withhold_vote() const;
--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -143,6 +143,26 @@
     CHECK(leader.tested_node->commit_index() == log_index(3));
 }
 
+TEST_CASE("the only voter becomes leader once its vote is stored")
+{
+    // Guards against two leaders in one term: a voter that is the only one in its log leads while
+    // its vote is being stored, crashes and then votes for another candidate in the same term.
+    membership members;
+    members.voters[voter_id("a")] = network_address("10.0.0.1:1");
+    scripted_node node({}, 1, members);
+    node.now += seconds(3);
+    node.tested_node->tick(node.now);
+    CHECK(node.tested_node->role() != role::leader);
+    auto const work = node.tested_node->take_ready();
+    REQUIRE(work.hard_state);
+    CHECK(work.hard_state->vote == voter_id("a"));
+    CHECK(work.must_sync);
+    CHECK(node.tested_node->role() != role::leader);
+    REQUIRE(node.tested_node->has_ready());
+    CHECK(node.tested_node->take_ready().entries.size() == 1);
+    CHECK(node.tested_node->role() == role::leader);
+}
+
 TEST_CASE("a node grants no vote right after its start")
 {
     // Guards against a restarted voter that votes while a leader's lease relies on it not to.
