--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -143,6 +143,26 @@
     CHECK(leader.tested_node->commit_index() == log_index(3));
 }
 
+TEST_CASE("the only voter becomes leader once its vote is stored")
+{
+    // Guards against two leaders in one term: a voter that is the only one in its log leads while
+    // its vote is being stored, crashes and then votes for another candidate in the same term.
+    membership members;
+    members.voters[voter_id("a")] = network_address("10.0.0.1:1");
+    scripted_node node({}, 1, members);
+    node.now += seconds(3);
+    node.tested_node->tick(node.now);
+    CHECK(node.tested_node->role() != role::leader);
+    auto const work = node.tested_node->take_ready();
+    REQUIRE(work.hard_state);
+    CHECK(work.hard_state->vote == voter_id("a"));
+    CHECK(work.must_sync);
+    CHECK(node.tested_node->role() != role::leader);
+    REQUIRE(node.tested_node->has_ready());
+    CHECK(node.tested_node->take_ready().entries.size() == 1);
+    CHECK(node.tested_node->role() == role::leader);
+}
+
 TEST_CASE("a node grants no vote right after its start")
 {
     // Guards against a restarted voter that votes while a leader's lease relies on it not to.
@@ -402,7 +422,8 @@
 
 TEST_CASE("a voter that catches up confirms only what the leader had committed recently")
 {
-    // Guards against a confirmation during a long catch-up, and against one that never returns.
+    // Guards against a confirmation during a long catch-up or by messages that are late, and
+    // against one that never returns.
     simulated_cluster cluster(17, 3);
     wait_for_leader(cluster);
     auto& lagging_vm = follower_of(cluster);
@@ -421,6 +442,8 @@
                 cluster.now - cluster.options.election_timeout * 102 / 100 - milliseconds(20);
             while (commits.size() > 1 && commits[1].first <= limit)
                 commits.pop_front();
+            if (lagging_vm.paused_until > cluster.now)
+                continue;
             auto const& node = *lagging_vm.node;
             auto const now = cluster.local_time(lagging_vm);
             bool const lags = node.commit_index() < commits.front().second;
@@ -428,12 +451,55 @@
             CHECK_FALSE((lags && node.has_recent_commit(now)));
         }
     };
-    cluster.isolate(lagging_vm.name, true, true);
-    run_with_writes(seconds(5));
-    cluster.network.cut_links.clear();
-    run_with_writes(seconds(5));
-    CHECK(is_behind);
-    CHECK(lagging_vm.node->has_recent_commit(cluster.local_time(lagging_vm)));
+    auto const recover = [&]
+    {
+        cluster.network.cut_links.clear();
+        cluster.network.late_links.clear();
+        run_with_writes(seconds(5));
+        CHECK(lagging_vm.node->has_recent_commit(cluster.local_time(lagging_vm)));
+    };
+    SECTION("cut off")
+    {
+        cluster.isolate(lagging_vm.name, true, true);
+        run_with_writes(seconds(5));
+        recover();
+        CHECK(is_behind);
+    }
+    SECTION("messages to it are late")
+    {
+        for (auto const& vm : cluster.vms)
+            cluster.network.late_links[{vm->name, lagging_vm.name}] = milliseconds(2'500);
+        run_with_writes(seconds(8));
+        CHECK(is_behind);
+        recover();
+    }
+    SECTION("messages from it are late")
+    {
+        for (auto const& vm : cluster.vms)
+            cluster.network.late_links[{lagging_vm.name, vm->name}] = milliseconds(2'500);
+        run_with_writes(seconds(8));
+        recover();
+    }
+    SECTION("it is paused again and again")
+    {
+        for (int pauses = 0; pauses < 8; ++pauses)
+        {
+            lagging_vm.paused_until = cluster.now + milliseconds(200 + 400 * pauses);
+            run_with_writes(milliseconds(400 + 400 * pauses));
+        }
+        recover();
+        CHECK(is_behind);
+    }
+    SECTION("its leader is paused again and again")
+    {
+        for (int pauses = 0; pauses < 8; ++pauses)
+        {
+            if (auto* leader = cluster.leader(); leader && leader != &lagging_vm)
+                leader->paused_until = cluster.now + milliseconds(200 + 400 * pauses);
+            run_with_writes(milliseconds(400 + 400 * pauses));
+        }
+        recover();
+    }
 }
 
 TEST_CASE("an isolated leader steps down within an election timeout")
