--- a/tools/soak/internal/summary.cpp
+++ b/tools/soak/internal/summary.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 
@@ -59,7 +60,7 @@
     if (sorted.empty())
         return duration{};
     auto const last = static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(portion * last + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(portion * last))];
 }
 
 } // namespace
