Leave the core calm now and then, and count the calls that are judged

The checks of added and removed routes judge calls at entries in touch only, 3 s after the last fault at an entry with a disk. Half of the pauses now last 1 to 8 s, and the summary counts the calls that the checks judge.

--- a/tools/soak/include/lagoonladder/soak.hpp
+++ b/tools/soak/include/lagoonladder/soak.hpp
@@ -198,6 +198,9 @@
     std::size_t answered_reads = 0;
     std::size_t calls = 0;
     std::size_t answered_calls = 0;
+    /// Answered calls, sent to entries in touch, that the checks of added and removed routes judge.
+    std::size_t judged_added = 0;
+    std::size_t judged_removed = 0;
     /// Calls on removed routes that ran late at entries out of touch, which the rule allows.
     std::size_t late_runs_out_of_touch = 0;
     std::map<std::string, std::size_t> faults;
--- a/tools/soak/internal/checks.cpp
+++ b/tools/soak/internal/checks.cpp
@@ -135,6 +135,15 @@
                          "version " + text_of(newest) + " is not read back after the final fault"});
 }
 
+} // namespace
+
+bool must_be_served(history_index const& index, check_bounds const& bounds, call_event const& call)
+{
+    auto const* const life = index.find_route(call.route);
+    return life != nullptr && index.newest_acknowledged(call.sent - bounds.apply) >= life->added &&
+           is_kept(index, *life, call.ended);
+}
+
 bool must_be_removed(history_index const& index, check_bounds const& bounds, call_event const& call)
 {
     auto const* const life = index.find_route(call.route);
@@ -142,8 +151,6 @@
            index.newest_acknowledged(call.sent - bounds.apply) >= *life->removed;
 }
 
-} // namespace
-
 std::vector<call_event const*> find_late_runs(history_index const& index,
                                               check_bounds const& bounds)
 {
@@ -203,16 +210,13 @@
     violations found;
     for (auto const& call : recorded.calls)
     {
-        auto const* const life = index.find_route(call.route);
-        if (life == nullptr || !is_unknown(call.status))
+        if (!is_unknown(call.status) || !must_be_served(index, bounds, call) ||
+            !index.is_in_touch(call.entry, call.sent, call.ended, bounds.contact))
             continue;
-        bool const in_force = index.newest_acknowledged(call.sent - bounds.apply) >= life->added &&
-                              is_kept(index, *life, call.ended);
-        if (in_force && index.is_in_touch(call.entry, call.sent, call.ended, bounds.contact))
-            found.push_back({"added", call.ended, call.entry,
-                             call.route + " of version " + text_of(life->added) +
-                                 " is refused with " + std::to_string(call.status) + ", sent at " +
-                                 text_of(call.sent)});
+        found.push_back({"added", call.ended, call.entry,
+                         call.route + " of version " +
+                             text_of(index.find_route(call.route)->added) + " is refused with " +
+                             std::to_string(call.status) + ", sent at " + text_of(call.sent)});
     }
     return found;
 }
--- a/tools/soak/internal/history_index.hpp
+++ b/tools/soak/internal/history_index.hpp
@@ -78,6 +78,11 @@
 std::vector<call_event const*> find_late_runs(history_index const& index,
                                               check_bounds const& bounds);
 
+/// True when a route has been in force, or removed, for so long that a call must be handled so.
+bool must_be_served(history_index const& index, check_bounds const& bounds, call_event const& call);
+bool must_be_removed(history_index const& index, check_bounds const& bounds,
+                     call_event const& call);
+
 } // namespace lagoonladder::soak
 
 #endif
--- a/tools/soak/internal/plan.cpp
+++ b/tools/soak/internal/plan.cpp
@@ -59,6 +59,16 @@
     }
 }
 
+/// One pause in two is short, for faults in series; in the others, entries are in touch long enough
+/// for the checks that ask for it.
+duration draw_pause(std::mt19937_64& random, bool is_core)
+{
+    bool const is_short = draw_number(random, 0, 1) == 0;
+    if (is_short)
+        return draw_duration(random, duration{}, milliseconds(500));
+    return draw_duration(random, seconds(1), is_core ? seconds(8) : seconds(12));
+}
+
 } // namespace
 
 std::uint64_t draw_number(std::mt19937_64& random, std::uint64_t low, std::uint64_t high)
@@ -79,7 +89,7 @@
     fault.kind = draw_kind(random, is_core ? core_kinds : other_kinds);
     fault.victim = draw_number(random, 0, victims - 1);
     fault.length = draw_length(random, fault.kind);
-    fault.pause = draw_duration(random, duration{}, is_core ? milliseconds(1500) : seconds(3));
+    fault.pause = draw_pause(random, is_core);
     return fault;
 }
 
--- a/tools/soak/internal/summary.cpp
+++ b/tools/soak/internal/summary.cpp
@@ -63,6 +63,19 @@
     return sorted[static_cast<std::size_t>(std::lround(portion * last))];
 }
 
+void count_judged_calls(history const& recorded, history_index const& index,
+                        check_bounds const& bounds, summary& totals)
+{
+    for (auto const& call : recorded.calls)
+    {
+        if (call.status == 0 ||
+            !index.is_in_touch(call.entry, call.sent, call.ended, bounds.contact))
+            continue;
+        totals.judged_added += must_be_served(index, bounds, call) ? 1 : 0;
+        totals.judged_removed += must_be_removed(index, bounds, call) ? 1 : 0;
+    }
+}
+
 } // namespace
 
 summary summarize(history const& recorded, check_bounds const& bounds)
@@ -82,6 +95,7 @@
     for (auto const& fault : recorded.faults)
         if (is_cause(fault.kind))
             ++totals.faults[to_string(fault.kind)];
+    count_judged_calls(recorded, index, bounds, totals);
     for (auto const* const call : find_late_runs(index, bounds))
         if (!index.is_in_touch(call->entry, call->sent, call->ended, bounds.contact))
             ++totals.late_runs_out_of_touch;
@@ -95,7 +109,8 @@
     text << std::fixed << std::setprecision(1);
     text << "acknowledged=" << totals.acknowledged << " reads=" << totals.reads
          << " answered_reads=" << totals.answered_reads << " calls=" << totals.calls
-         << " answered_calls=" << totals.answered_calls
+         << " answered_calls=" << totals.answered_calls << " judged_added=" << totals.judged_added
+         << " judged_removed=" << totals.judged_removed
          << " late_runs_out_of_touch=" << totals.late_runs_out_of_touch << "\nfaults:";
     for (auto const& [kind, count] : totals.faults)
         text << ' ' << kind << '=' << count;
--- a/tools/soak/tests/checks_test.cpp
+++ b/tools/soak/tests/checks_test.cpp
@@ -361,3 +361,16 @@
     CHECK(totals.lags[0] == duration{});
     CHECK(totals.lags[1] == milliseconds(100));
 }
+
+TEST_CASE("calls that the checks judge are counted")
+{
+    auto recorded = make_history();
+    add_call(recorded, 13, "fresh", 200);
+    add_call(recorded, 13, "gone", 404);
+    add_call(recorded, 11.9, "fresh", 200);
+    add_call(recorded, 13, "fresh", 0);
+    CHECK(summarize(recorded, bounds).judged_added == 1);
+    CHECK(summarize(recorded, bounds).judged_removed == 1);
+    add_fault(recorded, 12.9, with_disk, fault_kind::reload);
+    CHECK(summarize(recorded, bounds).judged_added == 0);
+}
