--- a/tools/soak/include/lagoonladder/soak.hpp
+++ b/tools/soak/include/lagoonladder/soak.hpp
@@ -204,8 +204,9 @@
     /// Calls on removed routes that ran late at entries out of touch, which the rule allows.
     std::size_t late_runs_out_of_touch = 0;
     std::map<std::string, std::size_t> faults;
-    /// From each acknowledgement to the first call on a route of that version that an entry served,
-    /// for each entry to which nothing happened meanwhile; 0 when it was served before. Sorted.
+    /// From each acknowledgement of a version with new routes to the end of the first call that an
+    /// entry served on a route of that version or a newer one, for each entry to which nothing
+    /// happened meanwhile; 0 when it was served before. Sorted.
     std::vector<duration> lags;
 };
 
--- a/tools/soak/internal/summary.cpp
+++ b/tools/soak/internal/summary.cpp
@@ -30,26 +30,46 @@
     return times;
 }
 
-std::vector<duration> collect_lags(history const& recorded, history_index const& index,
-                                   std::map<config_version, run_time> const& acknowledged)
+/// Ends of the first calls that an entry served on a route of each version or of a newer one.
+using first_served = std::map<config_version, run_time>;
+
+std::map<entry_id, first_served> find_first_served(history const& recorded,
+                                                   history_index const& index)
 {
-    std::map<std::pair<config_version, entry_id>, call_event const*> first_served;
+    std::map<entry_id, first_served> by_entry;
     for (auto const& call : recorded.calls)
     {
         auto const* const life = index.find_route(call.route);
-        if (life == nullptr || call.status != 200 || !acknowledged.contains(life->added))
+        if (life == nullptr || call.status != 200)
             continue;
-        auto& first = first_served.try_emplace({life->added, call.entry}, &call).first->second;
-        if (call.ended < first->ended)
-            first = &call;
+        auto& time = by_entry[call.entry].try_emplace(life->added, call.ended).first->second;
+        time = std::min(time, call.ended);
     }
-    std::vector<duration> lags;
-    for (auto const& [key, call] : first_served)
+    for (auto& [entry, times] : by_entry)
     {
-        auto const time = acknowledged.at(key.first);
-        if (index.is_undisturbed(key.second, std::min(time, call->ended), call->ended))
-            lags.push_back(std::max(duration{}, call->ended - time));
+        auto earliest = run_time::max();
+        for (auto each = times.rbegin(); each != times.rend(); ++each)
+            earliest = each->second = std::min(earliest, each->second);
     }
+    return by_entry;
+}
+
+std::vector<duration> collect_lags(history const& recorded, history_index const& index,
+                                   std::map<config_version, run_time> const& acknowledged)
+{
+    std::vector<duration> lags;
+    for (auto const& [entry, times] : find_first_served(recorded, index))
+        for (auto const& change : recorded.changes)
+        {
+            auto const known = acknowledged.find(change.version);
+            auto const served = times.lower_bound(change.version);
+            if (change.added.empty() || known == acknowledged.end() || served == times.end())
+                continue;
+            auto const begin = std::min(known->second, served->second);
+            if (index.is_undisturbed(entry, begin, served->second) &&
+                index.incarnation(entry, begin) > 0)
+                lags.push_back(served->second - begin);
+        }
     std::sort(lags.begin(), lags.end());
     return lags;
 }
--- a/tools/soak/tests/checks_test.cpp
+++ b/tools/soak/tests/checks_test.cpp
@@ -354,12 +354,26 @@
     add_call(recorded, 10.09, "fresh", 200);
     add_call(recorded, 10.5, "fresh", 200);
     add_call(recorded, 4.9, "kept", 200);
-    auto const totals = summarize(recorded, bounds);
+    auto totals = summarize(recorded, bounds);
     CHECK(totals.acknowledged == 2);
     CHECK(totals.calls == 3);
     REQUIRE(totals.lags.size() == 2);
     CHECK(totals.lags[0] == duration{});
     CHECK(totals.lags[1] == milliseconds(100));
+    // What happened to the entry explains the lag.
+    add_fault(recorded, 10.05, diskless, fault_kind::reload);
+    CHECK(summarize(recorded, bounds).lags.size() == 1);
+}
+
+TEST_CASE("a call on a route of a newer version shows the older one too")
+{
+    auto recorded = make_history();
+    add_call(recorded, 10.09, "fresh", 200);
+    add_call(recorded, 12, "kept", 200);
+    auto const totals = summarize(recorded, bounds);
+    REQUIRE(totals.lags.size() == 2);
+    CHECK(totals.lags[0] == milliseconds(100));
+    CHECK(totals.lags[1] == milliseconds(5100));
 }
 
 TEST_CASE("calls that the checks judge are counted")
