--- a/tools/soak/tests/checks_test.cpp
+++ b/tools/soak/tests/checks_test.cpp
@@ -354,10 +354,37 @@
     add_call(recorded, 10.09, "fresh", 200);
     add_call(recorded, 10.5, "fresh", 200);
     add_call(recorded, 4.9, "kept", 200);
-    auto const totals = summarize(recorded, bounds);
+    auto totals = summarize(recorded, bounds);
     CHECK(totals.acknowledged == 2);
     CHECK(totals.calls == 3);
     REQUIRE(totals.lags.size() == 2);
     CHECK(totals.lags[0] == duration{});
     CHECK(totals.lags[1] == milliseconds(100));
+    // What happened to the entry explains the lag.
+    add_fault(recorded, 10.05, diskless, fault_kind::reload);
+    CHECK(summarize(recorded, bounds).lags.size() == 1);
+}
+
+TEST_CASE("a call on a route of a newer version shows the older one too")
+{
+    auto recorded = make_history();
+    add_call(recorded, 10.09, "fresh", 200);
+    add_call(recorded, 12, "kept", 200);
+    auto const totals = summarize(recorded, bounds);
+    REQUIRE(totals.lags.size() == 2);
+    CHECK(totals.lags[0] == milliseconds(100));
+    CHECK(totals.lags[1] == milliseconds(5100));
+}
+
+TEST_CASE("calls that the checks judge are counted")
+{
+    auto recorded = make_history();
+    add_call(recorded, 13, "fresh", 200);
+    add_call(recorded, 13, "gone", 404);
+    add_call(recorded, 11.9, "fresh", 200);
+    add_call(recorded, 13, "fresh", 0);
+    CHECK(summarize(recorded, bounds).judged_added == 1);
+    CHECK(summarize(recorded, bounds).judged_removed == 1);
+    add_fault(recorded, 12.9, with_disk, fault_kind::reload);
+    CHECK(summarize(recorded, bounds).judged_added == 0);
 }
