Write the log of a voter on a thread of its own

What callers see: an entry with a disk serves calls by an old configuration, and goes on to send calls to endpoints that have left, for as long as one sync of its disk takes (CONFIG, DRAIN), though nothing else is wrong with it.

Cause: the control thread wrote and synced the log itself. While a sync took seconds it published no view, sent and merged no gossip, answered no poll, and learned of no change. On a machine whose disk is slow by itself this needs no disruption. Class of fault: a belief that another thread cannot renew.

Evidence: "a voter whose disk stalls follows configurations" stalls the disk of a follower and changes the configuration. With the write on the control thread the follower does not have the change after two seconds; it has it at once now. "a leader whose disk stalls is replaced" guards what held before.

Change: log_writer runs tasks that use the log store, one at a time, on its own thread. While a write is in progress the node takes steps and ticks; messages that depend on the write are sent after it. The log is also read again on that thread after an error. Since the state is often behind the commit index for the time of a write, the voter keeps the latest time as of which the applied state was confirmed.

--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -14,6 +14,7 @@
 #include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/storage.hpp>
 
+#include "log_writer.hpp"
 #include "step_sender.hpp"
 #include "telemetry.hpp"
 #include <lagoonladder/control/peer_channels.hpp>
@@ -86,11 +87,8 @@
     {
         return this->has_applied_commits() && this->node.has_recent_commit(this->time.now());
     }
-    /// Latest time known as of which the state reflects everything that had been committed.
-    std::optional<time_point> state_confirmed_at() const
-    {
-        return this->has_applied_commits() ? this->node.commit_confirmed_at() : std::nullopt;
-    }
+    /// Latest time known as of which the state reflected everything that had been committed.
+    time_point state_confirmed_at() const { return this->confirmed_at; }
     std::uint64_t term() const { return this->node.term().value(); }
     /// Control address of the leader; empty when unknown.
     network_address leader_address() const;
@@ -136,17 +134,34 @@
     void schedule_flush();
     /// Processes the pending output of the node and serves the reads that have become current.
     void flush();
-    /// Saves, sends and applies the output of the node. Returns whether the control state changed.
+    /// Processes the output of the node until a write has to end first. Returns whether the control
+    /// state changed.
     bool process_ready();
+    /// Applies, stores and sends what the node returned. Returns whether the control state changed.
+    bool process(consensus::ready work);
+    void write(std::shared_ptr<consensus::ready const> const& work);
+    void handle_written(consensus::ready const& work, std::exception_ptr const& problem);
+    /// Does what has to follow the write of the output of the node. Returns whether the control
+    /// state changed.
+    bool finish(consensus::ready const& work);
+    void handle_progress(bool has_changed);
+    void record_reads(consensus::ready const& work);
     consensus::persistent_state load();
+    void restore_control_state(consensus::persistent_state const& state);
     /// Stops using the log after a failed write: the contents of the disk are unknown until it
     /// is read again.
-    void suspend(storage::storage_error const& problem);
+    void suspend(std::string const& reason);
+    /// Reads the log again, on the thread of the log.
     void reopen();
+    void handle_reopened(consensus::persistent_state const& state,
+                         std::exception_ptr const& problem);
+    void record_confirmation();
     /// Ends all pending proposals as unknown and all pending reads as failed.
     void fail_pending();
     void send(consensus::message const& message);
     void restore(consensus::snapshot const& state);
+    /// Returns whether there were any entries.
+    bool apply(std::vector<consensus::log_entry> const& entries);
     void apply(consensus::log_entry const& entry);
     void resolve_proposal(consensus::log_entry const& entry, version::command_result const& result);
     void report_large_commit(consensus::log_entry const& entry, pending_proposal const& pending);
@@ -212,6 +227,12 @@
     time_point last_quorum_contact{};
     /// Bytes of commands applied since the last snapshot.
     std::uint64_t bytes_since_snapshot = 0;
+    time_point confirmed_at{};
+    /// Whether everything before the entries of node.take_committed() is applied while a write is
+    /// in progress.
+    bool applies_during_write = false;
+    /// Declared last, since its destructor waits for a write.
+    log_writer writer;
 };
 
 } // namespace lagoonladder::control
--- a/src/process/control/internal/consensus_membership.cpp
+++ b/src/process/control/internal/consensus_membership.cpp
@@ -167,7 +167,7 @@
 
 void consensus_driver::bootstrap_group()
 {
-    if (this->has_log() || this->stopped || !this->usable)
+    if (this->has_log() || this->stopped || !this->usable || this->writer.is_busy())
         return;
     consensus::membership members;
     for (auto const& voter : this->options.initial_voters)
@@ -181,7 +181,7 @@
     }
     catch (storage::storage_error const& problem)
     {
-        return this->suspend(problem);
+        return this->suspend(problem.what());
     }
     this->node = consensus::node(make_node_options(this->options, this->node.self()), state,
                                  this->random, this->time.now());
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -72,19 +72,18 @@
     return this->ready && this->time.now() < this->last_quorum_contact + recent_quorum_window;
 }
 
-std::optional<time_point> state_follower::state_confirmed_at() const
+time_point state_follower::state_confirmed_at() const
 {
-    if (this->node && this->node->is_usable())
-        return this->node->state_confirmed_at();
-    return this->last_quorum_contact;
+    if (!this->node || !this->node->is_usable())
+        return this->last_quorum_contact;
+    return this->node->state_confirmed_at();
 }
 
 time_point state_follower::configuration_expiry() const
 {
-    auto const confirmed_at = this->state_confirmed_at();
-    if (this->awaits_content() || !confirmed_at)
+    if (this->awaits_content())
         return time_point();
-    return *confirmed_at + max_configuration_age;
+    return this->state_confirmed_at() + max_configuration_age;
 }
 
 void state_follower::schedule_poll()
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -46,8 +46,8 @@
     {
         return this->announced_index > this->current_state->changed_index;
     }
-    /// Latest time known as of which the state reflects everything that had been committed.
-    std::optional<time_point> state_confirmed_at() const;
+    /// Latest time known as of which the state reflected everything that had been committed.
+    time_point state_confirmed_at() const;
     void schedule_poll();
     void poll();
     void poll_voter();
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -22,7 +22,7 @@
                                        "[route create]\nservice = booking\nmethod = POST\n"
                                        "path = /bookings\nidempotent = false\n";
 
-/// Log store on a disk that can fill up.
+/// Log store on a disk that can fill up or stall.
 class fillable_store : public storage::memory_log_store
 {
 public:
@@ -34,6 +34,7 @@
               std::vector<consensus::log_entry> const& entries, bool must_sync) override
     {
         this->require_space();
+        this->wait_while_stalled();
         this->storage::memory_log_store::save(state, entries, must_sync);
     }
 
@@ -44,8 +45,16 @@
     }
 
     std::atomic<bool> is_full = false;
+    /// No write ends before this is false again.
+    std::atomic<bool> is_stalled = false;
 
 private:
+    void wait_while_stalled() const
+    {
+        while (this->is_stalled)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+
     void require_space() const
     {
         if (this->is_full)
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -301,6 +301,43 @@
     CHECK(system.apply(3, 3, second_text, "four").outcome == version::apply_outcome::stored);
 }
 
+TEST_CASE("a voter whose disk stalls follows configurations")
+{
+    // Guards against a voter that serves calls by an old configuration for as long as a sync of its
+    // disk takes, and stops its gossip meanwhile.
+    small_system system;
+    auto const first = system.apply(3, 0, first_text, "op-1").generation.value();
+    for (std::size_t i = 0; i < 4; ++i)
+        REQUIRE(eventually([&] { return is_in_force(system.loop(i), first); }));
+    REQUIRE(eventually([&] { return system.leader(3) < 3; }));
+    auto const stalled = (system.leader(3) + 1) % 3;
+    system.stores[stalled].is_stalled = true;
+    auto const second = system.apply(3, first, second_text, "op-2").generation.value();
+    CHECK(eventually([&] { return is_in_force(system.loop(stalled), second); },
+                     std::chrono::seconds(2)));
+    CHECK(eventually([&] { return is_in_force(system.loop(3), second); }));
+    system.stores[stalled].is_stalled = false;
+    system.stop(stalled);
+    system.stores[stalled].discard_unsynced();
+    system.start(stalled);
+    CHECK(eventually([&] { return is_in_force(system.loop(stalled), second); }));
+}
+
+TEST_CASE("a leader whose disk stalls is replaced")
+{
+    // Guards against a group that commits nothing while the disk of its leader takes seconds.
+    small_system system;
+    auto const first = system.apply(3, 0, first_text, "op-1").generation.value();
+    REQUIRE(eventually([&] { return system.leader(3) < 3; }));
+    auto const stalled = system.leader(3);
+    system.stores[stalled].is_stalled = true;
+    auto const other = (stalled + 1) % 3;
+    auto const second = system.apply(other, first, second_text, "op-2").generation.value();
+    CHECK(second == first + 1);
+    system.stores[stalled].is_stalled = false;
+    CHECK(eventually([&] { return is_in_force(system.loop(stalled), second); }));
+}
+
 TEST_CASE("a starting daemon becomes ready without waiting for its poll interval")
 {
     // Guards against refused calls for the rest of a poll interval after all daemons restarted.
