Count the first state of a daemon as current from its request

What callers see: right after a start, an entry answers 404 by a configuration that is up to a second older than it may be.

Cause: a daemon that became ready took its state as confirmed at that moment. The reply may have taken most of its time limit, and the contents that the state names seconds more. Class of fault: a time that is taken at the wrong end.

Evidence: "the first state of a daemon counts as current from its request, not from its arrival" has replies that take 600 ms; 750 ms after the start the view still counted as current ("CHECK( is_outdated(...) )" failed).

Change: the state counts from the sending of the request that a quorum confirmed.

--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -121,11 +121,12 @@
 {
     ++this->polls_in_flight;
     this->node->read(this->time.now() + read_timeout,
-                     [this](bool confirmed)
+                     [this, started = this->time.now()](bool confirmed)
                      {
                          --this->polls_in_flight;
                          if (!confirmed || this->stopped)
                              return;
+                         this->last_quorum_contact = started;
                          this->refresh_from_node();
                          this->become_ready();
                      });
@@ -146,15 +147,16 @@
         this->context, this->peers, this->ready ? poll_timeout : read_timeout, request,
         [stub](auto* call, auto const* sent, auto* reply, auto done)
         { stub->async()->ReadState(call, sent, reply, std::move(done)); },
-        [this, stub, target, sent_at = this->time.now()](grpc::Status const& status,
-                                                         protocol::ReadStateReply& reply)
+        [this, stub, target, sent_at = this->time.now(), through_quorum = request.through_quorum()](
+            grpc::Status const& status, protocol::ReadStateReply& reply)
         {
             --this->polls_in_flight;
             if (this->stopped)
                 return;
             if (!status.ok() || !reply.available())
                 return this->record_failed_poll(target, status);
-            this->handle_reply(target, sent_at, reply);
+            this->record_contact(sent_at, through_quorum || reply.quorum_recent(), reply);
+            this->handle_reply(target, reply);
         });
 }
 
@@ -181,15 +183,19 @@
          {"index", std::to_string(this->current_state->changed_index)}});
 }
 
-void state_follower::handle_reply(network_address const& voter, time_point sent_at,
+/// The reply confirms the state as of the poll, and replies may overtake each other.
+void state_follower::record_contact(time_point sent_at, bool is_confirmed,
+                                    protocol::ReadStateReply const& reply)
+{
+    if (!is_confirmed || sent_at < this->last_quorum_contact)
+        return;
+    this->last_quorum_contact = sent_at;
+    this->consensus_group.set_leader_hint(network_address(reply.leader()));
+}
+
+void state_follower::handle_reply(network_address const& voter,
                                   protocol::ReadStateReply const& reply)
 {
-    // The reply confirms the state as of the poll, and replies may overtake each other.
-    if (reply.quorum_recent() && sent_at >= this->last_quorum_contact)
-    {
-        this->last_quorum_contact = sent_at;
-        this->consensus_group.set_leader_hint(network_address(reply.leader()));
-    }
     this->latest_term = std::max(this->latest_term, reply.term());
     try
     {
@@ -351,7 +357,6 @@
 void state_follower::become_ready()
 {
     this->ready = true;
-    this->last_quorum_contact = this->time.now();
     this->events.emit(severity::info, "daemon.ready",
                       {{"generation", std::to_string(this->current_state->generation.value())}});
     if (this->on_change)
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -55,8 +55,9 @@
     void record_failed_poll(network_address const& voter, grpc::Status const& status);
     void record_announced_change(std::uint64_t index);
     void record_changes_in_force();
-    void handle_reply(network_address const& voter, time_point sent_at,
-                      protocol::ReadStateReply const& reply);
+    void record_contact(time_point sent_at, bool is_confirmed,
+                        protocol::ReadStateReply const& reply);
+    void handle_reply(network_address const& voter, protocol::ReadStateReply const& reply);
     /// Adopts a status, or fetches its missing contents first.
     void handle_status(network_address const& voter, version::shared_status const& status);
     void fetch_next();
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -129,6 +129,25 @@
         CHECK(eventually([&] { return !is_outdated(*system.loop(i).traffic()); }));
 }
 
+TEST_CASE("the first state of a daemon counts as current from its request, not from its arrival")
+{
+    // Guards against 404 by the configuration of a reply that took most of its time limit, right
+    // after a start.
+    small_system system;
+    auto const first = system.apply(3, 0, first_text, "op-1").generation.value();
+    system.stop(3);
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).read_delay_ms = 600;
+    system.start(3);
+    // The first request has arrived by then; all later ones take too long.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).read_delay_ms = 3'000;
+    REQUIRE(eventually([&] { return is_in_force(system.loop(3), first); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(750));
+    CHECK(is_outdated(*system.loop(3).traffic()));
+}
+
 TEST_CASE("a daemon uses replies of voters that are later than its next poll")
 {
     // Guards against an entry that serves by an old configuration for seconds, because it or the
