Let voters find each other by their log when all seeds are gone

What callers see: after all machines have lost power, entries name only themselves and share no limits, although the group of voters is complete.

Cause: after a start other daemons are found by the seeds of the settings only, which may all be gone. The addresses of the other voters are in the log, but only the consensus used them.

Change: the voters in the own log count as seeds, for gossip and for the search for a voter. A daemon without a disk whose seeds are all gone still has to be found by others.

--- a/src/process/control/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -178,6 +178,14 @@
     return voter == members.voters.end() ? network_address() : voter->second;
 }
 
+std::vector<network_address> consensus_driver::voter_addresses() const
+{
+    std::vector<network_address> voters;
+    for (auto const& [id, address] : this->membership().voters)
+        voters.push_back(address);
+    return voters;
+}
+
 vm_id consensus_driver::leader_vm() const
 {
     auto const leader = this->node.leader();
--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -94,6 +94,7 @@
     network_address leader_address() const;
     vm_id leader_vm() const;
     consensus::membership const& membership() const { return this->node.membership(); }
+    std::vector<network_address> voter_addresses() const;
 
 private:
     /// The node knows of a commit before its entry is synced and applied.
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -67,6 +67,7 @@
         return;
     this->own_node->set_applied_handler([this] { this->followed_state.refresh_from_node(); });
     this->own_node->set_voter_source([this] { return this->group_client.voters(); });
+    this->directories.set_voter_source([this] { return this->own_node->voter_addresses(); });
 }
 
 control_thread::~control_thread()
--- a/src/process/control/internal/gossip_driver.cpp
+++ b/src/process/control/internal/gossip_driver.cpp
@@ -88,6 +88,24 @@
     this->entry_rows.set_pass_through(address, demand);
 }
 
+void gossip_driver::set_voter_source(std::function<std::vector<network_address>()> source)
+{
+    this->voter_source = std::move(source);
+}
+
+std::vector<network_address> gossip_driver::seed_addresses() const
+{
+    auto addresses = this->seeds;
+    if (!this->voter_source)
+        return addresses;
+    for (auto const& voter : this->voter_source())
+    {
+        if (std::find(addresses.begin(), addresses.end(), voter) == addresses.end())
+            addresses.push_back(voter);
+    }
+    return addresses;
+}
+
 bool gossip_driver::is_leaving() const
 {
     return this->entry_rows.own().state == connection::entry_state::leaving;
@@ -122,18 +140,22 @@
         this->send_request(peer.control, peer.vm.value());
     // Seeds are contacted while too few peers are known, and in a tenth of the later rounds,
     // so that the two sides of a network partition find each other again.
-    bool const use_seed =
-        !this->seeds.empty() && (chosen.size() < 2 || this->random.below(10) == 0);
-    if (use_seed)
-    {
-        auto const& seed = this->seeds[this->next_seed++ % this->seeds.size()];
-        if (seed != this->options.control)
-            this->send_request(seed, seed.value());
-    }
+    if (chosen.size() < 2 || this->random.below(10) == 0)
+        this->contact_seed();
     this->announced.clear();
     this->on_change();
 }
 
+void gossip_driver::contact_seed()
+{
+    auto const addresses = this->seed_addresses();
+    if (addresses.empty())
+        return;
+    auto const& seed = addresses[this->next_seed++ % addresses.size()];
+    if (seed != this->options.control)
+        this->send_request(seed, seed.value());
+}
+
 void gossip_driver::expire_rows()
 {
     auto const now = this->time.now();
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -70,13 +70,18 @@
     // liveness_source
     std::optional<duration> time_since_heartbeat(time_point now, vm_id const& vm) const override;
 
-    std::vector<network_address> const& seed_addresses() const { return this->seeds; }
+    /// Addresses at which other daemons may be found while none is known: the seeds of the
+    /// settings, which may all be gone, and the voters of the own log.
+    std::vector<network_address> seed_addresses() const;
     void set_seeds(std::vector<network_address> addresses) { this->seeds = std::move(addresses); }
+    /// Sets the source of the addresses of the voters in the own log.
+    void set_voter_source(std::function<std::vector<network_address>()> source);
     /// Size of all digests sent since the start, in bytes.
     std::uint64_t sent_bytes() const { return this->total_sent_bytes; }
 
 private:
     void schedule_round();
+    void contact_seed();
     void round();
     void send_request(network_address const& address, std::string const& peer);
     /// Calls `on_end` with whether the exchange succeeded. A peer has at most one exchange in
@@ -129,6 +134,7 @@
     std::set<endpoint_id> announced;
     std::function<void()> on_change;
     std::vector<network_address> seeds;
+    std::function<std::vector<network_address>()> voter_source;
     generation own_generation;
     std::uint32_t own_open_requests = 0;
     std::size_t next_seed = 0;
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -216,6 +216,7 @@
     {
         for (std::size_t i = 0; i < 4; ++i)
             this->addresses.push_back(free_address());
+        this->seeds = {this->addresses[0], this->addresses[1], this->addresses[2]};
         for (std::size_t i = 0; i < 4; ++i)
             this->start(i);
     }
@@ -228,7 +229,7 @@
         config.zone = zone_id("zone-" + std::to_string(index));
         config.http = network_address("127.0.0.1:1");
         config.control = this->addresses[index];
-        config.seeds = {this->addresses[0], this->addresses[1], this->addresses[2]};
+        config.seeds = this->seeds;
         config.cluster_token = "secret";
         config.election_timeout = milliseconds(400);
         config.gossip_interval = milliseconds(200);
@@ -298,6 +299,8 @@
     duration const state_poll_interval;
     std::uint64_t const snapshot_after_entries;
     std::vector<network_address> addresses;
+    /// Seeds of the daemons that are started from now on.
+    std::vector<network_address> seeds;
     fillable_store stores[3];
     std::uint64_t incarnations[4] = {1, 1, 1, 1};
     std::unique_ptr<control_process> processes[4];
--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -213,6 +213,24 @@
     }
 }
 
+TEST_CASE("voters whose seeds are gone find each other after a restart of all")
+{
+    // Guards against entries that name nobody and share no limits, since all machines lost power at
+    // once and the seeds of the settings are gone, although the log names the other voters.
+    small_system system;
+    auto const number = system.apply(3, 0, first_text, "op-1").generation.value();
+    for (std::size_t i = 0; i < 4; ++i)
+        system.stop(i);
+    system.seeds = {free_address()};
+    for (std::size_t i = 0; i < 3; ++i)
+        system.start(i);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        CHECK(eventually([&] { return is_in_force(system.loop(i), number); }));
+        CHECK(eventually([&] { return system.loop(i).view()->entries.size() == 3; }));
+    }
+}
+
 TEST_CASE("one attempt of a booking is granted when entries race")
 {
     // Guards against two entries that both dispatch a retried booking.
