Count the time of a suspension in the clock of leases and confirmations

What callers see: an entry on a machine that was suspended for seconds answers 404 by the configuration from before, and a suspended leader goes on with its duties, while another one has taken over.

Cause: the clock of all decisions was the steady clock, which stands still while the machine is suspended. Leases, the confirmation of a voter's state, the expiry of a view and the lease of a leader had as much time left as before. Class of fault: a time that is taken at the wrong end. A process that is stopped by a signal was not affected: the clock goes on for it.

Change: the clock reads CLOCK_BOOTTIME.

--- a/src/base/include/lagoonladder/base/clock.hpp
+++ b/src/base/include/lagoonladder/base/clock.hpp
@@ -16,6 +16,7 @@
 {
 public:
     virtual ~clock() = default;
+    /// Never goes back, and includes the time for which the machine was suspended.
     virtual time_point now() const = 0;
     virtual wall_time wall_now() const = 0;
 };
--- a/src/base/internal/clock.cpp
+++ b/src/base/internal/clock.cpp
@@ -1,14 +1,22 @@
 #include <lagoonladder/base/clock.hpp>
 
+#include <time.h>
+
 #include <algorithm>
 
+#include <lagoonladder/base/invariant.hpp>
+
 namespace lagoonladder
 {
 
 time_point system_clock::now() const
 {
-    return time_point(
-        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    // Unlike the steady clock, this one counts the time for which the machine was suspended: leases
+    // and confirmations must not last longer by it.
+    timespec since_boot{};
+    invariant(::clock_gettime(CLOCK_BOOTTIME, &since_boot) == 0, "the clock cannot be read");
+    return time_point(std::chrono::duration_cast<duration>(
+        seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
 wall_time system_clock::wall_now() const
