--- a/tools/capacity/internal/control.cpp
+++ b/tools/capacity/internal/control.cpp
@@ -138,6 +138,7 @@
     out.log_term = consensus::term_number(40);
     out.commit = consensus::log_index(1'000'000);
     out.round = 1'000'000;
+    out.reply_number = 1'796'000'000'000'000;
     auto index = out.index.value();
     for (auto const& command : commands)
         out.entries.push_back(
