Draw the ports of unit tests below those of the system tests

Cause: free_address() drew from 10,000 to 32,000, and the system tests use fixed ports from 22,000 to 26,999. A unit test that runs beside a system test can take one of them.

Change: the ports of unit tests end at 21,999.

--- a/tests/support/free_port.hpp
+++ b/tests/support/free_port.hpp
@@ -13,12 +13,12 @@
 {
 
 /// Returns a loopback address whose port was free at the time of the call. The port is below those
-/// that the system assigns to outgoing connections: any process could take one of these before the
-/// test listens on it.
+/// that the system assigns to outgoing connections, and below those of the system tests, which run
+/// at the same time: another process could take one of these before the test listens on it.
 inline network_address free_address()
 {
     constexpr unsigned first_port = 10'000;
-    constexpr unsigned last_port = 32'000;
+    constexpr unsigned last_port = 21'999;
     static std::mt19937 engine{std::random_device{}()};
     asio::io_context context;
     for (;;)
