--- a/src/process/control/internal/consensus_driver.hpp
+++ b/src/process/control/internal/consensus_driver.hpp
@@ -14,7 +14,7 @@
 #include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/storage.hpp>
 
-#include "log_writer.hpp"
+#include "log_thread.hpp"
 #include "step_sender.hpp"
 #include "telemetry.hpp"
 #include <lagoonladder/control/peer_channels.hpp>
@@ -233,7 +233,7 @@
     /// in progress.
     bool applies_during_write = false;
     /// Declared last, since its destructor waits for a write.
-    log_writer writer;
+    log_thread log_worker;
 };
 
 } // namespace lagoonladder::control
--- a/src/process/control/internal/consensus_membership.cpp
+++ b/src/process/control/internal/consensus_membership.cpp
@@ -167,7 +167,7 @@
 
 void consensus_driver::bootstrap_group()
 {
-    if (this->has_log() || this->stopped || !this->usable || this->writer.is_busy())
+    if (this->has_log() || this->stopped || !this->usable || this->log_worker.is_busy())
         return;
     consensus::membership members;
     for (auto const& voter : this->options.initial_voters)
--- a/src/process/control/internal/log_writer.cpp
+++ b/src/process/control/internal/log_thread.cpp
@@ -1,4 +1,4 @@
-#include "log_writer.hpp"
+#include "log_thread.hpp"
 
 #include <utility>
 
@@ -14,7 +14,7 @@
 
 } // namespace
 
-log_writer::log_writer(std::shared_ptr<asio::io_context> io, telemetry const& sinks)
+log_thread::log_thread(std::shared_ptr<asio::io_context> io, telemetry const& sinks)
     : context(std::move(io))
     , events(sinks.events)
     , metrics(sinks.metrics)
@@ -22,12 +22,12 @@
 {
 }
 
-log_writer::~log_writer()
+log_thread::~log_thread()
 {
     this->worker.join();
 }
 
-void log_writer::run(std::function<void()> task, handler done)
+void log_thread::run(std::function<void()> task, handler done)
 {
     invariant(!this->busy, "two tasks use the log store at the same time");
     this->busy = true;
@@ -54,7 +54,7 @@
                });
 }
 
-void log_writer::record_duration(duration elapsed)
+void log_thread::record_duration(duration elapsed)
 {
     this->metrics.observe_seconds("log_write_seconds", {}, to_seconds(elapsed));
     if (elapsed < slow_write_time || !this->slow_log_limit.admit(this->time.now()))
