Bound the requests to cold endpoints and learn the pace of started ones

Cause: an endpoint that has started, recovered or become cold gets either its full load at once or a fixed ramp, whatever it answers, and nothing keeps a rate that it states over all entries.

Change: request::endpoint_pace decides which endpoints may get a request. cold_bound gives a few entries (rendezvous hash of endpoint and entry) a portion of the stated rate each; start_pace raises the weight of a started endpoint with time and with answers in time, and reduces it after late answers, refusals and failures. Not used by the proxy yet.

--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -7,6 +7,8 @@
 #include <lagoonladder/request/account_quota.hpp>
 #include <lagoonladder/request/admission.hpp>
 #include <lagoonladder/request/at_most_once_record.hpp>
+#include <lagoonladder/request/cold_bound.hpp>
+#include <lagoonladder/request/endpoint_pace.hpp>
 #include <lagoonladder/request/event_splitter.hpp>
 #include <lagoonladder/request/fair_queue.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
@@ -20,6 +22,7 @@
 #include <lagoonladder/request/retry_budget.hpp>
 #include <lagoonladder/request/route_choice.hpp>
 #include <lagoonladder/request/service_rate.hpp>
+#include <lagoonladder/request/start_pace.hpp>
 #include <lagoonladder/request/stream_assembly.hpp>
 
 #endif
