Read the cold time and rate of endpoints from heartbeats, answers and configurations

Cause: coldStartS, coldPerS, coldRemainingMs and Cold-Remaining-Ms were ignored.

Change: pass_through_service has cold_rate and cold_time (PassService 8 and 9), endpoint_record has cold_remaining, which passes while the row is kept and sent, and endpoint_answer has it too. Settings start_pace, cold_overshoot and cold_slack.

--- a/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_directory.hpp
@@ -139,6 +139,8 @@
         std::uint64_t version = 0;
     };
 
+    /// Record of the row with the times in it as of `now`.
+    static endpoint_record record_to_list(time_point now, stored_row const& row);
     /// Record of the row with the age of its renewal, as it is sent to other entries.
     static endpoint_record record_to_send(time_point now, stored_row const& row);
     bool is_listed(time_point now, stored_row const& row) const;
--- a/src/connection/include/lagoonladder/connection/endpoint_record.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_record.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_CONNECTION_ENDPOINT_RECORD_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -52,6 +53,9 @@
     /// Increases with each announcement or renewal of the incarnation.
     std::uint64_t sequence = 0;
     load_report load;
+    /// Time for which the endpoint stays cold, as of its renewal in digests and leaving marks, and
+    /// as of the call in records that the directory lists. No value when it does not state it.
+    std::optional<duration> cold_remaining;
     /// Time since an entry received the row from the endpoint, without the time that the row spent
     /// in messages between entries; in milliseconds on the wire. Set in digests and leaving marks
     /// only; zero in rows of daemons that do not send it.
--- a/src/connection/internal/endpoint_directory.cpp
+++ b/src/connection/internal/endpoint_directory.cpp
@@ -74,6 +74,7 @@
     endpoint.incarnation = incarnation;
     endpoint.sequence = sequence;
     endpoint.load = load;
+    endpoint.cold_remaining.reset();
     // After a restart of the endpoint the other fields may differ, so a full announcement is
     // needed.
     if (incarnation > found->second.record.incarnation)
@@ -183,7 +184,7 @@
     for (auto const& [id, row] : this->rows)
     {
         if (this->is_listed(now, row))
-            out.push_back(row.record);
+            out.push_back(record_to_list(now, row));
     }
     return out;
 }
@@ -193,7 +194,7 @@
     auto const found = this->rows.find(id);
     if (found == this->rows.end() || !this->is_listed(now, found->second))
         return std::nullopt;
-    return found->second.record;
+    return record_to_list(now, found->second);
 }
 
 std::optional<endpoint_record> endpoint_directory::find_gossiped(time_point now,
@@ -225,6 +226,15 @@
     return out;
 }
 
+endpoint_record endpoint_directory::record_to_list(time_point now, stored_row const& row)
+{
+    auto record = row.record;
+    if (record.cold_remaining)
+        record.cold_remaining =
+            std::max<duration>(*record.cold_remaining - (now - row.renewed_at), duration::zero());
+    return record;
+}
+
 endpoint_record endpoint_directory::record_to_send(time_point now, stored_row const& row)
 {
     auto record = row.record;
--- a/src/connection/internal/endpoint_record.cpp
+++ b/src/connection/internal/endpoint_record.cpp
@@ -1,10 +1,37 @@
 #include <lagoonladder/connection/endpoint_record.hpp>
 
+#include <algorithm>
+#include <limits>
+
 #include <json_fields.hpp>
 
 namespace lagoonladder::connection
 {
 
+namespace
+{
+
+constexpr char const* cold_field = "cold_ms";
+
+void write_cold_remaining(nlohmann::json& out, std::optional<duration> const& cold_remaining)
+{
+    constexpr std::int64_t max_ms = std::numeric_limits<std::uint32_t>::max();
+    if (cold_remaining)
+        out[cold_field] = std::clamp<std::int64_t>(*cold_remaining / milliseconds(1), 0, max_ms);
+}
+
+/// Returns no value when the field is missing, as in rows of earlier releases.
+std::optional<duration> read_cold_remaining(nlohmann::json const& in)
+{
+    if (!in.contains(cold_field))
+        return std::nullopt;
+    std::uint32_t cold_ms = 0;
+    read_field(in, cold_field, cold_ms);
+    return milliseconds(cold_ms);
+}
+
+} // namespace
+
 void to_json(nlohmann::json& out, load_report const& in)
 {
     out = {{"running", in.running},
@@ -39,6 +66,7 @@
            {"incarnation", in.incarnation},
            {"sequence", in.sequence},
            {"load", in.load}};
+    write_cold_remaining(out, in.cold_remaining);
     write_age(out, in.renewal_age);
 }
 
@@ -59,6 +87,7 @@
     read_field(in, "incarnation", endpoint.incarnation);
     read_field(in, "sequence", endpoint.sequence);
     require_field(in, "load").get_to(endpoint.load);
+    endpoint.cold_remaining = read_cold_remaining(in);
     endpoint.renewal_age = read_age(in);
     out = std::move(endpoint);
 }
--- a/src/connection/tests/endpoint_directory_test.cpp
+++ b/src/connection/tests/endpoint_directory_test.cpp
@@ -249,3 +249,21 @@
     directory.announce(at(seconds(10)), renewed);
     CHECK(directory.live(at(milliseconds(14'900))).size() == 1);
 }
+
+TEST_CASE("the cold time of an endpoint passes while its row is kept and sent")
+{
+    // Guards against an endpoint that counts as cold anew at each entry that its row reaches.
+    endpoint_directory first;
+    auto row = make_endpoint("e1", 1, 1);
+    row.cold_remaining = seconds(3);
+    first.announce(at({}), row);
+    CHECK(first.find(at(seconds(1)), row.id)->cold_remaining == seconds(2));
+    endpoint_directory second;
+    nlohmann::json const sent = first.changed_since(at(seconds(1)), 0);
+    second.merge(at(seconds(2)), sent.get<std::vector<endpoint_record>>());
+    CHECK(second.live(at(seconds(2)))[0].cold_remaining == seconds(2));
+    CHECK(second.live(at(seconds(5)))[0].cold_remaining == seconds(0));
+    // A renewal without the field states nothing.
+    first.renew(at(seconds(2)), row.id, incarnation(1), 2, {});
+    CHECK_FALSE(first.find(at(seconds(2)), row.id)->cold_remaining);
+}
--- a/src/connection/tests/record_test.cpp
+++ b/src/connection/tests/record_test.cpp
@@ -99,6 +99,23 @@
     check_age_validation(entry, entry.heartbeat_age);
 }
 
+TEST_CASE("the cold time of an endpoint is optional and validated")
+{
+    // Guards against rows of earlier releases that are dropped, and against a cold time that is
+    // invented or lost on the way.
+    auto record = make_endpoint("e1", 1, 1);
+    CHECK_FALSE(nlohmann::json(record).contains("cold_ms"));
+    CHECK_FALSE(nlohmann::json(record).get<endpoint_record>().cold_remaining);
+    for (duration const cold : {duration(0), duration(milliseconds(1500))})
+    {
+        record.cold_remaining = cold;
+        CHECK(nlohmann::json(record).get<endpoint_record>().cold_remaining == cold);
+    }
+    nlohmann::json row = record;
+    row["cold_ms"] = -1;
+    CHECK_THROWS_WITH(row.get<endpoint_record>(), Contains("\"cold_ms\""));
+}
+
 TEST_CASE("records are unchanged after MessagePack encoding and decoding")
 {
     // Guards against an encoding that differs between digests and HTTP responses.
--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -25,6 +25,15 @@
     network_address control;
 };
 
+/// How the requests to an endpoint that has started or recovered grow to its full share.
+enum class start_pace
+{
+    /// Over a fixed time.
+    fixed,
+    /// By how fast the endpoint answers.
+    learned
+};
+
 /// Section [pass_through]. When `callers` is empty, the daemon does no pass-through.
 struct pass_through_settings
 {
@@ -58,6 +67,11 @@
     /// service's requests during its move, and `exposure_requests` more.
     double exposure_share = 0.1;
     double exposure_requests = 50;
+    lagoonladder::config::start_pace start_pace = lagoonladder::config::start_pace::fixed;
+    /// In a second all entries together send a cold endpoint at most the rate that its service
+    /// states times `cold_overshoot` plus `cold_slack` requests.
+    double cold_overshoot = 1.5;
+    double cold_slack = 5;
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -44,11 +44,14 @@
         else if (section.kind == "platform")
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
-            document.require_known_keys(
-                section, {"callers", "control", "directory", "readiness", "metrics", "platform_api",
-                          "max_connections", "retry_share", "retry_burst", "retry_window",
-                          "quota_span", "quota_overshoot", "quota_tolerance", "exposure_share",
-                          "exposure_requests", "usage_window", "duty_lease", "directory_age"});
+            document.require_known_keys(section,
+                                        {"callers",         "control",        "directory",
+                                         "readiness",       "metrics",        "platform_api",
+                                         "max_connections", "retry_share",    "retry_burst",
+                                         "retry_window",    "quota_span",     "quota_overshoot",
+                                         "quota_tolerance", "exposure_share", "exposure_requests",
+                                         "start_pace",      "cold_overshoot", "cold_slack",
+                                         "usage_window",    "duty_lease",     "directory_age"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -183,6 +186,16 @@
     timing.read("drain_timeout", result.drain_timeout, seconds(1), hours(24));
 }
 
+void parse_start_pace(ini_section_reader const& section, pass_through_settings& out)
+{
+    auto const* pace = section.find("start_pace");
+    if (!pace)
+        return;
+    if (pace->value != "learned" && pace->value != "fixed")
+        section.fail(*pace, "must be learned or fixed");
+    out.start_pace = pace->value == "learned" ? start_pace::learned : start_pace::fixed;
+}
+
 void parse_pass_through(ini_document const& document, settings& result)
 {
     ini_section_reader const section(document, "pass_through");
@@ -202,6 +215,9 @@
     section.read_number("quota_tolerance", out.quota_tolerance, 0, 1e12);
     section.read_number("exposure_share", out.exposure_share, 0, 1);
     section.read_number("exposure_requests", out.exposure_requests, 0, 1e9);
+    parse_start_pace(section, out);
+    section.read_number("cold_overshoot", out.cold_overshoot, 0, 100);
+    section.read_number("cold_slack", out.cold_slack, 0, 1'000'000);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -87,3 +87,21 @@
                  }
              });
 }
+
+TEST_CASE("the pace of started endpoints and the bound of cold ones are read")
+{
+    // Guards against a bound that is left at its default although the settings state another one.
+    auto const defaults = parse_settings("s.ini", base_text).pass_through;
+    CHECK(defaults.start_pace == config::start_pace::fixed);
+    CHECK(defaults.cold_overshoot == 1.5);
+    CHECK(defaults.cold_slack == 5);
+    auto const section = base_text + "[pass_through]\n";
+    auto const parsed = parse_settings(
+        "s.ini", section + "start_pace = learned\ncold_overshoot = 1.25\ncold_slack = 2\n");
+    CHECK(parsed.pass_through.start_pace == config::start_pace::learned);
+    CHECK(parsed.pass_through.cold_overshoot == 1.25);
+    CHECK(parsed.pass_through.cold_slack == 2);
+    for (auto const* wrong : {"start_pace = quick", "cold_overshoot = -1", "cold_slack = many"})
+        CHECK_THROWS_WITH(parse_settings("s.ini", section + wrong + "\n"),
+                          Contains(std::string(wrong).substr(0, 10)));
+}
--- a/src/process/proxy/include/lagoonladder/proxy/call.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call.hpp
@@ -69,6 +69,8 @@
     /// The body has a content encoding that was not requested.
     bool has_unexpected_encoding = false;
     std::optional<connection::load_report> load;
+    /// Time for which the endpoint stays cold.
+    std::optional<duration> cold_remaining;
 };
 
 /// Translates between HTTP message heads and the types of the proxy.
--- a/src/version/include/lagoonladder/version/service_map.hpp
+++ b/src/version/include/lagoonladder/version/service_map.hpp
@@ -87,6 +87,11 @@
     std::uint32_t engine_slots = 0;
     std::uint64_t engine_memory_tokens = 0;
     std::optional<scaling_limits> scaling;
+    /// Requests per second that a cold endpoint bears from all entries together; 0 when there is
+    /// no bound.
+    double cold_rate = 0;
+    /// Time for which an endpoint is cold after its start.
+    duration cold_time{};
 };
 
 /// Rate of tokens that a client account may use at all entries together.
--- a/src/version/internal/service_map.cpp
+++ b/src/version/internal/service_map.cpp
@@ -142,7 +142,9 @@
            {"engine", in.is_engine},
            {"slots", in.engine_slots},
            {"memory", in.engine_memory_tokens},
-           {"scaling", optional_json(in.scaling)}};
+           {"scaling", optional_json(in.scaling)},
+           {"cold_rate", in.cold_rate},
+           {"cold_time", in.cold_time}};
 }
 
 static void from_json(nlohmann::json const& in, pass_through_service& out)
@@ -154,6 +156,9 @@
     in.at("slots").get_to(out.engine_slots);
     in.at("memory").get_to(out.engine_memory_tokens);
     out.scaling = optional_from<scaling_limits>(in.at("scaling"));
+    // Earlier releases did not write these fields.
+    out.cold_rate = in.value("cold_rate", 0.0);
+    out.cold_time = in.value("cold_time", duration::zero());
 }
 
 static void to_json(nlohmann::json& out, token_quota const& in)
--- a/src/version/internal/service_map_codec.cpp
+++ b/src/version/internal/service_map_codec.cpp
@@ -90,6 +90,8 @@
     out.set_engine_memory_tokens(in.engine_memory_tokens);
     if (in.scaling)
         write(*in.scaling, *out.mutable_scaling());
+    out.set_cold_rate(in.cold_rate);
+    out.set_cold_time_us(in.cold_time.count());
 }
 
 pass_through_service read(protocol::PassService const& in)
@@ -103,6 +105,8 @@
     out.engine_memory_tokens = in.engine_memory_tokens();
     if (in.has_scaling())
         out.scaling = read(in.scaling());
+    out.cold_rate = in.cold_rate();
+    out.cold_time = microseconds(in.cold_time_us());
     return out;
 }
 
--- a/src/version/tests/service_maps.hpp
+++ b/src/version/tests/service_maps.hpp
@@ -22,6 +22,8 @@
     map.number = number;
     pass_through_service service;
     service.name = service_name("s");
+    service.cold_rate = 6.6;
+    service.cold_time = seconds(3);
     map.services.push_back(service);
     map.routes = {make_route("a", "/a/"), make_route("ab", "/a/b/"), make_route("all", "/")};
     pass_through_account account;
