Apply the pace of endpoints to pass-through calls

Cause: engines that have started or recovered got a fixed ramp that prompts placed by cost passed by, and cold endpoints their full load.

Change: endpoint_pacing removes the endpoints that may not get a call before the other rules choose, and hears of starts, first bytes, cold times and ends of attempts. Calls that only cold endpoints could take are refused with 503 and the time until this entry has room.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -27,6 +27,8 @@
     options.retry_share = config.retry_share;
     options.retry_burst = config.retry_burst;
     options.retry_window = config.retry_window;
+    options.pace.is_learned = config.start_pace == config::start_pace::learned;
+    options.pace.cold = {config.cold_overshoot, config.cold_slack};
     options.quota = {config.quota_window, config.quota_overshoot, config.quota_tolerance};
     return options;
 }
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -32,6 +32,7 @@
     quota_tolerance quota;
     /// Window over which the retries of all entries are limited.
     duration retry_window = seconds(10);
+    request::endpoint_pace_options pace{};
 };
 
 /// Passes calls through to endpoints. To be used on its event loop only.
@@ -65,7 +66,7 @@
     void end_calls();
 
     /// To be called several times a second: publishes the demand of the accounts, also while there
-    /// are no calls, and exchanges evidence with other entries.
+    /// are no calls, takes the endpoints into account, and exchanges evidence with other entries.
     void tick();
 
     /// Lends tokens of the account's quota to another entry.
@@ -94,6 +95,7 @@
     bool wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
                                 incoming_call const& call, traffic_view const& refusing_view);
     void publish_demand(time_point now);
+    void observe_endpoints(time_point now);
 
     std::shared_ptr<struct proxy_context> context;
     std::unique_ptr<class configuration_wait_queue> wait_queue;
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -122,6 +122,8 @@
         return "over_quota";
     case refusal::no_endpoint:
         return "no_endpoint";
+    case refusal::cold_endpoints:
+        return "cold_endpoints";
     case refusal::overloaded:
         return "overloaded";
     case refusal::too_late:
@@ -160,6 +162,7 @@
         return 429;
     case refusal::no_configuration:
     case refusal::no_endpoint:
+    case refusal::cold_endpoints:
     case refusal::overloaded:
     case refusal::too_late:
         return 503;
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -24,6 +24,8 @@
     quarantined_prompt,
     over_quota,
     no_endpoint,
+    /// Only cold endpoints are left, and this entry may not send them more now.
+    cold_endpoints,
     overloaded,
     /// The deadline passed before the call was sent to an endpoint.
     too_late,
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -75,6 +75,7 @@
     : dependencies(injected)
     , options(settings)
     , random(injected.seed)
+    , chooser(settings.pace, injected.process_start)
     , crashes(injected)
     , quotas(injected.process_start)
     , budgets({settings.retry_share, settings.retry_burst, settings.retry_window},
@@ -229,6 +230,16 @@
     auto const now = this->context->dependencies.time.now();
     this->publish_demand(now);
     this->context->crashes.tick(now);
+    this->observe_endpoints(now);
+}
+
+void call_proxy::observe_endpoints(time_point now)
+{
+    auto& pacing = this->context->chooser.pacing();
+    pacing.tick(now, *this->context->dependencies.control.view());
+    auto& metrics = this->context->dependencies.metrics;
+    metrics.set("cold_endpoints", {}, static_cast<double>(pacing.pace().cold_endpoints(now)));
+    metrics.set("starting_endpoints", {}, static_cast<double>(pacing.pace().starting_endpoints()));
 }
 
 void call_proxy::publish_demand(time_point now)
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -118,13 +118,22 @@
     return endpoints;
 }
 
+endpoint_chooser::endpoint_chooser(request::endpoint_pace_options const& pace,
+                                   time_point process_start)
+    : is_pace_learned(pace.is_learned)
+    , started_endpoints(pace, process_start)
+{
+}
+
 request::balanced_route_policy& endpoint_chooser::policy(service_name const& service,
                                                          bool is_engine)
 {
     auto const found = this->policies.find(service);
     if (found != this->policies.end())
         return found->second;
-    auto const options = is_engine ? engine_options() : request::balanced_route_options();
+    auto options = is_engine ? engine_options() : request::balanced_route_options();
+    if (this->is_pace_learned)
+        options.ramp_start = 1;
     return this->policies.emplace(service, request::balanced_route_policy(options)).first->second;
 }
 
@@ -137,6 +146,10 @@
     auto endpoints = usable_endpoints(view, service, call.id);
     std::erase_if(endpoints,
                   [&](auto const* endpoint) { return this->is_replaced(now, *endpoint); });
+    auto const* found_service = view.services->find_service(service);
+    bool const is_engine = found_service != nullptr && found_service->is_engine;
+    auto& route_policy = this->policy(service, is_engine);
+    this->started_endpoints.filter(now, view, service, route_policy, excluded, random, endpoints);
     std::vector<request::route_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (auto const* endpoint : endpoints)
@@ -144,9 +157,6 @@
     request::route_query query;
     query.data_centre = view.data_centre;
     query.excluded = excluded;
-    auto const* found_service = view.services->find_service(service);
-    bool const is_engine = found_service != nullptr && found_service->is_engine;
-    auto& route_policy = this->policy(service, is_engine);
     this->prompts.set_entry_count(view.entries);
     if (is_engine && route.has_prefix_affinity)
         this->keep_cheapest(now, call.prompt, route_policy, excluded, candidates);
@@ -159,6 +169,22 @@
     return **chosen_endpoint;
 }
 
+std::optional<duration>
+endpoint_chooser::time_until_room(time_point now, traffic_view const& view,
+                                  service_name const& service, request_id const& call,
+                                  std::vector<endpoint_id> const& excluded) const
+{
+    auto endpoints = usable_endpoints(view, service, call);
+    std::erase_if(endpoints,
+                  [&](auto const* endpoint)
+                  {
+                      bool const was_tried = std::find(excluded.begin(), excluded.end(),
+                                                       endpoint->id) != excluded.end();
+                      return was_tried || this->is_replaced(now, *endpoint);
+                  });
+    return this->started_endpoints.time_until_room(now, view, service, endpoints);
+}
+
 void endpoint_chooser::keep_cheapest(time_point now, request::prompt_parts const& prompt,
                                      request::balanced_route_policy const& health,
                                      std::vector<endpoint_id> const& excluded,
@@ -189,6 +215,7 @@
 void endpoint_chooser::record_start(time_point now, endpoint_id const& endpoint)
 {
     this->loads.dispatched(now, endpoint);
+    this->started_endpoints.record_start(now, endpoint);
 }
 
 void endpoint_chooser::record_end(time_point now, service_name const& service,
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -7,6 +7,8 @@
 #include <lagoonladder/proxy/call.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
 
+#include "endpoint_pacing.hpp"
+
 namespace lagoonladder::proxy
 {
 
@@ -15,12 +17,22 @@
 class endpoint_chooser
 {
 public:
+    explicit endpoint_chooser(request::endpoint_pace_options const& pace = {},
+                              time_point process_start = {});
+
     /// Returns no value when no endpoint may be used. Endpoints in `excluded` are not chosen.
     std::optional<connection::endpoint_record>
     choose(time_point now, traffic_view const& view, version::pass_through_route const& route,
            service_name const& service, incoming_call const& call,
            std::vector<endpoint_id> const& excluded, random_source& random);
 
+    /// Returns the time until one of the endpoints that choose() may use may get a request, for a
+    /// call that got none; no value when they are not cold.
+    std::optional<duration> time_until_room(time_point now, traffic_view const& view,
+                                            service_name const& service, request_id const& call,
+                                            std::vector<endpoint_id> const& excluded) const;
+    endpoint_pacing& pacing() { return this->started_endpoints; }
+
     /// Returns the estimated number of requests running and waiting at the endpoint.
     double load(time_point now, endpoint_id const& endpoint) const
     {
@@ -78,6 +90,9 @@
                        std::vector<request::route_candidate>& candidates) const;
     bool is_replaced(time_point now, connection::endpoint_record const& endpoint) const;
 
+    /// Whether the policies leave the growth of an endpoint's share to `started_endpoints`.
+    bool is_pace_learned;
+    endpoint_pacing started_endpoints;
     std::map<service_name, request::balanced_route_policy> policies;
     request::load_estimate loads;
     request::prompt_backlog prompts;
@@ -85,10 +100,6 @@
     std::uint64_t next_report = 1;
 };
 
-/// Pointers to endpoint records of a view, which must outlive them. Copying a record would copy a
-/// dozen strings.
-using endpoint_record_pointers = std::vector<connection::endpoint_record const*>;
-
 /// Returns the endpoints of the service that a call may be sent to by their state and version.
 endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
                                           request_id const& call);
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -64,8 +64,7 @@
                              "no time is left for another attempt");
     auto const endpoint = this->choose(this->tried_endpoints);
     if (!endpoint)
-        return this->give_up(this->may_have_run ? refusal::endpoint_failed : refusal::no_endpoint,
-                             "no endpoint may be used");
+        return this->give_up_without_endpoint();
     this->send(*endpoint);
 }
 
@@ -200,6 +199,10 @@
 {
     this->last_progress = this->context->dependencies.time.now();
     this->first_byte = this->last_progress;
+    this->context->chooser.pacing().record_head(this->last_progress, attempt);
+    if (!this->route().is_stream)
+        this->context->chooser.pacing().record_answer(this->last_progress, this->admitted.service,
+                                                      attempt);
     auto const* length = head.headers.find("Content-Length");
     bool const has_chunks = head.headers.find("Transfer-Encoding") != nullptr;
     this->relay.start(this->context->dependencies.codec.relay(head),
@@ -239,6 +242,7 @@
 {
     this->last_progress = now;
     this->first_byte = now;
+    this->context->chooser.pacing().record_answer(now, this->admitted.service, attempt);
     this->count_usage(attempt);
     this->set_timer();
     if (this->counted_prompt)
@@ -309,6 +313,7 @@
         outcome->elapsed = now - attempt->started();
     }
     this->context->chooser.record_end(now, this->admitted.service, endpoint.id, outcome);
+    this->context->chooser.pacing().record_end(now, this->admitted.service, *attempt, result);
     this->record_sample(*attempt, result);
     this->record_prompt_outcome(*attempt, result);
     if (result != attempt_result::complete)
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -72,8 +72,12 @@
     /// Counts the request towards the usage of its account.
     void count_usage(endpoint_attempt const& attempt);
     /// Ends the call with this entry's own response, or by closing the connection when a part of an
-    /// endpoint's response has been sent.
-    void give_up(refusal reason, std::string const& detail);
+    /// endpoint's response has been sent. Where the response allows a retry, it states
+    /// `retry_after`, or a default without it.
+    void give_up(refusal reason, std::string const& detail,
+                 std::optional<duration> retry_after = std::nullopt);
+    /// Ends the call because no endpoint may get it now.
+    void give_up_without_endpoint();
     void finish(char const* outcome, unsigned status, std::string const& detail);
     version::pass_through_route const& route() const { return *this->admitted.route; }
 
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -40,11 +40,27 @@
     auto const attempt = std::exchange(this->current_attempt, nullptr);
     this->open_counter.reset();
     attempt->cancel();
-    this->context->chooser.record_end(this->context->dependencies.time.now(),
-                                      this->admitted.service, attempt->endpoint().id, std::nullopt);
+    auto const now = this->context->dependencies.time.now();
+    this->context->chooser.record_end(now, this->admitted.service, attempt->endpoint().id,
+                                      std::nullopt);
+    this->context->chooser.pacing().record_cancel(now, this->admitted.service, *attempt);
 }
 
-void proxied_call::give_up(refusal reason, std::string const& detail)
+void proxied_call::give_up_without_endpoint()
+{
+    if (this->may_have_run)
+        return this->give_up(refusal::endpoint_failed, "no endpoint may be used");
+    auto const view = this->context->dependencies.control.view();
+    auto const wait = this->context->chooser.time_until_room(this->context->dependencies.time.now(),
+                                                             *view, this->admitted.service,
+                                                             this->call.id, this->tried_endpoints);
+    if (wait && *wait > duration(0))
+        return this->give_up(refusal::cold_endpoints, "only cold endpoints are left", wait);
+    this->give_up(refusal::no_endpoint, "no endpoint may be used");
+}
+
+void proxied_call::give_up(refusal reason, std::string const& detail,
+                           std::optional<duration> retry_after)
 {
     if (this->is_over)
         return;
@@ -57,7 +73,8 @@
     auto const status = status_of(reason);
     http::response_head head{status, {}, {}};
     if (status == status_of(refusal::overloaded))
-        head.headers.set("Retry-After", std::to_string(to_seconds(overload_retry_after)));
+        head.headers.set("Retry-After",
+                         std::to_string(to_seconds(retry_after.value_or(overload_retry_after))));
     this->exchange->respond(std::move(head), detail);
     this->finish(to_string(reason), status, detail);
 }
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -199,7 +199,8 @@
         return peer.write("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
     auto const body = "answer to " + request;
     auto const length_line = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    auto const id_line = "Id: " + request + "\r\n";
+    auto const cold_line = this->cold_ms ? "Cold: " + std::to_string(*this->cold_ms) + "\r\n" : "";
+    auto const id_line = cold_line + "Id: " + request + "\r\n";
     auto const head_text = "HTTP/1.1 200 OK\r\nSeal: s\r\n" + id_line;
     if (this->deadly_part && has_part(head, *this->deadly_part))
     {
@@ -308,6 +309,8 @@
     proxy::endpoint_answer answer;
     if (auto const* id = head.headers.find("Id"))
         answer.request = request_id(*id);
+    if (auto const* cold_ms = head.headers.find("Cold"))
+        answer.cold_remaining = milliseconds(std::stoi(*cold_ms));
     answer.has_seal = head.headers.find("Seal") != nullptr;
     answer.is_from_other_endpoint = head.status == 421;
     answer.is_not_executed =
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -55,6 +55,8 @@
     std::vector<lagoonladder::http::request_head> requests;
     std::vector<std::string> bodies;
     int closed_by_peer = 0;
+    /// Stated in answers, if it is set.
+    std::optional<int> cold_ms;
     std::chrono::milliseconds answer_delay{400};
     /// Bytes that are sent in the mode cut_head.
     std::size_t head_bytes = 0;
