Bound the memory of requests over all servers of the process

Cause: max_body_bytes bounds a connection and max_connections their number, but nothing bounds the sum. Bodies grow by doubling and are copied to the exchange and into each attempt's request; each connection has its own read buffer and keeps the buffers of its largest request and response; responses that callers do not read are not counted.

Change: http::request_memory is one budget for all servers of the process (max_request_memory, 32 MiB). It counts heads, bodies, bytes read ahead and unread responses. At the bound, requests without progress give way, the largest first; then new large requests are refused with 503 and Retry-After; small ones have a reserve. A request that is handled is never refused. Bodies are moved to the exchange and written from there by attempts; connections of a server share a read buffer; large blocks go back to the system when they are freed. socket_buffer (64 KiB) bounds what waits in the kernel. At max_connections, a connection that has received no byte of a request for 1 s makes room for a new one.

--- a/src/process/completion/include/lagoonladder/completion/traffic_server.hpp
+++ b/src/process/completion/include/lagoonladder/completion/traffic_server.hpp
@@ -6,6 +6,7 @@
 
 #include <lagoonladder/completion/route_module.hpp>
 #include <lagoonladder/control.hpp>
+#include <lagoonladder/http.hpp>
 #include <lagoonladder/observability.hpp>
 
 namespace grpc
@@ -22,10 +23,12 @@
 class traffic_server
 {
 public:
-    /// `modules` add further routes; they outlive the server.
+    /// `modules` add further routes; they outlive the server. `memory` is the budget for requests
+    /// that the server shares with others; nullptr for one of its own.
     traffic_server(config::settings const& config, control::control_plane& control,
                    event_sink& events, observability::metrics& metrics, clock const& time,
-                   std::uint64_t seed, std::vector<route_module*> modules = {});
+                   std::uint64_t seed, std::vector<route_module*> modules = {},
+                   std::shared_ptr<http::request_memory> memory = nullptr);
     ~traffic_server();
     traffic_server(traffic_server const&) = delete;
     traffic_server& operator=(traffic_server const&) = delete;
--- a/src/process/completion/internal/traffic_server.cpp
+++ b/src/process/completion/internal/traffic_server.cpp
@@ -27,9 +27,14 @@
 // kilobytes.
 constexpr std::size_t max_refused_connections = 64;
 
-http::server_options make_server_options(settings const& config)
+http::server_options make_server_options(settings const& config,
+                                         std::shared_ptr<http::request_memory> memory)
 {
-    return {config.http, config.max_connections, "http", max_refused_connections};
+    http::server_options options{config.http, config.max_connections, "http",
+                                 max_refused_connections};
+    options.memory = std::move(memory);
+    options.socket_buffer_bytes = static_cast<std::uint32_t>(config.socket_buffer);
+    return options;
 }
 
 http::connection_limits make_limits(settings const& config)
@@ -45,7 +50,7 @@
 {
     implementation(config::settings const& config, control::control_plane& control,
                    event_sink& events, observability::metrics& metrics, clock const& time,
-                   std::uint64_t seed)
+                   std::uint64_t seed, std::shared_ptr<http::request_memory> memory)
         : context{config, control, events, metrics, time, std::make_shared<asio::io_context>(1)}
         , work(asio::make_work_guard(*this->context.loop))
         , entries(context)
@@ -63,7 +68,7 @@
         , plain_api({context, router, calls}, completions)
         , routes(context)
         , server(
-              *context.loop, make_server_options(config), routes,
+              *context.loop, make_server_options(config, std::move(memory)), routes,
               [&config] { return make_limits(config); }, events, time)
         , timer(*context.loop)
     {
@@ -155,8 +160,10 @@
 traffic_server::traffic_server(config::settings const& config, control::control_plane& control,
                                event_sink& events, observability::metrics& metrics,
                                clock const& time, std::uint64_t seed,
-                               std::vector<route_module*> modules)
-    : state(std::make_unique<implementation>(config, control, events, metrics, time, seed))
+                               std::vector<route_module*> modules,
+                               std::shared_ptr<http::request_memory> memory)
+    : state(std::make_unique<implementation>(config, control, events, metrics, time, seed,
+                                             std::move(memory)))
 {
     this->state->directory_api.register_routes(this->state->routes);
     this->state->completion_api.register_routes(this->state->routes);
--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -104,6 +104,11 @@
     std::uint32_t max_connections = 1024;
     std::uint32_t max_queued_requests = 2000;
     std::uint32_t max_stored_requests = 10'000;
+    /// Budget for the memory of received requests and unsent responses, over all servers of the
+    /// process.
+    std::uint64_t max_request_memory = 32 * 1024 * 1024;
+    /// Size of the kernel's receive and send buffer of each accepted connection.
+    std::uint64_t socket_buffer = 64 * 1024;
 
     // [timing]
     duration endpoint_lease = seconds(5);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -36,7 +36,8 @@
             document.require_known_keys(section, {"level"});
         else if (section.kind == "limits")
             document.require_known_keys(section, {"max_body", "max_connections",
-                                                  "max_queued_requests", "max_stored_requests"});
+                                                  "max_queued_requests", "max_stored_requests",
+                                                  "max_request_memory", "socket_buffer"});
         else if (section.kind == "timing")
             document.require_known_keys(section, {"endpoint_lease", "gossip_interval",
                                                   "state_poll_interval", "election_timeout",
@@ -168,6 +169,9 @@
     limits.read_count("max_connections", result.max_connections, 8, 16'384);
     limits.read_count("max_queued_requests", result.max_queued_requests, 1, 1'000'000);
     limits.read_count("max_stored_requests", result.max_stored_requests, 10, 1'000'000);
+    limits.read_bytes("max_request_memory", result.max_request_memory, 1024 * 1024,
+                      64ULL * 1024 * 1024 * 1024);
+    limits.read_bytes("socket_buffer", result.socket_buffer, 4 * 1024, 16 * 1024 * 1024);
 }
 
 void parse_timing(ini_document const& document, settings& result)
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -33,6 +33,17 @@
     CHECK(parsed.endpoint_lease == seconds(5));
 }
 
+TEST_CASE("the limits on memory are read")
+{
+    // Guards against a limit that is left at its default although the settings state another one.
+    auto const parsed = parse_settings(
+        "s.ini", base_text + "[limits]\nmax_request_memory = 16 MiB\nsocket_buffer = 8 KiB\n");
+    CHECK(parsed.max_request_memory == 16 * 1024 * 1024);
+    CHECK(parsed.socket_buffer == 8 * 1024);
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[limits]\nmax_request_memory = 1 KiB\n"),
+                      Contains("max_request_memory"));
+}
+
 TEST_CASE("the exposure limit of new versions is read")
 {
     // Guards against a limit that is left at its default although the settings state another one.
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -16,9 +16,13 @@
 constexpr std::size_t max_control_connections = 500;
 
 http::server_options make_server_options(network_address const& address, std::size_t connections,
-                                         char const* name)
+                                         char const* name, config::settings const& config,
+                                         std::shared_ptr<http::request_memory> memory)
 {
-    return {address, connections, name};
+    http::server_options options{address, connections, name};
+    options.memory = std::move(memory);
+    options.socket_buffer_bytes = static_cast<std::uint32_t>(config.socket_buffer);
+    return options;
 }
 
 proxy::proxy_options make_proxy_options(config::pass_through_settings const& config)
@@ -64,7 +68,8 @@
 pass_through_plane::pass_through_plane(config::settings const& config, control::control_loop& loop,
                                        control::peer_channels& channels, event_sink& sink,
                                        observability::metrics& metrics, clock const& time,
-                                       std::uint64_t seed)
+                                       std::uint64_t seed,
+                                       std::shared_ptr<http::request_memory> memory)
     : options(config)
     , control(loop)
     , events(sink)
@@ -88,24 +93,24 @@
     , caller_server(
           *this->context,
           make_server_options(config.pass_through.callers, config.pass_through.max_connections,
-                              "callers"),
+                              "callers", config, memory),
           this->proxy, [this] { return this->limits(); }, sink, time)
-    , control_server(
-          *this->context,
-          make_server_options(config.pass_through.control, max_control_connections, "control"),
-          this->control_call_handler, control_limits, sink, time)
-    , directory_server(
-          *this->context,
-          make_server_options(config.pass_through.directory, max_control_connections, "directory"),
-          this->directory_call_handler, control_limits, sink, time)
-    , readiness_server(
-          *this->context,
-          make_server_options(config.pass_through.readiness, max_control_connections, "readiness"),
-          this->readiness_call_handler, control_limits, sink, time)
-    , metrics_server(
-          *this->context,
-          make_server_options(config.pass_through.metrics, max_control_connections, "metrics"),
-          this->metrics_call_handler, control_limits, sink, time)
+    , control_server(*this->context,
+                     make_server_options(config.pass_through.control, max_control_connections,
+                                         "control", config, memory),
+                     this->control_call_handler, control_limits, sink, time)
+    , directory_server(*this->context,
+                       make_server_options(config.pass_through.directory, max_control_connections,
+                                           "directory", config, memory),
+                       this->directory_call_handler, control_limits, sink, time)
+    , readiness_server(*this->context,
+                       make_server_options(config.pass_through.readiness, max_control_connections,
+                                           "readiness", config, memory),
+                       this->readiness_call_handler, control_limits, sink, time)
+    , metrics_server(*this->context,
+                     make_server_options(config.pass_through.metrics, max_control_connections,
+                                         "metrics", config, memory),
+                     this->metrics_call_handler, control_limits, sink, time)
     , periodic_timer(*this->context)
     , lag(sink, metrics, time, "traffic")
 {
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -38,7 +38,8 @@
 public:
     pass_through_plane(config::settings const& config, control::control_loop& loop,
                        control::peer_channels& channels, event_sink& events,
-                       observability::metrics& metrics, clock const& time, std::uint64_t seed);
+                       observability::metrics& metrics, clock const& time, std::uint64_t seed,
+                       std::shared_ptr<http::request_memory> memory);
     ~pass_through_plane() override;
 
     /// Starts the servers and the thread. Throws http_error when an address cannot be listened on.
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -1,5 +1,6 @@
 #include <lagoonladder/daemon/run.hpp>
 
+#include <malloc.h>
 #include <signal.h>
 
 #include <random>
@@ -72,6 +73,16 @@
 constexpr duration connection_close_timeout = seconds(2);
 constexpr duration drain_check_interval = milliseconds(50);
 
+/// Makes the allocator give large blocks back to the system when they are freed. By default, glibc
+/// keeps them from the first release on, so that a process stays as large as it ever was.
+void return_large_blocks()
+{
+#ifdef __GLIBC__
+    constexpr int threshold_bytes = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+#endif
+}
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -98,18 +109,19 @@
         , watcher(settings_path, config, this->timeline)
         , random(random_seed())
         , peers(config.cluster_token)
+        , request_memory(std::make_shared<http::request_memory>(config.max_request_memory))
         , store(config.data_folder.empty()
                     ? nullptr
                     : std::make_unique<storage::file_log_store>(config.data_folder))
         , control(control::make_control_loop(this->make_dependencies()))
         , operators(config, *this->control, this->timeline, this->peers)
         , traffic(config, *this->control, this->timeline, this->metrics, this->time,
-                  this->random.next(), {&this->operators})
+                  this->random.next(), {&this->operators}, this->request_memory)
         , pass_through(config.pass_through.callers.value().empty()
                            ? nullptr
                            : std::make_unique<pass_through_plane>(
                                  config, *this->control, this->peers, this->timeline, this->metrics,
-                                 this->time, this->random.next()))
+                                 this->time, this->random.next(), this->request_memory))
         , control_services(this->control->make_services())
         , quota_lender(this->pass_through.get(), config)
     {
@@ -149,6 +161,8 @@
                 this->reload(is_requested);
             }
             this->control->set_open_requests(this->open_requests());
+            this->metrics.set("request_memory_bytes", {},
+                              static_cast<double>(this->request_memory->used()));
         }
         return this->drain(signals);
     }
@@ -290,6 +304,7 @@
     config::settings_watcher watcher;
     seeded_random random;
     control::peer_channels peers;
+    std::shared_ptr<http::request_memory> request_memory;
     std::unique_ptr<storage::file_log_store> store;
     std::unique_ptr<control::control_loop> control;
     operator_api operators;
@@ -305,6 +320,7 @@
 int run_daemon(std::string const& settings_path)
 {
     process_signals signals;
+    return_large_blocks();
     auto const config = config::load_settings(settings_path);
     log_session const log;
     daemon_process process(settings_path, config);
--- a/src/process/http/include/lagoonladder/http.hpp
+++ b/src/process/http/include/lagoonladder/http.hpp
@@ -6,6 +6,7 @@
 
 #include <lagoonladder/http/client.hpp>
 #include <lagoonladder/http/message.hpp>
+#include <lagoonladder/http/request_memory.hpp>
 #include <lagoonladder/http/server.hpp>
 
 #endif
--- a/src/process/http/include/lagoonladder/http/client.hpp
+++ b/src/process/http/include/lagoonladder/http/client.hpp
@@ -91,11 +91,12 @@
 
     /// Sends an encoded request on an idle connection, or on a new one. If that would open more
     /// than `max_connections` connections to the address (0 means no limit), the call fails with
-    /// call_failure::not_sent.
+    /// call_failure::not_sent. `body` is sent after `request`, without being copied.
     std::shared_ptr<client_call> send(network_address const& to,
                                       std::shared_ptr<std::string const> request,
                                       std::shared_ptr<response_observer> observer,
-                                      std::size_t max_connections = 0);
+                                      std::size_t max_connections = 0,
+                                      std::shared_ptr<std::string const> body = nullptr);
 
     /// Closes the idle connections to an address, for use when its server is unreachable.
     void close_idle_connections(network_address const& address);
--- a/src/process/http/include/lagoonladder/http/message.hpp
+++ b/src/process/http/include/lagoonladder/http/message.hpp
@@ -72,6 +72,9 @@
 /// Encodes a request. Adds Content-Length if there is a body or the method is POST, PUT or PATCH.
 std::string format_request(request_head const& head, std::string_view body);
 
+/// Encodes a request without its body, whose bytes are sent after the result.
+std::string format_request_head(request_head const& head, std::size_t body_bytes);
+
 /// Encodes the head of a response, including the empty line that ends it.
 std::string format_head(response_head const& head);
 
--- a/src/process/http/include/lagoonladder/http/server.hpp
+++ b/src/process/http/include/lagoonladder/http/server.hpp
@@ -9,6 +9,7 @@
 #include <asio.hpp>
 
 #include <lagoonladder/http/message.hpp>
+#include <lagoonladder/http/request_memory.hpp>
 
 namespace lagoonladder::http
 {
@@ -74,6 +75,8 @@
     duration idle_timeout = seconds(15);
 };
 
+inline constexpr std::uint32_t default_socket_buffer_bytes = 64 * 1024;
+
 struct server_options
 {
     network_address address;
@@ -83,6 +86,11 @@
     /// Number of connections beyond max_connections that are still accepted so that their first
     /// request can be answered with 503. Any further connections are closed at once.
     std::size_t max_refused_connections = 0;
+    /// Budget that the server shares with others; nullptr for one of its own.
+    std::shared_ptr<request_memory> memory = nullptr;
+    /// Size of the kernel's receive and send buffer of each connection. Without it, the kernel lets
+    /// the buffers grow to megabytes, which take up memory of the machine. The kernel doubles it.
+    std::uint32_t socket_buffer_bytes = default_socket_buffer_bytes;
 };
 
 /// HTTP server on one address.
--- a/src/process/http/internal/client.cpp
+++ b/src/process/http/internal/client.cpp
@@ -78,12 +78,13 @@
     std::shared_ptr<client_call> send(network_address const& to,
                                       std::shared_ptr<std::string const> request,
                                       std::shared_ptr<response_observer> observer,
-                                      std::size_t max_connections)
+                                      std::size_t max_connections,
+                                      std::shared_ptr<std::string const> body)
     {
         auto& connections = this->addresses[to];
         if (auto const reused = this->take_idle(connections))
         {
-            reused->start(std::move(request), std::move(observer));
+            reused->start(std::move(request), std::move(body), std::move(observer));
             reused->send_request();
             return std::make_shared<connection_call>(reused, true);
         }
@@ -93,7 +94,7 @@
             this->context, to, this->options, this->time, this->weak_from_this());
         ++connections.open;
         ++this->opened_connections;
-        connection->start(std::move(request), std::move(observer));
+        connection->start(std::move(request), std::move(body), std::move(observer));
         connection->connect();
         return std::make_shared<connection_call>(connection, false);
     }
@@ -215,9 +216,11 @@
 std::shared_ptr<client_call> client::send(network_address const& to,
                                           std::shared_ptr<std::string const> request,
                                           std::shared_ptr<response_observer> observer,
-                                          std::size_t max_connections)
+                                          std::size_t max_connections,
+                                          std::shared_ptr<std::string const> body)
 {
-    return this->state->send(to, std::move(request), std::move(observer), max_connections);
+    return this->state->send(to, std::move(request), std::move(observer), max_connections,
+                             std::move(body));
 }
 
 void client::close_idle_connections(network_address const& address)
--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -38,9 +38,11 @@
 }
 
 void client_connection::start(std::shared_ptr<std::string const> bytes,
+                              std::shared_ptr<std::string const> body,
                               std::shared_ptr<response_observer> receiver)
 {
     this->request = std::move(bytes);
+    this->request_body = std::move(body);
     this->observer = std::move(receiver);
     this->has_started_sending = false;
     this->has_sent_request = false;
@@ -97,13 +99,18 @@
 void client_connection::send_request()
 {
     this->has_started_sending = true;
-    asio::async_write(this->socket, asio::buffer(*this->request),
-                      [self = this->shared_from_this(),
-                       sent_request = this->request](asio::error_code const& problem, std::size_t)
+    std::array<asio::const_buffer, 2> buffers{asio::buffer(*this->request)};
+    if (this->request_body)
+        buffers[1] = asio::buffer(*this->request_body);
+    asio::async_write(this->socket, buffers,
+                      [self = this->shared_from_this(), sent_request = this->request,
+                       sent_body = this->request_body](asio::error_code const& problem, std::size_t)
                       {
                           // A failed write is reported by the read that is in progress.
-                          if (!problem && self->request == sent_request)
-                              self->has_sent_request = true;
+                          if (problem || self->request != sent_request)
+                              return;
+                          self->has_sent_request = true;
+                          self->request_body.reset();
                       });
     if (this->options.response_timeout > duration(0))
         this->set_response_timer(this->options.response_timeout,
@@ -274,6 +281,7 @@
                              this->input.empty() && !this->is_closed;
     auto const receiver = std::exchange(this->observer, nullptr);
     this->request.reset();
+    this->request_body.reset();
     this->response_timer.cancel();
     if (!is_reusable)
     {
@@ -311,6 +319,7 @@
         return;
     this->is_closed = true;
     this->observer.reset();
+    this->request_body.reset();
     this->connect_timer.cancel();
     this->response_timer.cancel();
     asio::error_code ignored;
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -37,7 +37,7 @@
                       clock const& clock_source, std::weak_ptr<connection_pool> owning_pool);
 
     /// Sets the call that connect() or send_request() sends.
-    void start(std::shared_ptr<std::string const> bytes,
+    void start(std::shared_ptr<std::string const> bytes, std::shared_ptr<std::string const> body,
                std::shared_ptr<response_observer> receiver);
     /// Opens the connection and then sends the request that was set by start().
     void connect();
@@ -80,6 +80,8 @@
     clock const& time;
     std::weak_ptr<connection_pool> pool;
     std::shared_ptr<std::string const> request;
+    /// Sent after `request`; nullptr for none.
+    std::shared_ptr<std::string const> request_body;
     std::shared_ptr<response_observer> observer;
     std::unique_ptr<response_parser> parser;
     std::array<char, 8192> read_buffer{};
--- a/src/process/http/internal/connection_exchange.hpp
+++ b/src/process/http/internal/connection_exchange.hpp
@@ -13,8 +13,9 @@
 public:
     explicit connection_exchange(std::shared_ptr<server_connection> owner)
         : connection(std::move(owner))
-        , request(connection->head())
-        , request_body(connection->body())
+        , request(connection->take_head())
+        , request_body(connection->take_body())
+        , memory(connection->take_memory())
         , arrival(connection->arrived())
         , remote_ip(connection->remote_address())
     {
@@ -86,6 +87,7 @@
     std::shared_ptr<server_connection> connection;
     request_head const request;
     std::string const request_body;
+    std::unique_ptr<request_memory::holding> const memory;
     time_point const arrival;
     std::string const remote_ip;
 };
--- a/src/process/http/internal/message.cpp
+++ b/src/process/http/internal/message.cpp
@@ -148,14 +148,20 @@
 }
 
 std::string format_request(request_head const& head, std::string_view body)
+{
+    auto out = format_request_head(head, body.size());
+    out += body;
+    return out;
+}
+
+std::string format_request_head(request_head const& head, std::size_t body_bytes)
 {
     std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
     bool const has_content_length =
-        !body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
+        body_bytes > 0 || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
     if (has_content_length)
-        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        out += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
     append_fields(out, head.headers);
-    out += body;
     return out;
 }
 
--- a/src/process/http/internal/message_parser.cpp
+++ b/src/process/http/internal/message_parser.cpp
@@ -117,6 +117,8 @@
 public:
     request_head head;
     std::string body;
+    /// Size of the target and of all fields.
+    std::size_t head_text_bytes = 0;
     bool expects_continue = false;
 
 protected:
@@ -125,6 +127,7 @@
     {
         this->head.method = to_string(method);
         this->head.target = to_string(target);
+        this->head_text_bytes = target.size();
     }
 
     void on_field_impl(beast::http::field field, beast::string_view field_name,
@@ -139,6 +142,7 @@
             code = beast::http::error::bad_transfer_encoding;
         if (field == beast::http::field::expect && beast::iequals(value, "100-continue"))
             this->expects_continue = true;
+        this->head_text_bytes += field_name.size() + value.size();
         this->head.headers.add(to_string(field_name), to_string(value));
     }
 
@@ -193,6 +197,18 @@
     return this->state->body;
 }
 
+std::optional<std::uint64_t> request_parser::content_length() const
+{
+    auto const length = this->state->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+std::size_t request_parser::head_memory() const
+{
+    return this->state->head_text_bytes +
+           this->state->head.headers.fields().capacity() * sizeof(header_field);
+}
+
 class response_parser::implementation : public body_parser<false>
 {
 public:
--- a/src/process/http/internal/message_parser.hpp
+++ b/src/process/http/internal/message_parser.hpp
@@ -38,6 +38,10 @@
     bool expects_continue() const;
     request_head& head();
     std::string& body();
+    /// Length of the body that the head states. No value for a chunked body.
+    std::optional<std::uint64_t> content_length() const;
+    /// Estimated memory that the head takes up in bytes.
+    std::size_t head_memory() const;
 
 private:
     class implementation;
--- a/src/process/http/internal/server.cpp
+++ b/src/process/http/internal/server.cpp
@@ -19,6 +19,19 @@
 /// Interval of the checks in a drain; short compared with the duration of a planned stop.
 constexpr duration drain_check_interval = milliseconds(20);
 
+/// At the limit of connections, one that has received no byte of a request for this long may be
+/// closed for a new one.
+constexpr duration min_wait_of_closed = seconds(1);
+/// Pause after a search of all connections that found none to close.
+constexpr duration search_pause = milliseconds(100);
+
+std::shared_ptr<server_context> make_context(server_context values)
+{
+    if (!values.options.memory)
+        values.options.memory = std::make_shared<request_memory>();
+    return std::make_shared<server_context>(std::move(values));
+}
+
 } // namespace
 
 class server::implementation : public std::enable_shared_from_this<server::implementation>
@@ -39,6 +52,12 @@
         {
             this->acceptor.open(endpoint.protocol());
             this->acceptor.set_option(asio::socket_base::reuse_address(true));
+            // Accepted connections inherit the sizes. The window scale is fixed when a connection
+            // is established, so they are set before listening.
+            auto const buffer_bytes =
+                static_cast<int>(this->shared_context->options.socket_buffer_bytes);
+            this->acceptor.set_option(asio::socket_base::receive_buffer_size(buffer_bytes));
+            this->acceptor.set_option(asio::socket_base::send_buffer_size(buffer_bytes));
             this->acceptor.bind(endpoint);
             this->acceptor.listen();
         }
@@ -199,6 +218,8 @@
     void add(asio::ip::tcp::socket socket)
     {
         auto const& options = this->shared_context->options;
+        if (this->shared_context->open_connections >= options.max_connections)
+            this->close_waiting_connection();
         bool const is_over_limit =
             this->shared_context->open_connections >= options.max_connections;
         if (this->shared_context->open_connections >=
@@ -223,19 +244,49 @@
             connection->close_idle();
     }
 
+    /// Closes the connection that has waited longest for bytes of a request, so that callers who
+    /// only keep connections open do not keep others out.
+    void close_waiting_connection()
+    {
+        auto const now = this->shared_context->time.now();
+        if (now < this->next_search)
+            return;
+        std::shared_ptr<server_connection> longest;
+        for (auto const& weak_connection : this->connections)
+        {
+            auto const connection = weak_connection.lock();
+            auto const since = connection ? connection->waiting_since() : std::nullopt;
+            bool const is_late = since && now >= *since + min_wait_of_closed;
+            if (is_late && (!longest || *since < *longest->waiting_since()))
+                longest = connection;
+        }
+        if (!longest)
+        {
+            this->next_search = now + search_pause;
+            return;
+        }
+        this->shared_context->events.emit(
+            severity::warning, "http.connection_closed",
+            {{"server", this->shared_context->options.name},
+             {"reason", "too many connections, and no byte was received for a long time"}});
+        longest->give_way();
+    }
+
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
     asio::steady_timer drain_timer;
     std::atomic<bool> has_drained = false;
     std::list<std::weak_ptr<server_connection>> connections;
     std::size_t prune_threshold = prune_margin;
+    /// No connection that may give way to others is searched for before this time.
+    time_point next_search{};
 };
 
 server::server(asio::io_context& context, server_options options, request_handler& handler,
                std::function<connection_limits()> limits, event_sink& events, clock const& time)
     : state(std::make_shared<implementation>(
-          context, std::make_shared<server_context>(server_context{
-                       std::move(options), handler, std::move(limits), events, time})))
+          context, make_context(server_context{std::move(options), handler, std::move(limits),
+                                               events, time})))
 {
 }
 
--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.hpp"
 
+#include <algorithm>
+
 #include "connection_exchange.hpp"
 #include "socket_options.hpp"
 
@@ -11,9 +13,15 @@
 
 /// Maximum number of bytes read ahead of the current request. The connection is read during a
 /// request so that a close by the caller is noticed.
-constexpr std::size_t max_read_ahead = 16 * 1024;
+constexpr std::size_t max_read_ahead = 4 * 1024;
+/// The budget counts buffers in steps of this size.
+constexpr std::size_t counted_step = 4 * 1024;
+/// Memory of a request beside its head and body.
+constexpr std::size_t request_overhead = 1024;
 /// The connection is considered broken if the caller does not acknowledge sent data for this long.
 constexpr duration unacknowledged_timeout = seconds(10);
+/// Retry-After of refusals, in seconds, unless the handler sets another.
+constexpr char const* retry_after = "1";
 /// How long bytes from the caller are still read before the connection is closed.
 constexpr duration linger_time = seconds(1);
 /// Added to the idle timeout, since callers may send until the very end of it.
@@ -34,58 +42,98 @@
 
 server_connection::~server_connection()
 {
-    --this->context->open_connections;
+    if (this->is_counted)
+        --this->context->open_connections;
 }
 
 void server_connection::start()
 {
     configure_socket(this->socket, unacknowledged_timeout);
     asio::error_code problem;
+    this->socket.non_blocking(true, problem);
     auto const peer = this->socket.remote_endpoint(problem);
     if (!problem)
         this->remote_ip = peer.address().to_string();
     this->start_idle_timer();
+    this->last_received = this->idle_since;
     this->read();
 }
 
-request_head const& server_connection::head()
+request_head server_connection::take_head()
+{
+    return std::move(this->parser->head());
+}
+
+std::string server_connection::take_body()
 {
-    return this->parser->head();
+    return std::move(this->parser->body());
 }
 
-std::string const& server_connection::body()
+std::unique_ptr<request_memory::holding> server_connection::take_memory()
 {
-    return this->parser->body();
+    return std::move(this->request_holding);
 }
 
 void server_connection::read()
 {
-    if (this->is_reading || this->state == phase::closed || this->input.size() > max_read_ahead)
+    bool const reads_ahead = this->state == phase::handling || this->state == phase::finishing;
+    bool const has_read_ahead = reads_ahead && this->input.size() >= max_read_ahead;
+    if (this->is_reading || this->state == phase::closed || has_read_ahead)
         return;
     this->is_reading = true;
-    this->socket.async_read_some(
-        asio::buffer(this->read_buffer),
-        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t count)
-        {
-            self->is_reading = false;
-            if (self->state == phase::closed)
-                return;
-            if (problem == asio::error::operation_aborted && self->context->refuses_requests)
-                self->on_read_cancelled();
-            else if (problem)
-                self->on_read_end();
-            else
-                self->on_read(count);
-        });
+    this->socket.async_wait(asio::socket_base::wait_read,
+                            [self = this->shared_from_this()](asio::error_code const& problem)
+                            {
+                                self->is_reading = false;
+                                if (self->state == phase::closed)
+                                    return;
+                                if (problem == asio::error::operation_aborted &&
+                                    self->context->refuses_requests)
+                                    self->on_read_cancelled();
+                                else if (problem)
+                                    self->on_read_end();
+                                else
+                                    self->on_readable();
+                            });
 }
 
-void server_connection::on_read(std::size_t count)
+void server_connection::on_readable()
+{
+    auto& buffer = this->context->read_buffer;
+    auto max_count = buffer.size();
+    if (this->state == phase::handling || this->state == phase::finishing)
+        max_count = max_read_ahead - std::min(max_read_ahead, this->input.size());
+    if (max_count == 0)
+        return;
+    asio::error_code problem;
+    auto const count = this->socket.read_some(asio::buffer(buffer.data(), max_count), problem);
+    if (problem == asio::error::would_block || problem == asio::error::interrupted)
+        return this->read();
+    if (problem)
+        return this->on_read_end();
+    this->on_read({buffer.data(), count});
+}
+
+void server_connection::on_read(std::string_view bytes)
 {
     if (this->state == phase::lingering)
         return this->read();
-    this->input.append(this->read_buffer.data(), count);
-    if (this->state == phase::idle || this->state == phase::reading)
+    this->last_received = this->context->time.now();
+    if (this->state == phase::reading)
+        this->request_holding->record_progress(this->last_received, bytes.size());
+    bool const is_parsed = this->state == phase::idle || this->state == phase::reading;
+    // Bytes of a body are parsed where they were read, without a copy in between.
+    if (is_parsed && this->input.empty())
+    {
+        auto const used = this->parse(bytes);
+        this->input.append(bytes.substr(used));
+    }
+    else
+    {
+        this->input.append(bytes);
         this->process_input();
+    }
+    this->count_buffers();
     this->read();
 }
 
@@ -116,44 +164,165 @@
     asio::error_code ignored;
     this->socket.close(ignored);
     this->drained_handler = {};
+    this->parser.reset();
+    this->request_holding.reset();
+    this->buffer_holding.reset();
+    this->input = {};
+    this->queued_output = {};
     if (auto const handler = std::exchange(this->closed_handler, {}))
         handler();
 }
 
 void server_connection::process_input()
 {
-    if (this->input.empty())
+    if (this->state != phase::idle && this->state != phase::reading)
+        return;
+    auto const bytes = std::exchange(this->input, {});
+    auto const used = this->parse(bytes);
+    this->input.append(bytes, used);
+}
+
+void server_connection::begin_request()
+{
+    auto const limits = this->context->limits();
+    this->state = phase::reading;
+    this->request_arrival = this->context->time.now();
+    this->parser = std::make_unique<request_parser>(limits);
+    this->max_body_bytes = limits.max_body_bytes;
+    this->request_holding = this->context->options.memory->open(
+        this->request_arrival, this->make_refusal(++this->request_count));
+    this->set_timer(limits.header_timeout);
+}
+
+std::function<void()> server_connection::make_refusal(std::uint64_t number)
+{
+    return [weak = this->weak_from_this(), executor = this->socket.get_executor(), number]
+    {
+        asio::dispatch(executor,
+                       [weak, number]
+                       {
+                           auto const self = weak.lock();
+                           if (self && self->state == phase::reading &&
+                               self->request_count == number)
+                               self->refuse_for_memory();
+                       });
+    };
+}
+
+bool server_connection::reserve(std::size_t incoming)
+{
+    auto const now = this->context->time.now();
+    if (!this->parser->has_head())
+        return this->request_holding->resize(now, request_overhead + incoming);
+    auto& body = this->parser->body();
+    auto capacity = body.capacity();
+    if (auto const length = this->parser->content_length())
+        capacity = std::max(capacity, static_cast<std::size_t>(*length));
+    else if (body.size() + incoming > capacity)
+        // A part of the incoming bytes may be no part of the body.
+        capacity = std::clamp<std::size_t>(capacity + capacity / 2, body.size() + incoming,
+                                           std::max(body.size() + incoming, this->max_body_bytes));
+    auto const head_bytes = request_overhead + this->parser->head_memory();
+    if (!this->request_holding->resize(now, head_bytes + capacity))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
+void server_connection::refuse_for_memory()
+{
+    this->reject({503, "the memory for requests is in use; the request was not executed"});
+}
+
+void server_connection::count_buffers()
+{
+    if (this->state == phase::closed)
+        return;
+    bool const reads_ahead = this->state == phase::handling || this->state == phase::finishing;
+    auto const bytes = this->queued_output.capacity() + this->output_in_progress.capacity() +
+                       (reads_ahead ? this->input.capacity() : 0);
+    auto const counted = bytes / counted_step * counted_step;
+    if (counted == this->counted_buffers)
         return;
+    this->counted_buffers = counted;
+    if (counted == 0)
+        return this->buffer_holding.reset();
+    auto const now = this->context->time.now();
+    if (!this->buffer_holding)
+        this->buffer_holding = this->context->options.memory->open(
+            now,
+            [weak = this->weak_from_this(), executor = this->socket.get_executor()]
+            {
+                // Posted, since a handler may be writing to this connection.
+                asio::post(executor,
+                           [weak]
+                           {
+                               if (auto const self = weak.lock())
+                                   self->close_for_memory();
+                           });
+            });
+    this->buffer_holding->resize_used(now, counted);
+}
+
+void server_connection::close_for_memory()
+{
+    if (this->state == phase::closed || !this->buffer_holding)
+        return;
+    this->context->events.emit(severity::warning, "http.connection_closed",
+                               {{"server", this->context->options.name},
+                                {"reason", "the memory for requests is in use"},
+                                {"unsent_bytes", std::to_string(this->unsent_bytes())}});
+    this->close();
+}
+
+std::size_t server_connection::parse(std::string_view bytes)
+{
+    if (bytes.empty())
+        return 0;
     if (this->state == phase::idle)
+        this->begin_request();
+    bool const had_head = this->parser->has_head();
+    if (!this->reserve(bytes.size()))
     {
-        this->state = phase::reading;
-        this->request_arrival = this->context->time.now();
-        auto const limits = this->context->limits();
-        this->parser = std::make_unique<request_parser>(limits);
-        this->set_timer(limits.header_timeout);
+        this->refuse_for_memory();
+        return bytes.size();
     }
-    bool const had_head = this->parser->has_head();
     std::optional<parse_problem> problem;
-    auto const used = this->parser->put(this->input, problem);
-    this->input.erase(0, used);
+    auto const used = this->parser->put(bytes, problem);
     if (problem)
-        return this->reject(*problem);
+    {
+        this->reject(*problem);
+        return bytes.size();
+    }
     if (this->parser->is_done())
-        return this->dispatch();
+    {
+        this->dispatch();
+        return used;
+    }
     if (!this->parser->has_head())
-        return;
+        return used;
     // Within a body, the request times out only if no bytes arrive.
     this->set_timer(this->context->limits().idle_timeout);
-    if (!had_head && this->parser->expects_continue())
+    if (had_head)
+        return used;
+    if (!this->reserve(0))
+    {
+        this->refuse_for_memory();
+        return bytes.size();
+    }
+    if (this->parser->expects_continue())
     {
         this->queued_output += "HTTP/1.1 100 Continue\r\n\r\n";
         this->flush();
     }
+    return used;
 }
 
 void server_connection::dispatch()
 {
     this->timer.cancel();
+    if (!this->request_holding->pin())
+        return this->refuse_for_memory();
     if (this->is_over_limit)
         return this->reject({503, "this entry has too many open connections"});
     if (this->context->refuses_requests)
@@ -174,7 +343,12 @@
                                 {"reason", problem.reason}});
     this->closes_after_response = true;
     this->state = phase::handling;
+    this->parser.reset();
+    this->request_holding.reset();
+    this->input = {};
     response_head head{problem.status, {}, {}};
+    if (problem.status == 503)
+        head.headers.set("Retry-After", retry_after);
     auto const content = this->context->handler.rejection_body(head, problem.reason);
     this->respond(std::move(head), content);
 }
@@ -243,17 +417,35 @@
 
 void server_connection::flush()
 {
-    if (!this->output_in_progress.empty() || this->queued_output.empty() ||
-        this->state == phase::closed)
+    if (this->state == phase::closed)
         return;
+    if (!this->output_in_progress.empty() || this->queued_output.empty())
+        return this->count_buffers();
     this->output_in_progress.swap(this->queued_output);
-    asio::async_write(
-        this->socket, asio::buffer(this->output_in_progress),
-        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t)
+    this->count_buffers();
+    this->write_output();
+}
+
+void server_connection::write_output()
+{
+    auto const rest = asio::buffer(this->output_in_progress) + this->written_bytes;
+    this->socket.async_write_some(
+        rest,
+        [self = this->shared_from_this()](asio::error_code const& problem, std::size_t count)
         {
-            self->output_in_progress.clear();
             if (problem)
                 return self->close();
+            if (self->state == phase::closed)
+                return;
+            self->written_bytes += count;
+            if (self->buffer_holding)
+                self->buffer_holding->record_progress(self->context->time.now(), count);
+            if (self->written_bytes < self->output_in_progress.size())
+                return self->write_output();
+            self->written_bytes = 0;
+            // The buffer of a large response is not kept for later ones.
+            self->output_in_progress = {};
+            self->count_buffers();
             self->on_written();
         });
 }
@@ -276,6 +468,7 @@
     this->state = phase::idle;
     this->start_idle_timer();
     this->process_input();
+    this->count_buffers();
     this->read();
     if (this->context->refuses_requests)
         this->close_idle();
@@ -306,6 +499,21 @@
         this->reject({503, "this entry is stopping; the request was not received completely"});
 }
 
+std::optional<time_point> server_connection::waiting_since() const
+{
+    bool const is_unused = this->state == phase::idle && this->request_count == 0;
+    if (this->state == phase::reading || is_unused)
+        return this->last_received;
+    return std::nullopt;
+}
+
+void server_connection::give_way()
+{
+    this->is_counted = false;
+    --this->context->open_connections;
+    this->close();
+}
+
 void server_connection::linger()
 {
     // Closing a socket with unread bytes would reset the connection, and the caller could lose the
@@ -314,7 +522,7 @@
     asio::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->set_timer(linger_time);
-    this->input.clear();
+    this->input = {};
     this->read();
 }
 
--- a/src/process/http/internal/server_connection.hpp
+++ b/src/process/http/internal/server_connection.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <asio.hpp>
@@ -28,6 +29,9 @@
     /// Requests that become complete from now on are answered with 503.
     bool refuses_requests = false;
     std::size_t open_connections = 0;
+    /// Receives the bytes of one read before they are parsed. Connections share it, since each
+    /// processes all bytes of a read before the next read of any connection.
+    std::array<char, 64 * 1024> read_buffer{};
 };
 
 /// An accepted connection. Reads one request after the other and writes the responses.
@@ -55,10 +59,17 @@
     void close_idle();
     /// Responds with 503 to a request that has been received only in part.
     void refuse_incomplete();
+    /// When the connection began to wait for bytes of its first request, or of a request that is
+    /// not complete. No value for a connection that is of use to its caller.
+    std::optional<time_point> waiting_since() const;
+    /// Closes the connection, which no longer counts towards the limit.
+    void give_way();
 
     // Functions used by the exchange of the current request.
-    request_head const& head();
-    std::string const& body();
+    /// The received request, which is moved out of the connection once.
+    request_head take_head();
+    std::string take_body();
+    std::unique_ptr<request_memory::holding> take_memory();
     time_point arrived() const { return this->request_arrival; }
     std::string const& remote_address() const { return this->remote_ip; }
     void respond(response_head head, std::string_view content);
@@ -67,7 +78,7 @@
     void finish();
     std::size_t unsent_bytes() const
     {
-        return this->queued_output.size() + this->output_in_progress.size();
+        return this->queued_output.size() + this->output_in_progress.size() - this->written_bytes;
     }
 
     std::function<void()> closed_handler;
@@ -88,14 +99,31 @@
     };
 
     void read();
-    void on_read(std::size_t count);
+    void on_readable();
+    void on_read(std::string_view bytes);
     void on_read_cancelled();
     void on_read_end();
     void process_input();
+    /// Parses bytes from the front of `bytes` and returns how many it used. The others are to be
+    /// kept for later.
+    std::size_t parse(std::string_view bytes);
+    void begin_request();
+    /// Reserves memory for `incoming` further bytes of the request. Returns false when the budget
+    /// has no room for them.
+    bool reserve(std::size_t incoming);
+    /// Refuses the request, since the budget has no room or is needed for other requests.
+    void refuse_for_memory();
+    /// Returns a function that refuses the request with that number on the event loop.
+    std::function<void()> make_refusal(std::uint64_t number);
+    /// Counts unsent output, and bytes that were read ahead of a request in progress.
+    void count_buffers();
+    /// Closes the connection, whose buffers are needed for other requests.
+    void close_for_memory();
     void dispatch();
     void reject(parse_problem const& problem);
     void add_connection_field(response_head& head);
     void flush();
+    void write_output();
     void on_written();
     void complete_response();
     void begin_next_request();
@@ -112,13 +140,27 @@
     phase state = phase::idle;
     time_point idle_since{};
     std::unique_ptr<request_parser> parser;
-    std::array<char, 8192> read_buffer{};
+    /// Memory of the request that is being read.
+    std::unique_ptr<request_memory::holding> request_holding;
+    /// Number of requests that were begun on the connection.
+    std::uint64_t request_count = 0;
+    /// Memory of the output and of the bytes that were read ahead.
+    std::unique_ptr<request_memory::holding> buffer_holding;
+    /// Size of `buffer_holding`.
+    std::size_t counted_buffers = 0;
     std::string input;
     std::string queued_output;
     std::string output_in_progress;
+    /// Bytes of `output_in_progress` that have been written to the socket.
+    std::size_t written_bytes = 0;
     time_point request_arrival{};
     std::string remote_ip;
+    /// Limit for the request that is being read.
+    std::uint64_t max_body_bytes = 0;
     bool const is_over_limit;
+    /// Counted in the open connections of the server.
+    bool is_counted = true;
+    time_point last_received{};
     /// The response to a HEAD request has no body, even if it has a Content-Length.
     bool omits_body = false;
     bool is_reading = false;
--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -56,11 +56,11 @@
 {
 }
 
-void endpoint_attempt::send(http::client& client, std::shared_ptr<std::string const> request_bytes,
-                            std::size_t max_connections)
+void endpoint_attempt::send(http::client& client, std::shared_ptr<std::string const> head_bytes,
+                            std::shared_ptr<std::string const> body, std::size_t max_connections)
 {
-    this->call = client.send(this->target.address, std::move(request_bytes),
-                             this->shared_from_this(), max_connections);
+    this->call = client.send(this->target.address, std::move(head_bytes), this->shared_from_this(),
+                             max_connections, std::move(body));
 }
 
 void endpoint_attempt::cancel()
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -52,8 +52,9 @@
     endpoint_attempt(std::weak_ptr<attempt_owner> owning_call, call_codec const& translation,
                      connection::endpoint_record destination, request_id id, time_point now);
 
-    void send(http::client& client, std::shared_ptr<std::string const> request_bytes,
-              std::size_t max_connections);
+    /// Sends the head and the body of the request.
+    void send(http::client& client, std::shared_ptr<std::string const> head_bytes,
+              std::shared_ptr<std::string const> body, std::size_t max_connections);
     /// Closes the connection, so that the endpoint stops its work.
     void cancel();
     void pause();
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -12,7 +12,7 @@
 {
 
 /// No more is read from the endpoint while this many bytes wait to be sent to the caller.
-constexpr std::size_t max_unsent_bytes = 256 * 1024;
+constexpr std::size_t max_unsent_bytes = 64 * 1024;
 /// An engine that has sent this many events of a stream has begun the answer without harm.
 constexpr std::size_t min_events_without_harm = 3;
 /// After this many attempts of which no byte could be sent, the service counts as unreachable.
@@ -104,7 +104,10 @@
     auto const view = this->context->dependencies.control.view();
     this->current_attempt->send(
         this->context->dependencies.client,
-        std::make_shared<std::string const>(http::format_request(head, this->exchange->body())),
+        std::make_shared<std::string const>(
+            http::format_request_head(head, this->exchange->body().size())),
+        // Shares ownership with the exchange, so that attempts do not copy the body.
+        std::shared_ptr<std::string const>(this->exchange, &this->exchange->body()),
         connection_limit(*view, this->admitted));
 }
 
