Restart the pace of endpoints after an evacuation, and log when endpoints are cold

Change: also events endpoints.cold and endpoints.warm, and a hold of 4 s at most, so that an endpoint that becomes fast late is not idle for long.

--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -238,7 +238,12 @@
     auto& pacing = this->context->chooser.pacing();
     pacing.tick(now, *this->context->dependencies.control.view());
     auto& metrics = this->context->dependencies.metrics;
-    metrics.set("cold_endpoints", {}, static_cast<double>(pacing.pace().cold_endpoints(now)));
+    auto const cold_count = pacing.pace().cold_endpoints(now);
+    if (std::exchange(this->context->has_cold_endpoints, cold_count > 0) != (cold_count > 0))
+        this->context->dependencies.events.emit(
+            severity::info, cold_count > 0 ? "endpoints.cold" : "endpoints.warm",
+            {{"count", std::to_string(cold_count)}});
+    metrics.set("cold_endpoints", {}, static_cast<double>(cold_count));
     metrics.set("starting_endpoints", {}, static_cast<double>(pacing.pace().starting_endpoints()));
 }
 
--- a/src/process/proxy/internal/endpoint_pacing.cpp
+++ b/src/process/proxy/internal/endpoint_pacing.cpp
@@ -114,8 +114,21 @@
     return shortest;
 }
 
-void endpoint_pacing::end_evacuation(time_point now, traffic_view const& view,
-                                     data_centre_id const& data_centre)
+void endpoint_pacing::set_evacuated(time_point now, traffic_view const& view,
+                                    std::set<data_centre_id> const& data_centres)
+{
+    if (this->evacuated == data_centres)
+        return;
+    for (auto const& data_centre : this->evacuated)
+    {
+        if (!data_centres.contains(data_centre))
+            this->restart_endpoints(now, view, data_centre);
+    }
+    this->evacuated = data_centres;
+}
+
+void endpoint_pacing::restart_endpoints(time_point now, traffic_view const& view,
+                                        data_centre_id const& data_centre)
 {
     for (auto const& [service, endpoints] : view.endpoints)
     {
--- a/src/process/proxy/internal/endpoint_pacing.hpp
+++ b/src/process/proxy/internal/endpoint_pacing.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_PROXY_ENDPOINT_PACING_HPP
 
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <lagoonladder/proxy/traffic_control.hpp>
@@ -32,9 +33,10 @@
     std::optional<duration> time_until_room(time_point now, traffic_view const& view,
                                             service_name const& service,
                                             endpoint_record_pointers const& endpoints) const;
-    /// The endpoints of a data centre may get requests again, and may have become cold unseen.
-    void end_evacuation(time_point now, traffic_view const& view,
-                        data_centre_id const& data_centre);
+    /// Sets the data centres whose endpoints get no requests. Those of a data centre that is no
+    /// longer among them may have become cold unseen.
+    void set_evacuated(time_point now, traffic_view const& view,
+                       std::set<data_centre_id> const& data_centres);
 
     void record_start(time_point now, endpoint_id const& endpoint);
     /// The first byte of the answer, or of a stream its first event, has arrived.
@@ -51,11 +53,14 @@
     request::endpoint_pace const& pace() const { return this->decisions; }
 
 private:
+    void restart_endpoints(time_point now, traffic_view const& view,
+                           data_centre_id const& data_centre);
     void observe(time_point now, service_name const& service, request::cold_limit const& limit,
                  connection::endpoint_record const& endpoint);
 
     request::endpoint_pace decisions;
     time_point round_begun{};
+    std::set<data_centre_id> evacuated;
 };
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -54,6 +54,8 @@
     log_line_budget answered_call_lines;
     std::size_t open_calls = 0;
     std::map<class proxied_call const*, std::weak_ptr<proxied_call>> running_calls;
+    /// Whether endpoints were cold when they were last observed.
+    bool has_cold_endpoints = false;
     /// The time for a planned stop is over: no more calls are sent to endpoints.
     bool is_stopping = false;
 };
--- a/src/process/proxy/tests/endpoint_pacing_test.cpp
+++ b/src/process/proxy/tests/endpoint_pacing_test.cpp
@@ -140,7 +140,10 @@
     auto const restart = [](endpoint_chooser&, traffic_view& view)
     { view.endpoints[service_name("model")][0].incarnation = incarnation(2); };
     auto const end_evacuation = [](endpoint_chooser& chooser, traffic_view& view)
-    { chooser.pacing().end_evacuation(start, view, data_centre_id("e1")); };
+    {
+        chooser.pacing().set_evacuated(start, view, {data_centre_id("e1")});
+        chooser.pacing().set_evacuated(start, view, {});
+    };
     CHECK(idle_engine_share(true, [](auto&, auto&) {}) == 1);
     CHECK(idle_engine_share(true, restart) < 0.15);
     CHECK(idle_engine_share(true, end_evacuation) < 0.15);
--- a/src/request/internal/start_pace.cpp
+++ b/src/request/internal/start_pace.cpp
@@ -20,8 +20,8 @@
 constexpr duration doubling_time = milliseconds(400);
 /// Time without growth after the first setback; doubles with each further one.
 constexpr duration first_hold = milliseconds(500);
-constexpr duration max_hold = seconds(8);
-constexpr std::uint32_t max_hold_doublings = 4;
+constexpr duration max_hold = seconds(4);
+constexpr std::uint32_t max_hold_doublings = 3;
 
 /// Time without requests after which the state of an endpoint is dropped.
 constexpr duration max_idle = std::chrono::minutes(1);
