Return late quota loans, and ask all holders before a refusal

Calls of an account below its quota were refused while its four quota holders replied slowly. After 60 ms without a reply the next holder was asked as well, and each slow holder lent too; what did not fit into the borrower's bucket, and all that came after 400 ms, was lost. Two refusals ended a round although the silent holders might hold half of the quota, one refusal with silence of the others paused all calls of the account for 250 ms, and calls waiting at one borrower counted on the same tokens.

Nothing of this creates tokens: only what was subtracted and not granted is returned, and buckets stay limited to their capacity.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -292,10 +292,17 @@
 }
 
 void pass_through_plane::lend_tokens(account_id const& account, double wanted,
-                                     std::function<void(request::lender_reply const&)> done)
+                                     std::shared_ptr<pending_loan> loan)
 {
-    asio::post(*this->context, [this, account, wanted, done = std::move(done)]
-               { done(this->proxy.lend_tokens(account, wanted)); });
+    asio::post(*this->context,
+               [this, account, wanted, loan = std::move(loan)]
+               {
+                   if (loan->is_abandoned())
+                       return;
+                   auto const reply = this->proxy.lend_tokens(account, wanted);
+                   if (!loan->complete(reply) && reply.lent > 0)
+                       this->proxy.lend_tokens(account, -reply.lent);
+               });
 }
 
 template <class Result>
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -9,6 +9,7 @@
 #include <lagoonladder/control.hpp>
 
 #include "notice_exchange.hpp"
+#include "pending_loan.hpp"
 #include "token_borrower.hpp"
 
 namespace lagoonladder::daemon
@@ -74,10 +75,9 @@
     void on_prompt_notice(proxy::prompt_notice const& notice) override;
     void on_crash_evidence(std::vector<request::part_evidence> const& evidence) override;
 
-    /// Lends tokens of the account's quota to another entry. Safe to call from any thread. `done`
-    /// runs on the traffic thread.
-    void lend_tokens(account_id const& account, double wanted,
-                     std::function<void(request::lender_reply const&)> done);
+    /// Lends tokens of the account's quota to another entry, unless `loan` is abandoned meanwhile.
+    /// Safe to call from any thread.
+    void lend_tokens(account_id const& account, double wanted, std::shared_ptr<pending_loan> loan);
 
     // operations
     void apply(version::service_configuration wanted,
--- a/src/process/daemon/internal/token_borrower.cpp
+++ b/src/process/daemon/internal/token_borrower.cpp
@@ -50,6 +50,7 @@
     double missing;
     request::quota_holder_round round;
     std::vector<bool> has_reply;
+    std::map<std::size_t, time_point> asked_at;
     /// Empty once the result has been passed to the call.
     handler done;
     asio::steady_timer reply_timeout;
@@ -159,6 +160,15 @@
     this->request_next(call, call->round.start());
 }
 
+void token_borrower::return_tokens(account_id const& account, network_address const& lender,
+                                   double tokens)
+{
+    if (tokens <= 0)
+        return;
+    this->send(account, lender, -tokens, request::quota_holder_round::reply_retention,
+               [](grpc::Status const&, request::lender_reply const&) {});
+}
+
 void token_borrower::request_next(std::shared_ptr<quota_holder_request> const& call,
                                   std::optional<std::size_t> quota_holder)
 {
@@ -167,8 +177,9 @@
     if (!quota_holder)
         return;
     this->start_reply_timeout(call, *quota_holder);
+    call->asked_at[*quota_holder] = this->time.now();
     this->send(call->account, call->quota_holders[*quota_holder], call->missing,
-               request::quota_holder_round::max_duration,
+               request::quota_holder_round::reply_retention,
                [this, call, number = *quota_holder](grpc::Status const& status,
                                                     request::lender_reply const& reply)
                { this->reply_received(call, number, status, reply); });
@@ -177,7 +188,8 @@
 void token_borrower::start_reply_timeout(std::shared_ptr<quota_holder_request> const& call,
                                          std::size_t quota_holder)
 {
-    call->reply_timeout.expires_after(request::quota_holder_round::reply_timeout);
+    call->reply_timeout.expires_after(
+        this->contacts.reply_timeout(call->quota_holders[quota_holder]));
     call->reply_timeout.async_wait(
         [this, call, quota_holder](asio::error_code const& problem)
         {
@@ -192,14 +204,18 @@
                                     std::size_t quota_holder, grpc::Status const& status,
                                     request::lender_reply const& reply)
 {
+    auto const now = this->time.now();
+    auto const& lender = call->quota_holders[quota_holder];
     call->has_reply[quota_holder] = true;
     if (status.ok())
-        this->contacts.reply_received(call->quota_holders[quota_holder]);
+    {
+        this->contacts.reply_received(lender);
+        this->contacts.record_reply_time(lender, now - call->asked_at[quota_holder]);
+    }
     else
-        this->contacts.reply_overdue(this->time.now(), call->quota_holders[quota_holder]);
-    // Tokens of a late reply have been lent, so they are kept for later calls.
+        this->contacts.reply_overdue(now, lender);
     if (!call->done)
-        return this->deposit_late_tokens(call->account, reply.lent);
+        return this->return_tokens(call->account, lender, reply.lent);
     this->request_next(call, status.ok() ? call->round.reply_received(quota_holder, reply)
                                          : call->round.failed(quota_holder));
 }
--- a/src/process/daemon/internal/token_borrower.hpp
+++ b/src/process/daemon/internal/token_borrower.hpp
@@ -22,8 +22,8 @@
     using late_tokens_handler = std::function<void(account_id const& account, double tokens)>;
     using handler = std::function<void(request::lending_outcome const&)>;
 
-    /// `on_late_tokens` receives the tokens of replies that arrive after their call was given its
-    /// result.
+    /// `on_late_tokens` receives the tokens of replies of entries with a portion of their own that
+    /// arrive after their call was given its result. Those of quota holders are returned to them.
     token_borrower(std::shared_ptr<asio::io_context> loop, control::peer_channels& channels,
                    clock const& time_source, std::uint64_t seed,
                    late_tokens_handler on_late_tokens);
@@ -53,6 +53,9 @@
     void send(account_id const& account, network_address const& lender, double tokens,
               duration timeout,
               std::function<void(grpc::Status const&, request::lender_reply const&)> done);
+    /// Returns the tokens of a late reply to the quota holder that lent them. They are lost when
+    /// the message is.
+    void return_tokens(account_id const& account, network_address const& lender, double tokens);
     void request_next(std::shared_ptr<quota_holder_request> const& call,
                       std::optional<std::size_t> quota_holder);
     void start_reply_timeout(std::shared_ptr<quota_holder_request> const& call,
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -68,7 +68,8 @@
     /// are no calls, and exchanges evidence with other entries.
     void tick();
 
-    /// Lends tokens of the account's quota to another entry.
+    /// Lends tokens of the account's quota to another entry. A negative number returns tokens that
+    /// this entry lent.
     request::lender_reply lend_tokens(account_id const& account, double wanted);
     /// Adds tokens that another entry lent too late, when the call had already continued without
     /// them.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -113,7 +113,8 @@
         return;
     if (admission.reason == refusal::over_quota && view->entries > 1 &&
         this->context->borrowing.begin_round(now, admission.account->name,
-                                             admission.quota_demand.quota_holder_count > 0))
+                                             admission.quota_demand.quota_holder_count > 0,
+                                             admission.quota_tokens))
         return this->borrow(exchange, std::move(call), admission);
     this->start(exchange, std::move(call), std::move(admission));
 }
@@ -184,7 +185,8 @@
             auto const now = this->context->dependencies.time.now();
             auto& quotas = this->context->quotas;
             admission.lending = describe_lending(outcome, admission.shortage.missing);
-            this->context->borrowing.end_round(now, admission.account->name, outcome);
+            this->context->borrowing.end_round(now, admission.account->name, outcome,
+                                               admission.quota_tokens);
             this->context->dependencies.metrics.add("quota_rounds_total",
                                                     {{"outcome", admission.lending}});
             if (*is_disconnected)
@@ -203,6 +205,12 @@
         return {};
     auto const inputs = make_quota_inputs(*view, *found_account, this->context->options.quota);
     auto const& peers = inputs.peers;
+    if (wanted < 0)
+    {
+        this->context->quotas.take_back(this->context->dependencies.time.now(), account,
+                                        inputs.limit, peers, -wanted);
+        return {0, peers.is_quota_holder};
+    }
     auto const lent = this->context->quotas.lend(this->context->dependencies.time.now(), account,
                                                  inputs.limit, peers, wanted);
     return {lent, peers.quota_holder_count == 0 || peers.is_quota_holder};
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -90,6 +90,10 @@
     double lend(time_point now, account_id const& account, account_limit const& limit,
                 peer_demand const& peers, double wanted);
 
+    /// Takes back tokens that this entry lent and that arrived too late for their request.
+    void take_back(time_point now, account_id const& account, account_limit const& limit,
+                   peer_demand const& peers, double tokens);
+
     /// Adds lent tokens that arrived too late for their request. They count like the entry's own
     /// tokens: the next refill limits the bucket to its capacity.
     void deposit(account_id const& account, double tokens);
--- a/src/request/include/lagoonladder/request/quota_borrowing.hpp
+++ b/src/request/include/lagoonladder/request/quota_borrowing.hpp
@@ -20,21 +20,25 @@
     /// Each round asks one or a few quota holders. More rounds are allowed, because rounds stay
     /// open while quota holders do not reply and requests within the quota arrive meanwhile.
     static constexpr std::uint32_t max_open_quota_holder_rounds = 32;
-    /// Time after a refusal during which no round begins, because the other entries have no tokens
-    /// to spare.
+    /// Time after a refusal during which no round for as many tokens or more begins, because the
+    /// other entries have no tokens to spare. A smaller request may still be served.
     static constexpr duration refusal_pause = milliseconds(250);
 
-    /// Whether a round may begin now. When it returns true, end_round has to be called at the end
-    /// of the round.
-    bool begin_round(time_point now, account_id const& account, bool has_quota_holders);
+    /// Whether a round for a request of this many tokens may begin now. When it returns true,
+    /// end_round has to be called at the end of the round.
+    bool begin_round(time_point now, account_id const& account, bool has_quota_holders,
+                     double tokens);
 
-    void end_round(time_point now, account_id const& account, lending_outcome const& outcome);
+    void end_round(time_point now, account_id const& account, lending_outcome const& outcome,
+                   double tokens);
 
 private:
     struct account_rounds
     {
         std::uint32_t open = 0;
         time_point paused_until{};
+        /// Smallest number of tokens that was refused since the pause began.
+        double refused_tokens = 0;
     };
 
     std::map<account_id, account_rounds> accounts;
--- a/src/request/include/lagoonladder/request/quota_holder_round.hpp
+++ b/src/request/include/lagoonladder/request/quota_holder_round.hpp
@@ -25,8 +25,8 @@
 struct lending_outcome
 {
     double lent = 0;
-    /// Whether lenders refused. False when none of them replied, which says nothing about the
-    /// quota.
+    /// Whether enough lenders refused to show that the tokens are used up. Silence says nothing
+    /// about the quota.
     bool refused = false;
 };
 
@@ -37,11 +37,14 @@
 {
 public:
     /// Longer than a round trip to another region. When it has passed, the next holder is asked as
-    /// well; the first one may still reply.
+    /// well; the first one may still reply. `lender_contacts` states more for slow lenders.
     static constexpr duration reply_timeout = milliseconds(60);
     /// A request that waits longer than this for its tokens misses the latency objective of its
     /// route.
     static constexpr duration max_duration = milliseconds(400);
+    /// Time after which a reply is no longer expected. It is longer than `max_duration`, so that
+    /// the tokens of a late reply can be returned to the holder instead of being lost.
+    static constexpr duration reply_retention = 2 * max_duration;
 
     /// `missing` is the number of tokens that the request lacks.
     quota_holder_round(std::size_t quota_holder_count, double missing);
@@ -62,6 +65,8 @@
 
 private:
     std::optional<std::size_t> ask_next();
+    /// Whether enough holders refused, and all but one replied or are out of reach.
+    bool is_refused() const;
 
     std::size_t const quota_holder_count;
     double const missing;
@@ -86,6 +91,11 @@
 
     void reply_overdue(time_point now, network_address const& lender);
     void reply_received(network_address const& lender);
+    /// Records the time from a message to its reply, also of a reply that was overdue.
+    void record_reply_time(network_address const& lender, duration elapsed);
+    /// Time after which the next lender is asked as well. It grows with the time that this lender
+    /// takes: several lenders that lend for the same request would give away tokens several times.
+    duration reply_timeout(network_address const& lender) const;
 
     /// Returns the lenders in the order in which to ask them: those with a recent overdue reply
     /// last, otherwise random.
@@ -93,7 +103,11 @@
                                        random_source& random);
 
 private:
+    duration mean_reply_time() const;
+
     std::map<network_address, time_point> overdue_until;
+    /// Moving averages, for lenders that have replied.
+    std::map<network_address, duration> reply_times;
 };
 
 } // namespace lagoonladder::request
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -106,7 +106,9 @@
             state.available = std::max(state.available, 0.0);
         return {};
     }
-    auto const missing = needed - state.available;
+    // Other requests of a borrower may use what is left of earlier loans before this one's loan
+    // arrives, so that it borrows all of its tokens.
+    auto const missing = is_borrower(peers) ? needed : needed - state.available;
     auto const share = is_borrower(peers) ? 1.0 / std::max(peers.entries, 1U) : share_of(peers);
     auto const rate = limit.tokens_per_second * share;
     auto const wait = rate > 0 ? from_seconds(missing / rate) : max_retry_after;
@@ -157,6 +159,17 @@
     return lent;
 }
 
+void account_quota::take_back(time_point now, account_id const& account, account_limit const& limit,
+                              peer_demand const& peers, double tokens)
+{
+    auto& state = this->bucket_of(account);
+    auto const capacity = refill(state, now, limit, peers);
+    // An entry that is no quota holder any more has a successor, whose bucket fills on its own.
+    if (is_borrower(peers))
+        return;
+    state.available = std::max(state.available, std::min(capacity, state.available + tokens));
+}
+
 void account_quota::deposit(account_id const& account, double tokens)
 {
     this->bucket_of(account).available += tokens;
