Decide on calls by priority and fairness when engines are short

An entry sends every call that is within its quota, however long the queues of the engines are, so that all kinds of calls become late together and the refusals of engines hit urgent calls as often as others.

request::overload_admission decides at once on each call of a model service: sent, sent to wait at an engine, or refused with Retry-After. It compares the estimated wait with a limit by priority and by the account's max-min fair share, lets accounts through that are served far less often than all, and refuses kinds that were served more often than more urgent ones. Nothing is refused while under half of the slots are taken and nothing waits. return_schedule spreads the returns over the time that is needed to serve them, urgent calls first, within a third of the caller's time.

--- /dev/null
+++ b/src/request/include/lagoonladder/request/overload_admission.hpp
@@ -0,0 +1,108 @@
+#ifndef LAGOONLADDER_REQUEST_OVERLOAD_ADMISSION_HPP
+#define LAGOONLADDER_REQUEST_OVERLOAD_ADMISSION_HPP
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include <lagoonladder/base.hpp>
+#include <lagoonladder/request/call_shares.hpp>
+#include <lagoonladder/request/return_schedule.hpp>
+
+namespace lagoonladder::request
+{
+
+/// Load of the engines of a service that calls may be sent to, all together.
+struct service_load
+{
+    double slots = 0;
+    /// Requests that run.
+    double running = 0;
+    /// Requests that wait at the engines.
+    double waiting = 0;
+    /// Time that a call which is sent now waits until an engine begins to process its prompt.
+    duration wait{};
+};
+
+/// A call of a model service, and what is predicted for it.
+struct overload_query
+{
+    /// Empty for anonymous calls.
+    account_id account;
+    route_name route;
+    /// 0 is the most urgent.
+    std::uint32_t priority = 0;
+    duration latency_objective{};
+    duration time_left{};
+    service_load load;
+    /// Earliest time to the first event of the response at any engine.
+    duration first_event{};
+};
+
+enum class overload_outcome
+{
+    /// Sent to an engine that begins with it at once.
+    sent,
+    /// Sent to an engine at which it waits first.
+    sent_to_wait,
+    /// Refused: the first event would come after the caller's deadline.
+    past_deadline,
+    /// Refused: the wait exceeds what the call's priority and its account's share allow.
+    wait_too_long,
+    /// Refused: a more urgent kind of call has been served less often.
+    less_urgent
+};
+
+char const* to_string(overload_outcome outcome);
+
+struct overload_decision
+{
+    overload_outcome outcome = overload_outcome::sent;
+    /// Longest wait at which the call is sent; zero when the wait did not matter.
+    duration wait_limit{};
+    /// When refused.
+    duration retry_after{};
+
+    bool is_refused() const { return this->outcome > overload_outcome::sent_to_wait; }
+};
+
+/// Decides whether a call of a model service is sent, to be answered at once or to wait at an
+/// engine, or refused while the engines have too little room. All entries decide by the load of the
+/// same engines, so that they agree without messages on what is refused. One object for each
+/// service. Not safe for concurrent calls.
+class overload_admission
+{
+public:
+    overload_decision decide(time_point now, overload_query const& query, random_source& random);
+
+    /// Returns the time after which the caller of a call that is refused for another reason may
+    /// retry, at least `min_wait`.
+    duration retry_after(time_point now, std::uint32_t priority, duration min_wait,
+                         duration time_left, random_source& random);
+
+private:
+    struct call_kind
+    {
+        duration latency_objective{};
+        time_point last_seen{};
+    };
+
+    overload_outcome judge(time_point now, overload_query const& query, duration limit,
+                           random_source& random) const;
+    /// Returns the wait of the call, which overtakes less urgent ones at the engines.
+    duration wait_of(time_point now, overload_query const& query) const;
+    /// Returns the longest wait at which a call of this priority and account is sent.
+    duration wait_limit(time_point now, overload_query const& query) const;
+    /// Returns the tightest latency objective of the kinds that are as urgent as the call or more.
+    duration tightest_objective(overload_query const& query) const;
+    void record_kind(time_point now, overload_query const& query);
+
+    call_shares shares;
+    return_schedule returns;
+    /// By priority and route, since an account's own priority replaces that of the route.
+    std::map<std::pair<std::uint32_t, route_name>, call_kind> kinds;
+};
+
+} // namespace lagoonladder::request
+
+#endif
