Read the fourth figure of load headers and keep readable ones

Endpoints state `running,waiting,slots[,time]`. A header with four figures was rejected as a whole, so that nothing was known of the load.

The time becomes load_report::relative_time (a percentage; 0 and above 100,000 count as unreadable). Figures that are missing or unreadable keep their defaults, further ones are skipped; has_running is false when the number of running requests could not be read, and the report then gives no load.

--- a/src/connection/include/lagoonladder/connection/endpoint_record.hpp
+++ b/src/connection/include/lagoonladder/connection/endpoint_record.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_CONNECTION_ENDPOINT_RECORD_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -28,6 +29,11 @@
     std::uint32_t slots = 1;
     /// Generated tokens per second over the endpoint's last interval; 0 for plain services.
     double tokens_per_second = 0;
+    /// How long work takes on the endpoint's machine now, as a multiple of the usual time. Stated
+    /// in responses only, not in announcements.
+    std::optional<double> relative_time = std::nullopt;
+    /// False when `running` could not be read, so that the report does not state a load.
+    bool has_running = true;
 };
 
 /// An endpoint as it announced itself; the content of a row of the endpoint directory. Entries
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -216,7 +216,8 @@
 void endpoint_chooser::record_load(time_point now, endpoint_id const& endpoint,
                                    connection::load_report const& load)
 {
-    this->loads.report(now, endpoint, this->next_report++, load.running, load.waiting);
+    if (load.has_running)
+        this->loads.report(now, endpoint, this->next_report++, load.running, load.waiting);
 }
 
 void endpoint_chooser::mark_replaced(time_point now, connection::endpoint_record const& endpoint)
