Take no truncated response for a complete one, and no invalid status for a response

Cause: while a long request is being written, the write consumes the socket's error when the endpoint resets the connection, and the read then reports an ordinary end, which completes a response without a length. A status below 100 was skipped as an interim response, so that the call waited for another one; a status above 599 was passed on.

Change: a response that ends with its connection is complete only when the request was written completely; otherwise the attempt is broken. A status outside 100 to 599 fails the attempt at once. An endpoint that responds without a length to a request that it does not read, and then closes in order, is a broken attempt too: the two cannot be told apart.

--- a/src/process/http/internal/client_connection.cpp
+++ b/src/process/http/internal/client_connection.cpp
@@ -8,7 +8,9 @@
 namespace
 {
 
+constexpr unsigned first_interim_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_final_status = 599;
 /// Maximum number of interim responses and responses to earlier requests before the response to a
 /// call. A connection carries one call at a time, so few of either are expected.
 constexpr std::size_t max_skipped_responses = 32;
@@ -140,6 +142,8 @@
 
 std::string client_connection::exceeded_limit() const
 {
+    if (this->has_invalid_status)
+        return "the status of the response is outside 100 to 599";
     if (!this->has_response_head && this->bytes_before_response > max_bytes_before_response)
         return "no response head within " + std::to_string(this->bytes_before_response) + " bytes";
     if (this->skipped_responses > max_skipped_responses)
@@ -153,10 +157,13 @@
 void client_connection::prepare_parser()
 {
     this->is_skipping = false;
+    this->has_invalid_status = false;
     this->parser = std::make_unique<response_parser>(
         [this](response_head const& head)
         {
-            this->is_skipping = head.status < first_final_status;
+            this->has_invalid_status =
+                head.status < first_interim_status || head.status > last_final_status;
+            this->is_skipping = this->has_invalid_status || head.status < first_final_status;
             // The observer may cancel the call, which resets this->observer.
             auto const receiver = this->observer;
             if (this->is_skipping || !receiver)
@@ -259,6 +266,11 @@
         return this->fail(this->current_failure(), reason);
     if (this->is_skipping)
         return this->fail(call_failure::no_response, reason);
+    // A write that fails consumes the socket's error, such as a reset, and the next read reports an
+    // ordinary end. The response is complete only if the request was written completely.
+    if (!this->has_sent_request)
+        return this->fail(this->current_failure(),
+                          "the connection ended before the request was sent completely");
     auto const receiver = std::exchange(this->observer, nullptr);
     this->close();
     receiver->on_end();
--- a/src/process/http/internal/client_connection.hpp
+++ b/src/process/http/internal/client_connection.hpp
@@ -64,7 +64,8 @@
     void prepare_parser();
     void set_response_timer(duration delay, std::string const& reason);
     void on_message_end();
-    /// Describes the limit that the current call exceeds; empty if it exceeds none.
+    /// Describes the limit that the current response exceeds, or its invalid status; empty if there
+    /// is nothing wrong.
     std::string exceeded_limit() const;
     void fail(call_failure failure, std::string const& reason);
     /// The kind of a failure that happens now, by how far the call has progressed.
@@ -103,6 +104,8 @@
     bool is_closed = false;
     bool has_response_head = false;
     bool is_skipping = false;
+    /// The head of the response that is being read has a status that no response may have.
+    bool has_invalid_status = false;
     bool is_parsing = false;
     bool is_draining = false;
 };
