Evacuate data centres on the order of operators

Operators need to stop requests to all endpoints of a data centre and to let them start again. Leaving marks end with a lease and live outside the quorum, so they cannot carry such an order.

The command set_evacuation starts or ends the evacuation in the replicated state; an order for the state in force changes nothing. usable_endpoints and traffic_router leave out the endpoints, a call that waits for a connection goes elsewhere, a kept connection that breaks is not replaced, and the capacity plan leaves out the data centre. Daemons without a log put the evacuations of a status in force before they fetch its configuration. Records of ended evacuations are kept, so that a resent order is not refused as one for an unknown data centre.

New section [data_centres] of the settings, events evacuation.started and evacuation.ended, gauge evacuated_data_centres.

--- a/src/process/cli/internal/report_format.cpp
+++ b/src/process/cli/internal/report_format.cpp
@@ -103,6 +103,12 @@
     for (auto const& voter : field(body, "voters"))
         voters.add({format_pairs(voter)});
     text += "\n" + voters.str();
+    text_table evacuations({"DATA CENTRE", "EVACUATED SINCE", "ENDED"});
+    for (auto const& row : field(body, "evacuations"))
+        evacuations.add(
+            {cell(row, "data_centre"), time_cell(row, "started"), time_cell(row, "ended")});
+    if (!evacuations.empty())
+        text += "\n" + evacuations.str();
     text_table warnings({"WARNING"});
     for (auto const& warning : field(body, "warnings"))
         warnings.add({format_pairs(warning)});
--- a/src/process/cli/internal/run_command_line.cpp
+++ b/src/process/cli/internal/run_command_line.cpp
@@ -3,6 +3,7 @@
 #include "apply_command.hpp"
 #include "check_command.hpp"
 #include "drain_command.hpp"
+#include "evacuate_command.hpp"
 #include "events_command.hpp"
 #include "hash_key_command.hpp"
 #include "report_command.hpp"
@@ -30,6 +31,7 @@
         "moves", "Prints the running and the ended version moves.", format_moves));
     commands.push_back(std::make_unique<events_command>());
     commands.push_back(std::make_unique<drain_command>());
+    commands.push_back(std::make_unique<evacuate_command>());
     commands.push_back(std::make_unique<hash_key_command>());
     return commands;
 }
--- a/src/process/cli/tests/cli_test.cpp
+++ b/src/process/cli/tests/cli_test.cpp
@@ -10,6 +10,7 @@
 #include "check_command.hpp"
 #include "configuration_applier.hpp"
 #include "drain_command.hpp"
+#include "evacuate_command.hpp"
 #include "events_command.hpp"
 #include "fake_entry.hpp"
 #include "hash_key_command.hpp"
@@ -270,3 +271,20 @@
     CHECK(run(hash_key_command(), {}, "abc\n").out == hash);
     CHECK(run(hash_key_command(), {}, "").code == exit_code::bad_input);
 }
+
+TEST_CASE_METHOD(operator_fixture, "evacuate sends the data centre and whether it is evacuated")
+{
+    // Guards against an end that starts an evacuation.
+    fake_entry entry(200, {{"is_changed", true}});
+    setenv("LAGOONLADDER_ENTRIES", entry.address().c_str(), 1);
+    auto const started = run(evacuate_command(), {"hob-a"});
+    CHECK(started.code == exit_code::done);
+    CHECK(started.out == "hob-a is evacuated\n");
+    CHECK(run(evacuate_command(), {"hob-a", "--end"}).out == "hob-a is not evacuated\n");
+    CHECK(run(evacuate_command(), {}).code == exit_code::bad_input);
+    auto const requests = entry.received_requests();
+    REQUIRE(requests.size() == 2);
+    CHECK(requests[0].path == "/v1/operator/evacuations");
+    CHECK(json::parse(requests[0].body) == json{{"data_centre", "hob-a"}, {"is_evacuated", true}});
+    CHECK(json::parse(requests[1].body) == json{{"data_centre", "hob-a"}, {"is_evacuated", false}});
+}
--- a/src/process/completion/internal/endpoint_calls.cpp
+++ b/src/process/completion/internal/endpoint_calls.cpp
@@ -1,5 +1,7 @@
 #include <endpoint_calls.hpp>
 
+#include <algorithm>
+
 namespace lagoonladder::completion
 {
 
@@ -21,6 +23,20 @@
     return options;
 }
 
+/// Returns whether the endpoint at the address is in an evacuated data centre.
+bool is_evacuated(control_view const& view, network_address const& address)
+{
+    auto const evacuated = version::evacuated_data_centres(view.shared->evacuations);
+    if (evacuated.empty())
+        return false;
+    auto const is_inside = [&](connection::endpoint_record const& endpoint)
+    { return endpoint.address == address && evacuated.contains(endpoint.data_centre); };
+    return std::any_of(
+        view.endpoints.begin(), view.endpoints.end(),
+        [&](auto const& service)
+        { return std::any_of(service.second.begin(), service.second.end(), is_inside); });
+}
+
 /// Monitors the progress of one call, and repeats the call once on a new connection if a kept
 /// connection turns out to be closed.
 class monitored_call : public endpoint_call,
@@ -28,16 +44,17 @@
                        public std::enable_shared_from_this<monitored_call>
 {
 public:
-    monitored_call(asio::io_context& loop, http::client& http_client,
+    monitored_call(traffic_context& shared_context, http::client& http_client,
                    network_address endpoint_address,
                    std::shared_ptr<std::string const> request_bytes, duration max_silence,
                    std::shared_ptr<response_receiver> target)
-        : client(http_client)
+        : control(shared_context.control)
+        , client(http_client)
         , address(std::move(endpoint_address))
         , request(std::move(request_bytes))
         , progress_timeout(max_silence)
         , receiver(std::move(target))
-        , timer(loop)
+        , timer(*shared_context.loop)
     {
     }
 
@@ -87,7 +104,7 @@
             return this->end(call_result::not_connected);
         bool const was_closed =
             this->call && this->call->is_on_reused_connection() && !this->has_response;
-        if (!was_closed || this->is_retried)
+        if (!was_closed || this->is_retried || is_evacuated(*this->control.view(), this->address))
             return this->end(call_result::broken);
         this->is_retried = true;
         // The endpoint has probably closed the other kept connections as well.
@@ -129,6 +146,7 @@
             target->on_call_end(result);
     }
 
+    control_plane& control;
     http::client& client;
     network_address const address;
     std::shared_ptr<std::string const> const request;
@@ -181,14 +199,14 @@
     bool is_too_large = false;
 };
 
-std::shared_ptr<endpoint_call> start_call(asio::io_context& loop, http::client& client,
+std::shared_ptr<endpoint_call> start_call(traffic_context& context, http::client& client,
                                           network_address const& address, http::request_head head,
                                           std::string const& body, duration progress_timeout,
                                           std::shared_ptr<response_receiver> receiver)
 {
     head.headers.set("Host", address.value());
     auto const bytes = std::make_shared<std::string const>(http::format_request(head, body));
-    auto const call = std::make_shared<monitored_call>(loop, client, address, bytes,
+    auto const call = std::make_shared<monitored_call>(context, client, address, bytes,
                                                        progress_timeout, std::move(receiver));
     call->start();
     return call;
@@ -211,7 +229,7 @@
                                                      duration progress_timeout,
                                                      std::shared_ptr<response_receiver> receiver)
 {
-    return start_call(*this->context.loop, this->kept_connections, address, std::move(head), body,
+    return start_call(this->context, this->kept_connections, address, std::move(head), body,
                       progress_timeout, std::move(receiver));
 }
 
@@ -221,7 +239,7 @@
                                      std::shared_ptr<response_receiver> receiver)
 {
     head.headers.set("Connection", "close");
-    return start_call(*this->context.loop, this->single_connections, address, std::move(head), body,
+    return start_call(this->context, this->single_connections, address, std::move(head), body,
                       progress_timeout, std::move(receiver));
 }
 
--- a/src/process/completion/internal/traffic_router.cpp
+++ b/src/process/completion/internal/traffic_router.cpp
@@ -20,9 +20,11 @@
     return found == view.endpoints.end() ? no_endpoints : found->second;
 }
 
-bool is_serving(connection::endpoint_record const& endpoint, version_name const& version)
+bool is_serving(control_view const& view, connection::endpoint_record const& endpoint,
+                version_name const& version)
 {
-    return endpoint.version == version && endpoint.state == connection::endpoint_state::serving;
+    return endpoint.version == version && endpoint.state == connection::endpoint_state::serving &&
+           !version::is_evacuated(view.shared->evacuations, endpoint.data_centre);
 }
 
 std::uint32_t slots_of(connection::endpoint_record const& endpoint)
@@ -77,7 +79,7 @@
     std::vector<request::route_candidate> candidates;
     for (auto const& endpoint : endpoints)
     {
-        if (!is_serving(endpoint, query.version))
+        if (!is_serving(view, endpoint, query.version))
             continue;
         candidates.push_back({endpoint.id, endpoint.data_centre, endpoint.zone, endpoint.version,
                               endpoint.reclaimable, false, this->load.estimate(now, endpoint.id),
@@ -117,7 +119,7 @@
     return std::any_of(endpoints.begin(), endpoints.end(),
                        [&](auto const& endpoint)
                        {
-                           return is_serving(endpoint, version) &&
+                           return is_serving(view, endpoint, version) &&
                                   this->load.estimate(now, endpoint.id) < slots_of(endpoint);
                        });
 }
@@ -127,7 +129,7 @@
 {
     std::uint32_t total = 0;
     for (auto const& endpoint : endpoints_of(view, service))
-        if (is_serving(endpoint, version))
+        if (is_serving(view, endpoint, version))
             total += slots_of(endpoint);
     return total;
 }
--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -2,10 +2,12 @@
 #define LAGOONLADDER_CONFIG_SETTINGS_HPP
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include <lagoonladder/base.hpp>
+#include <lagoonladder/base/region.hpp>
 
 namespace lagoonladder::config
 {
@@ -74,6 +76,9 @@
     data_centre_id data_centre;
     zone_id zone;
 
+    /// [data_centres]: the region of each data centre of the deployment; empty if not stated.
+    std::map<data_centre_id, region_id> data_centres;
+
     // [listen]
     network_address http;
     network_address control;
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -21,6 +21,8 @@
                 locate(document.at(section.line), "section [" + section.kind + "] takes no name"));
         if (section.kind == "vm")
             document.require_known_keys(section, {"id", "data_centre", "zone"});
+        else if (section.kind == "data_centres")
+            continue;
         else if (section.kind == "listen")
             document.require_known_keys(section, {"http", "control"});
         else if (section.kind == "peers")
@@ -70,6 +72,16 @@
     result.zone = zone_id(zone);
 }
 
+/// Reads the section [data_centres], whose keys are the data centres.
+void parse_data_centres(ini_document const& document, settings& result)
+{
+    auto const* section = document.find("data_centres");
+    if (section == nullptr)
+        return;
+    for (auto const& entry : section->entries)
+        result.data_centres.emplace(data_centre_id(entry.key), region_id(entry.value));
+}
+
 /// Replaces the port of each address by the key "port" of section [peers], if it is set, because
 /// a configured address may name another port of the entry than the one for other daemons.
 void replace_ports(ini_section_reader const& peers, std::vector<network_address>& addresses)
@@ -218,6 +230,7 @@
         check_sections(document);
         settings result;
         parse_vm(document, result);
+        parse_data_centres(document, result);
         parse_network(document, result);
         parse_storage(document, result);
         parse_security(document, result);
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -87,3 +87,14 @@
                  }
              });
 }
+
+TEST_CASE("the data centres of the deployment and their regions are read")
+{
+    // Guards against an evacuation of a data centre of the deployment that is refused as unknown.
+    CHECK(parse_settings("s.ini", base_text).data_centres.empty());
+    CHECK(parse_settings("s.ini", base_text + "[data_centres]\n").data_centres.empty());
+    auto const parsed =
+        parse_settings("s.ini", base_text + "[data_centres]\nhob-a = tas\nsyd-a = nsw\n");
+    REQUIRE(parsed.data_centres.size() == 2);
+    CHECK(parsed.data_centres.at(data_centre_id("hob-a")) == region_id("tas"));
+}
--- a/src/process/control/include/lagoonladder/control.hpp
+++ b/src/process/control/include/lagoonladder/control.hpp
@@ -7,6 +7,7 @@
 #include <lagoonladder/control/cluster_token.hpp>
 #include <lagoonladder/control/control_loop.hpp>
 #include <lagoonladder/control/control_plane.hpp>
+#include <lagoonladder/control/data_centres.hpp>
 #include <lagoonladder/control/event_collector.hpp>
 #include <lagoonladder/control/peer_channels.hpp>
 
--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -173,6 +173,8 @@
         inputs.limits = *service.scaling;
         inputs.serving = this->serving_replicas(view, service.name);
         inputs.demand = demand;
+        inputs.evacuated = version::evacuated_data_centres(view.shared->evacuations);
+        this->forget_reductions(inputs.evacuated);
         bool const is_moving = has_two_versions(view, service.name);
         for (auto const& [data_centre, counts] : version::plan_capacity(inputs))
         {
@@ -186,6 +188,15 @@
     }
 }
 
+void capacity_driver::forget_reductions(std::set<data_centre_id> const& evacuated)
+{
+    for (auto& [key, state] : this->orders)
+    {
+        if (evacuated.contains(key.data_centre))
+            state.reduction_since.reset();
+    }
+}
+
 std::optional<std::uint32_t> capacity_driver::delay_reduction(order_state& state,
                                                               order_basis const& basis) const
 {
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -76,6 +76,8 @@
     bool observe_initial_demand(control_view const& view);
     /// Maximum demand within the demand window, in tokens per second.
     double peak_demand(control_view const& view);
+    /// Restarts the delay of reductions in data centres in which nothing is ordered at present.
+    void forget_reductions(std::set<data_centre_id> const& evacuated);
     /// Returns the number of replicas to order. A reduction takes effect only after the plan has
     /// called for it for a while; no value when there is nothing to order until then.
     std::optional<std::uint32_t> delay_reduction(order_state& state,
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -296,6 +296,9 @@
     this->metrics_registry.set("entries_sharing_limits", {},
                                static_cast<double>(current.portion.entries));
     this->metrics_registry.set("quota_accrues", {}, current.portion.may_accrue ? 1 : 0);
+    this->metrics_registry.set(
+        "evacuated_data_centres", {},
+        static_cast<double>(version::evacuated_data_centres(current.shared->evacuations).size()));
     for (auto const& [service, rows] : current.endpoints)
         this->metrics_registry.set("endpoints", {{"service", service.value()}},
                                    static_cast<double>(rows.size()));
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -44,6 +44,7 @@
     view->services = control.shared->services;
     view->splits = control.shared->splits;
     view->reversed = reversed_versions(control.shared->moves);
+    view->evacuated = version::evacuated_data_centres(control.shared->evacuations);
     view->endpoints = control.endpoints;
     for (auto const& entry : control.entries)
     {
--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -222,6 +222,8 @@
     if (version::missing_contents(status, *this->current_state).empty())
         return this->adopt(std::make_shared<version::shared_state const>(
             version::make_shared_state(status, *this->current_state, {})));
+    this->evacuations.record(status);
+    this->adopt(this->current_state);
     if (this->pending_status && status.applied_index < this->pending_status->applied_index)
         return;
     bool const awaited_content = this->awaits_content();
@@ -323,6 +325,7 @@
 
 void state_follower::adopt(std::shared_ptr<version::shared_state const> candidate)
 {
+    candidate = this->evacuations.complete(std::move(candidate));
     if (candidate == this->current_state)
         return;
     // A voter that lags behind may reply with an older state.
@@ -341,6 +344,7 @@
 
 void state_follower::report_change(version::shared_state const& previous)
 {
+    report_evacuations(previous, *this->current_state, this->events);
     if (previous.generation != this->current_state->generation)
         this->events.emit(
             severity::info, "configuration.in_force",
--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "content_fetcher.hpp"
+#include "evacuation_follower.hpp"
 
 namespace lagoonladder::control
 {
@@ -81,6 +82,7 @@
     std::function<void()> on_change;
     std::shared_ptr<version::shared_state const> current_state =
         std::make_shared<version::shared_state>();
+    evacuation_follower evacuations;
     /// Status whose contents are being fetched.
     std::optional<version::shared_status> pending_status;
     network_address pending_source;
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -237,3 +237,22 @@
     fixture.step_for(20, view);
     CHECK(fixture.platform.total() <= before);
 }
+
+TEST_CASE("nothing is ordered in an evacuated data centre until the evacuation ends")
+{
+    // Guards against engines that are ordered where no request is sent, and against releasing those
+    // that are needed again after the end.
+    capacity_driver_fixture fixture;
+    auto view = make_view(90, 2'700'000);
+    auto shared = std::make_shared<version::shared_state>(*view.shared);
+    data_centre_id const evacuated("b");
+    version::set_evacuated(shared->evacuations, evacuated, true, wall_time());
+    view.shared = shared;
+    fixture.step_for(20, view);
+    CHECK(fixture.platform.total() >= 90);
+    for (auto const& [key, replicas] : fixture.platform.orders)
+        CHECK(key.first != evacuated);
+    version::set_evacuated(shared->evacuations, evacuated, false, wall_time());
+    fixture.step_for(20, view);
+    CHECK(fixture.platform.orders.contains({evacuated, true}));
+}
--- a/src/process/daemon/internal/operator_api.cpp
+++ b/src/process/daemon/internal/operator_api.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "evacuation_orders.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -152,6 +154,9 @@
                authorised([this](auto const& exchange) { this->read_configuration(*exchange); }));
     routes.add("PUT", "/v1/operator/configuration",
                authorised([this](auto const& exchange) { this->apply_configuration(exchange); }));
+    routes.add("POST", "/v1/operator/evacuations",
+               authorised([this](auto const& exchange)
+                          { order_evacuation(this->options, this->control, exchange); }));
     routes.add("POST", "/v1/operator/drain",
                authorised([this](auto const& exchange) { this->drain(*exchange); }));
 }
@@ -192,6 +197,7 @@
             out["endpoints"].push_back(row);
     }
     out["voters"] = view->voters;
+    out["evacuations"] = describe_evacuations(*view);
     out["warnings"] = nlohmann::json::array();
     if (!view->ready)
         out["warnings"].push_back("the control state has not been read through a quorum yet");
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -342,6 +342,17 @@
     this->propose<version::start_move_result>(std::move(order), std::move(done));
 }
 
+void pass_through_plane::set_evacuation(version::set_evacuation order,
+                                        handler<version::evacuation_result> done)
+{
+    this->propose<version::evacuation_result>(std::move(order), std::move(done));
+}
+
+bool pass_through_plane::is_known(data_centre_id const& data_centre) const
+{
+    return control::is_known_data_centre(this->options, *this->control.view(), data_centre);
+}
+
 void pass_through_plane::announce(connection::endpoint_record row, acknowledgement_handler done)
 {
     if (row.state == connection::endpoint_state::leaving)
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -87,6 +87,9 @@
     void read_moves(handler<std::vector<version::move_record>> done) override;
     void start_move(version::start_service_move order,
                     handler<version::start_move_result> done) override;
+    void set_evacuation(version::set_evacuation order,
+                        handler<version::evacuation_result> done) override;
+    bool is_known(data_centre_id const& data_centre) const override;
     void announce(connection::endpoint_record row, acknowledgement_handler done) override;
     void remove(endpoint_id const& id, acknowledgement_handler done) override;
     std::vector<network_address> entry_addresses(zone_id const& zone,
--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -31,6 +31,11 @@
     virtual void read_moves(handler<std::vector<version::move_record>> done) = 0;
     virtual void start_move(version::start_service_move order,
                             handler<version::start_move_result> done) = 0;
+    /// Starts or ends the evacuation of a data centre.
+    virtual void set_evacuation(version::set_evacuation order,
+                                handler<version::evacuation_result> done) = 0;
+    /// Whether the deployment has the data centre.
+    virtual bool is_known(data_centre_id const& data_centre) const = 0;
 
     /// Receives whether a change may be acknowledged to the endpoint. False when the endpoint is
     /// leaving and no other entry knows it yet; the endpoint has to report it to another entry.
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -39,6 +39,8 @@
     std::map<service_name, version::traffic_split> splits;
     /// Per service, the versions whose last move was reversed; they get no traffic.
     std::map<service_name, std::set<version_name>> reversed;
+    /// Data centres whose endpoints receive no requests.
+    std::set<data_centre_id> evacuated;
     std::map<account_id, request::peer_demand> demand;
     /// Number of serving entries, including this one.
     std::uint32_t entries = 1;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -1,6 +1,7 @@
 #include <lagoonladder/proxy/call_proxy.hpp>
 
 #include "configuration_wait_queue.hpp"
+#include "evacuation_watch.hpp"
 #include "proxied_call.hpp"
 
 namespace lagoonladder::proxy
@@ -229,6 +230,7 @@
     auto const now = this->context->dependencies.time.now();
     this->publish_demand(now);
     this->context->crashes.tick(now);
+    leave_evacuated_endpoints(*this->context);
 }
 
 void call_proxy::publish_demand(time_point now)
--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -84,7 +84,7 @@
 
 bool endpoint_attempt::may_have_run() const
 {
-    return this->call && this->call->may_have_sent() && !this->received.is_not_executed;
+    return this->may_have_sent() && !this->received.is_not_executed;
 }
 
 http::head_action endpoint_attempt::on_head(http::response_head const& head)
--- a/src/process/proxy/internal/endpoint_attempt.hpp
+++ b/src/process/proxy/internal/endpoint_attempt.hpp
@@ -63,6 +63,8 @@
     endpoint_answer const& answer() const { return this->received; }
     unsigned status() const { return this->answer_status; }
     time_point started() const { return this->start_time; }
+    /// Whether any byte of the request may have reached the endpoint.
+    bool may_have_sent() const { return this->call && this->call->may_have_sent(); }
     /// Whether the endpoint may have executed the call, wholly or in part.
     bool may_have_run() const;
     /// Whether the endpoint or its connection ended the response, and not this entry.
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -96,7 +96,9 @@
     for (auto const& endpoint : service_endpoints->second)
         endpoints.push_back(&endpoint);
     remove_replaced(endpoints);
-    std::erase_if(endpoints, [](auto const* endpoint) { return !is_serving(*endpoint); });
+    std::erase_if(
+        endpoints, [&](auto const* endpoint)
+        { return !is_serving(*endpoint) || view.evacuated.contains(endpoint->data_centre); });
     auto const reversed = view.reversed.find(service);
     if (reversed != view.reversed.end())
         std::erase_if(endpoints, [&](auto const* endpoint)
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -4,6 +4,7 @@
 
 #include "call_report.hpp"
 #include "call_timing.hpp"
+#include "evacuation_watch.hpp"
 
 namespace lagoonladder::proxy
 {
@@ -65,10 +66,27 @@
     auto const endpoint = this->choose(this->tried_endpoints);
     if (!endpoint)
         return this->give_up(this->may_have_run ? refusal::endpoint_failed : refusal::no_endpoint,
-                             "no endpoint may be used");
+                             this->describe_missing_endpoint());
     this->send(*endpoint);
 }
 
+std::string proxied_call::describe_missing_endpoint() const
+{
+    auto const view = this->context->dependencies.control.view();
+    return has_only_evacuated_endpoints(*view, this->admitted.service)
+               ? "all endpoints of the service are in evacuated data centres"
+               : "no endpoint may be used";
+}
+
+void proxied_call::leave(std::set<data_centre_id> const& evacuated)
+{
+    if (this->is_over || !this->current_attempt || this->current_attempt->may_have_sent() ||
+        !evacuated.contains(this->current_attempt->endpoint().data_centre))
+        return;
+    this->cancel_attempt();
+    this->try_next();
+}
+
 std::optional<connection::endpoint_record>
 proxied_call::choose(std::vector<endpoint_id> const& excluded)
 {
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_PROXY_PROXIED_CALL_HPP
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,10 @@
     /// been executed.
     void end_at_stop();
 
+    /// Sends the call elsewhere if it waits for a connection to an endpoint in one of the data
+    /// centres, so that nothing was sent yet.
+    void leave(std::set<data_centre_id> const& evacuated);
+
     void on_answer(endpoint_attempt& attempt, http::response_head const& head) override;
     void on_answer_bytes(endpoint_attempt& attempt, std::string_view bytes) override;
     void on_attempt_end(endpoint_attempt& attempt, attempt_result result,
@@ -40,6 +45,7 @@
 private:
     void try_next();
     std::optional<connection::endpoint_record> choose(std::vector<endpoint_id> const& excluded);
+    std::string describe_missing_endpoint() const;
     void send(connection::endpoint_record const& endpoint);
     /// Counts the prompt at the engine and notifies the other entries of it.
     void broadcast_prompt(connection::endpoint_record const& endpoint);
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -8,6 +8,7 @@
 #include <lagoonladder/version/configuration.hpp>
 #include <lagoonladder/version/content.hpp>
 #include <lagoonladder/version/control_state.hpp>
+#include <lagoonladder/version/evacuation.hpp>
 #include <lagoonladder/version/move_controller.hpp>
 #include <lagoonladder/version/order_book.hpp>
 #include <lagoonladder/version/service_map.hpp>
--- a/src/version/include/lagoonladder/version/capacity_plan.hpp
+++ b/src/version/include/lagoonladder/version/capacity_plan.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 #include <lagoonladder/version/service_map.hpp>
 
@@ -40,9 +41,12 @@
     capacity_by_data_centre serving;
     /// Tokens per second that callers request.
     double demand = 0;
+    /// Data centres whose replicas receive no requests. The plan leaves them out.
+    std::set<data_centre_id> evacuated;
 };
 
-/// Returns the number of replicas to order in each data centre that the limits list.
+/// Returns the number of replicas to order in each data centre that the limits list and that is
+/// not evacuated.
 ///
 /// On-demand replicas serve a fixed fraction of the demand. Reclaimable ones serve the rest
 /// if they are cheaper; each data centre gets enough of them that the other data centres
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -106,15 +106,24 @@
     std::uint64_t window = 0;
 };
 
+/// Command: starts or ends the evacuation of a data centre, whose endpoints receive no requests
+/// meanwhile. Has no effect if the data centre is in that state already, so it may be resent.
+struct set_evacuation
+{
+    data_centre_id data_centre;
+    bool is_evacuated = false;
+};
+
 /// Returns the command that puts a configuration in force. Throws parse_error if the
 /// configuration is too large.
 apply_service_map make_apply_command(service_configuration const& value);
 
-using command_body = std::variant<apply_configuration, update_move, reserve_orders, expire_records,
-                                  request::at_most_once_begin, request::at_most_once_refuse,
-                                  request::at_most_once_finish, apply_service_map,
-                                  read_pass_through_state, start_service_move, close_usage_window,
-                                  confirm_usage_window, add_usage, store_content_part>;
+using command_body =
+    std::variant<apply_configuration, update_move, reserve_orders, expire_records,
+                 request::at_most_once_begin, request::at_most_once_refuse,
+                 request::at_most_once_finish, apply_service_map, read_pass_through_state,
+                 start_service_move, close_usage_window, confirm_usage_window, add_usage,
+                 store_content_part, set_evacuation>;
 
 /// A command as stored in the log. `now` is set by the leader and never decreases.
 struct command
@@ -215,10 +224,16 @@
     usage_window window;
 };
 
+struct evacuation_result
+{
+    /// False if the data centre was in the requested state already.
+    bool is_changed = false;
+};
+
 using command_result =
     std::variant<no_result, apply_result, update_move_result, reserve_orders_result,
                  request::at_most_once_reply, apply_map_result, pass_through_state_result,
-                 start_move_result, usage_window_result>;
+                 start_move_result, usage_window_result, evacuation_result>;
 
 /// Encodes as MessagePack. decode_command_result throws parse_error on damaged bytes.
 std::string encode(command_result const& value);
@@ -286,6 +301,7 @@
     command_result apply_body(confirm_usage_window const& body);
     command_result apply_body(add_usage const& body);
     command_result apply_body(store_content_part const& body);
+    command_result apply_body(set_evacuation const& body);
     apply_result conflict_result(lagoonladder::generation base) const;
     void store(apply_configuration const& body, configuration parsed, std::string digest);
     /// Puts a pass-through configuration in force. Returns why it cannot, or an empty text.
--- a/src/version/include/lagoonladder/version/shared_state.hpp
+++ b/src/version/include/lagoonladder/version/shared_state.hpp
@@ -12,6 +12,7 @@
 
 #include <lagoonladder/version/configuration.hpp>
 #include <lagoonladder/version/content.hpp>
+#include <lagoonladder/version/evacuation.hpp>
 #include <lagoonladder/version/service_map.hpp>
 
 namespace lagoonladder::version
@@ -79,6 +80,7 @@
     packed_content configuration_content;
     std::vector<move_record> moves;
     std::map<service_name, traffic_split> splits;
+    evacuation_records evacuations;
     /// Pass-through configuration in force; null before the first one.
     std::shared_ptr<service_index const> services;
     /// Packed pass-through configuration with the operator's text.
@@ -93,6 +95,7 @@
     lagoonladder::generation generation;
     std::vector<move_record> moves;
     std::map<service_name, traffic_split> splits;
+    evacuation_records evacuations;
     content_digest configuration_content;
     content_digest service_content;
 };
--- a/src/version/internal/capacity_plan.cpp
+++ b/src/version/internal/capacity_plan.cpp
@@ -83,11 +83,22 @@
     }
 }
 
+/// Returns the inputs for the data centres that are not evacuated.
+capacity_inputs without_evacuated(capacity_inputs inputs)
+{
+    for (auto const& data_centre : inputs.evacuated)
+        inputs.limits.prices.erase(data_centre);
+    inputs.evacuated.clear();
+    return inputs;
+}
+
 } // namespace
 
 capacity_by_data_centre plan_capacity(capacity_inputs const& inputs,
                                       capacity_options const& options)
 {
+    if (!inputs.evacuated.empty())
+        return plan_capacity(without_evacuated(inputs), options);
     auto const& limits = inputs.limits;
     auto const needed_engines = engines_for(inputs.demand, options);
     bool const uses_reclaimable = limits.reclaimable_price < 1;
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -143,6 +143,17 @@
     in.at("window").get_to(out.window);
 }
 
+static void to_json(nlohmann::json& out, set_evacuation const& in)
+{
+    out = {{"data_centre", in.data_centre}, {"is_evacuated", in.is_evacuated}};
+}
+
+static void from_json(nlohmann::json const& in, set_evacuation& out)
+{
+    in.at("data_centre").get_to(out.data_centre);
+    in.at("is_evacuated").get_to(out.is_evacuated);
+}
+
 static void to_json(nlohmann::json& out, apply_map_result const& in)
 {
     out = {{"stored", in.stored},
@@ -193,6 +204,16 @@
     in.at("window").get_to(out.window);
 }
 
+static void to_json(nlohmann::json& out, evacuation_result const& in)
+{
+    out = {{"is_changed", in.is_changed}};
+}
+
+static void from_json(nlohmann::json const& in, evacuation_result& out)
+{
+    in.at("is_changed").get_to(out.is_changed);
+}
+
 static void to_json(nlohmann::json& out, no_result const&)
 {
     out = nullptr;
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -262,6 +262,15 @@
     return start_move_result{started ? start_move_outcome::started : start_move_outcome::repeated};
 }
 
+command_result control_state::apply_body(set_evacuation const& body)
+{
+    bool const is_changed = set_evacuated(this->current_state.evacuations, body.data_centre,
+                                          body.is_evacuated, this->time);
+    if (is_changed)
+        this->current_state.changed_index = this->index;
+    return evacuation_result{is_changed};
+}
+
 command_result control_state::apply_body(add_usage const& body)
 {
     for (auto const& report : body.reports)
--- a/src/version/internal/shared_state.cpp
+++ b/src/version/internal/shared_state.cpp
@@ -157,6 +157,7 @@
            {"text", in.text},
            {"moves", in.moves},
            {"splits", splits_json(in.splits)},
+           {"evacuations", evacuations_json(in.evacuations)},
            {"service_content", in.service_content}};
 }
 
@@ -170,6 +171,7 @@
     in.at("text").get_to(out.text);
     in.at("moves").get_to(out.moves);
     out.splits = splits_from(in.at("splits"));
+    out.evacuations = evacuations_from(in);
     out.configuration = parse_stored_configuration(out.file, out.text);
     if (out.generation.value() > 0)
         out.configuration_content = pack_configuration(out.file, out.text);
@@ -191,6 +193,7 @@
             state.generation,
             state.moves,
             state.splits,
+            state.evacuations,
             state.configuration_content.digest,
             state.service_content.digest};
 }
@@ -223,6 +226,7 @@
     state.generation = status.generation;
     state.moves = status.moves;
     state.splits = status.splits;
+    state.evacuations = status.evacuations;
     return state;
 }
 
@@ -234,6 +238,7 @@
                           {"generation", value.generation},
                           {"moves", value.moves},
                           {"splits", splits_json(value.splits)},
+                          {"evacuations", evacuations_json(value.evacuations)},
                           {"configuration", value.configuration_content},
                           {"services", value.service_content}});
 }
@@ -250,6 +255,7 @@
                                    in.at("generation").get_to(out.generation);
                                    in.at("moves").get_to(out.moves);
                                    out.splits = splits_from(in.at("splits"));
+                                   out.evacuations = evacuations_from(in);
                                    in.at("configuration").get_to(out.configuration_content);
                                    in.at("services").get_to(out.service_content);
                                    return out;
