Bind calls to the home regions of their route and account

A route or an account may state the regions that may serve it (allowedRegions). The field was ignored.

Both bind where both are stated. usable_endpoints leaves out endpoints elsewhere before it looks at versions; without an endpoint the call is refused with 503 and Retry-After. /resolve names entries in a home region or in the caller's, if there is one, for a host whose routes all have homes. Regions follow from the section [data_centres] of the settings; a data centre without a region lies in none.

--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -39,6 +39,7 @@
     view->vm = config.vm;
     view->data_centre = config.data_centre;
     view->portion = control.portion;
+    view->regions = config.data_centres;
     if (!control.shared)
         return view;
     view->services = control.shared->services;
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "home_entries.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -367,17 +369,23 @@
     this->control.remove_endpoint(id, this->on_traffic_thread(std::move(done)));
 }
 
-std::vector<network_address> pass_through_plane::entry_addresses(zone_id const& zone,
-                                                                 std::size_t max_count) const
+std::vector<network_address>
+pass_through_plane::entry_addresses(proxy::directory_query const& query,
+                                    std::size_t max_count) const
 {
-    auto serving_entries = this->control.view()->entries;
+    auto const current = this->control.view();
+    auto serving_entries = current->entries;
     std::erase_if(serving_entries,
                   [](connection::entry_record const& entry) {
                       return entry.pass_through.value().empty() ||
                              entry.state != connection::entry_state::serving;
                   });
+    if (current->shared && current->shared->services)
+        keep_home_entries(version::home_regions(*current->shared->services, query.host),
+                          query.region, this->options.data_centres, serving_entries);
     std::vector<network_address> addresses;
-    for (auto const& entry : connection::entries_for_callers(serving_entries, zone, max_count))
+    for (auto const& entry :
+         connection::entries_for_callers(serving_entries, query.zone, max_count))
         addresses.push_back(entry.pass_through);
     return addresses;
 }
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -92,7 +92,7 @@
     bool is_known(data_centre_id const& data_centre) const override;
     void announce(connection::endpoint_record row, acknowledgement_handler done) override;
     void remove(endpoint_id const& id, acknowledgement_handler done) override;
-    std::vector<network_address> entry_addresses(zone_id const& zone,
+    std::vector<network_address> entry_addresses(proxy::directory_query const& query,
                                                  std::size_t max_count) const override;
     bool accepts_calls() const override;
 
--- a/src/process/proxy/include/lagoonladder/proxy/call.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call.hpp
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include <lagoonladder/base/region.hpp>
 #include <lagoonladder/connection.hpp>
 #include <lagoonladder/http.hpp>
 #include <lagoonladder/request.hpp>
@@ -37,6 +39,8 @@
     std::optional<std::uint64_t> last_event;
     /// Why the request is malformed; empty for a valid one.
     std::string problem;
+    /// Regions whose endpoints may serve the call; no value for all.
+    std::optional<std::set<region_id>> regions;
 };
 
 /// Header fields that the proxy adds to the caller's own when it sends a request to an endpoint.
--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -6,12 +6,22 @@
 #include <string>
 #include <vector>
 
+#include <lagoonladder/base/region.hpp>
 #include <lagoonladder/connection.hpp>
 #include <lagoonladder/version.hpp>
 
 namespace lagoonladder::proxy
 {
 
+/// What a caller that asks for entries states about itself.
+struct directory_query
+{
+    zone_id zone;
+    region_id region;
+    /// Host that the caller will call; empty if not stated.
+    std::string host;
+};
+
 /// Requests of operators, endpoints and callers other than the calls that are passed through.
 /// Safe to call from any thread; handlers run on the event loop that serves the calls.
 class operations
@@ -45,9 +55,10 @@
     /// Removes an endpoint that is shutting down and accepts no more requests.
     virtual void remove(endpoint_id const& id, acknowledgement_handler done) = 0;
 
-    /// Returns the addresses of at most `max_count` entries that accept calls, for callers in
-    /// `zone`.
-    virtual std::vector<network_address> entry_addresses(zone_id const& zone,
+    /// Returns the addresses of at most `max_count` entries that accept calls. For a host whose
+    /// routes all have home regions, they are in one of these or in the caller's region, unless
+    /// no entry is.
+    virtual std::vector<network_address> entry_addresses(directory_query const& query,
                                                          std::size_t max_count) const = 0;
     /// Whether this entry accepts calls.
     virtual bool accepts_calls() const = 0;
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -41,6 +41,8 @@
     std::map<service_name, std::set<version_name>> reversed;
     /// Data centres whose endpoints receive no requests.
     std::set<data_centre_id> evacuated;
+    /// Regions of the data centres, as the settings state them.
+    std::map<data_centre_id, region_id> regions;
     std::map<account_id, request::peer_demand> demand;
     /// Number of serving entries, including this one.
     std::uint32_t entries = 1;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration_wait_queue.hpp"
 #include "evacuation_watch.hpp"
+#include "home_regions.hpp"
 #include "proxied_call.hpp"
 
 namespace lagoonladder::proxy
@@ -146,6 +147,7 @@
     }
     if (admission.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admission);
+    call.regions = find_regions(*admission.route, admission.account);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admission))
         ->start();
 }
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "home_regions.hpp"
+
 namespace lagoonladder::proxy
 {
 
@@ -86,7 +88,8 @@
 } // namespace
 
 endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
-                                          request_id const& call)
+                                          request_id const& call,
+                                          std::optional<std::set<region_id>> const& regions)
 {
     auto const service_endpoints = view.endpoints.find(service);
     if (service_endpoints == view.endpoints.end())
@@ -96,9 +99,13 @@
     for (auto const& endpoint : service_endpoints->second)
         endpoints.push_back(&endpoint);
     remove_replaced(endpoints);
-    std::erase_if(
-        endpoints, [&](auto const* endpoint)
-        { return !is_serving(*endpoint) || view.evacuated.contains(endpoint->data_centre); });
+    std::erase_if(endpoints,
+                  [&](auto const* endpoint)
+                  {
+                      return !is_serving(*endpoint) ||
+                             view.evacuated.contains(endpoint->data_centre) ||
+                             !is_in_regions(view, endpoint->data_centre, regions);
+                  });
     auto const reversed = view.reversed.find(service);
     if (reversed != view.reversed.end())
         std::erase_if(endpoints, [&](auto const* endpoint)
@@ -136,7 +143,7 @@
                          incoming_call const& call, std::vector<endpoint_id> const& excluded,
                          random_source& random)
 {
-    auto endpoints = usable_endpoints(view, service, call.id);
+    auto endpoints = usable_endpoints(view, service, call.id, call.regions);
     std::erase_if(endpoints,
                   [&](auto const* endpoint) { return this->is_replaced(now, *endpoint); });
     std::vector<request::route_candidate> candidates;
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -89,9 +89,11 @@
 /// dozen strings.
 using endpoint_record_pointers = std::vector<connection::endpoint_record const*>;
 
-/// Returns the endpoints of the service that a call may be sent to by their state and version.
-endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
-                                          request_id const& call);
+/// Returns the endpoints of the service that a call may be sent to by their state, their data
+/// centre and version. No value for `regions` means all.
+endpoint_record_pointers
+usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call,
+                 std::optional<std::set<region_id>> const& regions = std::nullopt);
 
 } // namespace lagoonladder::proxy
 
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -73,9 +73,10 @@
 std::string proxied_call::describe_missing_endpoint() const
 {
     auto const view = this->context->dependencies.control.view();
-    return has_only_evacuated_endpoints(*view, this->admitted.service)
-               ? "all endpoints of the service are in evacuated data centres"
-               : "no endpoint may be used";
+    if (has_only_evacuated_endpoints(*view, this->admitted.service))
+        return "all endpoints of the service are in evacuated data centres";
+    return this->call.regions ? "no endpoint in the regions of the call may be used"
+                              : "no endpoint may be used";
 }
 
 void proxied_call::leave(std::set<data_centre_id> const& evacuated)
--- a/src/version/include/lagoonladder/version/service_map.hpp
+++ b/src/version/include/lagoonladder/version/service_map.hpp
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <lagoonladder/base.hpp>
+#include <lagoonladder/base/region.hpp>
 
 namespace lagoonladder::version
 {
@@ -58,6 +60,8 @@
     /// Maximum number of endpoints that one call is sent to.
     std::uint32_t max_attempts = 1;
     std::vector<weighted_service> split;
+    /// Regions whose endpoints may serve the route; empty for all.
+    std::vector<region_id> regions;
 };
 
 /// Limits of the replicas that may be ordered for a service.
@@ -105,6 +109,8 @@
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority;
     std::optional<token_quota> quota;
+    /// Regions whose endpoints may serve the account; empty for all.
+    std::vector<region_id> regions;
 };
 
 /// Limits of the requests that a caller may send.
@@ -175,6 +181,10 @@
     std::map<std::string, pass_through_account const*> keys;
 };
 
+/// Returns the regions that may serve calls to the host; empty for all. A host has them if each of
+/// its routes states some.
+std::set<region_id> home_regions(service_index const& index, std::string_view host);
+
 } // namespace lagoonladder::version
 
 #endif
--- a/src/version/internal/service_map.cpp
+++ b/src/version/internal/service_map.cpp
@@ -292,4 +292,18 @@
     return found == all.end() ? nullptr : &*found;
 }
 
+std::set<region_id> home_regions(service_index const& index, std::string_view host)
+{
+    std::set<region_id> regions;
+    for (auto const& route : index.map().routes)
+    {
+        if (route.host != host)
+            continue;
+        if (route.regions.empty())
+            return {};
+        regions.insert(route.regions.begin(), route.regions.end());
+    }
+    return regions;
+}
+
 } // namespace lagoonladder::version
--- a/src/version/internal/service_map_codec.cpp
+++ b/src/version/internal/service_map_codec.cpp
@@ -31,6 +31,8 @@
         target.set_service(part.service.value());
         target.set_weight(part.weight);
     }
+    for (auto const& region : in.regions)
+        out.add_regions(region.value());
 }
 
 pass_through_route read(protocol::PassRoute& in)
@@ -51,6 +53,8 @@
     out.max_attempts = in.max_attempts();
     for (auto const& part : in.split())
         out.split.push_back({service_name(part.service()), part.weight()});
+    for (auto const& region : in.regions())
+        out.regions.emplace_back(region);
     return out;
 }
 
@@ -113,6 +117,8 @@
         out.add_keys(key);
     if (in.priority)
         out.set_priority(*in.priority);
+    for (auto const& region : in.regions)
+        out.add_regions(region.value());
     if (!in.quota)
         return;
     auto& quota = *out.mutable_quota();
@@ -131,6 +137,8 @@
     if (in.has_quota())
         out.quota = token_quota{in.quota().tokens_per_second(), in.quota().burst(),
                                 in.quota().default_tokens()};
+    for (auto const& region : in.regions())
+        out.regions.emplace_back(region);
     return out;
 }
 
