--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -6,12 +6,22 @@
 #include <string>
 #include <vector>
 
+#include <lagoonladder/base/region.hpp>
 #include <lagoonladder/connection.hpp>
 #include <lagoonladder/version.hpp>
 
 namespace lagoonladder::proxy
 {
 
+/// What a caller that asks for entries states about itself.
+struct directory_query
+{
+    zone_id zone;
+    region_id region;
+    /// Host that the caller will call; empty if not stated.
+    std::string host;
+};
+
 /// Requests of operators, endpoints and callers other than the calls that are passed through.
 /// Safe to call from any thread; handlers run on the event loop that serves the calls.
 class operations
@@ -31,6 +41,11 @@
     virtual void read_moves(handler<std::vector<version::move_record>> done) = 0;
     virtual void start_move(version::start_service_move order,
                             handler<version::start_move_result> done) = 0;
+    /// Starts or ends the evacuation of a data centre.
+    virtual void set_evacuation(version::set_evacuation order,
+                                handler<version::evacuation_result> done) = 0;
+    /// Whether the deployment has the data centre.
+    virtual bool is_known(data_centre_id const& data_centre) const = 0;
 
     /// Receives whether a change may be acknowledged to the endpoint. False when the endpoint is
     /// leaving and no other entry knows it yet; the endpoint has to report it to another entry.
@@ -40,9 +55,10 @@
     /// Removes an endpoint that is shutting down and accepts no more requests.
     virtual void remove(endpoint_id const& id, acknowledgement_handler done) = 0;
 
-    /// Returns the addresses of at most `max_count` entries that accept calls, for callers in
-    /// `zone`.
-    virtual std::vector<network_address> entry_addresses(zone_id const& zone,
+    /// Returns the addresses of at most `max_count` entries that accept calls. For a host whose
+    /// routes all have home regions, they are in one of these or in the caller's region, unless
+    /// no entry is.
+    virtual std::vector<network_address> entry_addresses(directory_query const& query,
                                                          std::size_t max_count) const = 0;
     /// Whether this entry accepts calls.
     virtual bool accepts_calls() const = 0;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -1,6 +1,8 @@
 #include <lagoonladder/proxy/call_proxy.hpp>
 
 #include "configuration_wait_queue.hpp"
+#include "evacuation_watch.hpp"
+#include "home_regions.hpp"
 #include "proxied_call.hpp"
 
 namespace lagoonladder::proxy
@@ -147,6 +149,7 @@
     }
     if (admission.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admission);
+    call.regions = find_regions(*admission.route, admission.account);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admission))
         ->start();
 }
@@ -238,6 +241,7 @@
     auto const now = this->context->dependencies.time.now();
     this->publish_demand(now);
     this->context->crashes.tick(now);
+    leave_evacuated_endpoints(*this->context);
     this->observe_endpoints(now);
 }
 
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -29,7 +29,7 @@
     /// Returns the time until one of the endpoints that choose() may use may get a request, for a
     /// call that got none; no value when they are not cold.
     std::optional<duration> time_until_room(time_point now, traffic_view const& view,
-                                            service_name const& service, request_id const& call,
+                                            service_name const& service, incoming_call const& call,
                                             std::vector<endpoint_id> const& excluded) const;
     endpoint_pacing& pacing() { return this->started_endpoints; }
 
@@ -100,9 +100,11 @@
     std::uint64_t next_report = 1;
 };
 
-/// Returns the endpoints of the service that a call may be sent to by their state and version.
-endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
-                                          request_id const& call);
+/// Returns the endpoints of the service that a call may be sent to by their state, their data
+/// centre and version. No value for `regions` means all.
+endpoint_record_pointers
+usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call,
+                 std::optional<std::set<region_id>> const& regions = std::nullopt);
 
 } // namespace lagoonladder::proxy
 
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -4,6 +4,7 @@
 
 #include "call_report.hpp"
 #include "call_timing.hpp"
+#include "evacuation_watch.hpp"
 
 namespace lagoonladder::proxy
 {
@@ -68,6 +69,24 @@
     this->send(*endpoint);
 }
 
+std::string proxied_call::describe_missing_endpoint() const
+{
+    auto const view = this->context->dependencies.control.view();
+    if (has_only_evacuated_endpoints(*view, this->admitted.service))
+        return "all endpoints of the service are in evacuated data centres";
+    return this->call.regions ? "no endpoint in the regions of the call may be used"
+                              : "no endpoint may be used";
+}
+
+void proxied_call::leave(std::set<data_centre_id> const& evacuated)
+{
+    if (this->is_over || !this->current_attempt || this->current_attempt->may_have_sent() ||
+        !evacuated.contains(this->current_attempt->endpoint().data_centre))
+        return;
+    this->cancel_attempt();
+    this->try_next();
+}
+
 std::optional<connection::endpoint_record>
 proxied_call::choose(std::vector<endpoint_id> const& excluded)
 {
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -49,14 +49,14 @@
 void proxied_call::give_up_without_endpoint()
 {
     if (this->may_have_run)
-        return this->give_up(refusal::endpoint_failed, "no endpoint may be used");
+        return this->give_up(refusal::endpoint_failed, this->describe_missing_endpoint());
     auto const view = this->context->dependencies.control.view();
     auto const wait = this->context->chooser.time_until_room(this->context->dependencies.time.now(),
                                                              *view, this->admitted.service,
-                                                             this->call.id, this->tried_endpoints);
+                                                             this->call, this->tried_endpoints);
     if (wait && *wait > duration(0))
         return this->give_up(refusal::cold_endpoints, "only cold endpoints are left", wait);
-    this->give_up(refusal::no_endpoint, "no endpoint may be used");
+    this->give_up(refusal::no_endpoint, this->describe_missing_endpoint());
 }
 
 void proxied_call::give_up(refusal reason, std::string const& detail,
