Count endpoints as possibly cold when the evacuation of their data centre ends

The end of an evacuation shows as the change from one view to the next, and endpoints may have become cold during it. The view is checked at each choice, so that no call passes before the next tick.

--- a/src/process/proxy/internal/endpoint_pacing.cpp
+++ b/src/process/proxy/internal/endpoint_pacing.cpp
@@ -47,6 +47,7 @@
 
 void endpoint_pacing::tick(time_point now, traffic_view const& view)
 {
+    this->set_evacuated(now, view, view.evacuated);
     std::vector<vm_id> entries;
     for (auto const& entry : view.serving)
         entries.push_back(entry.vm);
@@ -79,6 +80,8 @@
                              std::vector<endpoint_id> const& tried, random_source& random,
                              endpoint_record_pointers& endpoints)
 {
+    // The view may have changed since the last tick.
+    this->set_evacuated(now, view, view.evacuated);
     auto const limit = find_limit(view, service);
     if (!this->decisions.applies_to(limit))
         return;
