Select entries from the directory of the control thread

GET /v1/entries could name an entry that went minutes ago: entry_selector kept a directory of its own, which was filled only when a caller asked. It took each row as new at the first question, and a gap of 3 s between questions as a pause of its own process.

It now reads the directory that the control thread publishes with each view, and the time of the question decides on the health of an entry. The harness of the tests publishes such a directory too.

--- a/src/process/completion/internal/entry_selector.hpp
+++ b/src/process/completion/internal/entry_selector.hpp
@@ -1,17 +1,17 @@
 #ifndef LAGOONLADDER_COMPLETION_ENTRY_SELECTOR_HPP
 #define LAGOONLADDER_COMPLETION_ENTRY_SELECTOR_HPP
 
-#include <memory>
-#include <mutex>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <lagoonladder/completion/traffic_context.hpp>
 
 namespace lagoonladder::completion
 {
 
-/// Selects entries for callers and companions for requests. The health of an entry is derived
-/// from the heartbeats in successive views. Thread-safe.
+/// Selects entries for callers and companions for requests from the directory of a view, which the
+/// control thread keeps up to date. Thread-safe.
 class entry_selector
 {
 public:
@@ -22,23 +22,17 @@
 
     /// Entries that a caller should use, most suitable first.
     std::vector<connection::entry_record> list_for(control_view const& view,
-                                                   std::string const& caller);
+                                                   std::string const& caller) const;
 
     /// Companion for a request; no value if there is no other entry.
     std::optional<connection::entry_record> companion_for(control_view const& view,
-                                                          std::string const& key);
+                                                          std::string const& key) const;
 
     /// The record of an entry in the view, regardless of its health; null if there is none.
     static connection::entry_record const* find(control_view const& view, vm_id const& vm);
 
 private:
-    /// Merges the entries of the view into the directory, at most once per update interval.
-    connection::entry_directory& update(control_view const& view);
-
     traffic_context& context;
-    std::mutex mutex;
-    std::unique_ptr<connection::entry_directory> directory;
-    std::optional<time_point> last_update;
 };
 
 } // namespace lagoonladder::completion
--- a/src/process/completion/tests/traffic_harness.cpp
+++ b/src/process/completion/tests/traffic_harness.cpp
@@ -96,6 +96,23 @@
     this->endpoints.at(id).state = connection::endpoint_state::leaving;
 }
 
+std::shared_ptr<connection::entry_directory const>
+memory_control_plane::make_directory(control_view const& view) const
+{
+    connection::entry_record own;
+    own.vm = this->self;
+    for (auto const& entry : view.entries)
+    {
+        if (entry.vm == this->self)
+            own = entry;
+    }
+    if (view.leaving)
+        own.state = connection::entry_state::leaving;
+    auto directory = std::make_shared<connection::entry_directory>(own);
+    directory->merge(this->cluster.time.now(), view.entries);
+    return directory;
+}
+
 std::shared_ptr<control::control_view const> memory_control_plane::view() const
 {
     auto view = std::make_shared<control::control_view>();
@@ -108,6 +125,7 @@
         view->endpoints[record.service].push_back(record);
     for (auto const& [id, record] : this->cluster.entries)
         view->entries.push_back(record);
+    view->directory = this->make_directory(*view);
     return view;
 }
 
--- a/src/process/completion/tests/traffic_harness.hpp
+++ b/src/process/completion/tests/traffic_harness.hpp
@@ -60,6 +60,10 @@
     std::vector<version::traffic_sample> samples() const;
 
 private:
+    /// Returns the directory that the control thread of the entry would publish.
+    std::shared_ptr<connection::entry_directory const>
+    make_directory(control_view const& view) const;
+
     memory_cluster& cluster;
     vm_id const self;
     mutable std::mutex mutex;
