Apply the admission under overload to pass-through calls

With [pass_through] overload_admission = true an entry asks request::overload_admission about each call of a model service, after the checks of route, account and quota and before it borrows tokens, so that a refused call takes none. The Retry-After of quota refusals and of refusals by endpoints is spread in the same way. The default is off, which leaves other deployments as they are.

--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -58,6 +58,9 @@
     /// service's requests during its move, and `exposure_requests` more.
     double exposure_share = 0.1;
     double exposure_requests = 50;
+    /// Whether calls of model services are refused by priority and fairness while the engines have
+    /// too little room.
+    bool has_overload_admission = false;
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -45,10 +45,11 @@
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
             document.require_known_keys(
-                section, {"callers", "control", "directory", "readiness", "metrics", "platform_api",
-                          "max_connections", "retry_share", "retry_burst", "retry_window",
-                          "quota_span", "quota_overshoot", "quota_tolerance", "exposure_share",
-                          "exposure_requests", "usage_window", "duty_lease", "directory_age"});
+                section,
+                {"callers", "control", "directory", "readiness", "metrics", "platform_api",
+                 "max_connections", "retry_share", "retry_burst", "retry_window", "quota_span",
+                 "quota_overshoot", "quota_tolerance", "exposure_share", "exposure_requests",
+                 "usage_window", "duty_lease", "directory_age", "overload_admission"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -202,6 +203,7 @@
     section.read_number("quota_tolerance", out.quota_tolerance, 0, 1e12);
     section.read_number("exposure_share", out.exposure_share, 0, 1);
     section.read_number("exposure_requests", out.exposure_requests, 0, 1e9);
+    section.read("overload_admission", out.has_overload_admission);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -47,6 +47,15 @@
                       Contains("exposure_share"));
 }
 
+TEST_CASE("the admission of calls under overload is off unless the settings switch it on")
+{
+    // Guards against a change of behaviour of deployments that do not ask for it.
+    CHECK_FALSE(parse_settings("s.ini", base_text).pass_through.has_overload_admission);
+    auto const section = base_text + "[pass_through]\noverload_admission = ";
+    CHECK(parse_settings("s.ini", section + "true\n").pass_through.has_overload_admission);
+    CHECK_THROWS_WITH(parse_settings("s.ini", section + "maybe\n"), Contains("overload_admission"));
+}
+
 TEST_CASE("settings errors name file and line")
 {
     // Guards against a mistyped key or unit being ignored without an error.
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -28,6 +28,7 @@
     options.retry_burst = config.retry_burst;
     options.retry_window = config.retry_window;
     options.quota = {config.quota_window, config.quota_overshoot, config.quota_tolerance};
+    options.has_overload_admission = config.has_overload_admission;
     return options;
 }
 
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -32,6 +32,9 @@
     quota_tolerance quota;
     /// Window over which the retries of all entries are limited.
     duration retry_window = seconds(10);
+    /// Refuse calls of model services by priority and fairness while the engines have too little
+    /// room.
+    bool has_overload_admission = false;
 };
 
 /// Passes calls through to endpoints. To be used on its event loop only.
@@ -90,6 +93,9 @@
     /// Sends the call to an endpoint, or refuses it when `admission` has a reason.
     void start(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                struct call_admission admission);
+    /// Refuses the call when the engines have too little room for it, and puts its tokens back.
+    void check_capacity(time_point now, traffic_view const& view, incoming_call const& call,
+                        struct call_admission& admission);
     /// Makes the call wait for a configuration newer than that of `refusing_view`, with which it
     /// was refused. Returns false when the call may not wait.
     bool wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -124,6 +124,8 @@
         return "no_endpoint";
     case refusal::overloaded:
         return "overloaded";
+    case refusal::no_capacity:
+        return "no_capacity";
     case refusal::too_late:
         return "too_late";
     case refusal::endpoint_failed:
@@ -161,6 +163,7 @@
     case refusal::no_configuration:
     case refusal::no_endpoint:
     case refusal::overloaded:
+    case refusal::no_capacity:
     case refusal::too_late:
         return 503;
     case refusal::endpoint_failed:
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_PROXY_CALL_ADMISSION_HPP
 
 #include <memory>
+#include <vector>
 
 #include <lagoonladder/proxy/call.hpp>
 #include <lagoonladder/proxy/call_proxy.hpp>
@@ -25,6 +26,8 @@
     over_quota,
     no_endpoint,
     overloaded,
+    /// The engines have too little room for a call of this priority and account.
+    no_capacity,
     /// The deadline passed before the call was sent to an endpoint.
     too_late,
     /// The endpoint sent no complete response.
@@ -63,6 +66,8 @@
     request::token_shortage shortage;
     /// Outcome of requesting the missing tokens from other entries, for the log and the metrics.
     char const* lending = "not_asked";
+    /// Why the engines have too little room, for the log.
+    std::vector<event_field> capacity_detail;
 };
 
 /// Inputs that determine this entry's portion of an account's quota.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -31,6 +31,7 @@
         {"configuration", std::to_string(number)},
         {"configuration_valid_ms",
          std::to_string(admission.configuration_validity / milliseconds(1))}};
+    fields.insert(fields.end(), admission.capacity_detail.begin(), admission.capacity_detail.end());
     if (admission.reason != refusal::over_quota)
         return fields;
     auto const& demand = admission.quota_demand;
@@ -75,6 +76,7 @@
     : dependencies(injected)
     , options(settings)
     , random(injected.seed)
+    , overload(injected, settings.has_overload_admission)
     , crashes(injected)
     , quotas(injected.process_start)
     , budgets({settings.retry_share, settings.retry_burst, settings.retry_window},
@@ -111,6 +113,7 @@
     if (admission.reason == refusal::no_configuration &&
         this->wait_for_configuration(exchange, call, *view))
         return;
+    this->check_capacity(now, *view, call, admission);
     if (admission.reason == refusal::over_quota && view->entries > 1 &&
         this->context->borrowing.begin_round(now, admission.account->name,
                                              admission.quota_demand.quota_holder_count > 0,
@@ -119,6 +122,20 @@
     this->start(exchange, std::move(call), std::move(admission));
 }
 
+void call_proxy::check_capacity(time_point now, traffic_view const& view, incoming_call const& call,
+                                call_admission& admission)
+{
+    bool const has_tokens = admission.reason == refusal::none;
+    // Before tokens are borrowed, since tokens of a call that is not sent would be missing for
+    // others.
+    if (!has_tokens && admission.reason != refusal::over_quota)
+        return;
+    auto& shared = *this->context;
+    shared.overload.check(now, view, call, shared.chooser, shared.random, admission);
+    if (has_tokens && admission.reason != refusal::none && admission.quota_tokens > 0)
+        shared.quotas.deposit(admission.account->name, admission.quota_tokens);
+}
+
 bool call_proxy::wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
                                         incoming_call const& call,
                                         traffic_view const& refusing_view)
@@ -144,6 +161,10 @@
         admission.retry_after = refusal_retry_after;
         call.problem = "this entry is stopping";
     }
+    if (admission.reason == refusal::over_quota)
+        admission.retry_after =
+            this->context->overload.spread_retry(this->context->dependencies.time.now(), admission,
+                                                 admission.retry_after, this->context->random);
     if (admission.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admission);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admission))
--- a/src/process/proxy/internal/call_timing.cpp
+++ b/src/process/proxy/internal/call_timing.cpp
@@ -33,13 +33,18 @@
     return std::max<duration>(min_stream_timeout, timeout);
 }
 
+std::uint32_t effective_priority(version::pass_through_route const& route,
+                                 version::pass_through_account const* account)
+{
+    return account != nullptr && account->priority ? *account->priority : route.priority;
+}
+
 std::optional<std::uint32_t> find_engine_priority(version::pass_through_route const& route,
                                                   version::pass_through_account const* account)
 {
     if (!route.is_stream)
         return std::nullopt;
-    auto const priority =
-        account != nullptr && account->priority ? *account->priority : route.priority;
+    auto const priority = effective_priority(route, account);
     return std::min(base_engine_priority + engine_priority_step * priority, max_engine_priority);
 }
 
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -27,6 +27,13 @@
         return this->loads.estimate(now, endpoint);
     }
 
+    /// Returns the estimated time until the engine would have prefilled a prompt that is sent now.
+    duration prefill_time(time_point now, endpoint_id const& engine,
+                          request::prompt_parts const& prompt) const
+    {
+        return this->prompts.prefill_time(now, engine, prompt);
+    }
+
     /// Records that a call is sent to the endpoint.
     void record_start(time_point now, endpoint_id const& endpoint);
     /// Records a prompt that this entry sends to an engine.
--- /dev/null
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -0,0 +1,66 @@
+#ifndef LAGOONLADDER_PROXY_OVERLOAD_GATE_HPP
+#define LAGOONLADDER_PROXY_OVERLOAD_GATE_HPP
+
+#include <map>
+#include <optional>
+
+#include <lagoonladder/observability.hpp>
+#include <lagoonladder/proxy/call_proxy.hpp>
+
+#include "call_admission.hpp"
+#include "endpoint_chooser.hpp"
+
+namespace lagoonladder::proxy
+{
+
+/// Asks request::overload_admission whether calls of model services are sent while the engines have
+/// too little room, and reports its decisions. Does nothing unless the settings switch it on.
+class overload_gate
+{
+public:
+    overload_gate(call_proxy::dependencies const& injected, bool is_on);
+
+    /// Decides on a call that is admitted otherwise. Sets the reason of the refusal, if any, and
+    /// the time to retry after.
+    void check(time_point now, traffic_view const& view, incoming_call const& call,
+               endpoint_chooser const& chooser, random_source& random, call_admission& admission);
+
+    /// Records the time that a complete call took at its engine.
+    void call_ended(service_name const& service, duration elapsed);
+
+    /// Spreads the time after which the caller of a call that is refused for another reason may
+    /// retry. Returns `wait` unless the gate is on and the call is one of a model service.
+    duration spread_retry(time_point now, call_admission const& admission, duration wait,
+                          random_source& random);
+
+private:
+    struct service_state
+    {
+        request::overload_admission decisions;
+        /// Moving average of the time that a call takes at its engine.
+        duration call_time = seconds(1);
+        request::service_load load;
+        /// Engine at which the next prompt is processed first.
+        endpoint_id least_busy;
+        time_point load_updated{};
+        /// Time of the last refusal; no value unless one happened recently.
+        std::optional<time_point> last_refusal;
+    };
+
+    /// Returns the state of the service; nullptr when the gate does not concern it.
+    service_state* find_state(call_admission const& admission);
+    void update_load(time_point now, traffic_view const& view, incoming_call const& call,
+                     call_admission const& admission, endpoint_chooser const& chooser,
+                     service_state& state) const;
+    void report(time_point now, service_name const& service, service_state& state,
+                request::overload_decision const& decision);
+
+    event_sink& events;
+    observability::metrics& metrics;
+    bool const is_on;
+    std::map<service_name, service_state> services;
+};
+
+} // namespace lagoonladder::proxy
+
+#endif
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -309,6 +309,8 @@
         outcome->elapsed = now - attempt->started();
     }
     this->context->chooser.record_end(now, this->admitted.service, endpoint.id, outcome);
+    if (result == attempt_result::complete)
+        this->context->overload.call_ended(this->admitted.service, now - attempt->started());
     this->record_sample(*attempt, result);
     this->record_prompt_outcome(*attempt, result);
     if (result != attempt_result::complete)
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -74,6 +74,8 @@
     /// Ends the call with this entry's own response, or by closing the connection when a part of an
     /// endpoint's response has been sent.
     void give_up(refusal reason, std::string const& detail);
+    /// Time after which a caller whose call was not executed may retry.
+    duration retry_after();
     void finish(char const* outcome, unsigned status, std::string const& detail);
     version::pass_through_route const& route() const { return *this->admitted.route; }
 
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -44,6 +44,13 @@
                                       this->admitted.service, attempt->endpoint().id, std::nullopt);
 }
 
+duration proxied_call::retry_after()
+{
+    return this->context->overload.spread_retry(this->context->dependencies.time.now(),
+                                                this->admitted, overload_retry_after,
+                                                this->context->random);
+}
+
 void proxied_call::give_up(refusal reason, std::string const& detail)
 {
     if (this->is_over)
@@ -57,7 +64,7 @@
     auto const status = status_of(reason);
     http::response_head head{status, {}, {}};
     if (status == status_of(refusal::overloaded))
-        head.headers.set("Retry-After", std::to_string(to_seconds(overload_retry_after)));
+        head.headers.set("Retry-After", std::to_string(to_seconds(this->retry_after())));
     this->exchange->respond(std::move(head), detail);
     this->finish(to_string(reason), status, detail);
 }
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -7,6 +7,7 @@
 
 #include "crash_tracker.hpp"
 #include "endpoint_chooser.hpp"
+#include "overload_gate.hpp"
 #include "service_budgets.hpp"
 
 namespace lagoonladder::proxy
@@ -46,6 +47,7 @@
     proxy_options const options;
     seeded_random random;
     endpoint_chooser chooser;
+    overload_gate overload;
     crash_tracker crashes;
     request::account_quota quotas;
     request::quota_borrowing borrowing;
