--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -74,6 +74,9 @@
     /// states times `cold_overshoot` plus `cold_slack` requests.
     double cold_overshoot = 1.5;
     double cold_slack = 5;
+    /// Whether calls of model services are refused by priority and fairness while the engines have
+    /// too little room.
+    bool has_overload_admission = false;
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -47,14 +47,14 @@
         else if (section.kind == "platform")
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
-            document.require_known_keys(section,
-                                        {"callers",         "control",        "directory",
-                                         "readiness",       "metrics",        "platform_api",
-                                         "max_connections", "retry_share",    "retry_burst",
-                                         "retry_window",    "quota_span",     "quota_overshoot",
-                                         "quota_tolerance", "exposure_share", "exposure_requests",
-                                         "start_pace",      "cold_overshoot", "cold_slack",
-                                         "usage_window",    "duty_lease",     "directory_age"});
+            document.require_known_keys(
+                section,
+                {"callers",         "control",           "directory",         "readiness",
+                 "metrics",         "platform_api",      "max_connections",   "retry_share",
+                 "retry_burst",     "retry_window",      "quota_span",        "quota_overshoot",
+                 "quota_tolerance", "exposure_share",    "exposure_requests", "start_pace",
+                 "cold_overshoot",  "cold_slack",        "usage_window",      "duty_lease",
+                 "directory_age",   "overload_admission"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -234,6 +234,7 @@
     parse_start_pace(section, out);
     section.read_number("cold_overshoot", out.cold_overshoot, 0, 100);
     section.read_number("cold_slack", out.cold_slack, 0, 1'000'000);
+    section.read("overload_admission", out.has_overload_admission);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -36,6 +36,7 @@
     options.pace.is_learned = config.start_pace == config::start_pace::learned;
     options.pace.cold = {config.cold_overshoot, config.cold_slack};
     options.quota = {config.quota_window, config.quota_overshoot, config.quota_tolerance};
+    options.has_overload_admission = config.has_overload_admission;
     return options;
 }
 
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -126,6 +126,8 @@
         return "cold_endpoints";
     case refusal::overloaded:
         return "overloaded";
+    case refusal::no_capacity:
+        return "no_capacity";
     case refusal::too_late:
         return "too_late";
     case refusal::endpoint_failed:
@@ -164,6 +166,7 @@
     case refusal::no_endpoint:
     case refusal::cold_endpoints:
     case refusal::overloaded:
+    case refusal::no_capacity:
     case refusal::too_late:
         return 503;
     case refusal::endpoint_failed:
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -84,6 +84,8 @@
                  std::optional<duration> retry_after = std::nullopt);
     /// Ends the call because no endpoint may get it now.
     void give_up_without_endpoint();
+    /// Default of the time after which a caller whose call was not executed may retry.
+    duration default_retry_after();
     void finish(char const* outcome, unsigned status, std::string const& detail);
     version::pass_through_route const& route() const { return *this->admitted.route; }
 
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -46,6 +46,13 @@
     this->context->chooser.pacing().record_cancel(now, this->admitted.service, *attempt);
 }
 
+duration proxied_call::default_retry_after()
+{
+    return this->context->overload.spread_retry(this->context->dependencies.time.now(),
+                                                this->admitted, overload_retry_after,
+                                                this->context->random);
+}
+
 void proxied_call::give_up_without_endpoint()
 {
     if (this->may_have_run)
@@ -73,8 +80,9 @@
     auto const status = status_of(reason);
     http::response_head head{status, {}, {}};
     if (status == status_of(refusal::overloaded))
-        head.headers.set("Retry-After",
-                         std::to_string(to_seconds(retry_after.value_or(overload_retry_after))));
+        head.headers.set(
+            "Retry-After",
+            std::to_string(to_seconds(retry_after ? *retry_after : this->default_retry_after())));
     this->exchange->respond(std::move(head), detail);
     this->finish(to_string(reason), status, detail);
 }
