Estimate how fast endpoints are now and study uneven endpoints

The choice of endpoints assumed one speed over time. endpoint_speed keeps what an endpoint states about the time that work takes there, with an age; prompt_backlog multiplies costs by it and divides measured times by it, and balanced_route_policy multiplies loads by it.

Sharing observations in notices of prompts was tried and left out, since it raised late first tokens.

--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -7,8 +7,10 @@
 #include <lagoonladder/request/account_quota.hpp>
 #include <lagoonladder/request/admission.hpp>
 #include <lagoonladder/request/at_most_once_record.hpp>
+#include <lagoonladder/request/endpoint_speed.hpp>
 #include <lagoonladder/request/event_splitter.hpp>
 #include <lagoonladder/request/fair_queue.hpp>
+#include <lagoonladder/request/load_delay.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
 #include <lagoonladder/request/prompt_backlog.hpp>
--- a/src/request/include/lagoonladder/request/prompt_backlog.hpp
+++ b/src/request/include/lagoonladder/request/prompt_backlog.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <lagoonladder/base.hpp>
+#include <lagoonladder/request/endpoint_speed.hpp>
 
 namespace lagoonladder::request
 {
@@ -108,6 +109,10 @@
     void first_token_received(time_point now, endpoint_id const& engine, incarnation start,
                               sent_prompt const& prompt);
 
+    /// What the engines state about their speed.
+    endpoint_speed& speeds() { return this->stated_speeds; }
+    endpoint_speed const& speeds() const { return this->stated_speeds; }
+
     /// Number of parts that are stored, over all engines.
     std::size_t part_count() const;
 
@@ -142,6 +147,7 @@
     prompt_backlog_options options;
     /// Moving average over all engines, for those that have not responded yet.
     double mean_seconds_per_token;
+    endpoint_speed stated_speeds;
     std::map<endpoint_id, engine_state> engines;
     std::size_t entry_count = 1;
     /// Recent prompts of this entry, and notices of prompts of other entries in the same time.
--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -26,6 +26,8 @@
     double load = 0;
     /// Number of requests that the endpoint can run at the same time; 0 counts as 1.
     std::uint32_t slots = 1;
+    /// Time that work takes at the endpoint now, as a multiple of its mean.
+    double time_deviation = 1;
     /// Fraction of the prompt whose prefix the endpoint is expected to have cached, 0 to 1.
     double prefix_match = 0;
 };
@@ -127,6 +129,7 @@
         /// tokens.
         double mean_time = 0;
         std::uint32_t samples = 0;
+        time_point last_sample{};
     };
 
     /// A candidate with its load and cost for one request.
@@ -146,6 +149,8 @@
     void update_endpoints(time_point now, std::vector<route_candidate> const& candidates);
     double ramp_share(time_point now, health const& state) const;
     static bool is_blocked(time_point now, health const& state);
+    /// Time of a unit at the endpoint as a multiple of the median; 1 when it is not known.
+    static double relative_time(time_point now, health const& state, double median);
     double median_time(std::vector<route_candidate> const& candidates) const;
     /// Returns the healthy candidates that are neither leaving nor excluded by the query; when all
     /// of these are failing, returns the failing ones.
--- a/src/request/internal/prompt_backlog.cpp
+++ b/src/request/internal/prompt_backlog.cpp
@@ -177,7 +177,10 @@
             state == nullptr ? this->mean_seconds_per_token : state->seconds_per_token;
         auto const backlog = state == nullptr ? 0 : backlog_of(*state, now);
         auto const repeated_cost = this->options.repeated_prefill_cost * (expected[i] - min_tokens);
-        costs.push_back(from_seconds((backlog + uncached[i] + repeated_cost) * token_time));
+        auto const work = from_seconds((backlog + uncached[i]) * token_time);
+        auto const deviation = this->stated_speeds.deviation(now, candidates[i], work);
+        costs.push_back(
+            from_seconds((backlog + uncached[i] + repeated_cost) * token_time * deviation));
     }
     return costs;
 }
@@ -257,9 +260,11 @@
         auto const elapsed =
             std::max<duration>(now - prompt.sent_at - fixed_delay, min_sample_time);
         auto const assumed_time = 1 / this->options.tokens_per_second;
-        auto const token_time = std::clamp(to_seconds(elapsed) / prompt.tokens_ahead,
-                                           this->options.min_time_per_token_factor * assumed_time,
-                                           this->options.max_time_per_token_factor * assumed_time);
+        auto const deviation = this->stated_speeds.deviation(now, engine, elapsed);
+        auto const measured_time = to_seconds(elapsed) / prompt.tokens_ahead / deviation;
+        auto const token_time =
+            std::clamp(measured_time, this->options.min_time_per_token_factor * assumed_time,
+                       this->options.max_time_per_token_factor * assumed_time);
         // The measured time includes prompts of which this entry received no notice.
         auto const weight = sample_weight * this->received_share();
         state.seconds_per_token += weight * (token_time - state.seconds_per_token);
@@ -298,6 +303,7 @@
 {
     std::erase_if(this->engines, [&](auto const& item)
                   { return now - item.second.updated >= this->options.max_idle; });
+    this->stated_speeds.expire(now);
 }
 
 } // namespace lagoonladder::request
--- a/src/request/internal/route_choice.cpp
+++ b/src/request/internal/route_choice.cpp
@@ -16,6 +16,8 @@
 constexpr double sample_weight = 0.1;
 /// Number of samples before an endpoint's time is compared with those of other endpoints.
 constexpr std::uint32_t min_samples = 5;
+/// Time constant of the weight of an endpoint's time when it gets no requests.
+constexpr duration sample_decay = seconds(10);
 /// Bounds of the relative time, so that a few unusual requests do not dominate the load.
 constexpr double min_relative_time = 0.5;
 constexpr double max_relative_time = 8;
@@ -107,6 +109,7 @@
     auto const weight = state.samples == 0 ? 1.0 : sample_weight;
     state.mean_time += (unit_time - state.mean_time) * weight;
     ++state.samples;
+    state.last_sample = now;
 }
 
 bool balanced_route_policy::is_excluded(time_point now, endpoint_id const& endpoint) const
@@ -182,6 +185,17 @@
     return std::move(all);
 }
 
+double balanced_route_policy::relative_time(time_point now, health const& state, double median)
+{
+    if (state.samples < min_samples || median <= 0)
+        return 1;
+    auto const measured =
+        std::clamp(state.mean_time / median, min_relative_time, max_relative_time);
+    auto const age = to_seconds(now - state.last_sample);
+    // An endpoint that gets no requests because it was slow would otherwise stay without requests.
+    return 1 + (measured - 1) * std::exp(-age / to_seconds(sample_decay));
+}
+
 void balanced_route_policy::rate(time_point now, route_query const& query, double median,
                                  rated_list& all) const
 {
@@ -198,11 +212,8 @@
         // After a start all endpoints are new, so only the share relative to the other candidates
         // matters.
         rated.share /= max_share;
-        auto const is_timed = state.samples >= min_samples && median > 0;
-        auto const relative_time =
-            is_timed ? std::clamp(state.mean_time / median, min_relative_time, max_relative_time)
-                     : 1.0;
-        rated.load = (candidate.load + 1) / slots_of(candidate) * relative_time;
+        rated.load = (candidate.load + 1) / slots_of(candidate) *
+                     relative_time(now, state, median) * candidate.time_deviation;
         auto const is_remote = candidate.data_centre != query.data_centre;
         rated.cost = rated.load + (is_remote ? this->options.remote_penalty : 0) -
                      this->options.prefix_weight * candidate.prefix_match;
--- a/src/request/tools/internal/engine_model.cpp
+++ b/src/request/tools/internal/engine_model.cpp
@@ -13,6 +13,33 @@
 
 } // namespace
 
+double uneven_model::variable_factor(time_point now) const
+{
+    auto const number = static_cast<std::uint64_t>(now.time_since_epoch() / this->period);
+    auto const position = seeded_random(this->seed * 1'000'003 + number).unit();
+    return position < this->slow_fraction ? this->slow_factor : 1;
+}
+
+time_point uneven_model::end_of_work(time_point begins, duration work) const
+{
+    if (this->slow_fraction == 0 && this->constant_factor == 1)
+        return begins + work;
+    auto now = begins;
+    auto left = work;
+    while (this->slow_fraction > 0)
+    {
+        auto const factor = this->constant_factor * this->variable_factor(now);
+        auto const current = now.time_since_epoch() / this->period;
+        auto const period_end = time_point((current + 1) * this->period);
+        auto const possible = from_seconds(to_seconds(period_end - now) / factor);
+        if (possible >= left)
+            return now + from_seconds(to_seconds(left) * factor);
+        left -= possible;
+        now = period_end;
+    }
+    return now + from_seconds(to_seconds(left) * this->constant_factor);
+}
+
 double engine_model::uncached_tokens(request::prompt_parts const& prompt) const
 {
     bool is_cached = true;
@@ -34,17 +61,35 @@
         this->cache_part(part);
     auto const factor =
         this->slowness * (1 + this->decoding.slowdown * static_cast<double>(this->running.size()));
-    this->free_at =
-        std::max(this->free_at, begins) + from_seconds(tokens * factor / tokens_per_second);
+    this->free_at = this->uneven.end_of_work(std::max(this->free_at, begins),
+                                             from_seconds(tokens * factor / tokens_per_second));
     if (this->decoding.time > duration(0) && !prompt.empty())
-    {
-        auto const own = static_cast<double>(prompt.back().tokens);
-        this->running.push_back({this->free_at + this->decoding.time, own});
-        this->running_tokens += own;
-    }
+        this->start_decoding(static_cast<double>(prompt.back().tokens));
     return this->free_at + first_token_delay;
 }
 
+void engine_model::start_decoding(double tokens)
+{
+    auto work = this->decoding.time;
+    if (this->decoding.is_prolonged)
+        work = from_seconds(to_seconds(work) * (1 + this->decoding.slowdown *
+                                                        static_cast<double>(this->running.size())));
+    auto const ends = this->uneven.end_of_work(this->free_at, work);
+    this->decode_time = ends - this->free_at;
+    auto const later = std::upper_bound(this->running.begin(), this->running.end(), ends,
+                                        [](time_point end, running_request const& other)
+                                        { return end < other.ends; });
+    this->running.insert(later, {ends, tokens});
+    this->running_tokens += tokens;
+}
+
+std::size_t engine_model::open_requests(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->running.begin(), this->running.end(),
+                                                  [&](running_request const& request)
+                                                  { return request.ends > now; }));
+}
+
 time_point engine_model::wait_for_slot(time_point now)
 {
     auto begins = now;
--- a/src/request/tools/internal/engine_model.hpp
+++ b/src/request/tools/internal/engine_model.hpp
@@ -20,6 +20,26 @@
     double slowdown = 0;
     /// Number of requests that run at the same time; others wait until one ends.
     std::size_t slots = 64;
+    /// Running requests prolong decoding by the same fraction.
+    bool is_prolonged = false;
+};
+
+/// Differences of an engine from others; none by default.
+struct uneven_model
+{
+    /// Factor of all times that does not change.
+    double constant_factor = 1;
+    /// Fraction of the periods in which other work on the machine makes the engine slower.
+    double slow_fraction = 0;
+    double slow_factor = 2.5;
+    duration period = milliseconds(600);
+    /// Selects the slow periods.
+    std::uint64_t seed = 0;
+
+    /// Factor of all times, without the constant one.
+    double variable_factor(time_point now) const;
+    /// Returns the end of work that takes `work` without differences.
+    time_point end_of_work(time_point begins, duration work) const;
 };
 
 /// An engine that prefills prompts in the order of their arrival, decodes in parallel, and caches
@@ -33,8 +53,9 @@
     static constexpr double cache_tokens = 485'000;
 
     engine_model() = default;
-    explicit engine_model(decode_model const& chosen)
+    explicit engine_model(decode_model const& chosen, uneven_model const& differences = {})
         : decoding(chosen)
+        , uneven(differences)
     {
     }
 
@@ -46,6 +67,12 @@
 
     double prefilled_tokens() const { return this->prefilled; }
 
+    /// Number of requests that are prefilled, decode or wait.
+    std::size_t open_requests(time_point now) const;
+    uneven_model const& differences() const { return this->uneven; }
+    /// Time that the last submitted prompt takes to decode.
+    duration last_decode_time() const { return this->decode_time; }
+
     /// Factor of the prefill time: 1 is ordinary, 5 takes five times as long.
     double slowness = 1;
 
@@ -66,8 +93,12 @@
     /// Returns the time at which a slot is free for a new request.
     time_point wait_for_slot(time_point now);
 
+    void start_decoding(double tokens);
+
     decode_model decoding;
-    /// Ordered by the time at which they end: all decode for the same time.
+    uneven_model uneven;
+    duration decode_time{};
+    /// Ordered by the time at which they end.
     std::deque<running_request> running;
     /// Cache memory of running requests, in tokens; cached parts are evicted for it.
     double running_tokens = 0;
--- a/src/request/tools/internal/placement_run.cpp
+++ b/src/request/tools/internal/placement_run.cpp
@@ -19,6 +19,8 @@
 constexpr duration restart_time = seconds(5);
 /// Factor of the prefill time of a slow engine.
 constexpr double slow_factor = 5;
+/// Time during which caches are filled and speeds learned, without samples of the delays.
+constexpr duration uneven_warm_up = seconds(20);
 
 /// Sizes are in tokens; a spread is the standard deviation of the logarithm of a size.
 struct prompt_kind
@@ -48,6 +50,15 @@
     return endpoint_id("e" + std::to_string(engine));
 }
 
+/// Options that the pass-through proxy uses for engines.
+request::balanced_route_options engine_route_options()
+{
+    request::balanced_route_options options;
+    options.ramp_up = seconds(1);
+    options.ramp_start = 0.5;
+    return options;
+}
+
 } // namespace
 
 char const* to_string(placement policy)
@@ -64,6 +75,10 @@
         return "backlog of all prompts";
     case placement::partial_backlog:
         return "backlog with partial notices";
+    case placement::stated_speed:
+        return "and stated speeds";
+    case placement::stated_speed_and_load:
+        return "and running requests";
     }
     return "unknown";
 }
@@ -79,17 +94,32 @@
     , starts(conditions.engines, incarnation(1))
     , entries(conditions.entries)
 {
+    for (std::size_t i = 0; i < this->engines.size(); ++i)
+        this->engines[i] = engine_model(conditions.decoding, this->draw_differences(i));
     for (auto& entry : this->entries)
     {
+        entry.policy = request::balanced_route_policy(engine_route_options());
         entry.sent.resize(conditions.engines);
         request::prompt_backlog_options options;
         options.notice_receivers = conditions.receivers;
         entry.backlog = request::prompt_backlog(options);
-        if (chosen == placement::partial_backlog)
+        if (chosen >= placement::partial_backlog)
             entry.backlog.set_entry_count(conditions.entries);
     }
 }
 
+uneven_model placement_run::draw_differences(std::size_t engine)
+{
+    uneven_model differences;
+    if (this->scenario.min_speed == this->scenario.max_speed && this->scenario.slow_fraction == 0)
+        return differences;
+    auto const spread = this->scenario.max_speed - this->scenario.min_speed;
+    differences.constant_factor = 1 / (this->scenario.min_speed + spread * this->uniform());
+    differences.slow_fraction = this->scenario.slow_fraction;
+    differences.seed = this->subjects_seed * 1'009 + engine;
+    return differences;
+}
+
 double placement_run::lognormal(double mean, double spread, double max_value)
 {
     auto const normal = std::sqrt(-2 * std::log(1 - this->uniform())) *
@@ -167,9 +197,42 @@
                   {
                       if (first_token.arrives > this->now)
                           return false;
-                      this->entries[first_token.entry].backlog.first_token_received(
-                          first_token.arrives, id_of(first_token.engine), first_token.start,
-                          first_token.sent);
+                      this->deliver_first_token(first_token);
+                      return true;
+                  });
+    this->deliver_ends();
+}
+
+void placement_run::deliver_first_token(first_token_event const& first_token)
+{
+    auto& entry = this->entries[first_token.entry];
+    auto const id = id_of(first_token.engine);
+    auto const when = first_token.arrives;
+    auto const& engine = this->engines[first_token.engine];
+    if (this->policy >= placement::stated_speed && this->scenario.is_chosen_by_load)
+        entry.backlog.speeds().stated(when, id, engine.differences().variable_factor(when));
+    entry.backlog.first_token_received(when, id, first_token.start, first_token.sent);
+    if (!this->scenario.is_chosen_by_load)
+        return;
+    auto const requests = static_cast<std::uint32_t>(engine.open_requests(when));
+    entry.loads.report(when, id, ++this->reports, requests, 0);
+}
+
+void placement_run::deliver_ends()
+{
+    if (!this->scenario.is_chosen_by_load)
+        return;
+    std::erase_if(this->ends,
+                  [&](end_event const& end)
+                  {
+                      if (end.arrives > this->now)
+                          return false;
+                      auto& entry = this->entries[end.entry];
+                      auto const id = id_of(end.engine);
+                      entry.loads.completed(this->now, id);
+                      request::route_outcome outcome;
+                      outcome.elapsed = end.arrives - end.sent_at;
+                      entry.policy.record(this->now, id, outcome);
                       return true;
                   });
 }
@@ -206,11 +269,41 @@
     std::vector<endpoint_id> candidates;
     for (auto const engine : usable)
         candidates.push_back(id_of(engine));
-    return this->choose_cheapest(usable,
-                                 state.backlog.placement_costs(this->now, candidates, prompt));
+    auto costs = state.backlog.placement_costs(this->now, candidates, prompt);
+    if (this->policy == placement::stated_speed_and_load)
+        this->add_load_delays(entry, candidates, costs);
+    return this->choose_cheapest(entry, usable, costs);
+}
+
+void placement_run::add_load_delays(std::size_t entry, std::vector<endpoint_id> const& candidates,
+                                    std::vector<duration>& costs) const
+{
+    auto const& state = this->entries[entry];
+    auto const slots = static_cast<std::uint32_t>(this->scenario.decoding.slots);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        costs[i] += request::load_delay(state.loads.estimate(this->now, candidates[i]), slots,
+                                        state.backlog.speeds().deviation(this->now, candidates[i]));
+}
+
+std::size_t placement_run::choose_by_load(std::size_t entry,
+                                          std::vector<std::size_t> const& engines_to_use)
+{
+    auto& state = this->entries[entry];
+    std::vector<request::route_candidate> candidates;
+    for (auto const engine : engines_to_use)
+    {
+        request::route_candidate candidate;
+        candidate.endpoint_id = id_of(engine);
+        candidate.load = state.loads.estimate(this->now, candidate.endpoint_id);
+        candidate.slots = static_cast<std::uint32_t>(this->scenario.decoding.slots);
+        candidates.push_back(candidate);
+    }
+    auto const chosen = state.policy.choose(this->now, candidates, {}, this->random);
+    return std::stoul(chosen->value().substr(1));
 }
 
-std::size_t placement_run::choose_cheapest(std::vector<std::size_t> const& usable,
+std::size_t placement_run::choose_cheapest(std::size_t entry,
+                                           std::vector<std::size_t> const& usable,
                                            std::vector<duration> const& costs)
 {
     auto const min_cost = std::min_element(costs.begin(), costs.end());
@@ -222,6 +315,8 @@
         if (costs[i] <= *min_cost + this->scenario.tolerance)
             cheapest.push_back(usable[i]);
     }
+    if (this->scenario.is_chosen_by_load)
+        return this->choose_by_load(entry, cheapest);
     return cheapest[this->random.below(cheapest.size())];
 }
 
@@ -233,6 +328,17 @@
         this->entries[entry].backlog.sent(this->now, id_of(engine), this->starts[engine], prompt);
     auto const first_token = this->engines[engine].submit(this->now, prompt);
     this->first_tokens.push_back({first_token, entry, engine, this->starts[engine], sent});
+    if (this->scenario.is_chosen_by_load)
+    {
+        auto const decode_time = this->engines[engine].last_decode_time();
+        this->ends.push_back({first_token + decode_time, this->now, entry, engine});
+        this->entries[entry].loads.dispatched(this->now, id_of(engine));
+    }
+    if (this->now >= time_point(uneven_warm_up))
+    {
+        this->result.to_first_token.add(to_seconds(first_token - this->now));
+        this->result.decoding.add(to_seconds(this->engines[engine].last_decode_time()));
+    }
     if (this->policy >= placement::shared_backlog)
         this->notices.push_back(
             {this->now + this->scenario.notice_delay, entry, engine, this->starts[engine], prompt});
--- a/src/request/tools/internal/placement_run.hpp
+++ b/src/request/tools/internal/placement_run.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "engine_model.hpp"
+#include "sample_set.hpp"
 
 namespace lagoonladder::study
 {
@@ -24,7 +25,11 @@
     shared_backlog,
     /// Like shared_backlog, but the estimates consider for which fraction of the prompts the entry
     /// receives notices.
-    partial_backlog
+    partial_backlog,
+    /// Like partial_backlog, with the speeds that the engines state.
+    stated_speed,
+    /// Like stated_speed, and requests that run at an engine count as a delay.
+    stated_speed_and_load
 };
 
 char const* to_string(placement policy);
@@ -53,6 +58,13 @@
     /// The engine is drawn at random from those whose cost exceeds the minimum by at most this.
     duration tolerance{};
     decode_model decoding;
+    /// Permanent speeds are drawn from `min_speed` to `max_speed`; see uneven_model.
+    double min_speed = 1;
+    double max_speed = 1;
+    double slow_fraction = 0;
+    /// Chooses among the engines with nearly the lowest cost as endpoint_chooser does, by their
+    /// load.
+    bool is_chosen_by_load = false;
 };
 
 struct placement_results
@@ -65,6 +77,9 @@
     /// Sum over all prompts.
     double seconds_to_first_token = 0;
     double prefilled_tokens = 0;
+    /// Seconds of each prompt, without those sent before `uneven_warm_up`.
+    sample_set to_first_token;
+    sample_set decoding;
 };
 
 /// Simulates prompts of three kinds, with the sizes of the Permits Office, at random entries for
@@ -96,11 +111,22 @@
         request::sent_prompt sent;
     };
 
+    /// The end of a response, which its entry receives at `arrives`.
+    struct end_event
+    {
+        time_point arrives{};
+        time_point sent_at{};
+        std::size_t entry = 0;
+        std::size_t engine = 0;
+    };
+
     struct entry_state
     {
         request::prompt_backlog backlog;
         /// Times at which the entry sent prompts to each engine.
         std::vector<std::deque<time_point>> sent;
+        request::load_estimate loads;
+        request::balanced_route_policy policy;
     };
 
     double uniform() { return this->random.unit(); }
@@ -109,8 +135,15 @@
     request::prompt_parts make_prompt(bool& is_long);
     void inject_faults();
     void restart_engines();
+    uneven_model draw_differences(std::size_t engine);
+    void deliver_first_token(first_token_event const& first_token);
+    void deliver_ends();
+    void add_load_delays(std::size_t entry, std::vector<endpoint_id> const& candidates,
+                         std::vector<duration>& costs) const;
+    /// Returns one of the engines as endpoint_chooser does.
+    std::size_t choose_by_load(std::size_t entry, std::vector<std::size_t> const& engines);
     /// Returns the usable engine with the lowest cost; a random one of those within the tolerance.
-    std::size_t choose_cheapest(std::vector<std::size_t> const& usable,
+    std::size_t choose_cheapest(std::size_t entry, std::vector<std::size_t> const& usable,
                                 std::vector<duration> const& costs);
     /// Delivers the notices and first tokens that have arrived.
     void deliver_messages();
@@ -127,8 +160,10 @@
     std::vector<entry_state> entries;
     std::deque<prompt_notice> notices;
     std::vector<first_token_event> first_tokens;
+    std::vector<end_event> ends;
     std::uint64_t next_own_part = 1'000'000;
     time_point now{};
+    std::uint64_t reports = 0;
     bool are_faults_injected = false;
     bool are_engines_restarted = false;
     placement_results result;
--- a/src/request/tools/internal/sample_set.cpp
+++ b/src/request/tools/internal/sample_set.cpp
@@ -1,6 +1,7 @@
 #include <sample_set.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace lagoonladder::study
 {
@@ -28,4 +29,21 @@
     return this->samples[static_cast<std::size_t>(share * last)];
 }
 
+double sample_set::share_above(double value) const
+{
+    if (this->samples.empty())
+        return 0;
+    auto const above = std::count_if(this->samples.begin(), this->samples.end(),
+                                     [&](double sample) { return sample > value; });
+    return static_cast<double>(above) / static_cast<double>(this->samples.size());
+}
+
+double sample_set::mean() const
+{
+    if (this->samples.empty())
+        return 0;
+    return std::accumulate(this->samples.begin(), this->samples.end(), 0.0) /
+           static_cast<double>(this->samples.size());
+}
+
 } // namespace lagoonladder::study
--- a/src/request/tools/main.cpp
+++ b/src/request/tools/main.cpp
@@ -5,6 +5,7 @@
 
 #include <overnight_run.hpp>
 #include <placement_run.hpp>
+#include <plain_run.hpp>
 #include <routing_run.hpp>
 
 namespace
@@ -156,6 +157,92 @@
     study_large_system_notices("no notices arrive", 32, 1, seeds, seed);
 }
 
+void compare_uneven_placements(placement_scenario const& scenario, std::uint64_t seeds,
+                               std::uint64_t seed)
+{
+    std::printf("\n%s\n\n", scenario.name.c_str());
+    std::printf("| placement | over 0.63 s %% | over 1 s %% | to first token median s | 99th s | "
+                "decoding mean s | 99th s | tokens prefilled per prompt |\n"
+                "|---|---|---|---|---|---|---|---|\n");
+    for (auto const policy :
+         {placement::partial_backlog, placement::stated_speed, placement::stated_speed_and_load})
+    {
+        sample_set first_token;
+        sample_set decoding;
+        double prefilled = 0;
+        double prompts = 0;
+        for (std::uint64_t i = 0; i < seeds; ++i)
+        {
+            auto const run_results = placement_run(scenario, policy, seed + i).run();
+            first_token.add_all(run_results.to_first_token);
+            decoding.add_all(run_results.decoding);
+            prefilled += run_results.prefilled_tokens;
+            prompts += static_cast<double>(run_results.prompts);
+        }
+        std::printf("| %s | %.2f | %.2f | %.3f | %.3f | %.2f | %.2f | %.0f |\n", to_string(policy),
+                    100 * first_token.share_above(0.63), 100 * first_token.share_above(1),
+                    first_token.quantile(0.5), first_token.quantile(0.99), decoding.mean(),
+                    decoding.quantile(0.99), prefilled / prompts);
+    }
+}
+
+/// Engines whose speeds differ permanently and vary, and requests that decode for a short or a
+/// long time.
+void study_uneven_placement(std::uint64_t seeds, std::uint64_t seed)
+{
+    for (auto const entries : {25, 90})
+    {
+        auto const others = static_cast<std::size_t>(entries) - 1;
+        auto even = large_system(std::to_string(entries) + " entries, equal engines",
+                                 std::min<std::size_t>(32, others));
+        even.entries = static_cast<std::size_t>(entries);
+        even.is_chosen_by_load = true;
+        even.decoding.is_prolonged = true;
+        compare_uneven_placements(even, seeds, seed);
+        auto uneven = even;
+        uneven.name = std::to_string(entries) + " entries, uneven engines";
+        uneven.min_speed = 0.55;
+        uneven.max_speed = 1.2;
+        uneven.slow_fraction = 0.15;
+        compare_uneven_placements(uneven, seeds, seed);
+        auto long_decoding = uneven;
+        long_decoding.name += ", long decoding";
+        long_decoding.prompts_per_second = 250;
+        long_decoding.decoding.time = lagoonladder::seconds(8);
+        compare_uneven_placements(long_decoding, seeds, seed);
+    }
+}
+
+/// Plain calls at equal and at uneven endpoints.
+void study_plain_calls(std::uint64_t seeds, std::uint64_t seed)
+{
+    std::printf("| scenario | over 150 ms %% | median s | 99th s |\n|---|---|---|---|\n");
+    for (std::size_t const entries : {25, 90})
+    {
+        plain_scenario even;
+        even.entries = entries;
+        even.name = std::to_string(entries) + " entries, equal endpoints";
+        even.calls_per_second = 300;
+        auto uneven = even;
+        uneven.name = std::to_string(entries) + " entries, uneven endpoints, three figures";
+        uneven.calls_per_second = 180;
+        uneven.min_speed = 0.55;
+        uneven.max_speed = 1.2;
+        uneven.slow_fraction = 0.15;
+        auto stated = uneven;
+        stated.name = std::to_string(entries) + " entries, uneven endpoints, four figures";
+        stated.is_time_stated = true;
+        for (auto const& scenario : {even, uneven, stated})
+        {
+            sample_set total;
+            for (std::uint64_t i = 0; i < seeds; ++i)
+                total.add_all(plain_run(scenario, seed + i).run());
+            std::printf("| %s | %.2f | %.3f | %.3f |\n", scenario.name.c_str(),
+                        100 * total.share_above(0.15), total.quantile(0.5), total.quantile(0.99));
+        }
+    }
+}
+
 void compare_queues(std::uint64_t seed)
 {
     for (auto const kind : {compared_queue::admission, compared_queue::first_in_first_out})
@@ -197,7 +284,21 @@
         TCLAP::SwitchArg large_system_placement(
             "", "grown-placement", "Compares placements of prompts in a large system only.",
             command);
+        TCLAP::SwitchArg uneven_placement("", "uneven-placement",
+                                          "Compares placements of prompts at uneven engines only.",
+                                          command);
+        TCLAP::SwitchArg plain_calls("", "plain-calls", "Compares plain calls only.", command);
         command.parse(argc, argv);
+        if (plain_calls.getValue())
+        {
+            study_plain_calls(seeds, seed);
+            return 0;
+        }
+        if (uneven_placement.getValue())
+        {
+            study_uneven_placement(seeds, seed);
+            return 0;
+        }
         if (placement.getValue())
         {
             study_placement(seeds, seed);
