--- a/src/request/include/lagoonladder/request.hpp
+++ b/src/request/include/lagoonladder/request.hpp
@@ -10,8 +10,10 @@
 #include <lagoonladder/request/call_shares.hpp>
 #include <lagoonladder/request/cold_bound.hpp>
 #include <lagoonladder/request/endpoint_pace.hpp>
+#include <lagoonladder/request/endpoint_speed.hpp>
 #include <lagoonladder/request/event_splitter.hpp>
 #include <lagoonladder/request/fair_queue.hpp>
+#include <lagoonladder/request/load_delay.hpp>
 #include <lagoonladder/request/load_estimate.hpp>
 #include <lagoonladder/request/overload_admission.hpp>
 #include <lagoonladder/request/prefix_index.hpp>
