Record load reports without a stated time again, and mend what a review of the merges found

Cause: the merge recorded reports at the head of a response only when they state a time, and took all others for recorded, so that services with three figures lost their load. The admission for short engines judged calls with home regions by the engines of all regions, and a stopping entry spread its Retry-After like an overloaded one.

Change: a report without a stated time is recorded at the end of the attempt, as before. Calls bound to regions are not judged by the gate, and a stopping entry states its short Retry-After.

Measured: the new case of attempt_test fails without the first change and passes with it.

--- a/src/process/http/internal/memory_ledger.cpp
+++ b/src/process/http/internal/memory_ledger.cpp
@@ -44,12 +44,12 @@
     {
         auto const missing = others + bytes - bound;
         std::uint64_t found = 0;
-        for (auto const& victim : this->find_candidates(now, id, bytes, kind))
+        for (auto const& candidate_to_release : this->find_candidates(now, id, bytes, kind))
         {
             if (found >= missing)
                 break;
-            found += victim.bytes;
-            result.released.push_back(victim.id);
+            found += candidate_to_release.bytes;
+            result.released.push_back(candidate_to_release.id);
         }
         result.is_granted = found >= missing || kind == demand::binding;
     }
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -112,6 +112,8 @@
     auto call = this->context->dependencies.codec.decode(exchange->head());
     auto admission = admit(now, exchange->arrived(), *view, call, this->context->crashes,
                            this->context->quotas, this->context->options.quota);
+    if (admission.route != nullptr)
+        call.regions = find_regions(*admission.route, admission.account);
     this->publish_demand(now);
     if (admission.reason == refusal::no_configuration &&
         this->wait_for_configuration(exchange, call, *view))
@@ -170,7 +172,6 @@
                                                  admission.retry_after, this->context->random);
     if (admission.reason != refusal::none)
         return refuse(*this->context, *exchange, call, admission);
-    call.regions = find_regions(*admission.route, admission.account);
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admission))
         ->start();
 }
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -130,7 +130,7 @@
 endpoint_chooser::endpoint_chooser(request::endpoint_pace_options const& pace,
                                    time_point process_start)
     : is_pace_learned(pace.is_learned)
-    , started_endpoints(pace, process_start)
+    , pace_control(pace, process_start)
 {
 }
 
@@ -158,7 +158,7 @@
     auto const* found_service = view.services->find_service(service);
     bool const is_engine = found_service != nullptr && found_service->is_engine;
     auto& route_policy = this->policy(service, is_engine);
-    this->started_endpoints.filter(now, view, service, route_policy, excluded, random, endpoints);
+    this->pace_control.filter(now, view, service, route_policy, excluded, random, endpoints);
     std::vector<request::route_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (auto const* endpoint : endpoints)
@@ -194,7 +194,7 @@
                                                        endpoint->id) != excluded.end();
                       return was_tried || this->is_replaced(now, *endpoint);
                   });
-    return this->started_endpoints.time_until_room(now, view, service, endpoints);
+    return this->pace_control.time_until_room(now, view, service, endpoints);
 }
 
 void endpoint_chooser::keep_cheapest(time_point now, request::prompt_parts const& prompt,
@@ -211,7 +211,8 @@
         if (was_tried || health.is_excluded(now, id))
             continue;
         healthy.push_back(id);
-        // Reports without a stated time are recorded at the end of a stream, too late for this.
+        // Without a stated time, the load is recorded at the end of the attempt only, which is too
+        // old to derive a delay from.
         auto const& speeds = this->prompts.speeds();
         delays.push_back(
             speeds.has_stated(id)
@@ -237,7 +238,7 @@
 void endpoint_chooser::record_start(time_point now, endpoint_id const& endpoint)
 {
     this->loads.dispatched(now, endpoint);
-    this->started_endpoints.record_start(now, endpoint);
+    this->pace_control.record_start(now, endpoint);
 }
 
 void endpoint_chooser::record_end(time_point now, service_name const& service,
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -27,11 +27,12 @@
            std::vector<endpoint_id> const& excluded, random_source& random);
 
     /// Returns the time until one of the endpoints that choose() may use may get a request, for a
-    /// call that got none; no value when they are not cold.
+    /// call that got none: zero when one of them is not cold, no value when there are none or
+    /// the service has no cold limit.
     std::optional<duration> time_until_room(time_point now, traffic_view const& view,
                                             service_name const& service, incoming_call const& call,
                                             std::vector<endpoint_id> const& excluded) const;
-    endpoint_pacing& pacing() { return this->started_endpoints; }
+    endpoint_pacing& pacing() { return this->pace_control; }
 
     /// Returns the estimated number of requests running and waiting at the endpoint.
     double load(time_point now, endpoint_id const& endpoint) const
@@ -97,9 +98,9 @@
                        std::vector<request::route_candidate>& candidates) const;
     bool is_replaced(time_point now, connection::endpoint_record const& endpoint) const;
 
-    /// Whether the policies leave the growth of an endpoint's share to `started_endpoints`.
+    /// Whether the policies leave the growth of an endpoint's share to `pace_control`.
     bool is_pace_learned;
-    endpoint_pacing started_endpoints;
+    endpoint_pacing pace_control;
     std::map<service_name, request::balanced_route_policy> policies;
     request::load_estimate loads;
     request::prompt_backlog prompts;
--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -73,7 +73,8 @@
                           call_admission& admission)
 {
     auto* const state = this->find_state(admission);
-    if (state == nullptr)
+    // The load is that of all engines of the service, which says little about those of a region.
+    if (state == nullptr || call.regions)
         return;
     if (now >= state->load_updated + load_interval)
         this->update_load(now, view, call, admission, chooser, *state);
@@ -116,6 +117,8 @@
     state.load_updated = now;
     state.load = {};
     std::vector<engine_wait> waits;
+    // Cold engines count with all their slots; the choice of the endpoint may still refuse the
+    // call.
     for (auto const* engine : usable_endpoints(view, admission.service, call.id))
     {
         auto const load = chooser.load(now, engine->id);
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -235,7 +235,7 @@
                       length == nullptr ? std::nullopt : http::parse_number(*length),
                       length == nullptr && !has_chunks);
     if (!this->route().is_stream)
-        this->count_usage(attempt);
+        this->count_usage();
 }
 
 void proxied_call::on_answer_bytes(endpoint_attempt& attempt, std::string_view bytes)
@@ -269,7 +269,7 @@
     this->last_progress = now;
     this->first_byte = now;
     this->context->chooser.pacing().record_answer(now, this->admitted.service, attempt);
-    this->count_usage(attempt);
+    this->count_usage();
     this->set_timer();
     if (this->counted_prompt)
         this->context->chooser.record_answered_prompt(now, attempt.endpoint(),
@@ -321,9 +321,11 @@
     else
         ++this->sent_attempts;
     this->may_have_run = this->may_have_run || attempt->may_have_run();
-    bool const is_load_recorded = this->first_byte != time_point();
-    if (attempt->answer().load && !is_load_recorded)
-        this->context->chooser.record_load(now, endpoint.id, *attempt->answer().load);
+    // on_answer() has recorded a report with a stated time, unless the head was not passed on.
+    auto const& load = attempt->answer().load;
+    bool const is_load_recorded = load && load->relative_time && this->first_byte != time_point();
+    if (load && !is_load_recorded)
+        this->context->chooser.record_load(now, endpoint.id, *load);
     std::optional<request::route_outcome> outcome;
     if (attempt->answer().is_from_other_endpoint)
     {
@@ -424,7 +426,7 @@
     this->context->crashes.record_answer(now, this->call);
 }
 
-void proxied_call::count_usage(endpoint_attempt const&)
+void proxied_call::count_usage()
 {
     if (this->admitted.account != nullptr)
         this->context->dependencies.control.count_usage(this->admitted.account->name);
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -76,7 +76,7 @@
     /// Records that the engine of the present attempt has begun its answer without harm.
     void record_prompt_progress(time_point now);
     /// Counts the request towards the usage of its account.
-    void count_usage(endpoint_attempt const& attempt);
+    void count_usage();
     /// Ends the call with this entry's own response, or by closing the connection when a part of an
     /// endpoint's response has been sent. Where the response allows a retry, it states
     /// `retry_after`, or a default without it.
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -30,7 +30,9 @@
     bool const has_run =
         this->may_have_run || (this->current_attempt && this->current_attempt->may_have_run());
     this->cancel_attempt();
-    this->give_up(has_run ? refusal::timed_out : refusal::overloaded, "this entry is stopping");
+    // Another entry can serve the call at once.
+    this->give_up(has_run ? refusal::timed_out : refusal::overloaded, "this entry is stopping",
+                  overload_retry_after);
 }
 
 void proxied_call::cancel_attempt()
--- a/src/process/proxy/tests/attempt_test.cpp
+++ b/src/process/proxy/tests/attempt_test.cpp
@@ -39,3 +39,20 @@
     CHECK(system.call("/once/x", "id-1").status() == 502);
     CHECK(endpoint.requests.size() == 1);
 }
+
+TEST_CASE("a load report without a stated time is taken into account")
+{
+    // Guards against endpoints that get most calls although they state that they are busy, when
+    // only reports that state a time are recorded.
+    proxy_fixture system;
+    auto& busy = system.add_endpoint("plain", "e1");
+    auto& idle = system.add_endpoint("plain", "e2");
+    busy.running = 50;
+    idle.running = 0;
+    for (int i = 0; busy.requests.empty() || idle.requests.empty(); ++i)
+        CHECK(system.call("/plain/x", "first-" + std::to_string(i)).status() == 200);
+    auto const sent_before = busy.requests.size();
+    for (int i = 0; i < 10; ++i)
+        CHECK(system.call("/plain/x", "id-" + std::to_string(i)).status() == 200);
+    CHECK(busy.requests.size() == sent_before);
+}
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -200,7 +200,9 @@
     auto const body = "answer to " + request;
     auto const length_line = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     auto const cold_line = this->cold_ms ? "Cold: " + std::to_string(*this->cold_ms) + "\r\n" : "";
-    auto const id_line = cold_line + "Id: " + request + "\r\n";
+    auto const load_line =
+        this->running ? "Running: " + std::to_string(*this->running) + "\r\n" : "";
+    auto const id_line = cold_line + load_line + "Id: " + request + "\r\n";
     auto const head_text = "HTTP/1.1 200 OK\r\nSeal: s\r\n" + id_line;
     if (this->deadly_part && has_part(head, *this->deadly_part))
     {
@@ -311,6 +313,8 @@
         answer.request = request_id(*id);
     if (auto const* cold_ms = head.headers.find("Cold"))
         answer.cold_remaining = milliseconds(std::stoi(*cold_ms));
+    if (auto const* running = head.headers.find("Running"))
+        answer.load.emplace().running = static_cast<std::uint32_t>(std::stoi(*running));
     answer.has_seal = head.headers.find("Seal") != nullptr;
     answer.is_from_other_endpoint = head.status == 421;
     answer.is_not_executed =
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -57,6 +57,8 @@
     int closed_by_peer = 0;
     /// Stated in answers, if it is set.
     std::optional<int> cold_ms;
+    /// Number of running requests that is stated in answers, if it is set.
+    std::optional<int> running;
     std::chrono::milliseconds answer_delay{400};
     /// Bytes that are sent in the mode cut_head.
     std::size_t head_bytes = 0;
--- a/src/request/include/lagoonladder/request/endpoint_pace.hpp
+++ b/src/request/include/lagoonladder/request/endpoint_pace.hpp
@@ -84,7 +84,7 @@
     /// When a service was first observed. The endpoints that are observed with it are established.
     std::map<service_name, time_point> first_observed;
     /// Endpoints that were cold or excluded when they were last seen.
-    std::set<endpoint_id> hindered;
+    std::set<endpoint_id> cold_or_excluded;
     time_point expired_at{};
 };
 
--- a/src/request/include/lagoonladder/request/endpoint_speed.hpp
+++ b/src/request/include/lagoonladder/request/endpoint_speed.hpp
@@ -40,7 +40,7 @@
     /// multiple of the endpoint's mean; 1 when the endpoint has stated none.
     double deviation(time_point now, endpoint_id const& endpoint, duration elapsed = {}) const;
 
-    /// Whether the endpoint has stated a time recently.
+    /// Whether the endpoint has stated a time within max_idle.
     bool has_stated(endpoint_id const& endpoint) const
     {
         return this->endpoints.contains(endpoint);
--- a/src/request/internal/endpoint_pace.cpp
+++ b/src/request/internal/endpoint_pace.cpp
@@ -41,7 +41,7 @@
         return;
     this->expired_at = now;
     this->starts.expire(now);
-    std::erase_if(this->hindered, [&](auto const& id) { return !this->cold.contains(id); });
+    std::erase_if(this->cold_or_excluded, [&](auto const& id) { return !this->cold.contains(id); });
 }
 
 void endpoint_pace::observe(time_point now, service_name const& service, cold_limit const& limit,
@@ -56,7 +56,7 @@
     if (is_added || sighting == endpoint_sighting::restarted)
         this->starts.begin(now, row.id);
     if (this->cold.is_cold(now, row.id))
-        this->hindered.insert(row.id);
+        this->cold_or_excluded.insert(row.id);
 }
 
 void endpoint_pace::restart(time_point now, endpoint_id const& endpoint)
@@ -69,8 +69,8 @@
 void endpoint_pace::detect_recovery(time_point now, pace_candidate const& candidate)
 {
     if (candidate.is_excluded || this->cold.is_cold(now, candidate.id))
-        this->hindered.insert(candidate.id);
-    else if (this->hindered.erase(candidate.id) > 0)
+        this->cold_or_excluded.insert(candidate.id);
+    else if (this->cold_or_excluded.erase(candidate.id) > 0)
         this->starts.begin(now, candidate.id);
 }
 
