Count the buffers of chunked bodies exactly and wait in a test for all bytes of a caller

Cause: string::reserve may double the capacity of a text, so that chunked bodies took up to twice the memory that the budget counted; and a body whose buffer could not grow by half was refused although its bytes fitted. The test of chunked bodies took the counted capacity for the bytes that had arrived; when the first body was still arriving, the server refused the first caller in place of the second, which the test waited for.

Change: buffers get exactly the counted capacity; when there is no room to grow by half, the exact size is tried. The test waits until the server has read all bytes of the first caller.

--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -27,6 +27,18 @@
 /// Added to the idle timeout, since callers may send until the very end of it.
 constexpr duration idle_timeout_margin = seconds(1);
 
+/// Gives the text exactly this capacity if it has less. reserve() of a text that is not empty may
+/// double its capacity instead.
+void set_capacity(std::string& text, std::size_t capacity)
+{
+    if (capacity <= text.capacity())
+        return;
+    std::string larger;
+    larger.reserve(capacity);
+    larger += text;
+    text.swap(larger);
+}
+
 } // namespace
 
 server_connection::server_connection(asio::ip::tcp::socket accepted,
@@ -215,17 +227,23 @@
     if (!this->parser->has_head())
         return this->request_holding->resize(now, request_overhead + incoming);
     auto& body = this->parser->body();
-    auto capacity = body.capacity();
+    auto required = std::max(body.capacity(), body.size() + incoming);
+    auto capacity = required;
     if (auto const length = this->parser->content_length())
-        capacity = std::max(capacity, static_cast<std::size_t>(*length));
-    else if (body.size() + incoming > capacity)
+        required = capacity = std::max(body.capacity(), static_cast<std::size_t>(*length));
+    else if (required > body.capacity())
         // A part of the incoming bytes may be no part of the body.
-        capacity = std::clamp<std::size_t>(capacity + capacity / 2, body.size() + incoming,
-                                           std::max(body.size() + incoming, this->max_body_bytes));
+        capacity = std::clamp<std::size_t>(body.capacity() + body.capacity() / 2, required,
+                                           std::max(required, this->max_body_bytes));
     auto const head_bytes = request_overhead + this->parser->head_memory();
     if (!this->request_holding->resize(now, head_bytes + capacity))
-        return false;
-    body.reserve(capacity);
+    {
+        // The body may still fit without room to grow.
+        capacity = required;
+        if (!this->request_holding->resize(now, head_bytes + capacity))
+            return false;
+    }
+    set_capacity(body, capacity);
     return true;
 }
 
--- a/src/process/http/tests/memory_limit_test.cpp
+++ b/src/process/http/tests/memory_limit_test.cpp
@@ -1,3 +1,5 @@
+#include <sys/ioctl.h>
+
 #include "loop_fixture.hpp"
 
 using namespace lagoonladder;
@@ -23,7 +25,15 @@
     {
         this->output = std::move(bytes);
         asio::async_write(this->socket, asio::buffer(this->output),
-                          [](asio::error_code const&, std::size_t) {});
+                          [this](asio::error_code const&, std::size_t) { this->is_sent = true; });
+    }
+
+    /// Whether the kernel of the receiver has all bytes that were sent.
+    bool is_received()
+    {
+        int unacknowledged = 0;
+        ::ioctl(this->socket.native_handle(), TIOCOUTQ, &unacknowledged);
+        return this->is_sent && unacknowledged == 0;
     }
 
     void read()
@@ -42,6 +52,7 @@
     std::string output;
     std::array<char, 4096> chunk{};
     std::string received;
+    bool is_sent = false;
     bool is_closed = false;
 };
 
@@ -85,6 +96,15 @@
         return caller.received;
     }
 
+    /// Runs until the server has read all bytes of the caller.
+    void read_all_of(raw_caller& caller)
+    {
+        loop.run_until([&] { return caller.is_received(); });
+        loop.context.restart();
+        while (loop.context.poll() > 0)
+            ;
+    }
+
     loop_fixture loop;
     std::shared_ptr<http::request_memory> memory;
     http::server server;
@@ -124,8 +144,10 @@
     limited_server limited(2 * mib);
     auto const chunk = "40000\r\n" + std::string(256 * 1024, 'x') + "\r\n";
     std::string const head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n";
-    limited.call(head + "\r\n" + chunk + chunk + chunk + chunk);
-    limited.loop.run_until([&] { return limited.memory->used() > mib; });
+    auto& first = limited.call(head + "\r\n" + chunk + chunk + chunk + chunk);
+    // The capacity of a buffer exceeds its bytes, so that its size does not show that all arrived.
+    limited.read_all_of(first);
+    CHECK(limited.memory->used() > mib);
     CHECK(limited.exchange(head + "\r\n" + chunk + chunk + chunk).starts_with("HTTP/1.1 503"));
     std::string fields;
     for (int i = 0; i < 3'000; ++i)
@@ -134,6 +156,19 @@
     limited.loop.run_until([&] { return limited.memory->used() > mib + 150 * 1024; });
 }
 
+TEST_CASE("a chunked body that fits into the memory is not refused for the growth of its buffer")
+{
+    // Guards against buffers that grow beyond the body and then exceed what is left.
+    limited_server limited(2 * mib);
+    limited.call(post(mib, mib - 1));
+    limited.loop.run_until([&] { return limited.memory->used() > mib; });
+    auto const size = std::size_t{500} * 1024;
+    auto const response = limited.exchange("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                                           "Transfer-Encoding: chunked\r\n\r\n7d000\r\n" +
+                                           std::string(size, 'x') + "\r\n0\r\n\r\n");
+    CHECK(response.starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("connections whose callers read nothing are closed at the limit")
 {
     // Guards against responses that fill the memory since their callers do not read them.
