Explain the placement of a pass-through call by the code that decides

Cause: Operators cannot see where a call would go and why without sending it.

Change: placement_explanation computes route, account, quota, admission, versions and a row with its chance for each endpoint. Decisions that draw or record are split into a step that changes nothing, or is made on a copy, and a step that draws: endpoint_pace::weigh and draw, route chances, resolve_call, prompt_quarantine::preview, find_endpoints with the rule that removed each endpoint.

--- a/src/process/proxy/include/lagoonladder/proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy.hpp
@@ -7,6 +7,7 @@
 #include <lagoonladder/proxy/call.hpp>
 #include <lagoonladder/proxy/call_proxy.hpp>
 #include <lagoonladder/proxy/operations.hpp>
+#include <lagoonladder/proxy/placement_query.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
 
 #endif
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -4,10 +4,12 @@
 #include <memory>
 
 #include <asio.hpp>
+#include <nlohmann/json.hpp>
 
 #include <lagoonladder/http.hpp>
 #include <lagoonladder/observability.hpp>
 #include <lagoonladder/proxy/call.hpp>
+#include <lagoonladder/proxy/placement_query.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
 
 namespace lagoonladder::proxy
@@ -84,6 +86,10 @@
     /// Adds evidence of another entry on parts of prompts that crash engines.
     void on_crash_evidence(std::vector<request::part_evidence> const& evidence);
 
+    /// Explains where the call would be sent now, and why, as JSON. Sends and changes nothing.
+    /// Throws unknown_placement for a route or account that does not exist.
+    nlohmann::json explain(placement_query const& query) const;
+
     /// Number of calls without a complete response.
     std::size_t open_calls() const;
 
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -14,22 +14,6 @@
 /// this time.
 constexpr duration configuration_wait = seconds(1);
 
-service_name choose_service(version::pass_through_route const& route, request_id const& call)
-{
-    std::uint64_t total = 0;
-    for (auto const& target : route.split)
-        total += target.weight;
-    // The route is the seed, so that the split does not depend on other choices that hash the id.
-    auto position = stable_hash(call.value(), stable_hash(route.name.value())) % total;
-    for (auto const& target : route.split)
-    {
-        if (position < target.weight)
-            return target.service;
-        position -= target.weight;
-    }
-    return route.split.front().service;
-}
-
 double counted_tokens(incoming_call const& call, version::token_quota const& quota)
 {
     if (!call.tokens)
@@ -67,6 +51,8 @@
     result.shortage = decision.shortage;
 }
 
+} // namespace
+
 void take_quota_tokens(time_point now, traffic_view const& view, incoming_call const& call,
                        request::account_quota& quotas, quota_tolerance const& tolerance,
                        call_admission& result)
@@ -82,7 +68,21 @@
         result);
 }
 
-} // namespace
+service_name choose_service(version::pass_through_route const& route, request_id const& call)
+{
+    std::uint64_t total = 0;
+    for (auto const& target : route.split)
+        total += target.weight;
+    // The route is the seed, so that the split does not depend on other choices that hash the id.
+    auto position = stable_hash(call.value(), stable_hash(route.name.value())) % total;
+    for (auto const& target : route.split)
+    {
+        if (position < target.weight)
+            return target.service;
+        position -= target.weight;
+    }
+    return route.split.front().service;
+}
 
 quota_inputs make_quota_inputs(traffic_view const& view,
                                version::pass_through_account const& account,
@@ -177,9 +177,8 @@
     return 500;
 }
 
-call_admission admit(time_point now, time_point arrived, traffic_view const& view,
-                     incoming_call const& call, crash_tracker& crashes,
-                     request::account_quota& quotas, quota_tolerance const& tolerance)
+call_admission resolve_call(time_point now, time_point arrived, traffic_view const& view,
+                            incoming_call const& call)
 {
     call_admission result;
     result.retry_after = configuration_wait;
@@ -206,12 +205,23 @@
     auto const time_limit =
         std::min(call.time_left.value_or(result.route->timeout), result.route->timeout);
     result.deadline = arrived + time_limit;
-    result.reason = refusal::too_late;
     if (result.deadline <= now)
+        result.reason = refusal::too_late;
+    return result;
+}
+
+call_admission admit(time_point now, time_point arrived, traffic_view const& view,
+                     incoming_call const& call, crash_tracker& crashes,
+                     request::account_quota& quotas, quota_tolerance const& tolerance)
+{
+    auto result = resolve_call(now, arrived, view, call);
+    if (result.reason != refusal::none)
         return result;
-    result.reason = refusal::quarantined_prompt;
     if (crashes.is_refused(now, view, call))
+    {
+        result.reason = refusal::quarantined_prompt;
         return result;
+    }
     take_quota_tokens(now, view, call, quotas, tolerance, result);
     result.service = choose_service(*result.route, call.id);
     return result;
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -84,6 +84,19 @@
                                version::pass_through_account const& account,
                                quota_tolerance const& tolerance);
 
+/// First step of admit(): finds the route, the account and the deadline. Takes nothing.
+call_admission resolve_call(time_point now, time_point arrived, traffic_view const& view,
+                            incoming_call const& call);
+
+/// Last step of admit(): takes the tokens of the call from this entry's portion of its account's
+/// quota, if the account has one.
+void take_quota_tokens(time_point now, traffic_view const& view, incoming_call const& call,
+                       request::account_quota& quotas, quota_tolerance const& tolerance,
+                       call_admission& result);
+
+/// Returns the service of the route's split that gets the call.
+service_name choose_service(version::pass_through_route const& route, request_id const& call);
+
 /// Decides whether a call is admitted and which service gets it. The tokens of an admitted call are
 /// taken from this entry's portion of its account's quota.
 call_admission admit(time_point now, time_point arrived, traffic_view const& view,
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -3,6 +3,7 @@
 #include "configuration_wait_queue.hpp"
 #include "evacuation_watch.hpp"
 #include "home_regions.hpp"
+#include "placement_explanation.hpp"
 #include "proxied_call.hpp"
 
 namespace lagoonladder::proxy
@@ -289,6 +290,12 @@
     this->context->dependencies.control.set_demand(this->context->quotas.demand(now));
 }
 
+nlohmann::json call_proxy::explain(placement_query const& query) const
+{
+    auto const view = this->context->dependencies.control.view();
+    return placement_explanation(*this->context, *view).explain(query);
+}
+
 std::size_t call_proxy::open_calls() const
 {
     return this->context->open_calls + this->wait_queue->size();
--- a/src/process/proxy/internal/crash_tracker.cpp
+++ b/src/process/proxy/internal/crash_tracker.cpp
@@ -49,6 +49,15 @@
     return verdict == request::quarantine_verdict::refused;
 }
 
+bool crash_tracker::would_refuse(time_point now, traffic_view const& view,
+                                 incoming_call const& call) const
+{
+    return this->quarantine.preview(now, call.prompt,
+                                    [&](std::uint64_t part) {
+                                        return is_probing_entry(view, part);
+                                    }) == request::quarantine_verdict::refused;
+}
+
 bool crash_tracker::is_suspected(time_point now, incoming_call const& call) const
 {
     return this->quarantine.is_suspected(now, call.prompt);
--- a/src/process/proxy/internal/crash_tracker.hpp
+++ b/src/process/proxy/internal/crash_tracker.hpp
@@ -16,6 +16,8 @@
 
     /// Whether the call has a quarantined part and may not be sent to an engine.
     bool is_refused(time_point now, traffic_view const& view, incoming_call const& call);
+    /// Whether is_refused() would refuse the call. Changes nothing.
+    bool would_refuse(time_point now, traffic_view const& view, incoming_call const& call) const;
     /// Whether engines crashed on a part of the prompt one after another, so that the call is not
     /// to be repeated.
     bool is_suspected(time_point now, incoming_call const& call) const;
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -1,7 +1,6 @@
 #include "endpoint_chooser.hpp"
 
 #include <algorithm>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -35,8 +34,23 @@
     return endpoint.state == connection::endpoint_state::serving;
 }
 
+/// Removes the endpoints to which a rule applies. Adds them to `removed` unless it is null.
+template <class Condition>
+void exclude_if(endpoint_record_pointers& endpoints, exclusion rule, exclusion_list* removed,
+                Condition const& condition)
+{
+    std::erase_if(endpoints,
+                  [&](auto const* endpoint)
+                  {
+                      bool const is_excluded = condition(*endpoint);
+                      if (is_excluded && removed != nullptr)
+                          removed->emplace_back(endpoint, rule);
+                      return is_excluded;
+                  });
+}
+
 /// Where several endpoints have the same address, keeps only the one that started last.
-void remove_replaced(endpoint_record_pointers& endpoints)
+void remove_replaced(endpoint_record_pointers& endpoints, exclusion_list* removed)
 {
     std::unordered_map<std::string_view, incarnation> latest_incarnations;
     latest_incarnations.reserve(endpoints.size());
@@ -47,10 +61,9 @@
     }
     if (latest_incarnations.size() == endpoints.size())
         return;
-    std::erase_if(endpoints,
-                  [&](auto const* endpoint) {
-                      return endpoint->incarnation < latest_incarnations[endpoint->address.value()];
-                  });
+    exclude_if(endpoints, exclusion::address_taken_over, removed,
+               [&](auto const& endpoint)
+               { return endpoint.incarnation < latest_incarnations[endpoint.address.value()]; });
 }
 
 request::route_candidate make_candidate(connection::endpoint_record const& endpoint, double load)
@@ -70,7 +83,8 @@
 /// keeps those of the other version, but the candidate's only if it has most of the traffic: until
 /// then it may be bad, and the loss of the stable version's endpoints must not give it all calls.
 endpoint_record_pointers select_version(endpoint_record_pointers endpoints,
-                                        version::traffic_split const& split, request_id const& call)
+                                        version::traffic_split const& split, request_id const& call,
+                                        exclusion_list* removed)
 {
     auto const is_candidate = [&](auto const* endpoint)
     { return endpoint->version == split.candidate; };
@@ -80,8 +94,8 @@
     bool const may_use_candidate = split.candidate_share > min_fallback_share;
     bool const uses_candidate =
         has_candidate && (is_assigned_to_candidate || (!has_stable && may_use_candidate));
-    std::erase_if(endpoints,
-                  [&](auto const* endpoint) { return is_candidate(endpoint) != uses_candidate; });
+    exclude_if(endpoints, exclusion::other_version, removed,
+               [&](auto const& endpoint) { return is_candidate(&endpoint) != uses_candidate; });
     return endpoints;
 }
 
@@ -89,7 +103,8 @@
 
 endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
                                           request_id const& call,
-                                          std::optional<std::set<region_id>> const& regions)
+                                          std::optional<std::set<region_id>> const& regions,
+                                          exclusion_list* removed)
 {
     auto const service_endpoints = view.endpoints.find(service);
     if (service_endpoints == view.endpoints.end())
@@ -98,32 +113,33 @@
     endpoints.reserve(service_endpoints->second.size());
     for (auto const& endpoint : service_endpoints->second)
         endpoints.push_back(&endpoint);
-    remove_replaced(endpoints);
-    std::erase_if(endpoints,
-                  [&](auto const* endpoint)
-                  {
-                      return !is_serving(*endpoint) ||
-                             view.evacuated.contains(endpoint->data_centre) ||
-                             !is_in_regions(view, endpoint->data_centre, regions);
-                  });
+    remove_replaced(endpoints, removed);
+    exclude_if(endpoints, exclusion::leaving, removed,
+               [](auto const& endpoint) { return !is_serving(endpoint); });
+    exclude_if(endpoints, exclusion::evacuated, removed,
+               [&](auto const& endpoint) { return view.evacuated.contains(endpoint.data_centre); });
+    exclude_if(endpoints, exclusion::region, removed,
+               [&](auto const& endpoint)
+               { return !is_in_regions(view, endpoint.data_centre, regions); });
     auto const reversed = view.reversed.find(service);
     if (reversed != view.reversed.end())
-        std::erase_if(endpoints, [&](auto const* endpoint)
-                      { return reversed->second.contains(endpoint->version); });
+        exclude_if(endpoints, exclusion::reversed_version, removed,
+                   [&](auto const& endpoint)
+                   { return reversed->second.contains(endpoint.version); });
     auto const found_split = view.splits.find(service);
     if (found_split == view.splits.end())
         return endpoints;
     auto const& split = found_split->second;
     if (!split.candidate.value().empty())
     {
-        return select_version(std::move(endpoints), split, call);
+        return select_version(std::move(endpoints), split, call, removed);
     }
     bool const has_stable =
         std::any_of(endpoints.begin(), endpoints.end(),
                     [&](auto const* endpoint) { return endpoint->version == split.stable; });
     if (has_stable)
-        std::erase_if(endpoints,
-                      [&](auto const* endpoint) { return endpoint->version != split.stable; });
+        exclude_if(endpoints, exclusion::other_version, removed,
+                   [&](auto const& endpoint) { return endpoint.version != split.stable; });
     return endpoints;
 }
 
@@ -140,10 +156,26 @@
     auto const found = this->policies.find(service);
     if (found != this->policies.end())
         return found->second;
+    return this->policies.emplace(service, this->make_policy(is_engine)).first->second;
+}
+
+request::balanced_route_policy endpoint_chooser::make_policy(bool is_engine) const
+{
     auto options = is_engine ? engine_options() : request::balanced_route_options();
     if (this->is_pace_learned)
         options.ramp_start = 1;
-    return this->policies.emplace(service, request::balanced_route_policy(options)).first->second;
+    return request::balanced_route_policy(options);
+}
+
+endpoint_record_pointers endpoint_chooser::find_endpoints(time_point now, traffic_view const& view,
+                                                          service_name const& service,
+                                                          incoming_call const& call,
+                                                          exclusion_list* removed) const
+{
+    auto endpoints = usable_endpoints(view, service, call.id, call.regions, removed);
+    exclude_if(endpoints, exclusion::address_taken_over, removed,
+               [&](auto const& endpoint) { return this->is_replaced(now, endpoint); });
+    return endpoints;
 }
 
 std::optional<connection::endpoint_record>
@@ -152,27 +184,15 @@
                          incoming_call const& call, std::vector<endpoint_id> const& excluded,
                          random_source& random)
 {
-    auto endpoints = usable_endpoints(view, service, call.id, call.regions);
-    std::erase_if(endpoints,
-                  [&](auto const* endpoint) { return this->is_replaced(now, *endpoint); });
+    auto endpoints = this->find_endpoints(now, view, service, call);
     auto const* found_service = view.services->find_service(service);
     bool const is_engine = found_service != nullptr && found_service->is_engine;
     auto& route_policy = this->policy(service, is_engine);
     this->pace_control.filter(now, view, service, route_policy, excluded, random, endpoints);
-    std::vector<request::route_candidate> candidates;
-    candidates.reserve(endpoints.size());
-    for (auto const* endpoint : endpoints)
-    {
-        candidates.push_back(make_candidate(*endpoint, this->loads.estimate(now, endpoint->id)));
-        candidates.back().time_deviation = this->prompts.speeds().deviation(now, endpoint->id);
-    }
-    request::route_query query;
-    query.data_centre = view.data_centre;
-    query.excluded = excluded;
     this->prompts.set_entry_count(view.entries);
-    if (is_engine && route.has_prefix_affinity)
-        this->keep_cheapest(now, call.prompt, route_policy, excluded, candidates);
-    auto const chosen = route_policy.choose(now, candidates, query, random);
+    auto const set =
+        this->make_candidates(now, view, route, is_engine, call, route_policy, excluded, endpoints);
+    auto const chosen = route_policy.choose(now, set.candidates, set.query, random);
     if (!chosen)
         return std::nullopt;
     auto const chosen_endpoint =
@@ -181,6 +201,26 @@
     return **chosen_endpoint;
 }
 
+endpoint_chooser::candidate_set endpoint_chooser::make_candidates(
+    time_point now, traffic_view const& view, version::pass_through_route const& route,
+    bool is_engine, incoming_call const& call, request::balanced_route_policy const& health,
+    std::vector<endpoint_id> const& excluded, endpoint_record_pointers const& endpoints) const
+{
+    candidate_set set;
+    set.candidates.reserve(endpoints.size());
+    for (auto const* endpoint : endpoints)
+    {
+        set.candidates.push_back(
+            make_candidate(*endpoint, this->loads.estimate(now, endpoint->id)));
+        set.candidates.back().time_deviation = this->prompts.speeds().deviation(now, endpoint->id);
+    }
+    set.query.data_centre = view.data_centre;
+    set.query.excluded = excluded;
+    if (is_engine && route.has_prefix_affinity)
+        this->keep_cheapest(now, call.prompt, health, set);
+    return set;
+}
+
 std::optional<duration>
 endpoint_chooser::time_until_room(time_point now, traffic_view const& view,
                                   service_name const& service, incoming_call const& call,
@@ -199,12 +239,12 @@
 
 void endpoint_chooser::keep_cheapest(time_point now, request::prompt_parts const& prompt,
                                      request::balanced_route_policy const& health,
-                                     std::vector<endpoint_id> const& excluded,
-                                     std::vector<request::route_candidate>& candidates) const
+                                     candidate_set& set) const
 {
+    auto const& excluded = set.query.excluded;
     std::vector<endpoint_id> healthy;
     std::vector<duration> delays;
-    for (auto const& candidate : candidates)
+    for (auto const& candidate : set.candidates)
     {
         auto const& id = candidate.endpoint_id;
         bool const was_tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
@@ -225,14 +265,14 @@
     for (std::size_t i = 0; i < costs.size(); ++i)
         costs[i] += delays[i];
     auto const min_cost = *std::min_element(costs.begin(), costs.end());
-    std::set<endpoint_id> cheapest;
     for (std::size_t i = 0; i < healthy.size(); ++i)
-    {
-        if (costs[i] <= min_cost + cost_tolerance)
-            cheapest.insert(healthy[i]);
-    }
-    std::erase_if(candidates,
-                  [&](auto const& candidate) { return !cheapest.contains(candidate.endpoint_id); });
+        set.costs.emplace(healthy[i], costs[i]);
+    std::erase_if(set.candidates,
+                  [&](auto const& candidate)
+                  {
+                      auto const found = set.costs.find(candidate.endpoint_id);
+                      return found == set.costs.end() || found->second > min_cost + cost_tolerance;
+                  });
 }
 
 void endpoint_chooser::record_start(time_point now, endpoint_id const& endpoint)
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include <lagoonladder/proxy/call.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
@@ -12,6 +14,65 @@
 namespace lagoonladder::proxy
 {
 
+/// Rule that keeps an endpoint from being chosen.
+enum class exclusion
+{
+    none,
+    address_taken_over,
+    leaving,
+    evacuated,
+    region,
+    reversed_version,
+    other_version,
+    /// The bound of cold endpoints leaves no room here.
+    cold,
+    learned_pace,
+    /// Failures exclude it while others do not fail.
+    failures,
+    /// Another engine can answer the prompt at a lower cost.
+    cost,
+    /// Its load exceeds the mean by too much, or is higher than that of each other endpoint.
+    load
+};
+
+char const* to_string(exclusion rule);
+
+/// Endpoints that a rule excluded.
+using exclusion_list = std::vector<std::pair<connection::endpoint_record const*, exclusion>>;
+
+/// Chance of an endpoint to be chosen, with the estimates that it results from.
+struct endpoint_explanation
+{
+    /// Part of the view that was explained.
+    connection::endpoint_record const* endpoint = nullptr;
+    exclusion rule = exclusion::none;
+    double chance = 0;
+    /// Estimated number of requests that run and wait.
+    double load = 0;
+    /// The estimate is based on a report of the endpoint.
+    bool has_load_report = false;
+    double time_deviation = 1;
+    /// The endpoint has stated a time.
+    bool has_stated_time = false;
+    /// A prompt that was sent to the engine is known.
+    bool has_known_prompts = false;
+    /// Tokens of the prompt that the engine has not cached.
+    double uncached_tokens = 0;
+    duration prefill_time{};
+    /// Cost of the prompt at the engine; no value where the cost does not count.
+    std::optional<duration> cost;
+    /// Time until a cold endpoint may get a request.
+    duration time_until_room{};
+};
+
+struct choice_explanation
+{
+    /// All endpoints of the service, in order of their chance.
+    std::vector<endpoint_explanation> endpoints;
+    /// The chances are estimated from samples, since too many endpoints get requests by chance.
+    bool is_sampled = false;
+};
+
 /// Chooses the endpoint of an attempt by the traffic view, the estimated load and the outcomes of
 /// earlier attempts.
 class endpoint_chooser
@@ -26,6 +87,12 @@
            service_name const& service, incoming_call const& call,
            std::vector<endpoint_id> const& excluded, random_source& random);
 
+    /// Explains which endpoints choose() would choose now for the first attempt of the call.
+    /// Changes nothing.
+    choice_explanation explain(time_point now, traffic_view const& view,
+                               version::pass_through_route const& route,
+                               service_name const& service, incoming_call const& call) const;
+
     /// Returns the time until one of the endpoints that choose() may use may get a request, for a
     /// call that got none: zero when one of them is not cold, no value when there are none or
     /// the service has no cold limit.
@@ -90,12 +157,40 @@
         time_point until{};
     };
 
+    /// Candidates of a choice after all rules but those of the route policy.
+    struct candidate_set
+    {
+        std::vector<request::route_candidate> candidates;
+        request::route_query query;
+        /// Costs of the healthy engines; empty where they do not count.
+        std::map<endpoint_id, duration> costs;
+    };
+
     request::balanced_route_policy& policy(service_name const& service, bool is_engine);
+    request::balanced_route_policy make_policy(bool is_engine) const;
+    /// Returns the endpoints whose state, data centre, version and address permit the call. Adds
+    /// the others to `removed` unless it is null.
+    endpoint_record_pointers find_endpoints(time_point now, traffic_view const& view,
+                                            service_name const& service, incoming_call const& call,
+                                            exclusion_list* removed = nullptr) const;
+    /// Returns the candidates among the endpoints that the pace permits.
+    candidate_set make_candidates(time_point now, traffic_view const& view,
+                                  version::pass_through_route const& route, bool is_engine,
+                                  incoming_call const& call,
+                                  request::balanced_route_policy const& health,
+                                  std::vector<endpoint_id> const& excluded,
+                                  endpoint_record_pointers const& endpoints) const;
     /// Removes all candidates but the healthy engines with the lowest estimated cost of the prompt.
     void keep_cheapest(time_point now, request::prompt_parts const& prompt,
-                       request::balanced_route_policy const& health,
-                       std::vector<endpoint_id> const& excluded,
-                       std::vector<request::route_candidate>& candidates) const;
+                       request::balanced_route_policy const& health, candidate_set& set) const;
+    /// Adds rows for the endpoints that may be chosen.
+    void add_chances(time_point now, traffic_view const& view,
+                     version::pass_through_route const& route, service_name const& service,
+                     incoming_call const& call, endpoint_record_pointers const& endpoints,
+                     choice_explanation& result) const;
+    endpoint_explanation explain_estimates(time_point now,
+                                           connection::endpoint_record const& endpoint,
+                                           incoming_call const& call) const;
     bool is_replaced(time_point now, connection::endpoint_record const& endpoint) const;
 
     /// Whether the policies leave the growth of an endpoint's share to `pace_control`.
@@ -109,10 +204,12 @@
 };
 
 /// Returns the endpoints of the service that a call may be sent to by their state, their data
-/// centre and version. No value for `regions` means all.
+/// centre and version. No value for `regions` means all. Adds the others to `removed` unless it is
+/// null.
 endpoint_record_pointers
 usable_endpoints(traffic_view const& view, service_name const& service, request_id const& call,
-                 std::optional<std::set<region_id>> const& regions = std::nullopt);
+                 std::optional<std::set<region_id>> const& regions = std::nullopt,
+                 exclusion_list* removed = nullptr);
 
 } // namespace lagoonladder::proxy
 
--- a/src/process/proxy/internal/endpoint_pacing.cpp
+++ b/src/process/proxy/internal/endpoint_pacing.cpp
@@ -87,14 +87,8 @@
         return;
     std::erase_if(endpoints, [&](auto const* endpoint)
                   { return std::find(tried.begin(), tried.end(), endpoint->id) != tried.end(); });
-    std::vector<request::pace_candidate> candidates;
-    candidates.reserve(endpoints.size());
-    for (auto const* endpoint : endpoints)
-    {
-        this->observe(now, service, limit, *endpoint);
-        candidates.push_back({endpoint->id, health.is_excluded(now, endpoint->id)});
-    }
-    auto const selected = this->decisions.select(now, service, candidates, random);
+    auto const shares = this->weigh(now, service, limit, health, endpoints);
+    auto const selected = request::endpoint_pace::draw(shares, random);
     endpoint_record_pointers kept;
     for (std::size_t i = 0; i < endpoints.size(); ++i)
     {
@@ -104,6 +98,34 @@
     endpoints = std::move(kept);
 }
 
+std::vector<request::pace_share> endpoint_pacing::weigh(
+    time_point now, service_name const& service, request::cold_limit const& limit,
+    request::balanced_route_policy const& health, endpoint_record_pointers const& endpoints)
+{
+    std::vector<request::pace_candidate> candidates;
+    candidates.reserve(endpoints.size());
+    for (auto const* endpoint : endpoints)
+    {
+        this->observe(now, service, limit, *endpoint);
+        candidates.push_back({endpoint->id, health.is_excluded(now, endpoint->id)});
+    }
+    return this->decisions.weigh(now, service, candidates);
+}
+
+std::optional<std::vector<request::pace_share>>
+endpoint_pacing::preview(time_point now, traffic_view const& view, service_name const& service,
+                         request::balanced_route_policy const& health,
+                         endpoint_record_pointers const& endpoints) const
+{
+    auto const limit = find_limit(view, service);
+    if (!this->decisions.applies_to(limit))
+        return std::nullopt;
+    // A choice takes the rows of the endpoints into account before it decides.
+    auto updated = *this;
+    updated.set_evacuated(now, view, view.evacuated);
+    return updated.weigh(now, service, limit, health, endpoints);
+}
+
 std::optional<duration>
 endpoint_pacing::time_until_room(time_point now, traffic_view const& view,
                                  service_name const& service,
--- a/src/process/proxy/internal/endpoint_pacing.hpp
+++ b/src/process/proxy/internal/endpoint_pacing.hpp
@@ -28,6 +28,12 @@
     void filter(time_point now, traffic_view const& view, service_name const& service,
                 request::balanced_route_policy const& health, std::vector<endpoint_id> const& tried,
                 random_source& random, endpoint_record_pointers& endpoints);
+    /// Returns the share of each endpoint by which filter() would draw now; no value when the pace
+    /// of the service's endpoints is not bounded. Changes nothing.
+    std::optional<std::vector<request::pace_share>>
+    preview(time_point now, traffic_view const& view, service_name const& service,
+            request::balanced_route_policy const& health,
+            endpoint_record_pointers const& endpoints) const;
     /// Returns the time until one of the endpoints may get a request; no value when their pace is
     /// not bounded.
     std::optional<duration> time_until_room(time_point now, traffic_view const& view,
@@ -57,6 +63,11 @@
                            data_centre_id const& data_centre);
     void observe(time_point now, service_name const& service, request::cold_limit const& limit,
                  connection::endpoint_record const& endpoint);
+    /// Takes the endpoints into account and returns their shares.
+    std::vector<request::pace_share> weigh(time_point now, service_name const& service,
+                                           request::cold_limit const& limit,
+                                           request::balanced_route_policy const& health,
+                                           endpoint_record_pointers const& endpoints);
 
     request::endpoint_pace decisions;
     time_point round_begun{};
--- a/src/process/proxy/internal/overload_gate.hpp
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -20,6 +20,13 @@
 public:
     overload_gate(call_proxy::dependencies const& injected, bool is_on);
 
+    /// Copies the state of another gate, so that check() can be asked without changing that one.
+    overload_gate(overload_gate const& original, event_sink& sink,
+                  observability::metrics& counters);
+
+    /// Returns the load by which calls of the service were decided on last; nullptr without one.
+    request::service_load const* last_load(service_name const& service) const;
+
     /// Decides on a call that is admitted otherwise. Sets the reason of the refusal, if any, and
     /// the time to retry after.
     void check(time_point now, traffic_view const& view, incoming_call const& call,
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -101,6 +101,9 @@
     /// Returns the tokens per second that were requested at this entry, including refused requests.
     std::map<account_id, double> demand(time_point now);
 
+    /// Returns the tokens in the bucket of this entry as of its last use; no value without one.
+    std::optional<double> available(account_id const& account) const;
+
     /// Share of the limit that belongs to this entry, 0 to 1.
     static double share_of(peer_demand const& peers);
 
--- a/src/request/include/lagoonladder/request/endpoint_pace.hpp
+++ b/src/request/include/lagoonladder/request/endpoint_pace.hpp
@@ -26,6 +26,24 @@
     bool is_excluded = false;
 };
 
+/// Whether a candidate may get a request now, and by which chance.
+struct pace_share
+{
+    bool is_excluded = false;
+    /// The bound of cold endpoints leaves room for a request.
+    bool has_room = true;
+    /// The learned pace allows one more open request.
+    bool may_open = true;
+    /// The learned pace admits the request only by chance.
+    bool is_drawn = false;
+    double weight = 1;
+    /// Largest weight of the candidates.
+    double max_weight = 1;
+
+    /// Returns the chance that the candidate is selected before the fallback of complete().
+    double chance() const;
+};
+
 /// Decides which endpoints may get a request now: bounds the requests to cold endpoints, and raises
 /// those to endpoints that have started or recovered as far as they answer in time. Not safe for
 /// concurrent calls.
@@ -54,6 +72,14 @@
     /// a request without an endpoint; the bound of cold endpoints does.
     std::vector<bool> select(time_point now, service_name const& service,
                              std::vector<pace_candidate> const& candidates, random_source& random);
+    /// First step of select(): detects recoveries and returns the share of each candidate.
+    std::vector<pace_share> weigh(time_point now, service_name const& service,
+                                  std::vector<pace_candidate> const& candidates);
+    /// Second step of select(): draws by the shares.
+    static std::vector<bool> draw(std::vector<pace_share> const& shares, random_source& random);
+    /// Returns `selected`, or all candidates with room when it has no usable one.
+    static std::vector<bool> complete(std::vector<pace_share> const& shares,
+                                      std::vector<bool> selected);
     /// Returns the time until this entry may send a request to the endpoint.
     duration time_until_room(time_point now, endpoint_id const& endpoint) const;
 
@@ -74,9 +100,9 @@
 private:
     /// Begins the learned pace of candidates that are no longer cold or excluded.
     void detect_recovery(time_point now, pace_candidate const& candidate);
-    /// Returns whether the endpoint may get a request by its learned pace.
-    bool is_selected(time_point now, service_name const& service, endpoint_id const& endpoint,
-                     double mean_open, double max_weight, random_source& random);
+    /// Applies the learned pace of the endpoint to its share.
+    void limit_share(time_point now, service_name const& service, endpoint_id const& endpoint,
+                     double mean_open, pace_share& share);
 
     endpoint_pace_options options;
     cold_bound cold;
--- a/src/request/include/lagoonladder/request/load_estimate.hpp
+++ b/src/request/include/lagoonladder/request/load_estimate.hpp
@@ -44,6 +44,13 @@
     /// Returns the estimated number of requests that run and wait at the endpoint.
     double estimate(time_point now, endpoint_id const& endpoint) const;
 
+    /// Whether the estimate is based on a report of the endpoint.
+    bool has_report(endpoint_id const& endpoint) const
+    {
+        auto const found = this->endpoints.find(endpoint);
+        return found != this->endpoints.end() && found->second.reported;
+    }
+
     /// Returns the number of attempts of this entry that are in progress at the endpoint.
     std::uint32_t own_attempts(endpoint_id const& endpoint) const;
 
--- a/src/request/include/lagoonladder/request/prompt_backlog.hpp
+++ b/src/request/include/lagoonladder/request/prompt_backlog.hpp
@@ -90,6 +90,10 @@
 
     /// Sets the number of entries that receive requests, including this one; 1 by default.
     void set_entry_count(std::size_t count) { this->entry_count = std::max<std::size_t>(1, count); }
+    std::size_t entries() const { return this->entry_count; }
+
+    /// Whether a prompt that was sent to the engine is known.
+    bool has_seen(endpoint_id const& engine) const { return this->engines.contains(engine); }
 
     /// Fraction of the prompts of all entries that this entry knows of, from 0 to 1. It is smaller
     /// than the fraction that the entries announce when notices are lost. The loads of the entries
--- a/src/request/include/lagoonladder/request/prompt_quarantine.hpp
+++ b/src/request/include/lagoonladder/request/prompt_quarantine.hpp
@@ -87,12 +87,22 @@
     /// with a given hash.
     template <class MayProbe>
     quarantine_verdict check(time_point now, prompt_parts const& prompt, MayProbe may_probe)
+    {
+        auto const verdict = this->preview(now, prompt, may_probe);
+        if (verdict != quarantine_verdict::probe)
+            return verdict;
+        return this->begin_probe(now, *this->find_quarantined(now, prompt));
+    }
+
+    /// Returns what check() would decide, without beginning a probe.
+    template <class MayProbe>
+    quarantine_verdict preview(time_point now, prompt_parts const& prompt, MayProbe may_probe) const
     {
         auto const part = this->find_quarantined(now, prompt);
         if (!part)
             return quarantine_verdict::allowed;
         bool const is_probe = this->is_probe_due(now, prompt, *part) && may_probe(*part);
-        return is_probe ? this->begin_probe(now, *part) : quarantine_verdict::refused;
+        return is_probe ? quarantine_verdict::probe : quarantine_verdict::refused;
     }
 
     /// Whether a further attempt with the prompt is likely to crash one more engine: at least two
--- a/src/request/include/lagoonladder/request/route_choice.hpp
+++ b/src/request/include/lagoonladder/request/route_choice.hpp
@@ -72,6 +72,17 @@
     virtual void record(time_point, endpoint_id const&, route_outcome const&) {}
 };
 
+/// Chance that a candidate is chosen, and why it is not when that is zero.
+struct route_chance
+{
+    lagoonladder::endpoint_id endpoint_id;
+    double chance = 0;
+    /// Failures exclude it while others do not fail.
+    bool is_failing = false;
+    /// Its load exceeds the mean by too much.
+    bool is_over_bound = false;
+};
+
 struct balanced_route_options
 {
     /// A candidate is left out when its load per slot exceeds the mean by this factor.
@@ -111,6 +122,11 @@
                                       route_query const& query, random_source& random) override;
     void record(time_point now, endpoint_id const& endpoint, route_outcome const& outcome) override;
 
+    /// Returns the chance of each candidate that choose() would choose it now. Changes nothing.
+    std::vector<route_chance> chances(time_point now,
+                                      std::vector<route_candidate> const& candidates,
+                                      route_query const& query) const;
+
     /// Whether failures exclude the endpoint from ordinary choices at this time.
     bool is_excluded(time_point now, endpoint_id const& endpoint) const;
 
@@ -163,6 +179,11 @@
     /// Returns the affinity group of the query, or all candidates when it has no prefix.
     rated_list select_affinity_group(rated_list all, route_query const& query) const;
     static rated_candidate const& choose_of_two(rated_list const& group, random_source& random);
+    /// Whether the second of two drawn candidates wins the comparison.
+    static bool is_second_better(rated_candidate const& first, rated_candidate const& second);
+    /// Adds the chance of each member of the group that choose_of_two() returns it.
+    static void add_chances(rated_list const& group,
+                            std::map<endpoint_id, route_chance*> const& results);
     void record_failure(time_point now, health& state, bool unreachable) const;
     static void record_success(time_point now, health& state, route_outcome const& outcome);
     void record_probe(time_point now, endpoint_id const& endpoint);
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -188,4 +188,12 @@
     return out;
 }
 
+std::optional<double> account_quota::available(account_id const& account) const
+{
+    auto const found = this->buckets.find(account);
+    if (found == this->buckets.end())
+        return std::nullopt;
+    return found->second.available;
+}
+
 } // namespace lagoonladder::request
--- a/src/request/internal/endpoint_pace.cpp
+++ b/src/request/internal/endpoint_pace.cpp
@@ -74,15 +74,31 @@
         this->starts.begin(now, candidate.id);
 }
 
+double pace_share::chance() const
+{
+    if (!this->has_room || !this->may_open)
+        return 0;
+    return this->is_drawn ? std::min(1.0, this->weight / this->max_weight) : 1;
+}
+
 std::vector<bool> endpoint_pace::select(time_point now, service_name const& service,
                                         std::vector<pace_candidate> const& candidates,
                                         random_source& random)
 {
-    std::vector<bool> has_room(candidates.size());
+    return draw(this->weigh(now, service, candidates), random);
+}
+
+std::vector<pace_share> endpoint_pace::weigh(time_point now, service_name const& service,
+                                             std::vector<pace_candidate> const& candidates)
+{
+    std::vector<pace_share> shares(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i)
-        has_room[i] = this->cold.time_until_room(now, candidates[i].id) <= duration::zero();
+    {
+        shares[i].is_excluded = candidates[i].is_excluded;
+        shares[i].has_room = this->cold.time_until_room(now, candidates[i].id) <= duration::zero();
+    }
     if (!this->options.is_learned)
-        return has_room;
+        return shares;
     double open = 0;
     double max_weight = 0;
     for (auto const& candidate : candidates)
@@ -92,28 +108,50 @@
         max_weight = std::max(max_weight, this->starts.weight(now, service, candidate.id));
     }
     auto const mean_open = open / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
-    auto selected = has_room;
-    bool has_usable = false;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
-        selected[i] = has_room[i] && this->is_selected(now, service, candidates[i].id, mean_open,
-                                                       max_weight, random);
-        has_usable = has_usable || (selected[i] && !candidates[i].is_excluded);
+        shares[i].max_weight = max_weight;
+        this->limit_share(now, service, candidates[i].id, mean_open, shares[i]);
     }
-    return has_usable ? selected : has_room;
+    return shares;
 }
 
-bool endpoint_pace::is_selected(time_point now, service_name const& service,
-                                endpoint_id const& endpoint, double mean_open, double max_weight,
-                                random_source& random)
+void endpoint_pace::limit_share(time_point now, service_name const& service,
+                                endpoint_id const& endpoint, double mean_open, pace_share& share)
 {
-    auto const weight = this->starts.weight(now, service, endpoint);
+    share.weight = this->starts.weight(now, service, endpoint);
     // What a cold endpoint may get is already small.
-    if (weight >= 1 || this->cold.is_cold(now, endpoint))
-        return true;
-    auto const max_open = std::max(1.0, weight * open_factor * (mean_open + 1));
-    auto const open = static_cast<double>(this->starts.open_requests(endpoint));
-    return open < max_open && random.unit() * max_weight < weight;
+    if (share.weight >= 1 || this->cold.is_cold(now, endpoint))
+        return;
+    auto const max_open = std::max(1.0, share.weight * open_factor * (mean_open + 1));
+    share.may_open = static_cast<double>(this->starts.open_requests(endpoint)) < max_open;
+    share.is_drawn = true;
+}
+
+std::vector<bool> endpoint_pace::draw(std::vector<pace_share> const& shares, random_source& random)
+{
+    std::vector<bool> selected(shares.size());
+    for (std::size_t i = 0; i < shares.size(); ++i)
+    {
+        auto const& share = shares[i];
+        bool const may_get = share.has_room && share.may_open;
+        selected[i] =
+            may_get && (!share.is_drawn || random.unit() * share.max_weight < share.weight);
+    }
+    return complete(shares, std::move(selected));
+}
+
+std::vector<bool> endpoint_pace::complete(std::vector<pace_share> const& shares,
+                                          std::vector<bool> selected)
+{
+    for (std::size_t i = 0; i < shares.size(); ++i)
+    {
+        if (selected[i] && !shares[i].is_excluded)
+            return selected;
+    }
+    for (std::size_t i = 0; i < shares.size(); ++i)
+        selected[i] = shares[i].has_room;
+    return selected;
 }
 
 duration endpoint_pace::time_until_room(time_point now, endpoint_id const& endpoint) const
--- a/src/request/internal/route_choice.cpp
+++ b/src/request/internal/route_choice.cpp
@@ -260,14 +260,20 @@
     if (group.size() == 1)
         return group[first];
     auto const second = (first + 1 + random.below(group.size() - 1)) % group.size();
-    auto const is_second_better = group[second].cost < group[first].cost;
-    auto const& better = is_second_better ? group[second] : group[first];
-    auto const& other = is_second_better ? group[first] : group[second];
+    bool const is_swapped = is_second_better(group[first], group[second]);
+    auto const& better = is_swapped ? group[second] : group[first];
+    auto const& other = is_swapped ? group[first] : group[second];
     // An idle endpoint wins each comparison. During ramp-up its wins only count with the
     // probability `share`.
     return random.unit() < better.share ? better : other;
 }
 
+bool balanced_route_policy::is_second_better(rated_candidate const& first,
+                                             rated_candidate const& second)
+{
+    return second.cost < first.cost;
+}
+
 void balanced_route_policy::record_probe(time_point now, endpoint_id const& endpoint)
 {
     auto& state = this->endpoints.at(endpoint);
