Answer POST /v1/operator/explain on the thread of pass-through calls

Cause: The explanation of a placement needs the state of the thread that serves the calls, and operators reach the operator API only.

--- a/src/process/daemon/internal/operator_api.cpp
+++ b/src/process/daemon/internal/operator_api.cpp
@@ -157,6 +157,9 @@
     routes.add("POST", "/v1/operator/evacuations",
                authorised([this](auto const& exchange)
                           { order_evacuation(this->options, this->control, exchange); }));
+    routes.add(
+        "POST", "/v1/operator/explain",
+        authorised([this](auto const& exchange) { explain_placement(this->explainer, exchange); }));
     routes.add("POST", "/v1/operator/drain",
                authorised([this](auto const& exchange) { this->drain(*exchange); }));
 }
--- a/src/process/daemon/internal/operator_api.hpp
+++ b/src/process/daemon/internal/operator_api.hpp
@@ -8,6 +8,8 @@
 #include <lagoonladder/control.hpp>
 #include <lagoonladder/observability.hpp>
 
+#include "placement_explanations.hpp"
+
 namespace lagoonladder::daemon
 {
 
@@ -23,6 +25,10 @@
 
     void register_routes(completion::route_table& routes) override;
 
+    /// Sets what explains pass-through calls; null, as at first, on an entry that has none. To be
+    /// called before requests are served.
+    void set_explainer(placement_explainer* source) { this->explainer = source; }
+
 private:
     using exchange_pointer = std::shared_ptr<completion::api_exchange>;
 
@@ -40,6 +46,7 @@
     control::control_plane& control;
     observability::event_timeline& events;
     control::peer_channels& peers;
+    placement_explainer* explainer = nullptr;
     /// Runs the collection of events from other entries, which blocks its thread.
     asio::thread_pool event_collectors;
 };
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -10,6 +10,7 @@
 
 #include "notice_exchange.hpp"
 #include "pending_loan.hpp"
+#include "placement_explanations.hpp"
 #include "token_borrower.hpp"
 
 namespace lagoonladder::daemon
@@ -34,7 +35,8 @@
 class pass_through_plane : public proxy::traffic_control,
                            public proxy::operations,
                            public proxy::platform_duties,
-                           public notice_receiver
+                           public notice_receiver,
+                           public placement_explainer
 {
 public:
     pass_through_plane(config::settings const& config, control::control_loop& loop,
@@ -76,6 +78,10 @@
     void on_prompt_notice(proxy::prompt_notice const& notice) override;
     void on_crash_evidence(std::vector<request::part_evidence> const& evidence) override;
 
+    // placement_explainer
+    void explain(proxy::placement_query query,
+                 std::function<void(explanation_reply const&)> done) override;
+
     /// Lends tokens of the account's quota to another entry, unless `loan` is abandoned meanwhile.
     /// Safe to call from any thread.
     void lend_tokens(account_id const& account, double wanted, std::shared_ptr<pending_loan> loan);
--- a/src/process/daemon/internal/run.cpp
+++ b/src/process/daemon/internal/run.cpp
@@ -125,6 +125,7 @@
         , control_services(this->control->make_services())
         , quota_lender(this->pass_through.get(), config)
     {
+        this->operators.set_explainer(this->pass_through.get());
         set_invariant_handler(
             [this](std::string const& message) {
                 this->timeline.emit(severity::error, "invariant.violated", {{"message", message}});
