Add the command explain

Cause: Operators ask where a call would go now, and why, without sending it.

Change: lagoonladder explain sends the description of a pass-through call to an entry and prints the answer as text or JSON. It exits with 2 for an unknown route or account and unreadable options, and with 1 when no entry answers.

--- a/src/process/cli/internal/run_command_line.cpp
+++ b/src/process/cli/internal/run_command_line.cpp
@@ -5,6 +5,7 @@
 #include "drain_command.hpp"
 #include "evacuate_command.hpp"
 #include "events_command.hpp"
+#include "explain_command.hpp"
 #include "hash_key_command.hpp"
 #include "report_command.hpp"
 #include "report_format.hpp"
@@ -32,6 +33,7 @@
     commands.push_back(std::make_unique<events_command>());
     commands.push_back(std::make_unique<drain_command>());
     commands.push_back(std::make_unique<evacuate_command>());
+    commands.push_back(std::make_unique<explain_command>());
     commands.push_back(std::make_unique<hash_key_command>());
     return commands;
 }
--- a/src/process/cli/tests/cli_test.cpp
+++ b/src/process/cli/tests/cli_test.cpp
@@ -12,6 +12,7 @@
 #include "drain_command.hpp"
 #include "evacuate_command.hpp"
 #include "events_command.hpp"
+#include "explain_command.hpp"
 #include "fake_entry.hpp"
 #include "hash_key_command.hpp"
 #include "report_command.hpp"
@@ -288,3 +289,58 @@
     CHECK(json::parse(requests[0].body) == json{{"data_centre", "hob-a"}, {"is_evacuated", true}});
     CHECK(json::parse(requests[1].body) == json{{"data_centre", "hob-a"}, {"is_evacuated", false}});
 }
+
+TEST_CASE_METHOD(operator_fixture, "explain sends the call as it was described")
+{
+    // Guards against an answer about another call than the operator described.
+    fake_entry entry(200, {{"view", {{"vm", "vm1"}, {"ready", true}}},
+                           {"services",
+                            {{{"service", "model"},
+                              {"share", 1.0},
+                              {"versions", {{{"version", ""}, {"outcome", "served"}}}},
+                              {"endpoints", {{{"id", "e1"}, {"chance", 0.625}}}}}}}});
+    setenv("LAGOONLADDER_ENTRIES", entry.address().c_str(), 1);
+    std::vector<std::string> arguments{"--host",    "h",           "--path",        "/p/x",
+                                       "--account", "a",           "--tokens",      "100,20",
+                                       "--prompt",  "ff:90,1a:10", "--deadline-ms", "500"};
+    auto const result = run(explain_command(), arguments);
+    CHECK(result.code == exit_code::done);
+    CHECK_THAT(result.out, Contains("62.5%") && Contains("served"));
+    arguments.push_back("--json");
+    CHECK(json::parse(run(explain_command(), arguments).out).contains("services"));
+    auto const requests = entry.received_requests();
+    REQUIRE(requests.size() == 2);
+    CHECK(requests[0].path == "/v1/operator/explain");
+    CHECK(json::parse(requests[0].body) ==
+          json{{"host", "h"},
+               {"path", "/p/x"},
+               {"method", "POST"},
+               {"account", "a"},
+               {"tokens", {{"prompt", 100}, {"max_output", 20}}},
+               {"prompt", {{{"hash", "ff"}, {"tokens", 90}}, {{"hash", "1a"}, {"tokens", 10}}}},
+               {"deadline_ms", 500}});
+}
+
+TEST_CASE_METHOD(operator_fixture, "explain tells bad input from an entry that does not answer")
+{
+    // Guards against a script that takes an unknown route for an outage.
+    fake_entry refusing(400, {{"detail", "no route has the host"}});
+    fake_entry unable(404, {{"detail", "no pass-through calls"}});
+    auto const explain = [](std::string const& address, std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.end(), {"--host", "h", "--path", "/x", "--entry", address});
+        return run(explain_command(), arguments);
+    };
+    auto const unknown = explain(refusing.address(), {});
+    CHECK(unknown.code == exit_code::bad_input);
+    CHECK_THAT(unknown.err, Contains("no route has the host"));
+    CHECK(explain(unable.address(), {}).code == exit_code::failed);
+    CHECK(explain("127.0.0.1:1", {}).code == exit_code::failed);
+    for (auto const* prompt : {"", "ff", "xyz:1", "ff:-1", "ff:1,", "ff:1:2"})
+        CHECK(explain(refusing.address(), {"--prompt", prompt}).code == exit_code::bad_input);
+    for (auto const* tokens : {"1", "1,", "1,2,3", "a,b"})
+        CHECK(explain(refusing.address(), {"--tokens", tokens}).code == exit_code::bad_input);
+    CHECK(explain(refusing.address(), {"--deadline-ms", "soon"}).code == exit_code::bad_input);
+    CHECK(run(explain_command(), {"--entry", "127.0.0.1:1"}).code == exit_code::bad_input);
+    CHECK(refusing.received_requests().size() == 1);
+}
