Do not count calls that their quota refuses as served under overload

Cause: call_proxy asks the admission before the quota is decided, and the admission recorded each call that it would send as served. Accounts whose quota binds looked served, so that the shares by account and priority were wrong.

Change: a call that its quota refuses for good is no longer judged.

--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -88,6 +88,9 @@
     std::size_t open_calls() const;
 
 private:
+    /// Whether other entries may be asked for the tokens that the call lacks.
+    bool may_borrow(time_point now, traffic_view const& view,
+                    struct call_admission const& admission) const;
     /// Borrows the tokens that a call refused by its quota lacks, then decides on it again.
     void borrow(std::shared_ptr<http::server_exchange> const& exchange, incoming_call call,
                 struct call_admission const& refused);
--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -2,6 +2,7 @@
 #define LAGOONLADDER_PROXY_CALL_ADMISSION_HPP
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <lagoonladder/proxy/call.hpp>
@@ -68,6 +69,8 @@
     request::token_shortage shortage;
     /// Outcome of requesting the missing tokens from other entries, for the log and the metrics.
     char const* lending = "not_asked";
+    /// Set while the admission under overload counts the call as served.
+    std::optional<request::counted_call> counted;
     /// Why the engines have too little room, for the log.
     std::vector<event_field> capacity_detail;
 };
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -118,15 +118,25 @@
     if (admission.reason == refusal::no_configuration &&
         this->wait_for_configuration(exchange, call, *view))
         return;
+    bool const is_over_quota = admission.reason == refusal::over_quota;
+    // The load does not matter to a call that its quota refuses for good.
+    if (is_over_quota && !this->may_borrow(now, *view, admission))
+        return this->start(exchange, std::move(call), std::move(admission));
     this->check_capacity(now, *view, call, admission);
-    if (admission.reason == refusal::over_quota && view->entries > 1 &&
-        this->context->borrowing.begin_round(now, admission.account->name,
-                                             admission.quota_demand.quota_holder_count > 0,
-                                             admission.quota_tokens))
+    if (admission.reason == refusal::over_quota)
         return this->borrow(exchange, std::move(call), admission);
     this->start(exchange, std::move(call), std::move(admission));
 }
 
+bool call_proxy::may_borrow(time_point now, traffic_view const& view,
+                            call_admission const& admission) const
+{
+    return view.entries > 1 &&
+           this->context->borrowing.may_begin_round(now, admission.account->name,
+                                                    admission.quota_demand.quota_holder_count > 0,
+                                                    admission.quota_tokens);
+}
+
 void call_proxy::check_capacity(time_point now, traffic_view const& view, incoming_call const& call,
                                 call_admission& admission)
 {
@@ -171,7 +181,10 @@
             this->context->overload.spread_retry(this->context->dependencies.time.now(), admission,
                                                  admission.retry_after, this->context->random);
     if (admission.reason != refusal::none)
+    {
+        this->context->overload.withdraw(this->context->dependencies.time.now(), admission);
         return refuse(*this->context, *exchange, call, admission);
+    }
     std::make_shared<proxied_call>(this->context, exchange, std::move(call), std::move(admission))
         ->start();
 }
@@ -201,6 +214,9 @@
     exchange->on_closed([is_disconnected] { *is_disconnected = true; });
     ++this->context->open_calls;
     auto const& account = refused.account->name;
+    this->context->borrowing.begin_round(this->context->dependencies.time.now(), account,
+                                         refused.quota_demand.quota_holder_count > 0,
+                                         refused.quota_tokens);
     this->context->dependencies.control.borrow_tokens(
         account, refused.shortage, refused.deadline - this->context->dependencies.time.now(),
         [this, exchange, call = std::move(call), admission = refused,
@@ -216,7 +232,10 @@
             this->context->dependencies.metrics.add("quota_rounds_total",
                                                     {{"outcome", admission.lending}});
             if (*is_disconnected)
+            {
+                this->context->overload.withdraw(now, admission);
                 return quotas.deposit(admission.account->name, outcome.lent);
+            }
             auto const view = this->context->dependencies.control.view();
             admit_again(now, *view, quotas, this->context->options.quota, outcome.lent, admission);
             this->start(exchange, std::move(call), std::move(admission));
--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -96,7 +96,10 @@
     auto const decision = state->decisions.decide(now, query, random);
     this->report(now, admission.service, *state, decision);
     if (!decision.is_refused())
+    {
+        admission.counted = {now, query.account, query.priority};
         return;
+    }
     admission.reason = refusal::no_capacity;
     admission.retry_after = decision.retry_after;
     admission.capacity_detail = {{"cause", to_string(decision.outcome)},
@@ -163,6 +166,14 @@
                            {"wait_ms", milliseconds_text(state.load.wait)}});
 }
 
+void overload_gate::withdraw(time_point now, call_admission& admission)
+{
+    auto const counted = std::exchange(admission.counted, std::nullopt);
+    auto const found = this->services.find(admission.service);
+    if (counted && found != this->services.end())
+        found->second.decisions.withdraw(now, *counted);
+}
+
 void overload_gate::call_ended(service_name const& service, duration elapsed)
 {
     auto const found = this->services.find(service);
--- a/src/process/proxy/tests/overload_gate_test.cpp
+++ b/src/process/proxy/tests/overload_gate_test.cpp
@@ -31,6 +31,50 @@
 }
 
 constexpr connection::load_report full{4, 400, 4, 0};
+constexpr connection::load_report roomy{1, 0, 4, 0};
+
+void set_quota(proxy_fixture& system, std::optional<version::token_quota> const& quota)
+{
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            map.accounts[0].quota = quota;
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+        });
+}
+
+/// Adds an account with the key "key-2".
+void add_other_account(proxy_fixture& system)
+{
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            version::pass_through_account other;
+            other.name = account_id("other");
+            other.keys = {"key-2"};
+            map.accounts.push_back(other);
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+        });
+}
+
+bool has_sent_to_wait(proxy_fixture& system)
+{
+    return system.metrics.expose().find("sent_to_wait") != std::string::npos;
+}
+
+/// Serves the other account, fills the engines and checks that a call of the account is sent soon.
+void check_preferred_when_full(proxy_fixture& system)
+{
+    for (int i = 0; i < 10; ++i)
+        CHECK(system.call("/stream/x", "id-o" + std::to_string(i), "", "key-2").status() == 200);
+    set_engine_load(system, "stream", full);
+    system.context.run_for(std::chrono::milliseconds(60));
+    for (int i = 0; i < 12 && !has_sent_to_wait(system); ++i)
+        system.call("/stream/x", "id-f" + std::to_string(i));
+    CHECK(has_sent_to_wait(system));
+}
 
 } // namespace
 
@@ -95,3 +139,26 @@
     system.context.run_for(std::chrono::milliseconds(60));
     CHECK(system.call("/stream/x", "id-4").status() == 200);
 }
+
+TEST_CASE("a call that is refused for its quota does not count as served")
+{
+    // Guards against an account that looks served while its quota refuses its calls, so that it is
+    // refused until long after the others when the engines have too little room.
+    for (std::uint32_t const entries : {1U, 2U})
+    {
+        proxy_fixture system(overload_options());
+        add_other_account(system);
+        system.add_endpoint("stream", "e1");
+        set_engine_load(system, "stream", roomy);
+        // Without replies, each call asks the other entries.
+        system.control.others_reply = false;
+        system.control.change([&](proxy::traffic_view& view) { view.entries = entries; });
+        set_quota(system, version::token_quota{1, 0, 1'000'000});
+        // Takes the tokens that accrued since the start.
+        CHECK(system.call("/stream/x", "id-0").status() == 200);
+        for (int i = 0; i < 10; ++i)
+            CHECK(system.call("/stream/x", "id-q" + std::to_string(i)).status() == 429);
+        set_quota(system, std::nullopt);
+        check_preferred_when_full(system);
+    }
+}
--- a/src/request/include/lagoonladder/request/call_shares.hpp
+++ b/src/request/include/lagoonladder/request/call_shares.hpp
@@ -16,6 +16,10 @@
 public:
     void record(time_point now, account_id const& account, std::uint32_t priority, bool is_served);
 
+    /// Takes a call back that was recorded as served at `recorded`, as if it had not been made.
+    void withdraw(time_point now, time_point recorded, account_id const& account,
+                  std::uint32_t priority);
+
     /// Whether the account was served so much less often than all accounts together that its next
     /// call goes before the calls of others.
     bool is_underserved(time_point now, account_id const& account) const;
@@ -48,6 +52,8 @@
 
     static call_count decayed(call_count count, time_point now);
     static void add(call_count& count, time_point now, bool is_served);
+    /// Removes a served call whose weight is `weight` by now.
+    static void remove(call_count& count, time_point now, double weight);
     /// Returns the number of recent calls up to which an account is within its fair share.
     double fair_share(time_point now) const;
 
--- a/src/request/include/lagoonladder/request/overload_admission.hpp
+++ b/src/request/include/lagoonladder/request/overload_admission.hpp
@@ -66,6 +66,14 @@
     bool is_refused() const { return this->outcome > overload_outcome::sent_to_wait; }
 };
 
+/// A call that counts as served since it was decided to be sent.
+struct counted_call
+{
+    time_point decided{};
+    account_id account;
+    std::uint32_t priority = 0;
+};
+
 /// Decides whether a call of a model service is sent, to be answered at once or to wait at an
 /// engine, or refused while the engines have too little room. All entries decide by the load of the
 /// same engines, so that they agree without messages on what is refused. One object for each
@@ -75,6 +83,10 @@
 public:
     overload_decision decide(time_point now, overload_query const& query, random_source& random);
 
+    /// Takes back a call that was decided to be sent and is refused for a reason that has nothing
+    /// to do with the engines, such as its quota. It counts neither as served nor as refused.
+    void withdraw(time_point now, counted_call const& call);
+
     /// Returns the time after which the caller of a call that is refused for another reason may
     /// retry, at least `min_wait`.
     duration retry_after(time_point now, std::uint32_t priority, duration min_wait,
--- a/src/request/include/lagoonladder/request/quota_borrowing.hpp
+++ b/src/request/include/lagoonladder/request/quota_borrowing.hpp
@@ -24,8 +24,12 @@
     /// other entries have no tokens to spare. A smaller request may still be served.
     static constexpr duration refusal_pause = milliseconds(250);
 
-    /// Whether a round for a request of this many tokens may begin now. When it returns true,
-    /// end_round has to be called at the end of the round.
+    /// Whether a round for a request of this many tokens may begin now.
+    bool may_begin_round(time_point now, account_id const& account, bool has_quota_holders,
+                         double tokens) const;
+
+    /// Begins a round if it may begin now. When it returns true, end_round has to be called at the
+    /// end of the round.
     bool begin_round(time_point now, account_id const& account, bool has_quota_holders,
                      double tokens);
 
--- a/src/request/internal/call_shares.cpp
+++ b/src/request/internal/call_shares.cpp
@@ -29,12 +29,17 @@
 /// Number of accounts from which on those without recent calls are dropped.
 constexpr std::size_t min_accounts_to_clean = 256;
 
+/// Weight of a call of this age.
+double decay_factor(duration age)
+{
+    return std::exp(-to_seconds(std::max(duration(0), age)) / to_seconds(time_constant));
+}
+
 } // namespace
 
 void call_shares::call_count::decay(time_point now)
 {
-    auto const age = to_seconds(std::max(duration(0), now - this->updated));
-    auto const factor = std::exp(-age / to_seconds(time_constant));
+    auto const factor = decay_factor(now - this->updated);
     this->offered *= factor;
     this->served *= factor;
     this->updated = now;
@@ -70,6 +75,22 @@
                   [&](auto const& item) { return decayed(item.second, now).offered < min_count; });
 }
 
+void call_shares::remove(call_count& count, time_point now, double weight)
+{
+    count.decay(now);
+    count.offered = std::max(0.0, count.offered - weight);
+    count.served = std::max(0.0, count.served - weight);
+}
+
+void call_shares::withdraw(time_point now, time_point recorded, account_id const& account,
+                           std::uint32_t priority)
+{
+    auto const weight = decay_factor(now - recorded);
+    remove(this->total, now, weight);
+    remove(this->accounts[account], now, weight);
+    remove(this->priorities[priority], now, weight);
+}
+
 bool call_shares::is_underserved(time_point now, account_id const& account) const
 {
     auto const found = this->accounts.find(account);
--- a/src/request/internal/overload_admission.cpp
+++ b/src/request/internal/overload_admission.cpp
@@ -129,6 +129,11 @@
                   [&](auto const& item) { return now - item.second.last_seen > kind_retention; });
 }
 
+void overload_admission::withdraw(time_point now, counted_call const& call)
+{
+    this->shares.withdraw(now, call.decided, call.account, call.priority);
+}
+
 duration overload_admission::retry_after(time_point now, std::uint32_t priority, duration min_wait,
                                          duration time_left, random_source& random)
 {
--- a/src/request/internal/quota_borrowing.cpp
+++ b/src/request/internal/quota_borrowing.cpp
@@ -5,15 +5,24 @@
 namespace lagoonladder::request
 {
 
-bool quota_borrowing::begin_round(time_point now, account_id const& account, bool has_quota_holders,
-                                  double tokens)
+bool quota_borrowing::may_begin_round(time_point now, account_id const& account,
+                                      bool has_quota_holders, double tokens) const
 {
-    auto& state = this->accounts[account];
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end())
+        return true;
+    auto const& state = found->second;
     auto const max_open = has_quota_holders ? max_open_quota_holder_rounds : max_open_rounds;
     bool const is_paused = now < state.paused_until && tokens >= state.refused_tokens;
-    if (state.open >= max_open || is_paused)
+    return state.open < max_open && !is_paused;
+}
+
+bool quota_borrowing::begin_round(time_point now, account_id const& account, bool has_quota_holders,
+                                  double tokens)
+{
+    if (!this->may_begin_round(now, account, has_quota_holders, tokens))
         return false;
-    ++state.open;
+    ++this->accounts[account].open;
     return true;
 }
 
