Do not count calls that fail or that endpoints refuse as served under overload

Cause: a call counted as served from the decision to send it on, whatever became of it. Accounts and priorities whose calls failed at the engines looked served.

Change: a call that ends with an own refusal, a status of 500 or more or a broken answer counts as refused from its end on. A call whose caller leaves before its answer begins is taken back; one that leaves later has used the engine and counts.

--- a/src/process/proxy/internal/call_admission.hpp
+++ b/src/process/proxy/internal/call_admission.hpp
@@ -69,7 +69,7 @@
     request::token_shortage shortage;
     /// Outcome of requesting the missing tokens from other entries, for the log and the metrics.
     char const* lending = "not_asked";
-    /// Set while the admission under overload counts the call as served.
+    /// Set when the admission under overload counted the call as served.
     std::optional<request::counted_call> counted;
     /// Why the engines have too little room, for the log.
     std::vector<event_field> capacity_detail;
--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -166,12 +166,16 @@
                            {"wait_ms", milliseconds_text(state.load.wait)}});
 }
 
-void overload_gate::withdraw(time_point now, call_admission& admission)
+void overload_gate::withdraw(time_point now, call_admission const& admission)
 {
-    auto const counted = std::exchange(admission.counted, std::nullopt);
-    auto const found = this->services.find(admission.service);
-    if (counted && found != this->services.end())
-        found->second.decisions.withdraw(now, *counted);
+    if (admission.counted)
+        this->services[admission.service].decisions.withdraw(now, *admission.counted);
+}
+
+void overload_gate::record_failure(time_point now, call_admission const& admission)
+{
+    if (admission.counted)
+        this->services[admission.service].decisions.record_failure(now, *admission.counted);
 }
 
 void overload_gate::call_ended(service_name const& service, duration elapsed)
--- a/src/process/proxy/internal/overload_gate.hpp
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -25,8 +25,12 @@
     void check(time_point now, traffic_view const& view, incoming_call const& call,
                endpoint_chooser const& chooser, random_source& random, call_admission& admission);
 
-    /// Takes back a call that was to be sent and is refused for a reason other than the load.
-    void withdraw(time_point now, call_admission& admission);
+    /// Takes back a call that was to be sent and is refused for a reason other than the load, or
+    /// whose caller left before its answer began.
+    void withdraw(time_point now, call_admission const& admission);
+
+    /// Records that a call that was sent has not been served.
+    void record_failure(time_point now, call_admission const& admission);
 
     /// Records the time that a complete call took at its engine.
     void call_ended(service_name const& service, duration elapsed);
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -87,6 +87,8 @@
     /// Default of the time after which a caller whose call was not executed may retry.
     duration default_retry_after();
     void finish(char const* outcome, unsigned status, std::string const& detail);
+    /// Corrects the count of the admission under overload when the call was not served.
+    void record_served(unsigned status);
     version::pass_through_route const& route() const { return *this->admitted.route; }
 
     std::shared_ptr<proxy_context> context;
@@ -119,6 +121,7 @@
     /// The endpoint's response is not read, since the caller reads too slowly.
     bool is_paused = false;
     bool is_over = false;
+    bool is_caller_disconnected = false;
     /// An attempt's outcome has been counted for the comparison of versions.
     bool is_outcome_recorded = false;
 };
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+/// Least status of an answer that does not serve the call.
+constexpr unsigned min_failure_status = 500;
 /// Time after which a caller whose call was not executed may retry.
 constexpr duration overload_retry_after = milliseconds(250);
 
@@ -18,6 +20,7 @@
     if (this->is_over)
         return;
     auto const self = this->shared_from_this();
+    this->is_caller_disconnected = true;
     this->cancel_attempt();
     this->finish("caller_gone", 0, "the caller closed the connection");
 }
@@ -89,11 +92,24 @@
     this->finish(to_string(reason), status, detail);
 }
 
+void proxied_call::record_served(unsigned status)
+{
+    auto const now = this->context->dependencies.time.now();
+    bool const is_caller_gone = this->is_caller_disconnected;
+    // A caller that leaves in the middle of an answer has used the engine.
+    if (is_caller_gone && !this->relay.is_committed())
+        return this->context->overload.withdraw(now, this->admitted);
+    bool const is_broken_off = status == 0 && !is_caller_gone;
+    if (is_broken_off || status >= min_failure_status)
+        this->context->overload.record_failure(now, this->admitted);
+}
+
 void proxied_call::finish(char const* outcome, unsigned status, std::string const& detail)
 {
     if (std::exchange(this->is_over, true))
         return;
     this->timer.cancel();
+    this->record_served(status);
     call_end end;
     end.outcome = outcome;
     end.status = status;
--- a/src/process/proxy/tests/overload_gate_test.cpp
+++ b/src/process/proxy/tests/overload_gate_test.cpp
@@ -162,3 +162,23 @@
         check_preferred_when_full(system);
     }
 }
+
+TEST_CASE("a call that an endpoint refuses or fails does not count as served")
+{
+    // Guards against an account that looks served although its calls fail at the engines.
+    for (auto const mode : {endpoint_mode::refuse, endpoint_mode::fail})
+    {
+        proxy_fixture system(overload_options());
+        add_other_account(system);
+        auto& engine = system.add_endpoint("stream", "e1");
+        set_engine_load(system, "stream", roomy);
+        engine.mode = mode;
+        for (int i = 0; i < 10; ++i)
+            CHECK(system.call("/stream/x", "id-q" + std::to_string(i)).status() >= 500);
+        engine.mode = endpoint_mode::answer;
+        // The endpoint is excluded for some seconds after its failures.
+        system.add_endpoint("stream", "e2");
+        set_engine_load(system, "stream", roomy);
+        check_preferred_when_full(system);
+    }
+}
--- a/src/request/include/lagoonladder/request/overload_admission.hpp
+++ b/src/request/include/lagoonladder/request/overload_admission.hpp
@@ -87,6 +87,10 @@
     /// to do with the engines, such as its quota. It counts neither as served nor as refused.
     void withdraw(time_point now, counted_call const& call);
 
+    /// Records that a call that was decided to be sent has not been served: an endpoint refused it
+    /// or it failed. It counts as refused from now on, since its own weight may have decayed.
+    void record_failure(time_point now, counted_call const& call);
+
     /// Returns the time after which the caller of a call that is refused for another reason may
     /// retry, at least `min_wait`.
     duration retry_after(time_point now, std::uint32_t priority, duration min_wait,
--- a/src/request/internal/overload_admission.cpp
+++ b/src/request/internal/overload_admission.cpp
@@ -134,6 +134,12 @@
     this->shares.withdraw(now, call.decided, call.account, call.priority);
 }
 
+void overload_admission::record_failure(time_point now, counted_call const& call)
+{
+    this->withdraw(now, call);
+    this->shares.record(now, call.account, call.priority, false);
+}
+
 duration overload_admission::retry_after(time_point now, std::uint32_t priority, duration min_wait,
                                          duration time_left, random_source& random)
 {
