Judge calls of a moving service by the load of their own version under overload

Cause: overload_gate kept one load for each service for 50 ms. While a version moves, calls assigned to the new version were judged by the load of the old version's engines when one of those had come first, and vice versa.

Change: the load is kept by service and by whether the move assigns the call to the candidate.

Result: the new test of proxy_test failed before (calls of the idle version were refused) and passes now.

--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// Interval at which the load of all engines of a service is summed up. Calls that come within it
-/// are decided on by the same load.
+/// Interval at which the load of the engines of a group of calls is summed up. Calls of the group
+/// that come within it are decided on by the same load.
 constexpr duration load_interval = milliseconds(50);
 /// The wait is that of the engine at this fraction of the engines, the least busy one first: a
 /// single engine may be idle because it fails, and most calls cannot go to it.
@@ -76,10 +76,9 @@
     // The load is that of all engines of the service, which says little about those of a region.
     if (state == nullptr || call.regions)
         return;
-    if (now >= state->load_updated + load_interval)
-        this->update_load(now, view, call, admission, chooser, *state);
+    auto const& group = this->find_load(now, view, call, admission, chooser, *state);
     // Without an engine, the choice of the endpoint refuses the call.
-    if (state->load.slots <= 0)
+    if (group.load.slots <= 0)
         return;
     request::overload_query query;
     if (admission.account != nullptr)
@@ -88,13 +87,13 @@
     query.priority = effective_priority(*admission.route, admission.account);
     query.latency_objective = admission.route->latency_objective;
     query.time_left = admission.deadline - now;
-    query.load = state->load;
-    query.first_event = chooser.prefill_time(now, state->least_busy, call.prompt);
+    query.load = group.load;
+    query.first_event = chooser.prefill_time(now, group.least_busy, call.prompt);
     // Another engine may have cached a part of the prompt.
     if (query.first_event > query.time_left)
         query.first_event = earliest_prefill(now, view, call, admission, chooser);
     auto const decision = state->decisions.decide(now, query, random);
-    this->report(now, admission.service, *state, decision);
+    this->report(now, admission.service, *state, group.load, decision);
     if (!decision.is_refused())
     {
         admission.counted = {now, query.account, query.priority};
@@ -113,12 +112,29 @@
                                  {"retry_after", format_duration(decision.retry_after)}};
 }
 
-void overload_gate::update_load(time_point now, traffic_view const& view, incoming_call const& call,
-                                call_admission const& admission, endpoint_chooser const& chooser,
-                                service_state& state) const
+overload_gate::group_load const& overload_gate::find_load(time_point now, traffic_view const& view,
+                                                          incoming_call const& call,
+                                                          call_admission const& admission,
+                                                          endpoint_chooser const& chooser,
+                                                          service_state& state) const
 {
-    state.load_updated = now;
-    state.load = {};
+    auto const split = view.splits.find(admission.service);
+    bool const has_move = split != view.splits.end() && !split->second.candidate.value().empty();
+    bool const is_candidate = has_move && split->second.choose(call.id) == split->second.candidate;
+    auto& group = state.loads[is_candidate];
+    if (now >= group.updated + load_interval)
+        group = this->sum_load(now, view, call, admission, chooser, state.call_time);
+    return group;
+}
+
+overload_gate::group_load overload_gate::sum_load(time_point now, traffic_view const& view,
+                                                  incoming_call const& call,
+                                                  call_admission const& admission,
+                                                  endpoint_chooser const& chooser,
+                                                  duration call_time) const
+{
+    group_load group;
+    group.updated = now;
     std::vector<engine_wait> waits;
     // Cold engines count with all their slots; the choice of the endpoint may still refuse the
     // call.
@@ -126,28 +142,30 @@
     {
         auto const load = chooser.load(now, engine->id);
         auto const slots = std::max<double>(1, engine->load.slots);
-        state.load.slots += slots;
-        state.load.running += std::min(slots, load);
-        state.load.waiting += std::max<double>(engine->load.waiting, load - slots);
-        waits.push_back({std::max(slot_wait(*engine, load, state.call_time),
+        group.load.slots += slots;
+        group.load.running += std::min(slots, load);
+        group.load.waiting += std::max<double>(engine->load.waiting, load - slots);
+        waits.push_back({std::max(slot_wait(*engine, load, call_time),
                                   chooser.prefill_time(now, engine->id, {})),
                          &engine->id});
     }
     if (waits.empty())
-        return;
+        return group;
     std::sort(waits.begin(), waits.end(),
               [](auto const& left, auto const& right) { return left.wait < right.wait; });
-    state.load.wait = waits[(waits.size() - 1) / wait_rank_divisor].wait;
-    state.least_busy = *waits.front().engine;
+    group.load.wait = waits[(waits.size() - 1) / wait_rank_divisor].wait;
+    group.least_busy = *waits.front().engine;
+    return group;
 }
 
 void overload_gate::report(time_point now, service_name const& service, service_state& state,
+                           request::service_load const& load,
                            request::overload_decision const& decision)
 {
     this->metrics.add("overload_decisions_total",
                       {{"service", service.value()}, {"outcome", to_string(decision.outcome)}});
     this->metrics.set("overload_wait_seconds", {{"service", service.value()}},
-                      to_seconds(state.load.wait));
+                      to_seconds(load.wait));
     bool const is_over = state.last_refusal && now > *state.last_refusal + shortage_end;
     if (is_over)
     {
@@ -160,10 +178,10 @@
         this->events.emit(severity::info, "overload.started",
                           {{"service", service.value()},
                            {"cause", to_string(decision.outcome)},
-                           {"slots", std::to_string(state.load.slots)},
-                           {"running", std::to_string(state.load.running)},
-                           {"waiting", std::to_string(state.load.waiting)},
-                           {"wait_ms", milliseconds_text(state.load.wait)}});
+                           {"slots", std::to_string(load.slots)},
+                           {"running", std::to_string(load.running)},
+                           {"waiting", std::to_string(load.waiting)},
+                           {"wait_ms", milliseconds_text(load.wait)}});
 }
 
 void overload_gate::withdraw(time_point now, call_admission const& admission)
--- a/src/process/proxy/internal/overload_gate.hpp
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -41,26 +41,38 @@
                           random_source& random);
 
 private:
+    /// Load of the engines that a group of calls may be sent to.
+    struct group_load
+    {
+        request::service_load load;
+        /// Engine at which the next prompt is processed first.
+        endpoint_id least_busy;
+        time_point updated{};
+    };
+
     struct service_state
     {
         request::overload_admission decisions;
         /// Moving average of the time that a call takes at its engine.
         duration call_time = seconds(1);
-        request::service_load load;
-        /// Engine at which the next prompt is processed first.
-        endpoint_id least_busy;
-        time_point load_updated{};
+        /// By whether a running move assigns the call to the candidate version.
+        std::map<bool, group_load> loads;
         /// Time of the last refusal; no value unless one happened recently.
         std::optional<time_point> last_refusal;
     };
 
     /// Returns the state of the service; nullptr when the gate does not concern it.
     service_state* find_state(call_admission const& admission);
-    void update_load(time_point now, traffic_view const& view, incoming_call const& call,
-                     call_admission const& admission, endpoint_chooser const& chooser,
-                     service_state& state) const;
+    /// Returns the load of the engines that the call may be sent to, which is at most a load
+    /// interval old.
+    group_load const& find_load(time_point now, traffic_view const& view, incoming_call const& call,
+                                call_admission const& admission, endpoint_chooser const& chooser,
+                                service_state& state) const;
+    group_load sum_load(time_point now, traffic_view const& view, incoming_call const& call,
+                        call_admission const& admission, endpoint_chooser const& chooser,
+                        duration call_time) const;
     void report(time_point now, service_name const& service, service_state& state,
-                request::overload_decision const& decision);
+                request::service_load const& load, request::overload_decision const& decision);
 
     event_sink& events;
     observability::metrics& metrics;
--- a/src/process/proxy/tests/overload_gate_test.cpp
+++ b/src/process/proxy/tests/overload_gate_test.cpp
@@ -182,3 +182,27 @@
         check_preferred_when_full(system);
     }
 }
+
+TEST_CASE("calls of both versions of a moving service are judged by their own engines")
+{
+    // Guards against calls that are refused, or sent, for the load of the other version's engines.
+    proxy_fixture system(overload_options());
+    system.add_endpoint("stream", "e1");
+    system.add_endpoint("stream", "e2");
+    set_engine_load(system, "stream", roomy);
+    version::traffic_split const split{version_name("v1"), version_name("v2"), 0.5};
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            auto& engines = view.endpoints[service_name("stream")];
+            engines[0].load = full;
+            engines[1].version = version_name("v2");
+            view.splits[service_name("stream")] = split;
+        });
+    for (int i = 0; i < 20; ++i)
+    {
+        request_id const id("id-" + std::to_string(i));
+        bool const is_stable = split.choose(id) == split.stable;
+        CHECK(system.call("/stream/x", id.value()).status() == (is_stable ? 503 : 200));
+    }
+}
