Judge calls with home regions by the engines of their regions under overload

Cause: calls with home regions bypassed the admission, since the load was that of all engines of the service.

Change: the load is kept also by the regions of the call, and so are the shares of accounts and priorities and the due returns: engines in other regions cannot serve the call, whatever room they have. The kinds of calls, which set the limits, are those of the whole service.

--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -177,9 +177,9 @@
         call.problem = "this entry is stopping";
     }
     if (admission.reason == refusal::over_quota)
-        admission.retry_after =
-            this->context->overload.spread_retry(this->context->dependencies.time.now(), admission,
-                                                 admission.retry_after, this->context->random);
+        admission.retry_after = this->context->overload.spread_retry(
+            this->context->dependencies.time.now(), admission, call.regions, admission.retry_after,
+            this->context->random);
     if (admission.reason != refusal::none)
     {
         this->context->overload.withdraw(this->context->dependencies.time.now(), admission);
--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -39,7 +39,7 @@
                           call_admission const& admission, endpoint_chooser const& chooser)
 {
     auto earliest = duration::max();
-    for (auto const* engine : usable_endpoints(view, admission.service, call.id))
+    for (auto const* engine : usable_endpoints(view, admission.service, call.id, call.regions))
         earliest = std::min(earliest, chooser.prefill_time(now, engine->id, call.prompt));
     return earliest;
 }
@@ -73,8 +73,7 @@
                           call_admission& admission)
 {
     auto* const state = this->find_state(admission);
-    // The load is that of all engines of the service, which says little about those of a region.
-    if (state == nullptr || call.regions)
+    if (state == nullptr)
         return;
     auto const& group = this->find_load(now, view, call, admission, chooser, *state);
     // Without an engine, the choice of the endpoint refuses the call.
@@ -84,6 +83,7 @@
     if (admission.account != nullptr)
         query.account = admission.account->name;
     query.route = admission.route->name;
+    query.regions = call.regions;
     query.priority = effective_priority(*admission.route, admission.account);
     query.latency_objective = admission.route->latency_objective;
     query.time_left = admission.deadline - now;
@@ -96,7 +96,7 @@
     this->report(now, admission.service, *state, group.load, decision);
     if (!decision.is_refused())
     {
-        admission.counted = {now, query.account, query.priority};
+        admission.counted = {now, query.account, query.priority, query.regions};
         return;
     }
     admission.reason = refusal::no_capacity;
@@ -121,7 +121,7 @@
     auto const split = view.splits.find(admission.service);
     bool const has_move = split != view.splits.end() && !split->second.candidate.value().empty();
     bool const is_candidate = has_move && split->second.choose(call.id) == split->second.candidate;
-    auto& group = state.loads[is_candidate];
+    auto& group = state.loads[{call.regions, is_candidate}];
     if (now >= group.updated + load_interval)
         group = this->sum_load(now, view, call, admission, chooser, state.call_time);
     return group;
@@ -138,7 +138,7 @@
     std::vector<engine_wait> waits;
     // Cold engines count with all their slots; the choice of the endpoint may still refuse the
     // call.
-    for (auto const* engine : usable_endpoints(view, admission.service, call.id))
+    for (auto const* engine : usable_endpoints(view, admission.service, call.id, call.regions))
     {
         auto const load = chooser.load(now, engine->id);
         auto const slots = std::max<double>(1, engine->load.slots);
@@ -205,14 +205,16 @@
     average += from_seconds(sample_weight * to_seconds(elapsed - average));
 }
 
-duration overload_gate::spread_retry(time_point now, call_admission const& admission, duration wait,
+duration overload_gate::spread_retry(time_point now, call_admission const& admission,
+                                     request::call_regions const& regions, duration wait,
                                      random_source& random)
 {
     auto* const state = admission.route != nullptr ? this->find_state(admission) : nullptr;
     if (state == nullptr)
         return wait;
     auto const priority = effective_priority(*admission.route, admission.account);
-    return state->decisions.retry_after(now, priority, wait, admission.deadline - now, random);
+    return state->decisions.retry_after(now, regions, priority, wait, admission.deadline - now,
+                                        random);
 }
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/internal/overload_gate.hpp
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -37,7 +37,8 @@
 
     /// Spreads the time after which the caller of a call that is refused for another reason may
     /// retry. Returns `wait` unless the gate is on and the call is one of a model service.
-    duration spread_retry(time_point now, call_admission const& admission, duration wait,
+    duration spread_retry(time_point now, call_admission const& admission,
+                          request::call_regions const& regions, duration wait,
                           random_source& random);
 
 private:
@@ -55,8 +56,9 @@
         request::overload_admission decisions;
         /// Moving average of the time that a call takes at its engine.
         duration call_time = seconds(1);
-        /// By whether a running move assigns the call to the candidate version.
-        std::map<bool, group_load> loads;
+        /// By the regions of the call, and by whether a running move assigns it to the candidate
+        /// version.
+        std::map<std::pair<request::call_regions, bool>, group_load> loads;
         /// Time of the last refusal; no value unless one happened recently.
         std::optional<time_point> last_refusal;
     };
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -54,8 +54,8 @@
 duration proxied_call::default_retry_after()
 {
     return this->context->overload.spread_retry(this->context->dependencies.time.now(),
-                                                this->admitted, overload_retry_after,
-                                                this->context->random);
+                                                this->admitted, this->call.regions,
+                                                overload_retry_after, this->context->random);
 }
 
 void proxied_call::give_up_without_endpoint()
--- a/src/process/proxy/tests/overload_gate_test.cpp
+++ b/src/process/proxy/tests/overload_gate_test.cpp
@@ -206,3 +206,33 @@
         CHECK(system.call("/stream/x", id.value()).status() == (is_stable ? 503 : 200));
     }
 }
+
+TEST_CASE("a call with home regions is judged by the engines of its regions")
+{
+    // Guards against calls that wait at the full engines of their regions until their deadline, and
+    // against refusals for the load of engines that the call may not use.
+    proxy_fixture system(overload_options());
+    system.add_endpoint("stream", "e1");
+    system.add_endpoint("stream", "e2");
+    set_engine_load(system, "stream", roomy);
+    auto const call_in = [&](char const* region, char const* id)
+    {
+        system.control.change(
+            [&](proxy::traffic_view& view)
+            {
+                auto map = view.services->map();
+                for (auto& route : map.routes)
+                    route.regions = {region_id(region)};
+                view.services = std::make_shared<version::service_index const>(std::move(map));
+                auto& engines = view.endpoints[service_name("stream")];
+                engines[0].load = full;
+                engines[1].data_centre = data_centre_id("e");
+                view.regions = {{data_centre_id("d"), region_id("near")},
+                                {data_centre_id("e"), region_id("far")}};
+            });
+        return system.call("/stream/x", id).status();
+    };
+    CHECK(call_in("near", "id-1") == 503);
+    CHECK(call_in("far", "id-2") == 200);
+    CHECK(call_in("near", "id-3") == 503);
+}
--- a/src/request/include/lagoonladder/request/overload_admission.hpp
+++ b/src/request/include/lagoonladder/request/overload_admission.hpp
@@ -3,15 +3,21 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include <lagoonladder/base.hpp>
+#include <lagoonladder/base/region.hpp>
 #include <lagoonladder/request/call_shares.hpp>
 #include <lagoonladder/request/return_schedule.hpp>
 
 namespace lagoonladder::request
 {
 
+/// Home regions of a call, to whose engines it is sent; no value for all regions.
+using call_regions = std::optional<std::set<region_id>>;
+
 /// Load of the engines of a service that calls may be sent to, all together.
 struct service_load
 {
@@ -30,6 +36,7 @@
     /// Empty for anonymous calls.
     account_id account;
     route_name route;
+    call_regions regions;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     duration latency_objective{};
@@ -72,6 +79,7 @@
     time_point decided{};
     account_id account;
     std::uint32_t priority = 0;
+    call_regions regions;
 };
 
 /// Decides whether a call of a model service is sent, to be answered at once or to wait at an
@@ -93,8 +101,8 @@
 
     /// Returns the time after which the caller of a call that is refused for another reason may
     /// retry, at least `min_wait`.
-    duration retry_after(time_point now, std::uint32_t priority, duration min_wait,
-                         duration time_left, random_source& random);
+    duration retry_after(time_point now, call_regions const& regions, std::uint32_t priority,
+                         duration min_wait, duration time_left, random_source& random);
 
 private:
     struct call_kind
@@ -103,18 +111,27 @@
         time_point last_seen{};
     };
 
-    overload_outcome judge(time_point now, overload_query const& query, duration limit,
-                           random_source& random) const;
+    /// Calls that compete for the same engines. An account or kind is compared with others within
+    /// its group: engines elsewhere cannot serve it, whatever room they have.
+    struct region_group
+    {
+        call_shares shares;
+        return_schedule returns;
+    };
+
+    overload_outcome judge(time_point now, overload_query const& query, call_shares const& shares,
+                           duration limit, random_source& random) const;
     /// Returns the wait of the call, which overtakes less urgent ones at the engines.
-    duration wait_of(time_point now, overload_query const& query) const;
+    static duration wait_of(time_point now, overload_query const& query, call_shares const& shares);
     /// Returns the longest wait at which a call of this priority and account is sent.
-    duration wait_limit(time_point now, overload_query const& query) const;
+    duration wait_limit(time_point now, overload_query const& query,
+                        call_shares const& shares) const;
     /// Returns the tightest latency objective of the kinds that are as urgent as the call or more.
     duration tightest_objective(overload_query const& query) const;
     void record_kind(time_point now, overload_query const& query);
 
-    call_shares shares;
-    return_schedule returns;
+    /// As many as the configuration combines regions of routes and accounts.
+    std::map<call_regions, region_group> groups;
     /// By priority and route, since an account's own priority replaces that of the route.
     std::map<std::pair<std::uint32_t, route_name>, call_kind> kinds;
 };
--- a/src/request/internal/overload_admission.cpp
+++ b/src/request/internal/overload_admission.cpp
@@ -64,50 +64,53 @@
                                              random_source& random)
 {
     this->record_kind(now, query);
+    auto& shares = this->groups[query.regions].shares;
     overload_decision decision;
     if (is_short(query.load))
     {
-        decision.wait_limit = this->wait_limit(now, query);
-        decision.outcome = this->judge(now, query, decision.wait_limit, random);
+        decision.wait_limit = this->wait_limit(now, query, shares);
+        decision.outcome = this->judge(now, query, shares, decision.wait_limit, random);
     }
-    this->shares.record(now, query.account, query.priority, !decision.is_refused());
+    shares.record(now, query.account, query.priority, !decision.is_refused());
     if (decision.is_refused())
         decision.retry_after =
-            this->retry_after(now, query.priority, query.load.wait - decision.wait_limit / 2,
-                              query.time_left, random);
+            this->retry_after(now, query.regions, query.priority,
+                              query.load.wait - decision.wait_limit / 2, query.time_left, random);
     return decision;
 }
 
 overload_outcome overload_admission::judge(time_point now, overload_query const& query,
-                                           duration limit, random_source& random) const
+                                           call_shares const& shares, duration limit,
+                                           random_source& random) const
 {
-    auto const wait = this->wait_of(now, query);
+    auto const wait = wait_of(now, query, shares);
     if (query.first_event > query.time_left)
         return overload_outcome::past_deadline;
     auto const outcome_if_sent =
         wait > duration(0) ? overload_outcome::sent_to_wait : overload_outcome::sent;
-    if (this->shares.is_underserved(now, query.account))
+    if (shares.is_underserved(now, query.account))
         return outcome_if_sent;
     if (exceeds(wait, limit, random))
         return overload_outcome::wait_too_long;
     bool const is_scarce = to_seconds(wait) > favoured_limit_factor * to_seconds(limit);
-    if (is_scarce && this->shares.is_favoured(now, query.priority))
+    if (is_scarce && shares.is_favoured(now, query.priority))
         return overload_outcome::less_urgent;
     return outcome_if_sent;
 }
 
-duration overload_admission::wait_of(time_point now, overload_query const& query) const
+duration overload_admission::wait_of(time_point now, overload_query const& query,
+                                     call_shares const& shares)
 {
-    return from_seconds(to_seconds(query.load.wait) *
-                        this->shares.urgent_fraction(now, query.priority));
+    return from_seconds(to_seconds(query.load.wait) * shares.urgent_fraction(now, query.priority));
 }
 
-duration overload_admission::wait_limit(time_point now, overload_query const& query) const
+duration overload_admission::wait_limit(time_point now, overload_query const& query,
+                                        call_shares const& shares) const
 {
     auto const objective = std::max(this->tightest_objective(query), min_objective);
     auto const priority_factor = std::max(min_priority_factor, 1 - priority_step * query.priority);
     auto const account_factor =
-        std::max(min_account_factor, this->shares.fair_fraction(now, query.account));
+        std::max(min_account_factor, shares.fair_fraction(now, query.account));
     return from_seconds(max_wait_factor * priority_factor * account_factor * to_seconds(objective));
 }
 
@@ -131,19 +134,21 @@
 
 void overload_admission::withdraw(time_point now, counted_call const& call)
 {
-    this->shares.withdraw(now, call.decided, call.account, call.priority);
+    this->groups[call.regions].shares.withdraw(now, call.decided, call.account, call.priority);
 }
 
 void overload_admission::record_failure(time_point now, counted_call const& call)
 {
     this->withdraw(now, call);
-    this->shares.record(now, call.account, call.priority, false);
+    this->groups[call.regions].shares.record(now, call.account, call.priority, false);
 }
 
-duration overload_admission::retry_after(time_point now, std::uint32_t priority, duration min_wait,
+duration overload_admission::retry_after(time_point now, call_regions const& regions,
+                                         std::uint32_t priority, duration min_wait,
                                          duration time_left, random_source& random)
 {
-    return this->returns.next(now, priority, {min_wait, time_left, this->shares.served_rate(now)},
+    auto& group = this->groups[regions];
+    return group.returns.next(now, priority, {min_wait, time_left, group.shares.served_rate(now)},
                               random);
 }
 
