--- a/src/request/include/lagoonladder/request/call_shares.hpp
+++ b/src/request/include/lagoonladder/request/call_shares.hpp
@@ -31,9 +31,9 @@
     /// its fair share has 1. What it leaves is shared by the others.
     double fair_fraction(time_point now, account_id const& account) const;
 
-    /// Fraction of the served calls that were as urgent as this priority or more; 1 while there are
-    /// few calls.
-    double urgent_fraction(time_point now, std::uint32_t priority) const;
+    /// Wait of a call of this priority, which overtakes less urgent ones, as a fraction of the wait
+    /// behind all waiting calls; 1 while there are few calls.
+    double wait_fraction(time_point now, std::uint32_t priority) const;
 
     /// Calls served per second.
     double served_rate(time_point now) const;
--- a/src/request/internal/call_shares.cpp
+++ b/src/request/internal/call_shares.cpp
@@ -24,6 +24,9 @@
 /// Fraction of all calls that the fair shares cover at most. It is below 1, so that the largest
 /// accounts exceed their share from the first moment of a shortage.
 constexpr double max_shared_fraction = 0.9;
+/// Utilisation of the engines that is assumed while calls wait. At full utilisation, urgent calls
+/// would not wait at all.
+constexpr double assumed_utilisation = 0.85;
 /// Counts below this are dropped.
 constexpr double min_count = 0.01;
 /// Number of accounts from which on those without recent calls are dropped.
@@ -143,12 +146,22 @@
     return offered <= min_count ? 1 : std::min(1.0, this->fair_share(now) / offered);
 }
 
-double call_shares::urgent_fraction(time_point now, std::uint32_t priority) const
+double call_shares::wait_fraction(time_point now, std::uint32_t priority) const
 {
-    double urgent = 0;
+    double more_urgent = 0;
+    double as_urgent = 0;
     for (auto const& [counted_priority, count] : this->priorities)
-        urgent += counted_priority <= priority ? decayed(count, now).served : 0;
-    return (urgent + assumed_served) / (decayed(this->total, now).served + assumed_served);
+    {
+        auto const served = decayed(count, now).served;
+        more_urgent += counted_priority < priority ? served : 0;
+        as_urgent += counted_priority <= priority ? served : 0;
+    }
+    auto const all = decayed(this->total, now).served + assumed_served;
+    auto const before = assumed_utilisation * more_urgent / all;
+    auto const until = assumed_utilisation * (as_urgent + assumed_served) / all;
+    // Mean waits of a queue with priorities relative to one without. The calls that wait are mostly
+    // the less urgent ones, more so than those that are served.
+    return std::min(1.0, (1 - assumed_utilisation) / ((1 - before) * (1 - until)));
 }
 
 double call_shares::served_rate(time_point now) const
--- a/src/request/internal/overload_admission.cpp
+++ b/src/request/internal/overload_admission.cpp
@@ -73,9 +73,9 @@
     }
     shares.record(now, query.account, query.priority, !decision.is_refused());
     if (decision.is_refused())
-        decision.retry_after =
-            this->retry_after(now, query.regions, query.priority,
-                              query.load.wait - decision.wait_limit / 2, query.time_left, random);
+        decision.retry_after = this->retry_after(
+            now, query.regions, query.priority,
+            wait_of(now, query, shares) - decision.wait_limit / 2, query.time_left, random);
     return decision;
 }
 
@@ -101,7 +101,7 @@
 duration overload_admission::wait_of(time_point now, overload_query const& query,
                                      call_shares const& shares)
 {
-    return from_seconds(to_seconds(query.load.wait) * shares.urgent_fraction(now, query.priority));
+    return from_seconds(to_seconds(query.load.wait) * shares.wait_fraction(now, query.priority));
 }
 
 duration overload_admission::wait_limit(time_point now, overload_query const& query,
