Refuse orders on evacuations that are committed after newer ones

Cause: a start of an evacuation that stalled at the leader past its time limit was answered with 503 and could be committed after a later end was acknowledged. Commands stated only the wanted state, so the data centre was evacuated again.

Change: records have a number, and set_evacuation states the number that it is based on. A command with an older base changes nothing and its caller gets 503. The entry takes the base from its followed state or from the result of an earlier order, so that its second attempt succeeds. An order for the state in force is acknowledged whatever its base, and raises the number too: the end after a stalled first start changes nothing else. Commands without a base take effect as before.

The control tests count an order as given only if it is not outdated.

The soak is not extended to evacuations.

--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -47,6 +47,7 @@
     , configurations(this->group_client, this->fetcher, this->sinks)
     , followed_state(this->context, this->options, dependencies.peers, this->group_client,
                      this->fetcher, this->cache, this->sinks, this->own_node.get())
+    , ordered_evacuations(this->group_client, this->followed_state, this->sinks)
     , version_moves(this->own_node.get(), this->options.pass_through, this->sinks)
     , platform_duties(this->own_node.get(), this->options, this->events, this->time)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
@@ -144,7 +145,15 @@
 void control_thread::propose(version::command_body body, duration timeout, proposal_handler done)
 {
     this->post([this, body = std::move(body), timeout, done = std::move(done)]
-               { this->group_client.propose(body, this->time.now() + timeout, done); });
+               { this->propose_until(body, this->time.now() + timeout, done); });
+}
+
+void control_thread::propose_until(version::command_body const& body, time_point deadline,
+                                   proposal_handler done)
+{
+    if (auto const* order = std::get_if<version::set_evacuation>(&body))
+        return this->ordered_evacuations.propose(*order, deadline, std::move(done));
+    this->group_client.propose(body, deadline, std::move(done));
 }
 
 void control_thread::find_once(request::at_most_once_key const& key, duration timeout,
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -10,6 +10,7 @@
 #include "configuration_client.hpp"
 #include "consensus_driver.hpp"
 #include "duty_driver.hpp"
+#include "evacuation_orders.hpp"
 #include "gossip_driver.hpp"
 #include "leader_client.hpp"
 #include "move_driver.hpp"
@@ -67,6 +68,9 @@
 
 private:
     void run();
+    /// To be called on the control thread only.
+    void propose_until(version::command_body const& body, time_point deadline,
+                       proposal_handler done);
     void schedule_publish();
     void publish();
     void schedule_report();
@@ -92,6 +96,7 @@
     content_fetcher fetcher;
     configuration_client configurations;
     state_follower followed_state;
+    evacuation_orders ordered_evacuations;
     move_driver version_moves;
     duty_driver platform_duties;
     traffic_counter traffic_counts;
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -89,6 +89,11 @@
                          protocol::ProposeReply* reply) override
     {
         auto const command = version::decode_command(request->command());
+        if (this->is_stalled_order(command))
+        {
+            reply->set_status(protocol::ProposeReply::UNKNOWN);
+            return grpc::Status::OK;
+        }
         auto const* store_command = std::get_if<version::store_content_part>(&command.body);
         if (store_command == nullptr)
         {
@@ -145,8 +150,26 @@
     std::atomic<int> remaining_fetches = 1'000'000;
     /// The replies to proposals and lookups carry bytes that cannot be decoded.
     std::atomic<bool> damages_replies = false;
+    /// Orders on evacuations are kept in `stalled` in place of being proposed.
+    std::atomic<bool> stalls_orders = false;
+
+    std::vector<version::set_evacuation> stalled() const
+    {
+        std::lock_guard const lock(this->mutex);
+        return this->stalled_orders;
+    }
 
 private:
+    bool is_stalled_order(version::command const& command)
+    {
+        auto const* order = std::get_if<version::set_evacuation>(&command.body);
+        if (order == nullptr || !this->stalls_orders)
+            return false;
+        std::lock_guard const lock(this->mutex);
+        this->stalled_orders.push_back(*order);
+        return true;
+    }
+
     void count(part_calls& calls, std::uint64_t offset)
     {
         std::lock_guard const lock(this->mutex);
@@ -164,6 +187,7 @@
     part_calls unconfirmed_parts;
     part_calls refused_parts;
     part_calls fetched_parts;
+    std::vector<version::set_evacuation> stalled_orders;
 };
 
 /// Control plane of one daemon; daemons communicate over real sockets.
--- a/src/process/control/tests/evacuation_test.cpp
+++ b/src/process/control/tests/evacuation_test.cpp
@@ -32,8 +32,11 @@
     return eventually(
         [&]
         {
-            return propose_and_wait(loop, make_order(is_evacuated), milliseconds(900)).status ==
-                   proposal_status::committed;
+            auto const outcome =
+                propose_and_wait(loop, make_order(is_evacuated), milliseconds(900));
+            auto const* result = std::get_if<version::evacuation_result>(&outcome.result);
+            return outcome.status == proposal_status::committed && result != nullptr &&
+                   !result->is_outdated;
         });
 }
 
@@ -45,6 +48,26 @@
         { return eventually([&] { return is_evacuated(system.loop(i)); }, effect_limit); });
 }
 
+/// Sends an order that stalls at the leader past its time limit. Returns the command.
+version::set_evacuation send_stalled_order(small_system& system, std::size_t entry,
+                                           bool is_evacuated)
+{
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).stalls_orders = true;
+    auto const status =
+        propose_and_wait(system.loop(entry), make_order(is_evacuated), milliseconds(900)).status;
+    CHECK(status != proposal_status::committed);
+    std::vector<version::set_evacuation> stalled;
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        system.calls(i).stalls_orders = false;
+        auto const orders = system.calls(i).stalled();
+        stalled.insert(stalled.end(), orders.begin(), orders.end());
+    }
+    REQUIRE_FALSE(stalled.empty());
+    return stalled.front();
+}
+
 version::shared_status make_status(std::uint64_t index, bool has_evacuation)
 {
     version::shared_status status;
@@ -122,6 +145,72 @@
     }
 }
 
+TEST_CASE("a start that stalls at the leader has no effect after an acknowledged end")
+{
+    // Guards against a data centre that is evacuated although the operator ended the evacuation,
+    // after a restart of all as well.
+    small_system system;
+    REQUIRE(eventually([&] { return system.loop(3).view()->ready && system.leader(3) < 3; }));
+    bool const is_restarted = GENERATE(false, true);
+    auto const stalled = send_stalled_order(system, 3, true);
+    REQUIRE(order_until_committed(system.loop(3), false));
+    for (std::size_t i = 0; is_restarted && i < 4; ++i)
+        system.stop(i);
+    for (std::size_t i = 0; is_restarted && i < 4; ++i)
+        system.start(i);
+    commit_and_wait(system.loop(0), stalled, seconds(10));
+    // An entry that has the later order has applied the stalled one.
+    data_centre_id const sydney("syd-a");
+    commit_and_wait(system.loop(0), version::set_evacuation{sydney, true}, seconds(10));
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        CHECK(eventually([&] { return system.loop(i).traffic()->evacuated.contains(sydney); }));
+        CHECK_FALSE(is_evacuated(system.loop(i)));
+    }
+    CHECK(order_until_committed(system.loop(3), true));
+    CHECK(is_evacuated_at(system, {0, 1, 2, 3}));
+}
+
+TEST_CASE("an entry with an old view gives an order at its second attempt")
+{
+    // Guards against an order that is refused until the entry has polled a voter, and against one
+    // that undoes an order that the entry does not know.
+    small_system system(seconds(5));
+    REQUIRE(eventually([&] { return system.loop(3).view()->ready; }));
+    // No poll of entry 3 brings the newer view while the orders are given.
+    for (std::size_t i = 0; i < 3; ++i)
+        system.calls(i).read_delay_ms = 2'000;
+    commit_and_wait(system.loop(0), make_order(true), seconds(10));
+    auto const order_once = [&](bool is_evacuated)
+    {
+        return std::get<version::evacuation_result>(
+            commit_and_wait(system.loop(3), make_order(is_evacuated), seconds(10)));
+    };
+    CHECK(order_once(false).is_outdated);
+    CHECK(order_once(false).is_changed);
+    CHECK(order_once(true).is_changed);
+}
+
+TEST_CASE("two operators order the opposite at two entries")
+{
+    // Guards against an entry that refuses orders for seconds, and against entries that disagree
+    // about the last one.
+    small_system system;
+    REQUIRE(eventually([&] { return system.loop(3).view()->ready; }));
+    auto const operate = [&](std::size_t entry, bool is_evacuated)
+    {
+        for (int i = 0; i < 10; ++i)
+            order_until_committed(system.loop(entry), is_evacuated);
+    };
+    auto other = std::async(std::launch::async, [&] { operate(1, false); });
+    operate(3, true);
+    other.get();
+    auto const began = std::chrono::steady_clock::now();
+    REQUIRE(order_until_committed(system.loop(1), true));
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
+    CHECK(is_evacuated_at(system, {0, 1, 2, 3}));
+}
+
 TEST_CASE("an evacuation does not wait for the configuration in the same status")
 {
     // Guards against requests to an evacuated data centre while a large configuration is fetched
--- a/src/process/daemon/internal/evacuation_orders.cpp
+++ b/src/process/daemon/internal/evacuation_orders.cpp
@@ -30,20 +30,24 @@
     }
 }
 
+void refuse_for_now(completion::api_exchange& exchange, char const* detail)
+{
+    exchange.set_header("Retry-After", "1");
+    exchange.respond_json(503, nlohmann::json{{"detail", detail}}.dump());
+}
+
 void report_outcome(completion::api_exchange& exchange, version::set_evacuation const& order,
                     control::proposal_outcome const& outcome)
 {
     auto const* result = std::get_if<version::evacuation_result>(&outcome.result);
-    if (outcome.status == control::proposal_status::committed && result != nullptr)
-    {
-        nlohmann::json const body{{"data_centre", order.data_centre},
-                                  {"is_evacuated", order.is_evacuated},
-                                  {"is_changed", result->is_changed}};
-        return exchange.respond_json(200, body.dump());
-    }
-    exchange.set_header("Retry-After", "1");
-    nlohmann::json const body{{"detail", "no quorum confirmed the order in time; send it again"}};
-    exchange.respond_json(503, body.dump());
+    if (outcome.status != control::proposal_status::committed || result == nullptr)
+        return refuse_for_now(exchange, "no quorum confirmed the order in time; send it again");
+    if (result->is_outdated)
+        return refuse_for_now(exchange, "another order came first; send this one again");
+    nlohmann::json const body{{"data_centre", order.data_centre},
+                              {"is_evacuated", order.is_evacuated},
+                              {"is_changed", result->is_changed}};
+    exchange.respond_json(200, body.dump());
 }
 
 } // namespace
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -107,11 +107,14 @@
 };
 
 /// Command: starts or ends the evacuation of a data centre, whose endpoints receive no requests
-/// meanwhile. Has no effect if the data centre is in that state already, so it may be resent.
+/// meanwhile. The data centre stays as it is if it is in that state already, so it may be resent.
 struct set_evacuation
 {
     data_centre_id data_centre;
     bool is_evacuated = false;
+    /// Number of the data centre's record that the order is based on. Commands of earlier releases
+    /// have none.
+    std::optional<std::uint64_t> base{};
 };
 
 /// Returns the command that puts a configuration in force. Throws parse_error if the
@@ -226,8 +229,12 @@
 
 struct evacuation_result
 {
-    /// False if the data centre was in the requested state already.
+    /// False if the data centre was in the requested state already, or the order is outdated.
     bool is_changed = false;
+    /// Whether the order was based on an older number and had no effect.
+    bool is_outdated = false;
+    /// Number of the data centre's record after the command; 0 in results of earlier releases.
+    std::uint64_t number = 0;
 };
 
 using command_result =
--- a/src/version/include/lagoonladder/version/evacuation.hpp
+++ b/src/version/include/lagoonladder/version/evacuation.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONLADDER_VERSION_EVACUATION_HPP
 #define LAGOONLADDER_VERSION_EVACUATION_HPP
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +18,9 @@
 {
     wall_time started{};
     std::optional<wall_time> ended;
+    /// Rises with each order that takes effect or confirms the state in force. At least the time
+    /// of the latest change in microseconds since 1970.
+    std::uint64_t number = 0;
 
     friend bool operator==(evacuation const&, evacuation const&) = default;
 };
@@ -25,10 +29,27 @@
 /// their data centres stay known when none of their machines is left.
 using evacuation_records = std::map<data_centre_id, evacuation>;
 
-/// Starts or ends the evacuation of a data centre at `now`. Returns false, without a change, if
-/// the data centre is in the requested state already.
-bool set_evacuated(evacuation_records& records, data_centre_id const& data_centre,
-                   bool is_evacuated, wall_time now);
+enum class evacuation_outcome
+{
+    changed,
+    /// The data centre is in the requested state already. The order confirms it: an order with the
+    /// same base that arrives later has no effect.
+    confirmed,
+    /// As `confirmed`, but nothing has changed, since the order states no base.
+    repeated,
+    /// The order is based on an older number. Nothing has changed.
+    outdated
+};
+
+/// Starts or ends the evacuation of a data centre at `now`. `base` is the number of the record that
+/// the order is based on; orders of earlier releases have none and always take effect.
+evacuation_outcome set_evacuated(evacuation_records& records, data_centre_id const& data_centre,
+                                 bool is_evacuated, wall_time now,
+                                 std::optional<std::uint64_t> base = std::nullopt);
+
+/// Returns the number of the record of a data centre, 0 without a record.
+std::uint64_t evacuation_number(evacuation_records const& records,
+                                data_centre_id const& data_centre);
 
 std::set<data_centre_id> evacuated_data_centres(evacuation_records const& records);
 
@@ -38,7 +59,7 @@
 nlohmann::json evacuations_json(evacuation_records const& records);
 
 /// Reads the member "evacuations" of an object. Snapshots and messages of earlier releases have
-/// none.
+/// none, or records without a number.
 evacuation_records evacuations_from(nlohmann::json const& object);
 
 } // namespace lagoonladder::version
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -145,13 +145,16 @@
 
 static void to_json(nlohmann::json& out, set_evacuation const& in)
 {
-    out = {{"data_centre", in.data_centre}, {"is_evacuated", in.is_evacuated}};
+    out = {{"data_centre", in.data_centre},
+           {"is_evacuated", in.is_evacuated},
+           {"base", optional_json(in.base)}};
 }
 
 static void from_json(nlohmann::json const& in, set_evacuation& out)
 {
     in.at("data_centre").get_to(out.data_centre);
     in.at("is_evacuated").get_to(out.is_evacuated);
+    out.base = optional_from<std::uint64_t>(in.value("base", nlohmann::json()));
 }
 
 static void to_json(nlohmann::json& out, apply_map_result const& in)
@@ -206,12 +209,14 @@
 
 static void to_json(nlohmann::json& out, evacuation_result const& in)
 {
-    out = {{"is_changed", in.is_changed}};
+    out = {{"is_changed", in.is_changed}, {"is_outdated", in.is_outdated}, {"number", in.number}};
 }
 
 static void from_json(nlohmann::json const& in, evacuation_result& out)
 {
     in.at("is_changed").get_to(out.is_changed);
+    out.is_outdated = in.value("is_outdated", false);
+    out.number = in.value("number", std::uint64_t{0});
 }
 
 static void to_json(nlohmann::json& out, no_result const&)
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -264,11 +264,15 @@
 
 command_result control_state::apply_body(set_evacuation const& body)
 {
-    bool const is_changed = set_evacuated(this->current_state.evacuations, body.data_centre,
-                                          body.is_evacuated, this->time);
-    if (is_changed)
+    auto& records = this->current_state.evacuations;
+    auto const outcome =
+        set_evacuated(records, body.data_centre, body.is_evacuated, this->time, body.base);
+    bool const is_changed = outcome == evacuation_outcome::changed;
+    // Entries that do not know the number of a confirmed state could not give orders.
+    if (is_changed || outcome == evacuation_outcome::confirmed)
         this->current_state.changed_index = this->index;
-    return evacuation_result{is_changed};
+    return evacuation_result{is_changed, outcome == evacuation_outcome::outdated,
+                             evacuation_number(records, body.data_centre)};
 }
 
 command_result control_state::apply_body(add_usage const& body)
