--- a/src/request/tools/internal/engine_model.cpp
+++ b/src/request/tools/internal/engine_model.cpp
@@ -61,8 +61,10 @@
         this->cache_part(part);
     auto const factor =
         this->slowness * (1 + this->decoding.slowdown * static_cast<double>(this->running.size()));
-    this->free_at = this->uneven.end_of_work(std::max(this->free_at, begins),
-                                             from_seconds(tokens * factor / tokens_per_second));
+    auto const prefill_begins = std::max(this->free_at, begins);
+    this->free_at =
+        this->uneven.end_of_work(prefill_begins, from_seconds(tokens * factor / tokens_per_second));
+    this->prefill_time = this->free_at - prefill_begins;
     if (this->decoding.time > duration(0) && !prompt.empty())
         this->start_decoding(static_cast<double>(prompt.back().tokens));
     return this->free_at + first_token_delay;
--- a/src/request/tools/internal/engine_model.hpp
+++ b/src/request/tools/internal/engine_model.hpp
@@ -72,6 +72,8 @@
     uneven_model const& differences() const { return this->uneven; }
     /// Time that the last submitted prompt takes to decode.
     duration last_decode_time() const { return this->decode_time; }
+    /// Time during which the engine prefills the last submitted prompt.
+    duration last_prefill_time() const { return this->prefill_time; }
 
     /// Factor of the prefill time: 1 is ordinary, 5 takes five times as long.
     double slowness = 1;
@@ -98,6 +100,7 @@
     decode_model decoding;
     uneven_model uneven;
     duration decode_time{};
+    duration prefill_time{};
     /// Ordered by the time at which they end.
     std::deque<running_request> running;
     /// Cache memory of running requests, in tokens; cached parts are evicted for it.
--- a/src/request/tools/internal/placement_run.cpp
+++ b/src/request/tools/internal/placement_run.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numbers>
 
+#include <lagoonladder/request/engine_work_counter.hpp>
+
 namespace lagoonladder::study
 {
 
@@ -324,6 +326,8 @@
 {
     auto const engine = this->choose(entry, prompt);
     this->entries[entry].sent[engine].push_back(this->now);
+    auto const work =
+        request::prefill_work(this->entries[entry].backlog, this->now, id_of(engine), prompt);
     auto const sent =
         this->entries[entry].backlog.sent(this->now, id_of(engine), this->starts[engine], prompt);
     auto const first_token = this->engines[engine].submit(this->now, prompt);
@@ -338,6 +342,8 @@
     {
         this->result.to_first_token.add(to_seconds(first_token - this->now));
         this->result.decoding.add(to_seconds(this->engines[engine].last_decode_time()));
+        this->result.prefill_work += to_seconds(this->engines[engine].last_prefill_time());
+        this->result.estimated_prefill_work += to_seconds(work);
     }
     if (this->policy >= placement::shared_backlog)
         this->notices.push_back(
@@ -362,6 +368,7 @@
         auto const prompt = this->make_prompt(is_long);
         this->send(this->random.below(this->entries.size()), prompt, is_long);
     }
+    this->result.measured_time = this->now - time_point(uneven_warm_up);
     for (auto const& engine : this->engines)
         this->result.prefilled_tokens += engine.prefilled_tokens();
     return this->result;
--- a/src/request/tools/internal/placement_run.hpp
+++ b/src/request/tools/internal/placement_run.hpp
@@ -80,6 +80,11 @@
     /// Seconds of each prompt, without those sent before `uneven_warm_up`.
     sample_set to_first_token;
     sample_set decoding;
+    /// Engine-seconds of prefill after the warm-up: spent by the engines, and estimated by the
+    /// entries when they sent the prompts.
+    double prefill_work = 0;
+    double estimated_prefill_work = 0;
+    duration measured_time{};
 };
 
 /// Simulates prompts of three kinds, with the sizes of the Permits Office, at random entries for
--- a/src/request/tools/main.cpp
+++ b/src/request/tools/main.cpp
@@ -213,6 +213,53 @@
     }
 }
 
+/// Runs one scenario and prints how late first tokens are at the utilisation that results.
+void print_utilisation(placement_scenario const& scenario, std::uint64_t seeds, std::uint64_t seed)
+{
+    sample_set first_token;
+    double work = 0;
+    double estimated_work = 0;
+    double available = 0;
+    for (std::uint64_t i = 0; i < seeds; ++i)
+    {
+        auto const run_results =
+            placement_run(scenario, placement::stated_speed_and_load, seed + i).run();
+        first_token.add_all(run_results.to_first_token);
+        work += run_results.prefill_work;
+        estimated_work += run_results.estimated_prefill_work;
+        available += static_cast<double>(scenario.engines) *
+                     lagoonladder::to_seconds(run_results.measured_time);
+    }
+    std::printf("| %s | %zu | %.0f | %.2f | %.2f | %.3f | %.3f | %.2f |\n", scenario.name.c_str(),
+                scenario.engines, scenario.prompts_per_second, work / available,
+                estimated_work / work, first_token.quantile(0.5), first_token.quantile(0.99),
+                100 * first_token.share_above(0.8));
+}
+
+/// Uneven engines at increasing load, for the utilisation at which engines are ordered.
+void study_utilisation(std::uint64_t seeds, std::uint64_t seed)
+{
+    std::printf("| scenario | engines | prompts/s | utilisation | estimated work / work | to first "
+                "token median s | 99th s | over 0.8 s %% |\n|---|---|---|---|---|---|---|---|\n");
+    for (std::size_t const entries : {25, 90})
+    {
+        for (auto const load : {0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.25})
+        {
+            auto scenario = large_system(std::to_string(entries) + " entries",
+                                         std::min<std::size_t>(32, entries - 1));
+            scenario.entries = entries;
+            scenario.engines = entries == 25 ? 60 : 90;
+            scenario.prompts_per_second = load * 3.6 * static_cast<double>(scenario.engines);
+            scenario.is_chosen_by_load = true;
+            scenario.decoding.is_prolonged = true;
+            scenario.min_speed = 0.55;
+            scenario.max_speed = 1.2;
+            scenario.slow_fraction = 0.15;
+            print_utilisation(scenario, seeds, seed);
+        }
+    }
+}
+
 /// Plain calls at equal and at uneven endpoints.
 void study_plain_calls(std::uint64_t seeds, std::uint64_t seed)
 {
@@ -287,6 +334,9 @@
         TCLAP::SwitchArg uneven_placement("", "uneven-placement",
                                           "Compares placements of prompts at uneven engines only.",
                                           command);
+        TCLAP::SwitchArg utilisation("", "utilisation",
+                                     "Studies first tokens at uneven engines by utilisation only.",
+                                     command);
         TCLAP::SwitchArg plain_calls("", "plain-calls", "Compares plain calls only.", command);
         command.parse(argc, argv);
         if (plain_calls.getValue())
@@ -294,6 +344,11 @@
             study_plain_calls(seeds, seed);
             return 0;
         }
+        if (utilisation.getValue())
+        {
+            study_utilisation(seeds, seed);
+            return 0;
+        }
         if (uneven_placement.getValue())
         {
             study_uneven_placement(seeds, seed);
