Order engines by their measured work if the settings ask for it

Cause: the number of engines is the demand divided by a constant, so that one deployment has too many engines and another is too slow.

Change: with [pass_through] engine_capacity = measured, entries state the work that they give to engines in their gossip row, and the holder of the duty plans for it. capacity.ordered names the figures and what decided; two gauges show the work. The default, fixed, orders and sends as before.

--- a/src/connection/include/lagoonladder/connection/entry_directory.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_directory.hpp
@@ -100,6 +100,8 @@
     /// Sets the address for callers of pass-through routes (empty while this entry accepts none)
     /// and the demand of the accounts at this entry in tokens per second.
     void set_pass_through(network_address address, std::map<account_id, double> demand);
+    /// Sets the work that this entry gives to engines.
+    void set_engine_work(engine_work_by_service work);
 
     /// Marks this or another entry as leaving. Returns not_found for a dead entry.
     entry_result set_leaving(time_point now, vm_id const& vm);
--- a/src/connection/include/lagoonladder/connection/entry_record.hpp
+++ b/src/connection/include/lagoonladder/connection/entry_record.hpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <lagoonladder/base.hpp>
+#include <lagoonladder/base/engine_work.hpp>
 
 namespace lagoonladder::connection
 {
@@ -48,6 +49,9 @@
     /// Demand in tokens per second by account at this entry. In large systems only the total,
     /// under an empty account id.
     std::map<account_id, double> demand;
+    /// Work that this entry gives to engines, to a thousandth on the wire. Empty while it states
+    /// none, and in rows of daemons that do not send it.
+    engine_work_by_service engine_work;
 };
 
 void to_json(nlohmann::json& out, entry_record const& in);
--- a/src/connection/internal/entry_directory.cpp
+++ b/src/connection/internal/entry_directory.cpp
@@ -89,6 +89,11 @@
     this->self.demand = std::move(demand);
 }
 
+void entry_directory::set_engine_work(engine_work_by_service work)
+{
+    this->self.engine_work = std::move(work);
+}
+
 entry_result entry_directory::set_leaving(time_point now, vm_id const& vm)
 {
     auto const found = this->rows.find(vm);
--- a/src/connection/tests/record_test.cpp
+++ b/src/connection/tests/record_test.cpp
@@ -68,6 +68,25 @@
     CHECK_THROWS_WITH(nlohmann::json::array().get<load_report>(), Contains("\"running\""));
 }
 
+TEST_CASE("an entry states its work for engines in an optional field")
+{
+    // Guards against rows of earlier releases that are rejected, and against work that is lost or
+    // misread on the way to the leader.
+    auto entry = make_entry("vm-1", "d1");
+    CHECK_FALSE(nlohmann::json(entry).contains("engine_work"));
+    entry.engine_work[service_name("llm")] = {0.5, 3.25, 14};
+    nlohmann::json row = entry;
+    CHECK(row.get<entry_record>().engine_work == entry.engine_work);
+    row.erase("engine_work");
+    CHECK(row.get<entry_record>().engine_work.empty());
+    for (auto const* wrong : {"5", "[5]", R"([["llm", 1, 2]])", R"([["llm", -1, 2, 3]])",
+                              R"([["llm", 1, 2, 4294967296]])", R"([["", 1, 2, 3]])"})
+    {
+        row["engine_work"] = nlohmann::json::parse(wrong);
+        CHECK_THROWS_WITH(row.get<entry_record>(), Contains("\"engine_work\""));
+    }
+}
+
 TEST_CASE("numbers out of range and empty ids are rejected")
 {
     // Guards against silent truncation of a value: 2^32 slots would be read as 0.
--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -36,6 +36,15 @@
     learned
 };
 
+/// How the number of model engines that the leader orders is found.
+enum class engine_capacity
+{
+    /// By the tokens that callers ask for, and a constant.
+    fixed,
+    /// By the measured work of the engines.
+    measured
+};
+
 /// Section [pass_through]. When `callers` is empty, the daemon does no pass-through.
 struct pass_through_settings
 {
@@ -77,6 +86,8 @@
     /// Whether calls of model services are refused by priority and fairness while the engines have
     /// too little room.
     bool has_overload_admission = false;
+    lagoonladder::config::engine_capacity engine_capacity =
+        lagoonladder::config::engine_capacity::fixed;
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -47,14 +47,18 @@
         else if (section.kind == "platform")
             document.require_known_keys(section, {"cloud_api", "weight_store"});
         else if (section.kind == "pass_through")
-            document.require_known_keys(
-                section,
-                {"callers",         "control",           "directory",         "readiness",
-                 "metrics",         "platform_api",      "max_connections",   "retry_share",
-                 "retry_burst",     "retry_window",      "quota_span",        "quota_overshoot",
-                 "quota_tolerance", "exposure_share",    "exposure_requests", "start_pace",
-                 "cold_overshoot",  "cold_slack",        "usage_window",      "duty_lease",
-                 "directory_age",   "overload_admission"});
+            document.require_known_keys(section, {"callers",           "control",
+                                                  "directory",         "readiness",
+                                                  "metrics",           "platform_api",
+                                                  "max_connections",   "retry_share",
+                                                  "retry_burst",       "retry_window",
+                                                  "quota_span",        "quota_overshoot",
+                                                  "quota_tolerance",   "exposure_share",
+                                                  "exposure_requests", "start_pace",
+                                                  "cold_overshoot",    "cold_slack",
+                                                  "usage_window",      "duty_lease",
+                                                  "directory_age",     "overload_admission",
+                                                  "engine_capacity"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -212,6 +216,17 @@
     out.start_pace = pace->value == "learned" ? start_pace::learned : start_pace::fixed;
 }
 
+void parse_engine_capacity(ini_section_reader const& section, pass_through_settings& out)
+{
+    auto const* capacity = section.find("engine_capacity");
+    if (!capacity)
+        return;
+    if (capacity->value != "measured" && capacity->value != "fixed")
+        section.fail(*capacity, "must be measured or fixed");
+    out.engine_capacity =
+        capacity->value == "measured" ? engine_capacity::measured : engine_capacity::fixed;
+}
+
 void parse_pass_through(ini_document const& document, settings& result)
 {
     ini_section_reader const section(document, "pass_through");
@@ -235,6 +250,7 @@
     section.read_number("cold_overshoot", out.cold_overshoot, 0, 100);
     section.read_number("cold_slack", out.cold_slack, 0, 1'000'000);
     section.read("overload_admission", out.has_overload_admission);
+    parse_engine_capacity(section, out);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -67,6 +67,19 @@
     CHECK_THROWS_WITH(parse_settings("s.ini", section + "maybe\n"), Contains("overload_admission"));
 }
 
+TEST_CASE("engines are ordered by the constant unless the settings ask for measured work")
+{
+    // Guards against other numbers of engines in deployments that do not ask for it.
+    CHECK(parse_settings("s.ini", base_text).pass_through.engine_capacity ==
+          config::engine_capacity::fixed);
+    auto const section = base_text + "[pass_through]\nengine_capacity = ";
+    CHECK(parse_settings("s.ini", section + "measured\n").pass_through.engine_capacity ==
+          config::engine_capacity::measured);
+    CHECK(parse_settings("s.ini", section + "fixed\n").pass_through.engine_capacity ==
+          config::engine_capacity::fixed);
+    CHECK_THROWS_WITH(parse_settings("s.ini", section + "many\n"), Contains("engine_capacity"));
+}
+
 TEST_CASE("settings errors name file and line")
 {
     // Guards against a mistyped key or unit being ignored without an error.
--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iomanip>
+#include <sstream>
 
 namespace lagoonladder::control
 {
@@ -25,16 +27,64 @@
 /// A refused order is retried after this time.
 constexpr duration refusal_retry_interval = seconds(3);
 
+/// Tokens per second that callers request at the entry.
+double demand_of(connection::entry_record const& entry)
+{
+    double demand = 0;
+    for (auto const& [account, rate] : entry.demand)
+        demand += rate;
+    return demand;
+}
+
 /// Tokens per second that callers request at all entries.
 double total_demand(control_view const& view)
 {
     double demand = 0;
+    for (auto const& entry : view.entries)
+        demand += demand_of(entry);
+    return demand;
+}
+
+/// Returns the requests for the service at each entry.
+std::vector<version::entry_load> find_loads(control_view const& view, service_name const& service)
+{
+    std::vector<version::entry_load> loads;
     for (auto const& entry : view.entries)
     {
-        for (auto const& [account, rate] : entry.demand)
-            demand += rate;
+        auto& load = loads.emplace_back();
+        load.demand = demand_of(entry);
+        // An entry that states its work for other services only sends nothing to this one.
+        if (entry.engine_work.empty())
+            continue;
+        auto const found = entry.engine_work.find(service);
+        load.work = found == entry.engine_work.end() ? engine_work() : found->second;
     }
-    return demand;
+    return loads;
+}
+
+void set_work_metrics(observability::metrics& metrics, service_name const& service,
+                      engine_work const& work)
+{
+    observability::metric_labels const labels{{"service", service.value()}};
+    metrics.set("engine_prefill_work", labels, work.prefill);
+    metrics.set("engine_running_requests", labels, work.running);
+}
+
+std::string format_number(double value)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << value;
+    return text.str();
+}
+
+/// Adds what an order by measured work is based on.
+void describe_need(version::engine_need const& need, std::vector<event_field>& fields)
+{
+    fields.push_back({"needed_engines", format_number(need.engines)});
+    fields.push_back({"engines_by_constant", format_number(need.by_constant)});
+    fields.push_back({"prefill_work", format_number(need.work.prefill)});
+    fields.push_back({"running", std::to_string(need.work.running)});
+    fields.push_back({"decided_by", version::to_string(need.basis)});
 }
 
 /// Returns whether two versions of a service run side by side: from the start of a move until the
@@ -57,9 +107,11 @@
 
 } // namespace
 
-capacity_driver::capacity_driver(event_sink& log, clock const& time_source)
-    : events(log)
-    , time(time_source)
+capacity_driver::capacity_driver(telemetry const& sinks, config::engine_capacity chosen)
+    : events(sinks.events)
+    , metrics(sinks.metrics)
+    , time(sinks.time)
+    , mode(chosen)
 {
 }
 
@@ -68,6 +120,10 @@
     this->orders.clear();
     this->announcements.clear();
     this->demands.clear();
+    // Another daemon has the figures now.
+    for (auto const& [service, need] : this->needs)
+        set_work_metrics(this->metrics, service, {});
+    this->needs.clear();
     this->held_since.reset();
     this->initial_demand = 0;
     this->has_seen_callers = false;
@@ -156,6 +212,24 @@
     return peak;
 }
 
+version::engine_need capacity_driver::find_need(control_view const& view,
+                                                version::pass_through_service const& service,
+                                                double peak_demand)
+{
+    auto const now = this->time.now();
+    auto need = version::find_engine_need(find_loads(view, service.name), service.engine_slots);
+    set_work_metrics(this->metrics, service.name, need.work);
+    // The rows of a new holder may be incomplete, and before callers arrive there is no work.
+    bool const is_new = !this->has_seen_callers || now - *this->held_since < demand_window;
+    auto const by_constant = peak_demand / version::capacity_options().tokens_per_engine;
+    if (is_new && by_constant >= need.engines)
+    {
+        need.engines = by_constant;
+        need.basis = version::need_basis::constant;
+    }
+    return this->needs[service.name].add(now, need);
+}
+
 void capacity_driver::step(control_view const& view, proxy::platform_duties& platform,
                            proxy::platform_duties::holder const& self)
 {
@@ -173,6 +247,12 @@
         inputs.limits = *service.scaling;
         inputs.serving = this->serving_replicas(view, service.name);
         inputs.demand = demand;
+        std::optional<version::engine_need> need;
+        if (this->mode == config::engine_capacity::measured)
+            need = this->find_need(view, service, demand);
+        // The plan takes engines as the demand that the constant gives them for.
+        if (need)
+            inputs.demand = need->engines * version::capacity_options().tokens_per_engine;
         inputs.evacuated = version::evacuated_data_centres(view.shared->evacuations);
         this->forget_reductions(inputs.evacuated);
         bool const is_moving = has_two_versions(view, service.name);
@@ -180,10 +260,11 @@
         {
             auto const serving = inputs.serving[data_centre];
             this->order({service.name, data_centre, true},
-                        {counts.reclaimable, serving.reclaimable, demand, is_moving}, platform,
-                        self);
+                        {counts.reclaimable, serving.reclaimable, demand, need, is_moving},
+                        platform, self);
             this->order({service.name, data_centre, false},
-                        {counts.on_demand, serving.on_demand, demand, is_moving}, platform, self);
+                        {counts.on_demand, serving.on_demand, demand, need, is_moving}, platform,
+                        self);
         }
     }
 }
@@ -236,13 +317,15 @@
     if (state.in_flight || is_fulfilled || is_ordered || is_refused)
         return;
     state.in_flight = true;
-    this->events.emit(severity::info, "capacity.ordered",
-                      {{"service", key.service.value()},
-                       {"data_centre", key.data_centre.value()},
-                       {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
-                       {"replicas", std::to_string(replicas)},
-                       {"serving", std::to_string(basis.serving)},
-                       {"demand", std::to_string(std::llround(basis.demand))}});
+    std::vector<event_field> fields{{"service", key.service.value()},
+                                    {"data_centre", key.data_centre.value()},
+                                    {"kind", key.reclaimable ? "reclaimable" : "on_demand"},
+                                    {"replicas", std::to_string(replicas)},
+                                    {"serving", std::to_string(basis.serving)},
+                                    {"demand", std::to_string(std::llround(basis.demand))}};
+    if (basis.need)
+        describe_need(*basis.need, fields);
+    this->events.emit(severity::info, "capacity.ordered", fields);
     platform.order_capacity(
         self, {key.service, key.data_centre, replicas, key.reclaimable},
         [this, key, replicas, order_epoch = this->epoch](bool accepted)
--- a/src/process/control/internal/capacity_driver.hpp
+++ b/src/process/control/internal/capacity_driver.hpp
@@ -3,8 +3,12 @@
 
 #include <deque>
 
+#include <lagoonladder/config.hpp>
 #include <lagoonladder/control/control_plane.hpp>
 #include <lagoonladder/proxy.hpp>
+#include <lagoonladder/version/engine_need.hpp>
+
+#include "telemetry.hpp"
 
 namespace lagoonladder::control
 {
@@ -14,7 +18,7 @@
 class capacity_driver
 {
 public:
-    capacity_driver(event_sink& log, clock const& time_source);
+    capacity_driver(telemetry const& sinks, config::engine_capacity chosen);
 
     /// Plans the capacity and orders changes. To be called about once a second while the duty is
     /// held.
@@ -41,6 +45,8 @@
         std::uint32_t serving = 0;
         /// Tokens per second that callers request; only logged.
         double demand = 0;
+        /// No value when the constant alone decides; only logged.
+        std::optional<version::engine_need> need;
         /// Two versions of the service run side by side.
         bool is_moving = false;
     };
@@ -76,6 +82,11 @@
     bool observe_initial_demand(control_view const& view);
     /// Maximum demand within the demand window, in tokens per second.
     double peak_demand(control_view const& view);
+    /// Returns the engines that callers of the service need, at least what the constant gives for
+    /// `peak_demand` while the measurements are too new.
+    version::engine_need find_need(control_view const& view,
+                                   version::pass_through_service const& service,
+                                   double peak_demand);
     /// Restarts the delay of reductions in data centres in which nothing is ordered at present.
     void forget_reductions(std::set<data_centre_id> const& evacuated);
     /// Returns the number of replicas to order. A reduction takes effect only after the plan has
@@ -86,11 +97,15 @@
                proxy::platform_duties::holder const& self);
 
     event_sink& events;
+    observability::metrics& metrics;
     clock const& time;
+    config::engine_capacity const mode;
     std::map<order_key, order_state> orders;
     std::map<endpoint_id, announcement> announcements;
     /// Demand within the demand window, oldest first.
     std::deque<std::pair<time_point, double>> demands;
+    /// Needs within the demand window, for measured work only.
+    std::map<service_name, version::peak_engine_need> needs;
     std::optional<time_point> held_since;
     /// Demand assumed until callers arrive, in tokens per second.
     double initial_demand = 0;
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -48,7 +48,7 @@
     , followed_state(this->context, this->options, dependencies.peers, this->group_client,
                      this->fetcher, this->cache, this->sinks, this->own_node.get())
     , version_moves(this->own_node.get(), this->options.pass_through, this->sinks)
-    , platform_duties(this->own_node.get(), this->options, this->events, this->time)
+    , platform_duties(this->own_node.get(), this->options, this->sinks)
     , usage_counts(this->options.vm, this->time, this->options.pass_through.usage_window)
     , cloud(this->options.cloud_api)
     , notice_poller(this->cloud, this->events,
@@ -186,9 +186,14 @@
     return services;
 }
 
-void control_thread::set_demand(std::map<account_id, double> demand)
+void control_thread::set_demand(std::map<account_id, double> demand, engine_work_by_service work)
 {
-    this->post([this, demand = std::move(demand)] { this->account_demand = demand; });
+    this->post(
+        [this, demand = std::move(demand), work = std::move(work)]
+        {
+            this->account_demand = demand;
+            this->directories.set_engine_work(work);
+        });
 }
 
 void control_thread::set_seeds(std::vector<network_address> seeds)
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -47,7 +47,7 @@
     void read_services(read_handler done) override;
     std::shared_ptr<proxy::traffic_view const> traffic() const override;
     void count_usage(account_id const& account) override;
-    void set_demand(std::map<account_id, double> demand) override;
+    void set_demand(std::map<account_id, double> demand, engine_work_by_service work) override;
     void set_seeds(std::vector<network_address> seeds) override;
     void set_platform_duties(proxy::platform_duties* target) override;
     void post(std::function<void()> action) override;
--- a/src/process/control/internal/duty_driver.cpp
+++ b/src/process/control/internal/duty_driver.cpp
@@ -17,12 +17,12 @@
 } // namespace
 
 duty_driver::duty_driver(consensus_driver* own_node, config::settings const& config,
-                         event_sink& log, clock const& time_source)
+                         telemetry const& sinks)
     : node(own_node)
     , options(config)
-    , events(log)
-    , time(time_source)
-    , capacity(log, time_source)
+    , events(sinks.events)
+    , time(sinks.time)
+    , capacity(sinks, config.pass_through.engine_capacity)
 {
 }
 
--- a/src/process/control/internal/duty_driver.hpp
+++ b/src/process/control/internal/duty_driver.hpp
@@ -16,8 +16,7 @@
 {
 public:
     /// `own_node` and `platform` are null on a VM without a log or without a platform.
-    duty_driver(consensus_driver* own_node, config::settings const& config, event_sink& log,
-                clock const& time_source);
+    duty_driver(consensus_driver* own_node, config::settings const& config, telemetry const& sinks);
 
     void set_platform(proxy::platform_duties* target) { this->platform = target; }
 
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -42,6 +42,10 @@
 
     /// Sets in the own entry row the address for callers of pass-through routes (empty while this
     /// entry accepts none) and the demand of the accounts here, in tokens per second.
+    void set_engine_work(engine_work_by_service const& work)
+    {
+        this->entry_rows.set_engine_work(work);
+    }
     void set_pass_through(network_address const& address,
                           std::map<account_id, double> const& demand);
 
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -81,6 +81,11 @@
 
 struct capacity_driver_fixture
 {
+    explicit capacity_driver_fixture(config::engine_capacity mode = config::engine_capacity::fixed)
+        : driver({this->events, this->metrics, this->time}, mode)
+    {
+    }
+
     /// Runs `steps` one-second steps; every endpoint announces itself before each step.
     void step_for(int steps, control_view view)
     {
@@ -103,7 +108,8 @@
     null_event_sink events;
     manual_clock time;
     recording_platform platform;
-    capacity_driver driver{this->events, this->time};
+    observability::metrics metrics;
+    capacity_driver driver;
 };
 
 } // namespace
@@ -256,3 +262,73 @@
     fixture.step_for(20, view);
     CHECK(fixture.platform.orders.contains({evacuated, true}));
 }
+
+namespace
+{
+
+/// 90 engines, of which 72 are reclaimable, whose callers keep `busy` of them at prefill.
+control_view make_measured_view(double busy)
+{
+    auto view = make_view(90, 2'700'000);
+    for (std::size_t i = 18; i < 90; ++i)
+        view.endpoints[engine_service][i].reclaimable = true;
+    view.entries.front().engine_work[engine_service] = {busy, 300, 0};
+    return view;
+}
+
+constexpr auto measured = config::engine_capacity::measured;
+
+} // namespace
+
+TEST_CASE("engines are ordered by their work only if the settings ask for it")
+{
+    // Guards against a changed number of engines in deployments that do not ask for it.
+    capacity_driver_fixture fixed;
+    capacity_driver_fixture by_work(measured);
+    fixed.step_for(60, make_measured_view(12));
+    by_work.step_for(60, make_measured_view(12));
+    capacity_driver_fixture without_work(measured);
+    without_work.step_for(60, make_view(90, 2'700'000));
+    capacity_driver_fixture fixed_without_work;
+    fixed_without_work.step_for(60, make_view(90, 2'700'000));
+    CHECK(by_work.platform.total() < 0.75 * fixed.platform.total());
+    CHECK(fixed.platform.total() >= 90);
+    CHECK(without_work.platform.orders == fixed_without_work.platform.orders);
+    auto const has_gauge = [](capacity_driver_fixture& fixture, std::string const& line)
+    { return fixture.metrics.expose().find(line) != std::string::npos; };
+    CHECK_FALSE(has_gauge(fixed, "engine_prefill_work"));
+    CHECK(has_gauge(by_work, "engine_prefill_work{service=\"llm\"} 12"));
+    by_work.driver.reset();
+    CHECK(has_gauge(by_work, "engine_prefill_work{service=\"llm\"} 0"));
+}
+
+TEST_CASE("a new duty holder releases nothing because of its first measurements")
+{
+    // Guards against a reduction after a leader change, when most rows have not arrived.
+    capacity_driver_fixture fixture(measured);
+    fixture.step_for(60, make_measured_view(12));
+    auto const settled = fixture.platform.total();
+    fixture.driver.reset();
+    fixture.step_for(15, make_measured_view(2));
+    CHECK(fixture.platform.total() >= settled);
+    // Engines that the measurement asks for are ordered at once.
+    capacity_driver_fixture busy(measured);
+    busy.step_for(5, make_measured_view(60));
+    CHECK(busy.platform.total() >= 60 / version::engine_need_options().prefill_utilisation);
+}
+
+TEST_CASE("engines of a reclaimed data centre are replaced up to the measured need")
+{
+    // Guards against a smaller need because fewer engines work while a data centre is reclaimed.
+    capacity_driver_fixture fixture(measured);
+    auto view = make_measured_view(18);
+    fixture.step_for(60, view);
+    auto const need = 18 / version::engine_need_options().prefill_utilisation;
+    auto const before = fixture.platform.on_demand();
+    std::erase_if(view.endpoints[engine_service], [](auto const& row)
+                  { return row.reclaimable && row.data_centre != data_centre_id("a"); });
+    auto const reclaimable_left = view.endpoints[engine_service].size() - 18;
+    fixture.step_for(3, view);
+    CHECK(fixture.platform.on_demand() > before);
+    CHECK(fixture.platform.on_demand() + reclaimable_left >= need);
+}
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -37,6 +37,7 @@
     options.pace.cold = {config.cold_overshoot, config.cold_slack};
     options.quota = {config.quota_window, config.quota_overshoot, config.quota_tolerance};
     options.has_overload_admission = config.has_overload_admission;
+    options.states_engine_work = config.engine_capacity == config::engine_capacity::measured;
     return options;
 }
 
@@ -228,9 +229,10 @@
     this->control.count_usage(account);
 }
 
-void pass_through_plane::set_demand(std::map<account_id, double> demand)
+void pass_through_plane::set_demand(std::map<account_id, double> demand,
+                                    engine_work_by_service work)
 {
-    this->control.set_demand(std::move(demand));
+    this->control.set_demand(std::move(demand), std::move(work));
 }
 
 void pass_through_plane::borrow_tokens(account_id const& account,
--- a/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/call_proxy.hpp
@@ -36,6 +36,8 @@
     /// Refuse calls of model services by priority and fairness while the engines have too little
     /// room.
     bool has_overload_admission = false;
+    /// State the work that is given to engines to the entry that orders them.
+    bool states_engine_work = false;
 };
 
 /// Passes calls through to endpoints. To be used on its event loop only.
@@ -102,6 +104,8 @@
     bool wait_for_configuration(std::shared_ptr<http::server_exchange> const& exchange,
                                 incoming_call const& call, traffic_view const& refusing_view);
     void publish_demand(time_point now);
+    /// Work of the engine services, empty when it is not to be stated.
+    engine_work_by_service find_engine_work(time_point now) const;
     void observe_endpoints(time_point now);
 
     std::shared_ptr<struct proxy_context> context;
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -286,7 +286,23 @@
     if (now < this->context->demand_published_at + demand_interval)
         return;
     this->context->demand_published_at = now;
-    this->context->dependencies.control.set_demand(this->context->quotas.demand(now));
+    this->context->dependencies.control.set_demand(this->context->quotas.demand(now),
+                                                   this->find_engine_work(now));
+}
+
+engine_work_by_service call_proxy::find_engine_work(time_point now) const
+{
+    auto const view = this->context->dependencies.control.view();
+    if (!this->context->options.states_engine_work || !view->services)
+        return {};
+    auto work = this->context->engine_work.work(now);
+    std::erase_if(work,
+                  [&](auto const& item)
+                  {
+                      auto const* service = view->services->find_service(item.first);
+                      return service == nullptr || !service->is_engine;
+                  });
+    return work;
 }
 
 std::size_t call_proxy::open_calls() const
--- a/src/process/proxy/internal/call_report.cpp
+++ b/src/process/proxy/internal/call_report.cpp
@@ -95,23 +95,26 @@
     return sample;
 }
 
-open_attempt_counter::open_attempt_counter(traffic_control& traffic, call_admission const& admitted,
+open_attempt_counter::open_attempt_counter(proxy_context& shared, call_admission const& admitted,
                                            connection::endpoint_record const& endpoint)
-    : control(traffic)
+    : context(shared)
 {
+    auto& control = this->context.dependencies.control;
     this->sample.service = admitted.service;
-    this->sample.version = compared_version(*traffic.view(), admitted.service, endpoint);
+    this->sample.version = compared_version(*control.view(), admitted.service, endpoint);
     this->sample.route = admitted.route->name;
     this->sample.open = 1;
     this->sample.sent = 1;
-    this->control.record(this->sample);
+    control.record(this->sample);
+    this->context.engine_work.request_started(admitted.service);
 }
 
 open_attempt_counter::~open_attempt_counter()
 {
     this->sample.open = -1;
     this->sample.sent = 0;
-    this->control.record(this->sample);
+    this->context.dependencies.control.record(this->sample);
+    this->context.engine_work.request_ended(this->sample.service);
 }
 
 void report_end(proxy_context& context, incoming_call const& call, call_admission const& admitted,
--- a/src/process/proxy/internal/call_report.hpp
+++ b/src/process/proxy/internal/call_report.hpp
@@ -59,11 +59,11 @@
                                     bool is_complete, time_point first_byte);
 
 /// Counts an attempt as sent and, while the object exists, as open, for the comparison of
-/// versions.
+/// versions and for the work of the engines.
 class open_attempt_counter
 {
 public:
-    open_attempt_counter(traffic_control& control, call_admission const& admitted,
+    open_attempt_counter(proxy_context& shared, call_admission const& admitted,
                          connection::endpoint_record const& endpoint);
     ~open_attempt_counter();
 
@@ -71,7 +71,7 @@
     open_attempt_counter& operator=(open_attempt_counter const&) = delete;
 
 private:
-    traffic_control& control;
+    proxy_context& context;
     version::traffic_sample sample;
 };
 
--- a/src/process/proxy/internal/endpoint_chooser.hpp
+++ b/src/process/proxy/internal/endpoint_chooser.hpp
@@ -6,6 +6,7 @@
 
 #include <lagoonladder/proxy/call.hpp>
 #include <lagoonladder/proxy/traffic_control.hpp>
+#include <lagoonladder/request/engine_work_counter.hpp>
 
 #include "endpoint_pacing.hpp"
 
@@ -47,6 +48,14 @@
         return this->prompts.prefill_time(now, engine, prompt);
     }
 
+    /// Returns the time that the engine would spend on the uncached tokens of the prompt at its
+    /// present speed.
+    duration prefill_work(time_point now, endpoint_id const& engine,
+                          request::prompt_parts const& prompt) const
+    {
+        return request::prefill_work(this->prompts, now, engine, prompt);
+    }
+
     /// Records that a call is sent to the endpoint.
     void record_start(time_point now, endpoint_id const& endpoint);
     /// Records a prompt that this entry sends to an engine.
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -114,7 +114,7 @@
     this->is_prompt_harmless = false;
     this->current_attempt = std::make_shared<endpoint_attempt>(
         this->weak_from_this(), this->context->dependencies.codec, endpoint, this->call.id, now);
-    this->open_counter.emplace(this->context->dependencies.control, this->admitted, endpoint);
+    this->open_counter.emplace(*this->context, this->admitted, endpoint);
     this->load_when_chosen = this->context->chooser.load(now, endpoint.id);
     this->context->chooser.record_start(now, endpoint.id);
     this->broadcast_prompt(endpoint);
@@ -135,6 +135,9 @@
     if (this->call.prompt.empty())
         return;
     auto const now = this->context->dependencies.time.now();
+    this->context->engine_work.prompt_sent(
+        now, this->admitted.service,
+        this->context->chooser.prefill_work(now, endpoint.id, this->call.prompt));
     this->counted_prompt = this->context->chooser.record_sent_prompt(
         now, endpoint.id, endpoint.incarnation, this->call.prompt);
     this->context->dependencies.control.broadcast_prompt(
--- a/src/process/proxy/internal/proxy_context.hpp
+++ b/src/process/proxy/internal/proxy_context.hpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include <lagoonladder/proxy/call_proxy.hpp>
+#include <lagoonladder/request/engine_work_counter.hpp>
 
 #include "crash_tracker.hpp"
 #include "endpoint_chooser.hpp"
@@ -50,6 +51,7 @@
     overload_gate overload;
     crash_tracker crashes;
     request::account_quota quotas;
+    request::engine_work_counter engine_work;
     request::quota_borrowing borrowing;
     service_budgets budgets;
     time_point demand_published_at{};
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -111,9 +111,11 @@
         this->samples.push_back(sample);
     }
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
-    void set_demand(std::map<lagoonladder::account_id, double> new_demand) override
+    void set_demand(std::map<lagoonladder::account_id, double> new_demand,
+                    lagoonladder::engine_work_by_service new_work) override
     {
         this->demand = std::move(new_demand);
+        this->engine_work = std::move(new_work);
     }
     void
     borrow_tokens(lagoonladder::account_id const& account,
@@ -145,6 +147,7 @@
     std::map<lagoonladder::account_id, int> usage;
     /// Demand as it was published last.
     std::map<lagoonladder::account_id, double> demand;
+    lagoonladder::engine_work_by_service engine_work;
     /// The requests for tokens: the account and the missing tokens.
     std::vector<std::pair<lagoonladder::account_id, double>> borrow_requests;
     /// Tokens that the other entries lend at each request.
--- a/src/process/proxy/tests/proxy_test.cpp
+++ b/src/process/proxy/tests/proxy_test.cpp
@@ -315,6 +315,19 @@
         });
 }
 
+/// Makes the service one of model engines.
+void set_engine(proxy_fixture& system, std::string const& service)
+{
+    system.control.change(
+        [&](proxy::traffic_view& view)
+        {
+            auto map = view.services->map();
+            for (auto& configured : map.services)
+                configured.is_engine = configured.name == service_name(service);
+            view.services = std::make_shared<version::service_index const>(std::move(map));
+        });
+}
+
 } // namespace
 
 TEST_CASE("a call beyond the entry's portion of a quota is admitted with borrowed tokens")
@@ -350,6 +363,32 @@
     CHECK(system.control.demand[account_id("account")] < first);
 }
 
+TEST_CASE("an entry states the work that it gives to engines if the settings ask for it")
+{
+    // Guards against prompts that are not counted, and against rows that grow in other deployments.
+    for (bool const is_stated : {false, true})
+    {
+        proxy::proxy_options options{1.0, 100, {}};
+        options.states_engine_work = is_stated;
+        proxy_fixture system(options);
+        set_engine(system, "plain");
+        auto& engine = system.add_endpoint("plain", "e1");
+        engine.mode = endpoint_mode::delayed;
+        engine.answer_delay = std::chrono::milliseconds(700);
+        auto const call = system.start_call("/plain/x", "id-1", "", "key-1", "1,2");
+        system.run_until([&] { return !engine.requests.empty(); });
+        system.context.run_for(std::chrono::milliseconds(260));
+        system.proxy.tick();
+        auto const work = system.control.engine_work[service_name("plain")];
+        CHECK((work.prefill > 0) == is_stated);
+        CHECK((work.prompts > 0) == is_stated);
+        CHECK(work.running == (is_stated ? 1 : 0));
+        system.context.run_for(std::chrono::milliseconds(800));
+        system.proxy.tick();
+        CHECK(system.control.engine_work[service_name("plain")].running == 0);
+    }
+}
+
 TEST_CASE("an entry does not request tokens for each call of an account over its quota")
 {
     // Guards against a flood of one account's calls that becomes a flood of messages between
