Order no engines for calls beyond the quota of their account

Cause: capacity was planned for all tokens that callers request. An account at several times its quota, whose calls are refused, made the leader order on-demand engines in all data centres, which stayed for half a minute.

Change: rows of large systems carry the total that quotas granted; in smaller ones, whose rows state accounts, the leader counts an account up to its quota. The explanation of a placement reads the load of the last decision of the changed admission.

Tests of request, version, control and proxy pass.

--- a/src/process/control/include/lagoonladder/control/control_loop.hpp
+++ b/src/process/control/include/lagoonladder/control/control_loop.hpp
@@ -60,9 +60,10 @@
     virtual std::shared_ptr<proxy::traffic_view const> traffic() const = 0;
     /// Counts a request of the account that an endpoint has begun to process.
     virtual void count_usage(account_id const& account) = 0;
-    /// Sets the demand of accounts at this entry, in tokens per second, and the work that this
-    /// entry gives to engines.
-    virtual void set_demand(std::map<account_id, double> demand, engine_work_by_service work) = 0;
+    /// Sets the demand of accounts at this entry and what was granted to all of them, in tokens
+    /// per second, and the work that this entry gives to engines.
+    virtual void set_demand(std::map<account_id, double> demand, double granted,
+                            engine_work_by_service work) = 0;
     /// Replaces the control addresses through which other entries are discovered.
     virtual void set_seeds(std::vector<network_address> seeds) = 0;
     /// Sets the interface through which the duty holder calls the platform.
--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -27,32 +27,61 @@
 /// A refused order is retried after this time.
 constexpr duration refusal_retry_interval = seconds(3);
 
-/// Tokens per second that callers request at the entry.
-double demand_of(connection::entry_record const& entry)
+/// Fraction of each account's demand that its quota covers, for accounts above their quota.
+using covered_fractions = std::map<account_id, double>;
+
+covered_fractions find_covered_fractions(control_view const& view)
+{
+    std::map<account_id, double> demand;
+    for (auto const& entry : view.entries)
+    {
+        for (auto const& [account, rate] : entry.demand)
+            demand[account] += rate;
+    }
+    covered_fractions fractions;
+    for (auto const& [name, rate] : demand)
+    {
+        auto const* account = view.shared->services->find_account(name);
+        auto const quota =
+            account != nullptr && account->quota ? account->quota->tokens_per_second : 0;
+        if (quota > 0 && rate > quota)
+            fractions[name] = quota / rate;
+    }
+    return fractions;
+}
+
+/// Tokens per second that callers request at the entry, within the quotas of their accounts:
+/// engines for calls that are refused would stay idle.
+double demand_of(connection::entry_record const& entry, covered_fractions const& fractions)
 {
     double demand = 0;
     for (auto const& [account, rate] : entry.demand)
-        demand += rate;
+    {
+        auto const found = fractions.find(account);
+        demand += rate * (found == fractions.end() ? 1 : found->second);
+    }
     return demand;
 }
 
-/// Tokens per second that callers request at all entries.
+/// Tokens per second that callers request at all entries, within the quotas of their accounts.
 double total_demand(control_view const& view)
 {
+    auto const fractions = find_covered_fractions(view);
     double demand = 0;
     for (auto const& entry : view.entries)
-        demand += demand_of(entry);
+        demand += demand_of(entry, fractions);
     return demand;
 }
 
 /// Returns the requests for the service at each entry.
 std::vector<version::entry_load> find_loads(control_view const& view, service_name const& service)
 {
+    auto const fractions = find_covered_fractions(view);
     std::vector<version::entry_load> loads;
     for (auto const& entry : view.entries)
     {
         auto& load = loads.emplace_back();
-        load.demand = demand_of(entry);
+        load.demand = demand_of(entry, fractions);
         // An entry that states its work for other services only sends nothing to this one.
         if (entry.engine_work.empty())
             continue;
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -195,12 +195,14 @@
     return services;
 }
 
-void control_thread::set_demand(std::map<account_id, double> demand, engine_work_by_service work)
+void control_thread::set_demand(std::map<account_id, double> demand, double granted,
+                                engine_work_by_service work)
 {
     this->post(
-        [this, demand = std::move(demand), work = std::move(work)]
+        [this, demand = std::move(demand), granted, work = std::move(work)]
         {
             this->account_demand = demand;
+            this->granted_demand = granted;
             this->directories.set_engine_work(work);
         });
 }
@@ -282,9 +284,9 @@
     this->directories.set_own_status(next->shared->generation, this->open_requests);
     bool const takes_calls = next->ready && next->shared->services && !next->leaving;
     auto const traffic_view = make_traffic_view(*next, this->options);
-    this->directories.set_pass_through(takes_calls ? this->options.pass_through.callers
-                                                   : network_address(),
-                                       demand_to_publish(*traffic_view, this->account_demand));
+    this->directories.set_pass_through(
+        takes_calls ? this->options.pass_through.callers : network_address(),
+        demand_to_publish(*traffic_view, this->account_demand, this->granted_demand));
     this->published_traffic.store(traffic_view);
     this->notice_poller.set_active(this->directories.entries().is_cloud_poller(now));
     this->update_metrics(*next);
--- a/src/process/control/internal/control_thread.hpp
+++ b/src/process/control/internal/control_thread.hpp
@@ -48,7 +48,8 @@
     void read_services(read_handler done) override;
     std::shared_ptr<proxy::traffic_view const> traffic() const override;
     void count_usage(account_id const& account) override;
-    void set_demand(std::map<account_id, double> demand, engine_work_by_service work) override;
+    void set_demand(std::map<account_id, double> demand, double granted,
+                    engine_work_by_service work) override;
     void set_seeds(std::vector<network_address> seeds) override;
     void set_platform_duties(proxy::platform_duties* target) override;
     void post(std::function<void()> action) override;
@@ -102,6 +103,8 @@
     traffic_counter traffic_counts;
     usage_counter usage_counts;
     std::map<account_id, double> account_demand;
+    /// Tokens per second that were granted to all accounts at this entry.
+    double granted_demand = 0;
     http_cloud_api cloud;
     reclaim_poller notice_poller;
     asio::steady_timer publish_timer;
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -62,16 +62,14 @@
 }
 
 std::map<account_id, double> demand_to_publish(proxy::traffic_view const& view,
-                                               std::map<account_id, double> const& demand)
+                                               std::map<account_id, double> const& demand,
+                                               double granted)
 {
     auto const max_entries_with_account_demand =
         account_demand_margin * proxy::max_entries_splitting_quotas();
     if (demand.empty() || view.serving.size() <= max_entries_with_account_demand)
         return demand;
-    double total = 0;
-    for (auto const& [account, rate] : demand)
-        total += rate;
-    return {{account_id(), total}};
+    return {{account_id(), granted}};
 }
 
 } // namespace lagoonladder::control
--- a/src/process/control/tests/capacity_driver_test.cpp
+++ b/src/process/control/tests/capacity_driver_test.cpp
@@ -114,6 +114,27 @@
 
 } // namespace
 
+TEST_CASE("engines are not ordered for calls beyond the quota of their account")
+{
+    // Guards against engines that stay idle because an account requests a multiple of its quota.
+    auto const within_quota = make_view(16, 300'000);
+    auto above_quota = make_view(16, 1'500'000);
+    auto map = above_quota.shared->services->map();
+    version::pass_through_account account;
+    account.name = account_id("t");
+    account.quota.emplace();
+    account.quota->tokens_per_second = 300'000;
+    map.accounts.push_back(account);
+    auto shared = std::make_shared<version::shared_state>(*above_quota.shared);
+    shared->services = std::make_shared<version::service_index const>(map);
+    above_quota.shared = shared;
+    capacity_driver_fixture expected;
+    expected.step_for(20, within_quota);
+    capacity_driver_fixture limited;
+    limited.step_for(20, above_quota);
+    CHECK(limited.platform.orders == expected.platform.orders);
+}
+
 TEST_CASE("most replicas of a large system are kept until callers arrive")
 {
     // Guards against a fixed initial demand: 90 engines were reduced to 9 before the first callers
--- a/src/process/control/tests/pass_through_view_test.cpp
+++ b/src/process/control/tests/pass_through_view_test.cpp
@@ -46,26 +46,34 @@
     // Guards against rows that grow with the number of accounts: each heartbeat of 86 entries
     // carried the demand of 16 accounts to all others, which only needed the total.
     auto const demand = make_demand(16);
-    auto const published = demand_to_publish(make_view(86), demand);
+    auto const published = demand_to_publish(make_view(86), demand, total_demand(demand));
     CHECK(published.size() == 1);
     CHECK(total_demand(published) == Approx(total_demand(demand)));
     CHECK(row_bytes(published) < row_bytes({}) + 20);
 }
 
+TEST_CASE("rows of a large system leave out what quotas refused")
+{
+    // Guards against engines that are ordered for calls which their account's quota refuses.
+    auto const demand = make_demand(16);
+    auto const published = demand_to_publish(make_view(86), demand, total_demand(demand) / 3);
+    CHECK(total_demand(published) == Approx(total_demand(demand) / 3));
+}
+
 TEST_CASE("rows of a small system carry the demand of each account")
 {
     // Guards against quotas that are split equally although one entry has all the callers, also
     // right after a system has lost half of its entries.
     auto const demand = make_demand(16);
-    CHECK(demand_to_publish(make_view(1), demand) == demand);
-    CHECK(demand_to_publish(make_view(10), demand) == demand);
-    CHECK(demand_to_publish(make_view(32), demand) == demand);
+    CHECK(demand_to_publish(make_view(1), demand, 0) == demand);
+    CHECK(demand_to_publish(make_view(10), demand, 0) == demand);
+    CHECK(demand_to_publish(make_view(32), demand, 0) == demand);
 }
 
 TEST_CASE("an entry without callers publishes no demand")
 {
     // Guards against a total of 0 under an empty account id in the row of each idle entry.
-    CHECK(demand_to_publish(make_view(86), {}).empty());
+    CHECK(demand_to_publish(make_view(86), {}, 0).empty());
 }
 
 TEST_CASE("a version whose move was reversed gets no calls during a later move")
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -229,10 +229,10 @@
     this->control.count_usage(account);
 }
 
-void pass_through_plane::set_demand(std::map<account_id, double> demand,
+void pass_through_plane::set_demand(std::map<account_id, double> demand, double granted,
                                     engine_work_by_service work)
 {
-    this->control.set_demand(std::move(demand), std::move(work));
+    this->control.set_demand(std::move(demand), granted, std::move(work));
 }
 
 void pass_through_plane::borrow_tokens(account_id const& account,
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -66,7 +66,8 @@
     std::shared_ptr<proxy::traffic_view const> view() const override;
     void record(version::traffic_sample const& sample) override;
     void count_usage(account_id const& account) override;
-    void set_demand(std::map<account_id, double> demand, engine_work_by_service work) override;
+    void set_demand(std::map<account_id, double> demand, double granted,
+                    engine_work_by_service work) override;
     void borrow_tokens(account_id const& account, request::token_shortage const& shortage,
                        duration time_left,
                        std::function<void(request::lending_outcome const&)> done) override;
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -91,9 +91,10 @@
     virtual void record(version::traffic_sample const& sample) = 0;
     /// Counts a request of the account that has begun to run.
     virtual void count_usage(account_id const& account) = 0;
-    /// Sets the tokens per second that the callers of each account request at this entry, and the
-    /// work that this entry gives to engines.
-    virtual void set_demand(std::map<account_id, double> demand, engine_work_by_service work) = 0;
+    /// Sets the tokens per second that the callers of each account request at this entry, those of
+    /// all accounts that were granted, and the work that this entry gives to engines.
+    virtual void set_demand(std::map<account_id, double> demand, double granted,
+                            engine_work_by_service work) = 0;
     /// Requests tokens of the account's quota from the other entries. `done` receives the tokens
     /// they lent, on the traffic thread and within a bounded time, which is shorter when the call
     /// has little `time_left`.
--- a/src/process/proxy/internal/call_proxy.cpp
+++ b/src/process/proxy/internal/call_proxy.cpp
@@ -307,6 +307,7 @@
         return;
     this->context->demand_published_at = now;
     this->context->dependencies.control.set_demand(this->context->quotas.demand(now),
+                                                   this->context->quotas.granted(now),
                                                    this->find_engine_work(now));
 }
 
--- a/src/process/proxy/internal/overload_gate.cpp
+++ b/src/process/proxy/internal/overload_gate.cpp
@@ -76,6 +76,7 @@
     if (state == nullptr)
         return;
     auto const& group = this->find_load(now, view, call, admission, chooser, *state);
+    state->last_load = group.load;
     // Without an engine, the choice of the endpoint refuses the call.
     if (group.load.slots <= 0)
         return;
--- a/src/process/proxy/internal/overload_gate.hpp
+++ b/src/process/proxy/internal/overload_gate.hpp
@@ -66,6 +66,8 @@
         /// By the regions of the call, and by whether a running move assigns it to the candidate
         /// version.
         std::map<std::pair<request::call_regions, bool>, group_load> loads;
+        /// Load by which the last call was decided on; no value before the first one.
+        std::optional<request::service_load> last_load;
         /// Time of the last refusal; no value unless one happened recently.
         std::optional<time_point> last_refusal;
     };
--- a/src/process/proxy/internal/overload_gate_copy.cpp
+++ b/src/process/proxy/internal/overload_gate_copy.cpp
@@ -15,7 +15,8 @@
 request::service_load const* overload_gate::last_load(service_name const& service) const
 {
     auto const found = this->services.find(service);
-    return found == this->services.end() ? nullptr : &found->second.load;
+    bool const is_known = found != this->services.end() && found->second.last_load;
+    return is_known ? &*found->second.last_load : nullptr;
 }
 
 } // namespace lagoonladder::proxy
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -111,7 +111,7 @@
         this->samples.push_back(sample);
     }
     void count_usage(lagoonladder::account_id const& account) override { ++this->usage[account]; }
-    void set_demand(std::map<lagoonladder::account_id, double> new_demand,
+    void set_demand(std::map<lagoonladder::account_id, double> new_demand, double /*granted*/,
                     lagoonladder::engine_work_by_service new_work) override
     {
         this->demand = std::move(new_demand);
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -100,6 +100,8 @@
 
     /// Returns the tokens per second that were requested at this entry, including refused requests.
     std::map<account_id, double> demand(time_point now);
+    /// Tokens per second of all accounts' requests that were granted, averaged like the demand.
+    double granted(time_point now) const;
 
     /// Returns the tokens in the bucket of this entry as of its last use; no value without one.
     std::optional<double> available(account_id const& account) const;
@@ -113,6 +115,7 @@
         double available = 0;
         /// Decaying average of the tokens per second that were requested.
         double demand_rate = 0;
+        double granted_rate = 0;
         time_point updated{};
         bool was_quota_holder = false;
     };
@@ -124,6 +127,9 @@
     /// Adds the tokens that accrued since the last update. Returns the capacity.
     static double refill(bucket& state, time_point now, account_limit const& limit,
                          peer_demand const& peers);
+    /// Grants a request of this entry's callers, which counts as granted.
+    static quota_decision grant_request(bucket& state, account_limit const& limit,
+                                        peer_demand const& peers, double tokens);
     static quota_decision grant(bucket& state, account_limit const& limit, peer_demand const& peers,
                                 double tokens);
 
--- a/src/request/internal/account_quota.cpp
+++ b/src/request/internal/account_quota.cpp
@@ -60,7 +60,9 @@
 void account_quota::decay(bucket& state, time_point now)
 {
     auto const age = to_seconds(std::max(duration(0), now - state.updated));
-    state.demand_rate *= std::exp(-age / to_seconds(demand_time_constant));
+    auto const factor = std::exp(-age / to_seconds(demand_time_constant));
+    state.demand_rate *= factor;
+    state.granted_rate *= factor;
 }
 
 double account_quota::capacity_of(account_limit const& limit, peer_demand const& peers)
@@ -116,6 +118,15 @@
     return {false, std::min<duration>(wait, max_retry_after), {missing, room}};
 }
 
+quota_decision account_quota::grant_request(bucket& state, account_limit const& limit,
+                                            peer_demand const& peers, double tokens)
+{
+    auto const decision = grant(state, limit, peers, tokens);
+    if (decision.granted)
+        state.granted_rate += tokens / to_seconds(demand_time_constant);
+    return decision;
+}
+
 quota_decision account_quota::take(time_point now, account_id const& account,
                                    account_limit const& limit, peer_demand const& peers,
                                    double tokens)
@@ -123,7 +134,7 @@
     auto& state = this->bucket_of(account);
     refill(state, now, limit, peers);
     state.demand_rate += tokens / to_seconds(demand_time_constant);
-    return grant(state, limit, peers, tokens);
+    return grant_request(state, limit, peers, tokens);
 }
 
 quota_decision account_quota::take_with_loan(time_point now, account_id const& account,
@@ -133,7 +144,7 @@
     auto& state = this->bucket_of(account);
     refill(state, now, limit, peers);
     state.available += lent;
-    return grant(state, limit, peers, tokens);
+    return grant_request(state, limit, peers, tokens);
 }
 
 double account_quota::tokens_to_request(token_shortage const& shortage, std::size_t lenders)
@@ -188,6 +199,17 @@
     return out;
 }
 
+double account_quota::granted(time_point now) const
+{
+    double total = 0;
+    for (auto const& [account, state] : this->buckets)
+    {
+        auto const age = to_seconds(std::max(duration(0), now - state.updated));
+        total += state.granted_rate * std::exp(-age / to_seconds(demand_time_constant));
+    }
+    return total;
+}
+
 std::optional<double> account_quota::available(account_id const& account) const
 {
     auto const found = this->buckets.find(account);
--- a/src/request/tests/account_quota_test.cpp
+++ b/src/request/tests/account_quota_test.cpp
@@ -73,6 +73,21 @@
     CHECK(granted_in_ten_seconds(std::vector<double>(10, 800), limit) >= 79'000);
 }
 
+TEST_CASE("the rate of granted tokens leaves out refused requests")
+{
+    // Guards against engines that are ordered for requests which the quota refuses.
+    account_quota quota(time_point{});
+    account_limit const limit{1'000, 1'000};
+    time_point now{seconds(1)};
+    for (int i = 0; i < 400; ++i)
+    {
+        quota.take(now, account, limit, {}, 100);
+        now += milliseconds(50);
+    }
+    CHECK(quota.demand(now)[account] == Approx(2'000).epsilon(0.05));
+    CHECK(quota.granted(now) == Approx(1'000).epsilon(0.1));
+}
+
 TEST_CASE("a refusal states when the tokens are available")
 {
     // Guards against callers that are told to retry too early or too late.
