Mend what a review of the merges found

Cause: a reader of the diff found work that was estimated with the setting off, a malformed field that was accepted, a quota whose burst got no engines in small systems, and comments that could be misread.

The row with null was accepted before.

--- a/src/connection/internal/entry_record.cpp
+++ b/src/connection/internal/entry_record.cpp
@@ -60,6 +60,9 @@
         return value.is_number_unsigned() &&
                value.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
     };
+    if (!in[engine_work_field].is_array())
+        throw_field_error(in, engine_work_field,
+                          "is not a list of [service, prefill, prompts, running]");
     for (auto const& item : in[engine_work_field])
     {
         bool const is_work = item.is_array() && item.size() == 4 && item[0].is_string() &&
--- a/src/connection/tests/record_test.cpp
+++ b/src/connection/tests/record_test.cpp
@@ -79,8 +79,9 @@
     CHECK(row.get<entry_record>().engine_work == entry.engine_work);
     row.erase("engine_work");
     CHECK(row.get<entry_record>().engine_work.empty());
-    for (auto const* wrong : {"5", "[5]", R"([["llm", 1, 2]])", R"([["llm", -1, 2, 3]])",
-                              R"([["llm", 1, 2, 4294967296]])", R"([["", 1, 2, 3]])"})
+    for (auto const* wrong :
+         {"5", "null", "{}", "[5]", R"([["llm", 1, 2]])", R"([["llm", -1, 2, 3]])",
+          R"([["llm", 1, 2, 4294967296]])", R"([["", 1, 2, 3]])"})
     {
         row["engine_work"] = nlohmann::json::parse(wrong);
         CHECK_THROWS_WITH(row.get<entry_record>(), Contains("\"engine_work\""));
--- a/src/process/control/internal/capacity_driver.cpp
+++ b/src/process/control/internal/capacity_driver.cpp
@@ -27,6 +27,9 @@
 /// A refused order is retried after this time.
 constexpr duration refusal_retry_interval = seconds(3);
 
+/// Time over which entries average the demand; a burst above the rate is spread over it.
+constexpr double demand_average_seconds = 4;
+
 /// Fraction of each account's demand that its quota covers, for accounts above their quota.
 using covered_fractions = std::map<account_id, double>;
 
@@ -42,16 +45,19 @@
     for (auto const& [name, rate] : demand)
     {
         auto const* account = view.shared->services->find_account(name);
-        auto const quota =
-            account != nullptr && account->quota ? account->quota->tokens_per_second : 0;
-        if (quota > 0 && rate > quota)
-            fractions[name] = quota / rate;
+        if (account == nullptr || !account->quota || account->quota->tokens_per_second <= 0)
+            continue;
+        auto const covered =
+            account->quota->tokens_per_second + account->quota->burst / demand_average_seconds;
+        if (rate > covered)
+            fractions[name] = covered / rate;
     }
     return fractions;
 }
 
-/// Tokens per second that callers request at the entry, within the quotas of their accounts:
-/// engines for calls that are refused would stay idle.
+/// Tokens per second that callers request at the entry, limited to the quotas of their accounts:
+/// engines for calls that are refused would stay idle. An entry that publishes only a total has
+/// left out such calls already.
 double demand_of(connection::entry_record const& entry, covered_fractions const& fractions)
 {
     double demand = 0;
@@ -82,7 +88,7 @@
     {
         auto& load = loads.emplace_back();
         load.demand = demand_of(entry, fractions);
-        // An entry that states its work for other services only sends nothing to this one.
+        // An entry that states work, but none for this service, sends nothing to it.
         if (entry.engine_work.empty())
             continue;
         auto const found = entry.engine_work.find(service);
@@ -279,7 +285,7 @@
         std::optional<version::engine_need> need;
         if (this->mode == config::engine_capacity::measured)
             need = this->find_need(view, service, demand);
-        // The plan takes engines as the demand that the constant gives them for.
+        // plan_capacity() divides the demand by the constant.
         if (need)
             inputs.demand = need->engines * version::capacity_options().tokens_per_engine;
         inputs.evacuated = version::evacuated_data_centres(view.shared->evacuations);
--- a/src/process/control/internal/gossip_driver.hpp
+++ b/src/process/control/internal/gossip_driver.hpp
@@ -40,12 +40,13 @@
     /// from the next gossip round on.
     void set_own_status(generation current, std::uint32_t open_requests);
 
-    /// Sets in the own entry row the address for callers of pass-through routes (empty while this
-    /// entry accepts none) and the demand of the accounts here, in tokens per second.
+    /// Sets in the own entry row the work that this entry gives to the engines of each service.
     void set_engine_work(engine_work_by_service const& work)
     {
         this->entry_rows.set_engine_work(work);
     }
+    /// Sets in the own entry row the address for callers of pass-through routes (empty while this
+    /// entry accepts none) and the demand of the accounts here, in tokens per second.
     void set_pass_through(network_address const& address,
                           std::map<account_id, double> const& demand);
 
--- a/src/process/proxy/internal/choice_explanation.cpp
+++ b/src/process/proxy/internal/choice_explanation.cpp
@@ -9,8 +9,8 @@
 {
 
 /// With more endpoints that get requests by chance, the chances are estimated from samples instead
-/// of all combinations. 64 of either take about 15 ms of the traffic thread with 200 endpoints of
-/// one version.
+/// of all combinations. Each is evaluated on the thread that carries calls, so that both ways are
+/// limited to 64.
 constexpr std::size_t max_drawn_endpoints = 6;
 constexpr std::size_t sample_count = 64;
 constexpr std::uint64_t sample_seed = 1;
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -135,9 +135,10 @@
     if (this->call.prompt.empty())
         return;
     auto const now = this->context->dependencies.time.now();
-    this->context->engine_work.prompt_sent(
-        now, this->admitted.service,
-        this->context->chooser.prefill_work(now, endpoint.id, this->call.prompt));
+    if (this->context->options.states_engine_work)
+        this->context->engine_work.prompt_sent(
+            now, this->admitted.service,
+            this->context->chooser.prefill_work(now, endpoint.id, this->call.prompt));
     this->counted_prompt = this->context->chooser.record_sent_prompt(
         now, endpoint.id, endpoint.incarnation, this->call.prompt);
     this->context->dependencies.control.broadcast_prompt(
--- a/src/request/include/lagoonladder/request/account_quota.hpp
+++ b/src/request/include/lagoonladder/request/account_quota.hpp
@@ -127,7 +127,7 @@
     /// Adds the tokens that accrued since the last update. Returns the capacity.
     static double refill(bucket& state, time_point now, account_limit const& limit,
                          peer_demand const& peers);
-    /// Grants a request of this entry's callers, which counts as granted.
+    /// Decides on a request of this entry's callers, whose tokens granted() counts, unlike loans.
     static quota_decision grant_request(bucket& state, account_limit const& limit,
                                         peer_demand const& peers, double tokens);
     static quota_decision grant(bucket& state, account_limit const& limit, peer_demand const& peers,
--- a/src/request/include/lagoonladder/request/endpoint_pace.hpp
+++ b/src/request/include/lagoonladder/request/endpoint_pace.hpp
@@ -26,7 +26,7 @@
     bool is_excluded = false;
 };
 
-/// Whether a candidate may get a request now, and by which chance.
+/// What the pace permits a candidate now, and the chance that it is selected.
 struct pace_share
 {
     bool is_excluded = false;
--- a/src/version/internal/evacuation.cpp
+++ b/src/version/internal/evacuation.cpp
@@ -51,7 +51,7 @@
     auto const current = evacuation_number(records, data_centre);
     if (!is_in_force && base && *base < current)
         return evacuation_outcome::outdated;
-    // Without a record the order is the end of an evacuation whose start may still arrive.
+    // An end without a record leaves one, so that a start that was sent before it has no effect.
     auto& record = records.try_emplace(data_centre, evacuation{now, now}).first->second;
     record.number = next_number(current, now);
     if (is_in_force)
