--- a/src/process/proxy/internal/placement_explanation.cpp
+++ b/src/process/proxy/internal/placement_explanation.cpp
@@ -126,10 +126,10 @@
     auto const groups = this->find_groups(*admission.route);
     for (auto const& [service, share] : service_shares(*admission.route))
     {
+        admission.service = service;
         std::vector<call_group> own;
         std::copy_if(groups.begin(), groups.end(), std::back_inserter(own),
-                     [&](auto const& group) { return group.service == service; });
-        admission.service = service;
+                     [&](auto const& group) { return group.service == admission.service; });
         out["services"].push_back(this->explain_service(call, admission, own, share));
     }
     return out;
