--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -27,6 +26,11 @@
 }
 
 
+def value_of(key, deploy_file):
+    """Returns a text of the deploy file, which has one role."""
+    return re.search(rf'^{key} = "([^"]*)"$', deploy_file, re.M).group(1)
+
+
 def look_up(name, scopes):
     if name == ".":
         return scopes[-1]
@@ -70,10 +74,10 @@
     """Machines 1 to `machines`, of which the first `disks` have a disk and are the core."""
 
     def __init__(self, record, machines=5, disks=4):
-        with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as file:
-            role = tomllib.load(file)["roles"]["entry"]
-        self.command = role["run"].split()
-        with open(os.path.join(REPOSITORY, role["template"]), encoding="utf-8") as file:
+        with open(os.path.join(REPOSITORY, "deploy", "system.toml"), encoding="utf-8") as file:
+            deploy_file = file.read()
+        self.command = value_of("run", deploy_file).split()
+        with open(os.path.join(REPOSITORY, value_of("template", deploy_file)), encoding="utf-8") as file:
             self.template = file.read()
         self.record, self.count, self.disks = record, machines, disks
         self.work = tempfile.mkdtemp(prefix="lagoonladder-review-")
@@ -286,16 +290,20 @@
 
 
 def main(case, folder):
-    """Runs `case(record, has_trouble)`, which returns the sentences that say how the rule was broken."""
-    started = time.time()
+    """Runs `case(record, has_trouble)`, which returns the sentences that say how the rule was broken.
+
+    Ends with 1 if there are any, with 0 if there are none, and with 2 after any problem of the test itself.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    started, broken = time.time(), None
     with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
         def record(text, when=None):
             file.write(f"{(when or time.time()) - started:8.3f} s  {text}\n")
             file.flush()
 
         try:
-            broken = asyncio.run(asyncio.wait_for(case(record, os.environ.get("TROUBLE", "1") != "0"), 110))
-        except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+            broken = asyncio.run(asyncio.wait_for(case(record, os.environ.get("TROUBLE", "1") != "0"), 112))
+        except Exception as problem:
             record(f"could not run: {problem!r}")
             sys.exit(2)
         for sentence in broken:
