--- a/review/6/case.py
+++ b/review/6/case.py
@@ -95,4 +95,4 @@
         deployment.end()
 
 
-main(case, FOLDER)
+main(case, sys.argv[1])
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -70,4 +70,4 @@
         deployment.end()
 
 
-main(case, FOLDER)
+main(case, sys.argv[1])
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -80,4 +80,4 @@
         deployment.end()
 
 
-main(case, FOLDER)
+main(case, sys.argv[1])
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -289,14 +289,14 @@
     return False
 
 
-def main(case, folder):
+def main(case, record_path):
     """Runs `case(record, has_trouble)`, which returns the sentences that say how the rule was broken.
 
     Ends with 1 if there are any, with 0 if there are none, and with 2 after any problem of the test itself.
     """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     started, broken = time.time(), None
-    with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
+    with open(record_path, "w", encoding="utf-8") as file:
         def record(text, when=None):
             file.write(f"{(when or time.time()) - started:8.3f} s  {text}\n")
             file.flush()
