Tell an empty list of accounts from none

Evidence: resolve_account asked has_accounts(); both documents decode to the same service_map. All entries had the version in force.

Change: service_map::requires_key, true unless the field is absent, is stored with the configuration and is all that the admission asks. Configurations that earlier releases stored without accounts require a key, so that an update in place opens no service. Same cause on a related path: an empty key that an account lists admitted calls without a key. pass_through.in_force states requires_key.

Why it works: the default is closed, and only the decoder, which sees the field, opens a configuration.

--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -354,6 +354,8 @@
             severity::info, "pass_through.in_force",
             {{"number", std::to_string(this->current_state->services->map().number)},
              {"routes", std::to_string(this->current_state->services->map().routes.size())},
+             {"accounts", std::to_string(this->current_state->services->map().accounts.size())},
+             {"requires_key", this->current_state->services->requires_key() ? "true" : "false"},
              {"packed_bytes", std::to_string(this->current_state->service_content.size())},
              {"index", std::to_string(this->current_state->changed_index)}});
 }
--- a/src/process/proxy/internal/call_admission.cpp
+++ b/src/process/proxy/internal/call_admission.cpp
@@ -23,7 +23,7 @@
 
 refusal resolve_account(traffic_view const& view, incoming_call const& call, call_admission& result)
 {
-    if (!view.services->has_accounts())
+    if (!view.services->requires_key())
         return refusal::none;
     result.account = view.services->find_account_by_key(call.account_key);
     if (result.account == nullptr && !result.route->is_anonymous)
--- a/src/process/proxy/tests/configuration_change_test.cpp
+++ b/src/process/proxy/tests/configuration_change_test.cpp
@@ -102,6 +102,29 @@
     CHECK(endpoint.requests.size() == 4);
 }
 
+TEST_CASE("an empty list of accounts admits nobody but on anonymous routes")
+{
+    // Guards against a service that opens to everybody when its last account is removed.
+    proxy_fixture system;
+    auto& endpoint = system.add_endpoint("plain", "e1");
+    auto& open_endpoint = system.add_endpoint("once", "e2");
+    apply_change(system,
+                 [](version::service_map& map)
+                 {
+                     map.accounts.clear();
+                     find_route(map, "/once/").is_anonymous = true;
+                 });
+    CHECK(system.call("/plain/x", "id-1", "", "key-1").status() == 401);
+    CHECK(system.call("/plain/x", "id-2", "", "key-2").status() == 401);
+    CHECK(system.call("/plain/x", "id-3", "", "").status() == 401);
+    CHECK(endpoint.requests.empty());
+    CHECK(system.call("/once/x", "id-4", "", "").status() == 200);
+    CHECK(open_endpoint.requests.size() == 1);
+
+    apply_change(system, [](version::service_map& map) { map.requires_key = false; });
+    CHECK(system.call("/plain/x", "id-5", "", "key-2").status() == 200);
+}
+
 TEST_CASE("routes added later are served like the first ones")
 {
     // Guards against quotas, retries or endpoints that work for the first routes only.
--- a/src/version/include/lagoonladder/version/service_map.hpp
+++ b/src/version/include/lagoonladder/version/service_map.hpp
@@ -135,6 +135,9 @@
     std::vector<pass_through_route> routes;
     std::vector<pass_through_service> services;
     std::vector<pass_through_account> accounts;
+    /// Callers need the key of an account, except on anonymous routes. False only if the
+    /// configuration has no list of accounts; an empty list admits nobody.
+    bool requires_key = true;
     caller_limits limits;
 };
 
@@ -172,9 +175,11 @@
     /// Returns the route of the host with the longest prefix of the path, or nullptr.
     pass_through_route const* find_route(std::string_view host, std::string_view path) const;
     pass_through_service const* find_service(service_name const& name) const;
+    /// Returns nullptr for an unknown key. The empty key stands for a caller without one and is
+    /// never known.
     pass_through_account const* find_account_by_key(std::string const& key) const;
     pass_through_account const* find_account(account_id const& name) const;
-    bool has_accounts() const { return !this->source.accounts.empty(); }
+    bool requires_key() const { return this->source.requires_key; }
 
 private:
     service_map source;
--- a/src/version/internal/service_map.cpp
+++ b/src/version/internal/service_map.cpp
@@ -44,6 +44,8 @@
 
 std::string find_account_problem(service_map const& map)
 {
+    if (!map.requires_key && !map.accounts.empty())
+        return "accounts are listed although no key is required";
     std::map<std::string, account_id> key_owners;
     std::set<account_id> names;
     for (auto const& account : map.accounts)
@@ -211,6 +213,7 @@
            {"routes", in.routes},
            {"services", in.services},
            {"accounts", in.accounts},
+           {"requires_key", in.requires_key},
            {"limits", in.limits}};
 }
 
@@ -220,6 +223,8 @@
     in.at("routes").get_to(out.routes);
     in.at("services").get_to(out.services);
     in.at("accounts").get_to(out.accounts);
+    // Earlier releases did not write this field.
+    out.requires_key = in.value("requires_key", true);
     in.at("limits").get_to(out.limits);
 }
 
@@ -255,7 +260,10 @@
     for (auto const& account : this->source.accounts)
     {
         for (auto const& key : account.keys)
-            this->keys[key] = &account;
+        {
+            if (!key.empty())
+                this->keys[key] = &account;
+        }
     }
 }
 
--- a/src/version/internal/service_map_codec.cpp
+++ b/src/version/internal/service_map_codec.cpp
@@ -173,6 +173,7 @@
         write(service, *out.add_services());
     for (auto const& account : value.map.accounts)
         write(account, *out.add_accounts());
+    out.set_keyless(!value.map.requires_key);
     write(value.map.limits, *out.mutable_limits());
     out.set_document(value.document);
     return out.SerializeAsString();
@@ -192,6 +193,7 @@
         out.map.services.push_back(read(service));
     for (auto const& account : in.accounts())
         out.map.accounts.push_back(read(account));
+    out.map.requires_key = !in.keyless();
     out.map.limits = read(in.limits());
     out.document = std::move(*in.mutable_document());
     return out;
--- a/src/version/tests/service_map_test.cpp
+++ b/src/version/tests/service_map_test.cpp
@@ -42,6 +42,7 @@
                         map.accounts[1].name = account_id("other");
                     })
                     .empty());
+    CHECK_FALSE(problem([](auto& map) { map.requires_key = false; }).empty());
 }
 
 TEST_CASE("the highest configuration number stays in force")
@@ -72,6 +73,40 @@
     CHECK(nlohmann::json(shared->services->map()) == nlohmann::json(make_map(9)));
 }
 
+TEST_CASE("a configuration that an earlier release has stored without accounts requires a key")
+{
+    // Guards against an update in place that opens a service whose last account was removed:
+    // earlier releases did not store whether the configuration had a list of accounts.
+    auto map = make_map(1);
+    map.accounts.clear();
+    map.requires_key = false;
+    nlohmann::json stored = map;
+    CHECK_FALSE(stored.get<service_map>().requires_key);
+    stored.erase("requires_key");
+    CHECK(stored.get<service_map>().requires_key);
+
+    auto const is_required = [](service_map const& stored_map)
+    {
+        auto const bytes = encode(service_configuration{stored_map, {}});
+        return decode_service_configuration(bytes).map.requires_key;
+    };
+    CHECK_FALSE(is_required(map));
+    // The field has its default value, which is not encoded, so that these are the bytes that an
+    // earlier release has stored.
+    map.requires_key = true;
+    CHECK(is_required(map));
+}
+
+TEST_CASE("a caller without a key has no account")
+{
+    // Guards against an account that lists an empty key and so admits callers that send none.
+    auto map = make_map(1);
+    map.accounts[0].keys = {"", "k1"};
+    service_index const index(map);
+    CHECK(index.find_account_by_key("") == nullptr);
+    CHECK(index.find_account_by_key("k1") != nullptr);
+}
+
 TEST_CASE("the first counts of a usage window are final")
 {
     // Guards against reporting a window twice with different counts after a change of leader.
