Relay no endpoint's status as a promise that a call has not run

Cause: an endpoint's 408, 421, 429 or 503 states nothing on the execution unless it bears Not-Executed, but the same status is a promise to callers. endpoint_attempt rejected such an answer only without a seal.

Evidence: one arrival for each request id, and status, body and seal of the endpoint at the caller; the entry's own refusals all ask may_have_run.

Change: for calls that may run at most once, the head of such an answer is replaced by 502 without seal and Retry-After; the body stays. Idempotent calls get the endpoint's answer unchanged, since callers may repeat them either way. The log line of the call states the endpoint's status. The predicates on statuses move into answer_status.hpp.

Why it works: the decision is made when the head arrives and is the only way from an endpoint's head to a caller.

--- a/src/process/proxy/internal/endpoint_attempt.cpp
+++ b/src/process/proxy/internal/endpoint_attempt.cpp
@@ -1,27 +1,17 @@
 #include "endpoint_attempt.hpp"
 
+#include "answer_status.hpp"
+
 namespace lagoonladder::proxy
 {
 
 namespace
 {
 
-constexpr unsigned first_failure_status = 500;
 /// A failure response is buffered until its end, since the call may be repeated at another endpoint
 /// only while no byte was passed on. A longer one ends the attempt.
 constexpr std::size_t max_failed_answer_bytes = 64 * 1024;
 
-bool is_success(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
-/// Whether a caller reads the status as a statement that its call was not executed and will not be.
-bool means_not_executed(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 char const* to_string(attempt_result result)
@@ -157,7 +147,7 @@
     if (!this->is_valid || this->is_over || !owning_call)
         return;
     this->body_bytes += bytes.size();
-    if (this->answer_status < first_failure_status || this->body_bytes <= max_failed_answer_bytes)
+    if (this->answer_status < min_failure_status || this->body_bytes <= max_failed_answer_bytes)
         return owning_call->on_answer_bytes(*this, bytes);
     auto const self = this->shared_from_this();
     this->call->cancel();
@@ -172,7 +162,7 @@
         return this->end(attempt_result::not_run,
                          "status " + std::to_string(this->answer_status) + ", not executed");
     this->is_ended_by_endpoint = true;
-    bool const failed = this->answer_status >= first_failure_status;
+    bool const failed = this->answer_status >= min_failure_status;
     this->end(failed ? attempt_result::failed_answer : attempt_result::complete,
               failed ? "status " + std::to_string(this->answer_status) : "");
 }
--- a/src/process/proxy/internal/proxied_call.cpp
+++ b/src/process/proxy/internal/proxied_call.cpp
@@ -235,7 +235,7 @@
         this->context->chooser.record_load(this->first_byte, attempt.endpoint().id, *load);
     auto const* length = head.headers.find("Content-Length");
     bool const has_chunks = head.headers.find("Transfer-Encoding") != nullptr;
-    this->relay.start(this->context->dependencies.codec.relay(head),
+    this->relay.start(this->make_relayed_head(head),
                       length == nullptr ? std::nullopt : http::parse_number(*length),
                       length == nullptr && !has_chunks);
     if (!this->route().is_stream)
@@ -303,8 +303,9 @@
     if (is_final && this->relay.complete())
     {
         auto const status = this->relay.status();
+        auto const detail = this->describe_answer(attempt, reason);
         this->end_attempt(result, reason);
-        return this->finish("answered", status, reason);
+        return this->finish("answered", status, detail);
     }
     auto const final_result = is_final ? attempt_result::broken : result;
     this->end_attempt(final_result, reason);
@@ -313,6 +314,15 @@
     this->retry_or_fail(final_result, reason);
 }
 
+std::string proxied_call::describe_answer(endpoint_attempt const& attempt,
+                                          std::string const& reason) const
+{
+    if (this->relay.status() == attempt.status())
+        return reason;
+    return "the endpoint answered with status " + std::to_string(attempt.status()) +
+           " and does not state that the call was not executed";
+}
+
 void proxied_call::end_attempt(attempt_result result, std::string const& reason)
 {
     auto const attempt = std::exchange(this->current_attempt, nullptr);
--- a/src/process/proxy/internal/proxied_call.hpp
+++ b/src/process/proxy/internal/proxied_call.hpp
@@ -58,6 +58,11 @@
     void on_silence(duration silence);
     void on_caller_disconnected();
     void on_drained();
+    /// Returns the head with which an endpoint's answer is sent to the caller. Of an at-most-once
+    /// call it never states that the call was not executed.
+    http::response_head make_relayed_head(http::response_head const& answer) const;
+    /// Returns the reason of an answer that was relayed, for the log.
+    std::string describe_answer(endpoint_attempt const& attempt, std::string const& reason) const;
     /// Cancels the attempt without recording an outcome for its endpoint.
     void cancel_attempt();
     /// Ends the current attempt and records its outcome.
--- a/src/process/proxy/internal/proxied_call_end.cpp
+++ b/src/process/proxy/internal/proxied_call_end.cpp
@@ -1,5 +1,6 @@
 #include "proxied_call.hpp"
 
+#include "answer_status.hpp"
 #include "call_report.hpp"
 
 namespace lagoonladder::proxy
@@ -8,13 +9,24 @@
 namespace
 {
 
-/// Least status of an answer that does not serve the call.
-constexpr unsigned min_failure_status = 500;
 /// Time after which a caller whose call was not executed may retry.
 constexpr duration overload_retry_after = milliseconds(250);
 
 } // namespace
 
+http::response_head proxied_call::make_relayed_head(http::response_head const& answer) const
+{
+    bool const is_statement = !this->is_idempotent() && means_not_executed(answer.status);
+    if (!is_statement)
+        return this->context->dependencies.codec.relay(answer);
+    // The caller would repeat the call, although the endpoint may have executed it. The response is
+    // no longer the endpoint's own, so that neither its seal nor its Retry-After is kept.
+    http::response_head replaced{status_of(refusal::endpoint_failed), {}, {}};
+    if (auto const* type = answer.headers.find("Content-Type"))
+        replaced.headers.set("Content-Type", *type);
+    return replaced;
+}
+
 void proxied_call::on_caller_disconnected()
 {
     if (this->is_over)
--- a/src/process/proxy/tests/proxy_fixture.cpp
+++ b/src/process/proxy/tests/proxy_fixture.cpp
@@ -236,7 +236,9 @@
     case endpoint_mode::refuse:
         return peer.write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
     case endpoint_mode::fail:
-        return peer.write("HTTP/1.1 500 Failed\r\nSeal: s\r\n" + id_line + length_line + body);
+        return peer.write("HTTP/1.1 " + std::to_string(this->failed_status) +
+                          " Failed\r\nSeal: s\r\nRetry-After: 1\r\n" + id_line + length_line +
+                          body);
     case endpoint_mode::silent:
         return;
     case endpoint_mode::close_without_answer:
--- a/src/process/proxy/tests/proxy_fixture.hpp
+++ b/src/process/proxy/tests/proxy_fixture.hpp
@@ -13,7 +13,8 @@
     answer,
     /// Status 503 with the statement that the call was not executed.
     refuse,
-    /// A signed response with status 500.
+    /// A signed response with the status `failed_status`, which does not state whether the call was
+    /// executed.
     fail,
     silent,
     /// The response is sent after `answer_delay`.
@@ -60,6 +61,8 @@
     /// Number of running requests that is stated in answers, if it is set.
     std::optional<int> running;
     std::chrono::milliseconds answer_delay{400};
+    /// Status in the mode fail.
+    unsigned failed_status = 500;
     /// Bytes that are sent in the mode cut_head.
     std::size_t head_bytes = 0;
     /// The connection is closed after `answer_delay` and the response's head when the prompt has
