Let a voter that cannot confirm its state ask another one

Cause, first part: a daemon whose log is usable took its state from its own log only, however old, and polled no other voter. Its own log does not advance when the daemon was removed from the group or when its leader does not reach it. That the configuration was not confirmed was known (configuration_expiry) and led to no question.

Change: state_follower polls the other voters, as daemons without a log do, while its own node has not confirmed its state for a second. The state is then confirmed as of the latest of both.

Why it works: polls of voters that are in contact with the quorum name the newest configuration within an interval of polls, whatever keeps the own log behind.

--- a/src/process/control/internal/state_follower.cpp
+++ b/src/process/control/internal/state_follower.cpp
@@ -76,7 +76,16 @@
 {
     if (!this->node || !this->node->is_usable())
         return this->last_quorum_contact;
-    return this->node->state_confirmed_at();
+    return std::max(this->node->state_confirmed_at(), this->last_quorum_contact);
+}
+
+bool state_follower::needs_other_voter() const
+{
+    if (!this->node || !this->node->is_usable())
+        return true;
+    // The own node may have been removed, or be cut off from its leader, without knowing of it.
+    return this->ready &&
+           this->time.now() >= this->node->state_confirmed_at() + max_configuration_age;
 }
 
 time_point state_follower::configuration_expiry() const
@@ -107,13 +116,15 @@
 void state_follower::poll()
 {
     bool const has_own_state = this->node && this->node->is_usable();
-    auto const max_polls = this->ready && !has_own_state ? max_polls_in_flight : 1;
+    if (has_own_state)
+        this->latest_term = this->node->term();
+    bool const asks_other_voter = this->needs_other_voter();
+    auto const max_polls = this->ready && asks_other_voter ? max_polls_in_flight : 1;
     if (this->polls_in_flight >= max_polls)
         return;
-    if (!has_own_state)
-        return this->poll_voter();
-    this->latest_term = this->node->term();
-    if (!this->ready)
+    if (asks_other_voter)
+        this->poll_voter();
+    else if (!this->ready)
         this->confirm_own_state();
 }
 
--- a/src/process/control/tests/control_fixture.hpp
+++ b/src/process/control/tests/control_fixture.hpp
@@ -190,6 +190,22 @@
     std::vector<version::set_evacuation> stalled_orders;
 };
 
+/// Can lose all messages of the log that the other voters send.
+class lossy_consensus_service : public consensus_service
+{
+public:
+    using consensus_service::consensus_service;
+
+    grpc::Status Step(grpc::ServerContext* context, protocol::StepRequest const* request,
+                      protocol::StepReply* reply) override
+    {
+        return this->loses_messages ? grpc::Status::OK
+                                    : consensus_service::Step(context, request, reply);
+    }
+
+    std::atomic<bool> loses_messages = false;
+};
+
 /// Control plane of one daemon; daemons communicate over real sockets.
 class control_process
 {
@@ -228,25 +244,29 @@
     observability::event_timeline events;
     peer_channels peers;
     control_thread loop;
-    consensus_service consensus_calls;
+    lossy_consensus_service consensus_calls;
     counting_control_service control_calls;
     directory_service directory_calls;
     std::unique_ptr<grpc::Server> server;
 };
 
-/// Three voters and one daemon without a disk.
+/// Three or four voters, and after them one daemon without a disk.
 class small_system
 {
 public:
+    static constexpr std::size_t max_voters = 4;
+
     explicit small_system(duration poll_interval = milliseconds(100),
-                          std::uint64_t snapshot_after = 10'000)
+                          std::uint64_t snapshot_after = 10'000, std::size_t voter_count = 3)
         : state_poll_interval(poll_interval)
         , snapshot_after_entries(snapshot_after)
+        , voters(voter_count)
     {
-        for (std::size_t i = 0; i < 4; ++i)
+        for (std::size_t i = 0; i <= this->voters; ++i)
             this->addresses.push_back(free_address());
         this->seeds = {this->addresses[0], this->addresses[1], this->addresses[2]};
-        for (std::size_t i = 0; i < 4; ++i)
+        this->processes.resize(this->voters + 1);
+        for (std::size_t i = 0; i <= this->voters; ++i)
             this->start(i);
     }
 
@@ -264,10 +284,10 @@
         config.gossip_interval = milliseconds(200);
         config.state_poll_interval = this->state_poll_interval;
         config.snapshot_after_entries = this->snapshot_after_entries;
-        if (index < 3)
+        if (index < this->voters)
         {
             config.data_folder = "in memory";
-            for (std::size_t i = 0; i < 3; ++i)
+            for (std::size_t i = 0; i < this->voters; ++i)
                 config.initial_voters.push_back(
                     {vm_id("entry-" + std::to_string(i)), this->addresses[i]});
         }
@@ -279,7 +299,8 @@
         auto const voter =
             "entry-" + std::to_string(index) + "#" + std::to_string(this->incarnations[index]);
         this->processes[index] = std::make_unique<control_process>(
-            this->make_settings(index), index < 3 ? &this->stores[index] : nullptr, voter);
+            this->make_settings(index), index < this->voters ? &this->stores[index] : nullptr,
+            voter);
     }
 
     void stop(std::size_t index) { this->processes[index].reset(); }
@@ -298,7 +319,22 @@
         return this->processes[index]->control_calls;
     }
 
-    /// Index of the leader, as the daemon at `index` knows it; 4 when there is none.
+    /// Lets the voter lose all messages of the log, while others can read its state and it can read
+    /// theirs.
+    void cut_off_log(std::size_t index, bool is_cut)
+    {
+        this->processes[index]->consensus_calls.loses_messages = is_cut;
+    }
+
+    /// Keeps the control thread from running for this time; what the others send meanwhile is read
+    /// afterwards, as by a process that was frozen.
+    void freeze(std::size_t index, std::chrono::milliseconds span)
+    {
+        this->loop(index).post([span] { std::this_thread::sleep_for(span); });
+    }
+
+    /// Index of the leader, as the daemon at `index` knows it; the number of daemons when there is
+    /// none.
     std::size_t leader(std::size_t index)
     {
         auto const leader_address = network_address(this->loop(index).view()->leader);
@@ -327,12 +363,13 @@
 
     duration const state_poll_interval;
     std::uint64_t const snapshot_after_entries;
+    std::size_t const voters;
     std::vector<network_address> addresses;
     /// Seeds of the daemons that are started from now on.
     std::vector<network_address> seeds;
-    fillable_store stores[3];
-    std::uint64_t incarnations[4] = {1, 1, 1, 1};
-    std::unique_ptr<control_process> processes[4];
+    fillable_store stores[max_voters];
+    std::uint64_t incarnations[max_voters + 1] = {1, 1, 1, 1, 1};
+    std::vector<std::unique_ptr<control_process>> processes;
 };
 
 /// Waits until the condition holds. Returns whether it did within the limit.
