Measure a voter's contact by what its leader has received

Cause, second part: the leader removes a voter whose VM is silent and sends it nothing from then on, so nobody tells the voter. It notices a removal by the loss of contact, but messages that were sent before the freeze counted as contact when they were read. It therefore joined 3 s after it woke.

Change: node::quorum_contact_confirmed_at is the time of the latest reply that the leader is known to have received, or on the leader of the latest broadcast that a quorum has acknowledged. lacks_leader asks for it.

Why it works: no message that is read late can state a later reply than the last one before the pause, so the pause counts as time without contact.

--- a/src/process/consensus/include/lagoonladder/consensus/node.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/node.hpp
@@ -139,6 +139,12 @@
     /// timeout. On others: whether a message of the leader arrived within it.
     bool has_recent_quorum(time_point now) const;
 
+    /// Latest time known at which this node was in contact with a quorum, or with a leader: when a
+    /// broadcast that a quorum has acknowledged, or a reply that a leader has received, was sent.
+    /// Unlike for has_recent_quorum(), messages that arrive late, as after a pause of the process,
+    /// count from the time as of which they were sent.
+    std::optional<time_point> quorum_contact_confirmed_at() const;
+
     /// Whether commit_index() covers everything that had been committed at some time within the
     /// last election timeout. False on a follower that hears its leader but lags behind it, and
     /// until the leader has committed an entry of its term.
--- a/src/process/consensus/internal/follower.cpp
+++ b/src/process/consensus/internal/follower.cpp
@@ -24,7 +24,10 @@
     if (is_other_leader)
         this->awaited_commit.reset();
     auto const as_of = this->replies.sent_at(from_leader.reply_number);
-    if (!this->awaited_commit && as_of)
+    if (!as_of)
+        return;
+    this->leader_contact_confirmed_at = std::max(this->leader_contact_confirmed_at, *as_of);
+    if (!this->awaited_commit)
         this->awaited_commit = {from_leader.commit, from_leader.term, *as_of};
 }
 
--- a/src/process/consensus/internal/leadership.cpp
+++ b/src/process/consensus/internal/leadership.cpp
@@ -73,6 +73,15 @@
     return this->leader ? std::optional(this->last_leader_contact) : std::nullopt;
 }
 
+std::optional<time_point> node_core::quorum_contact_confirmed_at() const
+{
+    if (this->role == role::leader)
+        return this->last_quorum_contact();
+    return this->leader_contact_confirmed_at == time_point()
+               ? std::nullopt
+               : std::optional(this->leader_contact_confirmed_at);
+}
+
 bool node_core::has_recent_quorum(time_point time) const
 {
     auto const last_contact = this->last_quorum_contact();
--- a/src/process/consensus/internal/node.cpp
+++ b/src/process/consensus/internal/node.cpp
@@ -84,6 +84,11 @@
     return this->core->has_recent_quorum(now);
 }
 
+std::optional<time_point> node::quorum_contact_confirmed_at() const
+{
+    return this->core->quorum_contact_confirmed_at();
+}
+
 bool node::has_recent_commit(time_point now) const
 {
     return this->core->has_recent_commit(now);
--- a/src/process/consensus/internal/node_core.hpp
+++ b/src/process/consensus/internal/node_core.hpp
@@ -44,6 +44,7 @@
     // leadership.cpp
     bool has_recent_quorum(time_point time) const;
     bool has_recent_commit(time_point time) const;
+    std::optional<time_point> quorum_contact_confirmed_at() const;
     std::optional<time_point> commit_confirmed_at() const;
     bool has_valid_lease(time_point time) const;
     std::vector<follower_status> follower_list(time_point time) const;
@@ -147,6 +148,8 @@
 
     time_point election_deadline{};
     time_point last_leader_contact;
+    /// Latest time at which this follower sent a reply that a leader is known to have received.
+    time_point leader_contact_confirmed_at{};
     /// Commit index of the leader that this follower has to reach.
     std::optional<leader_commit> awaited_commit;
     /// Latest time as of which this follower knows everything that had been committed.
--- a/src/process/consensus/tests/node_test.cpp
+++ b/src/process/consensus/tests/node_test.cpp
@@ -390,6 +390,31 @@
     CHECK(node.tested_node->has_recent_commit(node.now));
 }
 
+TEST_CASE("messages of a leader that are late are no contact with it")
+{
+    // Guards against a voter that does not notice its removal: after a pause of its process it took
+    // messages that the leader had sent before for contact.
+    scripted_node node;
+    auto heartbeat = node.message_from("b", message_type::append_request, 2);
+    heartbeat.index = heartbeat.commit = log_index(1);
+    heartbeat.log_term = term_number(1);
+    node.receive_with_echo(heartbeat);
+    auto const replied_at = node.now;
+    heartbeat.reply_number = node.last_reply_number;
+    node.now += milliseconds(200);
+    node.receive(heartbeat);
+    CHECK(node.tested_node->quorum_contact_confirmed_at() == replied_at);
+    node.now += seconds(3);
+    for (int i = 0; i < 4; ++i)
+    {
+        node.receive(heartbeat);
+        CHECK(node.tested_node->quorum_contact_confirmed_at() == replied_at);
+    }
+    node.receive_with_echo(heartbeat);
+    node.receive_with_echo(heartbeat);
+    CHECK(node.tested_node->quorum_contact_confirmed_at() == node.now);
+}
+
 TEST_CASE("each voter confirms its state all the time while all is well")
 {
     // Guards against a confirmation that is too old before the next heartbeat renews it, so that
--- a/src/process/control/internal/consensus_membership.cpp
+++ b/src/process/control/internal/consensus_membership.cpp
@@ -78,8 +78,10 @@
 bool consensus_driver::lacks_leader()
 {
     auto const now = this->time.now();
-    if (this->node.has_recent_quorum(now) || this->last_quorum_contact == time_point())
+    if (this->last_quorum_contact == time_point())
         this->last_quorum_contact = now;
+    auto const contact = this->node.quorum_contact_confirmed_at();
+    this->last_quorum_contact = std::max(this->last_quorum_contact, contact.value_or(time_point()));
     return now - this->last_quorum_contact >= lost_leader_timeout;
 }
 
--- a/src/process/control/tests/frozen_voter_test.cpp
+++ b/src/process/control/tests/frozen_voter_test.cpp
@@ -12,6 +12,12 @@
 /// which it gives its leader up.
 constexpr std::chrono::seconds catch_up_limit{2};
 
+/// Voters that the daemon at `index` knows of.
+std::size_t voter_count(small_system& system, std::size_t index)
+{
+    return system.loop(index).view()->voters.size();
+}
+
 /// Returns the index of a voter that is not the leader, once all voters and a leader are there.
 std::size_t wait_for_follower(small_system& system)
 {
@@ -40,3 +46,25 @@
     auto const third = system.apply(other, second, first_text, "op-3").generation.value();
     CHECK(eventually([&] { return is_in_force(system.loop(cut_off), third); }, catch_up_limit));
 }
+
+TEST_CASE("a voter that was removed while it was frozen joins again at once")
+{
+    // Guards against a voter that takes the messages that its leader sent before the freeze for
+    // contact: for three seconds after its return it neither joined nor followed configurations.
+    small_system system(milliseconds(100), 10'000, 4);
+    auto const frozen = wait_for_follower(system);
+    auto const other = (frozen + 1) % system.voters;
+    auto const first = system.apply(other, 0, first_text, "op-1").generation.value();
+    REQUIRE(eventually([&] { return is_in_force(system.loop(frozen), first); }));
+    REQUIRE(voter_count(system, other) == system.voters);
+
+    constexpr std::chrono::milliseconds freeze_time{4'500};
+    auto const end = std::chrono::steady_clock::now() + freeze_time;
+    system.freeze(frozen, freeze_time);
+    REQUIRE(eventually([&] { return voter_count(system, other) < system.voters; }));
+    auto const second = system.apply(other, first, second_text, "op-2").generation.value();
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_until(end);
+    CHECK(eventually([&] { return voter_count(system, other) == system.voters; }, catch_up_limit));
+    CHECK(is_in_force(system.loop(frozen), second));
+}
