--- a/src/process/control/internal/state_follower.hpp
+++ b/src/process/control/internal/state_follower.hpp
@@ -49,8 +49,8 @@
     }
     /// Latest time known as of which the state reflected everything that had been committed.
     time_point state_confirmed_at() const;
-    /// Whether only another voter can confirm the state: there is no own node, its disk fails, or it
-    /// has not confirmed its state for some time.
+    /// Whether only another voter can confirm the state: there is no own node, its disk fails, or
+    /// it has not confirmed its state for some time.
     bool needs_other_voter() const;
     void schedule_poll();
     void poll();
