Block both control threads at once in the test of stale views

Cause: "a view that the control thread cannot renew counts as outdated" blocked the first of two control threads, then waited until the second daemon was current, and checked both 1.3 s later. If that wait took over 200 ms, the first thread ran again before the check.

Change: both daemons are current before either thread is blocked. The times and checks are the same, and both threads are blocked at the check.

--- a/src/process/control/tests/control_loop_test.cpp
+++ b/src/process/control/tests/control_loop_test.cpp
@@ -120,8 +120,10 @@
     {
         REQUIRE(eventually([&] { return is_in_force(system.loop(i), first); }));
         REQUIRE(eventually([&] { return !is_outdated(*system.loop(i).traffic()); }));
-        system.loop(i).post([] { std::this_thread::sleep_for(std::chrono::milliseconds(1'500)); });
     }
+    // Both control threads stand still at the time of the check.
+    for (std::size_t const i : {1, 3})
+        system.freeze(i, std::chrono::milliseconds(1'500));
     std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
     for (std::size_t const i : {1, 3})
         CHECK(is_outdated(*system.loop(i).traffic()));
