Keep as many voters as the stated losses of disks need

Cause: membership_policy removes a silent voter as long as three others are active. The group of five becomes one of four, which bears the loss of one disk and not of the two that the deployment states: two of four voters are left, and the removed one is no member when it returns. The number that may be lost was not in the settings.

A voter is not removed for its silence when the group would then bear fewer lost disks than stated, or than before in a group that is too small for the stated number. A removed VM whose successor has joined still goes, since the successor makes the group larger first. The kept voter counts again as soon as its VM is back, so that three of five have a quorum.

--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -124,6 +124,10 @@
     /// Size of the log entries in bytes after which a snapshot is stored.
     std::uint64_t snapshot_after_bytes = 8 * 1024 * 1024;
 
+    // [fault_tolerance]
+    /// Number of data folders that may be lost at the same time without a loss of committed state.
+    std::uint32_t tolerated_disk_losses = 1;
+
     // [security]
     std::string operator_token;
     std::string endpoint_token;
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -31,6 +31,8 @@
             document.require_known_keys(section, {"data_folder", "initial_voters", "founders",
                                                   "may_found_group", "snapshot_after_entries",
                                                   "snapshot_after"});
+        else if (section.kind == "fault_tolerance")
+            document.require_known_keys(section, {"disks"});
         else if (section.kind == "security")
             document.require_known_keys(section,
                                         {"operator_token", "endpoint_token", "cluster_token"});
@@ -157,6 +159,8 @@
     storage.read_bytes("snapshot_after", result.snapshot_after_bytes, 64 * 1024,
                        1024 * 1024 * 1024);
     storage.read_count("snapshot_after_entries", result.snapshot_after_entries, 100, 10'000'000);
+    ini_section_reader const fault_tolerance(document, "fault_tolerance");
+    fault_tolerance.read_count("disks", result.tolerated_disk_losses, 0, 100);
 }
 
 void parse_security(ini_document const& document, settings& result)
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -44,6 +44,16 @@
                       Contains("max_request_memory"));
 }
 
+TEST_CASE("the number of disks that may be lost is read")
+{
+    // Guards against a group that shrinks below the number of voters that its deployment needs.
+    CHECK(parse_settings("s.ini", base_text).tolerated_disk_losses == 1);
+    auto const parsed = parse_settings("s.ini", base_text + "[fault_tolerance]\ndisks = 2\n");
+    CHECK(parsed.tolerated_disk_losses == 2);
+    CHECK_THROWS_WITH(parse_settings("s.ini", base_text + "[fault_tolerance]\ndisks = -1\n"),
+                      Contains("disks"));
+}
+
 TEST_CASE("the exposure limit of new versions is read")
 {
     // Guards against a limit that is left at its default although the settings state another one.
--- a/src/process/consensus/include/lagoonladder/consensus/membership_policy.hpp
+++ b/src/process/consensus/include/lagoonladder/consensus/membership_policy.hpp
@@ -34,6 +34,10 @@
     duration dead_voter_timeout = seconds(10);
     /// Active voters that have to remain when a dead voter is removed, so that one more may fail.
     std::size_t min_active_voters = 3;
+    /// Number of disks that may be lost at the same time. No voter is removed for its silence when
+    /// the group would then bear fewer lost disks than this, since the voter may return with its
+    /// disk.
+    std::size_t tolerated_disk_losses = 1;
 };
 
 /// Reason for which the policy proposes a change.
@@ -76,6 +80,8 @@
     /// Returns the reason for which the member is to be removed; no value when it may return soon.
     std::optional<change_reason> removal_reason(time_point now, voter_id const& id) const;
     std::size_t active_voters(membership const& members) const;
+    /// Whether the group bears the tolerated number of lost disks with one voter fewer.
+    bool may_shrink(membership const& members) const;
 
     liveness_source const& liveness;
     membership_policy_options options;
--- a/src/process/consensus/internal/membership_policy.cpp
+++ b/src/process/consensus/internal/membership_policy.cpp
@@ -20,6 +20,14 @@
                        });
 }
 
+/// Returns the number of voters that may lose their disks at the same time: the others, which are
+/// all needed if further ones are inactive meanwhile, are a quorum. An entry that a quorum has
+/// stored is then still on a disk.
+std::size_t max_disk_losses(std::size_t voters)
+{
+    return (voters - 1) / 2;
+}
+
 wanted_change removal(voter_id const& id, change_reason reason)
 {
     return {{membership_change::operation::remove, id, {}}, reason};
@@ -77,8 +85,11 @@
         return wanted;
     // A VM that never returns would count towards the quorum forever. One that does return joins
     // again.
+    bool const may_shrink = this->may_shrink(members);
     for (auto const& follower : followers)
     {
+        if (!follower.is_learner && !may_shrink)
+            continue;
         if (auto const reason = this->removal_reason(now, follower.id))
             wanted.push_back(removal(follower.id, *reason));
     }
@@ -121,4 +132,11 @@
         [this](auto const& voter) { return !this->inactive_since.contains(voter.first); }));
 }
 
+bool membership_policy::may_shrink(membership const& members) const
+{
+    auto const voters = members.voters.size();
+    auto const required = std::min(this->options.tolerated_disk_losses, max_disk_losses(voters));
+    return voters > 1 && max_disk_losses(voters - 1) >= required;
+}
+
 } // namespace lagoonladder::consensus
--- a/src/process/control/internal/consensus_driver.cpp
+++ b/src/process/control/internal/consensus_driver.cpp
@@ -33,6 +33,13 @@
     return "unknown";
 }
 
+consensus::membership_policy_options make_policy_options(config::settings const& config)
+{
+    consensus::membership_policy_options options;
+    options.tolerated_disk_losses = config.tolerated_disk_losses;
+    return options;
+}
+
 } // namespace
 
 consensus::node_options make_node_options(config::settings const& config, consensus::voter_id self)
@@ -61,7 +68,7 @@
     , node(make_node_options(config, self), this->load(), random_numbers, sinks.time.now())
     , sender(io, channels, self, config.control, config.election_timeout / 2, sinks)
     , timer(*io)
-    , change_policy(liveness)
+    , change_policy(liveness, make_policy_options(config))
     , log_worker(io, sinks)
 {
 }
