Carry out no order for a move that its sender may have given up

Cause: an order has no place among others. A process that wakes reads the request, whose sender has closed the connection, and proposes it; the close is noticed one turn of the event loop later. start_service_move starts a move for each version other than that of the latest move. A frozen leader, a slow link or a retry of the daemon can hold an order back in the same way.

Change: an order for a move states the number of the latest order that its daemon knew when it read the request; in the log it has no effect after a newer one, and its caller gets 503. The number alone is not enough, since a voter may learn of the newer order before it reads the old request.

--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -73,21 +73,22 @@
 
 pass_through_plane::pass_through_plane(config::settings const& config, control::control_loop& loop,
                                        control::peer_channels& channels, event_sink& sink,
-                                       observability::metrics& metrics, clock const& time,
+                                       observability::metrics& metrics, clock const& time_source,
                                        std::uint64_t seed,
                                        std::shared_ptr<http::request_memory> memory)
     : options(config)
     , control(loop)
     , events(sink)
+    , time(time_source)
     , context(std::make_shared<asio::io_context>(1))
     , work_guard(asio::make_work_guard(*this->context))
-    , client(*this->context, {}, time)
-    , duty_http_client(*this->context, make_duty_options(), time)
-    , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time, seed,
-             time.now()},
+    , client(*this->context, {}, time_source)
+    , duty_http_client(*this->context, make_duty_options(), time_source)
+    , proxy({*this->context, this->client, this->translation, *this, sink, metrics, time_source,
+             seed, time_source.now()},
             make_proxy_options(config.pass_through))
-    , notices(*this->context, config.cluster_token, *this, time, sink, metrics)
-    , borrower(this->context, channels, time, seed,
+    , notices(*this->context, config.cluster_token, *this, time_source, sink, metrics)
+    , borrower(this->context, channels, time_source, seed,
                [this](account_id const& account, double tokens)
                { this->proxy.deposit_tokens(account, tokens); })
     , random(seed)
@@ -100,25 +101,26 @@
           *this->context,
           make_server_options(config.pass_through.callers, config.pass_through.max_connections,
                               "callers", config, memory),
-          this->proxy, [this] { return this->limits(); }, sink, time)
+          this->proxy, [this] { return this->limits(); }, sink, time_source)
     , control_server(*this->context,
                      make_server_options(config.pass_through.control, max_control_connections,
                                          "control", config, memory),
-                     this->control_call_handler, control_limits, sink, time)
+                     this->control_call_handler, control_limits, sink, time_source)
     , directory_server(*this->context,
                        make_server_options(config.pass_through.directory, max_control_connections,
                                            "directory", config, memory),
-                       this->directory_call_handler, control_limits, sink, time)
+                       this->directory_call_handler, control_limits, sink, time_source)
     , readiness_server(*this->context,
                        make_server_options(config.pass_through.readiness, max_control_connections,
                                            "readiness", config, memory),
-                       this->readiness_call_handler, control_limits, sink, time)
+                       this->readiness_call_handler, control_limits, sink, time_source)
     , metrics_server(*this->context,
                      make_server_options(config.pass_through.metrics, max_control_connections,
                                          "metrics", config, memory),
-                     this->metrics_call_handler, control_limits, sink, time)
+                     this->metrics_call_handler, control_limits, sink, time_source)
     , periodic_timer(*this->context)
-    , lag(sink, metrics, time, "traffic")
+    , lag(sink, metrics, time_source, "traffic")
+    , pauses(time_source.now())
 {
 }
 
@@ -157,6 +159,7 @@
 
 void pass_through_plane::run_periodic_work()
 {
+    this->pauses.record_call(this->time.now());
     this->open_call_count = this->proxy.open_calls();
     this->proxy.tick();
     this->prepare_borrowing();
@@ -355,9 +358,18 @@
         { done(result ? std::optional(result->moves) : std::nullopt); });
 }
 
+bool pass_through_plane::has_just_resumed() const
+{
+    return this->pauses.has_just_resumed(this->time.now());
+}
+
 void pass_through_plane::start_move(version::start_service_move order,
                                     handler<version::start_move_result> done)
 {
+    // Read here and not on the control thread, which may learn of a newer order before it gets
+    // this one.
+    auto const current = this->control.view();
+    order.base = current->shared ? version::latest_order(current->shared->moves, order.service) : 0;
     this->propose<version::start_move_result>(std::move(order), std::move(done));
 }
 
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -9,6 +9,7 @@
 #include <lagoonladder/control.hpp>
 
 #include "notice_exchange.hpp"
+#include "pause_detector.hpp"
 #include "pending_loan.hpp"
 #include "placement_explanations.hpp"
 #include "token_borrower.hpp"
@@ -93,6 +94,7 @@
     void read_configuration(
         std::function<void(std::shared_ptr<std::string const> const&)> done) override;
     void read_moves(handler<std::vector<version::move_record>> done) override;
+    bool has_just_resumed() const override;
     void start_move(version::start_service_move order,
                     handler<version::start_move_result> done) override;
     void set_evacuation(version::set_evacuation order,
@@ -136,6 +138,7 @@
     config::settings const& options;
     control::control_loop& control;
     event_sink& events;
+    clock const& time;
     std::shared_ptr<asio::io_context> context;
     asio::executor_work_guard<asio::io_context::executor_type> work_guard;
     http::client client;
@@ -160,6 +163,7 @@
     http::server metrics_server;
     asio::steady_timer periodic_timer;
     observability::loop_lag lag;
+    pause_detector pauses;
     std::atomic<std::size_t> open_call_count = 0;
     std::thread thread;
 };
--- a/src/process/http/include/lagoonladder/http/server.hpp
+++ b/src/process/http/include/lagoonladder/http/server.hpp
@@ -25,6 +25,9 @@
     virtual std::string const& body() const = 0;
     /// Time at which the first byte of the request was read.
     virtual time_point arrived() const = 0;
+    /// Whether a caller that waits for `patience` at most may have given the request up: it has
+    /// closed the connection, or opened it for this request longer ago than that.
+    virtual bool may_be_abandoned(duration patience) const = 0;
     /// IP address of the caller's end of the connection.
     virtual std::string const& remote_address() const = 0;
 
--- a/src/process/http/internal/connection_exchange.hpp
+++ b/src/process/http/internal/connection_exchange.hpp
@@ -24,6 +24,10 @@
     request_head const& head() const override { return this->request; }
     std::string const& body() const override { return this->request_body; }
     time_point arrived() const override { return this->arrival; }
+    bool may_be_abandoned(duration patience) const override
+    {
+        return !this->connection || this->connection->may_be_abandoned(patience);
+    }
     std::string const& remote_address() const override { return this->remote_ip; }
 
     void respond(response_head response, std::string_view bytes) override
--- a/src/process/http/internal/server_connection.cpp
+++ b/src/process/http/internal/server_connection.cpp
@@ -67,10 +67,27 @@
     if (!problem)
         this->remote_ip = peer.address().to_string();
     this->start_idle_timer();
+    this->accepted_at = this->idle_since;
     this->last_received = this->idle_since;
     this->read();
 }
 
+bool server_connection::is_closed_by_caller()
+{
+    char next = 0;
+    asio::error_code problem;
+    this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, problem);
+    return problem == asio::error::eof || problem == asio::error::connection_reset;
+}
+
+bool server_connection::may_be_abandoned(duration patience)
+{
+    if (this->state == phase::closed || this->is_closed_by_caller())
+        return true;
+    bool const is_first_request = this->request_count == 1;
+    return is_first_request && this->context->time.now() - this->accepted_at > patience;
+}
+
 request_head server_connection::take_head()
 {
     return std::move(this->parser->head());
--- a/src/process/http/internal/server_connection.hpp
+++ b/src/process/http/internal/server_connection.hpp
@@ -71,6 +71,8 @@
     std::string take_body();
     std::unique_ptr<request_memory::holding> take_memory();
     time_point arrived() const { return this->request_arrival; }
+    /// Whether a caller that waits for `patience` at most may have given up the current request.
+    bool may_be_abandoned(duration patience);
     std::string const& remote_address() const { return this->remote_ip; }
     void respond(response_head head, std::string_view content);
     void begin(response_head head, std::optional<std::uint64_t> length);
@@ -98,6 +100,8 @@
         closed
     };
 
+    /// Whether the caller's close has arrived behind all bytes that were read.
+    bool is_closed_by_caller();
     void read();
     void on_readable();
     void on_read(std::string_view bytes);
@@ -138,6 +142,7 @@
     asio::steady_timer timer;
     std::shared_ptr<server_context> context;
     phase state = phase::idle;
+    time_point accepted_at{};
     time_point idle_since{};
     std::unique_ptr<request_parser> parser;
     /// Memory of the request that is being read.
--- a/src/process/proxy/include/lagoonladder/proxy/operations.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/operations.hpp
@@ -39,6 +39,9 @@
     virtual void
     read_configuration(std::function<void(std::shared_ptr<std::string const> const&)> done) = 0;
     virtual void read_moves(handler<std::vector<version::move_record>> done) = 0;
+    /// Whether this process stood still until a short time ago, so that requests may be received
+    /// now whose senders gave them up long before.
+    virtual bool has_just_resumed() const = 0;
     virtual void start_move(version::start_service_move order,
                             handler<version::start_move_result> done) = 0;
     /// Starts or ends the evacuation of a data centre.
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -85,6 +85,10 @@
     version_name to;
     /// Time within which the move has to be finished.
     duration time_limit{};
+    /// Number of the latest order for the service that the sender of the command knew when it
+    /// received this one. The order has no effect when a newer one was committed first. Commands
+    /// of earlier releases have none.
+    std::optional<std::uint64_t> base{};
 };
 
 /// Command: adds usage counts of entries, so that they survive the entries and the leader.
@@ -206,7 +210,9 @@
     started,
     /// The same move is running or ended less than `resend_window` ago.
     repeated,
-    unknown_service
+    unknown_service,
+    /// A newer order for the service was committed first. Nothing has changed.
+    outdated
 };
 
 struct start_move_result
--- a/src/version/include/lagoonladder/version/shared_state.hpp
+++ b/src/version/include/lagoonladder/version/shared_state.hpp
@@ -45,8 +45,13 @@
     /// Generation of the configuration that started the move. For a pass-through service, the
     /// log index of the command that started it.
     lagoonladder::generation generation;
+    /// Log index of the latest order for the move of a pass-through service.
+    std::uint64_t number = 0;
 };
 
+/// Returns the number of the latest order for the moves of a pass-through service; 0 without one.
+std::uint64_t latest_order(std::vector<move_record> const& moves, service_name const& service);
+
 /// Times are microseconds since 1970, `share` is 0 to 1.
 void to_json(nlohmann::json& out, move_record const& in);
 void from_json(nlohmann::json const& in, move_record& out);
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -103,7 +103,10 @@
 
 static void to_json(nlohmann::json& out, start_service_move const& in)
 {
-    out = {{"service", in.service}, {"to", in.to}, {"span", in.time_limit}};
+    out = {{"service", in.service},
+           {"to", in.to},
+           {"span", in.time_limit},
+           {"base", optional_json(in.base)}};
 }
 
 static void from_json(nlohmann::json const& in, start_service_move& out)
@@ -111,6 +114,7 @@
     in.at("service").get_to(out.service);
     in.at("to").get_to(out.to);
     in.at("span").get_to(out.time_limit);
+    out.base = optional_from<std::uint64_t>(in.value("base", nlohmann::json()));
 }
 
 static void to_json(nlohmann::json& out, close_usage_window const& in)
@@ -194,7 +198,7 @@
 
 static void from_json(nlohmann::json const& in, start_move_result& out)
 {
-    out.outcome = enum_from(in.at("outcome"), start_move_outcome::unknown_service);
+    out.outcome = enum_from(in.at("outcome"), start_move_outcome::outdated);
 }
 
 static void to_json(nlohmann::json& out, usage_window_result const& in)
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -255,11 +255,11 @@
     auto const& services = this->current_state.services;
     if (!services || services->find_service(body.service) == nullptr)
         return start_move_result{start_move_outcome::unknown_service};
-    bool const started = move_rules(this->current_state, this->time)
-                             .start_service_move(body, lagoonladder::generation(this->index));
-    if (started)
+    auto const outcome =
+        move_rules(this->current_state, this->time).start_service_move(body, this->index);
+    if (outcome == start_move_outcome::started)
         this->current_state.changed_index = this->index;
-    return start_move_result{started ? start_move_outcome::started : start_move_outcome::repeated};
+    return start_move_result{outcome};
 }
 
 command_result control_state::apply_body(set_evacuation const& body)
--- a/src/version/internal/move_rules.cpp
+++ b/src/version/internal/move_rules.cpp
@@ -83,19 +83,27 @@
     this->state.moves.push_back(std::move(move));
 }
 
-bool move_rules::start_service_move(lagoonladder::version::start_service_move const& move_command,
-                                    lagoonladder::generation new_generation)
+bool move_rules::is_resent(lagoonladder::version::start_service_move const& move_command) const
 {
     auto const latest =
         std::find_if(this->state.moves.rbegin(), this->state.moves.rend(),
                      [&](move_record const& move) { return move.service == move_command.service; });
-    if (latest != this->state.moves.rend() && latest->to == move_command.to)
-    {
-        bool const is_resent =
-            !latest->ended || this->now - *latest->ended < control_state::resend_window;
-        if (is_resent)
-            return false;
-    }
+    if (latest == this->state.moves.rend() || latest->to != move_command.to)
+        return false;
+    return !latest->ended || this->now - *latest->ended < control_state::resend_window;
+}
+
+start_move_outcome
+move_rules::start_service_move(lagoonladder::version::start_service_move const& move_command,
+                               std::uint64_t index)
+{
+    if (this->is_resent(move_command))
+        return start_move_outcome::repeated;
+    bool const is_outdated =
+        move_command.base &&
+        *move_command.base < latest_order(this->state.moves, move_command.service);
+    if (is_outdated)
+        return start_move_outcome::outdated;
     if (auto* running = this->find_running(move_command.service))
         this->end(*running, move_state::reversed, "another move was started");
     auto& split = this->state.splits[move_command.service];
@@ -105,12 +113,13 @@
     move.to = move_command.to;
     move.started = this->now;
     move.finish_by = this->now + move_command.time_limit;
-    move.generation = new_generation;
+    move.generation = lagoonladder::generation(index);
+    move.number = index;
     split.candidate = move_command.to;
     split.candidate_share = 0;
     this->state.moves.push_back(std::move(move));
     this->drop_old_moves();
-    return true;
+    return start_move_outcome::started;
 }
 
 bool move_rules::update(update_move const& change)
--- a/src/version/internal/move_rules.hpp
+++ b/src/version/internal/move_rules.hpp
@@ -24,11 +24,11 @@
     /// removes moves accordingly.
     void apply(configuration next, lagoonladder::generation new_generation);
 
-    /// Starts a move of a pass-through service and reverses a running move to another version.
-    /// Returns false if the same move is running or has ended within
-    /// control_state::resend_window.
-    bool start_service_move(lagoonladder::version::start_service_move const& move_command,
-                            lagoonladder::generation new_generation);
+    /// Carries out the order for a move of a pass-through service at a log index. Reverses a
+    /// running move to another version.
+    start_move_outcome
+    start_service_move(lagoonladder::version::start_service_move const& move_command,
+                       std::uint64_t index);
 
     /// Applies an update. Returns false if the service has no running move of that generation
     /// or the share is not finite.
@@ -36,6 +36,8 @@
 
 private:
     move_record* find_running(service_name const& service);
+    /// Whether the order is that of the latest move, sent again.
+    bool is_resent(lagoonladder::version::start_service_move const& move_command) const;
     /// Whether `next` starts a move to its version.
     bool starts_move(service_config const& next) const;
     void apply_service(service_config const& next, lagoonladder::generation new_generation);
--- a/src/version/internal/shared_state.cpp
+++ b/src/version/internal/shared_state.cpp
@@ -20,6 +20,17 @@
     return position < this->candidate_share ? this->candidate : this->stable;
 }
 
+std::uint64_t latest_order(std::vector<move_record> const& moves, service_name const& service)
+{
+    std::uint64_t latest = 0;
+    for (auto const& move : moves)
+    {
+        if (move.service == service)
+            latest = std::max(latest, move.number);
+    }
+    return latest;
+}
+
 void to_json(nlohmann::json& out, move_record const& in)
 {
     out = {{"service", in.service},
@@ -33,7 +44,8 @@
            {"ended", optional_json(in.ended)},
            {"reason", in.reason},
            {"figures", in.figures},
-           {"generation", in.generation}};
+           {"generation", in.generation},
+           {"number", in.number}};
 }
 
 void from_json(nlohmann::json const& in, move_record& out)
@@ -50,6 +62,8 @@
     in.at("reason").get_to(out.reason);
     in.at("figures").get_to(out.figures);
     in.at("generation").get_to(out.generation);
+    // Records of earlier releases have no number.
+    out.number = in.value("number", out.generation.value());
 }
 
 void to_json(nlohmann::json& out, traffic_split const& in)
--- a/src/version/tests/service_maps.hpp
+++ b/src/version/tests/service_maps.hpp
@@ -10,7 +10,7 @@
 {
     pass_through_route route;
     route.name = route_name(name);
-    route.host = "h";
+    route.host = std::string("h");
     route.path_prefix = prefix;
     route.split = {{service_name("s"), 1}};
     return route;
