Tell a new order for a move from a resent one by the time since the order

The order is acknowledged and not carried out: Rollouts.Get says rolled_back, and the mended replicas are not asked.

Cause: an order for the version of the latest move was taken for a resent one until 20 s after the end of that move. Orders are sent again for at most ackMs (4 to 6 s), and that time begins with the order, not with the end of its move.

Change: the time counts from the order and is the setting order_resend_time (ackMs of the platform). The command carries it, and for how long its daemon has known the latest order, so that an order is also new when the time of the log stands still because a leader's clock was ahead. A later order for the version of the running move sets its time limit.

Result: with the old rule three of the four new tests fail ("a version that was reversed and is ordered again is moved to": repeated in place of started). "an order that is sent again after its version was reversed starts no other move" passes before and after, so a lost acknowledgement gives a bad version no second try.

--- a/src/process/config/include/lagoonladder/config/settings.hpp
+++ b/src/process/config/include/lagoonladder/config/settings.hpp
@@ -91,6 +91,9 @@
     duration usage_window = seconds(5);
     /// Time for which the platform still regards the last holder of a duty as its holder.
     duration duty_lease = seconds(3);
+    /// Time after an order for a move in which operators may send the same order again because
+    /// its acknowledgement was lost. A later one is a new order.
+    duration order_resend_time = seconds(5);
     /// Time for which callers may reuse a response of the directory.
     duration directory_max_age = seconds(1);
 };
--- a/src/process/config/internal/settings.cpp
+++ b/src/process/config/internal/settings.cpp
@@ -60,7 +60,7 @@
                                                   "cold_overshoot",    "cold_slack",
                                                   "usage_window",      "duty_lease",
                                                   "directory_age",     "overload_admission",
-                                                  "engine_capacity"});
+                                                  "engine_capacity",   "order_resend_time"});
         else
             throw settings_error(
                 locate(document.at(section.line), "unknown section [" + section.kind + "]"));
@@ -257,6 +257,8 @@
     parse_engine_capacity(section, out);
     section.read("usage_window", out.usage_window, seconds(1), std::chrono::hours(1));
     section.read("duty_lease", out.duty_lease, milliseconds(100), std::chrono::minutes(5));
+    section.read("order_resend_time", out.order_resend_time, milliseconds(100),
+                 std::chrono::hours(1));
     section.read("directory_age", out.directory_max_age, milliseconds(100),
                  std::chrono::minutes(5));
 }
--- a/src/process/config/tests/settings_test.cpp
+++ b/src/process/config/tests/settings_test.cpp
@@ -44,6 +44,15 @@
                       Contains("max_request_memory"));
 }
 
+TEST_CASE("the time in which orders are sent again is read")
+{
+    // Guards against new orders that are taken for resent ones.
+    CHECK(parse_settings("s.ini", base_text).pass_through.order_resend_time == seconds(5));
+    auto const parsed =
+        parse_settings("s.ini", base_text + "[pass_through]\norder_resend_time = 4000 ms\n");
+    CHECK(parsed.pass_through.order_resend_time == seconds(4));
+}
+
 TEST_CASE("the number of disks that may be lost is read")
 {
     // Guards against a group that shrinks below the number of voters that its deployment needs.
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -160,6 +160,7 @@
 void pass_through_plane::run_periodic_work()
 {
     this->pauses.record_call(this->time.now());
+    this->record_orders();
     this->open_call_count = this->proxy.open_calls();
     this->proxy.tick();
     this->prepare_borrowing();
@@ -176,6 +177,12 @@
         });
 }
 
+void pass_through_plane::record_orders()
+{
+    if (auto const shared = this->control.view()->shared)
+        this->orders.update(this->time.now(), shared->moves);
+}
+
 void pass_through_plane::prepare_borrowing()
 {
     this->borrower.open_connections();
@@ -370,6 +377,8 @@
     // this one.
     auto const current = this->control.view();
     order.base = current->shared ? version::latest_order(current->shared->moves, order.service) : 0;
+    order.base_age = this->orders.age(this->time.now(), order.service, *order.base);
+    order.resend_time = this->options.pass_through.order_resend_time;
     this->propose<version::start_move_result>(std::move(order), std::move(done));
 }
 
--- a/src/process/daemon/internal/pass_through_plane.hpp
+++ b/src/process/daemon/internal/pass_through_plane.hpp
@@ -9,6 +9,7 @@
 #include <lagoonladder/control.hpp>
 
 #include "notice_exchange.hpp"
+#include "order_ages.hpp"
 #include "pause_detector.hpp"
 #include "pending_loan.hpp"
 #include "placement_explanations.hpp"
@@ -121,6 +122,8 @@
     /// Samples the number of open calls, runs the periodic work of the proxy and of the borrowing
     /// of tokens, and schedules itself again.
     void run_periodic_work();
+    /// Records the newest orders for moves that this daemon knows.
+    void record_orders();
     /// Opens connections to the entries that tokens will be borrowed from, some in each call, so
     /// that they are open in time. Determines these entries again when the configuration or the
     /// serving entries change.
@@ -164,6 +167,7 @@
     asio::steady_timer periodic_timer;
     observability::loop_lag lag;
     pause_detector pauses;
+    order_ages orders;
     std::atomic<std::size_t> open_call_count = 0;
     std::thread thread;
 };
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -89,6 +89,11 @@
     /// received this one. The order has no effect when a newer one was committed first. Commands
     /// of earlier releases have none.
     std::optional<std::uint64_t> base{};
+    /// Time after an order in which the same order is one that was sent again. Commands of earlier
+    /// releases have none.
+    std::optional<duration> resend_time{};
+    /// Time for which the sender of the command has known `base`, by its own clock.
+    duration base_age{};
 };
 
 /// Command: adds usage counts of entries, so that they survive the entries and the leader.
@@ -208,11 +213,13 @@
 enum class start_move_outcome
 {
     started,
-    /// The same move is running or ended less than `resend_window` ago.
+    /// The latest order was sent again. Nothing has changed.
     repeated,
     unknown_service,
     /// A newer order for the service was committed first. Nothing has changed.
-    outdated
+    outdated,
+    /// The same move is running; it now has the time limit of this order.
+    prolonged
 };
 
 struct start_move_result
@@ -284,8 +291,8 @@
     /// Number of ended moves that are kept for each service.
     static constexpr std::size_t max_ended_moves = 16;
 
-    /// If the same move is started again within this time after its end, the command is
-    /// taken for a resent one and ignored.
+    /// If the same move is started again within this time after its end by a command without
+    /// `resend_time`, the command is taken for a resent one and ignored.
     static constexpr duration resend_window = seconds(20);
 
     /// Number of closed usage windows that are kept.
--- a/src/version/include/lagoonladder/version/shared_state.hpp
+++ b/src/version/include/lagoonladder/version/shared_state.hpp
@@ -47,6 +47,8 @@
     lagoonladder::generation generation;
     /// Log index of the latest order for the move of a pass-through service.
     std::uint64_t number = 0;
+    /// Time of that order.
+    wall_time ordered{};
 };
 
 /// Returns the number of the latest order for the moves of a pass-through service; 0 without one.
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -106,7 +106,9 @@
     out = {{"service", in.service},
            {"to", in.to},
            {"span", in.time_limit},
-           {"base", optional_json(in.base)}};
+           {"base", optional_json(in.base)},
+           {"resend_time", optional_json(in.resend_time)},
+           {"base_age", in.base_age}};
 }
 
 static void from_json(nlohmann::json const& in, start_service_move& out)
@@ -115,6 +117,8 @@
     in.at("to").get_to(out.to);
     in.at("span").get_to(out.time_limit);
     out.base = optional_from<std::uint64_t>(in.value("base", nlohmann::json()));
+    out.resend_time = optional_from<duration>(in.value("resend_time", nlohmann::json()));
+    out.base_age = in.value("base_age", duration(0));
 }
 
 static void to_json(nlohmann::json& out, close_usage_window const& in)
@@ -198,7 +202,7 @@
 
 static void from_json(nlohmann::json const& in, start_move_result& out)
 {
-    out.outcome = enum_from(in.at("outcome"), start_move_outcome::outdated);
+    out.outcome = enum_from(in.at("outcome"), start_move_outcome::prolonged);
 }
 
 static void to_json(nlohmann::json& out, usage_window_result const& in)
--- a/src/version/internal/control_state.cpp
+++ b/src/version/internal/control_state.cpp
@@ -257,7 +257,7 @@
         return start_move_result{start_move_outcome::unknown_service};
     auto const outcome =
         move_rules(this->current_state, this->time).start_service_move(body, this->index);
-    if (outcome == start_move_outcome::started)
+    if (outcome == start_move_outcome::started || outcome == start_move_outcome::prolonged)
         this->current_state.changed_index = this->index;
     return start_move_result{outcome};
 }
--- a/src/version/internal/move_rules.cpp
+++ b/src/version/internal/move_rules.cpp
@@ -83,27 +83,45 @@
     this->state.moves.push_back(std::move(move));
 }
 
-bool move_rules::is_resent(lagoonladder::version::start_service_move const& move_command) const
-{
-    auto const latest =
-        std::find_if(this->state.moves.rbegin(), this->state.moves.rend(),
-                     [&](move_record const& move) { return move.service == move_command.service; });
-    if (latest == this->state.moves.rend() || latest->to != move_command.to)
-        return false;
-    return !latest->ended || this->now - *latest->ended < control_state::resend_window;
+bool move_rules::is_resent(lagoonladder::version::start_service_move const& move_command,
+                           move_record const& latest) const
+{
+    if (!move_command.resend_time)
+        return !latest.ended || this->now - *latest.ended < control_state::resend_window;
+    // The clock of another leader may differ, or have been set meanwhile. The sender of the command
+    // measures by a clock of its own, but not since before its start.
+    bool const is_known_long_enough =
+        move_command.base == latest.number && move_command.base_age >= *move_command.resend_time;
+    return !is_known_long_enough && this->now - latest.ordered < *move_command.resend_time;
 }
 
 start_move_outcome
 move_rules::start_service_move(lagoonladder::version::start_service_move const& move_command,
                                std::uint64_t index)
 {
-    if (this->is_resent(move_command))
+    auto* const latest = this->find_latest(move_command.service);
+    bool const has_same_version = latest != nullptr && latest->to == move_command.to;
+    if (has_same_version && this->is_resent(move_command, *latest))
         return start_move_outcome::repeated;
     bool const is_outdated =
         move_command.base &&
         *move_command.base < latest_order(this->state.moves, move_command.service);
     if (is_outdated)
         return start_move_outcome::outdated;
+    if (has_same_version && latest->state == move_state::running)
+    {
+        latest->finish_by = this->now + move_command.time_limit;
+        latest->number = index;
+        latest->ordered = this->now;
+        return start_move_outcome::prolonged;
+    }
+    this->start_service_candidate(move_command, index);
+    return start_move_outcome::started;
+}
+
+void move_rules::start_service_candidate(
+    lagoonladder::version::start_service_move const& move_command, std::uint64_t index)
+{
     if (auto* running = this->find_running(move_command.service))
         this->end(*running, move_state::reversed, "another move was started");
     auto& split = this->state.splits[move_command.service];
@@ -115,11 +133,11 @@
     move.finish_by = this->now + move_command.time_limit;
     move.generation = lagoonladder::generation(index);
     move.number = index;
+    move.ordered = this->now;
     split.candidate = move_command.to;
     split.candidate_share = 0;
     this->state.moves.push_back(std::move(move));
     this->drop_old_moves();
-    return start_move_outcome::started;
 }
 
 bool move_rules::update(update_move const& change)
@@ -164,6 +182,14 @@
     split.candidate_share = 0;
 }
 
+move_record* move_rules::find_latest(service_name const& service)
+{
+    auto const found =
+        std::find_if(this->state.moves.rbegin(), this->state.moves.rend(),
+                     [&](move_record const& move) { return move.service == service; });
+    return found == this->state.moves.rend() ? nullptr : &*found;
+}
+
 move_record* move_rules::find_running(service_name const& service)
 {
     auto const found =
--- a/src/version/internal/move_rules.hpp
+++ b/src/version/internal/move_rules.hpp
@@ -36,8 +36,12 @@
 
 private:
     move_record* find_running(service_name const& service);
-    /// Whether the order is that of the latest move, sent again.
-    bool is_resent(lagoonladder::version::start_service_move const& move_command) const;
+    move_record* find_latest(service_name const& service);
+    /// Whether an order for the version of the latest move is the one that started it, sent again.
+    bool is_resent(lagoonladder::version::start_service_move const& move_command,
+                   move_record const& latest) const;
+    void start_service_candidate(lagoonladder::version::start_service_move const& move_command,
+                                 std::uint64_t index);
     /// Whether `next` starts a move to its version.
     bool starts_move(service_config const& next) const;
     void apply_service(service_config const& next, lagoonladder::generation new_generation);
--- a/src/version/internal/shared_state.cpp
+++ b/src/version/internal/shared_state.cpp
@@ -45,7 +45,8 @@
            {"reason", in.reason},
            {"figures", in.figures},
            {"generation", in.generation},
-           {"number", in.number}};
+           {"number", in.number},
+           {"ordered", in.ordered}};
 }
 
 void from_json(nlohmann::json const& in, move_record& out)
@@ -62,8 +63,9 @@
     in.at("reason").get_to(out.reason);
     in.at("figures").get_to(out.figures);
     in.at("generation").get_to(out.generation);
-    // Records of earlier releases have no number.
+    // Records of earlier releases have no number and time of an order.
     out.number = in.value("number", out.generation.value());
+    out.ordered = in.value("ordered", out.started);
 }
 
 void to_json(nlohmann::json& out, traffic_split const& in)
--- a/src/version/tests/move_orders_test.cpp
+++ b/src/version/tests/move_orders_test.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr duration resend_time = seconds(4);
+
 /// A control state with one pass-through service, and orders for its moves.
 class ordered_state
 {
@@ -25,6 +27,7 @@
     {
         start_service_move order{service_name("s"), version_name(to), time_limit};
         order.base = latest_order(this->moves(), service_name("s"));
+        order.resend_time = resend_time;
         return order;
     }
 
@@ -119,3 +122,70 @@
     order.base = 7;
     CHECK(decoded() == 7U);
 }
+
+TEST_CASE("an order that is sent again after its version was reversed starts no other move")
+{
+    // Guards against a bad version that gets traffic a second time because the acknowledgement of
+    // its order was lost.
+    ordered_state system;
+    CHECK(system.order("v2") == start_move_outcome::started);
+    system.now += seconds(2);
+    system.end_move(move_state::reversed);
+    system.now += seconds(1);
+    CHECK(system.order("v2") == start_move_outcome::repeated);
+    CHECK(system.moves().size() == 1);
+    CHECK(system.latest().state == move_state::reversed);
+}
+
+TEST_CASE("a version that was reversed and is ordered again is moved to")
+{
+    // Guards against an acknowledged order that is taken for a resent one and not carried out.
+    ordered_state system;
+    CHECK(system.order("v2") == start_move_outcome::started);
+    system.now += seconds(3);
+    system.end_move(move_state::reversed);
+    system.now += seconds(2);
+    CHECK(system.order("v2") == start_move_outcome::started);
+    CHECK(system.latest().state == move_state::running);
+    CHECK(system.latest().figures.empty());
+    // The second order may be sent again as well.
+    system.now += seconds(3);
+    CHECK(system.order("v2") == start_move_outcome::repeated);
+    // A restored replica decides the same.
+    control_state restored;
+    restored.restore(system.state.snapshot());
+    CHECK(restored.snapshot() == system.state.snapshot());
+}
+
+TEST_CASE("an order is told from a resent one although a clock was set")
+{
+    // Guards against a leader whose clock was far ahead, after which the time of the log stands
+    // still for hours.
+    ordered_state system;
+    system.now += std::chrono::hours(1);
+    CHECK(system.order("v2") == start_move_outcome::started);
+    system.end_move(move_state::reversed);
+    auto again = system.make_order("v2");
+    again.base_age = seconds(3);
+    CHECK(system.commit(again) == start_move_outcome::repeated);
+    again.base_age = seconds(4);
+    CHECK(system.commit(again) == start_move_outcome::started);
+}
+
+TEST_CASE("a later order for the version of the running move sets its time limit")
+{
+    // Guards against an acknowledged order whose move is reversed at the time limit of an earlier
+    // one, and against one that starts the comparison of the versions anew.
+    ordered_state system;
+    CHECK(system.order("v2") == start_move_outcome::started);
+    auto const generation = system.latest().generation;
+    system.now += seconds(10);
+    CHECK(system.commit(system.make_order("v2", seconds(30))) == start_move_outcome::prolonged);
+    CHECK(system.moves().size() == 1);
+    CHECK(system.latest().generation == generation);
+    CHECK(system.latest().finish_by == system.now + seconds(30));
+    // An order that was given before it is outdated.
+    auto late = system.make_order("v3");
+    late.base = *late.base - 1;
+    CHECK(system.commit(late) == start_move_outcome::outdated);
+}
