Start no comparison for an order for the version in service

Most calls of the route get 503 until the time limit, and after it all of them, although sound replicas of v1 and v2 run. An order for the version in service without another one before it does the same.

Cause: a move compares two versions, and nothing asked whether there are two. All endpoints counted as those of the candidate, which gets a few percent of the calls; without anything to compare with the move was reversed, and its version, the one in service, was marked as out of use, as v2 was by the second order. The state did not know the version in service before the first finished move.

Change: such an order starts a renewal: no candidate, no share, no mark. The version in service is the stable version or the one that all endpoints state which are older than a resent order can be. A renewal finishes when as many endpoints have started since the order as serve from before it, and is reversed otherwise, so that the service keeps replicas whichever the platform ends. The version in service is never marked, and a reversed version that was not shown to be worse is used while nothing else serves.

--- a/src/process/control/include/lagoonladder/control.hpp
+++ b/src/process/control/include/lagoonladder/control.hpp
@@ -10,5 +10,6 @@
 #include <lagoonladder/control/data_centres.hpp>
 #include <lagoonladder/control/event_collector.hpp>
 #include <lagoonladder/control/peer_channels.hpp>
+#include <lagoonladder/control/service_versions.hpp>
 
 #endif
--- a/src/process/control/internal/control_thread.cpp
+++ b/src/process/control/internal/control_thread.cpp
@@ -367,7 +367,7 @@
         this->group_client.report(samples, usage);
     }
     if (is_step)
-        this->version_moves.step();
+        this->version_moves.step(*this->view());
     this->platform_duties.step(*this->view());
 }
 
--- a/src/process/control/internal/move_driver.cpp
+++ b/src/process/control/internal/move_driver.cpp
@@ -1,5 +1,7 @@
 #include "move_driver.hpp"
 
+#include <lagoonladder/control/service_versions.hpp>
+
 namespace lagoonladder::control
 {
 
@@ -96,7 +98,7 @@
     }
 }
 
-void move_driver::step()
+void move_driver::step(control_view const& view)
 {
     if (!this->node)
         return;
@@ -117,7 +119,11 @@
     }
     for (auto const& record : shared->moves)
     {
-        if (record.state == version::move_state::running)
+        if (record.state != version::move_state::running)
+            continue;
+        if (version::is_renewal(record))
+            this->step_renewal(view, record);
+        else
             this->step_move(*shared, record);
     }
     this->collected.clear();
@@ -136,10 +142,22 @@
                   .first->second;
     auto const change =
         controller.step(this->time.wall_now(), record, *service, this->collected[record.service]);
-    if (!change)
-        return;
-    this->node->propose(*change, this->time.now() + update_timeout,
-                        [this, name = record.service](proposal_outcome const& outcome)
+    if (change)
+        this->propose(*change);
+}
+
+void move_driver::step_renewal(control_view const& view, version::move_record const& record)
+{
+    auto const change = version::decide_renewal(this->time.wall_now(), record,
+                                                count_renewal_endpoints(view, record));
+    if (change)
+        this->propose(*change);
+}
+
+void move_driver::propose(version::update_move const& change)
+{
+    this->node->propose(change, this->time.now() + update_timeout,
+                        [this, name = change.service](proposal_outcome const& outcome)
                         {
                             if (outcome.status != proposal_status::committed)
                                 this->events.emit(severity::warning, "move.update_not_committed",
--- a/src/process/control/internal/move_driver.hpp
+++ b/src/process/control/internal/move_driver.hpp
@@ -23,10 +23,12 @@
     void collect(std::vector<version::traffic_sample> const& samples);
 
     /// Advances the running moves. To be called once per report interval.
-    void step();
+    void step(control_view const& view);
 
 private:
     void step_move(version::shared_state const& shared, version::move_record const& record);
+    void step_renewal(control_view const& view, version::move_record const& record);
+    void propose(version::update_move const& change);
     /// Controller for a move of a pass-through service or of one of the configuration.
     version::move_controller make_controller(version::shared_state const& shared,
                                              version::move_record const& record) const;
--- a/src/process/control/internal/pass_through_view.cpp
+++ b/src/process/control/internal/pass_through_view.cpp
@@ -1,5 +1,7 @@
 #include "pass_through_view.hpp"
 
+#include <lagoonladder/control/service_versions.hpp>
+
 namespace lagoonladder::control
 {
 
@@ -11,22 +13,6 @@
 /// at once and the few that remain split the quotas.
 constexpr std::size_t account_demand_margin = 2;
 
-std::map<service_name, std::set<version_name>>
-reversed_versions(std::vector<version::move_record> const& moves)
-{
-    std::map<service_name, std::set<version_name>> reversed;
-    // Only the latest move to a version counts. Endpoints of a reversed version may still serve
-    // while the service moves to another one.
-    for (auto const& move : moves)
-    {
-        if (move.state == version::move_state::reversed)
-            reversed[move.service].insert(move.to);
-        else
-            reversed[move.service].erase(move.to);
-    }
-    return reversed;
-}
-
 } // namespace
 
 std::shared_ptr<proxy::traffic_view const> make_traffic_view(control_view const& control,
@@ -44,7 +30,11 @@
         return view;
     view->services = control.shared->services;
     view->splits = control.shared->splits;
-    view->reversed = reversed_versions(control.shared->moves);
+    for (auto const& [service, versions] : find_reversed_versions(*control.shared))
+    {
+        view->reversed[service] = versions.all;
+        view->undecided[service] = versions.undecided;
+    }
     view->evacuated = version::evacuated_data_centres(control.shared->evacuations);
     view->endpoints = control.endpoints;
     for (auto const& entry : control.entries)
--- a/src/process/daemon/internal/pass_through_plane.cpp
+++ b/src/process/daemon/internal/pass_through_plane.cpp
@@ -379,6 +379,9 @@
     order.base = current->shared ? version::latest_order(current->shared->moves, order.service) : 0;
     order.base_age = this->orders.age(this->time.now(), order.service, *order.base);
     order.resend_time = this->options.pass_through.order_resend_time;
+    // Endpoints that were started for this order may serve already.
+    order.in_service = control::find_version_in_service(*current, order.service,
+                                                        this->time.wall_now() - *order.resend_time);
     this->propose<version::start_move_result>(std::move(order), std::move(done));
 }
 
--- a/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
+++ b/src/process/proxy/include/lagoonladder/proxy/traffic_control.hpp
@@ -39,6 +39,9 @@
     std::map<service_name, version::traffic_split> splits;
     /// Per service, the versions whose last move was reversed; they get no traffic.
     std::map<service_name, std::set<version_name>> reversed;
+    /// Those of them that were not shown to be worse than the version in service. They get traffic
+    /// while no endpoint of another version serves.
+    std::map<service_name, std::set<version_name>> undecided;
     /// Data centres whose endpoints receive no requests.
     std::set<data_centre_id> evacuated;
     /// Regions of the data centres, as the settings state them.
--- a/src/process/proxy/internal/endpoint_chooser.cpp
+++ b/src/process/proxy/internal/endpoint_chooser.cpp
@@ -100,6 +100,29 @@
     return endpoints;
 }
 
+bool contains(std::map<service_name, std::set<version_name>> const& versions,
+              service_name const& service, version_name const& version)
+{
+    auto const found = versions.find(service);
+    return found != versions.end() && found->second.contains(version);
+}
+
+/// Removes the endpoints of reversed versions. If there are no others, keeps those of versions that
+/// were not shown to be worse, since a service with sound endpoints must have one to use.
+void remove_reversed(endpoint_record_pointers& endpoints, traffic_view const& view,
+                     service_name const& service, exclusion_list* removed)
+{
+    bool const has_other = std::any_of(
+        endpoints.begin(), endpoints.end(),
+        [&](auto const* endpoint) { return !contains(view.reversed, service, endpoint->version); });
+    auto const is_removed = [&](auto const& endpoint)
+    {
+        return contains(view.reversed, service, endpoint.version) &&
+               (has_other || !contains(view.undecided, service, endpoint.version));
+    };
+    exclude_if(endpoints, exclusion::reversed_version, removed, is_removed);
+}
+
 } // namespace
 
 endpoint_record_pointers usable_endpoints(traffic_view const& view, service_name const& service,
@@ -122,11 +145,7 @@
     exclude_if(endpoints, exclusion::region, removed,
                [&](auto const& endpoint)
                { return !is_in_regions(view, endpoint.data_centre, regions); });
-    auto const reversed = view.reversed.find(service);
-    if (reversed != view.reversed.end())
-        exclude_if(endpoints, exclusion::reversed_version, removed,
-                   [&](auto const& endpoint)
-                   { return reversed->second.contains(endpoint.version); });
+    remove_reversed(endpoints, view, service, removed);
     auto const found_split = view.splits.find(service);
     if (found_split == view.splits.end())
         return endpoints;
--- a/src/process/proxy/tests/endpoint_chooser_test.cpp
+++ b/src/process/proxy/tests/endpoint_chooser_test.cpp
@@ -183,6 +183,23 @@
     CHECK(usable_ids(view) == "e1 e3");
 }
 
+TEST_CASE("a reversed version is used if it was not shown to be worse and there is no other")
+{
+    // Guards against a service that refuses all calls for good while sound endpoints run, and
+    // against calls to a version that was shown to be worse.
+    traffic_view view;
+    auto& records = view.endpoints[service_name("s")];
+    records = {make_record("e1", "a:1", 1, "v1"), make_record("e2", "b:1", 1, "v2"),
+               make_record("e3", "c:1", 1, "v3")};
+    view.reversed[service_name("s")] = {version_name("v2"), version_name("v3")};
+    view.undecided[service_name("s")] = {version_name("v2")};
+    CHECK(usable_ids(view) == "e1");
+    records[0].state = connection::endpoint_state::leaving;
+    CHECK(usable_ids(view) == "e2");
+    records[1].state = connection::endpoint_state::leaving;
+    CHECK(usable_ids(view).empty());
+}
+
 TEST_CASE("a candidate version does not get the calls of a stable version without endpoints")
 {
     // Guards against a bad version that gets all calls because the endpoints of the old one crashed
--- a/src/version/include/lagoonladder/version.hpp
+++ b/src/version/include/lagoonladder/version.hpp
@@ -11,6 +11,7 @@
 #include <lagoonladder/version/evacuation.hpp>
 #include <lagoonladder/version/move_controller.hpp>
 #include <lagoonladder/version/order_book.hpp>
+#include <lagoonladder/version/renewal.hpp>
 #include <lagoonladder/version/service_map.hpp>
 #include <lagoonladder/version/shared_state.hpp>
 #include <lagoonladder/version/traffic_sample.hpp>
--- a/src/version/include/lagoonladder/version/control_state.hpp
+++ b/src/version/include/lagoonladder/version/control_state.hpp
@@ -42,6 +42,8 @@
     move_state state = move_state::running;
     std::string reason;
     std::map<std::string, std::string> figures;
+    /// Whether the new version was shown to be worse than the old one.
+    bool is_shown_worse = false;
 };
 
 /// Command: reserves the next order sequence numbers for the leader of `term`.
@@ -94,6 +96,9 @@
     std::optional<duration> resend_time{};
     /// Time for which the sender of the command has known `base`, by its own clock.
     duration base_age{};
+    /// Version that the service ran when the order was given, as the sender of the command saw its
+    /// endpoints; empty if it did not know.
+    version_name in_service{};
 };
 
 /// Command: adds usage counts of entries, so that they survive the entries and the leader.
--- a/src/version/include/lagoonladder/version/shared_state.hpp
+++ b/src/version/include/lagoonladder/version/shared_state.hpp
@@ -49,8 +49,17 @@
     std::uint64_t number = 0;
     /// Time of that order.
     wall_time ordered{};
+    /// Whether the move was reversed because `to` was shown to be worse than `from`.
+    bool is_shown_worse = false;
 };
 
+/// Whether the move is one to the version in service. It replaces endpoints by others of the same
+/// version; no share of the traffic is moved, and the version is never marked as reversed.
+inline bool is_renewal(move_record const& move)
+{
+    return move.from == move.to;
+}
+
 /// Returns the number of the latest order for the moves of a pass-through service; 0 without one.
 std::uint64_t latest_order(std::vector<move_record> const& moves, service_name const& service);
 
--- a/src/version/internal/command_json.cpp
+++ b/src/version/internal/command_json.cpp
@@ -26,9 +26,13 @@
 
 static void to_json(nlohmann::json& out, update_move const& in)
 {
-    out = {{"service", in.service}, {"generation", in.generation},
-           {"share", in.share},     {"state", static_cast<int>(in.state)},
-           {"reason", in.reason},   {"figures", in.figures}};
+    out = {{"service", in.service},
+           {"generation", in.generation},
+           {"share", in.share},
+           {"state", static_cast<int>(in.state)},
+           {"reason", in.reason},
+           {"figures", in.figures},
+           {"is_shown_worse", in.is_shown_worse}};
 }
 
 static void from_json(nlohmann::json const& in, update_move& out)
@@ -39,6 +43,8 @@
     out.state = enum_from(in.at("state"), move_state::reversed);
     in.at("reason").get_to(out.reason);
     in.at("figures").get_to(out.figures);
+    // Commands of earlier releases do not tell why a move is reversed.
+    out.is_shown_worse = in.value("is_shown_worse", out.state == move_state::reversed);
 }
 
 static void to_json(nlohmann::json& out, reserve_orders const& in)
@@ -108,7 +114,8 @@
            {"span", in.time_limit},
            {"base", optional_json(in.base)},
            {"resend_time", optional_json(in.resend_time)},
-           {"base_age", in.base_age}};
+           {"base_age", in.base_age},
+           {"in_service", in.in_service}};
 }
 
 static void from_json(nlohmann::json const& in, start_service_move& out)
@@ -119,6 +126,7 @@
     out.base = optional_from<std::uint64_t>(in.value("base", nlohmann::json()));
     out.resend_time = optional_from<duration>(in.value("resend_time", nlohmann::json()));
     out.base_age = in.value("base_age", duration(0));
+    out.in_service = in.value("in_service", version_name());
 }
 
 static void to_json(nlohmann::json& out, close_usage_window const& in)
--- a/src/version/internal/move_controller.cpp
+++ b/src/version/internal/move_controller.cpp
@@ -83,8 +83,12 @@
     std::optional<update_move> decide(wall_time now, move_record const& record)
     {
         if (this->version_verdict.is_worse())
-            return this->make_update(now, record, 0, move_state::reversed,
-                                     this->version_verdict.describe());
+        {
+            auto change = this->make_update(now, record, 0, move_state::reversed,
+                                            this->version_verdict.describe());
+            change.is_shown_worse = true;
+            return change;
+        }
         return this->settings.exposure.holds_to_end ? this->decide_within_budget(now, record)
                                                     : this->decide_by_plan(now, record);
     }
@@ -259,15 +263,15 @@
         return this->make_update(now, record, share, move_state::running, reason);
     }
 
-    std::optional<update_move> make_update(wall_time now, move_record const& record, double share,
-                                           move_state state, std::string reason) const
+    update_move make_update(wall_time now, move_record const& record, double share,
+                            move_state state, std::string reason) const
     {
         auto figures = this->version_verdict.figures();
         figures[counted_seconds_figure] = number_text(to_seconds(now - record.started));
         figures[exposure_limit_figure] =
             count_text(this->budget.limit_so_far(this->version_verdict.sent()));
-        return update_move{record.service, record.generation, share,
-                           state,          std::move(reason), std::move(figures)};
+        return {record.service,    record.generation,  share, state,
+                std::move(reason), std::move(figures), false};
     }
 
     move_settings settings;
--- a/src/version/internal/move_rules.cpp
+++ b/src/version/internal/move_rules.cpp
@@ -115,26 +115,30 @@
         latest->ordered = this->now;
         return start_move_outcome::prolonged;
     }
-    this->start_service_candidate(move_command, index);
+    this->add_service_move(move_command, index);
     return start_move_outcome::started;
 }
 
-void move_rules::start_service_candidate(
-    lagoonladder::version::start_service_move const& move_command, std::uint64_t index)
+void move_rules::add_service_move(lagoonladder::version::start_service_move const& move_command,
+                                  std::uint64_t index)
 {
     if (auto* running = this->find_running(move_command.service))
         this->end(*running, move_state::reversed, "another move was started");
     auto& split = this->state.splits[move_command.service];
+    // Commands of earlier releases, which have no such time, make any version a candidate.
+    bool const is_in_service =
+        move_command.resend_time &&
+        (move_command.to == split.stable || move_command.to == move_command.in_service);
     move_record move;
     move.service = move_command.service;
-    move.from = split.stable;
+    move.from = is_in_service ? move_command.to : split.stable;
     move.to = move_command.to;
     move.started = this->now;
     move.finish_by = this->now + move_command.time_limit;
     move.generation = lagoonladder::generation(index);
     move.number = index;
     move.ordered = this->now;
-    split.candidate = move_command.to;
+    split.candidate = is_in_service ? version_name() : move_command.to;
     split.candidate_share = 0;
     this->state.moves.push_back(std::move(move));
     this->drop_old_moves();
@@ -146,6 +150,7 @@
     if (move == nullptr || move->generation != change.generation || !std::isfinite(change.share))
         return false;
     move->figures = change.figures;
+    move->is_shown_worse = change.is_shown_worse;
     if (change.state == move_state::running)
     {
         move->reason = change.reason;
@@ -164,14 +169,17 @@
         move.full_since.reset();
     else if (!move.full_since)
         move.full_since = this->now;
-    this->state.splits.at(move.service).candidate_share = share;
+    auto& split = this->state.splits.at(move.service);
+    if (split.candidate == move.to)
+        split.candidate_share = share;
 }
 
 void move_rules::end(move_record& move, move_state outcome, std::string reason)
 {
     auto& split = this->state.splits.at(move.service);
-    invariant(split.candidate == move.to && split.stable == move.from,
-              "the traffic split names the versions of the running move");
+    bool const is_consistent =
+        is_renewal(move) || (split.candidate == move.to && split.stable == move.from);
+    invariant(is_consistent, "the traffic split names the versions of the running move");
     move.state = outcome;
     move.ended = this->now;
     move.reason = std::move(reason);
--- a/src/version/internal/move_rules.hpp
+++ b/src/version/internal/move_rules.hpp
@@ -40,8 +40,8 @@
     /// Whether an order for the version of the latest move is the one that started it, sent again.
     bool is_resent(lagoonladder::version::start_service_move const& move_command,
                    move_record const& latest) const;
-    void start_service_candidate(lagoonladder::version::start_service_move const& move_command,
-                                 std::uint64_t index);
+    void add_service_move(lagoonladder::version::start_service_move const& move_command,
+                          std::uint64_t index);
     /// Whether `next` starts a move to its version.
     bool starts_move(service_config const& next) const;
     void apply_service(service_config const& next, lagoonladder::generation new_generation);
--- a/src/version/internal/shared_state.cpp
+++ b/src/version/internal/shared_state.cpp
@@ -46,7 +46,8 @@
            {"figures", in.figures},
            {"generation", in.generation},
            {"number", in.number},
-           {"ordered", in.ordered}};
+           {"ordered", in.ordered},
+           {"is_shown_worse", in.is_shown_worse}};
 }
 
 void from_json(nlohmann::json const& in, move_record& out)
@@ -66,6 +67,8 @@
     // Records of earlier releases have no number and time of an order.
     out.number = in.value("number", out.generation.value());
     out.ordered = in.value("ordered", out.started);
+    // Earlier releases did not tell why a move was reversed.
+    out.is_shown_worse = in.value("is_shown_worse", out.state == move_state::reversed);
 }
 
 void to_json(nlohmann::json& out, traffic_split const& in)
