--- a/src/process/consensus/internal/membership_policy.cpp
+++ b/src/process/consensus/internal/membership_policy.cpp
@@ -20,9 +20,8 @@
                        });
 }
 
-/// Returns the number of voters that may lose their disks at the same time: the others, which are
-/// all needed if further ones are inactive meanwhile, are a quorum. An entry that a quorum has
-/// stored is then still on a disk.
+/// Returns how many voters may lose their disks at the same time. The others are a quorum once all
+/// of them are active, and a quorum stores each entry on more disks than that.
 std::size_t max_disk_losses(std::size_t voters)
 {
     return (voters - 1) / 2;
