Take an order with another time limit for a new one

Cause: found by reading: an order is sent again unchanged, but one with another duration counted as the earlier one within order_resend_time, so that an operator who corrects it at once gets an acknowledgement without an effect.

Change: the time limits are compared as well.

--- a/src/version/internal/move_rules.cpp
+++ b/src/version/internal/move_rules.cpp
@@ -88,6 +88,8 @@
 {
     if (!move_command.resend_time)
         return !latest.ended || this->now - *latest.ended < control_state::resend_window;
+    if (latest.finish_by - latest.ordered != move_command.time_limit)
+        return false;
     // The clock of another leader may differ, or have been set meanwhile. The sender of the command
     // measures by a clock of its own, but not since before its start.
     bool const is_known_long_enough =
--- a/src/version/tests/move_orders_test.cpp
+++ b/src/version/tests/move_orders_test.cpp
@@ -189,3 +189,17 @@
     late.base = *late.base - 1;
     CHECK(system.commit(late) == start_move_outcome::outdated);
 }
+
+TEST_CASE("an order with another time limit is a new one at any time")
+{
+    // Guards against an order that its operator corrects at once and that is taken for the first
+    // one, sent again.
+    ordered_state system;
+    CHECK(system.order("v2") == start_move_outcome::started);
+    system.now += seconds(1);
+    CHECK(system.commit(system.make_order("v2", seconds(30))) == start_move_outcome::prolonged);
+    CHECK(system.commit(system.make_order("v2", seconds(30))) == start_move_outcome::repeated);
+    system.end_move(move_state::reversed);
+    CHECK(system.commit(system.make_order("v2", seconds(30))) == start_move_outcome::repeated);
+    CHECK(system.commit(system.make_order("v2", seconds(20))) == start_move_outcome::started);
+}
